Add the design page, the build and the base modules

Cause: the repository is empty; parts need a shared base before they can be written side by side. Ruled out: polling sockets from any fiber's pick_next, since a handler could wake the fiber that is still suspending; sockets are polled from the dispatcher only.

--- /dev/null
+++ b/source/core/common/time.h
@@ -0,0 +1,43 @@
+#ifndef CORE_COMMON_TIME_H_
+#define CORE_COMMON_TIME_H_
+
+#include <chrono>
+#include <cstdint>
+
+namespace jujuberock::common {
+
+using Duration = std::chrono::microseconds;
+
+// Tag of the monotonic time line. It has no Now(): decision objects are given
+// the time, and only core/runtime reads a real clock.
+struct MonotonicClock {
+  using rep = Duration::rep;
+  using period = Duration::period;
+  using duration = Duration;
+  using time_point = std::chrono::time_point<MonotonicClock>;
+  // NOLINTNEXTLINE(readability-identifier-naming): name of a standard clock.
+  static constexpr bool is_steady = true;
+};
+
+// A point on the monotonic time line, in microseconds since an arbitrary start.
+using TimePoint = MonotonicClock::time_point;
+
+// Wall time in milliseconds since the Unix epoch. Used for hour bands and
+// journal retention only, never to order events.
+using UnixTime = std::chrono::sys_time<std::chrono::milliseconds>;
+
+constexpr double ToSeconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+constexpr double ToMilliseconds(Duration duration) {
+  return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+constexpr Duration FromSeconds(double seconds) {
+  return Duration(static_cast<int64_t>(seconds * 1e6));
+}
+
+}  // namespace jujuberock::common
+
+#endif  // CORE_COMMON_TIME_H_
--- /dev/null
+++ b/source/core/runtime/http_server.cc
@@ -0,0 +1,418 @@
+#include "core/runtime/http_server.h"
+
+#include <glog/logging.h>
+
+#include <atomic>
+#include <map>
+#include <thread>
+#include <utility>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/socket_base.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include "core/runtime/await.h"
+#include "core/runtime/sleep.h"
+
+namespace jujuberock::runtime {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+using common::Error;
+using common::ResultCode;
+
+namespace {
+
+constexpr common::Duration kAcceptBackoff = std::chrono::milliseconds(50);
+
+HttpRequest FromBeast(http::request<http::string_body>& message) {
+  HttpRequest request;
+  request.method = std::string(message.method_string());
+  request.target = std::string(message.target());
+  for (const auto& field : message)
+    request.headers.Add(std::string(field.name_string()),
+                        std::string(field.value()));
+  request.body = std::move(message.body());
+  return request;
+}
+
+template <typename Body>
+void FillHead(http::response<Body>& message,
+              int status,
+              const HttpHeaders& headers,
+              bool keep_alive) {
+  message.version(11);
+  message.result(static_cast<unsigned>(status));
+  for (const HttpHeader& field : headers.all())
+    message.insert(field.name, field.value);
+  message.keep_alive(keep_alive);
+}
+
+bool IsTimeout(const error_code& error) {
+  return error == beast::error::timeout;
+}
+
+// The error to answer for a failed read; nothing when the peer is gone.
+std::optional<Error> ErrorOfRead(const error_code& error) {
+  if (error == http::error::body_limit)
+    return Error(ResultCode::kBodyTooLarge, "body too large");
+  if (error == http::error::header_limit ||
+      error == http::error::buffer_overflow)
+    return Error(ResultCode::kHeaderTooLarge, "header too large");
+  if (IsTimeout(error))
+    return Error(ResultCode::kRequestTimeout,
+                 "the request did not arrive in time");
+  if (error == http::error::partial_message)
+    return Error(ResultCode::kMalformedRequest, "the request is incomplete");
+  if (error.category() ==
+          http::make_error_code(http::error::bad_version).category() &&
+      error != http::error::end_of_stream)
+    return Error(ResultCode::kMalformedRequest, error.message());
+  return std::nullopt;
+}
+
+class StreamWriter : public ResponseWriter {
+ public:
+  StreamWriter(beast::tcp_stream& stream,
+               common::Duration write_timeout,
+               bool keep_alive,
+               bool is_head)
+      : stream(stream),
+        write_timeout(write_timeout),
+        keep_alive(keep_alive),
+        is_head(is_head) {}
+
+  void Send(HttpResponse response) override {
+    this->has_started = true;
+    http::response<http::string_body> message;
+    FillHead(message, response.status, response.headers, this->keep_alive);
+    message.body() = std::move(response.body);
+    message.prepare_payload();
+    if (this->is_head)
+      message.body().clear();
+    this->stream.expires_after(this->write_timeout);
+    error_code error;
+    http::response_serializer<http::string_body> serializer(message);
+    if (this->is_head)
+      http::async_write_header(this->stream, serializer, Await(error));
+    else
+      http::async_write(this->stream, serializer, Await(error));
+    this->Check(error);
+    this->has_finished = true;
+  }
+
+  void StartStream(int status, HttpHeaders headers) override {
+    this->has_started = true;
+    http::response<http::empty_body> message;
+    FillHead(message, status, headers, this->keep_alive);
+    message.chunked(true);
+    http::response_serializer<http::empty_body> serializer(message);
+    this->stream.expires_after(this->write_timeout);
+    error_code error;
+    http::async_write_header(this->stream, serializer, Await(error));
+    this->Check(error);
+  }
+
+  void Write(std::string_view bytes) override {
+    if (bytes.empty())
+      return;
+    this->stream.expires_after(this->write_timeout);
+    error_code error;
+    boost::asio::async_write(
+        this->stream,
+        http::make_chunk(boost::asio::buffer(bytes.data(), bytes.size())),
+        Await(error));
+    this->Check(error);
+  }
+
+  void FinishStream() override {
+    this->stream.expires_after(this->write_timeout);
+    error_code error;
+    boost::asio::async_write(this->stream, http::make_chunk_last(),
+                             Await(error));
+    this->Check(error);
+    this->has_finished = true;
+  }
+
+  bool started() const override { return this->has_started; }
+  bool finished() const { return this->has_finished; }
+
+ private:
+  void Check(const error_code& error) {
+    if (error)
+      throw Error(ResultCode::kCanceled, "caller gone: " + error.message());
+  }
+
+  beast::tcp_stream& stream;
+  common::Duration write_timeout;
+  bool keep_alive;
+  bool is_head;
+  bool has_started = false;
+  bool has_finished = false;
+};
+
+}  // namespace
+
+HttpResponse RenderPlainError(const Error& error) {
+  const common::ResultCodeInfo& info = common::InfoOf(error.code());
+  HttpResponse response;
+  response.status = info.http_status;
+  response.headers.Add("Content-Type", "text/plain");
+  response.body = std::string(info.title) + ": " + error.what() + "\n";
+  return response;
+}
+
+struct HttpServer::State : std::enable_shared_from_this<State> {
+  State(WorkerPool& pool,
+        HttpServerOptions options,
+        HttpHandler handler,
+        ErrorRenderer render_error)
+      : pool(pool),
+        options(options),
+        handler(std::move(handler)),
+        render_error(std::move(render_error)),
+        streams(pool.size()) {}
+
+  void Listen(const Address& address);
+  void Accept(size_t worker);
+  void Serve(size_t worker, tcp::socket socket);
+  void ServeRequests(beast::tcp_stream& stream);
+  bool ServeOne(beast::tcp_stream& stream, beast::flat_buffer& buffer);
+  bool Answer(beast::tcp_stream& stream,
+              http::request<http::string_body>& message);
+  void Reject(beast::tcp_stream& stream, const Error& error);
+  void Drain();
+  void Close();
+
+  WorkerPool& pool;
+  HttpServerOptions options;
+  HttpHandler handler;
+  ErrorRenderer render_error;
+  Address bound;
+  // One acceptor a worker, all on the same port (SO_REUSEPORT), so that a
+  // connection never moves between threads.
+  std::vector<std::unique_ptr<tcp::acceptor>> acceptors;
+  // Open streams of each worker, touched on that worker's thread only. The
+  // flag tells whether the stream waits between two requests.
+  std::vector<std::map<beast::tcp_stream*, bool>> streams;
+  std::atomic<size_t> fibers{0};
+  std::atomic<size_t> connections{0};
+  std::atomic<size_t> active{0};
+  std::atomic<bool> draining{false};
+};
+
+void HttpServer::State::Listen(const Address& address) {
+  try {
+    tcp::endpoint endpoint(boost::asio::ip::make_address(address.ip),
+                           address.port);
+    using ReusePort =
+        boost::asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+    for (size_t i = 0; i < this->pool.size(); ++i) {
+      auto acceptor = std::make_unique<tcp::acceptor>(this->pool.IoOf(i));
+      acceptor->open(endpoint.protocol());
+      acceptor->set_option(tcp::acceptor::reuse_address(true));
+      acceptor->set_option(ReusePort(true));
+      acceptor->bind(endpoint);
+      acceptor->listen(boost::asio::socket_base::max_listen_connections);
+      endpoint = acceptor->local_endpoint();
+      this->acceptors.push_back(std::move(acceptor));
+    }
+    this->bound = {address.ip, endpoint.port()};
+  } catch (const boost::system::system_error& error) {
+    throw Error(
+        ResultCode::kInvalidSettings,
+        "can not listen on " + address.ToString() + ": " + error.what());
+  }
+  for (size_t i = 0; i < this->pool.size(); ++i) {
+    ++this->fibers;
+    this->pool.Spawn(i, [self = this->shared_from_this(), i] {
+      self->Accept(i);
+      --self->fibers;
+    });
+  }
+}
+
+void HttpServer::State::Accept(size_t worker) {
+  tcp::acceptor& acceptor = *this->acceptors[worker];
+  while (!this->draining) {
+    error_code error;
+    tcp::socket socket = acceptor.async_accept(Await(error));
+    if (error == boost::asio::error::operation_aborted || !acceptor.is_open())
+      return;
+    if (error) {
+      // Out of file descriptors, most likely: give connections time to close.
+      SleepFor(kAcceptBackoff);
+      continue;
+    }
+    ++this->fibers;
+    SpawnHere([self = this->shared_from_this(), worker,
+               shared = std::make_shared<tcp::socket>(std::move(socket))] {
+      self->Serve(worker, std::move(*shared));
+      --self->fibers;
+    });
+  }
+}
+
+void HttpServer::State::Serve(size_t worker, tcp::socket socket) {
+  ++this->connections;
+  error_code ignored;
+  socket.set_option(tcp::no_delay(true), ignored);
+  beast::tcp_stream stream(std::move(socket));
+  this->streams[worker][&stream] = true;
+  this->ServeRequests(stream);
+  this->streams[worker].erase(&stream);
+  stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+  stream.close();
+  --this->connections;
+}
+
+void HttpServer::State::ServeRequests(beast::tcp_stream& stream) {
+  beast::flat_buffer buffer;
+  while (!this->draining && this->ServeOne(stream, buffer)) {
+  }
+}
+
+// Returns whether the connection stays open.
+bool HttpServer::State::ServeOne(beast::tcp_stream& stream,
+                                 beast::flat_buffer& buffer) {
+  const size_t worker = *WorkerPool::CurrentWorker();
+  error_code error;
+  if (buffer.size() == 0) {
+    stream.expires_after(this->options.idle_timeout);
+    auto space = buffer.prepare(4096);
+    const size_t bytes = stream.async_read_some(space, Await(error));
+    if (error)
+      return false;
+    buffer.commit(bytes);
+  }
+  this->streams[worker][&stream] = false;
+  http::request_parser<http::string_body> parser;
+  parser.header_limit(static_cast<uint32_t>(this->options.header_limit_bytes));
+  parser.body_limit(this->options.body_limit_bytes);
+  stream.expires_after(this->options.header_timeout);
+  http::async_read_header(stream, buffer, parser, Await(error));
+  if (!error && !parser.is_done()) {
+    if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+      http::response<http::empty_body> proceed(http::status::continue_, 11);
+      http::async_write(stream, proceed, Await(error));
+    }
+    stream.expires_after(this->options.body_timeout);
+    http::async_read(stream, buffer, parser, Await(error));
+  }
+  if (error) {
+    if (auto problem = ErrorOfRead(error))
+      this->Reject(stream, *problem);
+    return false;
+  }
+  const bool keep = this->Answer(stream, parser.get());
+  this->streams[worker][&stream] = true;
+  return keep;
+}
+
+bool HttpServer::State::Answer(beast::tcp_stream& stream,
+                               http::request<http::string_body>& message) {
+  const bool keep_alive = message.keep_alive() && !this->draining;
+  const bool is_head = message.method() == http::verb::head;
+  const HttpRequest request = FromBeast(message);
+  StreamWriter writer(stream, this->options.write_timeout, keep_alive, is_head);
+  ++this->active;
+  try {
+    // A handler may wait far longer than a read or write may take.
+    stream.expires_never();
+    this->handler(request, writer);
+  } catch (const Error& error) {
+    if (!writer.started() && error.code() != ResultCode::kCanceled) {
+      try {
+        writer.Send(this->render_error(error));
+      } catch (const Error&) {
+        // The caller has gone away; nobody is left to answer.
+      }
+    }
+  } catch (const std::exception& error) {
+    LOG(ERROR) << "handler failed: " << error.what();
+    if (!writer.started())
+      this->Reject(stream, Error(ResultCode::kInternal, "internal error"));
+  }
+  --this->active;
+  return keep_alive && writer.finished();
+}
+
+void HttpServer::State::Reject(beast::tcp_stream& stream, const Error& error) {
+  try {
+    StreamWriter writer(stream, this->options.write_timeout, false, false);
+    writer.Send(this->render_error(error));
+  } catch (const Error&) {
+    // The peer has gone away.
+  }
+}
+
+void HttpServer::State::Drain() {
+  if (this->draining.exchange(true))
+    return;
+  for (size_t i = 0; i < this->pool.size(); ++i) {
+    boost::asio::post(this->pool.IoOf(i), [self = this->shared_from_this(), i] {
+      error_code ignored;
+      self->acceptors[i]->close(ignored);
+      for (auto& [stream, idle] : self->streams[i]) {
+        if (idle)
+          stream->socket().shutdown(tcp::socket::shutdown_both, ignored);
+      }
+    });
+  }
+}
+
+void HttpServer::State::Close() {
+  this->Drain();
+  for (size_t i = 0; i < this->pool.size(); ++i) {
+    boost::asio::post(this->pool.IoOf(i), [self = this->shared_from_this(), i] {
+      error_code ignored;
+      for (auto& [stream, idle] : self->streams[i])
+        stream->socket().shutdown(tcp::socket::shutdown_both, ignored);
+    });
+  }
+}
+
+HttpServer::HttpServer(WorkerPool& pool,
+                       const Address& address,
+                       HttpServerOptions options,
+                       HttpHandler handler,
+                       ErrorRenderer render_error)
+    : state(std::make_shared<State>(pool,
+                                    options,
+                                    std::move(handler),
+                                    std::move(render_error))) {
+  this->state->Listen(address);
+}
+
+HttpServer::~HttpServer() {
+  this->state->Close();
+  // Handlers refer to objects that the owner destroys next.
+  while (this->state->fibers.load() > 0) {
+    if (WorkerPool::CurrentWorker())
+      SleepFor(std::chrono::milliseconds(1));
+    else
+      std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+}
+
+Address HttpServer::address() const {
+  return this->state->bound;
+}
+
+void HttpServer::Drain() {
+  this->state->Drain();
+}
+
+size_t HttpServer::ActiveRequests() const {
+  return this->state->active;
+}
+
+size_t HttpServer::OpenConnections() const {
+  return this->state->connections;
+}
+
+}  // namespace jujuberock::runtime
--- /dev/null
+++ b/source/core/runtime/http_types.h
@@ -0,0 +1,65 @@
+#ifndef CORE_RUNTIME_HTTP_TYPES_H_
+#define CORE_RUNTIME_HTTP_TYPES_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace jujuberock::runtime {
+
+struct HttpHeader {
+  std::string name;
+  std::string value;
+};
+
+// Header fields in the order of arrival; names compare without case.
+class HttpHeaders {
+ public:
+  HttpHeaders() = default;
+  HttpHeaders(std::initializer_list<HttpHeader> fields) : fields(fields) {}
+
+  void Add(std::string name, std::string value) {
+    this->fields.push_back({std::move(name), std::move(value)});
+  }
+  // Removes every field of that name, then adds one.
+  void Set(std::string_view name, std::string value);
+  void Remove(std::string_view name);
+  // The first value of that name. The view lives as long as the headers.
+  std::optional<std::string_view> Find(std::string_view name) const;
+
+  const std::vector<HttpHeader>& all() const { return this->fields; }
+
+ private:
+  std::vector<HttpHeader> fields;
+};
+
+struct HttpRequest {
+  std::string method = "GET";
+  std::string target = "/";
+  HttpHeaders headers;
+  std::string body;
+};
+
+struct HttpResponse {
+  int status = 200;
+  HttpHeaders headers;
+  std::string body;
+};
+
+// A TCP address by IP number.
+struct Address {
+  std::string ip;
+  uint16_t port = 0;
+
+  // Parses "ip:port" or "[ip6]:port"; nothing when malformed.
+  static std::optional<Address> Parse(std::string_view text);
+  std::string ToString() const;
+
+  auto operator<=>(const Address&) const = default;
+};
+
+}  // namespace jujuberock::runtime
+
+#endif  // CORE_RUNTIME_HTTP_TYPES_H_
--- /dev/null
+++ b/source/unit_tests/test_main.cc
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
