Treat unexpected platform server errors as unknown writes

Cause: a 500, 502 or 504 may come from a proxy after the write took effect. Change: only 503, which the object API documents as an outage, and client errors count as refused writes.

--- a/source/core/platform/client.cc
+++ b/source/core/platform/client.cc
@@ -84,7 +84,9 @@
         result.current = ParseObject(response.body);
       return result;
     }
-    result.state = WriteState::kRejected;
+    // Any other server error may stand for a write that took effect.
+    const bool refused = response.status < 500 || response.status == 503;
+    result.state = refused ? WriteState::kRejected : WriteState::kUnknown;
   } catch (const Error& error) {
     const bool not_sent = error.outcome() == common::Outcome::kNotRun;
     result.state = not_sent ? WriteState::kRejected : WriteState::kUnknown;
