Add the weight version rollout

Cause: a version change has to reach every endpoint although the holder of the orders pauses, dies or loses answers, with a bound on loads at once. Change: orders::VersionRollout, a pure state machine with a term in the platform as the fencing number. Ruled out: a lease with renewals, since it would cost a write a period for each service; settling an unknown claim by its token, since claiming again is as safe and needs no case of its own.

--- /dev/null
+++ b/source/core/orders/version_rollout.cc
@@ -0,0 +1,257 @@
+#include "core/orders/version_rollout.h"
+
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "core/common/error.h"
+
+namespace jujuberock::orders {
+
+using common::TimePoint;
+using platform::WriteState;
+
+namespace {
+
+struct OrderObject {
+  uint64_t term = 0;
+  std::string holder;
+};
+
+OrderObject ParseOrderObject(const std::string& body) {
+  try {
+    const auto value = nlohmann::json::parse(body);
+    return {value.at("term").get<uint64_t>(),
+            value.at("holder").get<std::string>()};
+  } catch (const nlohmann::json::exception& error) {
+    throw common::Error(common::ResultCode::kProtocolError,
+                        std::string("order object: ") + error.what());
+  }
+}
+
+std::string RenderOrderObject(const OrderObject& object) {
+  return nlohmann::json{{"term", object.term}, {"holder", object.holder}}
+      .dump();
+}
+
+}  // namespace
+
+VersionRollout::VersionRollout(std::string service,
+                               std::string host,
+                               RolloutOptions options)
+    : service(std::move(service)), host(std::move(host)), options(options) {}
+
+void VersionRollout::SetDesired(DesiredVersion desired) {
+  this->desired = std::move(desired);
+}
+
+void VersionRollout::SetPreferred(bool preferred) {
+  this->preferred = preferred;
+}
+
+void VersionRollout::SetEndpoints(std::set<std::string> names) {
+  std::erase_if(this->endpoints, [&names](const auto& item) {
+    return !names.contains(item.first);
+  });
+  for (const std::string& name : names)
+    this->endpoints.try_emplace(name);
+}
+
+bool VersionRollout::HasWork() const {
+  if (!this->desired || this->desired->version.empty())
+    return false;
+  return this->CountUpToDate() < this->endpoints.size();
+}
+
+size_t VersionRollout::CountUpToDate() const {
+  if (!this->desired)
+    return 0;
+  size_t count = 0;
+  for (const auto& [name, endpoint] : this->endpoints) {
+    if (endpoint.report && endpoint.report->version == this->desired->version)
+      ++count;
+  }
+  return count;
+}
+
+Actions VersionRollout::OnTick(TimePoint now) {
+  if (this->state == State::kHolding) {
+    if (!this->preferred) {
+      this->StepDown(now);
+      return {};
+    }
+    return this->MakeOrders(now);
+  }
+  if (this->state != State::kIdle || now < this->next_attempt)
+    return {};
+  if (!this->preferred || !this->HasWork())
+    return {};
+  return this->StartRead();
+}
+
+Actions VersionRollout::StartRead() {
+  this->state = State::kReading;
+  return {ReadOrderObject{}};
+}
+
+Actions VersionRollout::OnReadReply(
+    bool failed,
+    const std::optional<platform::Object>& object,
+    TimePoint now) {
+  if (this->state != State::kReading)
+    return {};
+  if (failed) {
+    this->state = State::kIdle;
+    this->next_attempt = now + this->options.retry_pause;
+    return {};
+  }
+  this->object_version = object ? object->version : 0;
+  const OrderObject order = object && !object->deleted
+                                ? ParseOrderObject(object->body)
+                                : OrderObject();
+  this->object_term = order.term;
+  return this->Claim();
+}
+
+Actions VersionRollout::Claim() {
+  // Every claim raises the term, also one by the same host: a restarted host
+  // has the same name but not the same orders in flight.
+  this->state = State::kClaiming;
+  WriteOrderObject write;
+  write.expected = this->object_version;
+  write.body = RenderOrderObject({this->object_term + 1, this->host});
+  write.token = this->host + "/" + std::to_string(this->object_version) + "/" +
+                std::to_string(++this->claim_count);
+  return {write};
+}
+
+Actions VersionRollout::OnWriteReply(const platform::WriteResult& result,
+                                     TimePoint now) {
+  if (this->state != State::kClaiming)
+    return {};
+  switch (result.state) {
+    case WriteState::kWritten:
+      this->object_version = result.version;
+      ++this->object_term;
+      this->BecomeHolder(now);
+      return this->MakeOrders(now);
+    case WriteState::kUnknown:
+      // The claim may have taken effect; claiming again raises the term once
+      // more, which is as safe as settling it and needs no special case.
+      return this->StartRead();
+    case WriteState::kConflict:
+    case WriteState::kRejected:
+      this->StepDown(now);
+      return {};
+  }
+  return {};
+}
+
+void VersionRollout::BecomeHolder(TimePoint now) {
+  this->state = State::kHolding;
+  this->held_term = this->object_term;
+  this->held_since = now;
+  // Reports from before the claim may miss loads that an earlier holder began.
+  for (auto& [name, endpoint] : this->endpoints)
+    endpoint = EndpointState();
+}
+
+void VersionRollout::StepDown(TimePoint now) {
+  this->state = State::kIdle;
+  this->next_attempt = now + this->options.retry_pause;
+}
+
+Actions VersionRollout::OnEndpointReport(const EndpointReport& report,
+                                         TimePoint now) {
+  auto found = this->endpoints.find(report.endpoint);
+  if (found == this->endpoints.end())
+    return {};
+  EndpointState& endpoint = found->second;
+  endpoint.report = report;
+  endpoint.reported_at = now;
+  if (this->state == State::kHolding && report.fence > this->held_term) {
+    // Another host holds a higher term.
+    this->StepDown(now);
+    return {};
+  }
+  const bool load_ended =
+      report.loading.empty() && report.version == endpoint.ordered_version;
+  const bool order_lost =
+      report.loading.empty() && endpoint.busy_since &&
+      now > *endpoint.busy_since + this->options.order_lifetime;
+  if (load_ended || order_lost)
+    endpoint.busy_since.reset();
+  if (this->state != State::kHolding)
+    return {};
+  return this->MakeOrders(now);
+}
+
+Actions VersionRollout::OnOrderReply(const std::string&,
+                                     OrderResult result,
+                                     TimePoint now) {
+  if (this->state != State::kHolding)
+    return {};
+  if (result == OrderResult::kStaleFence) {
+    this->StepDown(now);
+    return {};
+  }
+  // A failed order may have arrived all the same: the endpoint stays busy
+  // until a report shows otherwise.
+  return {};
+}
+
+size_t VersionRollout::CountLoads(TimePoint now) {
+  size_t loads = 0;
+  for (auto& [name, endpoint] : this->endpoints) {
+    if (!endpoint.report) {
+      // Unheard since the claim: an earlier holder's load may still run.
+      if (now < this->held_since + this->options.load_timeout)
+        ++loads;
+      continue;
+    }
+    const bool silent = now > endpoint.reported_at + this->options.load_timeout;
+    const bool loading = !endpoint.report->loading.empty() && !silent;
+    if (silent)
+      endpoint.busy_since.reset();
+    if (loading || endpoint.busy_since)
+      ++loads;
+  }
+  return loads;
+}
+
+bool VersionRollout::MayOrder(const EndpointState& endpoint,
+                              TimePoint now) const {
+  if (!endpoint.report || endpoint.busy_since)
+    return false;
+  if (!endpoint.report->loading.empty() ||
+      endpoint.report->version == this->desired->version)
+    return false;
+  // Orders of an earlier holder may still arrive at an endpoint that does not
+  // refuse them.
+  const TimePoint orders_expired =
+      this->held_since + this->options.order_lifetime;
+  return endpoint.report->checks_fence || this->held_term == 1 ||
+         now >= orders_expired;
+}
+
+Actions VersionRollout::MakeOrders(TimePoint now) {
+  Actions actions;
+  if (!this->desired || this->desired->version.empty())
+    return actions;
+  size_t loads = this->CountLoads(now);
+  for (auto& [name, endpoint] : this->endpoints) {
+    if (loads >= this->desired->loads_at_once)
+      break;
+    if (!this->MayOrder(endpoint, now))
+      continue;
+    endpoint.busy_since = now;
+    endpoint.ordered_version = this->desired->version;
+    ++loads;
+    actions.push_back(SendOrder{name, this->held_term, this->desired->model,
+                                this->desired->version,
+                                now + this->options.order_lifetime});
+  }
+  return actions;
+}
+
+}  // namespace jujuberock::orders
