--- /dev/null
+++ b/source/core/routing/types.h
@@ -0,0 +1,139 @@
+#ifndef CORE_ROUTING_TYPES_H_
+#define CORE_ROUTING_TYPES_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/common/time.h"
+#include "core/routing/block_key.h"
+
+namespace jujuberock::routing {
+
+// Names the caller's request on this host; unique while the request is known
+// to the router.
+using RequestId = uint64_t;
+
+enum class EndpointState { kLive, kLeaving, kGone };
+
+struct EndpointInfo {
+  std::string name;
+  std::string service;
+  std::string zone;
+};
+
+// GET /load of an engine. A plain service has no report.
+struct LoadReport {
+  // When the report was made, on the endpoint's own clock.
+  common::Duration as_of{0};
+  uint32_t running = 0;
+  uint64_t queued_tokens = 0;
+  uint32_t slots = 1;
+  double prefill_tokens_per_s = 0;
+  double decode_ms = 0;
+  uint64_t kv_capacity_blocks = 0;
+  uint64_t kv_used_blocks = 0;
+  std::string version;
+  bool leaving = false;
+};
+
+// GET /status of a cache store: its size and its link in both directions.
+// "Sent" is from the store to engines.
+struct LinkReport {
+  uint64_t capacity_bytes = 0;
+  uint64_t used_bytes = 0;
+  double link_bytes_per_s = 0;
+  uint64_t sent_bytes = 0;
+  uint64_t received_bytes = 0;
+};
+
+struct CacheEvent {
+  enum class Op { kAdd, kRemove };
+  Op op = Op::kAdd;
+  BlockKey key;
+};
+
+// One holder of the leading blocks of a chain.
+struct Holder {
+  std::string name;
+  uint32_t leading_blocks = 0;
+  // Events of this holder were lost, so it may hold less.
+  bool doubtful = false;
+};
+
+// Asks a conversation's owner which endpoints and stores hold its blocks.
+// Message `index_query`.
+struct IndexQuery {
+  std::vector<BlockKey> keys;
+};
+
+// The reply to an IndexQuery.
+struct IndexAnswer {
+  std::vector<Holder> endpoints;
+  std::vector<Holder> stores;
+};
+
+// Tells a conversation's owner where blocks went. Message `index_update`.
+struct IndexUpdate {
+  std::string holder;
+  bool holder_is_store = false;
+  std::vector<CacheEvent> events;
+};
+
+struct RouteRequest {
+  RequestId id = 0;
+  std::string service;
+  // Weight version in force for the service; empty: any.
+  std::string version;
+  // Zone of the caller.
+  std::string zone;
+  std::string team;
+  // Empty for plain services and for prompts shorter than a block.
+  std::vector<BlockKey> block_keys;
+  uint64_t prompt_tokens = 0;
+  uint64_t max_tokens = 0;
+  common::TimePoint deadline;
+  // Endpoints that must not be chosen, such as one that just failed.
+  std::vector<std::string> excluded;
+  // Run alone on an endpoint, because an earlier run may have crashed one.
+  bool isolate = false;
+  // What the conversation's owner knows, when this host asked it.
+  std::optional<IndexAnswer> owner_answer;
+  // The owner did not answer within kOwnerAnswerLimit: decide by load alone.
+  bool load_only = false;
+};
+
+// How long a host waits for a conversation's owner. Half of the time that
+// restoring one block usually takes; later answers save nothing.
+inline constexpr common::Duration kOwnerAnswerLimit =
+    std::chrono::milliseconds(20);
+
+struct Restore {
+  BlockKey key;
+  std::string store;
+};
+
+struct RouteDecision {
+  std::string endpoint;
+  // From now to the first token.
+  common::Duration predicted_first_token{0};
+  // The part of it spent in the endpoint's queue.
+  common::Duration predicted_wait{0};
+  // Prompt tokens expected to be in the endpoint's cache already.
+  uint64_t cached_tokens = 0;
+  // Blocks that the endpoint is to pull from stores before prefill.
+  std::vector<Restore> restores;
+};
+
+// Orders an endpoint to copy blocks to a store (POST /kv/export).
+struct Export {
+  std::string endpoint;
+  std::string store;
+  std::string team;
+  std::vector<BlockKey> keys;
+};
+
+}  // namespace jujuberock::routing
+
+#endif  // CORE_ROUTING_TYPES_H_
