--- /dev/null
+++ b/source/core/journal/options.h
@@ -0,0 +1,50 @@
+#ifndef CORE_JOURNAL_OPTIONS_H_
+#define CORE_JOURNAL_OPTIONS_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+
+#include "core/common/time.h"
+
+namespace jujuberock::journal {
+
+// Settings of the journal. The same on all hosts of a deployment.
+struct Options {
+  // Fixed for the life of the stored records: the platform object
+  // `journal/layout` holds it and a host with another value refuses to serve.
+  uint32_t shards = 64;
+  // Shortest time between two head writes of one shard. A write after a quiet
+  // period starts at once.
+  common::Duration write_spacing{0};
+  // An outcome waits this long for a write to ride on.
+  common::Duration outcome_delay = std::chrono::seconds(1);
+  // Pause after the platform refused a call or could not be reached.
+  common::Duration platform_retry = std::chrono::milliseconds(50);
+  // A host that lost a shard does not take it back before this has passed.
+  common::Duration takeover_pause = std::chrono::milliseconds(200);
+  // Longest wait for one owner's reply before the next host is asked.
+  common::Duration ask_timeout = std::chrono::milliseconds(500);
+  // Pause before an owner is asked again.
+  common::Duration ask_retry = std::chrono::milliseconds(5);
+  // Pause before unconfirmed outcomes are sent again.
+  common::Duration outcome_retry = std::chrono::seconds(3);
+  std::chrono::milliseconds retention = std::chrono::hours(24);
+  // Issue times may be this far ahead of the owner's clock.
+  std::chrono::milliseconds future_limit = std::chrono::minutes(5);
+  // A granted call issued longer ago is told as unknown instead of in progress.
+  std::chrono::milliseconds in_progress_limit = std::chrono::minutes(10);
+  // Head segments larger than this are sealed.
+  size_t head_bytes = 64 * 1024;
+  // Bodies of answers up to this size are kept.
+  size_t answer_bytes = 8 * 1024;
+  // New intents are refused while the head is larger; the platform holds
+  // values up to 1 MB.
+  size_t head_limit_bytes = 900 * 1024;
+  // Answers that a host keeps to replay what itself forwarded.
+  size_t host_answers = 1024;
+};
+
+}  // namespace jujuberock::journal
+
+#endif  // CORE_JOURNAL_OPTIONS_H_
