--- /dev/null
+++ b/source/core/table/shared_view.h
@@ -0,0 +1,46 @@
+#ifndef CORE_TABLE_SHARED_VIEW_H_
+#define CORE_TABLE_SHARED_VIEW_H_
+
+#include <atomic>
+#include <memory>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+#include "core/common/ranked_mutex.h"
+#include "core/table/view.h"
+
+namespace jujuberock::table {
+
+// A view shared by the workers of a host. Readers on the request path take
+// Current() and never wait for a merge.
+class SharedView {
+ public:
+  explicit SharedView(ViewOptions options = {});
+
+  // The rows in force. Keep the pointer for as long as rows are used.
+  SnapshotPtr Current() const { return this->current.load(); }
+
+  // Each merges and, when something changed, publishes a new snapshot. They
+  // return the objects that were newer.
+  std::vector<Object> Apply(const std::vector<Object>& objects);
+  std::vector<Object> ApplyList(Kind kind, const platform::ObjectList& list);
+
+  Digest MakeDigest() const;
+  DigestSummary Summary() const;
+  Delta DeltaSince(const Digest& other) const;
+  Version HighOf(Kind kind) const;
+  std::optional<Object> Find(std::string_view kind,
+                             std::string_view name) const;
+  std::vector<Problem> Problems() const;
+  size_t size() const;
+
+ private:
+  mutable common::RankedMutex mutex{common::LockRank::kTable};
+  View view;
+  std::atomic<SnapshotPtr> current;
+};
+
+}  // namespace jujuberock::table
+
+#endif  // CORE_TABLE_SHARED_VIEW_H_
--- /dev/null
+++ b/source/core/table/snapshot.h
@@ -0,0 +1,77 @@
+#ifndef CORE_TABLE_SNAPSHOT_H_
+#define CORE_TABLE_SNAPSHOT_H_
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/table/types.h"
+
+namespace jujuberock::table {
+
+// The valid rows of one moment. Immutable once published, so the request path
+// reads it without a lock. Rows are shared between snapshots.
+class Snapshot {
+ public:
+  template <typename T>
+  using Rows = std::map<std::string, std::shared_ptr<const T>, std::less<>>;
+
+  // `utc_offset` is the deployment's time zone; bands are in that zone.
+  explicit Snapshot(std::chrono::minutes utc_offset) : utc_offset(utc_offset) {}
+
+  // Null when there is no such row.
+  const Team* FindTeam(std::string_view name) const;
+  // The team that accepts the bearer key with this SHA-256 (hexadecimal).
+  const Team* FindTeamByKeyDigest(std::string_view digest) const;
+  const Service* ServicePolicy(std::string_view name) const;
+  // The first engine service, in order of name, that serves the model.
+  const Service* FindServiceOfModel(std::string_view model) const;
+  const Endpoint* FindEndpoint(std::string_view name) const;
+  const HostEntry* FindHost(std::string_view name) const;
+  const StoreEntry* FindStore(std::string_view name) const;
+
+  // Endpoints of a service, leaving ones included, in order of name.
+  std::vector<std::shared_ptr<const Endpoint>> EndpointsOf(
+      std::string_view service) const;
+
+  // Limits in force at this wall time; nothing when the team or the service
+  // does not exist.
+  std::optional<Row> RowFor(std::string_view team,
+                            std::string_view service,
+                            common::UnixTime when) const;
+
+  // Minute of the day in the deployment's time zone.
+  int MinuteOfDay(common::UnixTime when) const;
+
+  const Rows<Team>& teams() const { return this->team_rows; }
+  const Rows<Service>& services() const { return this->service_rows; }
+  const Rows<Endpoint>& endpoints() const { return this->endpoint_rows; }
+  const Rows<HostEntry>& hosts() const { return this->host_rows; }
+  const Rows<StoreEntry>& stores() const { return this->store_rows; }
+
+ private:
+  friend class View;
+
+  std::chrono::minutes utc_offset;
+  Rows<Team> team_rows;
+  Rows<Service> service_rows;
+  Rows<Endpoint> endpoint_rows;
+  Rows<HostEntry> host_rows;
+  Rows<StoreEntry> store_rows;
+  // Team of each key digest.
+  std::map<std::string, std::string, std::less<>> team_by_key;
+  // Endpoint names by service.
+  std::map<std::string,
+           std::vector<std::shared_ptr<const Endpoint>>,
+           std::less<>>
+      endpoints_by_service;
+};
+
+using SnapshotPtr = std::shared_ptr<const Snapshot>;
+
+}  // namespace jujuberock::table
+
+#endif  // CORE_TABLE_SNAPSHOT_H_
--- /dev/null
+++ b/source/core/table/types.h
@@ -0,0 +1,125 @@
+#ifndef CORE_TABLE_TYPES_H_
+#define CORE_TABLE_TYPES_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/common/time.h"
+#include "core/platform/object.h"
+
+namespace jujuberock::table {
+
+using platform::Object;
+using platform::Version;
+
+// Kinds of the platform's objects that the table merges. Journal and order
+// objects are read by their owners only.
+enum class Kind { kTeam, kService, kEndpoint, kHost, kStore };
+constexpr size_t kKinds = 5;
+
+std::string_view NameOf(Kind kind);
+std::optional<Kind> KindOf(std::string_view name);
+
+constexpr int kMinutesPerDay = 24 * 60;
+
+// Part of a day in the deployment's time zone, in minutes after midnight:
+// [from, to). `to` is at most kMinutesPerDay.
+struct Band {
+  int from_minute = 0;
+  int to_minute = kMinutesPerDay;
+};
+
+struct TeamBand : Band {
+  // Share of capacity relative to the other teams.
+  double weight = 1;
+  // Requests of the team that may run at once in the whole deployment.
+  int64_t max_running = 0;
+  // Longest time to first token.
+  common::Duration patience{0};
+};
+
+struct Team {
+  std::string name;
+  Version version = 0;
+  // SHA-256 of each accepted bearer key, as 64 lower-case hexadecimal digits.
+  std::vector<std::string> key_digests;
+  // Ordered; cover the day exactly once.
+  std::vector<TeamBand> bands;
+};
+
+enum class ServiceKind { kEngine, kPlain };
+
+struct ServiceBand : Band {
+  common::Duration patience{0};
+  // Requests of the service that may wait on one host.
+  int64_t max_queue = 0;
+};
+
+// Calls that must run at most once.
+struct NonIdempotentRule {
+  std::string method;
+  std::string path_prefix;
+};
+
+struct Service {
+  std::string name;
+  Version version = 0;
+  ServiceKind kind = ServiceKind::kEngine;
+  std::vector<std::string> models;
+  // Weight version in force; empty for a plain service.
+  std::string weight_version;
+  std::vector<NonIdempotentRule> non_idempotent;
+  // Path prefix of the status call; empty when the service has none.
+  std::string status_path;
+  int64_t loads_at_once = 1;
+  // Retries allowed as a share of requests, 0 to 1.
+  double retry_budget = 0;
+  // Share of each team's limit that a zone may use; empty: even over zones.
+  std::map<std::string, double> zone_shares;
+  // Ordered; cover the day exactly once.
+  std::vector<ServiceBand> bands;
+};
+
+enum class MemberState { kLive, kLeaving };
+
+struct Endpoint {
+  std::string name;
+  Version version = 0;
+  std::string service;
+  std::string zone;
+  // "ip:port"
+  std::string address;
+  MemberState state = MemberState::kLive;
+};
+
+struct HostEntry {
+  std::string name;
+  Version version = 0;
+  std::string zone;
+  std::string address;
+  MemberState state = MemberState::kLive;
+};
+
+struct StoreEntry {
+  std::string name;
+  Version version = 0;
+  std::string zone;
+  std::string address;
+};
+
+// The limits in force for a request of a team to a service at one moment.
+struct Row {
+  double weight = 1;
+  int64_t max_running = 0;
+  int64_t max_queue = 0;
+  // The smaller of the team's and the service's band.
+  common::Duration patience{0};
+};
+
+}  // namespace jujuberock::table
+
+#endif  // CORE_TABLE_TYPES_H_
