Add the service-level burn report

Cause: operators need to see which team, service and hour band uses up its error budget, over a short and a long window.

--- /dev/null
+++ b/source/unit_tests/core/report/burn_test.cc
@@ -0,0 +1,57 @@
+#include "core/report/burn.h"
+
+#include <catch2/catch.hpp>
+
+#include "core/common/error.h"
+#include "core/report/burn_render.h"
+
+namespace jujuberock::report {
+namespace {
+
+using common::TimePoint;
+using std::chrono::minutes;
+
+const BurnKey kKey{"team-a", "assistant", "06:00"};
+
+// Operators page on the short window, so a burst has to leave it in time and
+// stay in the long one.
+TEST_CASE("a burst of bad requests leaves the short window first") {
+  Burn burn;
+  burn.Record(kKey, Verdict::kInTime, TimePoint(minutes(1)));
+  burn.Record(kKey, Verdict::kLate, TimePoint(minutes(1)));
+  auto rows = burn.Rows(TimePoint(minutes(2)));
+  REQUIRE(rows.size() == 1);
+  CHECK(BurnRate(rows[0].short_window, 0.95) == Approx(10.0));
+  rows = burn.Rows(TimePoint(minutes(20)));
+  CHECK(rows[0].short_window.total() == 0);
+  CHECK(rows[0].long_window.bad() == 1);
+}
+
+// Teams come and go; their counts must not stay in memory for good.
+TEST_CASE("a key without requests in the long window is dropped") {
+  Burn burn;
+  burn.Record(kKey, Verdict::kFailed, TimePoint(minutes(1)));
+  burn.Rows(TimePoint(minutes(90)));
+  CHECK(burn.size() == 0);
+}
+
+TEST_CASE("rows of several hosts survive the way through JSON and add up") {
+  Burn first, second;
+  first.Record(kKey, Verdict::kInTime, TimePoint(minutes(1)));
+  second.Record(kKey, Verdict::kRefused, TimePoint(minutes(1)));
+  const TimePoint now(minutes(2));
+  const auto merged =
+      MergeRows({ParseJson(RenderJson(first.Rows(now), 0.95)),
+                 ParseJson(RenderJson(second.Rows(now), 0.95))});
+  REQUIRE(merged.size() == 1);
+  CHECK(merged[0].long_window.total() == 2);
+  CHECK(merged[0].long_window.bad() == 1);
+  CHECK(RenderText(merged, 0.95).find("10.00") != std::string::npos);
+}
+
+TEST_CASE("a malformed report is an error") {
+  CHECK_THROWS_AS(ParseJson("{}"), common::Error);
+}
+
+}  // namespace
+}  // namespace jujuberock::report
