--- /dev/null
+++ b/source/core/cache_store/client.cc
@@ -0,0 +1,99 @@
+#include "core/cache_store/client.h"
+
+#include <charconv>
+#include <string_view>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "core/common/error.h"
+#include "core/common/hash.h"
+
+namespace jujuberock::cache_store {
+
+using common::Error;
+using common::ResultCode;
+using runtime::Address;
+using runtime::HttpResponse;
+
+namespace {
+
+constexpr common::Duration kStatusTimeout = std::chrono::seconds(2);
+constexpr common::Duration kBlockTimeout = std::chrono::seconds(5);
+
+std::string TextOf(const HttpResponse& response, std::string_view name) {
+  return std::string(response.headers.Find(name).value_or(""));
+}
+
+std::optional<uint64_t> NumberOf(const HttpResponse& response,
+                                 std::string_view name) {
+  const std::string text = TextOf(response, name);
+  uint64_t number = 0;
+  const char* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, number);
+  if (parsed.ec != std::errc() || parsed.ptr != end)
+    return std::nullopt;
+  return number;
+}
+
+void RequireStatus(const HttpResponse& response, int wanted) {
+  if (response.status != wanted)
+    throw Error(ResultCode::kPeerUnavailable,
+                "cache store answered " + std::to_string(response.status));
+}
+
+}  // namespace
+
+StoreStatus Client::Status(const Address& store) {
+  const HttpResponse response = this->http.Fetch(
+      store, {"GET", "/status", {}, ""},
+      {.header_timeout = kStatusTimeout, .read_timeout = kStatusTimeout});
+  RequireStatus(response, 200);
+  try {
+    const auto value = nlohmann::json::parse(response.body);
+    StoreStatus status;
+    status.capacity_bytes = value.value("capacity_bytes", uint64_t{0});
+    status.used_bytes = value.value("used_bytes", uint64_t{0});
+    status.link_bytes_per_s = value.value("link_bytes_per_s", 0.0);
+    status.sent_bytes = value.value("sent_bytes", uint64_t{0});
+    status.received_bytes = value.value("received_bytes", uint64_t{0});
+    return status;
+  } catch (const nlohmann::json::exception& error) {
+    throw Error(ResultCode::kProtocolError,
+                std::string("cache store: ") + error.what());
+  }
+}
+
+std::optional<Block> Client::Read(const Address& store,
+                                  const std::string& key,
+                                  const std::string& team,
+                                  const std::string& version,
+                                  std::optional<uint64_t> pinned) {
+  HttpResponse response = this->http.Fetch(
+      store, {"GET", "/blocks/" + key, {}, ""},
+      {.header_timeout = kBlockTimeout, .read_timeout = kBlockTimeout});
+  if (response.status == 404)
+    return std::nullopt;
+  RequireStatus(response, 200);
+  const auto length = NumberOf(response, "Block-Length");
+  const auto generation = NumberOf(response, "Block-Generation");
+  if (!length || !generation)
+    throw Error(ResultCode::kProtocolError,
+                "cache store: block without length or generation");
+  Block block;
+  block.team = TextOf(response, "Block-Team");
+  block.version = TextOf(response, "Block-Version");
+  block.checksum = TextOf(response, "Block-Checksum");
+  block.length = *length;
+  block.generation = *generation;
+  block.bytes = std::move(response.body);
+  const bool whole = block.bytes.size() == block.length &&
+                     common::Hash128Hex(block.bytes) == block.checksum;
+  const bool wanted = block.team == team && block.version == version &&
+                      block.generation == pinned.value_or(block.generation);
+  if (!whole || !wanted)
+    return std::nullopt;
+  return block;
+}
+
+}  // namespace jujuberock::cache_store
--- /dev/null
+++ b/source/core/endpoint/engine_client.cc
@@ -0,0 +1,236 @@
+#include "core/endpoint/engine_client.h"
+
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "core/common/error.h"
+
+namespace jujuberock::endpoint {
+
+using common::Error;
+using common::ResultCode;
+using nlohmann::json;
+using runtime::Address;
+using runtime::HttpRequest;
+using runtime::HttpResponse;
+
+namespace {
+
+// Reports, exports and orders are answered from memory; a longer wait means
+// that the engine or its link is in trouble.
+constexpr common::Duration kControlTimeout = std::chrono::seconds(2);
+
+const runtime::HttpCallOptions kControlOptions{
+    .header_timeout = kControlTimeout,
+    .read_timeout = kControlTimeout};
+
+template <typename Parse>
+auto Parsed(std::string_view text, Parse parse) {
+  try {
+    return parse(json::parse(text));
+  } catch (const json::exception& error) {
+    throw Error(ResultCode::kProtocolError,
+                std::string("engine: ") + error.what());
+  }
+}
+
+HttpRequest JsonPost(std::string target, const json& body) {
+  HttpRequest request{"POST", std::move(target), {}, body.dump()};
+  request.headers.Add("Content-Type", "application/json");
+  return request;
+}
+
+[[noreturn]] void ThrowForStatus(int status) {
+  if (status == 409)
+    throw Error(ResultCode::kWrongVersion, "version not loaded");
+  if (status == 503)
+    throw Error(ResultCode::kNoEndpoint, "engine did not accept the request");
+  if (status == 412)
+    throw Error(ResultCode::kStaleFence, "engine refused the fencing number");
+  if (status == 400 || status == 413 || status == 422)
+    throw Error(ResultCode::kMalformedRequest,
+                "engine refused the request with " + std::to_string(status));
+  throw Error(ResultCode::kEndpointFailed,
+              "engine answered " + std::to_string(status));
+}
+
+HttpResponse FetchOk(runtime::HttpClient& http,
+                     const Address& engine,
+                     const HttpRequest& request) {
+  HttpResponse response = http.Fetch(engine, request, kControlOptions);
+  if (response.status / 100 != 2)
+    ThrowForStatus(response.status);
+  return response;
+}
+
+json ToJson(const GenerateRequest& request) {
+  json restore = json::array();
+  for (const RestoreBlock& block : request.restore)
+    restore.push_back({{"key", block.key}, {"store", block.store}});
+  return {{"request_id", request.request_id}, {"team", request.team},
+          {"model", request.model},           {"adapter", request.adapter},
+          {"version", request.version},       {"prompt", request.prompt},
+          {"max_tokens", request.max_tokens}, {"priority", request.priority},
+          {"block_keys", request.block_keys}, {"restore", std::move(restore)}};
+}
+
+EngineEvent EventFromJson(const json& value) {
+  if (value.value("done", false)) {
+    return StreamEnd{value.value("reason", std::string()),
+                     value.value("tokens", int64_t{0})};
+  }
+  return TokenEvent{value.at("offset").get<uint64_t>(),
+                    value.at("text").get<std::string>(),
+                    value.value("version", std::string()),
+                    value.value("cached_tokens", int64_t{0}),
+                    value.value("restored_tokens", int64_t{0})};
+}
+
+EngineLoad LoadFromJson(const json& value) {
+  EngineLoad load;
+  load.as_of_ms = value.value("as_of_ms", int64_t{0});
+  load.running = value.value("running", int64_t{0});
+  load.queued_tokens = value.value("queued_tokens", int64_t{0});
+  load.slots = value.value("slots", int64_t{0});
+  load.prefill_tokens_per_s = value.value("prefill_tokens_per_s", 0.0);
+  load.decode_ms = value.value("decode_ms", 0.0);
+  load.kv_capacity_blocks = value.value("kv_capacity_blocks", int64_t{0});
+  load.kv_used_blocks = value.value("kv_used_blocks", int64_t{0});
+  load.version = value.value("version", std::string());
+  load.leaving = value.value("leaving", false);
+  return load;
+}
+
+CacheEvents EventsFromJson(const json& value) {
+  CacheEvents events;
+  events.first = value.at("first").get<uint64_t>();
+  events.next = value.at("next").get<uint64_t>();
+  for (const json& item : value.at("events")) {
+    events.events.push_back({item.at("seq").get<uint64_t>(),
+                             item.at("op").get<std::string>() == "add",
+                             item.at("key").get<std::string>()});
+  }
+  return events;
+}
+
+}  // namespace
+
+std::optional<std::string> EngineStream::TakeData() {
+  size_t end;
+  while ((end = this->pending.find('\n', this->scanned)) != std::string::npos) {
+    std::string line = this->pending.substr(this->scanned, end - this->scanned);
+    this->scanned = end + 1;
+    if (!line.empty() && line.back() == '\r')
+      line.pop_back();
+    if (line.rfind("data:", 0) == 0)
+      return line.substr(5);
+  }
+  this->pending.erase(0, this->scanned);
+  this->scanned = 0;
+  return std::nullopt;
+}
+
+std::optional<EngineEvent> EngineStream::Next(common::Duration limit) {
+  this->stream->set_read_timeout(limit);
+  while (true) {
+    if (auto data = this->TakeData())
+      return Parsed(*data, EventFromJson);
+    auto bytes = this->stream->Read();
+    if (!bytes)
+      return std::nullopt;
+    this->pending += *bytes;
+  }
+}
+
+EngineStream EngineClient::Generate(const Address& engine,
+                                    const GenerateRequest& request,
+                                    common::Duration header_timeout) {
+  auto stream = this->http.Open(
+      engine, JsonPost("/v1/generate", ToJson(request)),
+      {.header_timeout = header_timeout, .read_timeout = header_timeout});
+  if (stream->status() != 200)
+    ThrowForStatus(stream->status());
+  return EngineStream(std::move(stream));
+}
+
+EngineStream EngineClient::Resume(const Address& engine,
+                                  const std::string& request_id,
+                                  uint64_t from,
+                                  common::Duration header_timeout) {
+  const std::string target =
+      "/v1/requests/" + request_id + "?from=" + std::to_string(from);
+  auto stream = this->http.Open(engine, {"GET", target, {}, ""},
+                                {.header_timeout = header_timeout,
+                                 .read_timeout = header_timeout,
+                                 .fresh_connection = true});
+  if (stream->status() == 404 || stream->status() == 410)
+    throw Error(ResultCode::kStreamGone, "the engine has no such request");
+  if (stream->status() != 200)
+    ThrowForStatus(stream->status());
+  return EngineStream(std::move(stream));
+}
+
+void EngineClient::Cancel(const Address& engine,
+                          const std::string& request_id) {
+  this->http.Fetch(engine, {"DELETE", "/v1/requests/" + request_id, {}, ""},
+                   kControlOptions);
+}
+
+EngineLoad EngineClient::Load(const Address& engine) {
+  const HttpResponse response =
+      FetchOk(this->http, engine, {"GET", "/load", {}, ""});
+  return Parsed(response.body, LoadFromJson);
+}
+
+bool EngineClient::Probe(const Address& engine, common::Duration limit) {
+  try {
+    this->http.Fetch(engine, {"GET", "/load", {}, ""},
+                     {.header_timeout = limit,
+                      .read_timeout = limit,
+                      .fresh_connection = true});
+    return true;
+  } catch (const Error&) {
+    return false;
+  }
+}
+
+CacheEvents EngineClient::Events(const Address& engine, uint64_t since) {
+  const std::string target = "/kv/events?since=" + std::to_string(since);
+  const HttpResponse response =
+      FetchOk(this->http, engine, {"GET", target, {}, ""});
+  return Parsed(response.body, EventsFromJson);
+}
+
+void EngineClient::Export(const Address& engine,
+                          const std::vector<std::string>& keys,
+                          const std::string& store,
+                          const std::string& team) {
+  FetchOk(this->http, engine,
+          JsonPost("/kv/export",
+                   {{"keys", keys}, {"store", store}, {"team", team}}));
+}
+
+void EngineClient::Order(const Address& engine, const OrderRequest& order) {
+  FetchOk(this->http, engine,
+          JsonPost("/orders", {{"fence", order.fence},
+                               {"action", order.action},
+                               {"model", order.model},
+                               {"version", order.version},
+                               {"expires_ms", order.expires_ms}}));
+}
+
+OrderState EngineClient::ReadOrder(const Address& engine) {
+  const HttpResponse response =
+      FetchOk(this->http, engine, {"GET", "/orders", {}, ""});
+  return Parsed(response.body, [](const json& value) {
+    OrderState state;
+    state.fence = value.value("fence", uint64_t{0});
+    state.model = value.value("model", std::string());
+    state.version = value.value("version", std::string());
+    state.loading = value.value("loading", false);
+    return state;
+  });
+}
+
+}  // namespace jujuberock::endpoint
--- /dev/null
+++ b/source/core/endpoint/plain_client.cc
@@ -0,0 +1,96 @@
+#include "core/endpoint/plain_client.h"
+
+#include <array>
+#include <string_view>
+
+#include <nlohmann/json.hpp>
+
+#include "core/common/error.h"
+#include "core/common/name_table.h"
+
+namespace jujuberock::endpoint {
+
+using common::Error;
+using common::ResultCode;
+using runtime::Address;
+using runtime::HttpResponse;
+
+namespace {
+
+constexpr common::Duration kStatusTimeout = std::chrono::seconds(2);
+
+constexpr common::NameTable<CallState, 3> kCallStates(
+    std::array<std::string_view, 3>{"done", "absent", "running"});
+
+std::string EscapePathSegment(std::string_view text) {
+  constexpr std::string_view kDigits = "0123456789ABCDEF";
+  std::string escaped;
+  for (const char c : text) {
+    const auto byte = static_cast<unsigned char>(c);
+    const bool plain = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+                       (c >= '0' && c <= '9') || c == '-' || c == '_' ||
+                       c == '.' || c == '~';
+    if (plain) {
+      escaped += c;
+      continue;
+    }
+    escaped += '%';
+    escaped += kDigits[byte >> 4];
+    escaped += kDigits[byte & 15];
+  }
+  return escaped;
+}
+
+}  // namespace
+
+HttpResponse PlainClient::Forward(const Address& service,
+                                  const runtime::HttpRequest& request,
+                                  common::Duration timeout,
+                                  bool once) {
+  return this->http.Fetch(service, request,
+                          {.header_timeout = timeout,
+                           .read_timeout = timeout,
+                           .fresh_connection = once});
+}
+
+CallStatus PlainClient::Status(const Address& service,
+                               const std::string& status_path,
+                               const std::string& key) {
+  const std::string target = status_path + "/" + EscapePathSegment(key);
+  const HttpResponse response = this->http.Fetch(
+      service, {"GET", target, {}, ""},
+      {.header_timeout = kStatusTimeout, .read_timeout = kStatusTimeout});
+  if (response.status != 200)
+    throw Error(ResultCode::kEndpointFailed,
+                "status call answered " + std::to_string(response.status));
+  try {
+    const auto value = nlohmann::json::parse(response.body);
+    const auto state =
+        kCallStates.ValueOf(value.at("state").get<std::string>());
+    if (!state)
+      throw Error(ResultCode::kProtocolError, "unknown state of a call");
+    CallStatus status{*state, ""};
+    if (value.contains("body")) {
+      const auto& body = value["body"];
+      status.body = body.is_string() ? body.get<std::string>() : body.dump();
+    }
+    return status;
+  } catch (const nlohmann::json::exception& error) {
+    throw Error(ResultCode::kProtocolError,
+                std::string("plain service: ") + error.what());
+  }
+}
+
+bool PlainClient::Probe(const Address& service, common::Duration limit) {
+  try {
+    this->http.Fetch(service, {"GET", "/", {}, ""},
+                     {.header_timeout = limit,
+                      .read_timeout = limit,
+                      .fresh_connection = true});
+    return true;
+  } catch (const Error&) {
+    return false;
+  }
+}
+
+}  // namespace jujuberock::endpoint
--- /dev/null
+++ b/source/core/endpoint/plain_client.h
@@ -0,0 +1,47 @@
+#ifndef CORE_ENDPOINT_PLAIN_CLIENT_H_
+#define CORE_ENDPOINT_PLAIN_CLIENT_H_
+
+#include <optional>
+#include <string>
+
+#include "core/common/time.h"
+#include "core/runtime/http_client.h"
+
+namespace jujuberock::endpoint {
+
+enum class CallState { kDone, kAbsent, kRunning };
+
+struct CallStatus {
+  CallState state = CallState::kAbsent;
+  std::string body;
+};
+
+// Client of plain services. Both methods suspend the calling fiber and throw
+// HttpError for a failed exchange; its sent() tells whether the call may run.
+class PlainClient {
+ public:
+  explicit PlainClient(runtime::HttpClient& http) : http(http) {}
+
+  // Forwards one call. `once` forbids a pooled connection, because a call
+  // that must not run twice can not be sent again when that was closed.
+  runtime::HttpResponse Forward(const runtime::Address& service,
+                                const runtime::HttpRequest& request,
+                                common::Duration timeout,
+                                bool once);
+
+  // Asks a service that offers a status call for the state of a key. Throws
+  // common::Error kProtocolError when the answer is malformed.
+  CallStatus Status(const runtime::Address& service,
+                    const std::string& status_path,
+                    const std::string& key);
+
+  // True when the service accepts a new connection and answers any status.
+  bool Probe(const runtime::Address& service, common::Duration limit);
+
+ private:
+  runtime::HttpClient& http;
+};
+
+}  // namespace jujuberock::endpoint
+
+#endif  // CORE_ENDPOINT_PLAIN_CLIENT_H_
--- a/source/core/runtime/http_client.cc
+++ b/source/core/runtime/http_client.cc
@@ -159,6 +159,9 @@
     return static_cast<int>(this->parser.get().result_int());
   }
   const HttpHeaders& headers() const override { return this->fields; }
+  void set_read_timeout(common::Duration timeout) override {
+    this->read_timeout = timeout;
+  }
 
   std::optional<std::string> Read() override {
     while (!this->parser.is_done()) {
--- a/source/core/runtime/http_client.h
+++ b/source/core/runtime/http_client.h
@@ -62,6 +62,8 @@
   // The next bytes of the body, or nothing at its end. Throws HttpError
   // kEndpointFailed when the connection breaks, kEndpointSilent on a timeout.
   virtual std::optional<std::string> Read() = 0;
+  // Longest silence that the next Read() accepts.
+  virtual void set_read_timeout(common::Duration timeout) = 0;
 };
 
 // HTTP/1.1 client with connections kept for each worker. Call it from fibers.
--- a/source/core/runtime/http_server.cc
+++ b/source/core/runtime/http_server.cc
@@ -4,6 +4,8 @@
 
 #include <atomic>
 #include <map>
+#include <memory>
+#include <optional>
 #include <thread>
 #include <utility>
 
@@ -138,6 +140,28 @@
     this->has_finished = true;
   }
 
+  ~StreamWriter() override {
+    if (!this->watch)
+      return;
+    // No read or write is pending here, so only the wait is canceled.
+    this->watch->reset();
+    error_code ignored;
+    this->stream.socket().cancel(ignored);
+  }
+
+  void OnCallerGone(std::function<void()> callback) override {
+    this->watch = std::make_shared<GoneWatch>(std::move(callback));
+    this->stream.socket().async_wait(
+        tcp::socket::wait_read,
+        [watch = this->watch,
+         &socket = this->stream.socket()](const error_code& error) {
+          // After reset() the socket may not exist any more.
+          if (!*watch || (!error && !IsClosed(socket)))
+            return;
+          SpawnHere(std::move(**watch));
+        });
+  }
+
   bool started() const override { return this->has_started; }
   bool finished() const { return this->has_finished; }
 
@@ -147,10 +171,23 @@
       throw Error(ResultCode::kCanceled, "caller gone: " + error.message());
   }
 
+  // Bytes that arrive early belong to the next request.
+  static bool IsClosed(tcp::socket& socket) {
+    error_code error;
+    char byte;
+    socket.non_blocking(true, error);
+    const size_t bytes = socket.receive(boost::asio::buffer(&byte, 1),
+                                        tcp::socket::message_peek, error);
+    return bytes == 0 && error != boost::asio::error::would_block;
+  }
+
   beast::tcp_stream& stream;
   common::Duration write_timeout;
   bool keep_alive;
   bool is_head;
+  // Shared with the pending wait; empty once the handler has returned.
+  using GoneWatch = std::optional<std::function<void()>>;
+  std::shared_ptr<GoneWatch> watch;
   bool has_started = false;
   bool has_finished = false;
 };
--- a/source/core/runtime/http_server.h
+++ b/source/core/runtime/http_server.h
@@ -37,6 +37,9 @@
   virtual void FinishStream() = 0;
   // True once Send() or StartStream() was called.
   virtual bool started() const = 0;
+  // Runs `callback` on a fiber of this worker when the caller closes the
+  // connection before the handler has returned. At most one callback.
+  virtual void OnCallerGone(std::function<void()> callback) = 0;
 };
 
 using HttpHandler = std::function<void(const HttpRequest&, ResponseWriter&)>;
