--- /dev/null
+++ b/source/core/caller/completion_request.cc
@@ -0,0 +1,241 @@
+#include "core/caller/completion_request.h"
+
+#include <charconv>
+#include <cstdio>
+
+#include <nlohmann/json.hpp>
+
+#include "core/common/error.h"
+
+namespace jujuberock::caller {
+
+using common::Error;
+using common::ResultCode;
+using nlohmann::json;
+
+namespace {
+
+constexpr size_t kMaxNameChars = 128;
+constexpr size_t kMaxKeyChars = 255;
+constexpr int64_t kMaxDeadlineMs = 24 * 3600 * 1000;
+// Nested deeper than any request needs; the parser recurses at each level.
+constexpr int kMaxDepth = 32;
+
+[[noreturn]] void Malformed(const std::string& detail) {
+  throw Error(ResultCode::kMalformedRequest, detail);
+}
+
+json ParseObject(std::string_view body) {
+  const auto limit_depth = [](int depth, json::parse_event_t, json&) {
+    if (depth > kMaxDepth)
+      Malformed("the body is nested too deeply");
+    return true;
+  };
+  try {
+    json value = json::parse(body, limit_depth);
+    if (!value.is_object())
+      Malformed("the body must be a JSON object");
+    return value;
+  } catch (const json::parse_error& error) {
+    Malformed("the body is not JSON: error at byte " +
+              std::to_string(error.byte));
+  }
+}
+
+std::string Text(const json& object, const char* name, bool required) {
+  const auto found = object.find(name);
+  if (found == object.end() || found->is_null()) {
+    if (required)
+      Malformed(std::string(name) + " is missing");
+    return "";
+  }
+  if (!found->is_string())
+    Malformed(std::string(name) + " must be a string");
+  return found->get<std::string>();
+}
+
+std::string Name(const json& object, const char* name, bool required) {
+  std::string text = Text(object, name, required);
+  if ((required && text.empty()) || text.size() > kMaxNameChars)
+    Malformed(std::string(name) + " must have 1 to " +
+              std::to_string(kMaxNameChars) + " characters");
+  for (const char c : text) {
+    if (static_cast<unsigned char>(c) < ' ')
+      Malformed(std::string(name) + " contains a control character");
+  }
+  return text;
+}
+
+int64_t Integer(const json& object,
+                const char* name,
+                int64_t fallback,
+                int64_t minimum,
+                int64_t maximum) {
+  const auto found = object.find(name);
+  if (found == object.end() || found->is_null())
+    return fallback;
+  const std::string expected = std::string(name) + " must be an integer from " +
+                               std::to_string(minimum) + " to " +
+                               std::to_string(maximum);
+  if (!found->is_number_integer())
+    Malformed(expected);
+  const bool too_large =
+      found->is_number_unsigned() &&
+      found->get<uint64_t>() > static_cast<uint64_t>(maximum);
+  if (too_large || found->get<int64_t>() < minimum)
+    Malformed(expected);
+  return found->get<int64_t>();
+}
+
+bool Switch(const json& object, const char* name) {
+  const auto found = object.find(name);
+  if (found == object.end() || found->is_null())
+    return false;
+  if (!found->is_boolean())
+    Malformed(std::string(name) + " must be true or false");
+  return found->get<bool>();
+}
+
+std::string ChatPrompt(const json& object) {
+  const auto messages = object.find("messages");
+  if (messages == object.end())
+    Malformed("messages is missing");
+  if (!messages->is_array() || messages->empty())
+    Malformed("messages must be a list with at least one message");
+  std::string prompt;
+  for (const json& message : *messages) {
+    if (!message.is_object())
+      Malformed("messages must contain objects");
+    prompt += "<|" + Name(message, "role", true) + "|>\n";
+    prompt += Text(message, "content", true) + "\n";
+  }
+  return prompt + "<|assistant|>\n";
+}
+
+std::string HeaderText(const runtime::HttpHeaders& headers,
+                       std::string_view name) {
+  const auto value = headers.Find(name);
+  if (!value)
+    return "";
+  if (value->size() > kMaxKeyChars)
+    Malformed(std::string(name) + " is longer than " +
+              std::to_string(kMaxKeyChars) + " characters");
+  return std::string(*value);
+}
+
+common::Duration ParsePatience(std::string_view text) {
+  int64_t milliseconds = 0;
+  const char* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, milliseconds);
+  const bool valid = parsed.ec == std::errc() && parsed.ptr == end &&
+                     milliseconds > 0 && milliseconds <= kMaxDeadlineMs;
+  if (!valid)
+    throw Error(ResultCode::kInvalidDeadline,
+                "Jujuberock-Deadline-Ms must be an integer from 1 to " +
+                    std::to_string(kMaxDeadlineMs));
+  return std::chrono::milliseconds(milliseconds);
+}
+
+// Offset from UTC at the end of an RFC 3339 time.
+std::optional<std::chrono::minutes> ParseOffset(std::string_view text) {
+  if (text == "Z" || text == "z")
+    return std::chrono::minutes(0);
+  int hours = 0;
+  int minutes = 0;
+  char sign = 0;
+  if (text.size() != 6 || std::sscanf(std::string(text).c_str(), "%c%2d:%2d",
+                                      &sign, &hours, &minutes) != 3)
+    return std::nullopt;
+  if ((sign != '+' && sign != '-') || hours > 23 || minutes > 59 || hours < 0 ||
+      minutes < 0)
+    return std::nullopt;
+  const std::chrono::minutes offset(hours * 60 + minutes);
+  return sign == '-' ? -offset : offset;
+}
+
+}  // namespace
+
+CompletionRequest ParseCompletion(CompletionKind kind,
+                                  std::string_view body,
+                                  int64_t max_tokens_limit) {
+  const json object = ParseObject(body);
+  CompletionRequest request;
+  request.kind = kind;
+  request.model = Name(object, "model", true);
+  request.adapter = Name(object, "adapter", false);
+  request.prompt = kind == CompletionKind::kChat ? ChatPrompt(object)
+                                                 : Text(object, "prompt", true);
+  if (request.prompt.empty())
+    Malformed("prompt must not be empty");
+  request.max_tokens = Integer(object, "max_tokens",
+                               std::min(kDefaultMaxTokens, max_tokens_limit), 1,
+                               max_tokens_limit);
+  request.stream = Switch(object, "stream");
+  request.priority = Integer(object, "priority", 0, -100, 100);
+  return request;
+}
+
+CallHeaders ParseCallHeaders(const runtime::HttpHeaders& headers) {
+  CallHeaders parsed;
+  parsed.conversation = HeaderText(headers, "Jujuberock-Conversation");
+  parsed.idempotency_key = HeaderText(headers, "Idempotency-Key");
+  if (const auto id = headers.Find("Last-Event-ID"))
+    parsed.last_event_id = std::string(*id);
+  if (const auto text = headers.Find("Jujuberock-Deadline-Ms"))
+    parsed.patience = ParsePatience(*text);
+  if (const auto text = headers.Find("Jujuberock-Issued-At")) {
+    parsed.issued_at = ParseRfc3339(*text);
+    if (!parsed.issued_at)
+      Malformed("Jujuberock-Issued-At must be an RFC 3339 time");
+  }
+  return parsed;
+}
+
+std::optional<common::UnixTime> ParseRfc3339(std::string_view text) {
+  constexpr size_t kDateTimeChars = 19;
+  if (text.size() < kDateTimeChars + 1 || text.size() > 40)
+    return std::nullopt;
+  int year = 0;
+  unsigned month = 0;
+  unsigned day = 0;
+  int hour = 0;
+  int minute = 0;
+  int second = 0;
+  char between = 0;
+  int used = 0;
+  const std::string copy(text);
+  const int fields =
+      std::sscanf(copy.c_str(), "%4d-%2u-%2u%c%2d:%2d:%2d%n", &year, &month,
+                  &day, &between, &hour, &minute, &second, &used);
+  if (fields != 7 || used != kDateTimeChars ||
+      (between != 'T' && between != 't' && between != ' '))
+    return std::nullopt;
+  const std::chrono::year_month_day date{std::chrono::year(year),
+                                         std::chrono::month(month),
+                                         std::chrono::day(day)};
+  if (!date.ok() || hour < 0 || hour > 23 || minute < 0 || minute > 59 ||
+      second < 0 || second > 60)
+    return std::nullopt;
+  size_t next = kDateTimeChars;
+  int64_t milliseconds = 0;
+  if (copy[next] == '.') {
+    int64_t scale = 100;
+    ++next;
+    const size_t first_digit = next;
+    for (; next < copy.size() && copy[next] >= '0' && copy[next] <= '9';
+         ++next) {
+      milliseconds += (copy[next] - '0') * scale;
+      scale /= 10;
+    }
+    if (next == first_digit)
+      return std::nullopt;
+  }
+  const auto offset = ParseOffset(std::string_view(copy).substr(next));
+  if (!offset)
+    return std::nullopt;
+  return std::chrono::sys_days(date) + std::chrono::hours(hour) +
+         std::chrono::minutes(minute) + std::chrono::seconds(second) +
+         std::chrono::milliseconds(milliseconds) - *offset;
+}
+
+}  // namespace jujuberock::caller
