Merge, validate and publish the configuration table

Objects arrive from the platform, from a list, or from peers in any order. Each is merged by the platform's version with tombstones; digests of 64 buckets find what another host lacks without sending the whole table. Unit tests follow with the rest of the decisions; so far only built.

--- /dev/null
+++ b/source/core/table/shared_view.cc
@@ -0,0 +1,61 @@
+#include "core/table/shared_view.h"
+
+namespace jujuberock::table {
+
+SharedView::SharedView(ViewOptions options)
+    : view(options), current(this->view.snapshot()) {}
+
+std::vector<Object> SharedView::Apply(const std::vector<Object>& objects) {
+  const common::RankedLock lock(this->mutex);
+  std::vector<Object> changed;
+  for (const Object& object : objects) {
+    if (this->view.Apply(object))
+      changed.push_back(object);
+  }
+  if (!changed.empty())
+    this->current.store(this->view.snapshot());
+  return changed;
+}
+
+std::vector<Object> SharedView::ApplyList(Kind kind,
+                                          const platform::ObjectList& list) {
+  const common::RankedLock lock(this->mutex);
+  std::vector<Object> changed = this->view.ApplyList(kind, list);
+  if (!changed.empty())
+    this->current.store(this->view.snapshot());
+  return changed;
+}
+
+Digest SharedView::MakeDigest() const {
+  const common::RankedLock lock(this->mutex);
+  return this->view.digest();
+}
+
+DigestSummary SharedView::Summary() const {
+  const common::RankedLock lock(this->mutex);
+  return SummaryOf(this->view.digest());
+}
+
+Delta SharedView::DeltaSince(const Digest& other) const {
+  const common::RankedLock lock(this->mutex);
+  return this->view.DeltaSince(other);
+}
+
+std::optional<Object> SharedView::Find(std::string_view kind,
+                                       std::string_view name) const {
+  const common::RankedLock lock(this->mutex);
+  const Object* found = this->view.Find(kind, name);
+  return found ? std::optional<Object>(*found) : std::nullopt;
+}
+
+std::vector<Problem> SharedView::Problems() const {
+  const common::RankedLock lock(this->mutex);
+  return this->view.Problems();
+}
+
+size_t SharedView::size() const {
+  const common::RankedLock lock(this->mutex);
+  return this->view.size();
+}
+
+}  // namespace jujuberock::table
--- a/source/core/table/shared_view.h
+++ b/source/core/table/shared_view.h
@@ -29,7 +29,6 @@
   Digest MakeDigest() const;
   DigestSummary Summary() const;
   Delta DeltaSince(const Digest& other) const;
-  Version HighOf(Kind kind) const;
   std::optional<Object> Find(std::string_view kind,
                              std::string_view name) const;
   std::vector<Problem> Problems() const;
--- /dev/null
+++ b/source/core/table/view.cc
@@ -0,0 +1,264 @@
+#include "core/table/view.h"
+
+#include <algorithm>
+#include <set>
+
+#include "core/common/error.h"
+#include "core/table/parse.h"
+
+namespace jujuberock::table {
+
+namespace {
+
+template <typename T>
+void EraseByName(std::vector<std::shared_ptr<const T>>* rows,
+                 const std::string& name) {
+  std::erase_if(*rows, [&](const auto& row) { return row->name == name; });
+}
+
+}  // namespace
+
+View::View(ViewOptions options)
+    : options(options),
+      rows(options.utc_offset),
+      published(std::make_shared<Snapshot>(options.utc_offset)) {}
+
+bool View::IsStale(const Object& object, const Object* held) const {
+  if (held)
+    return object.version <= held->version;
+  return object.version <= this->tombstone_floor;
+}
+
+bool View::Apply(const Object& object) {
+  if (!KindOf(object.kind) || object.version == 0)
+    return false;
+  if (this->IsStale(object, this->Find(object.kind, object.name)))
+    return false;
+  this->Store(object);
+  if (object.deleted)
+    this->EraseRow(object);
+  else
+    this->UpdateRow(object);
+  this->DropOldTombstones();
+  return true;
+}
+
+std::vector<Object> View::ApplyList(Kind kind,
+                                    const platform::ObjectList& list) {
+  std::vector<Object> changed;
+  std::set<std::string> listed;
+  for (const Object& object : list.objects) {
+    listed.insert(object.name);
+    if (this->Apply(object))
+      changed.push_back(object);
+  }
+  std::vector<Object> missing;
+  const std::string kind_name(NameOf(kind));
+  for (auto it = this->objects.lower_bound({kind_name, ""});
+       it != this->objects.end() && it->first.first == kind_name; ++it) {
+    const Object& held = it->second;
+    if (!held.deleted && held.version < list.version &&
+        !listed.contains(held.name))
+      missing.push_back({kind_name, held.name, list.version, true, "", ""});
+  }
+  for (const Object& tombstone : missing) {
+    if (this->Apply(tombstone))
+      changed.push_back(tombstone);
+  }
+  return changed;
+}
+
+void View::Store(const Object& object) {
+  const Key key(object.kind, object.name);
+  const size_t bucket = BucketOf(object.kind, object.name);
+  auto& versions = this->by_version[bucket];
+  const auto held = this->objects.find(key);
+  if (held != this->objects.end()) {
+    const Version old = held->second.version;
+    this->current_digest.buckets[bucket].hash ^=
+        HashOf(object.kind, object.name, old);
+    std::erase(versions[old], key);
+    if (versions[old].empty())
+      versions.erase(old);
+    if (held->second.deleted) {
+      std::erase(this->tombstone_versions[old], key);
+      if (this->tombstone_versions[old].empty())
+        this->tombstone_versions.erase(old);
+    }
+  }
+  Object& stored = this->objects[key];
+  stored = object;
+  // A token only settles a lost answer; it is not passed on between hosts.
+  stored.token.clear();
+  if (object.deleted) {
+    stored.body.clear();
+    this->tombstone_versions[object.version].push_back(key);
+  }
+  versions[object.version].push_back(key);
+  BucketDigest& digest = this->current_digest.buckets[bucket];
+  digest.hash ^= HashOf(object.kind, object.name, object.version);
+  digest.high = versions.rbegin()->first;
+}
+
+void View::DropOldTombstones() {
+  size_t count = this->tombstones();
+  while (count > this->options.max_tombstones) {
+    const auto oldest = this->tombstone_versions.begin();
+    this->tombstone_floor = std::max(this->tombstone_floor, oldest->first);
+    for (const Key& key : oldest->second) {
+      const size_t bucket = BucketOf(key.first, key.second);
+      auto& versions = this->by_version[bucket];
+      BucketDigest& digest = this->current_digest.buckets[bucket];
+      digest.hash ^= HashOf(key.first, key.second, oldest->first);
+      std::erase(versions[oldest->first], key);
+      if (versions[oldest->first].empty())
+        versions.erase(oldest->first);
+      digest.high = versions.empty() ? 0 : versions.rbegin()->first;
+      this->objects.erase(key);
+    }
+    count -= oldest->second.size();
+    this->tombstone_versions.erase(oldest);
+  }
+}
+
+void View::EraseRow(const Object& object) {
+  this->published.reset();
+  this->problems.erase({object.kind, object.name});
+  const std::string& name = object.name;
+  switch (*KindOf(object.kind)) {
+    case Kind::kTeam:
+      std::erase_if(this->rows.team_by_key,
+                    [&](const auto& item) { return item.second == name; });
+      this->rows.team_rows.erase(name);
+      return;
+    case Kind::kService:
+      this->rows.service_rows.erase(name);
+      return;
+    case Kind::kEndpoint: {
+      const auto held = this->rows.endpoint_rows.find(name);
+      if (held == this->rows.endpoint_rows.end())
+        return;
+      EraseByName(&this->rows.endpoints_by_service[held->second->service],
+                  name);
+      this->rows.endpoint_rows.erase(held);
+      return;
+    }
+    case Kind::kHost:
+      this->rows.host_rows.erase(name);
+      return;
+    case Kind::kStore:
+      this->rows.store_rows.erase(name);
+      return;
+  }
+}
+
+void View::UpdateRow(const Object& object) {
+  try {
+    switch (*KindOf(object.kind)) {
+      case Kind::kTeam: {
+        auto team = std::make_shared<const Team>(ParseTeam(object));
+        this->EraseRow(object);
+        for (const std::string& digest : team->key_digests)
+          this->rows.team_by_key[digest] = team->name;
+        this->rows.team_rows[team->name] = team;
+        return;
+      }
+      case Kind::kService: {
+        auto service = std::make_shared<const Service>(ParseService(object));
+        this->EraseRow(object);
+        this->rows.service_rows[service->name] = service;
+        return;
+      }
+      case Kind::kEndpoint: {
+        auto endpoint = std::make_shared<const Endpoint>(ParseEndpoint(object));
+        this->EraseRow(object);
+        auto& peers = this->rows.endpoints_by_service[endpoint->service];
+        peers.insert(std::upper_bound(peers.begin(), peers.end(), endpoint,
+                                      [](const auto& a, const auto& b) {
+                                        return a->name < b->name;
+                                      }),
+                     endpoint);
+        this->rows.endpoint_rows[endpoint->name] = endpoint;
+        return;
+      }
+      case Kind::kHost: {
+        auto host = std::make_shared<const HostEntry>(ParseHost(object));
+        this->EraseRow(object);
+        this->rows.host_rows[host->name] = host;
+        return;
+      }
+      case Kind::kStore: {
+        auto store = std::make_shared<const StoreEntry>(ParseStore(object));
+        this->EraseRow(object);
+        this->rows.store_rows[store->name] = store;
+        return;
+      }
+    }
+  } catch (const common::Error& error) {
+    this->problems[{object.kind, object.name}] = {object.kind, object.name,
+                                                  object.version, error.what()};
+  }
+}
+
+Delta View::DeltaSince(const Digest& other) const {
+  Delta delta;
+  size_t bytes = 0;
+  for (size_t bucket = 0; bucket < kBuckets; ++bucket) {
+    const BucketDigest& mine = this->current_digest.buckets[bucket];
+    const BucketDigest& theirs = other.buckets[bucket];
+    if (mine == theirs)
+      continue;
+    // The other side is ahead; it is this view that must ask first.
+    if (theirs.high > mine.high)
+      continue;
+    // At equal height something older differs; which object it is can not be
+    // told from the hash, so the whole bucket is sent.
+    const bool append = mine.high > theirs.high;
+    const Version after = append ? theirs.high : 0;
+    const auto& versions = this->by_version[bucket];
+    for (auto it = versions.upper_bound(after); it != versions.end(); ++it) {
+      // A repair must be sent whole, or it would start over each time.
+      if (append && bytes > this->options.delta_bytes) {
+        delta.more = true;
+        return delta;
+      }
+      for (const Key& key : it->second) {
+        const Object& object = this->objects.at(key);
+        bytes += object.body.size() + object.name.size();
+        delta.objects.push_back(object);
+      }
+    }
+  }
+  return delta;
+}
+
+const Object* View::Find(std::string_view kind, std::string_view name) const {
+  const auto found =
+      this->objects.find(Key(std::string(kind), std::string(name)));
+  return found == this->objects.end() ? nullptr : &found->second;
+}
+
+std::optional<Row> View::RowFor(std::string_view team,
+                                std::string_view service,
+                                common::UnixTime when) const {
+  return this->rows.RowFor(team, service, when);
+}
+
+const Service* View::ServicePolicy(std::string_view name) const {
+  return this->rows.ServicePolicy(name);
+}
+
+SnapshotPtr View::snapshot() {
+  if (!this->published)
+    this->published = std::make_shared<const Snapshot>(this->rows);
+  return this->published;
+}
+
+std::vector<Problem> View::Problems() const {
+  std::vector<Problem> all;
+  for (const auto& [key, problem] : this->problems)
+    all.push_back(problem);
+  return all;
+}
+
+}  // namespace jujuberock::table
--- a/source/core/table/view.h
+++ b/source/core/table/view.h
@@ -54,7 +54,6 @@
   std::vector<Object> ApplyList(Kind kind, const platform::ObjectList& list);
 
   const Digest& digest() const { return this->current_digest; }
-  Digest MakeDigest() const { return this->current_digest; }
 
   // Objects that the holder of `other` may lack, in ascending version inside
   // each bucket. Repeated exchange in both directions makes views equal.
@@ -63,9 +62,6 @@
   // What is held of one object, tombstones included.
   const Object* Find(std::string_view kind, std::string_view name) const;
 
-  // Highest version merged of this kind.
-  Version HighOf(Kind kind) const;
-
   std::optional<Row> RowFor(std::string_view team,
                             std::string_view service,
                             common::UnixTime when) const;
@@ -84,13 +80,11 @@
   void UpdateRow(const Object& object);
   void EraseRow(const Object& object);
   void DropOldTombstones();
-  void RecountBucket(size_t bucket);
 
   ViewOptions options;
   std::map<Key, Object> objects;
   std::array<std::map<Version, std::vector<Key>>, kBuckets> by_version;
   Digest current_digest;
-  std::array<Version, kKinds> high_of_kind{};
   std::map<Version, std::vector<Key>> tombstone_versions;
   // Unknown objects up to this version count as deleted, since their
   // tombstone may have been dropped.
