--- /dev/null
+++ b/source/standin/cache_store_standin.cc
@@ -0,0 +1,180 @@
+#include "standin/cache_store_standin.h"
+
+#include <cstdlib>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "core/common/error.h"
+#include "core/common/hash.h"
+#include "core/runtime/sleep.h"
+#include "standin/clock.h"
+
+namespace jujuberock::standin {
+
+using common::Error;
+using common::ResultCode;
+using nlohmann::json;
+using runtime::HttpRequest;
+using runtime::ResponseWriter;
+
+namespace {
+
+constexpr size_t kPieceBytes = 32 * 1024;
+constexpr int kDeathStatus = 71;
+
+std::string Required(const HttpRequest& request, std::string_view name) {
+  const auto value = request.headers.Find(name);
+  if (!value)
+    throw Error(ResultCode::kMalformedRequest,
+                std::string(name) + " is missing");
+  return std::string(*value);
+}
+
+}  // namespace
+
+CacheStoreStandin::CacheStoreStandin(CacheStoreOptions options)
+    : options(options),
+      tiers(options.tiers),
+      out_link(options.link_bytes_per_s, kPieceBytes),
+      in_link(options.link_bytes_per_s, kPieceBytes) {}
+
+void CacheStoreStandin::Handle(const HttpRequest& request,
+                               ResponseWriter& writer) {
+  const Target target = ParseTarget(request.target);
+  const auto& segments = target.segments;
+  if (segments.size() == 2 && segments[0] == "control")
+    return this->Control(request, target, writer);
+  if (segments.size() == 1 && segments[0] == "status")
+    return SendJson(writer, 200, this->Status());
+  if (segments.size() == 2 && segments[0] == "blocks") {
+    if (request.method == "PUT")
+      return this->Put(request, segments[1], writer);
+    if (request.method == "GET")
+      return this->Get(target, writer);
+  }
+  SendJson(writer, 404, json::object());
+}
+
+void CacheStoreStandin::Control(const HttpRequest& request,
+                                const Target& target,
+                                ResponseWriter& writer) {
+  if (target.segments[1] == "faults") {
+    this->SetFaults(ParseBody(request));
+    return SendJson(writer, 200, json::object());
+  }
+  const Counts& c = this->counts;
+  SendJson(writer, 200,
+           {{"sealed", c.sealed},
+            {"rejected", c.rejected},
+            {"full", c.full},
+            {"hits", c.hits},
+            {"misses", c.misses},
+            {"cut_reads", c.cut_reads},
+            {"sent_bytes", c.sent_bytes},
+            {"received_bytes", c.received_bytes},
+            {"blocks", this->tiers.Keys().size()}});
+}
+
+void CacheStoreStandin::SetFaults(const json& faults) {
+  if (faults.value("die", false))
+    std::_Exit(kDeathStatus);
+  if (faults.contains("link_bytes_per_s")) {
+    const double rate = faults["link_bytes_per_s"].get<double>();
+    this->out_link.SetRate(rate);
+    this->in_link.SetRate(rate);
+  }
+  if (faults.contains("occupied_bytes"))
+    this->tiers.Occupy(faults["occupied_bytes"].get<uint64_t>());
+  const auto apply = [&](const char* fault, auto change) {
+    const std::string wanted = faults.value(fault, "");
+    for (const std::string& key : this->tiers.Keys()) {
+      if (wanted == "*" || wanted == key)
+        change(key);
+    }
+  };
+  apply("corrupt", [&](const std::string& key) { this->tiers.Corrupt(key); });
+  apply("evict", [&](const std::string& key) { this->tiers.Evict(key); });
+}
+
+void CacheStoreStandin::Put(const HttpRequest& request,
+                            const std::string& key,
+                            ResponseWriter& writer) {
+  SealedBlock block;
+  block.team = Required(request, "Block-Team");
+  block.version = Required(request, "Block-Version");
+  block.checksum = Required(request, "Block-Checksum");
+  const uint64_t length = ParseNumber(Required(request, "Block-Length"));
+  block.body = request.body;
+  runtime::SleepFor(
+      this->in_link.Reserve(static_cast<double>(block.body.size()), Now()));
+  this->counts.received_bytes += block.body.size();
+  if (block.body.size() != length ||
+      common::Hash128Hex(block.body) != block.checksum) {
+    ++this->counts.rejected;
+    return SendJson(writer, 400, {{"sealed", false}});
+  }
+  if (!this->tiers.Seal(key, std::move(block))) {
+    ++this->counts.full;
+    return SendJson(writer, 507, {{"sealed", false}});
+  }
+  ++this->counts.sealed;
+  SendJson(writer, 200,
+           {{"sealed", true}, {"generation", this->tiers.GenerationOf(key)}});
+}
+
+void CacheStoreStandin::Get(const Target& target, ResponseWriter& writer) {
+  const std::string& key = target.segments[1];
+  const BlockTiers::Found found = this->tiers.Read(key);
+  const uint64_t pinned = target.NumberOr("generation", 0);
+  if (!found.block || (pinned != 0 && pinned != found.block->generation)) {
+    ++this->counts.misses;
+    return SendJson(writer, 404, json::object());
+  }
+  ++this->counts.hits;
+  if (found.from_disk)
+    runtime::SleepFor(this->options.disk_latency);
+  writer.StartStream(
+      200, {{"Block-Team", found.block->team},
+            {"Block-Version", found.block->version},
+            {"Block-Length", std::to_string(found.block->body.size())},
+            {"Block-Checksum", found.block->checksum},
+            {"Block-Generation", std::to_string(found.block->generation)}});
+  this->SendBody(key, *found.block, writer);
+}
+
+void CacheStoreStandin::SendBody(const std::string& key,
+                                 const SealedBlock& block,
+                                 ResponseWriter& writer) {
+  std::string_view rest = block.body;
+  while (!rest.empty()) {
+    const std::string_view piece = rest.substr(0, kPieceBytes);
+    runtime::SleepFor(
+        this->out_link.Reserve(static_cast<double>(piece.size()), Now()));
+    if (this->tiers.GenerationOf(key) != block.generation) {
+      ++this->counts.cut_reads;
+      DropConnection();
+    }
+    writer.Write(piece);
+    this->counts.sent_bytes += piece.size();
+    rest.remove_prefix(piece.size());
+  }
+  writer.FinishStream();
+}
+
+json CacheStoreStandin::Status() const {
+  json events = json::array();
+  for (const TierEvent& event : this->tiers.events()) {
+    events.push_back({{"seq", event.sequence},
+                      {"op", event.added ? "add" : "remove"},
+                      {"key", event.key}});
+  }
+  return {{"capacity_bytes", this->tiers.capacity_bytes()},
+          {"used_bytes", this->tiers.used_bytes()},
+          {"link_bytes_per_s", this->out_link.rate()},
+          {"sent_bytes", this->counts.sent_bytes},
+          {"received_bytes", this->counts.received_bytes},
+          {"events", std::move(events)}};
+}
+
+}  // namespace jujuberock::standin
--- /dev/null
+++ b/source/standin/cache_store_standin.h
@@ -0,0 +1,67 @@
+#ifndef STANDIN_CACHE_STORE_STANDIN_H_
+#define STANDIN_CACHE_STORE_STANDIN_H_
+
+#include <string>
+
+#include "core/common/time.h"
+#include "standin/block_tiers.h"
+#include "standin/http_json.h"
+#include "standin/standin.h"
+#include "standin/token_bucket.h"
+
+namespace jujuberock::standin {
+
+struct CacheStoreOptions {
+  TierOptions tiers;
+  // Rate of the link in each direction; zero is no limit.
+  double link_bytes_per_s = 100e6;
+  common::Duration disk_latency = std::chrono::milliseconds(5);
+};
+
+// A cache store, section 5.4 of the design. A read whose block is evicted or
+// rewritten before its last byte is cut off. `?generation=N` pins a read to
+// that generation. Faults by POST /control/faults with any of
+// `link_bytes_per_s`, `occupied_bytes`, `corrupt` (a key, or "*" for every
+// block), `evict` (likewise) and `die`.
+class CacheStoreStandin : public Standin {
+ public:
+  explicit CacheStoreStandin(CacheStoreOptions options);
+
+  void Handle(const runtime::HttpRequest& request,
+              runtime::ResponseWriter& writer) override;
+
+ private:
+  struct Counts {
+    uint64_t sealed = 0;
+    uint64_t rejected = 0;
+    uint64_t full = 0;
+    uint64_t hits = 0;
+    uint64_t misses = 0;
+    uint64_t cut_reads = 0;
+    uint64_t sent_bytes = 0;
+    uint64_t received_bytes = 0;
+  };
+
+  void Control(const runtime::HttpRequest& request,
+               const Target& target,
+               runtime::ResponseWriter& writer);
+  void SetFaults(const nlohmann::json& faults);
+  void Put(const runtime::HttpRequest& request,
+           const std::string& key,
+           runtime::ResponseWriter& writer);
+  void Get(const Target& target, runtime::ResponseWriter& writer);
+  void SendBody(const std::string& key,
+                const SealedBlock& block,
+                runtime::ResponseWriter& writer);
+  nlohmann::json Status() const;
+
+  CacheStoreOptions options;
+  BlockTiers tiers;
+  TokenBucket out_link;
+  TokenBucket in_link;
+  Counts counts;
+};
+
+}  // namespace jujuberock::standin
+
+#endif  // STANDIN_CACHE_STORE_STANDIN_H_
--- /dev/null
+++ b/source/standin/fiber_signal.h
@@ -0,0 +1,37 @@
+#ifndef STANDIN_FIBER_SIGNAL_H_
+#define STANDIN_FIBER_SIGNAL_H_
+
+#include <mutex>
+
+#include <boost/fiber/condition_variable.hpp>
+#include <boost/fiber/mutex.hpp>
+
+#include "core/common/time.h"
+
+namespace jujuberock::standin {
+
+// Wakes fibers of the same worker. A fiber that tests a condition and then
+// waits misses nothing, since no other fiber runs in between.
+class FiberSignal {
+ public:
+  void Wait() {
+    std::unique_lock lock(this->mutex);
+    this->condition.wait(lock);
+  }
+
+  // Returns after a notification or after `timeout`.
+  void WaitFor(common::Duration timeout) {
+    std::unique_lock lock(this->mutex);
+    this->condition.wait_for(lock, timeout);
+  }
+
+  void NotifyAll() { this->condition.notify_all(); }
+
+ private:
+  boost::fibers::mutex mutex;
+  boost::fibers::condition_variable condition;
+};
+
+}  // namespace jujuberock::standin
+
+#endif  // STANDIN_FIBER_SIGNAL_H_
--- /dev/null
+++ b/source/standin/platform_standin.cc
@@ -0,0 +1,242 @@
+#include "standin/platform_standin.h"
+
+#include <algorithm>
+#include <fstream>
+#include <utility>
+
+#include "core/common/error.h"
+#include "core/runtime/sleep.h"
+
+namespace jujuberock::standin {
+
+using common::Error;
+using common::ResultCode;
+using nlohmann::json;
+using runtime::HttpRequest;
+using runtime::ResponseWriter;
+
+namespace {
+
+constexpr size_t kValueLimitBytes = 1024 * 1024;
+constexpr size_t kNameLimit = 63;
+// Calls above the rate that may arrive at the same moment.
+constexpr double kBurstSeconds = 1.0;
+
+bool IsNameStart(char c) {
+  return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9');
+}
+
+bool IsName(const std::string& name) {
+  if (name.empty() || name.size() > kNameLimit || !IsNameStart(name[0]))
+    return false;
+  return std::all_of(name.begin(), name.end(), [](char c) {
+    return IsNameStart(c) || c == '.' || c == '-';
+  });
+}
+
+void CheckName(const std::string& name) {
+  if (!IsName(name))
+    throw Error(ResultCode::kMalformedRequest, "invalid name: " + name);
+}
+
+uint64_t ExpectedVersion(const HttpRequest& request) {
+  const auto value = request.headers.Find("If-Version");
+  if (!value)
+    throw Error(ResultCode::kMalformedRequest, "If-Version is missing");
+  return ParseNumber(*value);
+}
+
+void SendStatus(ResponseWriter& writer, int status) {
+  runtime::HttpResponse response;
+  response.status = status;
+  writer.Send(std::move(response));
+}
+
+}  // namespace
+
+PlatformStandin::PlatformStandin(PlatformOptions options)
+    : options(std::move(options)),
+      write_limit(this->options.writes_per_s,
+                  this->options.writes_per_s * kBurstSeconds),
+      read_limit(this->options.reads_per_s,
+                 this->options.reads_per_s * kBurstSeconds) {
+  if (!this->options.objects_file.empty())
+    this->LoadObjects();
+}
+
+void PlatformStandin::LoadObjects() {
+  std::ifstream file(this->options.objects_file);
+  const json content = json::parse(file, nullptr, false, true);
+  if (!content.is_object() || !content.contains("objects"))
+    throw Error(ResultCode::kInvalidSettings,
+                "no objects in " + this->options.objects_file);
+  for (const json& item : content["objects"]) {
+    const std::string name = item.at("name");
+    CheckName(name);
+    this->store.Write(item.at("kind"), name, 0, "initial", item.at("body"));
+  }
+}
+
+void PlatformStandin::Handle(const HttpRequest& request,
+                             ResponseWriter& writer) {
+  const Target target = ParseTarget(request.target);
+  if (target.segments.size() < 2)
+    return SendStatus(writer, 404);
+  const std::string& area = target.segments[0];
+  if (area == "control")
+    return this->Control(request, target, writer);
+  if (this->options.delay > common::Duration::zero())
+    runtime::SleepFor(this->options.delay);
+  if (this->InOutage()) {
+    ++this->counts.refused_in_outage;
+    return SendStatus(writer, 503);
+  }
+  const bool is_write = request.method != "GET";
+  TokenBucket& limit = is_write ? this->write_limit : this->read_limit;
+  if (!limit.TryTake(Now())) {
+    ++this->counts.limited;
+    return SendStatus(writer, 429);
+  }
+  if (area == "watch" && !is_write && target.segments.size() == 2)
+    return this->Watch(target, writer);
+  if (area == "objects" && !is_write && target.segments.size() == 2)
+    return this->List(target, writer);
+  if (area == "objects" && target.segments.size() == 3) {
+    CheckName(target.segments[2]);
+    if (!is_write)
+      return this->Read(target, writer);
+    return this->Change(request, target, writer);
+  }
+  SendStatus(writer, 404);
+}
+
+void PlatformStandin::Control(const HttpRequest& request,
+                              const Target& target,
+                              ResponseWriter& writer) {
+  if (target.segments[1] == "faults") {
+    this->SetFaults(ParseBody(request));
+    return SendJson(writer, 200, json::object());
+  }
+  const Counts& c = this->counts;
+  SendJson(writer, 200,
+           {{"reads", c.reads},
+            {"writes", c.writes},
+            {"lists", c.lists},
+            {"watches", c.watches},
+            {"limited", c.limited},
+            {"conflicts", c.conflicts},
+            {"refused_in_outage", c.refused_in_outage},
+            {"lost_answers", c.lost_answers},
+            {"most_writes_in_a_second", c.most_writes_in_a_second},
+            {"version", this->store.version()}});
+}
+
+void PlatformStandin::SetFaults(const json& faults) {
+  if (faults.contains("outage_ms")) {
+    const std::chrono::milliseconds length(faults["outage_ms"].get<int64_t>());
+    this->outage_until = Now() + length;
+  }
+  if (faults.contains("delay_ms"))
+    this->options.delay =
+        std::chrono::milliseconds(faults["delay_ms"].get<int64_t>());
+  if (faults.contains("lose_answers"))
+    this->answers_to_lose = faults["lose_answers"].get<uint64_t>();
+  if (faults.contains("silent_watches"))
+    this->silent_watches = faults["silent_watches"].get<bool>();
+  this->changed.NotifyAll();
+}
+
+void PlatformStandin::Read(const Target& target, ResponseWriter& writer) {
+  ++this->counts.reads;
+  const StoredObject* object =
+      this->store.Find(target.segments[1], target.segments[2]);
+  if (!object)
+    return SendStatus(writer, 404);
+  SendJson(writer, 200, object->ToJson());
+}
+
+void PlatformStandin::List(const Target& target, ResponseWriter& writer) {
+  ++this->counts.lists;
+  json objects = json::array();
+  for (const StoredObject* object : this->store.List(target.segments[1]))
+    objects.push_back(object->ToJson());
+  SendJson(writer, 200,
+           {{"version", this->store.version()}, {"objects", objects}});
+}
+
+void PlatformStandin::CountWrite() {
+  ++this->counts.writes;
+  const int64_t second = WallMilliseconds() / 1000;
+  if (second != this->write_second) {
+    this->write_second = second;
+    this->writes_in_second = 0;
+  }
+  ++this->writes_in_second;
+  this->counts.most_writes_in_a_second =
+      std::max(this->counts.most_writes_in_a_second, this->writes_in_second);
+}
+
+void PlatformStandin::Change(const HttpRequest& request,
+                             const Target& target,
+                             ResponseWriter& writer) {
+  this->CountWrite();
+  const std::string& kind = target.segments[1];
+  const std::string& name = target.segments[2];
+  const uint64_t expected = ExpectedVersion(request);
+  std::optional<uint64_t> version;
+  if (request.method == "PUT") {
+    if (request.body.size() > kValueLimitBytes)
+      return SendStatus(writer, 413);
+    const json body = ParseBody(request);
+    if (!body.contains("body"))
+      throw Error(ResultCode::kMalformedRequest, "the body field is missing");
+    version = this->store.Write(kind, name, expected, body.value("token", ""),
+                                body["body"]);
+  } else if (request.method == "DELETE") {
+    version = this->store.Delete(kind, name, expected);
+  } else {
+    return SendStatus(writer, 405);
+  }
+  if (version)
+    this->changed.NotifyAll();
+  if (version && this->answers_to_lose > 0) {
+    --this->answers_to_lose;
+    ++this->counts.lost_answers;
+    DropConnection();
+  }
+  if (version)
+    return SendJson(writer, 200, {{"version", *version}});
+  ++this->counts.conflicts;
+  const StoredObject* current = this->store.Find(kind, name);
+  if (!current)
+    return SendStatus(writer, 409);
+  SendJson(writer, 409, current->ToJson());
+}
+
+void PlatformStandin::Watch(const Target& target, ResponseWriter& writer) {
+  ++this->counts.watches;
+  uint64_t since = target.NumberOr("since", 0);
+  writer.StartStream(200, {{"Content-Type", "application/x-ndjson"}});
+  common::TimePoint last_line = Now();
+  while (!this->InOutage()) {
+    std::string lines;
+    if (!this->silent_watches) {
+      for (const StoredObject* object :
+           this->store.ChangesSince(target.segments[1], since)) {
+        lines += object->ToWatchJson().dump() + "\n";
+        since = object->version;
+      }
+      if (lines.empty() && Now() - last_line >= this->options.keep_alive)
+        lines = "\n";
+    }
+    if (!lines.empty()) {
+      writer.Write(lines);
+      last_line = Now();
+      continue;
+    }
+    this->changed.WaitFor(this->options.keep_alive);
+  }
+  DropConnection();
+}
+
+}  // namespace jujuberock::standin
--- /dev/null
+++ b/source/standin/platform_store.cc
@@ -0,0 +1,89 @@
+#include "standin/platform_store.h"
+
+#include <algorithm>
+
+namespace jujuberock::standin {
+
+using nlohmann::json;
+
+json StoredObject::ToJson() const {
+  return {{"kind", this->kind},
+          {"name", this->name},
+          {"version", this->version},
+          {"token", this->token},
+          {"body", this->body}};
+}
+
+json StoredObject::ToWatchJson() const {
+  json line = {{"kind", this->kind},
+               {"name", this->name},
+               {"version", this->version},
+               {"deleted", this->deleted},
+               {"token", this->token}};
+  if (!this->deleted)
+    line["body"] = this->body;
+  return line;
+}
+
+const StoredObject* PlatformStore::Find(const std::string& kind,
+                                        const std::string& name) const {
+  const auto found = this->objects.find({kind, name});
+  if (found == this->objects.end() || found->second.deleted)
+    return nullptr;
+  return &found->second;
+}
+
+uint64_t PlatformStore::VersionOf(const std::string& kind,
+                                  const std::string& name) const {
+  const StoredObject* object = this->Find(kind, name);
+  return object ? object->version : 0;
+}
+
+std::optional<uint64_t> PlatformStore::Write(const std::string& kind,
+                                             const std::string& name,
+                                             uint64_t expected,
+                                             const std::string& token,
+                                             json body) {
+  if (this->VersionOf(kind, name) != expected)
+    return std::nullopt;
+  StoredObject& object = this->objects[{kind, name}];
+  object = {kind, name, ++this->counter, false, token, std::move(body)};
+  return object.version;
+}
+
+std::optional<uint64_t> PlatformStore::Delete(const std::string& kind,
+                                              const std::string& name,
+                                              uint64_t expected) {
+  if (expected == 0 || this->VersionOf(kind, name) != expected)
+    return std::nullopt;
+  StoredObject& object = this->objects[{kind, name}];
+  object = {kind, name, ++this->counter, true, "", nullptr};
+  return object.version;
+}
+
+std::vector<const StoredObject*> PlatformStore::List(
+    const std::string& kind) const {
+  std::vector<const StoredObject*> list;
+  for (const auto& [key, object] : this->objects) {
+    if (key.first == kind && !object.deleted)
+      list.push_back(&object);
+  }
+  return list;
+}
+
+std::vector<const StoredObject*> PlatformStore::ChangesSince(
+    const std::string& kind,
+    uint64_t since) const {
+  std::vector<const StoredObject*> changes;
+  for (const auto& [key, object] : this->objects) {
+    if (key.first == kind && object.version > since)
+      changes.push_back(&object);
+  }
+  std::sort(changes.begin(), changes.end(),
+            [](const StoredObject* a, const StoredObject* b) {
+              return a->version < b->version;
+            });
+  return changes;
+}
+
+}  // namespace jujuberock::standin
