Run weight rollouts against the platform and the engines

Cause: the rollout's decisions need the I/O that serve will start. Change: orders::RolloutService polls engines of the services whose orders this host should hold and performs the rollout's actions. The rollout no longer distinguishes engines that check fencing numbers: a new holder always waits 3 s, since the table does not say which engines check. Ruled out: ordering while engines are still being asked, since the first ones would be ordered before the loads of the others are known.

--- /dev/null
+++ b/source/core/orders/rollout_service.h
@@ -0,0 +1,90 @@
+#ifndef CORE_ORDERS_ROLLOUT_SERVICE_H_
+#define CORE_ORDERS_ROLLOUT_SERVICE_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include <boost/fiber/mutex.hpp>
+
+#include "core/common/counters.h"
+#include "core/common/timer_service.h"
+#include "core/endpoint/engine_client.h"
+#include "core/orders/version_rollout.h"
+#include "core/platform/client.h"
+#include "core/table/shared_view.h"
+
+namespace jujuberock::orders {
+
+// Runs a VersionRollout for each engine service whose orders this host should
+// hold, against the platform and the engines. Only the preferred host of a
+// service polls its engines, so the cost for each host stays bounded.
+class RolloutService {
+ public:
+  // Whether membership prefers this host as the holder of a service's orders.
+  using IsPreferred = std::function<bool(std::string_view service)>;
+
+  RolloutService(platform::Client& platform,
+                 endpoint::EngineClient& engines,
+                 table::SharedView& table,
+                 IsPreferred is_preferred,
+                 common::TimerService& timers,
+                 common::CounterRegistry& counters,
+                 std::string host,
+                 RolloutOptions options);
+
+  // Subscribes to the timer service; nothing runs before.
+  void Start();
+  // Makes no further order. Orders that were sent stay in force.
+  void Stop();
+
+  // One round over all services. Suspends the calling fiber. Called by the
+  // timer; rounds never overlap.
+  void RunOnce(common::TimePoint now);
+
+ private:
+  struct Entry {
+    std::unique_ptr<VersionRollout> rollout;
+    // Address of each endpoint by its name.
+    std::map<std::string, runtime::Address> addresses;
+  };
+
+  void RefreshEntries();
+  void Configure(Entry& entry,
+                 const table::Service& service,
+                 const table::Snapshot& snapshot);
+  void RunService(const std::string& service,
+                  Entry& entry,
+                  common::TimePoint now);
+  void PollEndpoints(Entry& entry);
+  void Perform(const std::string& service, Entry& entry, Actions actions);
+  Actions PerformOne(const std::string& service,
+                     Entry& entry,
+                     const Action& action);
+  Actions Read(const std::string& service, Entry& entry);
+  Actions Write(const std::string& service,
+                Entry& entry,
+                const WriteOrderObject& write);
+  Actions Send(Entry& entry, const SendOrder& order);
+
+  platform::Client& platform;
+  endpoint::EngineClient& engines;
+  table::SharedView& table;
+  IsPreferred is_preferred;
+  common::TimerService& timers;
+  common::Counter& orders_sent;
+  common::Counter& orders_failed;
+  common::Counter& claims;
+  std::string host;
+  RolloutOptions options;
+  // Held over a whole round, which suspends; hence a fiber mutex.
+  boost::fibers::mutex round;
+  std::map<std::string, Entry> entries;
+  common::TimerSubscription ticks;
+};
+
+}  // namespace jujuberock::orders
+
+#endif  // CORE_ORDERS_ROLLOUT_SERVICE_H_
--- a/source/core/orders/version_rollout.cc
+++ b/source/core/orders/version_rollout.cc
@@ -161,29 +161,25 @@
   this->next_attempt = now + this->options.retry_pause;
 }
 
-Actions VersionRollout::OnEndpointReport(const EndpointReport& report,
-                                         TimePoint now) {
+void VersionRollout::OnReport(const EndpointReport& report, TimePoint now) {
   auto found = this->endpoints.find(report.endpoint);
   if (found == this->endpoints.end())
-    return {};
+    return;
   EndpointState& endpoint = found->second;
   endpoint.report = report;
   endpoint.reported_at = now;
   if (this->state == State::kHolding && report.fence > this->held_term) {
     // Another host holds a higher term.
     this->StepDown(now);
-    return {};
+    return;
   }
   const bool load_ended =
-      report.loading.empty() && report.version == endpoint.ordered_version;
+      !report.loading && report.version == endpoint.ordered_version;
   const bool order_lost =
-      report.loading.empty() && endpoint.busy_since &&
+      !report.loading && endpoint.busy_since &&
       now > *endpoint.busy_since + this->options.order_lifetime;
   if (load_ended || order_lost)
     endpoint.busy_since.reset();
-  if (this->state != State::kHolding)
-    return {};
-  return this->MakeOrders(now);
 }
 
 Actions VersionRollout::OnOrderReply(const std::string&,
@@ -210,7 +206,7 @@
       continue;
     }
     const bool silent = now > endpoint.reported_at + this->options.load_timeout;
-    const bool loading = !endpoint.report->loading.empty() && !silent;
+    const bool loading = endpoint.report->loading && !silent;
     if (silent)
       endpoint.busy_since.reset();
     if (loading || endpoint.busy_since)
@@ -223,15 +219,12 @@
                               TimePoint now) const {
   if (!endpoint.report || endpoint.busy_since)
     return false;
-  if (!endpoint.report->loading.empty() ||
+  if (endpoint.report->loading ||
       endpoint.report->version == this->desired->version)
     return false;
-  // Orders of an earlier holder may still arrive at an endpoint that does not
-  // refuse them.
-  const TimePoint orders_expired =
-      this->held_since + this->options.order_lifetime;
-  return endpoint.report->checks_fence || this->held_term == 1 ||
-         now >= orders_expired;
+  // Orders of an earlier holder may still arrive until they have expired.
+  return this->held_term == 1 ||
+         now >= this->held_since + this->options.order_lifetime;
 }
 
 Actions VersionRollout::MakeOrders(TimePoint now) {
--- a/source/core/orders/version_rollout.h
+++ b/source/core/orders/version_rollout.h
@@ -20,10 +20,7 @@
   // Highest fencing number that the endpoint has accepted.
   uint64_t fence = 0;
   std::string version;
-  // Version being loaded; empty when no load runs.
-  std::string loading;
-  // Whether the endpoint refuses orders with an old fencing number.
-  bool checks_fence = false;
+  bool loading = false;
 };
 
 // The state that the service's object in the table asks for.
@@ -61,7 +58,8 @@
 
 struct RolloutOptions {
   // An order may be sent this long after it was made. A new holder waits this
-  // long before it orders endpoints that do not check fencing numbers.
+  // long before its first order, since not every endpoint refuses an old
+  // fencing number.
   common::Duration order_lifetime = std::chrono::seconds(3);
   // A load that an endpoint stops reporting counts as running for this long.
   common::Duration load_timeout = std::chrono::seconds(30);
@@ -85,7 +83,9 @@
   void SetEndpoints(std::set<std::string> endpoints);
 
   Actions OnTick(common::TimePoint now);
-  Actions OnEndpointReport(const EndpointReport& report, common::TimePoint now);
+  // Orders that a report makes possible are made by the next OnTick(), after
+  // every endpoint was asked.
+  void OnReport(const EndpointReport& report, common::TimePoint now);
   // `failed` when the platform did not answer.
   Actions OnReadReply(bool failed,
                       const std::optional<platform::Object>& object,
--- a/source/unit_tests/core/orders/version_rollout_test.cc
+++ b/source/unit_tests/core/orders/version_rollout_test.cc
@@ -154,13 +154,12 @@
   void StepHost(Host& host, bool faulty) {
     if (host.paused)
       return;
-    this->Queue(host, host.rollout->OnTick(this->now));
     for (const Engine& engine : this->engines) {
-      this->Queue(host, host.rollout->OnEndpointReport(
-                            {engine.name, engine.fence, engine.version,
-                             engine.loading, engine.checks_fence},
-                            this->now));
+      host.rollout->OnReport(
+          {engine.name, engine.fence, engine.version, !engine.loading.empty()},
+          this->now);
     }
+    this->Queue(host, host.rollout->OnTick(this->now));
     // One action a step, so that a pause can fall between an action that was
     // decided and its being performed.
     if (host.pending.empty())
@@ -279,8 +278,8 @@
   former.OnReadReply(false, std::nullopt, TimePoint());
   former.OnWriteReply({WriteState::kWritten, 1, std::nullopt, ""}, TimePoint());
   REQUIRE(former.holds_orders());
-  const Actions orders =
-      former.OnEndpointReport({"engine", 0, "v1", "", true}, TimePoint());
+  former.OnReport({"engine", 0, "v1", false}, TimePoint());
+  const Actions orders = former.OnTick(TimePoint());
   REQUIRE(orders.size() == 1);
   const auto& order = std::get<SendOrder>(orders[0]);
   REQUIRE(order.fence == 1);
@@ -301,14 +300,14 @@
   rollout.OnWriteReply({WriteState::kWritten, 1, std::nullopt, ""},
                        TimePoint());
   REQUIRE(rollout.holds_orders());
-  const EndpointReport report{"engine", 2, "v3", "", false};
-  CHECK(rollout.OnEndpointReport(report, TimePoint(seconds(5))).empty());
+  rollout.OnReport({"engine", 2, "v3", false}, TimePoint(seconds(5)));
+  CHECK(rollout.OnTick(TimePoint(seconds(5))).empty());
   CHECK_FALSE(rollout.holds_orders());
 }
 
 // Endpoints that ignore fencing numbers could run an earlier holder's order
 // after the new holder's, so the new holder waits until those have expired.
-TEST_CASE("a new holder waits out orders to endpoints that ignore fencing") {
+TEST_CASE("a new holder waits until the orders of the former holder expired") {
   VersionRollout rollout("service", "host-1", RolloutOptions());
   rollout.SetDesired({"model", "v2", 1});
   rollout.SetPreferred(true);
@@ -321,9 +320,11 @@
   rollout.OnWriteReply({WriteState::kWritten, 8, std::nullopt, ""},
                        TimePoint());
   REQUIRE(rollout.term() == 5);
-  const EndpointReport report{"engine", 4, "v1", "", false};
-  CHECK(rollout.OnEndpointReport(report, TimePoint(seconds(1))).empty());
-  CHECK(rollout.OnEndpointReport(report, TimePoint(seconds(4))).size() == 1);
+  const EndpointReport report{"engine", 4, "v1", false};
+  rollout.OnReport(report, TimePoint(seconds(1)));
+  CHECK(rollout.OnTick(TimePoint(seconds(1))).empty());
+  rollout.OnReport(report, TimePoint(seconds(4)));
+  CHECK(rollout.OnTick(TimePoint(seconds(4))).size() == 1);
 }
 
 }  // namespace
