Share the polling of load reports among the hosts of a zone

Cause: 41 hosts that each poll the 300 endpoints of a zone would spend more than the 6 KB/s that a host has for control. Change: load_exchange::Exchange assigns each endpoint to one host by rendezvous hashing; it sends changed figures to the others. The next host polls when nothing was heard for 1.5 s for each place in the order. Ruled out: agreement on who polls, since a wrong view only costs a poll; full reports each time, which take about three times the bytes.

--- /dev/null
+++ b/source/core/load_exchange/codec.h
@@ -0,0 +1,22 @@
+#ifndef CORE_LOAD_EXCHANGE_CODEC_H_
+#define CORE_LOAD_EXCHANGE_CODEC_H_
+
+#include <string>
+#include <string_view>
+
+#include "core/load_exchange/exchange.h"
+
+namespace jujuberock::load_exchange {
+
+// Message `load_reports`, a msgpack array: [format, [entry, ...]] where an
+// entry is [id, as_of_us, running, queued_tokens, kv_used_blocks] and, with a
+// full report, also [name, slots, prefill_tokens_per_s, decode_ms,
+// kv_capacity_blocks, version, leaving].
+std::string Encode(const LoadMessage& message);
+
+// Throws common::Error kProtocolError when the bytes are not such a message.
+LoadMessage Decode(std::string_view bytes);
+
+}  // namespace jujuberock::load_exchange
+
+#endif  // CORE_LOAD_EXCHANGE_CODEC_H_
--- /dev/null
+++ b/source/core/load_exchange/exchange.cc
@@ -0,0 +1,178 @@
+#include "core/load_exchange/exchange.h"
+
+#include <algorithm>
+#include <set>
+
+#include "core/common/hash.h"
+
+namespace jujuberock::load_exchange {
+
+using common::Duration;
+using common::TimePoint;
+
+namespace {
+
+// A load entry without a full report in msgpack: an 8-byte id, a time and
+// three small numbers, with their type bytes.
+constexpr double kEntryBytes = 24;
+
+LoadFigures FiguresOf(const routing::LoadReport& report) {
+  return {report.running, report.queued_tokens, report.kv_used_blocks};
+}
+
+void SetFigures(routing::LoadReport& report, const LoadFigures& figures) {
+  report.running = figures.running;
+  report.queued_tokens = figures.queued_tokens;
+  report.kv_used_blocks = figures.kv_used_blocks;
+}
+
+// Whether the parts that only a full report carries are the same.
+bool SameConstants(const routing::LoadReport& a, const routing::LoadReport& b) {
+  return a.slots == b.slots &&
+         a.prefill_tokens_per_s == b.prefill_tokens_per_s &&
+         a.decode_ms == b.decode_ms &&
+         a.kv_capacity_blocks == b.kv_capacity_blocks &&
+         a.version == b.version && a.leaving == b.leaving;
+}
+
+}  // namespace
+
+Exchange::Exchange(std::string self, ExchangeOptions options)
+    : self(std::move(self)), options(options), hosts{this->self} {}
+
+void Exchange::SetEndpoints(std::vector<std::string> names, TimePoint now) {
+  const std::set<std::string> wanted(names.begin(), names.end());
+  std::erase_if(this->endpoints, [&](const auto& item) {
+    if (wanted.contains(item.first))
+      return false;
+    this->names_by_id.erase(item.second.id);
+    return true;
+  });
+  for (const std::string& name : wanted) {
+    auto [found, added] = this->endpoints.try_emplace(name);
+    if (!added)
+      continue;
+    found->second.id = common::Hash64(name);
+    found->second.rank = this->RankOf(name);
+    found->second.heard_at = now;
+    this->names_by_id[found->second.id] = name;
+  }
+}
+
+void Exchange::SetHosts(std::vector<std::string> hosts) {
+  if (hosts == this->hosts)
+    return;
+  this->hosts = std::move(hosts);
+  this->RefreshRanks();
+}
+
+void Exchange::RefreshRanks() {
+  for (auto& [name, state] : this->endpoints)
+    state.rank = this->RankOf(name);
+}
+
+size_t Exchange::RankOf(std::string_view endpoint) const {
+  const uint64_t seed = common::Hash64(endpoint);
+  const uint64_t own = common::Hash64(this->self, seed);
+  return static_cast<size_t>(std::count_if(
+      this->hosts.begin(), this->hosts.end(), [&](const std::string& host) {
+        return host != this->self && common::Hash64(host, seed) > own;
+      }));
+}
+
+Duration Exchange::Period() const {
+  const double bytes =
+      kEntryBytes * static_cast<double>(this->endpoints.size());
+  const Duration within_budget =
+      common::FromSeconds(bytes / this->options.receive_budget_bytes_per_s);
+  return std::max(this->options.min_period, within_budget);
+}
+
+bool Exchange::IsDue(const State& state, TimePoint now) const {
+  if (state.asked_at && now < *state.asked_at + this->Period())
+    return false;
+  if (state.rank == 0)
+    return true;
+  const Duration silence =
+      this->Period() +
+      this->options.takeover_delay * static_cast<int64_t>(state.rank);
+  return now >= state.heard_at + silence;
+}
+
+std::vector<std::string> Exchange::TakeDuePolls(TimePoint now) {
+  std::vector<std::string> due;
+  for (auto& [name, state] : this->endpoints) {
+    if (!this->IsDue(state, now))
+      continue;
+    state.asked_at = now;
+    due.push_back(name);
+  }
+  return due;
+}
+
+void Exchange::OnPolled(const std::string& endpoint,
+                        const routing::LoadReport& report,
+                        TimePoint now) {
+  auto found = this->endpoints.find(endpoint);
+  if (found == this->endpoints.end())
+    return;
+  State& state = found->second;
+  const bool same_constants =
+      state.report && SameConstants(*state.report, report);
+  if (!same_constants)
+    state.full_sent = false;
+  state.report = report;
+  state.heard_at = now;
+  state.unsent = true;
+}
+
+bool Exchange::NeedsFull(const State& state, TimePoint now) const {
+  return !state.full_sent ||
+         now >= state.full_sent_at + this->options.full_period;
+}
+
+LoadMessage Exchange::TakeMessage(TimePoint now) {
+  LoadMessage message;
+  for (auto& [name, state] : this->endpoints) {
+    if (!state.unsent)
+      continue;
+    state.unsent = false;
+    LoadEntry entry;
+    entry.endpoint_id = state.id;
+    entry.as_of = state.report->as_of;
+    entry.figures = FiguresOf(*state.report);
+    if (this->NeedsFull(state, now)) {
+      entry.full = LoadEntry::Full{name, *state.report};
+      state.full_sent = true;
+      state.full_sent_at = now;
+    }
+    message.entries.push_back(std::move(entry));
+  }
+  return message;
+}
+
+std::vector<NamedReport> Exchange::OnMessage(const LoadMessage& message,
+                                             TimePoint now) {
+  std::vector<NamedReport> news;
+  for (const LoadEntry& entry : message.entries) {
+    auto name = this->names_by_id.find(entry.endpoint_id);
+    if (name == this->names_by_id.end())
+      continue;
+    State& state = this->endpoints.find(name->second)->second;
+    // Heard even when it is older: somebody polls this endpoint.
+    state.heard_at = now;
+    if (!state.report && !entry.full)
+      continue;
+    if (state.report && entry.as_of < state.report->as_of && !entry.full)
+      continue;
+    routing::LoadReport report =
+        entry.full ? entry.full->report : *state.report;
+    report.as_of = entry.as_of;
+    SetFigures(report, entry.figures);
+    state.report = report;
+    news.push_back({name->second, std::move(report)});
+  }
+  return news;
+}
+
+}  // namespace jujuberock::load_exchange
--- /dev/null
+++ b/source/core/load_exchange/exchange.h
@@ -0,0 +1,125 @@
+#ifndef CORE_LOAD_EXCHANGE_EXCHANGE_H_
+#define CORE_LOAD_EXCHANGE_EXCHANGE_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "core/common/time.h"
+#include "core/routing/types.h"
+
+namespace jujuberock::load_exchange {
+
+// The part of a load report that changes all the time.
+struct LoadFigures {
+  uint32_t running = 0;
+  uint64_t queued_tokens = 0;
+  uint64_t kv_used_blocks = 0;
+
+  bool operator==(const LoadFigures&) const = default;
+};
+
+// One endpoint in a message. The name is sent with a full report only.
+struct LoadEntry {
+  uint64_t endpoint_id = 0;
+  // When the report was made, on the endpoint's own clock.
+  common::Duration as_of{0};
+  LoadFigures figures;
+  struct Full {
+    std::string endpoint;
+    routing::LoadReport report;
+  };
+  std::optional<Full> full;
+};
+
+// Message `load_reports` from the host that polls the endpoints to the other
+// hosts of its zone.
+struct LoadMessage {
+  std::vector<LoadEntry> entries;
+};
+
+struct NamedReport {
+  std::string endpoint;
+  routing::LoadReport report;
+};
+
+struct ExchangeOptions {
+  common::Duration min_period = std::chrono::milliseconds(250);
+  // Bytes of load entries that a host may receive in a second. A target of
+  // 6 KB/s for all control traffic leaves about this much for loads.
+  double receive_budget_bytes_per_s = 2500;
+  // An endpoint that was not heard of for this long is polled by the next host
+  // in rendezvous order, and so on for each further host.
+  common::Duration takeover_delay = std::chrono::milliseconds(1500);
+  // Full reports are repeated this often, for hosts that have missed them.
+  common::Duration full_period = std::chrono::seconds(20);
+};
+
+// Shares the polling of load reports among the hosts of a zone: each endpoint
+// is polled by one of them, which sends what changed to the others. The hosts
+// need not agree on their number; a wrong view costs a poll too many or a late
+// report. Pure state machine, not thread-safe.
+class Exchange {
+ public:
+  Exchange(std::string self, ExchangeOptions options);
+
+  // Endpoints of this host's own zone.
+  void SetEndpoints(std::vector<std::string> endpoints, common::TimePoint now);
+  // Live hosts of the zone, this one included.
+  void SetHosts(std::vector<std::string> hosts);
+
+  // Time between two polls of one endpoint; grows with the endpoints so that
+  // the traffic stays within its budget.
+  common::Duration Period() const;
+
+  // Endpoints that this host should poll now. Each counts as asked.
+  std::vector<std::string> TakeDuePolls(common::TimePoint now);
+
+  void OnPolled(const std::string& endpoint,
+                const routing::LoadReport& report,
+                common::TimePoint now);
+
+  // What the other hosts of the zone should be sent now; empty when nothing
+  // changed. Call once a period.
+  LoadMessage TakeMessage(common::TimePoint now);
+
+  // Reports that are newer than those held. Entries of endpoints whose full
+  // report is unknown are skipped until it is repeated.
+  std::vector<NamedReport> OnMessage(const LoadMessage& message,
+                                     common::TimePoint now);
+
+  // Position of this host in the rendezvous order of an endpoint; 0 polls it.
+  size_t RankOf(std::string_view endpoint) const;
+
+ private:
+  struct State {
+    uint64_t id = 0;
+    size_t rank = 0;
+    std::optional<routing::LoadReport> report;
+    // Last report by whichever way it came; set to the time of adding first.
+    common::TimePoint heard_at;
+    std::optional<common::TimePoint> asked_at;
+    // Whether this host polled it since the last message.
+    bool unsent = false;
+    common::TimePoint full_sent_at;
+    bool full_sent = false;
+  };
+
+  bool IsDue(const State& state, common::TimePoint now) const;
+  bool NeedsFull(const State& state, common::TimePoint now) const;
+  void RefreshRanks();
+
+  std::string self;
+  ExchangeOptions options;
+  std::vector<std::string> hosts;
+  std::map<std::string, State, std::less<>> endpoints;
+  std::map<uint64_t, std::string> names_by_id;
+};
+
+}  // namespace jujuberock::load_exchange
+
+#endif  // CORE_LOAD_EXCHANGE_EXCHANGE_H_
--- /dev/null
+++ b/source/unit_tests/core/load_exchange/exchange_test.cc
@@ -0,0 +1,145 @@
+#include "core/load_exchange/exchange.h"
+
+#include <catch2/catch.hpp>
+#include <iostream>
+#include <map>
+
+#include "core/common/error.h"
+#include "core/common/random.h"
+#include "core/load_exchange/codec.h"
+
+namespace jujuberock::load_exchange {
+namespace {
+
+using common::Duration;
+using common::TimePoint;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+std::vector<std::string> Names(const std::string& prefix, int count) {
+  std::vector<std::string> names;
+  for (int i = 0; i < count; ++i)
+    names.push_back(prefix + std::to_string(i));
+  return names;
+}
+
+// The hosts of one zone; messages arrive at once, or not at all from or to a
+// host that is down.
+class Zone {
+ public:
+  Zone(int hosts, int endpoints)
+      : host_names(Names("host-", hosts)),
+        endpoint_names(Names("endpoint-", endpoints)) {
+    for (const std::string& name : this->host_names) {
+      Exchange exchange(name, ExchangeOptions());
+      exchange.SetHosts(this->host_names);
+      exchange.SetEndpoints(this->endpoint_names, this->now);
+      this->exchanges.emplace(name, std::move(exchange));
+    }
+  }
+
+  void Run(Duration length) {
+    const TimePoint end = this->now + length;
+    while (this->now < end) {
+      this->now += milliseconds(50);
+      for (auto& [name, exchange] : this->exchanges) {
+        if (!this->down.contains(name))
+          this->RunHost(name, exchange);
+      }
+    }
+  }
+
+  std::map<std::string, Exchange> exchanges;
+  std::map<std::string, bool> down;
+  std::map<std::string, TimePoint> last_heard;
+  uint64_t polls = 0;
+  uint64_t bytes_received = 0;
+
+ private:
+  void RunHost(const std::string& name, Exchange& exchange) {
+    for (const std::string& endpoint : exchange.TakeDuePolls(this->now)) {
+      ++this->polls;
+      this->last_heard[endpoint] = this->now;
+      routing::LoadReport report;
+      report.as_of = this->now.time_since_epoch();
+      report.queued_tokens = this->random.Below(100'000);
+      report.kv_used_blocks = this->random.Below(1'000);
+      exchange.OnPolled(endpoint, report, this->now);
+    }
+    const LoadMessage message = exchange.TakeMessage(this->now);
+    if (message.entries.empty())
+      return;
+    const std::string bytes = Encode(message);
+    for (auto& [other, receiver] : this->exchanges) {
+      if (other == name || this->down.contains(other))
+        continue;
+      this->bytes_received += bytes.size();
+      receiver.OnMessage(Decode(bytes), this->now);
+    }
+  }
+
+  std::vector<std::string> host_names;
+  std::vector<std::string> endpoint_names;
+  common::Random random{1};
+  TimePoint now{seconds(1)};
+};
+
+// Polling by every host would grow with hosts times endpoints.
+TEST_CASE("each endpoint is polled by one host") {
+  Zone zone(8, 40);
+  zone.Run(seconds(10));
+  const Duration period = zone.exchanges.begin()->second.Period();
+  const double expected = 40 * (seconds(10) / common::Duration(period));
+  CHECK(zone.polls <= expected * 1.2);
+  CHECK(zone.polls >= expected * 0.8);
+}
+
+TEST_CASE("the endpoints of a dead host are polled by the next one") {
+  Zone zone(4, 20);
+  zone.Run(seconds(3));
+  zone.down["host-1"] = true;
+  zone.Run(seconds(6));
+  zone.last_heard.clear();
+  zone.Run(seconds(3));
+  CHECK(zone.last_heard.size() == 20);
+}
+
+// The target gives a host 6 KB/s for all of its control traffic; a zone has 41
+// hosts and 300 endpoints there.
+TEST_CASE("load entries stay within their budget at the target size") {
+  Zone zone(41, 300);
+  zone.Run(seconds(5));
+  zone.bytes_received = 0;
+  zone.Run(seconds(40));
+  const double bytes_per_s = zone.bytes_received / 40.0 / 41;
+  std::cout << "load entries received: " << bytes_per_s
+            << " B/s for each of 41 hosts, 300 endpoints, period "
+            << common::ToSeconds(zone.exchanges.begin()->second.Period())
+            << " s\n";
+  CHECK(bytes_per_s <= 1.2 * ExchangeOptions().receive_budget_bytes_per_s);
+}
+
+TEST_CASE("an older report never replaces a newer one") {
+  Exchange exchange("host-0", ExchangeOptions());
+  exchange.SetEndpoints({"endpoint-0"}, TimePoint());
+  routing::LoadReport report;
+  report.as_of = seconds(5);
+  exchange.OnPolled("endpoint-0", report, TimePoint());
+  LoadMessage message = exchange.TakeMessage(TimePoint());
+  message.entries[0].full.reset();
+  message.entries[0].as_of = seconds(4);
+  CHECK(exchange.OnMessage(message, TimePoint()).empty());
+}
+
+TEST_CASE("malformed messages are refused") {
+  Exchange exchange("host-0", ExchangeOptions());
+  exchange.SetEndpoints({"endpoint-0"}, TimePoint());
+  exchange.OnPolled("endpoint-0", {}, TimePoint());
+  const std::string whole = Encode(exchange.TakeMessage(TimePoint()));
+  for (size_t size = 0; size < whole.size(); ++size)
+    CHECK_THROWS_AS(Decode(whole.substr(0, size)), common::Error);
+  CHECK(Decode(whole).entries.size() == 1);
+}
+
+}  // namespace
+}  // namespace jujuberock::load_exchange
