--- /dev/null
+++ b/source/core/operator_api/server.cc
@@ -0,0 +1,99 @@
+#include "core/operator_api/server.h"
+
+#include <string_view>
+#include <utility>
+
+#include "core/common/error.h"
+
+namespace jujuberock::operator_api {
+
+using common::Error;
+using common::ResultCode;
+using runtime::HttpRequest;
+using runtime::HttpResponse;
+
+namespace {
+
+// No operator call has a body worth more.
+constexpr size_t kBodyLimitBytes = 64 * 1024;
+
+HttpResponse Answer(int status, const char* type, std::string body) {
+  HttpResponse response;
+  response.status = status;
+  response.headers.Add("Content-Type", type);
+  response.body = std::move(body);
+  return response;
+}
+
+}  // namespace
+
+struct Server::Route {
+  std::string_view method;
+  std::string_view path;
+  HttpResponse (Server::*answer)();
+};
+
+const Server::Route Server::kRoutes[] = {
+    {"GET", "/healthz", &Server::Health},  {"GET", "/readyz", &Server::Ready},
+    {"GET", "/metrics", &Server::Metrics}, {"GET", "/status", &Server::Status},
+    {"POST", "/stop", &Server::Stop},
+};
+
+Server::Server(runtime::WorkerPool& pool,
+               const runtime::Address& address,
+               const common::CounterRegistry& counters,
+               Hooks hooks)
+    : counters(counters),
+      hooks(std::move(hooks)),
+      http(
+          pool,
+          address,
+          {.body_limit_bytes = kBodyLimitBytes},
+          [this](const HttpRequest& request, runtime::ResponseWriter& writer) {
+            this->Handle(request, writer);
+          },
+          runtime::RenderPlainError) {}
+
+void Server::Handle(const HttpRequest& request,
+                    runtime::ResponseWriter& writer) {
+  const std::string_view target = request.target;
+  const std::string_view path = target.substr(0, target.find('?'));
+  bool path_known = false;
+  for (const Route& route : kRoutes) {
+    if (route.path != path)
+      continue;
+    path_known = true;
+    if (route.method == request.method)
+      return writer.Send((this->*route.answer)());
+  }
+  if (path_known)
+    throw Error(ResultCode::kMethodNotAllowed, request.method);
+  throw Error(ResultCode::kUnknownPath, "no such path");
+}
+
+HttpResponse Server::Health() {
+  return Answer(200, "text/plain", "ok\n");
+}
+
+HttpResponse Server::Ready() {
+  const std::optional<std::string> reason = this->hooks.not_ready();
+  if (reason)
+    return Answer(503, "text/plain", *reason + "\n");
+  return Answer(200, "text/plain", "ready\n");
+}
+
+HttpResponse Server::Metrics() {
+  return Answer(200, "text/plain; version=0.0.4",
+                this->counters.RenderPrometheus());
+}
+
+HttpResponse Server::Status() {
+  return Answer(200, "application/json", this->hooks.status());
+}
+
+HttpResponse Server::Stop() {
+  this->hooks.stop();
+  return Answer(202, "text/plain", "stopping\n");
+}
+
+}  // namespace jujuberock::operator_api
--- a/source/core/runtime/http_client.cc
+++ b/source/core/runtime/http_client.cc
@@ -92,7 +92,8 @@
                                      Await(error));
     if (error)
       throw HttpError(
-          ResultCode::kPeerUnavailable,
+          error == beast::error::timeout ? ResultCode::kEndpointSilent
+                                         : ResultCode::kPeerUnavailable,
           "connect to " + address.ToString() + ": " + error.message(), false);
     connection->stream.socket().set_option(tcp::no_delay(true), error);
     return connection;
--- a/source/core/runtime/http_client.h
+++ b/source/core/runtime/http_client.h
@@ -75,8 +75,8 @@
   HttpClient& operator=(const HttpClient&) = delete;
 
   // Sends the request and reads the whole response. Throws HttpError:
-  // kPeerUnavailable when no connection could be made, kEndpointFailed when
-  // it broke, kEndpointSilent on a timeout.
+  // kPeerUnavailable when the connection was refused, kEndpointFailed when
+  // it broke, kEndpointSilent on a timeout, also of the connect.
   HttpResponse Fetch(const Address& address,
                      const HttpRequest& request,
                      const HttpCallOptions& options = {});
