Fuzz the parsers and bound what a message may allocate

Cause: a mutated load_reports message of some 60 bytes made msgpack ask for 256 GB, because it allocates the claimed length of a map before reading it. Ruled out: a limit in each codec, which the next codec would forget. Change: common::UnpackMessage bounds lengths by the size of the message; a seeded mutation test runs over table objects, platform answers, settings, load messages, burn reports and addresses.

--- /dev/null
+++ b/source/core/common/msgpack_unpack.h
@@ -0,0 +1,28 @@
+#ifndef CORE_COMMON_MSGPACK_UNPACK_H_
+#define CORE_COMMON_MSGPACK_UNPACK_H_
+
+#include <algorithm>
+#include <string_view>
+
+#include <msgpack.hpp>
+
+namespace jujuberock::common {
+
+// Unpacks a message from another process. msgpack allocates what a length
+// field claims before it reads the elements, so a message of a few bytes could
+// ask for gigabytes: every length is bounded by the size of the message, and
+// arrays and nesting also by what our messages need. Throws
+// msgpack::unpack_error or msgpack::size_overflow. Include it in .cc files
+// only.
+inline msgpack::object_handle UnpackMessage(std::string_view bytes) {
+  constexpr size_t kMaxElements = 65536;
+  constexpr size_t kMaxDepth = 8;
+  const size_t elements = std::min(bytes.size(), kMaxElements);
+  const msgpack::unpack_limit limit(elements, elements, bytes.size(),
+                                    bytes.size(), bytes.size(), kMaxDepth);
+  return msgpack::unpack(bytes.data(), bytes.size(), nullptr, nullptr, limit);
+}
+
+}  // namespace jujuberock::common
+
+#endif  // CORE_COMMON_MSGPACK_UNPACK_H_
--- a/source/core/load_exchange/codec.cc
+++ b/source/core/load_exchange/codec.cc
@@ -5,6 +5,7 @@
 #include <msgpack.hpp>
 
 #include "core/common/error.h"
+#include "core/common/msgpack_unpack.h"
 
 namespace jujuberock::load_exchange {
 
@@ -97,8 +98,7 @@
 
 LoadMessage Decode(std::string_view bytes) {
   try {
-    const msgpack::object_handle handle =
-        msgpack::unpack(bytes.data(), bytes.size());
+    const msgpack::object_handle handle = common::UnpackMessage(bytes);
     return UnpackMessage(handle.get());
   } catch (const std::exception&) {
     throw common::Error(common::ResultCode::kProtocolError,
--- /dev/null
+++ b/source/unit_tests/core/fuzz/parsers_test.cc
@@ -0,0 +1,111 @@
+#include <catch2/catch.hpp>
+#include <functional>
+#include <string>
+
+#include "core/common/error.h"
+#include "core/common/settings.h"
+#include "core/load_exchange/codec.h"
+#include "core/platform/object_json.h"
+#include "core/report/burn_render.h"
+#include "core/runtime/http_types.h"
+#include "core/table/parse.h"
+#include "unit_tests/core/fuzz/mutation.h"
+
+namespace jujuberock::fuzz {
+namespace {
+
+// Feeds mutations of `valid` to a parser that reads bytes from outside. It may
+// refuse them with common::Error; any other exception, a crash or a sanitizer
+// report is a fault. Returns how many were refused.
+int Fuzz(const std::string& valid,
+         const std::function<void(const std::string&)>& parse) {
+  constexpr int kRounds = 4000;
+  common::Random random(20261204);
+  int refused = 0;
+  REQUIRE_NOTHROW(parse(valid));
+  for (int i = 0; i < kRounds; ++i) {
+    const std::string input = Mutate(valid, random);
+    try {
+      parse(input);
+    } catch (const common::Error&) {
+      ++refused;
+    } catch (const std::exception& error) {
+      FAIL("round " << i << ": " << error.what() << " for " << input);
+    }
+  }
+  return refused;
+}
+
+table::Object MakeObject(const std::string& kind, const std::string& body) {
+  return {kind, "name", 7, false, body, "token"};
+}
+
+TEST_CASE("mutated table objects are refused or parsed") {
+  const std::string team =
+      R"({"keys":["0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef"],)"
+      R"("bands":[{"from":"00:00","to":"06:30","weight":2,"max_running":4,"patience_ms":4000},)"
+      R"({"from":"06:30","to":"24:00","weight":1.5,"max_running":9,"patience_ms":900}]})";
+  CHECK(Fuzz(team, [](const std::string& text) {
+          table::ParseTeam(MakeObject("team", text));
+        }) > 0);
+  const std::string service =
+      R"({"kind":"engine","models":["m"],"version":"v1","non_idempotent":[{"method":"POST","path_prefix":"/pay"}],)"
+      R"("status_path":"/status/","loads_at_once":3,"retry_budget":0.1,"zone_shares":{"a":0.5,"b":0.5},)"
+      R"("bands":[{"from":"00:00","to":"24:00","patience_ms":4000,"max_queue":10}]})";
+  CHECK(Fuzz(service, [](const std::string& text) {
+          table::ParseService(MakeObject("service", text));
+        }) > 0);
+  const std::string endpoint =
+      R"({"service":"s","zone":"z","address":"127.0.0.1:80","state":"live"})";
+  CHECK(Fuzz(endpoint, [](const std::string& text) {
+          table::ParseEndpoint(MakeObject("endpoint", text));
+        }) > 0);
+}
+
+TEST_CASE("mutated answers of the platform are refused or parsed") {
+  const std::string list =
+      R"({"version":9,"objects":[{"kind":"team","name":"t","version":3,"token":"x","body":{"a":1}}]})";
+  CHECK(Fuzz(list, [](const std::string& text) {
+          platform::ParseObjectList(text);
+        }) > 0);
+}
+
+TEST_CASE("mutated settings files are refused or parsed") {
+  const std::string settings = R"({
+    // comment
+    "host_name": "host-1", "zone": "zone-a", "worker_threads": 4,
+    "platform_address": "127.0.0.1:9000", "deployment_key": "0123456789abcdef",
+    "token_idle_limit_ms": 500
+  })";
+  CHECK(Fuzz(settings, [](const std::string& text) {
+          common::SettingsReader reader;
+          reader.ReadText(text, "file");
+          if (!reader.problems().empty())
+            throw common::Error(common::ResultCode::kInvalidSettings, "");
+        }) > 0);
+}
+
+TEST_CASE("mutated load messages are refused or parsed") {
+  load_exchange::Exchange exchange("host", {});
+  exchange.SetEndpoints({"engine-1", "engine-2"}, {});
+  exchange.OnPolled("engine-1", {}, {});
+  exchange.OnPolled("engine-2", {}, {});
+  const std::string message = load_exchange::Encode(exchange.TakeMessage({}));
+  CHECK(Fuzz(message, [](const std::string& bytes) {
+          load_exchange::Decode(bytes);
+        }) > 0);
+}
+
+TEST_CASE("mutated burn reports are refused or parsed") {
+  report::BurnRow row{{"team", "service", "06:00"}, {}, {}};
+  CHECK(Fuzz(report::RenderJson({row}, 0.95),
+             [](const std::string& text) { report::ParseJson(text); }) > 0);
+}
+
+TEST_CASE("mutated addresses are refused or parsed") {
+  Fuzz("[::1]:8080",
+       [](const std::string& text) { runtime::Address::Parse(text); });
+}
+
+}  // namespace
+}  // namespace jujuberock::fuzz
