Add the request path, the host's assembly and the serve command

The steps of a request are separate methods: deadline, admission, suspects check, route, dispatch, relay, finish, with one retry under the budget. A caller in the middle of a stream may come back, so its engine request is canceled after a grace period only.

--- a/source/core/caller/completion_writer.h
+++ b/source/core/caller/completion_writer.h
@@ -26,6 +26,7 @@
   void WriteToken(const StreamPosition& position,
                   std::string_view text) override;
   void Finish(std::string_view reason, const Usage& usage) override;
+  void Reset() override {}
   bool started() const override { return this->writer.started(); }
   void OnCallerGone(std::function<void()> callback) override;
 
@@ -52,9 +53,8 @@
   void WriteToken(const StreamPosition& position,
                   std::string_view text) override;
   void Finish(std::string_view reason, const Usage& usage) override;
-  bool started() const override {
-    return this->writer.started() || !this->text.empty();
-  }
+  void Reset() override { this->text.clear(); }
+  bool started() const override { return this->writer.started(); }
   void OnCallerGone(std::function<void()> callback) override;
 
  private:
--- a/source/core/caller/handler.h
+++ b/source/core/caller/handler.h
@@ -28,6 +28,8 @@
   virtual void WriteToken(const StreamPosition& position,
                           std::string_view text) = 0;
   virtual void Finish(std::string_view reason, const Usage& usage) = 0;
+  // Drops tokens that have not reached the caller, before another attempt.
+  virtual void Reset() = 0;
   // True once something that can not be taken back has reached the caller.
   virtual bool started() const = 0;
   virtual void OnCallerGone(std::function<void()> callback) = 0;
--- a/source/core/endpoint/engine_client.cc
+++ b/source/core/endpoint/engine_client.cc
@@ -183,18 +183,6 @@
   return Parsed(response.body, LoadFromJson);
 }
 
-bool EngineClient::Probe(const Address& engine, common::Duration limit) {
-  try {
-    this->http.Fetch(engine, {"GET", "/load", {}, ""},
-                     {.header_timeout = limit,
-                      .read_timeout = limit,
-                      .fresh_connection = true});
-    return true;
-  } catch (const Error&) {
-    return false;
-  }
-}
-
 CacheEvents EngineClient::Events(const Address& engine, uint64_t since) {
   const std::string target = "/kv/events?since=" + std::to_string(since);
   const HttpResponse response =
--- a/source/core/endpoint/engine_client.h
+++ b/source/core/endpoint/engine_client.h
@@ -131,8 +131,6 @@
   void Cancel(const runtime::Address& engine, const std::string& request_id);
 
   EngineLoad Load(const runtime::Address& engine);
-  // True when the engine answers on a new connection within `limit`.
-  bool Probe(const runtime::Address& engine, common::Duration limit);
   CacheEvents Events(const runtime::Address& engine, uint64_t since);
   void Export(const runtime::Address& engine,
               const std::vector<std::string>& keys,
--- a/source/core/endpoint/plain_client.cc
+++ b/source/core/endpoint/plain_client.cc
@@ -81,16 +81,8 @@
   }
 }
 
-bool PlainClient::Probe(const Address& service, common::Duration limit) {
-  try {
-    this->http.Fetch(service, {"GET", "/", {}, ""},
-                     {.header_timeout = limit,
-                      .read_timeout = limit,
-                      .fresh_connection = true});
-    return true;
-  } catch (const Error&) {
-    return false;
-  }
+ProbeResult PlainClient::Probe(const Address& service, common::Duration limit) {
+  return ProbeAt(this->http, service, "/", limit);
 }
 
 }  // namespace jujuberock::endpoint
--- a/source/core/endpoint/plain_client.h
+++ b/source/core/endpoint/plain_client.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "core/common/time.h"
+#include "core/endpoint/probe.h"
 #include "core/runtime/http_client.h"
 
 namespace jujuberock::endpoint {
@@ -35,8 +36,8 @@
                     const std::string& status_path,
                     const std::string& key);
 
-  // True when the service accepts a new connection and answers any status.
-  bool Probe(const runtime::Address& service, common::Duration limit);
+  // Asks for anything on a new connection; any status is an answer.
+  ProbeResult Probe(const runtime::Address& service, common::Duration limit);
 
  private:
   runtime::HttpClient& http;
--- /dev/null
+++ b/source/core/serve/completion_run.h
@@ -0,0 +1,63 @@
+#ifndef CORE_SERVE_COMPLETION_RUN_H_
+#define CORE_SERVE_COMPLETION_RUN_H_
+
+#include <memory>
+#include <string>
+
+#include "core/caller/handler.h"
+#include "core/endpoint/resuming_stream.h"
+#include "core/serve/parts.h"
+#include "core/serve/request_steps.h"
+#include "core/serve/stream_relay.h"
+
+namespace jujuberock::serve {
+
+// One completion from its arrival to its end, as a sequence of steps.
+class CompletionRun {
+ public:
+  CompletionRun(Parts& parts,
+                const caller::CompletionCall& call,
+                caller::CompletionWriter& writer);
+  ~CompletionRun();
+  CompletionRun(const CompletionRun&) = delete;
+  CompletionRun& operator=(const CompletionRun&) = delete;
+
+  // Throws common::Error when the request ends without a whole answer.
+  void Execute();
+
+ private:
+  CompletionRun(Parts& parts,
+                const caller::CompletionCall& call,
+                caller::CompletionWriter& writer,
+                const std::string& service);
+
+  void PrepareRoute();
+  void RunWithRetry();
+  void RunAttempt();
+  RelayResult RunAt(const routing::RouteDecision& decision,
+                    const runtime::Address& address);
+  void OnFirstToken(const endpoint::TokenEvent& token);
+  void OnAttemptFailed(const routing::RouteDecision& decision,
+                       const runtime::Address& address,
+                       const common::Error& error);
+  endpoint::GenerateRequest EngineRequest(
+      const routing::RouteDecision& decision) const;
+
+  Parts& parts;
+  const caller::CompletionCall& call;
+  caller::CompletionWriter& writer;
+  std::shared_ptr<CallerState> caller;
+  RequestSteps steps;
+  routing::RouteRequest route;
+  // False until something was sent to an endpoint.
+  bool dispatched = false;
+};
+
+// Goes on with a stream that the caller received in part.
+void ResumeRun(Parts& parts,
+               const caller::ResumeCall& call,
+               caller::CompletionWriter& writer);
+
+}  // namespace jujuberock::serve
+
+#endif  // CORE_SERVE_COMPLETION_RUN_H_
--- /dev/null
+++ b/source/core/serve/host.cc
@@ -0,0 +1,306 @@
+#include "core/serve/host.h"
+
+#include <glog/logging.h>
+
+#include <future>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "core/cache_store/client.h"
+#include "core/caller/server.h"
+#include "core/common/error.h"
+#include "core/common/hash.h"
+#include "core/common/random.h"
+#include "core/operator_api/server.h"
+#include "core/platform/client.h"
+#include "core/runtime/http_client.h"
+#include "core/runtime/wall_timer_service.h"
+#include "core/runtime/worker_pool.h"
+#include "core/serve/config_sync.h"
+#include "core/serve/limits.h"
+#include "core/serve/parts.h"
+#include "core/serve/request_handler.h"
+
+namespace jujuberock::serve {
+
+using common::TimePoint;
+using runtime::Address;
+
+namespace {
+
+constexpr common::Duration kAdmissionTick = std::chrono::milliseconds(20);
+constexpr common::Duration kLimitsTick = std::chrono::milliseconds(500);
+constexpr common::Duration kExportTick = std::chrono::milliseconds(250);
+constexpr common::Duration kDrainCheck = std::chrono::milliseconds(10);
+
+Address RequiredAddress(const std::string& text) {
+  const auto address = Address::Parse(text);
+  if (!address)
+    throw common::Error(common::ResultCode::kInvalidSettings,
+                        "not an address: " + text);
+  return *address;
+}
+
+caller::ServerOptions CallerOptions(const Settings& settings,
+                                    const std::string& id_prefix) {
+  caller::ServerOptions options;
+  options.http.header_limit_bytes =
+      static_cast<size_t>(settings.header_limit_bytes);
+  options.http.body_limit_bytes =
+      static_cast<size_t>(settings.body_limit_bytes);
+  options.http.header_timeout = settings.header_timeout;
+  options.http.body_timeout = settings.body_timeout;
+  options.http.idle_timeout = settings.idle_timeout;
+  options.http.write_timeout = settings.write_timeout;
+  options.max_tokens_limit = settings.max_tokens_limit;
+  options.answer_id_prefix = id_prefix;
+  return options;
+}
+
+// Differs on every start, so that a host that comes back reuses no id.
+std::string IdPrefix(const Settings& settings) {
+  return settings.host_name + "-" +
+         common::Hash128Hex(std::to_string(common::EntropySeed()))
+             .substr(0, 12);
+}
+
+table::ViewOptions ViewOptionsOf(const Settings& settings) {
+  table::ViewOptions options;
+  options.utc_offset = std::chrono::minutes(settings.utc_offset_minutes);
+  return options;
+}
+
+}  // namespace
+
+struct Host::Impl {
+  Impl(const Settings& settings, std::function<void()> on_stop_requested);
+
+  void OnConfig(const std::vector<table::Object>& changed);
+  void StartTimers();
+  void StartExports();
+  void RunExport(const routing::Export& order);
+  std::optional<std::string> NotReady() const;
+  std::string RenderStatus();
+  StopReport Stop();
+
+  // In the order of construction; each part uses those above it.
+  Settings settings;
+  common::CounterRegistry counters;
+  runtime::WorkerPool pool;
+  runtime::WallTimerService timers;
+  runtime::HttpClient http;
+  platform::Client platform;
+  endpoint::EngineClient engines;
+  endpoint::PlainClient plains;
+  cache_store::Client stores;
+  table::SharedView view;
+  GuardedRouter router;
+  GuardedBudget budget;
+  GuardedSuspects suspects;
+  AdmissionGate gate;
+  InFlight in_flight;
+  std::string id_prefix;
+  RequestIds ids;
+  DetachedStreams detached;
+  Fleet fleet;
+  Limits limits;
+  Parts parts;
+  caller::KeyDirectory keys;
+  caller::EventIdSealer sealer;
+  RequestHandler handler;
+  ConfigSync config;
+  FiberGroup periodic;
+  caller::Server callers;
+  operator_api::Server operators;
+};
+
+Host::Impl::Impl(const Settings& given, std::function<void()> on_stop_requested)
+    : settings(given),
+      pool(static_cast<size_t>(settings.worker_threads)),
+      timers(pool, 0),
+      http(pool, {}),
+      platform(http, RequiredAddress(settings.platform_address), counters),
+      engines(http),
+      plains(http),
+      stores(http),
+      view(ViewOptionsOf(settings)),
+      router(settings.zone, routing::RouterSettings()),
+      gate(timers, counters),
+      id_prefix(IdPrefix(settings)),
+      ids(id_prefix),
+      detached(pool, timers, engines, counters, settings.resume_grace),
+      fleet(pool,
+            timers,
+            view,
+            router,
+            engines,
+            plains,
+            stores,
+            counters,
+            settings),
+      limits(timers, view, fleet, gate, budget, settings),
+      parts{settings, timers, counters,  view,     fleet, router,  budget,
+            suspects, gate,   in_flight, detached, ids,   engines, plains},
+      sealer(settings.deployment_key),
+      handler(parts),
+      config(pool,
+             timers,
+             platform,
+             view,
+             counters,
+             {settings.relist_period, settings.watch_idle_limit},
+             [this](const std::vector<table::Object>& changed) {
+               this->OnConfig(changed);
+             }),
+      periodic(pool),
+      callers(pool,
+              RequiredAddress(settings.caller_address),
+              CallerOptions(settings, id_prefix),
+              keys,
+              sealer,
+              handler,
+              counters),
+      operators(pool,
+                RequiredAddress(settings.operator_address),
+                counters,
+                {[this] { return this->NotReady(); },
+                 [this] { return this->RenderStatus(); },
+                 std::move(on_stop_requested)}) {
+  this->config.Start();
+  this->fleet.Start();
+  this->StartTimers();
+}
+
+void Host::Impl::OnConfig(const std::vector<table::Object>& changed) {
+  const table::SnapshotPtr rows = this->view.Current();
+  for (const table::Object& object : changed) {
+    if (object.kind != table::NameOf(table::Kind::kTeam))
+      continue;
+    if (const table::Team* team = rows->FindTeam(object.name))
+      this->keys.SetTeam(object.name, team->key_digests);
+    else
+      this->keys.RemoveTeam(object.name);
+  }
+  this->fleet.OnConfig();
+  this->limits.Update();
+}
+
+void Host::Impl::StartTimers() {
+  this->periodic.Every(this->timers, kAdmissionTick, [this](TimePoint now) {
+    this->gate.OnTick(now);
+    this->detached.OnTick(now);
+    if (!this->handler.is_ready() && this->config.complete())
+      this->handler.SetReady();
+  });
+  this->periodic.Every(this->timers, kLimitsTick,
+                       [this](TimePoint) { this->limits.Update(); });
+  this->periodic.Every(this->timers, kExportTick,
+                       [this](TimePoint) { this->StartExports(); });
+}
+
+void Host::Impl::StartExports() {
+  const std::vector<routing::Export> orders =
+      this->router.With([&](routing::Router& router) {
+        return router.TakeExports(this->timers.Now());
+      });
+  for (const routing::Export& order : orders)
+    this->periodic.Spawn([this, order] { this->RunExport(order); });
+}
+
+void Host::Impl::RunExport(const routing::Export& order) {
+  const auto address = this->fleet.AddressOf(order.endpoint);
+  const table::SnapshotPtr rows = this->view.Current();
+  const table::StoreEntry* store = rows->FindStore(order.store);
+  if (!address || !store)
+    return;
+  std::vector<std::string> keys;
+  for (const routing::BlockKey& key : order.keys)
+    keys.push_back(routing::ToHex(key));
+  try {
+    this->engines.Export(*address, keys, store->address, order.team);
+    this->counters.GetCounter("exported_blocks_total").Add(keys.size());
+  } catch (const common::Error&) {
+    this->counters.GetCounter("export_failures_total").Add();
+  }
+}
+
+std::optional<std::string> Host::Impl::NotReady() const {
+  if (this->handler.is_stopping())
+    return "stopping";
+  if (!this->handler.is_ready())
+    return "no configuration yet";
+  return std::nullopt;
+}
+
+std::string Host::Impl::RenderStatus() {
+  const table::SnapshotPtr rows = this->view.Current();
+  const table::DigestSummary summary = this->view.Summary();
+  nlohmann::json problems = nlohmann::json::array();
+  for (const table::Problem& problem : this->view.Problems()) {
+    problems.push_back({{"kind", problem.kind},
+                        {"name", problem.name},
+                        {"version", problem.version},
+                        {"detail", problem.detail}});
+  }
+  const nlohmann::json status = {
+      {"host", this->settings.host_name},
+      {"zone", this->settings.zone},
+      {"state", this->NotReady().value_or("ready")},
+      {"platform", this->config.platform_up() ? "up" : "down"},
+      {"active_requests", this->callers.ActiveRequests()},
+      {"open_connections", this->callers.OpenConnections()},
+      {"table",
+       {{"version", summary.high},
+        {"hash", summary.hash},
+        {"teams", rows->teams().size()},
+        {"services", rows->services().size()},
+        {"endpoints", rows->endpoints().size()},
+        {"hosts", rows->hosts().size()},
+        {"stores", rows->stores().size()},
+        {"problems", problems}}},
+      {"endpoints",
+       {{"down", this->fleet.Down()}, {"leaving", this->fleet.Leaving()}}},
+  };
+  return status.dump(2) + "\n";
+}
+
+StopReport Host::Impl::Stop() {
+  LOG(INFO) << "planned stop: no new requests";
+  this->handler.StartStopping();
+  this->callers.Drain();
+  std::promise<void> drained;
+  const TimePoint limit = this->timers.Now() + this->settings.stop_limit;
+  std::atomic<bool> done{false};
+  this->periodic.Every(this->timers, kDrainCheck, [&](TimePoint now) {
+    const bool over = this->callers.ActiveRequests() == 0 || now >= limit;
+    if (over && !done.exchange(true))
+      drained.set_value();
+  });
+  drained.get_future().wait();
+  StopReport report;
+  report.cut_off = this->callers.ActiveRequests();
+  this->counters.GetCounter("requests_cut_off_total").Add(report.cut_off);
+  LOG(INFO) << "planned stop: " << report.cut_off << " requests cut off";
+  this->periodic.Stop();
+  return report;
+}
+
+Host::Host(const Settings& settings, std::function<void()> on_stop_requested)
+    : impl(std::make_unique<Impl>(settings, std::move(on_stop_requested))) {}
+
+Host::~Host() = default;
+
+Address Host::caller_address() const {
+  return this->impl->callers.address();
+}
+
+Address Host::operator_address() const {
+  return this->impl->operators.address();
+}
+
+StopReport Host::Stop() {
+  return this->impl->Stop();
+}
+
+}  // namespace jujuberock::serve
--- /dev/null
+++ b/source/core/serve/limits.cc
@@ -0,0 +1,75 @@
+#include "core/serve/limits.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace jujuberock::serve {
+
+namespace {
+
+// Hosts that share limits and capacity, this one included.
+size_t LiveHosts(const table::Snapshot& rows) {
+  size_t live = 0;
+  for (const auto& [name, host] : rows.hosts()) {
+    if (host->state == table::MemberState::kLive)
+      ++live;
+  }
+  return std::max<size_t>(1, live);
+}
+
+template <typename BandType>
+const BandType* BandAt(const std::vector<BandType>& bands, int minute) {
+  for (const BandType& band : bands) {
+    if (minute >= band.from_minute && minute < band.to_minute)
+      return &band;
+  }
+  return nullptr;
+}
+
+uint32_t ToCount(double value) {
+  return static_cast<uint32_t>(std::clamp(value, 0.0, 1e9));
+}
+
+}  // namespace
+
+void Limits::Update() {
+  const table::SnapshotPtr rows = this->view.Current();
+  for (const auto& [name, service] : rows->services())
+    this->UpdateService(*rows, *service);
+  for (const auto& [name, team] : rows->teams())
+    this->UpdateTeam(*rows, *team);
+}
+
+void Limits::UpdateService(const table::Snapshot& rows,
+                           const table::Service& service) {
+  this->budget.With([&](admission::RetryBudget& budget) {
+    budget.SetShare(service.name, service.retry_budget);
+  });
+  const int minute = rows.MinuteOfDay(this->timers.WallNow());
+  const table::ServiceBand* band = BandAt(service.bands, minute);
+  const std::optional<uint32_t> slots = this->fleet.SlotsOf(service.name);
+  if (!band || !slots)
+    return;
+  // The balancer spreads callers unevenly over hosts, so each host may use
+  // somewhat more than an even share of the slots.
+  const double share = *slots * this->settings.capacity_headroom /
+                       static_cast<double>(LiveHosts(rows));
+  this->gate.SetService(service.name, ToCount(std::max(1.0, std::ceil(share))),
+                        ToCount(static_cast<double>(band->max_queue)));
+}
+
+void Limits::UpdateTeam(const table::Snapshot& rows, const table::Team& team) {
+  const int minute = rows.MinuteOfDay(this->timers.WallNow());
+  const table::TeamBand* band = BandAt(team.bands, minute);
+  if (!band || band->weight <= 0)
+    return;
+  const double share = static_cast<double>(band->max_running) /
+                       static_cast<double>(LiveHosts(rows));
+  // A limit below the number of hosts still allows one request on each, which
+  // exceeds it by less than the number of hosts.
+  const double least = band->max_running > 0 ? 1.0 : 0.0;
+  this->gate.SetTeam(team.name, band->weight,
+                     ToCount(std::max(least, std::floor(share))));
+}
+
+}  // namespace jujuberock::serve
--- /dev/null
+++ b/source/core/serve/request_handler.cc
@@ -0,0 +1,71 @@
+#include "core/serve/request_handler.h"
+
+#include "core/common/error.h"
+#include "core/serve/completion_run.h"
+#include "core/serve/service_run.h"
+
+namespace jujuberock::serve {
+
+using common::Error;
+using common::ResultCode;
+
+template <typename Run>
+auto RequestHandler::Counted(const char* kind, Run run) {
+  const auto count = [&](ResultCode code) {
+    const std::string name(common::InfoOf(code).name);
+    this->parts.counters
+        .GetCounter("requests_total", {{"kind", kind}, {"code", name}})
+        .Add();
+  };
+  try {
+    this->RequireRunning();
+    if constexpr (std::is_void_v<decltype(run())>) {
+      run();
+      count(ResultCode::kOk);
+    } else {
+      auto result = run();
+      count(ResultCode::kOk);
+      return result;
+    }
+  } catch (const Error& error) {
+    count(error.code());
+    throw;
+  }
+}
+
+void RequestHandler::RequireRunning() const {
+  if (this->stopping)
+    throw Error(ResultCode::kStopping, "this host accepts no new requests");
+  if (!this->ready)
+    throw Error(ResultCode::kNotReady, "this host has no configuration yet");
+}
+
+void RequestHandler::Complete(const caller::CompletionCall& call,
+                              caller::CompletionWriter& writer) {
+  this->Counted("completion", [&] {
+    CompletionRun run(this->parts, call, writer);
+    run.Execute();
+  });
+}
+
+void RequestHandler::Resume(const caller::ResumeCall& call,
+                            caller::CompletionWriter& writer) {
+  this->Counted("resume", [&] { ResumeRun(this->parts, call, writer); });
+}
+
+runtime::HttpResponse RequestHandler::CallService(
+    const caller::ServiceCall& call) {
+  return this->Counted("service", [&] {
+    const table::SnapshotPtr rows = this->parts.view.Current();
+    const table::Service* service = rows->ServicePolicy(call.service);
+    if (!service || service->kind != table::ServiceKind::kPlain)
+      throw Error(ResultCode::kUnknownService,
+                  "no plain service " + call.service);
+    if (IsNonIdempotent(*service, call.request))
+      throw Error(ResultCode::kJournalUnavailable, "no journal");
+    ServiceRun run(this->parts, call);
+    return run.Execute();
+  });
+}
+
+}  // namespace jujuberock::serve
--- /dev/null
+++ b/source/core/serve/request_handler.h
@@ -0,0 +1,45 @@
+#ifndef CORE_SERVE_REQUEST_HANDLER_H_
+#define CORE_SERVE_REQUEST_HANDLER_H_
+
+#include <atomic>
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "core/caller/handler.h"
+#include "core/serve/parts.h"
+
+namespace jujuberock::serve {
+
+// Takes requests from the callers' interface into the request path and counts
+// how they end.
+class RequestHandler : public caller::Handler {
+ public:
+  explicit RequestHandler(Parts& parts) : parts(parts) {}
+
+  void Complete(const caller::CompletionCall& call,
+                caller::CompletionWriter& writer) override;
+  void Resume(const caller::ResumeCall& call,
+              caller::CompletionWriter& writer) override;
+  runtime::HttpResponse CallService(const caller::ServiceCall& call) override;
+
+  // From now on requests are refused as not run.
+  void StartStopping() { this->stopping = true; }
+  bool is_stopping() const { return this->stopping; }
+  // Set once the host has a configuration.
+  void SetReady() { this->ready = true; }
+  bool is_ready() const { return this->ready; }
+
+ private:
+  void RequireRunning() const;
+  template <typename Run>
+  auto Counted(const char* kind, Run run);
+
+  Parts& parts;
+  std::atomic<bool> stopping{false};
+  std::atomic<bool> ready{false};
+};
+
+}  // namespace jujuberock::serve
+
+#endif  // CORE_SERVE_REQUEST_HANDLER_H_
--- /dev/null
+++ b/source/core/serve/service_run.cc
@@ -0,0 +1,97 @@
+#include "core/serve/service_run.h"
+
+#include <utility>
+
+#include "core/common/error.h"
+
+namespace jujuberock::serve {
+
+using common::Error;
+using common::ResultCode;
+using routing::RouteDecision;
+using runtime::HttpError;
+using runtime::HttpRequest;
+using runtime::HttpResponse;
+
+suspects::Fingerprint FingerprintOf(const caller::ServiceCall& call) {
+  return suspects::FingerprintOf(
+      call.team, call.service, call.request.method + " " + call.request.target,
+      call.request.body);
+}
+
+HttpRequest ForwardedRequest(const caller::ServiceCall& call,
+                             const std::string& request_id) {
+  HttpRequest request = call.request;
+  request.headers.Set("Jujuberock-Team", call.team);
+  request.headers.Set("Jujuberock-Request-Id", request_id);
+  if (!call.headers.idempotency_key.empty())
+    request.headers.Set("Idempotency-Key", call.headers.idempotency_key);
+  return request;
+}
+
+bool IsNonIdempotent(const table::Service& service,
+                     const HttpRequest& request) {
+  for (const table::NonIdempotentRule& rule : service.non_idempotent) {
+    if (rule.method == request.method &&
+        request.target.rfind(rule.path_prefix, 0) == 0)
+      return true;
+  }
+  return false;
+}
+
+ServiceRun::ServiceRun(Parts& parts, const caller::ServiceCall& call)
+    : parts(parts),
+      call(call),
+      steps(parts, call.team, call.service, FingerprintOf(call)) {}
+
+HttpResponse ServiceRun::Execute() {
+  this->steps.SetDeadline(this->call.headers);
+  this->PrepareRoute();
+  this->steps.Admit(this->route);
+  this->route.isolate = this->steps.CheckSuspect();
+  HttpResponse response = this->RunWithRetry();
+  this->steps.Succeed();
+  return response;
+}
+
+void ServiceRun::PrepareRoute() {
+  this->route.service = this->call.service;
+  this->route.zone = this->parts.settings.zone;
+  this->route.team = this->call.team;
+  this->route.deadline = this->steps.deadline();
+}
+
+HttpResponse ServiceRun::RunWithRetry() {
+  try {
+    return this->RunAttempt();
+  } catch (const Error& error) {
+    if (!this->dispatched || !this->steps.TakeRetry(error))
+      throw;
+  }
+  this->route.isolate = this->steps.CheckSuspect();
+  return this->RunAttempt();
+}
+
+HttpResponse ServiceRun::RunAttempt() {
+  const RouteDecision decision = this->steps.Route(this->route);
+  const auto address = this->parts.fleet.AddressOf(decision.endpoint);
+  if (!address)
+    throw Error(ResultCode::kNoEndpoint, "the endpoint has just been removed");
+  Attempt attempt(this->parts, this->steps, this->route, decision);
+  this->dispatched = true;
+  const std::string request_id = this->parts.ids.TextOf(this->route.id);
+  const common::Duration left =
+      this->steps.deadline() - this->parts.timers.Now();
+  try {
+    HttpResponse response = this->parts.plains.Forward(
+        *address, ForwardedRequest(this->call, request_id), left, false);
+    attempt.Succeed();
+    return response;
+  } catch (const HttpError& error) {
+    this->steps.ExcludeEndpoint(this->route, decision.endpoint);
+    this->steps.OnPlainFailure(decision.endpoint, *address, error);
+    throw;
+  }
+}
+
+}  // namespace jujuberock::serve
--- /dev/null
+++ b/source/core/serve/service_run.h
@@ -0,0 +1,45 @@
+#ifndef CORE_SERVE_SERVICE_RUN_H_
+#define CORE_SERVE_SERVICE_RUN_H_
+
+#include <string>
+
+#include "core/caller/handler.h"
+#include "core/runtime/http_types.h"
+#include "core/serve/parts.h"
+#include "core/serve/request_steps.h"
+
+namespace jujuberock::serve {
+
+// One idempotent call of a plain service, as a sequence of steps.
+class ServiceRun {
+ public:
+  ServiceRun(Parts& parts, const caller::ServiceCall& call);
+
+  // The service's answer. Throws common::Error when there is none.
+  runtime::HttpResponse Execute();
+
+ private:
+  void PrepareRoute();
+  runtime::HttpResponse RunWithRetry();
+  runtime::HttpResponse RunAttempt();
+
+  Parts& parts;
+  const caller::ServiceCall& call;
+  RequestSteps steps;
+  routing::RouteRequest route;
+  bool dispatched = false;
+};
+
+// The request as a plain service receives it.
+runtime::HttpRequest ForwardedRequest(const caller::ServiceCall& call,
+                                      const std::string& request_id);
+
+// Whether the call must run at most once.
+bool IsNonIdempotent(const table::Service& service,
+                     const runtime::HttpRequest& request);
+
+suspects::Fingerprint FingerprintOf(const caller::ServiceCall& call);
+
+}  // namespace jujuberock::serve
+
+#endif  // CORE_SERVE_SERVICE_RUN_H_
--- a/source/jujuberock/main.cc
+++ b/source/jujuberock/main.cc
@@ -1,13 +1,92 @@
 #include <gflags/gflags.h>
 #include <glog/logging.h>
 
+#include <array>
 #include <iostream>
+#include <string>
+#include <vector>
+
+#include "core/common/error.h"
+#include "jujuberock/command.h"
+
+namespace jujuberock {
+
+namespace {
+
+constexpr std::array kCommands = {
+    Command{"serve", "serve --config FILE [--set NAME=VALUE]...",
+            "runs a host until SIGTERM or `stop`", RunServe},
+    Command{"check", "check FILE [--set NAME=VALUE]...",
+            "reports every mistake in a settings file", RunCheck},
+    Command{"status", "status --operator ADDRESS",
+            "prints what a host knows and does", RunStatus},
+    Command{"stop", "stop --operator ADDRESS",
+            "starts the planned stop of a host", RunStop},
+};
+
+void PrintUsage(std::ostream& out) {
+  out << "usage: jujuberock COMMAND [ARGUMENTS]\n\n";
+  for (const Command& command : kCommands)
+    out << "  " << command.usage << "\n      " << command.help << "\n";
+  out << "\nexit status: 0 done, 1 failed, 2 wrong usage\n";
+}
+
+// gflags keeps only the last value of a repeated flag, so --set is taken out
+// of the arguments before it parses them.
+std::vector<std::string> TakeOverrides(std::vector<char*>& arguments) {
+  std::vector<std::string> overrides;
+  std::vector<char*> left;
+  for (size_t i = 0; i < arguments.size(); ++i) {
+    const std::string text = arguments[i];
+    const std::string stripped =
+        text.rfind("--", 0) == 0 ? text.substr(1) : text;
+    if (stripped.rfind("-set=", 0) == 0)
+      overrides.push_back(stripped.substr(5));
+    else if (stripped == "-set" && i + 1 < arguments.size())
+      overrides.emplace_back(arguments[++i]);
+    else
+      left.push_back(arguments[i]);
+  }
+  arguments = left;
+  return overrides;
+}
+
+int Run(int argc, char** argv) {
+  std::vector<char*> arguments(argv, argv + argc);
+  CommandLine line;
+  line.overrides = TakeOverrides(arguments);
+  int count = static_cast<int>(arguments.size());
+  arguments.push_back(nullptr);
+  char** left = arguments.data();
+  gflags::ParseCommandLineFlags(&count, &left, true);
+  if (count < 2) {
+    PrintUsage(std::cerr);
+    return kExitUsage;
+  }
+  const std::string name = left[1];
+  for (int i = 2; i < count; ++i)
+    line.arguments.emplace_back(left[i]);
+  if (name == "help") {
+    PrintUsage(std::cout);
+    return kExitOk;
+  }
+  for (const Command& command : kCommands) {
+    if (command.name == name)
+      return command.run(line);
+  }
+  std::cerr << "unknown command: " << name << "\n\n";
+  PrintUsage(std::cerr);
+  return kExitUsage;
+}
+
+}  // namespace
+
+}  // namespace jujuberock
 
 int main(int argc, char** argv) {
   google::InitGoogleLogging(argv[0]);
   FLAGS_logtostderr = true;
-  gflags::SetUsageMessage("jujuberock COMMAND");
-  gflags::ParseCommandLineFlags(&argc, &argv, true);
-  std::cerr << "usage: jujuberock COMMAND\n";
-  return 2;
+  gflags::SetUsageMessage(
+      "jujuberock COMMAND [ARGUMENTS]; see `jujuberock help`");
+  return jujuberock::Run(argc, argv);
 }
--- /dev/null
+++ b/source/jujuberock/serve_command.cc
@@ -0,0 +1,79 @@
+#include <gflags/gflags.h>
+#include <glog/logging.h>
+
+#include <csignal>
+#include <iostream>
+#include <optional>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include "core/common/error.h"
+#include "core/common/settings.h"
+#include "core/serve/host.h"
+#include "core/serve/settings.h"
+#include "jujuberock/command.h"
+
+DEFINE_string(config, "", "serve: settings file");
+
+namespace jujuberock {
+
+namespace {
+
+// Prints every mistake; returns the settings only when there is none.
+std::optional<serve::Settings> ReadSettings(const std::string& path,
+                                            const CommandLine& line) {
+  common::SettingsReader reader;
+  if (!path.empty())
+    reader.ReadFile(path);
+  for (const std::string& assignment : line.overrides)
+    reader.ReadOverride(assignment);
+  serve::Settings settings;
+  const auto problems =
+      common::ApplySettings(serve::SettingTable(), reader, settings);
+  for (const common::SettingsProblem& problem : problems)
+    std::cerr << problem.ToString() << "\n";
+  if (!problems.empty())
+    return std::nullopt;
+  return settings;
+}
+
+}  // namespace
+
+int RunServe(const CommandLine& line) {
+  const auto settings = ReadSettings(FLAGS_config, line);
+  if (!settings)
+    return kExitFailed;
+  boost::asio::io_context io;
+  // Signals are taken from here on; a second one is queued and changes
+  // nothing, so that it can not cut off running requests.
+  boost::asio::signal_set signals(io, SIGTERM, SIGINT);
+  signals.async_wait(
+      [&io](const boost::system::error_code&, int) { io.stop(); });
+  try {
+    serve::Host host(*settings,
+                     [&io] { boost::asio::post(io, [&io] { io.stop(); }); });
+    LOG(INFO) << "serving callers on " << host.caller_address().ToString()
+              << ", operators on " << host.operator_address().ToString();
+    io.run();
+    host.Stop();
+    return kExitOk;
+  } catch (const common::Error& error) {
+    std::cerr << "jujuberock serve: " << error.what() << "\n";
+    return kExitFailed;
+  }
+}
+
+int RunCheck(const CommandLine& line) {
+  if (line.arguments.size() != 1) {
+    std::cerr << "usage: jujuberock check FILE\n";
+    return kExitUsage;
+  }
+  if (!ReadSettings(line.arguments[0], line))
+    return kExitFailed;
+  std::cout << line.arguments[0] << ": the settings are valid\n";
+  return kExitOk;
+}
+
+}  // namespace jujuberock
