--- a/source/core/admission/controller.h
+++ b/source/core/admission/controller.h
@@ -4,11 +4,14 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
 
+#include "core/admission/fair_order.h"
 #include "core/common/result_code.h"
 #include "core/common/time.h"
 
@@ -56,13 +59,15 @@
                              common::Duration caller_patience);
 
 // Decides when requests of one host start. Queues are per service; among the
-// teams that wait for a service, start-time fair queueing divides the capacity
-// by weight. A team at its limit waits without holding up others.
+// teams that wait for a service, a FairOrder divides the capacity by weight. A
+// team at its limit waits without holding up others.
 //
 // Not thread-safe: the caller guards the object with a mutex of rank
 // LockRank::kAdmission.
 class Controller {
  public:
+  explicit Controller(FairOrderFactory make_order = MakeStartTimeFairOrder);
+
   // Requests of the service that this host may have running at once, and the
   // number that may wait. A service is unlimited until this is called.
   void SetService(std::string_view service,
@@ -78,6 +83,7 @@
   // requests admitted in its place. Unknown tickets are ignored.
   std::vector<Ticket> Finish(Ticket ticket, common::TimePoint now);
 
+  // To be called a few times per second, and after SetService or SetTeam.
   TickResult OnTick(common::TimePoint now);
 
   // Running and queued requests of a team, for its limit's owner.
@@ -85,16 +91,11 @@
   uint32_t queued(std::string_view team) const;
 
  private:
-  struct Queued {
+  struct Waiting {
     Ticket ticket = 0;
-    common::TimePoint deadline;
-    common::Duration predicted_first_token{0};
+    // Latest start that still meets the deadline.
+    common::TimePoint latest_start;
     double cost = 1;
-    double start_tag = 0;
-  };
-  struct TeamQueue {
-    std::deque<Queued> waiting;
-    double last_finish_tag = 0;
   };
   struct Team {
     double weight = 1;
@@ -107,35 +108,41 @@
     uint32_t max_queue = UINT32_MAX;
     uint32_t running = 0;
     uint32_t queued = 0;
-    double virtual_time = 0;
-    std::map<std::string, TeamQueue, std::less<>> queues;
-    // Smoothed time between two finished requests while others wait.
-    double seconds_per_finish = 0;
-    common::TimePoint last_finish;
-    bool was_busy = false;
+    std::unique_ptr<FairOrder> order;
+    // By team, only those that wait.
+    std::map<std::string, std::deque<Waiting>, std::less<>> queues;
+    // Passed over because they could no longer meet the deadline; reported by
+    // the next tick.
+    std::vector<Ticket> expired;
+    // Smoothed time from start to end of a request.
+    double hold_seconds = 0;
   };
-  struct Running {
+  struct TicketState {
     std::string team;
     std::string service;
-    bool queued = false;
+    std::optional<common::TimePoint> started;
   };
 
   Team& TeamOf(std::string_view name);
   Service& ServiceOf(std::string_view name);
-  common::Duration PredictedWait(const Service& service,
-                                 const Team& team,
-                                 const TeamQueue& queue) const;
-  void AdmitWaiting(Service& service, std::vector<Ticket>& admitted);
-  void ExpireWaiting(Service& service,
-                     common::TimePoint now,
-                     std::vector<Ticket>& expired);
-  void ObserveFinish(Service& service, common::TimePoint now);
-  void RemoveQueued(Service& service, const Running& entry, Ticket ticket);
-
+  // Seconds until a new request of the team would start.
+  double PredictedWait(const Service& service,
+                       std::string_view team_name,
+                       const Team& team) const;
+  void AdmitWaiting(Service& service,
+                    common::TimePoint now,
+                    std::vector<Ticket>& admitted);
+  // Moves requests from the front of each queue that can not start in time.
+  void DropLate(Service& service, common::TimePoint now);
+  void CollectHeads(const Service& service);
+  void RemoveWaiting(Service& service, const TicketState& state, Ticket ticket);
+
+  FairOrderFactory make_order;
   Ticket next_ticket = 1;
   std::map<std::string, Team, std::less<>> teams;
   std::map<std::string, Service, std::less<>> services;
-  std::unordered_map<Ticket, Running> tickets;
+  std::unordered_map<Ticket, TicketState> tickets;
+  std::vector<QueueHead> heads;
 };
 
 }  // namespace jujuberock::admission
--- /dev/null
+++ b/source/core/admission/fair_order.cc
@@ -0,0 +1,90 @@
+#include "core/admission/fair_order.h"
+
+#include <algorithm>
+#include <map>
+#include <string>
+
+namespace jujuberock::admission {
+
+namespace {
+
+class StartTimeFairOrder : public FairOrder {
+ public:
+  void OnWaiting(std::string_view team) override {
+    double& tag = this->TagOf(team);
+    tag = std::max(tag, this->virtual_time);
+  }
+
+  size_t Pick(std::span<const QueueHead> heads) override {
+    size_t best = 0;
+    for (size_t i = 1; i < heads.size(); ++i) {
+      if (this->TagOf(heads[i].team) < this->TagOf(heads[best].team))
+        best = i;
+    }
+    double& tag = this->TagOf(heads[best].team);
+    this->virtual_time = std::max(this->virtual_time, tag);
+    tag += heads[best].cost / heads[best].weight;
+    return best;
+  }
+
+ private:
+  // Start tag of the team's next request.
+  double& TagOf(std::string_view team) {
+    auto found = this->tags.find(team);
+    if (found == this->tags.end())
+      found = this->tags.emplace(team, this->virtual_time).first;
+    return found->second;
+  }
+
+  double virtual_time = 0;
+  std::map<std::string, double, std::less<>> tags;
+};
+
+class DeficitRoundRobin : public FairOrder {
+ public:
+  void OnWaiting(std::string_view team) override {
+    this->deficits.insert_or_assign(std::string(team), 0.0);
+  }
+
+  size_t Pick(std::span<const QueueHead> heads) override {
+    auto at = std::lower_bound(
+        heads.begin(), heads.end(), this->current,
+        [](const QueueHead& h, const std::string& t) { return h.team < t; });
+    if (at == heads.end())
+      at = heads.begin();
+    this->quantum += kSmoothing * (at->cost - this->quantum);
+    // Each round adds a positive quantum to every head, so the loop ends.
+    while (true) {
+      double& deficit = this->deficits[std::string(at->team)];
+      if (deficit >= at->cost) {
+        deficit -= at->cost;
+        this->current = at->team;
+        return static_cast<size_t>(at - heads.begin());
+      }
+      if (++at == heads.end())
+        at = heads.begin();
+      this->deficits[std::string(at->team)] +=
+          at->weight * std::max(this->quantum, kMinQuantum);
+    }
+  }
+
+ private:
+  static constexpr double kSmoothing = 0.05;
+  static constexpr double kMinQuantum = 1e-3;
+
+  double quantum = 1;
+  std::string current;
+  std::map<std::string, double, std::less<>> deficits;
+};
+
+}  // namespace
+
+std::unique_ptr<FairOrder> MakeStartTimeFairOrder() {
+  return std::make_unique<StartTimeFairOrder>();
+}
+
+std::unique_ptr<FairOrder> MakeDeficitRoundRobin() {
+  return std::make_unique<DeficitRoundRobin>();
+}
+
+}  // namespace jujuberock::admission
--- a/source/core/routing/router.h
+++ b/source/core/routing/router.h
@@ -1,20 +1,29 @@
 #ifndef CORE_ROUTING_ROUTER_H_
 #define CORE_ROUTING_ROUTER_H_
 
+#include <deque>
+#include <map>
 #include <memory>
 #include <optional>
 #include <span>
+#include <string>
 #include <string_view>
+#include <unordered_map>
+#include <utility>
 #include <vector>
 
+#include "core/common/random.h"
 #include "core/common/time.h"
+#include "core/routing/choice_policy.h"
+#include "core/routing/endpoint_load.h"
+#include "core/routing/link_budget.h"
+#include "core/routing/prefix_index.h"
+#include "core/routing/restore_planner.h"
 #include "core/routing/settings.h"
 #include "core/routing/types.h"
 
 namespace jujuberock::routing {
 
-class ChoicePolicy;
-
 // Chooses endpoints for requests from what this host knows: load reports, its
 // own dispatches, cache events and store links. All of it may be stale, which
 // costs speed only.
@@ -53,6 +62,10 @@
                      uint64_t first_sequence,
                      std::span<const CacheEvent> events,
                      common::TimePoint now);
+  // The holder's sequence numbers went back: it restarted with an empty cache.
+  void OnHolderRestarted(std::string_view holder);
+  // Hosts that share the links' budgets, this one included.
+  void OnHostCount(size_t hosts);
   // The sequence number to ask the holder for next.
   uint64_t NextSequence(std::string_view holder) const;
 
@@ -79,19 +92,138 @@
   std::vector<Export> TakeExports(common::TimePoint now);
 
   // For conversations that this host owns.
-  IndexAnswer Answer(const IndexQuery& query) const;
+  IndexAnswer Answer(const IndexQuery& query);
   void Apply(const IndexUpdate& update, common::TimePoint now);
   // What the owner of a conversation should be told about a dispatch.
   IndexUpdate UpdateFor(const RouteRequest& request,
                         const RouteDecision& decision) const;
 
+  // Endpoints that this host keeps free for suspects, and those of other hosts.
+  std::vector<Reservation> Reservations(common::TimePoint now) const;
+  void OnReservations(std::span<const Reservation> reservations,
+                      common::TimePoint now);
+
   size_t index_blocks() const;
   // Approximate heap use of the index.
   size_t index_bytes() const;
 
  private:
-  class State;
-  std::unique_ptr<State> state;
+  struct Endpoint {
+    EndpointInfo info;
+    EndpointState state = EndpointState::kLive;
+    HolderId holder = 0;
+    EndpointLoad load;
+    // Smoothed share of predicted cached tokens that were found.
+    double confidence = 1;
+    std::optional<RequestId> reserved_by;
+    common::TimePoint reserved_until;
+    // Another host keeps it free for a suspect.
+    common::TimePoint foreign_reserved_until;
+  };
+  struct Store {
+    std::string name;
+    bool live = true;
+    LinkBudget read;
+    LinkBudget write;
+    uint64_t free_bytes = 0;
+    // Exports sent and not yet confirmed, and since when none was.
+    size_t unconfirmed = 0;
+    common::TimePoint unconfirmed_since;
+    common::TimePoint blocked_until;
+  };
+  // What a holder number stands for; exactly one of the pointers is set while
+  // the holder is known.
+  struct HolderRecord {
+    std::string name;
+    Endpoint* endpoint = nullptr;
+    Store* store = nullptr;
+    uint64_t next_sequence = 0;
+    bool sequence_known = false;
+  };
+  struct InFlight {
+    Endpoint* endpoint = nullptr;
+    std::string team;
+    std::vector<BlockKey> keys;
+    uint64_t predicted_cached_tokens = 0;
+    // Blocks pulled from each store, and their positions in `keys`.
+    std::vector<std::pair<HolderId, uint64_t>> restore_bytes;
+    uint32_t restore_from = 0;
+    uint32_t restore_blocks = 0;
+    bool first_token = false;
+  };
+  struct PendingExport {
+    HolderId endpoint = 0;
+    std::string team;
+    std::vector<BlockKey> keys;
+  };
+  struct SentExport {
+    HolderId store = 0;
+    common::TimePoint at;
+  };
+
+  HolderId DeclareHolder(const std::string& name, bool is_store);
+  HolderRecord* FindHolder(std::string_view name);
+  Endpoint* FindEndpoint(std::string_view name);
+  Store* FindStore(std::string_view name);
+
+  bool Available(const Endpoint& endpoint,
+                 const RouteRequest& request,
+                 common::TimePoint now) const;
+  void CollectMatch(const RouteRequest& request);
+  void MergeOwnerAnswer(const IndexAnswer& answer, uint32_t prompt_blocks);
+  void PreparePlanner(uint32_t prompt_blocks, common::TimePoint now);
+  Candidate Evaluate(const Endpoint& endpoint,
+                     const RouteRequest& request,
+                     uint32_t known_blocks,
+                     common::TimePoint now) const;
+  uint32_t MatchedBlocks(const Endpoint& endpoint) const;
+  RouteDecision DecisionFor(const Endpoint& endpoint,
+                            const Candidate& candidate,
+                            const RouteRequest& request) const;
+  Endpoint* EndpointForSuspect(const RouteRequest& request,
+                               common::TimePoint now);
+  bool Reserved(const Endpoint& endpoint,
+                RequestId request,
+                common::TimePoint now) const;
+  void CompleteRestores(InFlight& request);
+
+  bool NearEviction(HolderId endpoint) const;
+  Store* StoreForExport(const BlockKey& key, common::TimePoint now);
+  void ConfirmExport(const BlockKey& key, HolderId store);
+  void ExpireExports(common::TimePoint now);
+  bool TakeExport(const PendingExport& pending,
+                  std::vector<Export>& exports,
+                  common::TimePoint now);
+
+  std::string zone;
+  RouterSettings settings;
+  std::unique_ptr<ChoicePolicy> policy;
+  common::Random random;
+  size_t hosts = 1;
+
+  PrefixIndex index;
+  std::map<std::string, std::unique_ptr<Endpoint>, std::less<>> endpoints;
+  std::map<std::string, std::unique_ptr<Store>, std::less<>> stores;
+  std::map<std::string, std::vector<Endpoint*>, std::less<>> services;
+  // By holder number.
+  std::vector<HolderRecord> holders;
+  std::map<std::string, HolderId, std::less<>> holder_ids;
+  std::vector<HolderId> free_holder_ids;
+
+  std::unordered_map<RequestId, InFlight> in_flight;
+  // Endpoints kept free for suspects. An entry whose time is over stays until
+  // the suspect has finished or another takes the endpoint.
+  std::unordered_map<RequestId, Endpoint*> reserved;
+  std::deque<PendingExport> pending_exports;
+  std::unordered_map<BlockKey, SentExport, BlockKeyHash> sent_exports;
+
+  // Reused by Choose() to avoid allocations.
+  PrefixIndex::Match match;
+  RestorePlanner planner;
+  std::vector<uint32_t> matched_blocks;
+  std::vector<uint8_t> matched_doubtful;
+  std::vector<Candidate> candidates;
+  std::vector<Endpoint*> candidate_endpoints;
 };
 
 }  // namespace jujuberock::routing
--- a/source/core/routing/types.h
+++ b/source/core/routing/types.h
@@ -54,7 +54,7 @@
   BlockKey key;
 };
 
-// One holder of the leading blocks of a chain.
+// An endpoint that holds the leading blocks of a chain.
 struct Holder {
   std::string name;
   uint32_t leading_blocks = 0;
@@ -68,10 +68,16 @@
   std::vector<BlockKey> keys;
 };
 
+// The blocks of a chain that one store holds, as positions in the query.
+struct StoredBlocks {
+  std::string store;
+  std::vector<uint32_t> positions;
+};
+
 // The reply to an IndexQuery.
 struct IndexAnswer {
   std::vector<Holder> endpoints;
-  std::vector<Holder> stores;
+  std::vector<StoredBlocks> stores;
 };
 
 // Tells a conversation's owner where blocks went. Message `index_update`.
@@ -104,8 +110,7 @@
   bool load_only = false;
 };
 
-// How long a host waits for a conversation's owner. Half of the time that
-// restoring one block usually takes; later answers save nothing.
+// How long a host waits for a conversation's owner.
 inline constexpr common::Duration kOwnerAnswerLimit =
     std::chrono::milliseconds(20);
 
@@ -126,6 +131,13 @@
   std::vector<Restore> restores;
 };
 
+// An endpoint that a host keeps free for a suspect. Sent to the hosts of the
+// zone together with suspect marks.
+struct Reservation {
+  std::string endpoint;
+  common::Duration remaining{0};
+};
+
 // Orders an endpoint to copy blocks to a store (POST /kv/export).
 struct Export {
   std::string endpoint;
--- /dev/null
+++ b/source/core/suspects/suspect_list.cc
@@ -0,0 +1,191 @@
+#include "core/suspects/suspect_list.h"
+
+#include <algorithm>
+
+#include "core/common/hash.h"
+
+namespace jujuberock::suspects {
+
+namespace {
+
+// Crashes of one endpoint that hosts saw within this time are the same crash.
+// A host notices a crash when its connections break or a probe fails, and the
+// age of a mark grows by the time that the message travels.
+constexpr common::Duration kSameCrashWindow = std::chrono::seconds(3);
+
+// Marks outlive their lifetime by at most this part of it, so that a check does
+// not visit every mark.
+constexpr int kSweepsPerLifetime = 64;
+
+}  // namespace
+
+Fingerprint FingerprintOf(std::string_view team,
+                          std::string_view service,
+                          std::string_view path,
+                          std::string_view body) {
+  uint64_t hash = common::Hash64(team);
+  hash = common::Hash64(service, hash);
+  hash = common::Hash64(path, hash);
+  return common::Hash64(body, hash);
+}
+
+SuspectList::SuspectList(common::Duration lifetime, size_t max_fingerprints)
+    : lifetime(lifetime),
+      max_fingerprints(std::max<size_t>(1, max_fingerprints)) {}
+
+void SuspectList::OnEndpointCrash(std::string_view endpoint,
+                                  std::span<const Fingerprint> fingerprints,
+                                  common::TimePoint now) {
+  this->Expire(now);
+  for (Fingerprint fingerprint : fingerprints)
+    this->AddCrash(fingerprint, {std::string(endpoint), now}, now);
+  this->Explain();
+}
+
+Verdict SuspectList::Check(Fingerprint fingerprint, common::TimePoint now) {
+  this->Expire(now);
+  auto found = this->suspects.find(fingerprint);
+  if (found == this->suspects.end() || found->second.crashes.empty())
+    return Verdict::kNormal;
+  Suspect& suspect = found->second;
+  if (!Convicted(suspect))
+    return Verdict::kIsolate;
+  if (!this->InDoubt(fingerprint, suspect))
+    return Verdict::kRefuse;
+  if (suspect.refused_in_doubt)
+    return Verdict::kIsolate;
+  suspect.refused_in_doubt = true;
+  return Verdict::kRefuse;
+}
+
+void SuspectList::OnSuccess(Fingerprint fingerprint, common::TimePoint now) {
+  if (this->suspects.contains(fingerprint))
+    this->Clear(fingerprint, now, now);
+}
+
+std::vector<Mark> SuspectList::Marks(common::TimePoint now) {
+  this->Expire(now);
+  std::vector<Mark> marks;
+  for (const auto& [fingerprint, suspect] : this->suspects) {
+    for (const Crash& crash : suspect.crashes)
+      marks.push_back({fingerprint, crash.endpoint, now - crash.at});
+    if (suspect.cleared_at != common::TimePoint::min())
+      marks.push_back({fingerprint, {}, now - suspect.cleared_at});
+  }
+  return marks;
+}
+
+void SuspectList::Merge(std::span<const Mark> marks, common::TimePoint now) {
+  this->Expire(now);
+  for (const Mark& mark : marks) {
+    if (mark.age > this->lifetime || mark.age < common::Duration::zero())
+      continue;
+    if (mark.endpoint.empty())
+      this->Clear(mark.fingerprint, now - mark.age, now);
+    else
+      this->AddCrash(mark.fingerprint, {mark.endpoint, now - mark.age}, now);
+  }
+  this->Explain();
+}
+
+bool SuspectList::SameCrash(const Crash& a, const Crash& b) {
+  return a.endpoint == b.endpoint && a.at - b.at <= kSameCrashWindow &&
+         b.at - a.at <= kSameCrashWindow;
+}
+
+bool SuspectList::Convicted(const Suspect& suspect) {
+  return suspect.crashes.size() >= 2;
+}
+
+void SuspectList::AddCrash(Fingerprint fingerprint,
+                           const Crash& crash,
+                           common::TimePoint now) {
+  Suspect& suspect = this->SuspectOf(fingerprint, now);
+  if (crash.at <= suspect.cleared_at)
+    return;
+  for (Crash& known : suspect.crashes) {
+    if (known.endpoint != crash.endpoint)
+      continue;
+    known.at = std::max(known.at, crash.at);
+    return;
+  }
+  suspect.crashes.push_back(crash);
+  suspect.changed_at = std::max(suspect.changed_at, crash.at);
+}
+
+void SuspectList::Clear(Fingerprint fingerprint,
+                        common::TimePoint at,
+                        common::TimePoint now) {
+  Suspect& suspect = this->SuspectOf(fingerprint, now);
+  suspect.cleared_at = std::max(suspect.cleared_at, at);
+  suspect.changed_at = std::max(suspect.changed_at, at);
+  std::erase_if(suspect.crashes, [&](const Crash& crash) {
+    return crash.at <= suspect.cleared_at;
+  });
+}
+
+SuspectList::Suspect& SuspectList::SuspectOf(Fingerprint fingerprint,
+                                             common::TimePoint now) {
+  auto found = this->suspects.find(fingerprint);
+  if (found != this->suspects.end())
+    return found->second;
+  if (this->suspects.size() >= this->max_fingerprints) {
+    // Keep what is refused; among the rest drop what changed longest ago.
+    auto worst = std::min_element(
+        this->suspects.begin(), this->suspects.end(),
+        [](const auto& a, const auto& b) {
+          return std::make_pair(a.second.crashes.size(), a.second.changed_at) <
+                 std::make_pair(b.second.crashes.size(), b.second.changed_at);
+        });
+    this->suspects.erase(worst);
+  }
+  Suspect& added = this->suspects[fingerprint];
+  added.changed_at = now;
+  return added;
+}
+
+void SuspectList::Explain() {
+  for (const auto& [culprit, suspect] : this->suspects) {
+    // clang 14 can not capture a structured binding.
+    const Suspect& convicted = suspect;
+    if (!Convicted(convicted))
+      continue;
+    for (auto& [fingerprint, other] : this->suspects) {
+      if (fingerprint == culprit || Convicted(other))
+        continue;
+      std::erase_if(other.crashes, [&](const Crash& crash) {
+        return std::any_of(
+            convicted.crashes.begin(), convicted.crashes.end(),
+            [&](const Crash& known) { return SameCrash(known, crash); });
+      });
+    }
+  }
+}
+
+bool SuspectList::InDoubt(Fingerprint fingerprint,
+                          const Suspect& suspect) const {
+  return std::any_of(
+      this->suspects.begin(), this->suspects.end(), [&](const auto& item) {
+        const Suspect& other = item.second;
+        if (item.first == fingerprint || !Convicted(other))
+          return false;
+        return std::all_of(
+            suspect.crashes.begin(), suspect.crashes.end(),
+            [&](const Crash& crash) {
+              return std::any_of(
+                  other.crashes.begin(), other.crashes.end(),
+                  [&](const Crash& o) { return SameCrash(crash, o); });
+            });
+      });
+}
+
+void SuspectList::Expire(common::TimePoint now) {
+  if (now - this->expired_at < this->lifetime / kSweepsPerLifetime)
+    return;
+  this->expired_at = now;
+  std::erase_if(this->suspects, [&](const auto& item) {
+    return now - item.second.changed_at > this->lifetime;
+  });
+}
+
+}  // namespace jujuberock::suspects
--- a/source/core/suspects/suspect_list.h
+++ b/source/core/suspects/suspect_list.h
@@ -1,9 +1,8 @@
 #ifndef CORE_SUSPECTS_SUSPECT_LIST_H_
 #define CORE_SUSPECTS_SUSPECT_LIST_H_
 
+#include <cstddef>
 #include <cstdint>
-#include <deque>
-#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -24,8 +23,9 @@
 
 enum class Verdict { kNormal, kIsolate, kRefuse };
 
-// A request was in flight on an endpoint that crashed. Message
-// `suspect_marks`; `age` makes it independent of clocks.
+// A request was in flight on an endpoint that crashed. Without an endpoint:
+// marks up to then were cleared by a success. Message `suspect_marks`; the age
+// makes it independent of clocks.
 struct Mark {
   Fingerprint fingerprint = 0;
   std::string endpoint;
@@ -38,9 +38,13 @@
 // on an endpoint; one marked on two different endpoints is refused. A request
 // that ran to its end is cleared.
 //
-// Clearing is local: another host's mark may return by Merge() and costs one
-// more isolated run. When a request is convicted, the marks that its crashes
-// left on other requests are removed, since the crashes are explained.
+// A request is convicted when a crash of its own explains the marks of others:
+// the marks that its crashes left on requests that are not convicted are
+// removed. When several convicted requests were in flight at all the same
+// crashes, which of them is the cause is in doubt: each is refused once, and
+// its next attempt runs alone. So a request that did not cause a crash is
+// refused at most once, and the cause reaches a third endpoint only if it was
+// in flight twice with the same other request.
 //
 // Not thread-safe: the caller guards the object with a mutex of rank
 // LockRank::kSuspects.
@@ -67,28 +71,36 @@
   size_t size() const { return this->suspects.size(); }
 
  private:
-  struct MarkState {
+  struct Crash {
     std::string endpoint;
     common::TimePoint at;
   };
   struct Suspect {
-    std::vector<MarkState> marks;
-    // Marks up to this time were cleared by a success.
-    common::TimePoint cleared_until = common::TimePoint::min();
-    common::TimePoint last_change;
-    // Refused once although another convicted request shares every crash.
+    // One for each endpoint, the latest.
+    std::vector<Crash> crashes;
+    common::TimePoint cleared_at = common::TimePoint::min();
+    common::TimePoint changed_at;
     bool refused_in_doubt = false;
   };
 
-  bool AddMark(Fingerprint fingerprint,
-               std::string_view endpoint,
-               common::TimePoint at);
-  void Explain(Fingerprint convicted);
+  static bool SameCrash(const Crash& a, const Crash& b);
+  static bool Convicted(const Suspect& suspect);
+
+  void AddCrash(Fingerprint fingerprint,
+                const Crash& crash,
+                common::TimePoint now);
+  void Clear(Fingerprint fingerprint,
+             common::TimePoint at,
+             common::TimePoint now);
+  Suspect& SuspectOf(Fingerprint fingerprint, common::TimePoint now);
+  // Removes marks of others that a convicted request explains.
+  void Explain();
   bool InDoubt(Fingerprint fingerprint, const Suspect& suspect) const;
   void Expire(common::TimePoint now);
 
   common::Duration lifetime;
   size_t max_fingerprints;
+  common::TimePoint expired_at;
   std::unordered_map<Fingerprint, Suspect> suspects;
 };
 
--- /dev/null
+++ b/source/unit_tests/core/admission/controller_test.cc
@@ -0,0 +1,167 @@
+#include "core/admission/controller.h"
+
+#include <catch2/catch.hpp>
+
+#include "core/admission/retry_budget.h"
+#include "core/common/random.h"
+
+namespace jujuberock::admission {
+namespace {
+
+using common::Duration;
+using common::TimePoint;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TimePoint At(double s) {
+  return TimePoint(common::FromSeconds(s));
+}
+
+AdmissionRequest Request(const char* team, double now, double patience) {
+  return {team, "s", At(now + patience), 1, Duration(0)};
+}
+
+// Runs one request so that the controller knows the running time.
+void Teach(Controller& controller, double hold) {
+  const Decision first = controller.Submit(Request("teach", 0, 60), At(0));
+  controller.Finish(first.ticket, At(hold));
+}
+
+TEST_CASE("the tighter of row and caller sets the deadline") {
+  CHECK(DeadlineOf(At(1), seconds(2), Duration(0)) == At(3));
+  CHECK(DeadlineOf(At(1), seconds(2), seconds(1)) == At(2));
+  CHECK(DeadlineOf(At(1), seconds(2), seconds(9)) == At(3));
+}
+
+TEST_CASE("a request that can not start in time is refused at once") {
+  Controller controller;
+  controller.SetService("s", 1, 100);
+  Teach(controller, 1);
+  CHECK(controller.Submit(Request("a", 1, 0.5), At(1)).state ==
+        DecisionState::kAdmitted);
+  const Decision late = controller.Submit(Request("a", 1, 0.5), At(1));
+  CHECK(late.state == DecisionState::kRefused);
+  CHECK(late.code == common::ResultCode::kDeadlineUnreachable);
+  CHECK(late.retry_after >= milliseconds(200));
+  CHECK(controller.queued("a") == 0);
+  // The predicted first token counts too, even on an idle service.
+  AdmissionRequest slow = Request("b", 1, 2);
+  slow.predicted_first_token = seconds(3);
+  CHECK(controller.Submit(slow, At(1)).code ==
+        common::ResultCode::kDeadlineUnreachable);
+}
+
+TEST_CASE("a waiting request that becomes late expires and frees its place") {
+  Controller controller;
+  controller.SetService("s", 1, 1);
+  Teach(controller, 0.1);
+  const Decision running = controller.Submit(Request("a", 1, 9), At(1));
+  const Decision waiting = controller.Submit(Request("a", 1, 2), At(1));
+  CHECK(waiting.state == DecisionState::kQueued);
+  CHECK(controller.Submit(Request("a", 1, 2), At(1)).code ==
+        common::ResultCode::kQueueFull);
+  // Passed over when capacity frees after its deadline, reported by the tick.
+  CHECK(controller.Finish(running.ticket, At(4)).empty());
+  CHECK(controller.OnTick(At(4)).expired == std::vector{waiting.ticket});
+  CHECK(controller.OnTick(At(4)).expired.empty());
+  CHECK(controller.Submit(Request("a", 4, 2), At(4)).state ==
+        DecisionState::kAdmitted);
+}
+
+TEST_CASE("a team at its limit does not hold up others") {
+  Controller controller;
+  controller.SetService("s", 10, 100);
+  controller.SetTeam("a", 1, 1);
+  Teach(controller, 1);
+  const Decision a1 = controller.Submit(Request("a", 1, 9), At(1));
+  const Decision a2 = controller.Submit(Request("a", 1, 9), At(1));
+  CHECK(a2.state == DecisionState::kQueued);
+  CHECK(controller.Submit(Request("b", 1, 9), At(1)).state ==
+        DecisionState::kAdmitted);
+  const Decision refused = controller.Submit(Request("a", 1, 0.5), At(1));
+  CHECK(refused.code == common::ResultCode::kTeamLimit);
+  CHECK(controller.Finish(a1.ticket, At(2)) == std::vector{a2.ticket});
+  // A smaller limit stops nobody; a larger one admits at the next tick.
+  const Decision a3 = controller.Submit(Request("a", 2, 9), At(2));
+  CHECK(a3.state == DecisionState::kQueued);
+  controller.SetTeam("a", 1, 2);
+  CHECK(controller.OnTick(At(2)).admitted == std::vector{a3.ticket});
+  CHECK(controller.running("a") == 2);
+}
+
+TEST_CASE("a caller that gives up while queued leaves no trace") {
+  Controller controller;
+  controller.SetService("s", 1, 10);
+  Teach(controller, 1);
+  const Decision first = controller.Submit(Request("a", 1, 99), At(1));
+  const Decision second = controller.Submit(Request("a", 1, 99), At(1));
+  const Decision third = controller.Submit(Request("a", 1, 99), At(1));
+  CHECK(controller.Finish(second.ticket, At(1)).empty());
+  CHECK(controller.Finish(first.ticket, At(2)) == std::vector{third.ticket});
+  CHECK(controller.Finish(second.ticket, At(2)).empty());
+}
+
+// Keeps every team backlogged and returns the share served to each.
+std::vector<double> Shares(const FairOrderFactory& order) {
+  const std::vector<std::pair<const char*, double>> teams = {
+      {"a", 1}, {"b", 2}, {"c", 5}};
+  Controller controller(order);
+  controller.SetService("s", 1, 1000);
+  std::map<Ticket, size_t> team_of;
+  std::vector<double> served(teams.size());
+  common::Random random(7);
+  const auto submit = [&](size_t i) {
+    AdmissionRequest request{teams[i].first, "s", At(1e6),
+                             1 + 9 * random.Unit(), Duration(0)};
+    const Decision decision = controller.Submit(request, At(0));
+    team_of[decision.ticket] = i;
+    return decision;
+  };
+  Ticket running = 0;
+  std::map<Ticket, double> cost;
+  for (size_t i = 0; i < teams.size(); ++i) {
+    controller.SetTeam(teams[i].first, teams[i].second, UINT32_MAX);
+    for (int k = 0; k < 5; ++k) {
+      const Decision decision = submit(i);
+      if (decision.state == DecisionState::kAdmitted)
+        running = decision.ticket;
+    }
+  }
+  for (int step = 0; step < 4000; ++step) {
+    const auto next = controller.Finish(running, At(0));
+    REQUIRE(next.size() == 1);
+    running = next.front();
+    served[team_of[running]] += 1.0 / 4000;
+    submit(team_of[running]);
+  }
+  return served;
+}
+
+TEST_CASE("backlogged teams are served by weight") {
+  for (const FairOrderFactory& order :
+       {FairOrderFactory(MakeStartTimeFairOrder),
+        FairOrderFactory(MakeDeficitRoundRobin)}) {
+    const auto shares = Shares(order);
+    CHECK(shares[0] == Approx(1.0 / 8).epsilon(0.1));
+    CHECK(shares[1] == Approx(2.0 / 8).epsilon(0.1));
+    CHECK(shares[2] == Approx(5.0 / 8).epsilon(0.1));
+  }
+}
+
+TEST_CASE("retries stay within a share of first attempts") {
+  RetryBudget budget;
+  budget.SetShare("s", 0.1);
+  int retries = 0;
+  for (int i = 0; i < 1000; ++i) {
+    budget.OnRequest("s");
+    // Everything fails and every failure asks twice.
+    retries += budget.TryRetry("s") + budget.TryRetry("s");
+  }
+  CHECK(retries <= 100 + RetryBudget::kMaxSaved);
+  CHECK(retries >= 100);
+  budget.SetShare("none", 0);
+  CHECK_FALSE(budget.TryRetry("none"));
+}
+
+}  // namespace
+}  // namespace jujuberock::admission
--- /dev/null
+++ b/source/unit_tests/core/suspects/suspect_list_test.cc
@@ -0,0 +1,100 @@
+#include "core/suspects/suspect_list.h"
+
+#include <catch2/catch.hpp>
+
+namespace jujuberock::suspects {
+namespace {
+
+using common::TimePoint;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+constexpr Fingerprint kCause = 1;
+constexpr Fingerprint kOther = 2;
+
+TimePoint At(int s) {
+  return TimePoint(seconds(s));
+}
+
+void Crash(SuspectList& list,
+           const char* endpoint,
+           std::vector<Fingerprint> running,
+           int at) {
+  list.OnEndpointCrash(endpoint, running, At(at));
+}
+
+TEST_CASE("one mark isolates and two endpoints refuse") {
+  SuspectList list;
+  CHECK(list.Check(kCause, At(0)) == Verdict::kNormal);
+  Crash(list, "e1", {kCause, kOther}, 1);
+  CHECK(list.Check(kCause, At(2)) == Verdict::kIsolate);
+  CHECK(list.Check(kOther, At(2)) == Verdict::kIsolate);
+  // A second crash of the same endpoint is no second witness.
+  Crash(list, "e1", {kCause}, 10);
+  CHECK(list.Check(kCause, At(11)) == Verdict::kIsolate);
+  Crash(list, "e2", {kCause}, 20);
+  CHECK(list.Check(kCause, At(21)) == Verdict::kRefuse);
+}
+
+// Without this, whoever shared an endpoint with a crashing request would keep
+// running alone, or be refused, for the lifetime of the marks.
+TEST_CASE("a conviction clears the requests that shared its crashes") {
+  SuspectList list;
+  Crash(list, "e1", {kCause, kOther}, 1);
+  Crash(list, "e2", {kCause}, 9);
+  CHECK(list.Check(kCause, At(10)) == Verdict::kRefuse);
+  CHECK(list.Check(kOther, At(10)) == Verdict::kNormal);
+  // The mark of another host for the same crash does not come back.
+  list.Merge(std::vector<Mark>{{kOther, "e1", seconds(9)}}, At(11));
+  CHECK(list.Check(kOther, At(11)) == Verdict::kNormal);
+}
+
+TEST_CASE("a bystander of both crashes is refused only once") {
+  SuspectList list;
+  Crash(list, "e1", {kCause, kOther}, 1);
+  Crash(list, "e2", {kCause, kOther}, 9);
+  CHECK(list.Check(kOther, At(10)) == Verdict::kRefuse);
+  CHECK(list.Check(kOther, At(11)) == Verdict::kIsolate);
+  list.OnSuccess(kOther, At(12));
+  CHECK(list.Check(kOther, At(13)) == Verdict::kNormal);
+  // The cause, now the only one left, is refused for good.
+  CHECK(list.Check(kCause, At(13)) == Verdict::kRefuse);
+  CHECK(list.Check(kCause, At(14)) == Verdict::kRefuse);
+}
+
+TEST_CASE("marks and clearings reach other hosts in any order") {
+  SuspectList first;
+  SuspectList second;
+  Crash(first, "e1", {kCause, kOther}, 1);
+  Crash(second, "e2", {kCause}, 5);
+  const auto early = first.Marks(At(6));
+  first.OnSuccess(kOther, At(7));
+  second.Merge(first.Marks(At(8)), At(8));
+  second.Merge(early, At(8));
+  CHECK(second.Check(kCause, At(9)) == Verdict::kRefuse);
+  CHECK(second.Check(kOther, At(9)) == Verdict::kNormal);
+  const auto marks = second.Marks(At(9));
+  second.Merge(marks, At(9));
+  CHECK(second.Marks(At(9)).size() == marks.size());
+}
+
+TEST_CASE("memory is bounded and refused requests are dropped last") {
+  SuspectList list(minutes(30), 100);
+  Crash(list, "e1", {kCause}, 1);
+  Crash(list, "e2", {kCause}, 2);
+  for (int i = 0; i < 1000; ++i)
+    Crash(list, "e3", {Fingerprint(1000 + i)}, 10 + i);
+  CHECK(list.size() == 100);
+  CHECK(list.Check(kCause, At(1100)) == Verdict::kRefuse);
+}
+
+TEST_CASE("marks expire") {
+  SuspectList list(minutes(1));
+  Crash(list, "e1", {kCause}, 1);
+  Crash(list, "e2", {kCause}, 2);
+  CHECK(list.Check(kCause, At(70)) == Verdict::kNormal);
+  CHECK(list.size() == 0);
+}
+
+}  // namespace
+}  // namespace jujuberock::suspects
