Carry messages between hosts over HTTP/2

Hosts need calls with deadlines, an authenticated peer and detection of connections that go silent. One nghttp2 connection per peer lives on a worker chosen by the peer's name; calls from other workers are passed to it, since a connection per worker would multiply idle PINGs by the number of workers. A PING without an answer starts the probe of a new connection before the old one is given up, and calls made meanwhile wait instead of becoming unknown.

--- /dev/null
+++ b/source/core/host/http2_session.cc
@@ -0,0 +1,524 @@
+#include "core/host/http2_session.h"
+
+#include <algorithm>
+#include <array>
+#include <cstring>
+#include <optional>
+#include <utility>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+
+#include "core/runtime/await.h"
+#include "core/runtime/worker_pool.h"
+
+namespace jujuberock::host {
+
+using boost::system::error_code;
+using common::Outcome;
+using common::ResultCode;
+using runtime::Await;
+
+namespace {
+
+constexpr std::string_view kPathPrefix = "/host/";
+constexpr size_t kReadBytes = 16 * 1024;
+constexpr size_t kWriteBytes = 64 * 1024;
+constexpr uint32_t kMaxStreams = 256;
+constexpr int32_t kStreamWindow = 1024 * 1024;
+constexpr int32_t kConnectionWindow = 8 * 1024 * 1024;
+constexpr int kOkStatus = 200;
+
+nghttp2_nv Field(std::string_view name, std::string_view value) {
+  auto bytes = [](std::string_view text) {
+    return reinterpret_cast<uint8_t*>(const_cast<char*>(text.data()));
+  };
+  return {bytes(name), bytes(value), name.size(), value.size(),
+          NGHTTP2_NV_FLAG_NONE};
+}
+
+Answer Failure(ResultCode code, Outcome outcome, std::string detail) {
+  return {code, outcome, std::move(detail)};
+}
+
+std::optional<Outcome> OutcomeOf(std::string_view name) {
+  for (Outcome outcome :
+       {Outcome::kNotRun, Outcome::kUnknown, Outcome::kDone}) {
+    if (common::NameOf(outcome) == name)
+      return outcome;
+  }
+  return std::nullopt;
+}
+
+int ToNumber(std::string_view text) {
+  int number = 0;
+  for (char c : text.substr(0, 6)) {
+    if (c < '0' || c > '9')
+      return -1;
+    number = number * 10 + (c - '0');
+  }
+  return number;
+}
+
+}  // namespace
+
+// One message in either direction. A server stream receives a request and
+// sends an answer; a client stream does the reverse.
+struct Http2Session::Stream {
+  std::string path;
+  int status = 0;
+  std::string result_code;
+  std::string outcome;
+  std::string in;
+  std::string out;
+  size_t out_sent = 0;
+  bool too_large = false;
+  bool dispatched = false;
+};
+
+struct Http2Session::Callbacks {
+  static Http2Session* Self(void* user) {
+    return static_cast<Http2Session*>(user);
+  }
+
+  static int OnBeginHeaders(nghttp2_session*,
+                            const nghttp2_frame* frame,
+                            void* user) {
+    Http2Session* self = Self(user);
+    if (self->side == Side::kServer &&
+        frame->headers.cat == NGHTTP2_HCAT_REQUEST)
+      self->streams[frame->hd.stream_id] = std::make_unique<Stream>();
+    return 0;
+  }
+
+  static int OnHeader(nghttp2_session*,
+                      const nghttp2_frame* frame,
+                      const uint8_t* name,
+                      size_t name_bytes,
+                      const uint8_t* value,
+                      size_t value_bytes,
+                      uint8_t,
+                      void* user) {
+    Stream* stream = Self(user)->FindStream(frame->hd.stream_id);
+    if (!stream)
+      return 0;
+    const std::string_view field(reinterpret_cast<const char*>(name),
+                                 name_bytes);
+    const std::string_view text(reinterpret_cast<const char*>(value),
+                                value_bytes);
+    if (field == ":path")
+      stream->path = text;
+    if (field == ":status")
+      stream->status = ToNumber(text);
+    if (field == "result-code")
+      stream->result_code = text;
+    if (field == "outcome")
+      stream->outcome = text;
+    return 0;
+  }
+
+  static int OnData(nghttp2_session*,
+                    uint8_t,
+                    int32_t id,
+                    const uint8_t* data,
+                    size_t bytes,
+                    void* user) {
+    Http2Session* self = Self(user);
+    Stream* stream = self->FindStream(id);
+    if (!stream || stream->too_large)
+      return 0;
+    const bool fits =
+        stream->in.size() + bytes <= self->limits.max_message_bytes &&
+        self->buffered_bytes + bytes <= self->limits.max_buffered_bytes;
+    if (!fits) {
+      stream->too_large = true;
+      self->buffered_bytes -= stream->in.size();
+      stream->in.clear();
+      return 0;
+    }
+    stream->in.append(reinterpret_cast<const char*>(data), bytes);
+    self->buffered_bytes += bytes;
+    return 0;
+  }
+
+  static int OnFrameReceived(nghttp2_session*,
+                             const nghttp2_frame* frame,
+                             void* user) {
+    Http2Session* self = Self(user);
+    const bool is_pong =
+        frame->hd.type == NGHTTP2_PING && (frame->hd.flags & NGHTTP2_FLAG_ACK);
+    if (is_pong) {
+      self->pings_answered = self->pings_sent;
+      self->pong.notify_all();
+    }
+    const bool has_body =
+        frame->hd.type == NGHTTP2_DATA || frame->hd.type == NGHTTP2_HEADERS;
+    const bool is_end = frame->hd.flags & NGHTTP2_FLAG_END_STREAM;
+    if (self->side == Side::kServer && has_body && is_end)
+      self->Dispatch(frame->hd.stream_id);
+    return 0;
+  }
+
+  static int OnFrameSent(nghttp2_session*,
+                         const nghttp2_frame* frame,
+                         void* user) {
+    if (frame->hd.type != NGHTTP2_HEADERS)
+      return 0;
+    auto& calls = Self(user)->calls;
+    const auto call = calls.find(frame->hd.stream_id);
+    if (call != calls.end())
+      call->second->sent = true;
+    return 0;
+  }
+
+  // A request that was canceled before it could be sent has no close event.
+  static int OnFrameNotSent(nghttp2_session*,
+                            const nghttp2_frame* frame,
+                            int,
+                            void* user) {
+    Http2Session* self = Self(user);
+    const int32_t id = frame->hd.stream_id;
+    if (frame->hd.type != NGHTTP2_HEADERS || self->side != Side::kClient)
+      return 0;
+    if (self->calls.contains(id))
+      self->FinishCall(self->FindStream(id), NGHTTP2_REFUSED_STREAM);
+    self->streams.erase(id);
+    return 0;
+  }
+
+  static int OnStreamClose(nghttp2_session*,
+                           int32_t id,
+                           uint32_t error_code,
+                           void* user) {
+    Http2Session* self = Self(user);
+    Stream* stream = self->FindStream(id);
+    if (!stream)
+      return 0;
+    if (self->calls.contains(id))
+      self->FinishCall(stream, error_code);
+    self->buffered_bytes -= stream->in.size();
+    self->streams.erase(id);
+    return 0;
+  }
+
+  static ssize_t ReadBody(nghttp2_session*,
+                          int32_t id,
+                          uint8_t* buffer,
+                          size_t bytes,
+                          uint32_t* flags,
+                          nghttp2_data_source*,
+                          void* user) {
+    Stream* stream = Self(user)->FindStream(id);
+    if (!stream)
+      return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
+    const size_t left = stream->out.size() - stream->out_sent;
+    const size_t taken = std::min(left, bytes);
+    std::memcpy(buffer, stream->out.data() + stream->out_sent, taken);
+    stream->out_sent += taken;
+    if (stream->out_sent == stream->out.size())
+      *flags |= NGHTTP2_DATA_FLAG_EOF;
+    return static_cast<ssize_t>(taken);
+  }
+};
+
+Http2Session::Http2Session(Side side,
+                           boost::beast::tcp_stream stream,
+                           SessionLimits limits,
+                           WireCounters counters,
+                           Responder responder)
+    : side(side),
+      stream(std::move(stream)),
+      limits(limits),
+      counters(counters),
+      responder(std::move(responder)) {
+  nghttp2_session_callbacks* callbacks = nullptr;
+  nghttp2_session_callbacks_new(&callbacks);
+  nghttp2_session_callbacks_set_on_begin_headers_callback(
+      callbacks, Callbacks::OnBeginHeaders);
+  nghttp2_session_callbacks_set_on_header_callback(callbacks,
+                                                   Callbacks::OnHeader);
+  nghttp2_session_callbacks_set_on_data_chunk_recv_callback(callbacks,
+                                                            Callbacks::OnData);
+  nghttp2_session_callbacks_set_on_frame_recv_callback(
+      callbacks, Callbacks::OnFrameReceived);
+  nghttp2_session_callbacks_set_on_frame_send_callback(callbacks,
+                                                       Callbacks::OnFrameSent);
+  nghttp2_session_callbacks_set_on_frame_not_send_callback(
+      callbacks, Callbacks::OnFrameNotSent);
+  nghttp2_session_callbacks_set_on_stream_close_callback(
+      callbacks, Callbacks::OnStreamClose);
+  if (side == Side::kClient)
+    nghttp2_session_client_new(&this->session, callbacks, this);
+  else
+    nghttp2_session_server_new(&this->session, callbacks, this);
+  nghttp2_session_callbacks_del(callbacks);
+  const std::array settings = {
+      nghttp2_settings_entry{NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS,
+                             kMaxStreams},
+      nghttp2_settings_entry{NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE,
+                             kStreamWindow},
+  };
+  nghttp2_submit_settings(this->session, NGHTTP2_FLAG_NONE, settings.data(),
+                          settings.size());
+  nghttp2_session_set_local_window_size(this->session, NGHTTP2_FLAG_NONE, 0,
+                                        kConnectionWindow);
+}
+
+Http2Session::~Http2Session() {
+  nghttp2_session_del(this->session);
+}
+
+Http2Session::Stream* Http2Session::FindStream(int32_t id) {
+  const auto found = this->streams.find(id);
+  return found == this->streams.end() ? nullptr : found->second.get();
+}
+
+void Http2Session::Run() {
+  const auto self = this->shared_from_this();
+  std::array<uint8_t, kReadBytes> buffer;
+  this->StartWriting();
+  while (!this->is_closed) {
+    error_code error;
+    this->stream.expires_after(this->limits.idle_limit);
+    const size_t bytes =
+        this->stream.async_read_some(boost::asio::buffer(buffer), Await(error));
+    if (error) {
+      this->Close("read: " + error.message());
+      break;
+    }
+    this->received_at = Clock::now();
+    this->counters.received.Add(bytes);
+    const ssize_t used =
+        nghttp2_session_mem_recv(this->session, buffer.data(), bytes);
+    if (used < 0) {
+      this->Close(std::string("protocol: ") +
+                  nghttp2_strerror(static_cast<int>(used)));
+      break;
+    }
+    this->StartWriting();
+    if (!nghttp2_session_want_read(this->session) &&
+        !nghttp2_session_want_write(this->session)) {
+      this->Close("ended by GOAWAY");
+    }
+  }
+}
+
+void Http2Session::StartWriting() {
+  if (this->writing || this->is_closed)
+    return;
+  this->writing = true;
+  runtime::SpawnHere([self = this->shared_from_this()] { self->WriteLoop(); });
+}
+
+void Http2Session::WriteLoop() {
+  std::string pending;
+  while (!this->is_closed) {
+    pending.clear();
+    while (pending.size() < kWriteBytes) {
+      const uint8_t* data = nullptr;
+      const ssize_t bytes = nghttp2_session_mem_send(this->session, &data);
+      if (bytes < 0) {
+        this->Close("protocol error while sending");
+        break;
+      }
+      if (bytes == 0)
+        break;
+      pending.append(reinterpret_cast<const char*>(data),
+                     static_cast<size_t>(bytes));
+    }
+    if (pending.empty() || this->is_closed)
+      break;
+    error_code error;
+    this->stream.expires_after(this->limits.write_timeout);
+    boost::asio::async_write(this->stream, boost::asio::buffer(pending),
+                             Await(error));
+    if (error) {
+      this->Close("write: " + error.message());
+      break;
+    }
+    this->counters.sent.Add(pending.size());
+  }
+  this->writing = false;
+  const bool ended = !nghttp2_session_want_read(this->session) &&
+                     !nghttp2_session_want_write(this->session);
+  if (ended)
+    this->Close("ended by protocol");
+}
+
+void Http2Session::Close(const std::string& reason) {
+  if (this->is_closed)
+    return;
+  this->is_closed = true;
+  this->close_reason = reason;
+  error_code ignored;
+  this->stream.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_both,
+                                 ignored);
+  this->stream.close();
+  auto failed = std::move(this->calls);
+  this->calls.clear();
+  for (auto& [id, call] : failed) {
+    const Outcome outcome = call->sent ? Outcome::kUnknown : Outcome::kNotRun;
+    call->answer = Failure(ResultCode::kPeerUnavailable, outcome,
+                           "connection closed: " + reason);
+    call->done = true;
+    call->changed.notify_all();
+  }
+  this->pong.notify_all();
+}
+
+Answer Http2Session::Exchange(std::string_view message,
+                              std::string_view body,
+                              Clock::time_point deadline) {
+  const auto self = this->shared_from_this();
+  if (this->is_closed)
+    return Failure(ResultCode::kPeerUnavailable, Outcome::kNotRun,
+                   "connection closed: " + this->close_reason);
+  auto call = std::make_shared<PendingCall>();
+  this->Submit(call, message, body);
+  this->StartWriting();
+  std::unique_lock lock(this->mutex);
+  const bool done =
+      call->changed.wait_until(lock, deadline, [&] { return call->done; });
+  if (done)
+    return std::move(call->answer);
+  this->calls.erase(call->stream);
+  if (!this->is_closed) {
+    nghttp2_submit_rst_stream(this->session, NGHTTP2_FLAG_NONE, call->stream,
+                              NGHTTP2_CANCEL);
+    this->StartWriting();
+  }
+  return Failure(ResultCode::kDeadlineExceeded,
+                 call->sent ? Outcome::kUnknown : Outcome::kNotRun,
+                 "no answer within the deadline");
+}
+
+void Http2Session::Submit(const std::shared_ptr<PendingCall>& call,
+                          std::string_view message,
+                          std::string_view body) {
+  const std::string path = std::string(kPathPrefix) + std::string(message);
+  const std::array fields = {
+      Field(":method", "POST"),
+      Field(":scheme", "http"),
+      Field(":authority", "host"),
+      Field(":path", path),
+  };
+  nghttp2_data_provider provider{};
+  provider.read_callback = Callbacks::ReadBody;
+  const int32_t id = nghttp2_submit_request(
+      this->session, nullptr, fields.data(), fields.size(), &provider, nullptr);
+  if (id < 0) {
+    call->answer = Failure(ResultCode::kPeerUnavailable, Outcome::kNotRun,
+                           nghttp2_strerror(id));
+    call->done = true;
+    // Stream ids are used up after 2^30 calls; a new connection starts anew.
+    this->Close("no stream left");
+    return;
+  }
+  call->stream = id;
+  auto stream = std::make_unique<Stream>();
+  stream->out = body;
+  this->streams[id] = std::move(stream);
+  this->calls[id] = call;
+}
+
+void Http2Session::FinishCall(Stream* stream, uint32_t error_code) {
+  const auto found = std::find_if(
+      this->calls.begin(), this->calls.end(),
+      [&](const auto& c) { return this->FindStream(c.first) == stream; });
+  const std::shared_ptr<PendingCall> call = found->second;
+  this->calls.erase(found);
+  const Outcome sent = call->sent ? Outcome::kUnknown : Outcome::kNotRun;
+  if (error_code == NGHTTP2_REFUSED_STREAM) {
+    call->answer = Failure(ResultCode::kPeerUnavailable, Outcome::kNotRun,
+                           "the peer refused the stream");
+  } else if (error_code != NGHTTP2_NO_ERROR) {
+    call->answer = Failure(ResultCode::kProtocolError, sent,
+                           std::string("the peer reset the stream: ") +
+                               nghttp2_http2_strerror(error_code));
+  } else if (stream->too_large) {
+    call->answer = Failure(ResultCode::kValueTooLarge, Outcome::kUnknown,
+                           "the answer exceeds the limit of a message");
+  } else if (stream->status == kOkStatus) {
+    call->answer = {ResultCode::kOk, Outcome::kDone, std::move(stream->in)};
+    this->buffered_bytes -= call->answer.body.size();
+    stream->in.clear();
+  } else {
+    const auto code =
+        common::ResultCodeFromNumber(ToNumber(stream->result_code));
+    call->answer =
+        Failure(code.value_or(ResultCode::kProtocolError),
+                OutcomeOf(stream->outcome).value_or(sent), stream->in);
+  }
+  call->done = true;
+  call->changed.notify_all();
+}
+
+void Http2Session::Dispatch(int32_t stream_id) {
+  Stream* stream = this->FindStream(stream_id);
+  if (!stream || stream->dispatched)
+    return;
+  stream->dispatched = true;
+  if (stream->too_large) {
+    this->Respond(stream_id,
+                  Failure(ResultCode::kValueTooLarge, Outcome::kNotRun,
+                          "the message exceeds the limit"));
+    return;
+  }
+  if (!stream->path.starts_with(kPathPrefix)) {
+    this->Respond(stream_id, Failure(ResultCode::kProtocolError,
+                                     Outcome::kNotRun, "not a message path"));
+    return;
+  }
+  std::string message = stream->path.substr(kPathPrefix.size());
+  std::string body = std::move(stream->in);
+  stream->in.clear();
+  this->buffered_bytes -= body.size();
+  runtime::SpawnHere([self = this->shared_from_this(), stream_id,
+                      message = std::move(message),
+                      body = std::move(body)]() mutable {
+    const Answer answer = self->responder(message, std::move(body));
+    if (!self->is_closed) {
+      self->Respond(stream_id, answer);
+      self->StartWriting();
+    }
+  });
+}
+
+void Http2Session::Respond(int32_t stream_id, const Answer& answer) {
+  Stream* stream = this->FindStream(stream_id);
+  // The caller has canceled the stream meanwhile.
+  if (!stream)
+    return;
+  stream->out = answer.body;
+  const auto& info = common::InfoOf(answer.code);
+  const std::string status = std::to_string(info.http_status);
+  const std::string code = std::to_string(static_cast<int>(answer.code));
+  std::vector<nghttp2_nv> fields = {Field(":status", status)};
+  if (answer.code != ResultCode::kOk) {
+    fields.push_back(Field("result-code", code));
+    fields.push_back(Field("outcome", common::NameOf(answer.outcome)));
+  }
+  nghttp2_data_provider provider{};
+  provider.read_callback = Callbacks::ReadBody;
+  nghttp2_submit_response(this->session, stream_id, fields.data(),
+                          fields.size(), &provider);
+}
+
+void Http2Session::Ping() {
+  if (this->is_closed || this->ping_pending())
+    return;
+  ++this->pings_sent;
+  this->last_ping = Clock::now();
+  nghttp2_submit_ping(this->session, NGHTTP2_FLAG_NONE, nullptr);
+  this->StartWriting();
+}
+
+bool Http2Session::PingAndWait(Clock::time_point deadline) {
+  this->Ping();
+  std::unique_lock lock(this->mutex);
+  return this->pong.wait_until(lock, deadline, [&] {
+    return this->is_closed || !this->ping_pending();
+  }) && !this->is_closed;
+}
+
+}  // namespace jujuberock::host
--- /dev/null
+++ b/source/unit_tests/core/host/http2_transport_test.cc
@@ -0,0 +1,303 @@
+#include "core/host/http2_transport.h"
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <memory>
+#include <string>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include "core/host/handshake.h"
+#include "core/runtime/await.h"
+#include "core/runtime/sleep.h"
+#include "core/runtime/wall_timer_service.h"
+
+namespace jujuberock::host {
+namespace {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+using common::Outcome;
+using common::ResultCode;
+using runtime::Await;
+using std::chrono::milliseconds;
+
+constexpr size_t kWorkers = 2;
+
+// Forwards connections; those open when Silence() is called carry no byte any
+// more and stay open, later ones work.
+class Relay {
+ public:
+  Relay(runtime::WorkerPool& pool, runtime::Address target)
+      : target(target), acceptor(pool.IoOf(0), tcp::endpoint(tcp::v4(), 0)) {
+    pool.Spawn(0, [this] { this->Accept(); });
+  }
+
+  runtime::Address address() const {
+    return {"127.0.0.1", this->acceptor.local_endpoint().port()};
+  }
+  void Silence() { this->silenced = this->accepted.load(); }
+  void Stop() { this->acceptor.close(); }
+
+ private:
+  using Socket = std::shared_ptr<tcp::socket>;
+
+  void Accept() {
+    for (;;) {
+      error_code error;
+      auto near = std::make_shared<tcp::socket>(
+          this->acceptor.async_accept(Await(error)));
+      if (error)
+        return;
+      auto far = std::make_shared<tcp::socket>(runtime::CurrentIo());
+      far->async_connect(
+          tcp::endpoint(boost::asio::ip::make_address(this->target.ip),
+                        this->target.port),
+          Await(error));
+      const int number = ++this->accepted;
+      runtime::SpawnHere([=, this] { this->Copy(near, far, number); });
+      runtime::SpawnHere([=, this] { this->Copy(far, near, number); });
+    }
+  }
+
+  void Copy(const Socket& from, const Socket& to, int number) {
+    std::array<char, 4096> buffer;
+    for (;;) {
+      error_code error;
+      const size_t bytes =
+          from->async_read_some(boost::asio::buffer(buffer), Await(error));
+      if (error)
+        break;
+      if (number <= this->silenced)
+        continue;
+      boost::asio::async_write(*to, boost::asio::buffer(buffer, bytes),
+                               Await(error));
+    }
+    error_code ignored;
+    to->close(ignored);
+  }
+
+  runtime::Address target;
+  tcp::acceptor acceptor;
+  std::atomic<int> accepted{0};
+  std::atomic<int> silenced{0};
+};
+
+struct TwoHosts {
+  Http2TransportOptions OptionsOf(const std::string& name,
+                                  const std::string& key) {
+    Http2TransportOptions options;
+    options.name = name;
+    options.listen = {"127.0.0.1", 0};
+    options.deployment_key = key;
+    options.max_message_bytes = 100'000;
+    return options;
+  }
+
+  explicit TwoHosts(const std::string& client_key = "secret") {
+    this->server.Handle("echo",
+                        [](const std::string& from, std::string_view body) {
+                          return from + ":" + std::string(body);
+                        });
+    this->server.Handle(
+        "refuse", [](const std::string&, std::string_view) -> std::string {
+          throw common::Error(ResultCode::kStaleFence, "old", Outcome::kNotRun);
+        });
+    this->server.Handle("slow", [](const std::string&, std::string_view) {
+      runtime::SleepFor(milliseconds(1200));
+      return std::string("late");
+    });
+    this->server.Serve();
+    this->client = std::make_unique<Http2Transport>(
+        this->pool, this->timers, this->counters,
+        OptionsOf("host-a", client_key),
+        [this](const std::string& host) { return this->Resolve(host); });
+    this->client->Serve();
+  }
+
+  std::optional<runtime::Address> Resolve(const std::string& host) {
+    if (host == "host-b" || host == "host-x")
+      return this->route.value_or(this->server.address());
+    return std::nullopt;
+  }
+
+  std::string Call(const std::string& host,
+                   const std::string& message,
+                   const std::string& body,
+                   common::Duration patience = std::chrono::seconds(5)) {
+    std::string answer;
+    this->pool.Run([&] {
+      answer = this->client->Call(host, message, body,
+                                  this->timers.Now() + patience);
+    });
+    return answer;
+  }
+
+  // The error that the call ends with.
+  common::Error Fail(const std::string& host,
+                     const std::string& message,
+                     const std::string& body,
+                     common::Duration patience = std::chrono::seconds(5)) {
+    try {
+      this->Call(host, message, body, patience);
+    } catch (const common::Error& error) {
+      return error;
+    }
+    return {ResultCode::kOk, "the call did not fail"};
+  }
+
+  runtime::WorkerPool pool{kWorkers};
+  runtime::WallTimerService timers{pool, 0};
+  common::CounterRegistry counters;
+  std::optional<runtime::Address> route;
+  Http2Transport server{pool, timers, counters, OptionsOf("host-b", "secret"),
+                        [](const std::string&) { return std::nullopt; }};
+  std::unique_ptr<Http2Transport> client;
+};
+
+// Guards against answers that reach another call than their own.
+TEST_CASE("concurrent calls each get their own answer on one connection") {
+  TwoHosts hosts;
+  std::atomic<int> right{0};
+  hosts.pool.Run([&] {
+    std::atomic<int> done{0};
+    for (int i = 0; i < 400; ++i) {
+      hosts.pool.Spawn([&, i] {
+        const std::string body(static_cast<size_t>(i) * 10, 'x');
+        const auto answer =
+            hosts.client->Call("host-b", "echo", body + std::to_string(i),
+                               hosts.timers.Now() + std::chrono::seconds(20));
+        right += answer == "host-a:" + body + std::to_string(i);
+        ++done;
+      });
+    }
+    while (done < 400)
+      runtime::SleepFor(milliseconds(1));
+  });
+  CHECK(right == 400);
+  CHECK(
+      hosts.counters.GetCounter("host_connections_total", {{"event", "opened"}})
+          .value() == 1);
+}
+
+TEST_CASE("each failure of a call has its own code and outcome") {
+  TwoHosts hosts;
+  const auto refused = hosts.Fail("host-b", "refuse", "");
+  CHECK(refused.code() == ResultCode::kStaleFence);
+  CHECK(refused.outcome() == Outcome::kNotRun);
+  CHECK(hosts.Fail("host-b", "nonsense", "").code() ==
+        ResultCode::kProtocolError);
+  CHECK(hosts.Fail("host-z", "echo", "").code() ==
+        ResultCode::kPeerUnavailable);
+  // The address belongs to host-b now: a message for host-x must not run there.
+  CHECK(hosts.Fail("host-x", "echo", "").outcome() == Outcome::kNotRun);
+  const auto late = hosts.Fail("host-b", "slow", "", milliseconds(50));
+  CHECK(late.code() == ResultCode::kDeadlineExceeded);
+  CHECK(late.outcome() == Outcome::kUnknown);
+  const auto large = hosts.Fail("host-b", "echo", std::string(100'001, 'x'));
+  CHECK(large.code() == ResultCode::kValueTooLarge);
+  // The answer is six bytes longer than the message.
+  CHECK(hosts.Fail("host-b", "echo", std::string(99'999, 'x')).code() ==
+        ResultCode::kValueTooLarge);
+  CHECK(hosts.Call("host-b", "echo", "still up") == "host-a:still up");
+}
+
+TEST_CASE("a host without the deployment key reaches no handler") {
+  TwoHosts hosts("another secret");
+  const auto error = hosts.Fail("host-b", "echo", "x");
+  CHECK(error.code() == ResultCode::kPeerUnavailable);
+  CHECK(error.outcome() == Outcome::kNotRun);
+  CHECK(hosts.counters
+            .GetCounter("host_messages_total",
+                        {{"direction", "received"}, {"message", "echo"}})
+            .value() == 0);
+}
+
+// Connects, optionally proves the deployment key, sends `bytes` and waits until
+// the server closes the connection.
+void SendRaw(TwoHosts& hosts, const std::string& bytes, bool prove) {
+  hosts.pool.Run([&] {
+    tcp::socket socket(runtime::CurrentIo());
+    error_code error;
+    const auto address = hosts.server.address();
+    socket.async_connect(
+        tcp::endpoint(boost::asio::ip::make_address(address.ip), address.port),
+        Await(error));
+    REQUIRE_FALSE(error);
+    std::string sent = bytes;
+    if (prove) {
+      std::array<char, kHandshakeMagic.size() + kNonceBytes> challenge;
+      boost::asio::async_read(socket, boost::asio::buffer(challenge),
+                              Await(error));
+      HandshakeFacts facts;
+      std::copy_n(challenge.begin() + kHandshakeMagic.size(), kNonceBytes,
+                  facts.server_nonce.begin());
+      facts.client_name = "host-a";
+      const Proof proof = MakeProof("secret", Role::kClient, facts);
+      sent = std::string(kNonceBytes, '\0') + '\x06' + "host-a" +
+             std::string(proof.begin(), proof.end()) + bytes;
+    }
+    boost::asio::async_write(socket, boost::asio::buffer(sent), Await(error));
+    std::array<char, 512> buffer;
+    while (!error)
+      socket.async_read_some(boost::asio::buffer(buffer), Await(error));
+  });
+}
+
+// Malformed bytes must close that connection only, never the process.
+TEST_CASE("bytes that are not the protocol end only their connection") {
+  TwoHosts hosts;
+  const std::string preface = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
+  const std::string settings("\0\0\0\x04\0\0\0\0\0", 9);
+  const std::string huge_frame("\xff\xff\xff\x01\x04\0\0\0\x01", 9);
+  const std::string bad_headers("\0\0\x02\x01\x05\0\0\0\x01\xff\xff", 11);
+  const std::string data_on_idle("\0\0\x01\0\0\0\0\0\x07z", 10);
+  for (const std::string& bytes :
+       {std::string("GET / HTTP/1.1\r\n\r\n"), std::string(300, '\xff'),
+        preface + std::string(64, 'x'), preface + settings + huge_frame,
+        preface + settings + bad_headers, preface + settings + data_on_idle}) {
+    SendRaw(hosts, bytes, false);
+    SendRaw(hosts, bytes, true);
+  }
+  CHECK(hosts.Call("host-b", "echo", "x") == "host-a:x");
+}
+
+// A connection that goes silent stays open for ever; without the PING each
+// call on it would wait for its whole deadline.
+TEST_CASE("a silent connection is replaced once a new one answers") {
+  TwoHosts hosts;
+  Relay relay(hosts.pool, hosts.server.address());
+  hosts.route = relay.address();
+  CHECK(hosts.Call("host-b", "echo", "1") == "host-a:1");
+  relay.Silence();
+  const auto started = hosts.timers.Now();
+  const auto lost = hosts.Fail("host-b", "echo", "2", std::chrono::seconds(30));
+  CHECK(lost.code() == ResultCode::kPeerUnavailable);
+  CHECK(lost.outcome() == Outcome::kUnknown);
+  CHECK(hosts.timers.Now() - started < std::chrono::seconds(5));
+  CHECK(hosts.Call("host-b", "echo", "3") == "host-a:3");
+  CHECK(
+      hosts.counters
+          .GetCounter("host_connections_total", {{"event", "replaced_silent"}})
+          .value() == 1);
+  hosts.client.reset();
+  relay.Stop();
+  hosts.pool.Run([] { runtime::SleepFor(milliseconds(20)); });
+}
+
+// Replacing must not happen merely because a handler is slow.
+TEST_CASE("a slow answer does not count as silence") {
+  TwoHosts hosts;
+  CHECK(hosts.Call("host-b", "slow", "") == "late");
+  CHECK(
+      hosts.counters
+          .GetCounter("host_connections_total", {{"event", "replaced_silent"}})
+          .value() == 0);
+}
+
+}  // namespace
+}  // namespace jujuberock::host
