--- a/source/core/journal/call.h
+++ b/source/core/journal/call.h
@@ -56,10 +56,13 @@
 // once, whatever it is told and however often.
 class Call {
  public:
+  // `may_have_run` tells that this host knows of an earlier call with the same
+  // key whose outcome is unknown.
   Call(CallRequest request,
        ShardId shard,
        CallId id,
        bool has_status_call,
+       bool may_have_run,
        common::Duration ask_retry);
 
   CallActions Start(common::TimePoint now);
@@ -70,12 +73,15 @@
   // To be called just before the first byte goes to the endpoint. When it
   // returns false nothing may be written.
   [[nodiscard]] bool OnFirstByteWritten();
-  CallActions OnAnswer(const SavedAnswer& answer);
+  // `answer` has the whole body; the report carries at most `kept_bytes`.
+  CallActions OnAnswer(const SavedAnswer& answer, size_t kept_bytes);
   // The exchange ended without an answer. `code` is told to the caller when
   // no byte was written.
   CallActions OnConnectionLost(common::ResultCode code);
   CallActions OnDeadline();
-  CallActions OnServiceState(ServiceState state, const SavedAnswer& answer);
+  CallActions OnServiceState(ServiceState state,
+                             const SavedAnswer& answer,
+                             size_t kept_bytes);
 
   const CallRequest& request() const { return this->call; }
   const CallId& id() const { return this->call_id; }
@@ -89,13 +95,18 @@
   CallActions End(common::ResultCode code, common::Outcome outcome);
   CallActions EndNotRun(common::ResultCode code);
   CallActions AskAgain(common::TimePoint now);
+  CallActions EndByReplay(const SavedAnswer& answer);
+  CallActions EndUnknown();
   OutcomeReport Report(CallOutcome outcome) const;
 
   CallRequest call;
   ShardId key_shard;
   CallId call_id;
   bool has_status_call;
+  bool may_have_run;
   common::Duration ask_retry;
+  // An owner may have committed an intent for this call.
+  bool asked = false;
   State state = State::kAsking;
   // Holder of the key while its state is queried.
   CallId holder;
--- a/source/core/journal/messages.h
+++ b/source/core/journal/messages.h
@@ -87,6 +87,8 @@
   Term term = 0;
   // The call that holds the key when it is not the asking one.
   CallId holder;
+  // The host that owns the shard now, when the asked one knows it.
+  HostId owner;
   SavedAnswer answer;  // when the verdict is a replay
 };
 
--- a/source/core/journal/options.h
+++ b/source/core/journal/options.h
@@ -12,11 +12,14 @@
 // Settings of the journal. The same on all hosts of a deployment.
 struct Options {
   // Fixed for the life of the stored records: the platform object
-  // `journal/layout` holds it and a host with another value refuses to serve.
+  // `layout` (kind `journal`) holds it and a host with another value refuses to
+  // serve.
   uint32_t shards = 64;
   // Shortest time between two head writes of one shard. A write after a quiet
   // period starts at once.
   common::Duration write_spacing{0};
+  // An intent waits this long for others to share its write.
+  common::Duration write_window{0};
   // An outcome waits this long for a write to ride on.
   common::Duration outcome_delay = std::chrono::seconds(1);
   // Pause after the platform refused a call or could not be reached.
@@ -26,7 +29,7 @@
   // Longest wait for one owner's reply before the next host is asked.
   common::Duration ask_timeout = std::chrono::milliseconds(500);
   // Pause before an owner is asked again.
-  common::Duration ask_retry = std::chrono::milliseconds(5);
+  common::Duration ask_retry = std::chrono::milliseconds(20);
   // Pause before unconfirmed outcomes are sent again.
   common::Duration outcome_retry = std::chrono::seconds(3);
   std::chrono::milliseconds retention = std::chrono::hours(24);
@@ -41,6 +44,8 @@
   // New intents are refused while the head is larger; the platform holds
   // values up to 1 MB.
   size_t head_limit_bytes = 900 * 1024;
+  // Segments that are read at the same time by a takeover.
+  size_t parallel_reads = 16;
   // Answers that a host keeps to replay what itself forwarded.
   size_t host_answers = 1024;
 };
--- /dev/null
+++ b/source/core/journal/record.cc
@@ -0,0 +1,226 @@
+#include "core/journal/record.h"
+
+#include <openssl/evp.h>
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <system_error>
+
+#include "core/common/error.h"
+#include "core/common/hash.h"
+
+namespace jujuberock::journal {
+
+namespace {
+
+using nlohmann::json;
+
+// Version of the stored form; a head of another version is refused.
+constexpr int kFormat = 1;
+
+// Bodies of answers are arbitrary bytes, JSON strings are not.
+std::string ToBase64(std::string_view bytes) {
+  std::string text((bytes.size() + 2) / 3 * 4 + 1, '\0');
+  const int length =
+      EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
+                      reinterpret_cast<const unsigned char*>(bytes.data()),
+                      static_cast<int>(bytes.size()));
+  text.resize(static_cast<size_t>(length));
+  return text;
+}
+
+std::string FromBase64(const std::string& text, uint64_t size) {
+  std::string bytes(text.size(), '\0');
+  const int length =
+      EVP_DecodeBlock(reinterpret_cast<unsigned char*>(bytes.data()),
+                      reinterpret_cast<const unsigned char*>(text.data()),
+                      static_cast<int>(text.size()));
+  if (length < 0 || static_cast<uint64_t>(length) < size)
+    throw common::Error(common::ResultCode::kProtocolError,
+                        "journal: a saved body is malformed");
+  bytes.resize(size);
+  return bytes;
+}
+
+int64_t ToMillis(common::UnixTime time) {
+  return time.time_since_epoch().count();
+}
+
+common::UnixTime FromMillis(const json& value) {
+  return common::UnixTime(std::chrono::milliseconds(value.get<int64_t>()));
+}
+
+// Callers choose the key and endpoints the content type, so neither needs to
+// be valid UTF-8.
+std::string Dump(const json& value) {
+  return value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+Record RecordFromJson(const json& value) {
+  Record record;
+  record.key = {value.at(0).get<std::string>(), value.at(1).get<std::string>()};
+  record.request_hash = value.at(2).get<std::string>();
+  record.issued = FromMillis(value.at(3));
+  const int state = value.at(4).get<int>();
+  if (state < 0 || state > static_cast<int>(RecordState::kReleased))
+    throw common::Error(common::ResultCode::kProtocolError,
+                        "journal: a record has an unknown state");
+  record.state = static_cast<RecordState>(state);
+  record.host = value.at(5).get<std::string>();
+  record.call_id = value.at(6).get<std::string>();
+  record.term = value.at(7).get<Term>();
+  if (value.size() <= 8)
+    return record;
+  SavedAnswer& answer = record.answer;
+  answer.status = value.at(8).get<int>();
+  answer.content_type = value.at(9).get<std::string>();
+  answer.digest = value.at(10).get<std::string>();
+  answer.body_bytes = value.at(11).get<uint64_t>();
+  answer.body_kept = !value.at(12).is_null();
+  if (answer.body_kept)
+    answer.body =
+        FromBase64(value.at(12).get<std::string>(), answer.body_bytes);
+  return record;
+}
+
+std::vector<Record> RecordsFromJson(const json& values) {
+  std::vector<Record> records;
+  records.reserve(values.size());
+  for (const json& value : values)
+    records.push_back(RecordFromJson(value));
+  return records;
+}
+
+json ParseBody(std::string_view body) {
+  json value = json::parse(body);
+  if (value.at("format").get<int>() != kFormat)
+    throw common::Error(common::ResultCode::kProtocolError,
+                        "journal: unknown format of a stored object");
+  return value;
+}
+
+template <typename Parse>
+auto Parsed(std::string_view body, Parse parse) {
+  try {
+    return parse(ParseBody(body));
+  } catch (const json::exception& error) {
+    throw common::Error(common::ResultCode::kProtocolError,
+                        std::string("journal: ") + error.what());
+  }
+}
+
+std::string TwoDigits(ShardId shard) {
+  const std::string digits = std::to_string(shard);
+  return digits.size() < 2 ? "0" + digits : digits;
+}
+
+}  // namespace
+
+uint64_t HashKey(const CallKey& key) {
+  return common::Hash64(key.key, common::Hash64(key.team));
+}
+
+ShardId ShardOf(const CallKey& key, uint32_t shards) {
+  return static_cast<ShardId>(HashKey(key) % shards);
+}
+
+std::string RenderRecord(const Record& record) {
+  json value = {record.key.team,
+                record.key.key,
+                record.request_hash,
+                ToMillis(record.issued),
+                static_cast<int>(record.state),
+                record.host,
+                record.call_id,
+                record.term};
+  if (record.state == RecordState::kDone) {
+    const SavedAnswer& answer = record.answer;
+    value.push_back(answer.status);
+    value.push_back(answer.content_type);
+    value.push_back(answer.digest);
+    value.push_back(answer.body_bytes);
+    value.push_back(answer.body_kept ? json(ToBase64(answer.body)) : json());
+  }
+  return Dump(value);
+}
+
+std::string RenderHead(const Head& head, std::string_view records) {
+  json segments = json::array();
+  for (const SegmentInfo& segment : head.segments)
+    segments.push_back(
+        {segment.name, ToMillis(segment.newest_issued), segment.records});
+  const json value = {{"format", kFormat},
+                      {"term", head.term},
+                      {"owner", head.owner},
+                      {"floor", ToMillis(head.floor)},
+                      {"next_segment", head.next_segment},
+                      {"segments", std::move(segments)}};
+  std::string body = Dump(value);
+  body.back() = ',';
+  body += "\"records\":[";
+  body += records;
+  body += "]}";
+  return body;
+}
+
+HeadContent ParseHead(std::string_view body) {
+  return Parsed(body, [](const json& value) {
+    HeadContent content;
+    Head& head = content.head;
+    head.term = value.at("term").get<Term>();
+    head.owner = value.at("owner").get<std::string>();
+    head.floor = FromMillis(value.at("floor"));
+    head.next_segment = value.at("next_segment").get<uint64_t>();
+    for (const json& segment : value.at("segments"))
+      head.segments.push_back({segment.at(0).get<std::string>(),
+                               FromMillis(segment.at(1)),
+                               segment.at(2).get<uint64_t>()});
+    content.records = RecordsFromJson(value.at("records"));
+    return content;
+  });
+}
+
+std::string RenderSegment(std::string_view records) {
+  return "{\"format\":" + std::to_string(kFormat) + ",\"records\":[" +
+         std::string(records) + "]}";
+}
+
+std::vector<Record> ParseSegment(std::string_view body) {
+  return Parsed(body, [](const json& value) {
+    return RecordsFromJson(value.at("records"));
+  });
+}
+
+std::string HeadName(ShardId shard) {
+  return "shard-" + TwoDigits(shard);
+}
+
+std::string SegmentName(ShardId shard, Term term, uint64_t number) {
+  return HeadName(shard) + ".t" + std::to_string(term) + ".s" +
+         std::to_string(number);
+}
+
+std::optional<ShardId> ShardOfObject(std::string_view name) {
+  constexpr std::string_view kPrefix = "shard-";
+  if (!name.starts_with(kPrefix))
+    return std::nullopt;
+  name.remove_prefix(kPrefix.size());
+  ShardId shard = 0;
+  const auto parsed =
+      std::from_chars(name.data(), name.data() + name.size(), shard);
+  if (parsed.ec != std::errc())
+    return std::nullopt;
+  return shard;
+}
+
+std::string RenderLayout(uint32_t shards) {
+  return json{{"format", kFormat}, {"shards", shards}}.dump();
+}
+
+uint32_t ParseLayout(std::string_view body) {
+  return Parsed(body, [](const json& value) {
+    return value.at("shards").get<uint32_t>();
+  });
+}
+
+}  // namespace jujuberock::journal
--- a/source/core/journal/record.h
+++ b/source/core/journal/record.h
@@ -2,6 +2,7 @@
 #define CORE_JOURNAL_RECORD_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -56,6 +57,10 @@
   std::vector<Record> records;
 };
 
+uint64_t HashKey(const CallKey& key);
+// The shard that holds the key.
+ShardId ShardOf(const CallKey& key, uint32_t shards);
+
 // One record as a JSON array.
 std::string RenderRecord(const Record& record);
 // The bodies of a head and of a segment; `records` are rendered records joined
@@ -69,6 +74,14 @@
 // former owner can never touch a segment of its successors.
 std::string HeadName(ShardId shard);
 std::string SegmentName(ShardId shard, Term term, uint64_t number);
+// The shard that an object of either name belongs to.
+std::optional<ShardId> ShardOfObject(std::string_view name);
+
+// The object that fixes the number of shards for all hosts.
+inline constexpr char kLayoutName[] = "layout";
+std::string RenderLayout(uint32_t shards);
+// Throws common::Error kProtocolError for malformed text.
+uint32_t ParseLayout(std::string_view body);
 
 }  // namespace jujuberock::journal
 
--- /dev/null
+++ b/source/core/journal/shard_owner_records.cc
@@ -0,0 +1,279 @@
+// What the owner of a shard decides about one key.
+
+#include <algorithm>
+#include <utility>
+
+#include "core/common/error.h"
+#include "core/journal/shard_owner.h"
+
+namespace jujuberock::journal {
+
+using common::TimePoint;
+using common::UnixTime;
+
+namespace {
+
+// Enough to cover messages that arrive after the report of their own call.
+constexpr size_t kReleasedCalls = 256;
+
+bool MayHaveRun(RecordState state) {
+  return state == RecordState::kGranted || state == RecordState::kUnknown;
+}
+
+}  // namespace
+
+void ShardOwner::Decide(Waiting asking, TimePoint now, UnixTime wall) {
+  const PermitRequest& request = asking.request;
+  auto found = this->by_key.find(request.key);
+  if (found != this->by_key.end()) {
+    const Entry& entry = this->records.at(found->second);
+    const bool free = entry.record.state == RecordState::kReleased &&
+                      entry.record.call_id != request.call_id;
+    if (!free) {
+      this->DecideByRecord(asking, entry, wall);
+      return;
+    }
+  } else if (this->SearchSealed(asking)) {
+    return;
+  }
+  if (request.issued < this->head.floor ||
+      request.issued < wall - this->options.retention) {
+    this->Reply(asking.to, PermitVerdict::kTooOld);
+    return;
+  }
+  if (request.issued > wall + this->options.future_limit) {
+    this->Reply(asking.to, PermitVerdict::kTooNew);
+    return;
+  }
+  if (this->IsKnownReleased(request.call_id)) {
+    this->Reply(asking.to, PermitVerdict::kReleased);
+    return;
+  }
+  if (this->record_bytes > this->options.head_limit_bytes) {
+    this->Reply(asking.to, PermitVerdict::kUnavailable);
+    return;
+  }
+  this->AddIntent(asking, now);
+}
+
+void ShardOwner::DecideByRecord(const Waiting& asking,
+                                const Entry& entry,
+                                UnixTime wall) {
+  const Record& record = entry.record;
+  PermitReply reply;
+  reply.term = this->head.term;
+  if (record.request_hash != asking.request.request_hash) {
+    reply.verdict = PermitVerdict::kKeyReused;
+  } else if (record.call_id == asking.request.call_id &&
+             record.state == RecordState::kGranted) {
+    // The host asks again because a reply was lost. The permit is still bound
+    // to the one call that can use it.
+    reply.verdict = PermitVerdict::kGranted;
+    if (entry.change > this->committed_change) {
+      this->deferred_permits.emplace(entry.change,
+                                     PermitReplyAction{asking.to, reply});
+      return;
+    }
+  } else {
+    reply.verdict = this->VerdictForOther(record, wall);
+    reply.holder = record.call_id;
+    reply.answer = record.answer;
+  }
+  this->actions.permits.push_back({asking.to, std::move(reply)});
+}
+
+PermitVerdict ShardOwner::VerdictForOther(const Record& record,
+                                          UnixTime wall) const {
+  switch (record.state) {
+    case RecordState::kDone:
+      return PermitVerdict::kReplay;
+    case RecordState::kReleased:
+      return PermitVerdict::kReleased;
+    case RecordState::kUnknown:
+      return PermitVerdict::kUnknown;
+    case RecordState::kGranted:
+      break;
+  }
+  const bool recent = record.issued >= wall - this->options.in_progress_limit;
+  return recent && this->is_live(record.host) ? PermitVerdict::kInProgress
+                                              : PermitVerdict::kUnknown;
+}
+
+bool ShardOwner::SearchSealed(Waiting& asking) {
+  const uint64_t hash = HashKey(asking.request.key);
+  for (const auto& [name, hashes] : this->sealed) {
+    if (asking.searched.contains(name) ||
+        !std::binary_search(hashes.begin(), hashes.end(), hash))
+      continue;
+    Lookup& lookup = this->lookups[name];
+    if (lookup.waiting.empty() && !lookup.retry_at)
+      this->actions.reads.push_back({name});
+    lookup.waiting.push_back(std::move(asking));
+    return true;
+  }
+  return false;
+}
+
+void ShardOwner::OnLookupRead(const std::string& name,
+                              bool ok,
+                              const std::optional<platform::Object>& object,
+                              TimePoint now,
+                              UnixTime wall) {
+  if (ok && !object && this->sealed.contains(name)) {
+    // Only a later owner deletes a listed segment.
+    this->Lose({}, now);
+    return;
+  }
+  std::vector<Record> found;
+  try {
+    if (!ok)
+      throw common::Error(common::ResultCode::kPlatformUnavailable, name);
+    if (object)
+      found = ParseSegment(object->body);
+  } catch (const common::Error&) {
+    this->lookups[name].retry_at = now + this->options.platform_retry;
+    return;
+  }
+  Lookup lookup = std::move(this->lookups[name]);
+  this->lookups.erase(name);
+  for (Waiting& asking : lookup.waiting) {
+    auto record = std::find_if(
+        found.begin(), found.end(),
+        [&](const Record& item) { return item.key == asking.request.key; });
+    if (record != found.end()) {
+      Entry entry;
+      entry.record = *record;
+      this->DecideByRecord(asking, entry, wall);
+      continue;
+    }
+    asking.searched.insert(name);
+    this->Decide(std::move(asking), now, wall);
+  }
+}
+
+void ShardOwner::AddIntent(const Waiting& asking, TimePoint now) {
+  const PermitRequest& request = asking.request;
+  auto released = this->by_key.find(request.key);
+  if (released != this->by_key.end())
+    this->EraseEntry(released->second);
+  Entry entry;
+  entry.record.key = request.key;
+  entry.record.request_hash = request.request_hash;
+  entry.record.issued = request.issued;
+  entry.record.state = RecordState::kGranted;
+  entry.record.host = request.host;
+  entry.record.call_id = request.call_id;
+  entry.record.term = this->head.term;
+  entry.change = ++this->last_change;
+  this->Insert(std::move(entry));
+  if (!this->first_intent)
+    this->first_intent = now;
+  PermitReply reply;
+  reply.verdict = PermitVerdict::kGranted;
+  reply.term = this->head.term;
+  this->deferred_permits.emplace(this->last_change,
+                                 PermitReplyAction{asking.to, reply});
+}
+
+void ShardOwner::ApplyOutcomes(const std::vector<OutcomeReport>& reports,
+                               TimePoint now) {
+  for (const OutcomeReport& report : reports)
+    this->ApplyOutcome(report, now);
+}
+
+void ShardOwner::ApplyOutcome(const OutcomeReport& report, TimePoint now) {
+  auto found = this->by_key.find(report.key);
+  const bool same_call =
+      found != this->by_key.end() &&
+      this->records.at(found->second).record.call_id == report.call_id;
+  if (!same_call) {
+    if (report.outcome == CallOutcome::kNotRun &&
+        !this->IsKnownReleased(report.call_id)) {
+      this->released_calls.push_back(report.call_id);
+      if (this->released_calls.size() > kReleasedCalls)
+        this->released_calls.pop_front();
+    }
+    return;
+  }
+  Entry& entry = this->records.at(found->second);
+  Record& record = entry.record;
+  if (report.outcome == CallOutcome::kDone && MayHaveRun(record.state)) {
+    record.state = RecordState::kDone;
+    record.answer = report.answer;
+  } else if (report.outcome == CallOutcome::kUnknown &&
+             record.state == RecordState::kGranted) {
+    record.state = RecordState::kUnknown;
+  } else if (report.outcome == CallOutcome::kNotRun &&
+             record.state == RecordState::kGranted) {
+    record.state = RecordState::kReleased;
+  } else {
+    return;
+  }
+  this->Touch(entry);
+  if (!this->first_outcome)
+    this->first_outcome = now;
+}
+
+void ShardOwner::ReplyWhenCommitted(const std::vector<OutcomeReport>& reports,
+                                    ReplyTo to,
+                                    TimePoint now) {
+  uint64_t change = 0;
+  for (const OutcomeReport& report : reports) {
+    auto found = this->by_key.find(report.key);
+    if (found != this->by_key.end() &&
+        this->records.at(found->second).record.call_id == report.call_id) {
+      change = std::max(change, this->records.at(found->second).change);
+    } else if (!this->IsSealed(report.key)) {
+      // A paused former owner may lack the record. Only a write that takes
+      // effect shows that there is none to update.
+      change = ++this->last_change;
+      if (!this->first_outcome)
+        this->first_outcome = now;
+    }
+  }
+  const OutcomeReplyAction reply{to, {.accepted = true}};
+  if (change > this->committed_change)
+    this->deferred_outcomes.emplace(change, reply);
+  else
+    this->actions.outcomes.push_back(reply);
+}
+
+bool ShardOwner::IsSealed(const CallKey& key) const {
+  const uint64_t hash = HashKey(key);
+  return std::any_of(
+      this->sealed.begin(), this->sealed.end(), [hash](const auto& item) {
+        return std::binary_search(item.second.begin(), item.second.end(), hash);
+      });
+}
+
+bool ShardOwner::IsKnownReleased(const CallId& call_id) const {
+  return std::find(this->released_calls.begin(), this->released_calls.end(),
+                   call_id) != this->released_calls.end();
+}
+
+void ShardOwner::Insert(Entry entry) {
+  entry.text = RenderRecord(entry.record);
+  this->record_bytes += entry.text.size();
+  this->by_key[entry.record.key] = this->next_entry;
+  this->records.emplace(this->next_entry++, std::move(entry));
+}
+
+void ShardOwner::Touch(Entry& entry) {
+  this->record_bytes -= entry.text.size();
+  entry.text = RenderRecord(entry.record);
+  this->record_bytes += entry.text.size();
+  entry.change = ++this->last_change;
+}
+
+void ShardOwner::EraseEntry(uint64_t number) {
+  auto entry = this->records.find(number);
+  if (entry == this->records.end())
+    return;
+  this->record_bytes -= entry->second.text.size();
+  auto key = this->by_key.find(entry->second.record.key);
+  if (key != this->by_key.end() && key->second == number)
+    this->by_key.erase(key);
+  this->records.erase(entry);
+}
+
+}  // namespace jujuberock::journal
--- /dev/null
+++ b/source/core/journal/shard_owner_writes.cc
@@ -0,0 +1,247 @@
+// Conditional writes of a shard: group commit, sealing, lost answers.
+
+#include <algorithm>
+#include <utility>
+
+#include "core/common/error.h"
+#include "core/journal/shard_owner.h"
+
+namespace jujuberock::journal {
+
+using common::TimePoint;
+using common::UnixTime;
+using platform::WriteState;
+
+void ShardOwner::Pump(TimePoint now, UnixTime wall) {
+  const std::optional<TimePoint> due = this->WriteDue();
+  if (!due || *due > now)
+    return;
+  this->DropExpired(wall);
+  this->SealIfLarge();
+  this->StartHeadWrite();
+  this->first_intent.reset();
+  this->first_outcome.reset();
+  this->next_write = now + this->options.write_spacing;
+}
+
+std::optional<TimePoint> ShardOwner::WriteDue() const {
+  if (this->state != State::kActive || this->head_write ||
+      this->last_change == this->committed_change)
+    return std::nullopt;
+  TimePoint due = TimePoint::max();
+  if (this->first_intent)
+    due = *this->first_intent + this->options.write_window;
+  if (this->first_outcome)
+    due = std::min(due, *this->first_outcome + this->options.outcome_delay);
+  return std::max(due, this->next_write);
+}
+
+void ShardOwner::StartHeadWrite() {
+  std::string joined;
+  joined.reserve(this->record_bytes + this->records.size());
+  for (const auto& [number, entry] : this->records) {
+    if (!joined.empty())
+      joined += ',';
+    joined += entry.text;
+  }
+  PendingWrite pending;
+  pending.write = {HeadName(this->shard), this->version,
+                   RenderHead(this->head, joined), this->make_token()};
+  pending.change = this->last_change;
+  pending.deletes = std::exchange(this->expired_segments, {});
+  this->head_write = std::move(pending);
+  this->Send(*this->head_write);
+}
+
+void ShardOwner::DropExpired(UnixTime wall) {
+  this->head.floor = std::max(this->head.floor, wall - this->options.retention);
+  std::vector<uint64_t> expired;
+  for (const auto& [number, entry] : this->records) {
+    if (entry.record.issued < this->head.floor && !entry.sealing)
+      expired.push_back(number);
+  }
+  for (uint64_t number : expired)
+    this->EraseEntry(number);
+  std::erase_if(this->head.segments, [this](const SegmentInfo& segment) {
+    if (segment.newest_issued >= this->head.floor)
+      return false;
+    this->expired_segments.push_back(segment.name);
+    this->sealed.erase(segment.name);
+    return true;
+  });
+}
+
+void ShardOwner::SealIfLarge() {
+  if (this->seal_write || this->record_bytes <= this->options.head_bytes)
+    return;
+  PendingWrite pending;
+  std::string joined;
+  std::vector<uint64_t> released;
+  for (const auto& [number, entry] : this->records) {
+    if (entry.change > this->committed_change)
+      continue;
+    if (entry.record.state == RecordState::kReleased)
+      released.push_back(number);
+    if (entry.record.state != RecordState::kDone)
+      continue;
+    if (!joined.empty())
+      joined += ',';
+    joined += entry.text;
+    pending.entries.push_back(number);
+    pending.segment.newest_issued =
+        std::max(pending.segment.newest_issued, entry.record.issued);
+  }
+  // Their calls will never be sent, so nothing is lost with them.
+  for (uint64_t number : released)
+    this->EraseEntry(number);
+  // Small segments would cost a platform object and a write each.
+  if (joined.size() < this->options.head_bytes / 2)
+    return;
+  for (uint64_t number : pending.entries)
+    this->records.at(number).sealing = true;
+  pending.segment.name =
+      SegmentName(this->shard, this->head.term, this->head.next_segment);
+  pending.segment.records = pending.entries.size();
+  pending.write = {pending.segment.name, 0, RenderSegment(joined),
+                   this->make_token()};
+  this->seal_write = std::move(pending);
+  this->Send(*this->seal_write);
+}
+
+void ShardOwner::Send(PendingWrite& pending) {
+  pending.reading = false;
+  pending.retry_at.reset();
+  this->actions.writes.push_back(pending.write);
+}
+
+void ShardOwner::Retry(PendingWrite& pending, TimePoint now) {
+  if (!pending.retry_at || *pending.retry_at > now)
+    return;
+  if (!pending.reading) {
+    this->Send(pending);
+    return;
+  }
+  pending.retry_at.reset();
+  this->actions.reads.push_back({pending.write.name});
+}
+
+ShardOwner::Settled ShardOwner::Settle(PendingWrite& pending,
+                                       const platform::WriteResult& result,
+                                       TimePoint now) {
+  switch (result.state) {
+    case WriteState::kWritten:
+      pending.version = result.version;
+      return Settled::kTookEffect;
+    case WriteState::kConflict:
+      if (result.current)
+        return this->SettleByObject(pending, *result.current);
+      break;
+    case WriteState::kRejected:
+      pending.retry_at = now + this->options.platform_retry;
+      return Settled::kNo;
+    case WriteState::kUnknown:
+      break;
+  }
+  pending.reading = true;
+  this->actions.reads.push_back({pending.write.name});
+  return Settled::kNo;
+}
+
+ShardOwner::Settled ShardOwner::SettleByRead(
+    PendingWrite& pending,
+    bool ok,
+    const std::optional<platform::Object>& object,
+    TimePoint now) {
+  if (!ok) {
+    pending.retry_at = now + this->options.platform_retry;
+    return Settled::kNo;
+  }
+  const platform::Version found = object ? object->version : 0;
+  if (found == pending.write.expected) {
+    // It has had no effect so far. It may still be on its way, so the same
+    // token goes out again rather than a different write.
+    this->Send(pending);
+    return Settled::kNo;
+  }
+  if (!object)
+    return Settled::kSuperseded;
+  return this->SettleByObject(pending, *object);
+}
+
+ShardOwner::Settled ShardOwner::SettleByObject(PendingWrite& pending,
+                                               const platform::Object& object) {
+  if (object.token == pending.write.token) {
+    pending.version = object.version;
+    return Settled::kTookEffect;
+  }
+  if (pending.write.name == HeadName(this->shard)) {
+    try {
+      pending.new_owner = ParseHead(object.body).head.owner;
+    } catch (const common::Error&) {
+      // The name is only a hint for those who ask.
+    }
+  }
+  return Settled::kSuperseded;
+}
+
+void ShardOwner::OnHeadSettled(Settled settled,
+                               TimePoint now,
+                               UnixTime /*wall*/) {
+  if (settled == Settled::kNo)
+    return;
+  const PendingWrite pending = std::move(*this->head_write);
+  this->head_write.reset();
+  if (settled == Settled::kSuperseded) {
+    this->Lose(pending.new_owner, now);
+    return;
+  }
+  this->version = pending.version;
+  this->committed_change = pending.change;
+  if (this->state == State::kTakingOver) {
+    this->OnTakenOver();
+    return;
+  }
+  for (const std::string& name : pending.deletes)
+    this->actions.deletes.push_back(name);
+  this->ReleaseReplies();
+}
+
+void ShardOwner::OnSealSettled(Settled settled, TimePoint now) {
+  if (settled == Settled::kNo)
+    return;
+  const PendingWrite pending = std::move(*this->seal_write);
+  this->seal_write.reset();
+  ++this->head.next_segment;
+  if (settled == Settled::kSuperseded) {
+    for (uint64_t number : pending.entries)
+      this->records.at(number).sealing = false;
+    return;
+  }
+  std::vector<uint64_t>& hashes = this->sealed[pending.segment.name];
+  hashes.reserve(pending.entries.size());
+  for (uint64_t number : pending.entries) {
+    hashes.push_back(HashKey(this->records.at(number).record.key));
+    this->EraseEntry(number);
+  }
+  std::sort(hashes.begin(), hashes.end());
+  this->head.segments.push_back(pending.segment);
+  ++this->last_change;
+  if (!this->first_outcome)
+    this->first_outcome = now;
+}
+
+void ShardOwner::ReleaseReplies() {
+  auto& permits = this->deferred_permits;
+  while (!permits.empty() && permits.begin()->first <= this->committed_change) {
+    this->actions.permits.push_back(std::move(permits.begin()->second));
+    permits.erase(permits.begin());
+  }
+  auto& outcomes = this->deferred_outcomes;
+  while (!outcomes.empty() &&
+         outcomes.begin()->first <= this->committed_change) {
+    this->actions.outcomes.push_back(outcomes.begin()->second);
+    outcomes.erase(outcomes.begin());
+  }
+}
+
+}  // namespace jujuberock::journal
