Test the stand-ins and separate status calls by team

A status call without the team's header could only be answered for one of two teams that use the same key, so it gets 400.

--- /dev/null
+++ b/source/unit_tests/standin/engine_standin_test.cc
@@ -0,0 +1,230 @@
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "core/runtime/http_client.h"
+#include "core/runtime/http_server.h"
+#include "core/runtime/sleep.h"
+#include "standin/answer_text.h"
+#include "standin/cache_store_standin.h"
+#include "standin/engine_standin.h"
+
+namespace jujuberock::standin {
+namespace {
+
+using nlohmann::json;
+using runtime::HttpClient;
+using runtime::HttpResponse;
+using std::chrono::milliseconds;
+
+const runtime::Address kAnyPort{"127.0.0.1", 0};
+
+// An engine and a store behind their HTTP interfaces.
+struct Fixture {
+  explicit Fixture(EngineOptions options = DefaultOptions())
+      : client(this->pool, {}),
+        engine(std::move(options), this->client),
+        store({}),
+        store_server(
+            this->pool,
+            kAnyPort,
+            {},
+            [this](const auto& request, auto& writer) {
+              this->store.Handle(request, writer);
+            },
+            runtime::RenderPlainError),
+        engine_server(
+            this->pool,
+            kAnyPort,
+            {},
+            [this](const auto& request, auto& writer) {
+              this->engine.Handle(request, writer);
+            },
+            runtime::RenderPlainError) {
+    this->pool.Run([this] { this->engine.Start(); });
+  }
+
+  static EngineOptions DefaultOptions() {
+    EngineOptions options;
+    options.batch.decode_ms = 0.1;
+    options.batch.prefill_tokens_per_s = 1e7;
+    options.capacity_blocks = 2;
+    options.kv_bytes_per_block = 200;
+    return options;
+  }
+
+  HttpResponse Post(const std::string& target, const json& body) {
+    return this->client.Fetch(this->engine_server.address(),
+                              {"POST", target, {}, body.dump()});
+  }
+
+  HttpResponse Get(const std::string& target) {
+    return this->client.Fetch(this->engine_server.address(),
+                              {"GET", target, {}, ""});
+  }
+
+  HttpResponse StoreFault(const json& fault) {
+    return this->client.Fetch(this->store_server.address(),
+                              {"POST", "/control/faults", {}, fault.dump()});
+  }
+
+  HttpResponse Generate(const std::string& id,
+                        const std::string& prompt,
+                        const std::vector<std::string>& keys,
+                        bool restore = false,
+                        const std::string& team = "a") {
+    json body = {{"request_id", id},  {"team", team},     {"model", "model-a"},
+                 {"version", "v1"},   {"prompt", prompt}, {"max_tokens", 4},
+                 {"block_keys", keys}};
+    for (const std::string& key : keys) {
+      if (restore)
+        body["restore"].push_back(
+            {{"key", key}, {"store", this->store_server.address().ToString()}});
+    }
+    return this->Post("/v1/generate", body);
+  }
+
+  uint64_t Count(const char* name) {
+    return json::parse(this->Get("/control/counts").body)[name];
+  }
+
+  runtime::WorkerPool pool{1};
+  HttpClient client;
+  EngineStandin engine;
+  CacheStoreStandin store;
+  runtime::HttpServer store_server;
+  runtime::HttpServer engine_server;
+};
+
+std::string TextOf(const HttpResponse& response) {
+  std::string text;
+  size_t at = 0;
+  while ((at = response.body.find("data: ", at)) != std::string::npos) {
+    at += 6;
+    const size_t end = response.body.find('\n', at);
+    const json event = json::parse(response.body.substr(at, end - at));
+    text += event.value("text", "");
+  }
+  return text;
+}
+
+std::string Expected(const std::string& prompt, const std::string& version) {
+  const std::vector<std::string> digests = BlockDigests(prompt);
+  const std::string rest = prompt.substr(digests.size() * kBlockBytes);
+  const std::string seed = AnswerSeed(version, digests, rest);
+  std::string text;
+  for (uint64_t i = 0; i < 4; ++i)
+    text += AnswerToken(seed, i);
+  return text;
+}
+
+const std::string kPrompt = std::string(2 * kBlockBytes, 'p') + "rest";
+const std::string kOther = std::string(2 * kBlockBytes, 'o') + "rest";
+
+// Guards against an engine stand-in whose restored context does not matter:
+// the demo's restored share would then prove nothing.
+TEST_CASE("evicted blocks come back from a store with the same answer") {
+  Fixture f;
+  f.pool.Run([&] {
+    REQUIRE(TextOf(f.Generate("r1", kPrompt, {"k1", "k2"})) ==
+            Expected(kPrompt, "v1"));
+    const json exported = json::parse(
+        f.Post("/kv/export", {{"keys", {"k1", "k2", "none"}},
+                              {"team", "a"},
+                              {"store", f.store_server.address().ToString()}})
+            .body);
+    REQUIRE(exported["exported"].size() == 2);
+    REQUIRE(exported["failed"].size() == 1);
+    f.Generate("r2", kOther, {"k3", "k4"});
+    REQUIRE(TextOf(f.Generate("r3", kPrompt, {"k1", "k2"}, true)) ==
+            Expected(kPrompt, "v1"));
+    REQUIRE(f.Count("restored_tokens") == 2 * kBlockTokens);
+    REQUIRE(f.Count("bad_blocks") == 0);
+  });
+}
+
+// Guards against the use of corrupt blocks, of blocks under a wrong key, and
+// of blocks that belong to another team.
+TEST_CASE("a block that fails a check is recomputed and counted") {
+  Fixture f;
+  f.pool.Run([&] {
+    const std::string store = f.store_server.address().ToString();
+    f.Generate("r1", kPrompt, {"k1", "k2"});
+    f.Post("/kv/export",
+           {{"keys", {"k1", "k2"}}, {"team", "a"}, {"store", store}});
+    f.Generate("r2", kOther, {"k3", "k4"});
+    f.StoreFault({{"corrupt", "k1"}});
+    REQUIRE(TextOf(f.Generate("r3", kPrompt, {"k1", "k2"}, true)) ==
+            Expected(kPrompt, "v1"));
+    REQUIRE(f.Count("bad_blocks") == 1);
+    REQUIRE(TextOf(f.Generate("r4", kPrompt, {"k1", "k2"}, false, "b")) ==
+            Expected(kPrompt, "v1"));
+    REQUIRE(f.Count("foreign_blocks") == 2);
+  });
+}
+
+// Guards against a test oracle that can not see a mixed answer: a cached block
+// of another prompt must change the text.
+TEST_CASE("a wrong key shows in the answer") {
+  Fixture f;
+  f.pool.Run([&] {
+    f.Generate("r1", kPrompt, {"k1", "k2"});
+    REQUIRE(TextOf(f.Generate("r2", kOther, {"k1", "k2"})) !=
+            Expected(kOther, "v1"));
+  });
+}
+
+TEST_CASE("a finished stream resumes from an offset") {
+  Fixture f;
+  f.pool.Run([&] {
+    f.Generate("r1", kPrompt, {});
+    REQUIRE(TextOf(f.Get("/v1/requests/r1?from=1")) ==
+            Expected(kPrompt, "v1").substr(8));
+    REQUIRE(f.Get("/v1/requests/none?from=0").status == 404);
+  });
+}
+
+TEST_CASE("an order with an old fence is refused and another version is 409") {
+  Fixture f;
+  f.pool.Run([&] {
+    const auto order = [&](int fence, const char* version) {
+      return f
+          .Post("/orders", {{"fence", fence},
+                            {"action", "load"},
+                            {"model", "model-a"},
+                            {"version", version},
+                            {"expires_ms", 32503680000000}})
+          .status;
+    };
+    REQUIRE(order(5, "v2") == 200);
+    REQUIRE(order(4, "v3") == 412);
+    runtime::SleepFor(milliseconds(5));
+    REQUIRE(f.Generate("r1", "short", {}).status == 409);
+    REQUIRE(json::parse(f.Get("/orders").body)["version"] == "v2");
+  });
+}
+
+// Guards against a silence fault that also stops new connections, which would
+// hide whether a fresh probe works.
+TEST_CASE("silent connections stay silent while new ones work") {
+  Fixture f;
+  f.pool.Run([&] {
+    REQUIRE(f.Get("/load").status == 200);
+    f.Post("/control/faults", {{"silent", true}});
+    const runtime::HttpRequest get{"GET", "/load", {}, ""};
+    REQUIRE_THROWS_AS(f.client.Fetch(f.engine_server.address(), get,
+                                     {.header_timeout = milliseconds(50)}),
+                      runtime::HttpError);
+    REQUIRE(f.client
+                .Fetch(f.engine_server.address(), get,
+                       {.header_timeout = milliseconds(500),
+                        .fresh_connection = true})
+                .status == 200);
+    f.Post("/control/faults", {{"release", true}});
+  });
+}
+
+}  // namespace
+}  // namespace jujuberock::standin
--- /dev/null
+++ b/source/unit_tests/standin/platform_standin_test.cc
@@ -0,0 +1,135 @@
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "core/common/counters.h"
+#include "core/platform/client.h"
+#include "core/runtime/http_client.h"
+#include "core/runtime/http_server.h"
+#include "core/runtime/sleep.h"
+#include "standin/plain_service_standin.h"
+#include "standin/platform_standin.h"
+
+namespace jujuberock::standin {
+namespace {
+
+using platform::WriteState;
+using std::chrono::milliseconds;
+
+const runtime::Address kAnyPort{"127.0.0.1", 0};
+
+// The platform stand-in as the system's own client sees it.
+struct Fixture {
+  Fixture()
+      : standin(SlowWrites()),
+        server(
+            this->pool,
+            kAnyPort,
+            {},
+            [this](const auto& request, auto& writer) {
+              this->standin.Handle(request, writer);
+            },
+            runtime::RenderPlainError),
+        http(this->pool, {}),
+        client(this->http, this->server.address(), this->counters) {}
+
+  static PlatformOptions SlowWrites() {
+    PlatformOptions options;
+    options.writes_per_s = 5;
+    options.delay = milliseconds(0);
+    return options;
+  }
+
+  void Fault(const std::string& fault) {
+    this->http.Fetch(this->server.address(),
+                     {"POST", "/control/faults", {}, fault});
+  }
+
+  runtime::WorkerPool pool{1};
+  PlatformStandin standin;
+  runtime::HttpServer server;
+  runtime::HttpClient http;
+  common::CounterRegistry counters;
+  platform::Client client;
+};
+
+TEST_CASE("a write whose answer is lost is found by its token") {
+  Fixture f;
+  f.pool.Run([&] {
+    f.Fault(R"({"lose_answers": 1})");
+    REQUIRE(f.client.Write("team", "a", 0, "{}", "mine").state ==
+            WriteState::kUnknown);
+    REQUIRE(f.client.Read("team", "a")->token == "mine");
+    const auto again = f.client.Write("team", "a", 0, "{}", "other");
+    REQUIRE(again.state == WriteState::kConflict);
+    REQUIRE(again.current->token == "mine");
+  });
+}
+
+TEST_CASE("writes above the rate and in an outage have no effect") {
+  Fixture f;
+  f.pool.Run([&] {
+    int written = 0;
+    for (int i = 0; i < 8; ++i) {
+      const auto result =
+          f.client.Write("team", "t" + std::to_string(i), 0, "{}", "x");
+      written += result.state == WriteState::kWritten ? 1 : 0;
+    }
+    REQUIRE(written >= 5);
+    REQUIRE(written < 8);
+    REQUIRE(f.client.List("team").objects.size() ==
+            static_cast<size_t>(written));
+    f.Fault(R"({"outage_ms": 60000})");
+    REQUIRE(f.client.Write("team", "z", 0, "{}", "x").state ==
+            WriteState::kRejected);
+    REQUIRE_THROWS_AS(f.client.List("team"), common::Error);
+  });
+}
+
+TEST_CASE("a watch delivers changes in order, with tombstones") {
+  Fixture f;
+  f.pool.Run([&] {
+    f.client.Write("team", "a", 0, R"({"x": 1})", "t");
+    runtime::SpawnHere([&] {
+      runtime::SleepFor(milliseconds(10));
+      f.client.Delete("team", "a", 1);
+    });
+    std::string seen;
+    f.client.Watch("team", 0, std::chrono::seconds(5),
+                   [&](const platform::Object& object) {
+                     seen += object.name + std::to_string(object.version) +
+                             (object.deleted ? "- " : "+ ");
+                     return !object.deleted;
+                   });
+    REQUIRE(seen == "a1+ a2- ");
+  });
+}
+
+// Guards against a plain service that hides a second execution.
+TEST_CASE("the plain service counts every execution of a key") {
+  runtime::WorkerPool pool(1);
+  PlainServiceStandin service({});
+  runtime::HttpServer server(
+      pool, kAnyPort, {},
+      [&](const auto& request, auto& writer) {
+        service.Handle(request, writer);
+      },
+      runtime::RenderPlainError);
+  pool.Run([&] {
+    runtime::HttpClient http(pool, {});
+    runtime::HttpRequest call{"POST", "/pay", {}, "{}"};
+    call.headers.Add("Idempotency-Key", "k");
+    call.headers.Add("Jujuberock-Team", "a");
+    REQUIRE(http.Fetch(server.address(), call).status == 200);
+    http.Fetch(server.address(),
+               {"POST", "/control/faults", {}, R"({"lose_answers": 1})"});
+    REQUIRE_THROWS_AS(http.Fetch(server.address(), call), runtime::HttpError);
+    const auto counts =
+        http.Fetch(server.address(), {"GET", "/control/executions", {}, ""});
+    REQUIRE(counts.body == R"({"a/k":2})");
+    REQUIRE(http.Fetch(server.address(), {"GET", "/status/k", {}, ""}).status ==
+            400);
+  });
+}
+
+}  // namespace
+}  // namespace jujuberock::standin
