--- a/source/standin/engine_standin.cc
+++ b/source/standin/engine_standin.cc
@@ -113,7 +113,7 @@
 }
 
 const std::vector<EngineStandin::RouteEntry>& EngineStandin::Routes() {
-  static const std::vector<RouteEntry> routes = {
+  static const std::vector<RouteEntry> kRoutes = {
       {"POST", {"v1", "generate"}, &EngineStandin::Generate},
       {"GET", {"v1", "requests", "*"}, &EngineStandin::Resume},
       {"DELETE", {"v1", "requests", "*"}, &EngineStandin::Cancel},
@@ -125,7 +125,7 @@
       {"GET", {"control", "counts"}, &EngineStandin::ShowCounts},
       {"POST", {"control", "faults"}, &EngineStandin::SetFaults},
   };
-  return routes;
+  return kRoutes;
 }
 
 void EngineStandin::Handle(const HttpRequest& request, ResponseWriter& writer) {
--- a/source/standin/main.cc
+++ b/source/standin/main.cc
@@ -142,12 +142,12 @@
 using Maker = std::unique_ptr<Standin> (*)(runtime::HttpClient&);
 
 const std::map<std::string, Maker>& Makers() {
-  static const std::map<std::string, Maker> makers = {
+  static const std::map<std::string, Maker> kMakers = {
       {"platform", MakePlatform},          {"engine", MakeEngine},
       {"plain-service", MakePlainService}, {"cache-store", MakeCacheStore},
       {"weight-store", MakeWeightStore},
   };
-  return makers;
+  return kMakers;
 }
 
 sigset_t StopSignals() {
