--- a/source/core/runtime/http_client.cc
+++ b/source/core/runtime/http_client.cc
@@ -92,7 +92,8 @@
                                      Await(error));
     if (error)
       throw HttpError(
-          ResultCode::kPeerUnavailable,
+          error == beast::error::timeout ? ResultCode::kEndpointSilent
+                                         : ResultCode::kPeerUnavailable,
           "connect to " + address.ToString() + ": " + error.message(), false);
     connection->stream.socket().set_option(tcp::no_delay(true), error);
     return connection;
@@ -159,6 +160,9 @@
     return static_cast<int>(this->parser.get().result_int());
   }
   const HttpHeaders& headers() const override { return this->fields; }
+  void set_read_timeout(common::Duration timeout) override {
+    this->read_timeout = timeout;
+  }
 
   std::optional<std::string> Read() override {
     while (!this->parser.is_done()) {
