--- a/source/standin/block_tiers.cc
+++ b/source/standin/block_tiers.cc
@@ -17,11 +17,11 @@
 }
 
 bool BlockTiers::Seal(const std::string& key, SealedBlock block) {
-  if (block.body.size() > this->Limit(false))
+  if (this->SizeOf(block) > this->Limit(false))
     return false;
   this->Evict(key);
   block.generation = ++this->last_generation;
-  this->used[0] += block.body.size();
+  this->used[0] += this->SizeOf(block);
   Entry& entry = this->entries[key];
   entry.block = std::make_shared<const SealedBlock>(std::move(block));
   entry.last_use = ++this->uses;
@@ -39,8 +39,8 @@
   entry.last_use = ++this->uses;
   if (entry.on_disk) {
     entry.on_disk = false;
-    this->used[1] -= entry.block->body.size();
-    this->used[0] += entry.block->body.size();
+    this->used[1] -= this->SizeOf(*entry.block);
+    this->used[0] += this->SizeOf(*entry.block);
     this->Balance();
   }
   return result;
@@ -60,7 +60,8 @@
 }
 
 void BlockTiers::Erase(Entries::iterator entry) {
-  this->used[entry->second.on_disk ? 1 : 0] -= entry->second.block->body.size();
+  this->used[entry->second.on_disk ? 1 : 0] -=
+      this->SizeOf(*entry->second.block);
   this->AddEvent(false, entry->first);
   this->entries.erase(entry);
 }
@@ -106,7 +107,7 @@
 void BlockTiers::Balance() {
   while (this->used[0] > this->Limit(false)) {
     const auto entry = this->LeastRecent(false);
-    const uint64_t size = entry->second.block->body.size();
+    const uint64_t size = this->SizeOf(*entry->second.block);
     entry->second.on_disk = true;
     this->used[0] -= size;
     this->used[1] += size;
--- a/source/standin/block_tiers.h
+++ b/source/standin/block_tiers.h
@@ -30,6 +30,9 @@
 struct TierOptions {
   uint64_t memory_bytes = 64 * 1024 * 1024;
   uint64_t disk_bytes = 256 * 1024 * 1024;
+  // Bytes that each byte of a body stands for, so that tests can use blocks
+  // and links of real size without moving that much data.
+  uint64_t bytes_per_body_byte = 1;
 };
 
 // Sealed blocks in a memory tier over a disk tier. The least recently used
@@ -76,6 +79,9 @@
   };
   using Entries = std::map<std::string, Entry>;
 
+  uint64_t SizeOf(const SealedBlock& block) const {
+    return block.body.size() * this->options.bytes_per_body_byte;
+  }
   uint64_t Limit(bool on_disk) const;
   Entries::iterator LeastRecent(bool on_disk);
   void Erase(Entries::iterator entry);
--- a/source/standin/cache_store_standin.cc
+++ b/source/standin/cache_store_standin.cc
@@ -149,14 +149,14 @@
   std::string_view rest = block.body;
   while (!rest.empty()) {
     const std::string_view piece = rest.substr(0, kPieceBytes);
-    runtime::SleepFor(
-        this->out_link.Reserve(static_cast<double>(piece.size()), Now()));
+    const uint64_t size = this->Scaled(piece.size());
+    runtime::SleepFor(this->out_link.Reserve(static_cast<double>(size), Now()));
     if (this->tiers.GenerationOf(key) != block.generation) {
       ++this->counts.cut_reads;
       DropConnection();
     }
     writer.Write(piece);
-    this->counts.sent_bytes += piece.size();
+    this->counts.sent_bytes += size;
     rest.remove_prefix(piece.size());
   }
   writer.FinishStream();
--- a/source/standin/cache_store_standin.h
+++ b/source/standin/cache_store_standin.h
@@ -54,6 +54,9 @@
                 const SealedBlock& block,
                 runtime::ResponseWriter& writer);
   nlohmann::json Status() const;
+  uint64_t Scaled(size_t body_bytes) const {
+    return body_bytes * this->options.tiers.bytes_per_body_byte;
+  }
 
   CacheStoreOptions options;
   BlockTiers tiers;
--- a/source/standin/main.cc
+++ b/source/standin/main.cc
@@ -30,6 +30,7 @@
 DEFINE_bool(offers_status, true, "plain-service: answers status calls");
 DEFINE_uint64(memory_bytes, 64 << 20, "cache-store: memory tier");
 DEFINE_uint64(disk_bytes, 256 << 20, "cache-store: disk tier");
+DEFINE_uint64(bytes_per_body_byte, 1, "cache-store: size of a body byte");
 DEFINE_double(link_bytes_per_s, 100e6, "cache-store: link in each direction");
 DEFINE_int32(disk_latency_ms, 5, "cache-store: latency of the disk tier");
 DEFINE_int32(load_ms, 500, "weight-store: length of one load");
@@ -128,7 +129,8 @@
 
 std::unique_ptr<Standin> MakeCacheStore(runtime::HttpClient&) {
   CacheStoreOptions options;
-  options.tiers = {FLAGS_memory_bytes, FLAGS_disk_bytes};
+  options.tiers = {FLAGS_memory_bytes, FLAGS_disk_bytes,
+                   FLAGS_bytes_per_body_byte};
   options.link_bytes_per_s = FLAGS_link_bytes_per_s;
   options.disk_latency = milliseconds(FLAGS_disk_latency_ms);
   return std::make_unique<CacheStoreStandin>(options);
