--- a/source/core/journal/codec.cc
+++ b/source/core/journal/codec.cc
@@ -3,6 +3,7 @@
 #include <msgpack.hpp>
 
 #include "core/common/error.h"
+#include "core/common/msgpack_unpack.h"
 
 namespace jujuberock::journal {
 
@@ -100,8 +101,7 @@
 template <typename Parse>
 auto Unpacked(std::string_view bytes, Parse parse) {
   try {
-    const msgpack::object_handle handle =
-        msgpack::unpack(bytes.data(), bytes.size());
+    const msgpack::object_handle handle = common::UnpackMessage(bytes);
     Fields fields(handle.get());
     if (fields.Take<uint32_t>() != kFormat)
       ThrowMalformed();
@@ -110,6 +110,8 @@
     ThrowMalformed();
   } catch (const msgpack::unpack_error&) {
     ThrowMalformed();
+  } catch (const msgpack::size_overflow&) {
+    ThrowMalformed();
   }
 }
 
--- a/source/unit_tests/core/fuzz/parsers_test.cc
+++ b/source/unit_tests/core/fuzz/parsers_test.cc
@@ -4,6 +4,7 @@
 
 #include "core/common/error.h"
 #include "core/common/settings.h"
+#include "core/journal/codec.h"
 #include "core/load_exchange/codec.h"
 #include "core/platform/object_json.h"
 #include "core/report/burn_render.h"
@@ -96,6 +97,21 @@
         }) > 0);
 }
 
+TEST_CASE("mutated journal messages are refused or parsed") {
+  journal::PermitRequest request;
+  CHECK(Fuzz(journal::Encode(request), [](const std::string& bytes) {
+          journal::DecodePermitRequest(bytes);
+        }) > 0);
+  CHECK(Fuzz(journal::Encode(journal::PermitReply()),
+             [](const std::string& bytes) {
+               journal::DecodePermitReply(bytes);
+             }) > 0);
+  CHECK(Fuzz(journal::Encode(journal::OutcomeRequest()),
+             [](const std::string& bytes) {
+               journal::DecodeOutcomeRequest(bytes);
+             }) > 0);
+}
+
 TEST_CASE("mutated burn reports are refused or parsed") {
   report::BurnRow row{{"team", "service", "06:00"}, {}, {}};
   CHECK(Fuzz(report::RenderJson({row}, 0.95),
