Answer what callers have sent already when a server drains

Cause: a drain closed idle connections and the listening socket at once, so a request on its way or a connection in the kernel's queue was reset. Change: for one second a draining server still accepts and lets the handler refuse; connections accepted by the kernel are served; the drain ends when no connection is open. A request counts from its first byte. Ruled out: waiting for the handlers only, which misses requests being read.

--- a/source/core/caller/server.h
+++ b/source/core/caller/server.h
@@ -35,6 +35,7 @@
 
   runtime::Address address() const { return this->http.address(); }
   void Drain() { this->http.Drain(); }
+  bool IsDrained() const { return this->http.IsDrained(); }
   size_t ActiveRequests() const { return this->http.ActiveRequests(); }
   size_t OpenConnections() const { return this->http.OpenConnections(); }
 
--- a/source/core/runtime/http_server.cc
+++ b/source/core/runtime/http_server.cc
@@ -31,6 +31,11 @@
 
 constexpr common::Duration kAcceptBackoff = std::chrono::milliseconds(50);
 
+// How long a draining server still accepts connections and requests, so that
+// what callers have sent already gets an answer instead of a reset.
+constexpr common::Duration kDrainGrace = std::chrono::seconds(1);
+constexpr common::Duration kCloseCheck = std::chrono::milliseconds(5);
+
 HttpRequest FromBeast(http::request<http::string_body>& message) {
   HttpRequest request;
   request.method = std::string(message.method_string());
@@ -219,9 +224,12 @@
   void Serve(size_t worker, tcp::socket socket);
   void ServeRequests(beast::tcp_stream& stream);
   bool ServeOne(beast::tcp_stream& stream, beast::flat_buffer& buffer);
+  bool ReadAndAnswer(beast::tcp_stream& stream, beast::flat_buffer& buffer);
   bool Answer(beast::tcp_stream& stream,
               http::request<http::string_body>& message);
   void Reject(beast::tcp_stream& stream, const Error& error);
+  void StartServing(size_t worker, tcp::socket socket);
+  void StopAccepting(size_t worker);
   void Drain();
   void Close();
 
@@ -240,6 +248,9 @@
   std::atomic<size_t> connections{0};
   std::atomic<size_t> active{0};
   std::atomic<bool> draining{false};
+  std::atomic<bool> closing{false};
+  // Workers that still accept although the server drains.
+  std::atomic<size_t> undrained_workers{0};
 };
 
 void HttpServer::State::Listen(const Address& address) {
@@ -275,27 +286,30 @@
 
 void HttpServer::State::Accept(size_t worker) {
   tcp::acceptor& acceptor = *this->acceptors[worker];
-  while (!this->draining) {
+  while (acceptor.is_open()) {
     error_code error;
     tcp::socket socket = acceptor.async_accept(Await(error));
-    if (error == boost::asio::error::operation_aborted || !acceptor.is_open())
-      return;
-    if (error) {
-      // Out of file descriptors, most likely: give connections time to close.
-      SleepFor(kAcceptBackoff);
+    if (!error) {
+      this->StartServing(worker, std::move(socket));
       continue;
     }
-    ++this->fibers;
-    SpawnHere([self = this->shared_from_this(), worker,
-               shared = std::make_shared<tcp::socket>(std::move(socket))] {
-      self->Serve(worker, std::move(*shared));
-      --self->fibers;
-    });
+    // Out of file descriptors, most likely: give connections time to close.
+    if (acceptor.is_open())
+      SleepFor(kAcceptBackoff);
   }
 }
 
-void HttpServer::State::Serve(size_t worker, tcp::socket socket) {
+void HttpServer::State::StartServing(size_t worker, tcp::socket socket) {
+  ++this->fibers;
   ++this->connections;
+  SpawnHere([self = this->shared_from_this(), worker,
+             shared = std::make_shared<tcp::socket>(std::move(socket))] {
+    self->Serve(worker, std::move(*shared));
+    --self->fibers;
+  });
+}
+
+void HttpServer::State::Serve(size_t worker, tcp::socket socket) {
   error_code ignored;
   socket.set_option(tcp::no_delay(true), ignored);
   beast::tcp_stream stream(std::move(socket));
@@ -309,7 +323,7 @@
 
 void HttpServer::State::ServeRequests(beast::tcp_stream& stream) {
   beast::flat_buffer buffer;
-  while (!this->draining && this->ServeOne(stream, buffer)) {
+  while (this->ServeOne(stream, buffer) && !this->draining) {
   }
 }
 
@@ -319,7 +333,8 @@
   const size_t worker = *WorkerPool::CurrentWorker();
   error_code error;
   if (buffer.size() == 0) {
-    stream.expires_after(this->options.idle_timeout);
+    stream.expires_after(this->draining ? kDrainGrace
+                                        : this->options.idle_timeout);
     auto space = buffer.prepare(4096);
     const size_t bytes = stream.async_read_some(space, Await(error));
     if (error)
@@ -327,6 +342,16 @@
     buffer.commit(bytes);
   }
   this->streams[worker][&stream] = false;
+  ++this->active;
+  const bool keep = this->ReadAndAnswer(stream, buffer);
+  --this->active;
+  this->streams[worker][&stream] = true;
+  return keep;
+}
+
+bool HttpServer::State::ReadAndAnswer(beast::tcp_stream& stream,
+                                      beast::flat_buffer& buffer) {
+  error_code error;
   http::request_parser<http::string_body> parser;
   parser.header_limit(static_cast<uint32_t>(this->options.header_limit_bytes));
   parser.body_limit(this->options.body_limit_bytes);
@@ -345,9 +370,7 @@
       this->Reject(stream, *problem);
     return false;
   }
-  const bool keep = this->Answer(stream, parser.get());
-  this->streams[worker][&stream] = true;
-  return keep;
+  return this->Answer(stream, parser.get());
 }
 
 bool HttpServer::State::Answer(beast::tcp_stream& stream,
@@ -356,7 +379,6 @@
   const bool is_head = message.method() == http::verb::head;
   const HttpRequest request = FromBeast(message);
   StreamWriter writer(stream, this->options.write_timeout, keep_alive, is_head);
-  ++this->active;
   try {
     // A handler may wait far longer than a read or write may take.
     stream.expires_never();
@@ -374,7 +396,6 @@
     if (!writer.started())
       this->Reject(stream, Error(ResultCode::kInternal, "internal error"));
   }
-  --this->active;
   return keep_alive && writer.finished();
 }
 
@@ -390,23 +411,44 @@
 void HttpServer::State::Drain() {
   if (this->draining.exchange(true))
     return;
+  this->undrained_workers = this->pool.size();
   for (size_t i = 0; i < this->pool.size(); ++i) {
-    boost::asio::post(this->pool.IoOf(i), [self = this->shared_from_this(), i] {
-      error_code ignored;
-      self->acceptors[i]->close(ignored);
-      for (auto& [stream, idle] : self->streams[i]) {
-        if (idle)
-          stream->socket().shutdown(tcp::socket::shutdown_both, ignored);
-      }
+    ++this->fibers;
+    this->pool.Spawn(i, [self = this->shared_from_this(), i] {
+      for (common::Duration waited{0}; waited < kDrainGrace && !self->closing;
+           waited += kCloseCheck)
+        SleepFor(kCloseCheck);
+      self->StopAccepting(i);
+      --self->undrained_workers;
+      --self->fibers;
     });
   }
 }
 
+// Connections that the kernel has accepted already are still served.
+void HttpServer::State::StopAccepting(size_t worker) {
+  tcp::acceptor& acceptor = *this->acceptors[worker];
+  error_code error;
+  acceptor.non_blocking(true, error);
+  while (!this->closing && !error) {
+    tcp::socket socket = acceptor.accept(error);
+    if (!error)
+      this->StartServing(worker, std::move(socket));
+  }
+  acceptor.close(error);
+  for (auto& [stream, idle] : this->streams[worker]) {
+    if (idle)
+      stream->socket().shutdown(tcp::socket::shutdown_both, error);
+  }
+}
+
 void HttpServer::State::Close() {
+  this->closing = true;
   this->Drain();
   for (size_t i = 0; i < this->pool.size(); ++i) {
     boost::asio::post(this->pool.IoOf(i), [self = this->shared_from_this(), i] {
       error_code ignored;
+      self->acceptors[i]->close(ignored);
       for (auto& [stream, idle] : self->streams[i])
         stream->socket().shutdown(tcp::socket::shutdown_both, ignored);
     });
@@ -444,6 +486,11 @@
   this->state->Drain();
 }
 
+bool HttpServer::IsDrained() const {
+  return this->state->draining && this->state->undrained_workers == 0 &&
+         this->state->connections == 0;
+}
+
 size_t HttpServer::ActiveRequests() const {
   return this->state->active;
 }
--- a/source/core/runtime/http_server.h
+++ b/source/core/runtime/http_server.h
@@ -68,11 +68,15 @@
 
   Address address() const;
 
-  // Accepts no new connection and closes each one after the request that it
-  // is serving. Returns at once.
+  // Closes each connection after the request that it is serving. For one
+  // second more the server accepts connections and requests, which the handler
+  // should refuse, so that nothing already sent is reset. Returns at once.
   void Drain();
 
-  // Requests being handled now.
+  // True when a drain has ended: nothing is accepted and no connection is open.
+  bool IsDrained() const;
+
+  // Requests being read, handled or answered now, from their first byte on.
   size_t ActiveRequests() const;
 
   // Open connections.
--- a/source/core/serve/host.cc
+++ b/source/core/serve/host.cc
@@ -273,7 +273,7 @@
   const TimePoint limit = this->timers.Now() + this->settings.stop_limit;
   std::atomic<bool> done{false};
   this->periodic.Every(this->timers, kDrainCheck, [&](TimePoint now) {
-    const bool over = this->callers.ActiveRequests() == 0 || now >= limit;
+    const bool over = this->callers.IsDrained() || now >= limit;
     if (over && !done.exchange(true))
       drained.set_value();
   });
--- a/source/unit_tests/core/runtime/http_test.cc
+++ b/source/unit_tests/core/runtime/http_test.cc
@@ -83,6 +83,28 @@
   });
 }
 
+// A planned stop must not reset what callers have sent: a running request ends
+// whole, and a request that arrives on an open connection is still answered.
+TEST_CASE("a draining server answers what was sent before it closes") {
+  WorkerPool pool(1);
+  HttpServer server(pool, kAnyPort, {}, Echo, RenderPlainError);
+  pool.Run([&] {
+    HttpClient client(pool, {});
+    REQUIRE(client.Fetch(server.address(), {"POST", "/", {}, "a"}).body == "a");
+    auto running = client.Open(server.address(), {"GET", "/stream", {}, ""});
+    server.Drain();
+    REQUIRE(client.Fetch(server.address(), {"POST", "/", {}, "b"}).body == "b");
+    std::string body;
+    while (auto bytes = running->Read())
+      body += *bytes;
+    REQUIRE(body == "piece0;piece1;piece2;");
+    for (int i = 0; i < 5000 && !server.IsDrained(); ++i)
+      SleepFor(std::chrono::milliseconds(1));
+    REQUIRE(server.IsDrained());
+    REQUIRE_THROWS_AS(client.Fetch(server.address(), {}), HttpError);
+  });
+}
+
 TEST_CASE("a timer fires on a fiber that may suspend") {
   WorkerPool pool(1);
   WallTimerService timers(pool, 0);
