--- a/source/core/journal/call.h
+++ b/source/core/journal/call.h
@@ -3,6 +3,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "core/common/result_code.h"
 #include "core/common/time.h"
@@ -27,6 +28,9 @@
                         std::string_view body,
                         common::UnixTime issued);
 
+// Builds a saved answer with digest and length of `body`.
+SavedAnswer MakeAnswer(int status, std::string content_type, std::string body);
+
 // What the caller is told. `answer` is set when the code is kOk; its body is
 // the whole body of the endpoint's answer.
 struct CallResult {
--- a/source/core/journal/node.h
+++ b/source/core/journal/node.h
@@ -47,6 +47,14 @@
   std::vector<CallHandle> forwards;
   std::vector<CallHandle> status_queries;
   std::vector<std::pair<CallHandle, CallResult>> answers;
+
+  bool empty() const {
+    return this->permits.empty() && this->outcomes.empty() &&
+           this->reads.empty() && this->writes.empty() &&
+           this->deletes.empty() && this->permit_replies.empty() &&
+           this->outcome_replies.empty() && this->forwards.empty() &&
+           this->status_queries.empty() && this->answers.empty();
+  }
 };
 
 // Everything that one host decides about non-idempotent calls: its calls, the
@@ -124,6 +132,8 @@
 
   // What the calls since the last Take() want done.
   NodeActions Take() { return std::exchange(this->actions, {}); }
+  // Whether Take() would return nothing.
+  bool Quiet() const { return this->actions.empty(); }
   std::optional<common::TimePoint> NextWake() const;
   // No call, unconfirmed outcome or uncommitted change is left.
   bool settled() const;
--- a/source/core/journal/service.h
+++ b/source/core/journal/service.h
@@ -73,9 +73,6 @@
 // Live hosts in rendezvous order of the shard, this one included.
 using HostOrder = std::function<std::vector<HostId>(ShardId)>;
 
-// Builds a saved answer with digest and length of `body`.
-SavedAnswer MakeAnswer(int status, std::string content_type, std::string body);
-
 // Runs non-idempotent calls and owns shards on this host. Thread-safe; call it
 // from fibers. Every dependency must outlive it, and every call must have
 // returned before it is destroyed.
--- a/source/core/journal/shard_owner.cc
+++ b/source/core/journal/shard_owner.cc
@@ -231,13 +231,16 @@
   this->StartHeadWrite();
 }
 
-void ShardOwner::OnTakenOver() {
+void ShardOwner::OnTakenOver(TimePoint now, UnixTime wall) {
   if (!this->stray_segment.empty())
     this->actions.deletes.push_back(std::exchange(this->stray_segment, {}));
   this->state = State::kLoading;
   this->load = {};
   this->load.left = this->head.segments.size();
-  this->LoadMore();
+  if (this->load.left == 0)
+    this->Activate(now, wall);
+  else
+    this->LoadMore();
 }
 
 void ShardOwner::LoadMore() {
--- a/source/core/journal/shard_owner.h
+++ b/source/core/journal/shard_owner.h
@@ -161,7 +161,7 @@
                   const std::optional<platform::Object>& object,
                   common::TimePoint now);
   void TakeOver(const std::optional<platform::Object>& object);
-  void OnTakenOver();
+  void OnTakenOver(common::TimePoint now, common::UnixTime wall);
   void Insert(Entry entry);
   void LoadMore();
   void OnSegmentLoaded(const std::string& name,
--- a/source/core/journal/shard_owner_writes.cc
+++ b/source/core/journal/shard_owner_writes.cc
@@ -186,7 +186,7 @@
 
 void ShardOwner::OnHeadSettled(Settled settled,
                                TimePoint now,
-                               UnixTime /*wall*/) {
+                               UnixTime wall) {
   if (settled == Settled::kNo)
     return;
   const PendingWrite pending = std::move(*this->head_write);
@@ -198,7 +198,7 @@
   this->version = pending.version;
   this->committed_change = pending.change;
   if (this->state == State::kTakingOver) {
-    this->OnTakenOver();
+    this->OnTakenOver(now, wall);
     return;
   }
   for (const std::string& name : pending.deletes)
