--- a/source/core/platform/client.cc
+++ b/source/core/platform/client.cc
@@ -124,18 +124,21 @@
   return ParseObjectList(response.body);
 }
 
-void Client::Watch(std::string_view kind,
-                   Version since,
-                   common::Duration idle,
-                   const std::function<bool(const Object&)>& on_change) {
+WatchEnd Client::Watch(std::string_view kind,
+                       Version since,
+                       common::Duration idle,
+                       const std::function<bool(const Object&)>& on_change,
+                       common::Duration lifetime) {
   this->watches.Add();
   const std::string target =
       "/watch/" + std::string(kind) + "?since=" + std::to_string(since);
+  const auto opened = std::chrono::steady_clock::now();
   std::string pending;
   try {
-    auto stream =
-        this->http.Open(this->address, {"GET", target, {}, ""},
-                        {.header_timeout = kCallTimeout, .read_timeout = idle});
+    auto stream = this->http.Open(this->address, {"GET", target, {}, ""},
+                                  {.header_timeout = kCallTimeout,
+                                   .read_timeout = idle,
+                                   .fresh_connection = true});
     if (stream->status() != 200)
       ThrowForStatus(stream->status());
     while (auto bytes = stream->Read()) {
@@ -146,14 +149,19 @@
         pending.erase(0, end + 1);
         // An empty line is the platform's keep-alive.
         if (!line.empty() && !on_change(ParseObject(line)))
-          return;
+          return WatchEnd::kStopped;
       }
+      if (std::chrono::steady_clock::now() - opened >= lifetime)
+        return WatchEnd::kExpired;
     }
   } catch (const runtime::HttpError& error) {
     if (!error.sent())
       throw Error(ResultCode::kPlatformUnavailable, error.what());
     // The watch ended; the caller opens a new one from its own version.
+    if (error.code() == ResultCode::kEndpointSilent)
+      return WatchEnd::kSilent;
   }
+  return WatchEnd::kEnded;
 }
 
 }  // namespace jujuberock::platform
--- a/source/core/platform/client.h
+++ b/source/core/platform/client.h
@@ -40,12 +40,15 @@
   ObjectList List(std::string_view kind);
 
   // Calls `on_change` for every change of the kind after version `since` until
-  // it returns false, the connection ends, or nothing arrives for `idle`.
-  // Throws as Read when the watch can not be opened.
-  void Watch(std::string_view kind,
-             Version since,
-             common::Duration idle,
-             const std::function<bool(const Object&)>& on_change);
+  // it returns false, the connection ends, nothing arrives for `idle`, or the
+  // watch has been open for `lifetime` (checked when something arrives). Opens
+  // a connection of its own, since a kept one may have gone silent. Throws as
+  // Read when the watch can not be opened.
+  WatchEnd Watch(std::string_view kind,
+                 Version since,
+                 common::Duration idle,
+                 const std::function<bool(const Object&)>& on_change,
+                 common::Duration lifetime = common::Duration::max());
 
  private:
   runtime::HttpResponse Fetch(const runtime::HttpRequest& request);
--- a/source/core/platform/object.h
+++ b/source/core/platform/object.h
@@ -47,6 +47,14 @@
   std::string detail;
 };
 
+// Why a watch ended.
+enum class WatchEnd {
+  kStopped,  // the receiver asked for it
+  kEnded,    // the connection ended
+  kSilent,   // nothing arrived, not even a keep-alive line
+  kExpired,  // its lifetime passed
+};
+
 }  // namespace jujuberock::platform
 
 #endif  // CORE_PLATFORM_OBJECT_H_
--- a/source/core/table/shared_view.cc
+++ b/source/core/table/shared_view.cc
@@ -41,6 +41,12 @@
   return this->view.DeltaSince(other);
 }
 
+std::vector<Object> SharedView::Newest(Version after,
+                                       size_t limit_bytes) const {
+  const common::RankedLock lock(this->mutex);
+  return this->view.Newest(after, limit_bytes);
+}
+
 std::optional<Object> SharedView::Find(std::string_view kind,
                                        std::string_view name) const {
   const common::RankedLock lock(this->mutex);
--- a/source/core/table/shared_view.h
+++ b/source/core/table/shared_view.h
@@ -29,6 +29,7 @@
   Digest MakeDigest() const;
   DigestSummary Summary() const;
   Delta DeltaSince(const Digest& other) const;
+  std::vector<Object> Newest(Version after, size_t limit_bytes) const;
   std::optional<Object> Find(std::string_view kind,
                              std::string_view name) const;
   std::vector<Problem> Problems() const;
--- a/source/core/table/view.cc
+++ b/source/core/table/view.cc
@@ -232,6 +232,23 @@
   return delta;
 }
 
+std::vector<Object> View::Newest(Version after, size_t limit_bytes) const {
+  std::vector<Object> newest;
+  size_t bytes = 0;
+  for (const auto& versions : this->by_version) {
+    for (auto it = versions.upper_bound(after); it != versions.end(); ++it) {
+      for (const Key& key : it->second) {
+        const Object& object = this->objects.at(key);
+        bytes += object.body.size();
+        if (bytes > limit_bytes)
+          return {};
+        newest.push_back(object);
+      }
+    }
+  }
+  return newest;
+}
+
 const Object* View::Find(std::string_view kind, std::string_view name) const {
   const auto found =
       this->objects.find(Key(std::string(kind), std::string(name)));
--- a/source/core/table/view.h
+++ b/source/core/table/view.h
@@ -59,6 +59,9 @@
   // each bucket. Repeated exchange in both directions makes views equal.
   Delta DeltaSince(const Digest& other) const;
 
+  // Every object above `after`, or nothing when their bodies exceed `limit`.
+  std::vector<Object> Newest(Version after, size_t limit_bytes) const;
+
   // What is held of one object, tombstones included.
   const Object* Find(std::string_view kind, std::string_view name) const;
 
