--- a/source/standin/cache_store_standin.cc
+++ b/source/standin/cache_store_standin.cc
@@ -106,9 +106,9 @@
   block.checksum = Required(request, "Block-Checksum");
   const uint64_t length = ParseNumber(Required(request, "Block-Length"));
   block.body = request.body;
-  runtime::SleepFor(
-      this->in_link.Reserve(static_cast<double>(block.body.size()), Now()));
-  this->counts.received_bytes += block.body.size();
+  const uint64_t size = this->Scaled(block.body.size());
+  runtime::SleepFor(this->in_link.Reserve(static_cast<double>(size), Now()));
+  this->counts.received_bytes += size;
   if (block.body.size() != length ||
       common::Hash128Hex(block.body) != block.checksum) {
     ++this->counts.rejected;
