Fix the lifetime of platform watches without a limit

Cause: the default lifetime, the largest number of microseconds, overflowed when it was compared in nanoseconds, so each watch ended after its first change. Ruled out: the platform stand-in, whose answers were complete. Change: the age is compared in microseconds.

--- a/source/core/journal/shard_owner_writes.cc
+++ b/source/core/journal/shard_owner_writes.cc
@@ -184,9 +184,7 @@
   return Settled::kSuperseded;
 }
 
-void ShardOwner::OnHeadSettled(Settled settled,
-                               TimePoint now,
-                               UnixTime wall) {
+void ShardOwner::OnHeadSettled(Settled settled, TimePoint now, UnixTime wall) {
   if (settled == Settled::kNo)
     return;
   const PendingWrite pending = std::move(*this->head_write);
--- a/source/core/platform/client.cc
+++ b/source/core/platform/client.cc
@@ -151,7 +151,11 @@
         if (!line.empty() && !on_change(ParseObject(line)))
           return WatchEnd::kStopped;
       }
-      if (std::chrono::steady_clock::now() - opened >= lifetime)
+      // Compared in microseconds: the largest lifetime overflows the clock's
+      // nanoseconds.
+      const auto age = std::chrono::duration_cast<common::Duration>(
+          std::chrono::steady_clock::now() - opened);
+      if (age >= lifetime)
         return WatchEnd::kExpired;
     }
   } catch (const runtime::HttpError& error) {
