Carry cache events with the load reports of a zone

Cause: a host that does not poll an endpoint would learn nothing of its cache. Change: the poller passes cache events on within a byte budget; beyond it the oldest are dropped and receivers see the gap by the sequence numbers.

--- a/source/core/load_exchange/codec.cc
+++ b/source/core/load_exchange/codec.cc
@@ -12,13 +12,13 @@
 namespace {
 
 constexpr int kFormat = 1;
-constexpr size_t kShortFields = 5;
-constexpr size_t kFullFields = 6;
+constexpr size_t kEntryFields = 7;
+constexpr size_t kFullFields = 7;
 
 using Packer = msgpack::packer<msgpack::sbuffer>;
 
 void PackFull(Packer& packer, const LoadEntry::Full& full) {
-  packer.pack_array(kFullFields + 1);
+  packer.pack_array(kFullFields);
   packer.pack(full.endpoint);
   packer.pack(full.report.slots);
   packer.pack(full.report.prefill_tokens_per_s);
@@ -28,8 +28,20 @@
   packer.pack(full.report.leaving);
 }
 
+void PackCache(Packer& packer, const EventRun& run) {
+  packer.pack_array(2);
+  packer.pack(run.first_sequence);
+  packer.pack_array(static_cast<uint32_t>(run.events.size()));
+  for (const routing::CacheEvent& event : run.events) {
+    packer.pack_array(3);
+    packer.pack(event.op == routing::CacheEvent::Op::kAdd);
+    packer.pack(event.key.high);
+    packer.pack(event.key.low);
+  }
+}
+
 void PackEntry(Packer& packer, const LoadEntry& entry) {
-  packer.pack_array(entry.full ? kShortFields + 1 : kShortFields);
+  packer.pack_array(kEntryFields);
   packer.pack(entry.endpoint_id);
   packer.pack(entry.as_of.count());
   packer.pack(entry.figures.running);
@@ -37,6 +49,12 @@
   packer.pack(entry.figures.kv_used_blocks);
   if (entry.full)
     PackFull(packer, *entry.full);
+  else
+    packer.pack_nil();
+  if (entry.cache)
+    PackCache(packer, *entry.cache);
+  else
+    packer.pack_nil();
 }
 
 // The elements of an array of at least `size` elements.
@@ -47,7 +65,7 @@
 }
 
 LoadEntry::Full UnpackFull(const msgpack::object& object) {
-  const msgpack::object* fields = Elements(object, kFullFields + 1);
+  const msgpack::object* fields = Elements(object, kFullFields);
   LoadEntry::Full full;
   full.endpoint = fields[0].as<std::string>();
   full.report.slots = fields[1].as<uint32_t>();
@@ -59,16 +77,33 @@
   return full;
 }
 
+EventRun UnpackCache(const msgpack::object& object) {
+  const msgpack::object* fields = Elements(object, 2);
+  const msgpack::object* events = Elements(fields[1], 0);
+  EventRun run;
+  run.first_sequence = fields[0].as<uint64_t>();
+  for (size_t i = 0; i < fields[1].via.array.size; ++i) {
+    const msgpack::object* event = Elements(events[i], 3);
+    const bool added = event[0].as<bool>();
+    run.events.push_back({added ? routing::CacheEvent::Op::kAdd
+                                : routing::CacheEvent::Op::kRemove,
+                          {event[1].as<uint64_t>(), event[2].as<uint64_t>()}});
+  }
+  return run;
+}
+
 LoadEntry UnpackEntry(const msgpack::object& object) {
-  const msgpack::object* fields = Elements(object, kShortFields);
+  const msgpack::object* fields = Elements(object, kEntryFields);
   LoadEntry entry;
   entry.endpoint_id = fields[0].as<uint64_t>();
   entry.as_of = common::Duration(fields[1].as<int64_t>());
   entry.figures.running = fields[2].as<uint32_t>();
   entry.figures.queued_tokens = fields[3].as<uint64_t>();
   entry.figures.kv_used_blocks = fields[4].as<uint64_t>();
-  if (object.via.array.size > kShortFields)
-    entry.full = UnpackFull(fields[kShortFields]);
+  if (!fields[5].is_nil())
+    entry.full = UnpackFull(fields[5]);
+  if (!fields[6].is_nil())
+    entry.cache = UnpackCache(fields[6]);
   return entry;
 }
 
--- a/source/core/load_exchange/codec.h
+++ b/source/core/load_exchange/codec.h
@@ -9,9 +9,10 @@
 namespace jujuberock::load_exchange {
 
 // Message `load_reports`, a msgpack array: [format, [entry, ...]] where an
-// entry is [id, as_of_us, running, queued_tokens, kv_used_blocks] and, with a
-// full report, also [name, slots, prefill_tokens_per_s, decode_ms,
-// kv_capacity_blocks, version, leaving].
+// entry is [id, as_of_us, running, queued_tokens, kv_used_blocks, full, cache].
+// `full` is nil or [name, slots, prefill_tokens_per_s, decode_ms,
+// kv_capacity_blocks, version, leaving]; `cache` is nil or [first_sequence,
+// [[added, key_high, key_low], ...]].
 std::string Encode(const LoadMessage& message);
 
 // Throws common::Error kProtocolError when the bytes are not such a message.
--- a/source/core/load_exchange/exchange.cc
+++ b/source/core/load_exchange/exchange.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 #include "core/common/hash.h"
 
@@ -16,6 +17,9 @@
 // three small numbers, with their type bytes.
 constexpr double kEntryBytes = 24;
 
+// A cache event in msgpack: a 16-byte key and its type bytes.
+constexpr double kEventBytes = 20;
+
 LoadFigures FiguresOf(const routing::LoadReport& report) {
   return {report.running, report.queued_tokens, report.kv_used_blocks};
 }
@@ -126,6 +130,48 @@
   state.unsent = true;
 }
 
+void Exchange::OnPolledEvents(const std::string& endpoint, EventRun run) {
+  auto found = this->endpoints.find(endpoint);
+  if (found == this->endpoints.end() || run.events.empty())
+    return;
+  EventRun& unsent = found->second.unsent_events;
+  const uint64_t expected = unsent.first_sequence + unsent.events.size();
+  if (unsent.events.empty() || run.first_sequence != expected) {
+    unsent = std::move(run);
+    return;
+  }
+  unsent.events.insert(unsent.events.end(), run.events.begin(),
+                       run.events.end());
+}
+
+size_t Exchange::EventsPerMessage(TimePoint now) const {
+  // A long pause must not allow a burst that breaks the budget of a second.
+  const Duration elapsed = std::clamp<Duration>(
+      now - this->last_message, this->options.min_period,
+      std::max<Duration>(this->Period(), std::chrono::seconds(1)));
+  const double share = this->options.event_budget_bytes_per_s /
+                       static_cast<double>(this->hosts.size());
+  return static_cast<size_t>(share * common::ToSeconds(elapsed) / kEventBytes);
+}
+
+void Exchange::AttachEvents(State& state,
+                            LoadEntry& entry,
+                            size_t& events_left) {
+  EventRun run = std::exchange(state.unsent_events, {});
+  if (run.events.empty())
+    return;
+  // The newest events are worth most; the gap makes older entries doubtful.
+  if (run.events.size() > events_left) {
+    const size_t dropped = run.events.size() - events_left;
+    run.events.erase(run.events.begin(),
+                     run.events.begin() + static_cast<ptrdiff_t>(dropped));
+    run.first_sequence += dropped;
+  }
+  events_left -= run.events.size();
+  if (!run.events.empty())
+    entry.cache = std::move(run);
+}
+
 bool Exchange::NeedsFull(const State& state, TimePoint now) const {
   return !state.full_sent ||
          now >= state.full_sent_at + this->options.full_period;
@@ -133,6 +179,8 @@
 
 LoadMessage Exchange::TakeMessage(TimePoint now) {
   LoadMessage message;
+  size_t events_left = this->EventsPerMessage(now);
+  this->last_message = now;
   for (auto& [name, state] : this->endpoints) {
     if (!state.unsent)
       continue;
@@ -146,6 +194,7 @@
       state.full_sent = true;
       state.full_sent_at = now;
     }
+    this->AttachEvents(state, entry, events_left);
     message.entries.push_back(std::move(entry));
   }
   return message;
@@ -170,7 +219,7 @@
     report.as_of = entry.as_of;
     SetFigures(report, entry.figures);
     state.report = report;
-    news.push_back({name->second, std::move(report)});
+    news.push_back({name->second, std::move(report), entry.cache});
   }
   return news;
 }
--- a/source/core/load_exchange/exchange.h
+++ b/source/core/load_exchange/exchange.h
@@ -23,6 +23,12 @@
   bool operator==(const LoadFigures&) const = default;
 };
 
+// Cache events in a row, the first with this sequence number.
+struct EventRun {
+  uint64_t first_sequence = 0;
+  std::vector<routing::CacheEvent> events;
+};
+
 // One endpoint in a message. The name is sent with a full report only.
 struct LoadEntry {
   uint64_t endpoint_id = 0;
@@ -34,6 +40,9 @@
     routing::LoadReport report;
   };
   std::optional<Full> full;
+  // Cache events since the last message, unless there were none or they went
+  // over the budget; a receiver notices the gap by the sequence numbers.
+  std::optional<EventRun> cache;
 };
 
 // Message `load_reports` from the host that polls the endpoints to the other
@@ -45,6 +54,7 @@
 struct NamedReport {
   std::string endpoint;
   routing::LoadReport report;
+  std::optional<EventRun> cache;
 };
 
 struct ExchangeOptions {
@@ -52,6 +62,8 @@
   // Bytes of load entries that a host may receive in a second. A target of
   // 6 KB/s for all control traffic leaves about this much for loads.
   double receive_budget_bytes_per_s = 2500;
+  // The same for cache events; each host may send its even share of it.
+  double event_budget_bytes_per_s = 1500;
   // An endpoint that was not heard of for this long is polled by the next host
   // in rendezvous order, and so on for each further host.
   common::Duration takeover_delay = std::chrono::milliseconds(1500);
@@ -82,6 +94,8 @@
   void OnPolled(const std::string& endpoint,
                 const routing::LoadReport& report,
                 common::TimePoint now);
+  // Cache events fetched with the report.
+  void OnPolledEvents(const std::string& endpoint, EventRun run);
 
   // What the other hosts of the zone should be sent now; empty when nothing
   // changed. Call once a period.
@@ -107,8 +121,11 @@
     bool unsent = false;
     common::TimePoint full_sent_at;
     bool full_sent = false;
+    EventRun unsent_events;
   };
 
+  size_t EventsPerMessage(common::TimePoint now) const;
+  void AttachEvents(State& state, LoadEntry& entry, size_t& events_left);
   bool IsDue(const State& state, common::TimePoint now) const;
   bool NeedsFull(const State& state, common::TimePoint now) const;
   void RefreshRanks();
@@ -116,6 +133,7 @@
   std::string self;
   ExchangeOptions options;
   std::vector<std::string> hosts;
+  common::TimePoint last_message;
   std::map<std::string, State, std::less<>> endpoints;
   std::map<uint64_t, std::string> names_by_id;
 };
--- a/source/unit_tests/core/load_exchange/exchange_test.cc
+++ b/source/unit_tests/core/load_exchange/exchange_test.cc
@@ -131,6 +131,41 @@
   CHECK(exchange.OnMessage(message, TimePoint()).empty());
 }
 
+// Cache events are the largest part of control traffic; beyond their budget
+// they are dropped, and the receiver must be able to see the gap.
+TEST_CASE("cache events over the budget leave a visible gap") {
+  ExchangeOptions options;
+  Exchange sender("host-0", options);
+  Exchange receiver("host-1", options);
+  for (Exchange* exchange : {&sender, &receiver}) {
+    exchange->SetHosts({"host-0", "host-1"});
+    exchange->SetEndpoints({"endpoint-0"}, TimePoint());
+  }
+  uint64_t next_sequence = 100;
+  uint64_t expected = 100;
+  uint64_t received = 0;
+  bool gap = false;
+  for (int step = 1; step <= 40; ++step) {
+    const TimePoint now(step * milliseconds(250));
+    EventRun run{next_sequence, {}};
+    run.events.resize(30);
+    next_sequence += 30;
+    sender.OnPolled("endpoint-0", {}, now);
+    sender.OnPolledEvents("endpoint-0", run);
+    const LoadMessage message = Decode(Encode(sender.TakeMessage(now)));
+    for (const NamedReport& news : receiver.OnMessage(message, now)) {
+      REQUIRE(news.cache);
+      gap = gap || news.cache->first_sequence > expected;
+      received += news.cache->events.size();
+      expected = news.cache->first_sequence + news.cache->events.size();
+    }
+  }
+  CHECK(gap);
+  CHECK(expected == next_sequence);
+  CHECK(received * 20 <= 10 * options.event_budget_bytes_per_s);
+  CHECK(received > 0);
+}
+
 TEST_CASE("malformed messages are refused") {
   Exchange exchange("host-0", ExchangeOptions());
   exchange.SetEndpoints({"endpoint-0"}, TimePoint());
