Poll each engine by one host of its zone

Cause: every host polled every engine each 250 ms; at the target that is 2,700 engines for each of 370 hosts, and today already two requests for each of 18 engines by each of 4 hosts. Change: serve polls the engines that the load exchange gives to this host, engines of other zones at most four times a second, and plain services only while they are down. What connects the exchange to the other hosts is a function given to Fleet::Start. Ruled out: taking an endpoint as up again on another host's report, since this host may be the one that can not reach it.

--- a/source/core/load_exchange/exchange.cc
+++ b/source/core/load_exchange/exchange.cc
@@ -123,7 +123,9 @@
   State& state = found->second;
   const bool same_constants =
       state.report && SameConstants(*state.report, report);
-  if (!same_constants)
+  // An endpoint that restarted counts its time anew; receivers take an earlier
+  // time with a full report only.
+  if (!same_constants || report.as_of < state.report->as_of)
     state.full_sent = false;
   state.report = report;
   state.heard_at = now;
--- a/source/core/serve/fleet.cc
+++ b/source/core/serve/fleet.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "core/common/error.h"
+#include "core/load_exchange/codec.h"
 
 namespace jujuberock::serve {
 
@@ -17,6 +18,10 @@
 
 namespace {
 
+// Engines of other zones take work only when the own zone can not, and plain
+// services report nothing, so these polls only need to notice changes.
+constexpr common::Duration kOtherPollPeriod = std::chrono::seconds(1);
+
 // One lost answer is not taken as the endpoint's end.
 constexpr int kFailedPollsUntilDown = 3;
 
@@ -38,15 +43,22 @@
   return report;
 }
 
-std::vector<routing::CacheEvent> ToEvents(
-    const endpoint::CacheEvents& received) {
+load_exchange::EventRun ToEventRun(const endpoint::CacheEvents& received) {
   using Op = routing::CacheEvent::Op;
-  std::vector<routing::CacheEvent> events;
+  load_exchange::EventRun run;
+  run.first_sequence =
+      received.events.empty() ? received.first : received.events[0].sequence;
   for (const endpoint::CacheEvent& event : received.events) {
     if (const auto key = routing::ParseBlockKey(event.key))
-      events.push_back({event.added ? Op::kAdd : Op::kRemove, *key});
+      run.events.push_back({event.added ? Op::kAdd : Op::kRemove, *key});
   }
-  return events;
+  return run;
+}
+
+load_exchange::ExchangeOptions ExchangeOptionsOf(const Settings& settings) {
+  load_exchange::ExchangeOptions options;
+  options.min_period = settings.load_poll_period;
+  return options;
 }
 
 }  // namespace
@@ -69,15 +81,29 @@
       settings(settings),
       polls(counters.GetCounter("endpoint_polls_total")),
       poll_failures(counters.GetCounter("endpoint_poll_failures_total")),
+      exchange(settings.host_name, ExchangeOptionsOf(settings)),
       fibers(pool) {}
 
-void Fleet::Start() {
-  this->fibers.Every(this->timers, this->settings.load_poll_period,
-                     [this](TimePoint now) { this->PollDueEndpoints(now); });
+void Fleet::Start(SendToZone send) {
+  this->send_to_zone = std::move(send);
+  // Half a period, since a poll that is due just after a tick waits for the
+  // next one.
+  this->fibers.Every(this->timers, this->settings.load_poll_period / 2,
+                     [this](TimePoint now) {
+                       this->PollZone(now);
+                       this->SendReports(now);
+                     });
+  this->fibers.Every(this->timers, kOtherPollPeriod,
+                     [this](TimePoint) { this->PollOthers(); });
   this->fibers.Every(this->timers, this->settings.store_poll_period,
                      [this](TimePoint) { this->PollStores(); });
 }
 
+void Fleet::SetZoneHosts(std::vector<std::string> hosts) {
+  RankedLock lock(this->mutex);
+  this->exchange.SetHosts(std::move(hosts));
+}
+
 void Fleet::OnConfig() {
   const table::SnapshotPtr rows = this->view.Current();
   const TimePoint now = this->timers.Now();
@@ -108,6 +134,12 @@
     this->Tell(it->second);
     it = this->members.erase(it);
   }
+  std::vector<std::string> own_engines;
+  for (const auto& [name, member] : this->members) {
+    if (this->IsOwnEngine(member))
+      own_engines.push_back(name);
+  }
+  this->exchange.SetEndpoints(std::move(own_engines), now);
   std::map<std::string, Address> stores_now;
   for (const auto& [name, row] : rows->stores()) {
     if (const auto address = Address::Parse(row->address))
@@ -204,35 +236,73 @@
   });
 }
 
+bool Fleet::IsOwnEngine(const Member& member) const {
+  return !member.plain && member.info.zone == this->settings.zone;
+}
+
+// Polls the engines of this zone that fall to this host.
+void Fleet::PollZone(TimePoint now) {
+  RankedLock lock(this->mutex);
+  for (const std::string& name : this->exchange.TakeDuePolls(now)) {
+    const auto found = this->members.find(name);
+    if (found != this->members.end())
+      this->StartPoll(name, found->second);
+  }
+}
+
 // Polls in rounds; a large fleet is bounded by polls_per_second, so that the
 // work of a host does not grow with it.
-void Fleet::PollDueEndpoints(TimePoint) {
-  const double period = common::ToSeconds(this->settings.load_poll_period);
-  const double bound =
-      period * static_cast<double>(this->settings.polls_per_second);
-  size_t left = std::max<size_t>(1, static_cast<size_t>(bound));
-  std::vector<std::pair<std::string, Member>> due;
+void Fleet::PollOthers() {
+  RankedLock lock(this->mutex);
+  const auto bound = static_cast<size_t>(this->settings.polls_per_second);
+  size_t left = std::min(bound, this->members.size());
+  auto it = this->members.lower_bound(this->next_poll);
+  for (; left > 0; --left, ++it) {
+    if (it == this->members.end())
+      it = this->members.begin();
+    Member& member = it->second;
+    // A plain service reports no load and other hosts may poll an engine of
+    // this zone, so of those only the ones that are down are asked.
+    const bool always = !member.plain && !this->IsOwnEngine(member);
+    if (always || member.down)
+      this->StartPoll(it->first, member);
+  }
+  this->next_poll = it == this->members.end() ? "" : it->first;
+}
+
+// The mutex must be held.
+void Fleet::StartPoll(const std::string& name, Member& member) {
+  if (member.polling)
+    return;
+  member.polling = true;
+  this->fibers.Spawn(
+      [this, name, address = member.address, plain = member.plain] {
+        this->PollEndpoint(name, address, plain);
+      });
+}
+
+void Fleet::SendReports(TimePoint now) {
+  load_exchange::LoadMessage message;
   {
     RankedLock lock(this->mutex);
-    left = std::min(left, this->members.size());
-    auto it = this->members.lower_bound(this->next_poll);
-    for (; left > 0; --left, ++it) {
-      if (it == this->members.end())
-        it = this->members.begin();
-      Member& member = it->second;
-      // A plain service reports no load, so only one that is down is asked.
-      if (member.polling || (member.plain && !member.down))
-        continue;
-      member.polling = true;
-      due.emplace_back(it->first, member);
-    }
-    this->next_poll = it == this->members.end() ? "" : it->first;
+    if (now < this->reports_due)
+      return;
+    this->reports_due = now + this->exchange.Period();
+    message = this->exchange.TakeMessage(now);
   }
-  for (const auto& [name, member] : due) {
-    this->fibers.Spawn(
-        [this, name = name, address = member.address, plain = member.plain] {
-          this->PollEndpoint(name, address, plain);
-        });
+  if (this->send_to_zone && !message.entries.empty())
+    this->send_to_zone(load_exchange::Encode(message));
+}
+
+void Fleet::OnLoadReports(std::string_view bytes) {
+  const load_exchange::LoadMessage message = load_exchange::Decode(bytes);
+  std::vector<load_exchange::NamedReport> news;
+  {
+    RankedLock lock(this->mutex);
+    news = this->exchange.OnMessage(message, this->timers.Now());
+  }
+  for (const load_exchange::NamedReport& item : news) {
+    this->OnReport(item.endpoint, item.report, item.cache);
   }
 }
 
@@ -245,7 +315,7 @@
       this->PollEngine(name, address);
     } else if (this->plains.Probe(address, this->settings.probe_timeout) ==
                endpoint::ProbeResult::kAnswered) {
-      this->OnPollAnswered(name, std::nullopt);
+      this->OnPollAnswered(name);
     }
   } catch (const Error& error) {
     this->poll_failures.Add();
@@ -258,24 +328,31 @@
 }
 
 void Fleet::PollEngine(const std::string& name, const Address& address) {
-  const endpoint::EngineLoad load = this->engines.Load(address);
-  this->OnPollAnswered(name, load);
-  const routing::LoadReport report = ToReport(load);
-  const uint64_t since = this->router.With([&](routing::Router& router) {
-    router.OnLoadReport(name, report, this->timers.Now());
-    return router.NextSequence(name);
-  });
-  const endpoint::CacheEvents received = this->engines.Events(address, since);
-  const std::vector<routing::CacheEvent> events = ToEvents(received);
-  const uint64_t first =
-      received.events.empty() ? received.first : received.events[0].sequence;
+  const routing::LoadReport report = ToReport(this->engines.Load(address));
+  this->OnPollAnswered(name);
+  const uint64_t since = this->router.With(
+      [&](routing::Router& router) { return router.NextSequence(name); });
+  load_exchange::EventRun run =
+      ToEventRun(this->engines.Events(address, since));
+  this->OnReport(name, report, run);
+  RankedLock lock(this->mutex);
+  this->exchange.OnPolled(name, report, this->timers.Now());
+  this->exchange.OnPolledEvents(name, std::move(run));
+}
+
+void Fleet::OnReport(const std::string& name,
+                     const routing::LoadReport& report,
+                     const std::optional<load_exchange::EventRun>& run) {
+  this->Note(name, report);
+  const TimePoint now = this->timers.Now();
   this->router.With([&](routing::Router& router) {
-    router.OnCacheEvents(name, first, events, this->timers.Now());
+    router.OnLoadReport(name, report, now);
+    if (run)
+      router.OnCacheEvents(name, run->first_sequence, run->events, now);
   });
 }
 
-void Fleet::OnPollAnswered(const std::string& name,
-                           std::optional<endpoint::EngineLoad> load) {
+void Fleet::OnPollAnswered(const std::string& name) {
   RankedLock lock(this->mutex);
   const auto found = this->members.find(name);
   if (found == this->members.end())
@@ -284,13 +361,21 @@
   member.failed_polls = 0;
   if (std::exchange(member.down, false))
     LOG(INFO) << "endpoint " << name << " answers again";
-  if (load) {
-    member.slots = static_cast<uint32_t>(std::max<int64_t>(0, load->slots));
-    member.leaving_by_report = load->leaving;
-  }
   this->Tell(member);
 }
 
+// Another host's report does not end `down`: this host may be the one that
+// can not reach the endpoint.
+void Fleet::Note(const std::string& name, const routing::LoadReport& report) {
+  RankedLock lock(this->mutex);
+  const auto found = this->members.find(name);
+  if (found == this->members.end())
+    return;
+  found->second.slots = report.slots;
+  found->second.leaving_by_report = report.leaving;
+  this->Tell(found->second);
+}
+
 void Fleet::OnPollFailed(const std::string& name) {
   bool is_down = false;
   {
--- a/source/core/serve/fleet.h
+++ b/source/core/serve/fleet.h
@@ -1,6 +1,7 @@
 #ifndef CORE_SERVE_FLEET_H_
 #define CORE_SERVE_FLEET_H_
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -13,6 +14,7 @@
 #include "core/common/timer_service.h"
 #include "core/endpoint/engine_client.h"
 #include "core/endpoint/plain_client.h"
+#include "core/load_exchange/exchange.h"
 #include "core/runtime/worker_pool.h"
 #include "core/serve/decisions.h"
 #include "core/serve/fiber_group.h"
@@ -35,7 +37,17 @@
         common::CounterRegistry& counters,
         const Settings& settings);
 
-  void Start();
+  // Sends a `load_reports` message to the other hosts of the zone.
+  using SendToZone = std::function<void(const std::string& bytes)>;
+
+  // `send` runs on a fiber and may suspend. Without it every engine of the
+  // zone is polled by this host.
+  void Start(SendToZone send = nullptr);
+  // Live hosts of this zone, this one included.
+  void SetZoneHosts(std::vector<std::string> hosts);
+  // Takes a `load_reports` message of another host of the zone. Throws
+  // common::Error kProtocolError when it is malformed.
+  void OnLoadReports(std::string_view bytes);
   // Brings the endpoints and stores in line with the table.
   void OnConfig();
 
@@ -70,13 +82,20 @@
   };
 
   void Tell(Member& member);
-  void PollDueEndpoints(common::TimePoint now);
+  void PollZone(common::TimePoint now);
+  void PollOthers();
+  void StartPoll(const std::string& name, Member& member);
+  void SendReports(common::TimePoint now);
+  void OnReport(const std::string& name,
+                const routing::LoadReport& report,
+                const std::optional<load_exchange::EventRun>& run);
+  bool IsOwnEngine(const Member& member) const;
   void PollEndpoint(const std::string& name,
                     const runtime::Address& address,
                     bool plain);
   void PollEngine(const std::string& name, const runtime::Address& address);
-  void OnPollAnswered(const std::string& name,
-                      std::optional<endpoint::EngineLoad> load);
+  void OnPollAnswered(const std::string& name);
+  void Note(const std::string& name, const routing::LoadReport& report);
   void OnPollFailed(const std::string& name);
   void PollStores();
   void PollStore(const std::string& name, const runtime::Address& address);
@@ -94,6 +113,9 @@
   common::RankedMutex mutex{common::LockRank::kServe};
   std::map<std::string, Member, std::less<>> members;
   std::map<std::string, runtime::Address> known_stores;
+  load_exchange::Exchange exchange;
+  common::TimePoint reports_due;
+  SendToZone send_to_zone;
   // Where the round of polls goes on.
   std::string next_poll;
   // Last: its fibers use everything above.
--- a/source/core/serve/settings.cc
+++ b/source/core/serve/settings.cc
@@ -78,7 +78,7 @@
       {"capacity_headroom", &S::capacity_headroom, "", 0.1, 100,
        "This host's share of the engines' slots, relative to an even share"},
       {"load_poll_period_ms", &S::load_poll_period, "ms", 10, 60'000,
-       "Time between two load reports of an engine"},
+       "Least time between two load reports of an engine of this zone"},
       {"store_poll_period_ms", &S::store_poll_period, "ms", 10, 60'000,
        "Time between two status reports of a cache store"},
       {"relist_period_ms", &S::relist_period, "ms", 100, 3'600'000,
@@ -86,7 +86,7 @@
       {"watch_idle_limit_ms", &S::watch_idle_limit, "ms", 100, 3'600'000,
        "Silence of a platform watch before it is opened again"},
       {"polls_per_second", &S::polls_per_second, "polls", 1, 100'000,
-       "Limit of load reports fetched by this host"},
+       "Engines of other zones asked for their load by this host"},
       {"stop_limit_ms", &S::stop_limit, "ms", 0, 86'400'000,
        "Longest wait for running requests in a planned stop"},
   };
--- a/source/core/serve/settings.h
+++ b/source/core/serve/settings.h
@@ -44,7 +44,7 @@
   common::Duration store_poll_period = std::chrono::seconds(1);
   common::Duration relist_period = std::chrono::seconds(10);
   common::Duration watch_idle_limit = std::chrono::seconds(3);
-  int64_t polls_per_second = 100;
+  int64_t polls_per_second = 4;
 
   common::Duration stop_limit = std::chrono::seconds(120);
 };
