Report service-level burn and ask operators for a key

Cause: operators had no view of error budgets, and anybody who could reach the operator address could stop a host. Change: serve records each request under its team's hour band; GET /burn and jujuberock report burn over several hosts; /status, /burn and /stop need the operator key when one is set. The CLI takes it from a file or the environment. Ruled out: a flag for the key, since other users of the machine can read it.

--- a/source/core/operator_api/server.cc
+++ b/source/core/operator_api/server.cc
@@ -1,5 +1,7 @@
 #include "core/operator_api/server.h"
 
+#include <openssl/crypto.h>
+
 #include <string_view>
 #include <utility>
 
@@ -31,19 +33,25 @@
   std::string_view method;
   std::string_view path;
   HttpResponse (Server::*answer)();
+  bool for_operators;
 };
 
 const Server::Route Server::kRoutes[] = {
-    {"GET", "/healthz", &Server::Health},  {"GET", "/readyz", &Server::Ready},
-    {"GET", "/metrics", &Server::Metrics}, {"GET", "/status", &Server::Status},
-    {"POST", "/stop", &Server::Stop},
+    {"GET", "/healthz", &Server::Health, false},
+    {"GET", "/readyz", &Server::Ready, false},
+    {"GET", "/metrics", &Server::Metrics, false},
+    {"GET", "/status", &Server::Status, true},
+    {"GET", "/burn", &Server::Burn, true},
+    {"POST", "/stop", &Server::Stop, true},
 };
 
 Server::Server(runtime::WorkerPool& pool,
                const runtime::Address& address,
                const common::CounterRegistry& counters,
+               std::string operator_key,
                Hooks hooks)
     : counters(counters),
+      operator_key(std::move(operator_key)),
       hooks(std::move(hooks)),
       http(
           pool,
@@ -63,14 +71,30 @@
     if (route.path != path)
       continue;
     path_known = true;
-    if (route.method == request.method)
-      return writer.Send((this->*route.answer)());
+    if (route.method != request.method)
+      continue;
+    if (route.for_operators)
+      this->RequireOperator(request);
+    return writer.Send((this->*route.answer)());
   }
   if (path_known)
     throw Error(ResultCode::kMethodNotAllowed, request.method);
   throw Error(ResultCode::kUnknownPath, "no such path");
 }
 
+void Server::RequireOperator(const HttpRequest& request) const {
+  if (this->operator_key.empty())
+    return;
+  const std::string expected = "Bearer " + this->operator_key;
+  const std::string given(request.headers.Find("Authorization").value_or(""));
+  // The length is not secret; the content is compared in constant time.
+  const bool same =
+      given.size() == expected.size() &&
+      CRYPTO_memcmp(given.data(), expected.data(), given.size()) == 0;
+  if (!same)
+    throw Error(ResultCode::kUnauthenticated, "operator key required");
+}
+
 HttpResponse Server::Health() {
   return Answer(200, "text/plain", "ok\n");
 }
@@ -91,6 +115,10 @@
   return Answer(200, "application/json", this->hooks.status());
 }
 
+HttpResponse Server::Burn() {
+  return Answer(200, "application/json", this->hooks.burn());
+}
+
 HttpResponse Server::Stop() {
   this->hooks.stop();
   return Answer(202, "text/plain", "stopping\n");
--- /dev/null
+++ b/source/core/serve/burn_log.cc
@@ -0,0 +1,91 @@
+#include "core/serve/burn_log.h"
+
+#include <cstdio>
+#include <optional>
+
+namespace jujuberock::serve {
+
+using common::ResultCode;
+using report::Verdict;
+
+namespace {
+
+constexpr int kMinutesPerHour = 60;
+
+std::string BandLabel(const table::Snapshot& rows,
+                      std::string_view team,
+                      int minute_of_day) {
+  const table::Team* row = rows.FindTeam(team);
+  if (!row)
+    return "none";
+  for (const table::TeamBand& band : row->bands) {
+    if (minute_of_day < band.from_minute || minute_of_day >= band.to_minute)
+      continue;
+    char text[8];
+    std::snprintf(text, sizeof text, "%02d:%02d",
+                  band.from_minute / kMinutesPerHour % 24,
+                  band.from_minute % kMinutesPerHour);
+    return text;
+  }
+  return "none";
+}
+
+// Nothing for errors that are the caller's own.
+std::optional<Verdict> VerdictOf(ResultCode code) {
+  const int number = static_cast<int>(code);
+  if (number < 200 || code == ResultCode::kCanceled ||
+      code == ResultCode::kSuspectRefused || code == ResultCode::kTeamLimit)
+    return std::nullopt;
+  switch (code) {
+    case ResultCode::kJournalUnavailable:
+      return Verdict::kRefused;
+    case ResultCode::kDeadlineExceeded:
+    case ResultCode::kRetryBudgetExhausted:
+    case ResultCode::kOutcomeUnknown:
+      return Verdict::kFailed;
+    default:
+      break;
+  }
+  if (number < 300)
+    return Verdict::kRefused;
+  if (number < 400)
+    return std::nullopt;
+  return common::InfoOf(code).outcome == common::Outcome::kNotRun
+             ? Verdict::kRefused
+             : Verdict::kFailed;
+}
+
+}  // namespace
+
+void BurnLog::RecordAnswer(std::string_view team,
+                           std::string_view service,
+                           bool in_time) {
+  this->Record(team, service, in_time ? Verdict::kInTime : Verdict::kLate);
+}
+
+void BurnLog::RecordError(std::string_view team,
+                          std::string_view service,
+                          ResultCode code) {
+  if (const auto verdict = VerdictOf(code))
+    this->Record(team, service, *verdict);
+}
+
+void BurnLog::Record(std::string_view team,
+                     std::string_view service,
+                     Verdict verdict) {
+  const table::SnapshotPtr rows = this->view.Current();
+  const int minute = rows->MinuteOfDay(this->timers.WallNow());
+  const report::BurnKey key{std::string(team), std::string(service),
+                            BandLabel(*rows, team, minute)};
+  const common::TimePoint now = this->timers.Now();
+  common::RankedLock lock(this->mutex);
+  this->burn.Record(key, verdict, now);
+}
+
+std::vector<report::BurnRow> BurnLog::Rows() {
+  const common::TimePoint now = this->timers.Now();
+  common::RankedLock lock(this->mutex);
+  return this->burn.Rows(now);
+}
+
+}  // namespace jujuberock::serve
--- /dev/null
+++ b/source/core/serve/burn_log.h
@@ -0,0 +1,45 @@
+#ifndef CORE_SERVE_BURN_LOG_H_
+#define CORE_SERVE_BURN_LOG_H_
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/common/ranked_mutex.h"
+#include "core/common/result_code.h"
+#include "core/common/timer_service.h"
+#include "core/report/burn.h"
+#include "core/table/shared_view.h"
+
+namespace jujuberock::serve {
+
+// Records how requests end under the hour band of their team. Thread-safe.
+class BurnLog {
+ public:
+  BurnLog(const common::TimerService& timers, const table::SharedView& view)
+      : timers(timers), view(view) {}
+
+  void RecordAnswer(std::string_view team,
+                    std::string_view service,
+                    bool in_time);
+  // Errors that the caller made are not counted.
+  void RecordError(std::string_view team,
+                   std::string_view service,
+                   common::ResultCode code);
+
+  std::vector<report::BurnRow> Rows();
+
+ private:
+  void Record(std::string_view team,
+              std::string_view service,
+              report::Verdict verdict);
+
+  const common::TimerService& timers;
+  const table::SharedView& view;
+  common::RankedMutex mutex{common::LockRank::kReport};
+  report::Burn burn;
+};
+
+}  // namespace jujuberock::serve
+
+#endif  // CORE_SERVE_BURN_LOG_H_
--- a/source/core/serve/completion_run.cc
+++ b/source/core/serve/completion_run.cc
@@ -162,6 +162,7 @@
     throw Error(ResultCode::kWrongVersion,
                 "the engine answered with another weight version");
   const common::TimePoint now = this->parts.timers.Now();
+  this->first_token_in_time = now <= this->steps.deadline();
   this->parts.router.With([&](routing::Router& router) {
     router.OnFirstToken(this->route.id,
                         static_cast<uint64_t>(token.cached_tokens),
--- a/source/core/serve/completion_run.h
+++ b/source/core/serve/completion_run.h
@@ -25,6 +25,10 @@
   // Throws common::Error when the request ends without a whole answer.
   void Execute();
 
+  const std::string& service() const { return this->steps.service(); }
+  // Whether the first token came before the deadline.
+  bool in_time() const { return this->first_token_in_time; }
+
  private:
   CompletionRun(Parts& parts,
                 const caller::CompletionCall& call,
@@ -51,6 +55,7 @@
   routing::RouteRequest route;
   // False until something was sent to an endpoint.
   bool dispatched = false;
+  bool first_token_in_time = false;
 };
 
 // Goes on with a stream that the caller received in part.
--- a/source/core/serve/host.cc
+++ b/source/core/serve/host.cc
@@ -14,6 +14,7 @@
 #include "core/common/random.h"
 #include "core/operator_api/server.h"
 #include "core/platform/client.h"
+#include "core/report/burn_render.h"
 #include "core/runtime/http_client.h"
 #include "core/runtime/wall_timer_service.h"
 #include "core/runtime/worker_pool.h"
@@ -103,6 +104,7 @@
   std::string id_prefix;
   RequestIds ids;
   DetachedStreams detached;
+  BurnLog burn;
   Fleet fleet;
   Limits limits;
   Parts parts;
@@ -130,6 +132,7 @@
       id_prefix(IdPrefix(settings)),
       ids(id_prefix),
       detached(pool, timers, engines, counters, settings.resume_grace),
+      burn(timers, view),
       fleet(pool,
             timers,
             view,
@@ -140,8 +143,9 @@
             counters,
             settings),
       limits(timers, view, fleet, gate, budget, settings),
-      parts{settings, timers, counters,  view,     fleet, router,  budget,
-            suspects, gate,   in_flight, detached, ids,   engines, plains},
+      parts{settings, timers, counters, view,    fleet,
+            router,   budget, suspects, gate,    in_flight,
+            detached, burn,   ids,      engines, plains},
       sealer(settings.deployment_key),
       handler(parts),
       config(pool,
@@ -164,8 +168,13 @@
       operators(pool,
                 RequiredAddress(settings.operator_address),
                 counters,
+                settings.operator_key,
                 {[this] { return this->NotReady(); },
                  [this] { return this->RenderStatus(); },
+                 [this] {
+                   return report::RenderJson(this->burn.Rows(),
+                                             report::kDefaultObjective);
+                 },
                  std::move(on_stop_requested)}) {
   this->config.Start();
   this->fleet.Start();
--- a/source/core/serve/parts.h
+++ b/source/core/serve/parts.h
@@ -7,6 +7,7 @@
 #include "core/endpoint/plain_client.h"
 #include "core/runtime/worker_pool.h"
 #include "core/serve/admission_gate.h"
+#include "core/serve/burn_log.h"
 #include "core/serve/decisions.h"
 #include "core/serve/detached_streams.h"
 #include "core/serve/fleet.h"
@@ -30,6 +31,7 @@
   AdmissionGate& gate;
   InFlight& in_flight;
   DetachedStreams& detached;
+  BurnLog& burn;
   RequestIds& ids;
   endpoint::EngineClient& engines;
   endpoint::PlainClient& plains;
--- a/source/core/serve/request_handler.cc
+++ b/source/core/serve/request_handler.cc
@@ -33,6 +33,26 @@
   }
 }
 
+template <typename Run>
+auto RequestHandler::ExecuteAndRecord(const std::string& team,
+                                      const std::string& service,
+                                      Run& run) {
+  BurnLog& burn = this->parts.burn;
+  try {
+    if constexpr (std::is_void_v<decltype(run.Execute())>) {
+      run.Execute();
+      burn.RecordAnswer(team, service, run.in_time());
+    } else {
+      auto result = run.Execute();
+      burn.RecordAnswer(team, service, run.in_time());
+      return result;
+    }
+  } catch (const Error& error) {
+    burn.RecordError(team, service, error.code());
+    throw;
+  }
+}
+
 void RequestHandler::RequireRunning() const {
   if (this->stopping)
     throw Error(ResultCode::kStopping, "this host accepts no new requests");
@@ -44,7 +64,7 @@
                               caller::CompletionWriter& writer) {
   this->Counted("completion", [&] {
     CompletionRun run(this->parts, call, writer);
-    run.Execute();
+    this->ExecuteAndRecord(call.team, run.service(), run);
   });
 }
 
@@ -64,7 +84,7 @@
     if (IsNonIdempotent(*service, call.request))
       throw Error(ResultCode::kJournalUnavailable, "no journal");
     ServiceRun run(this->parts, call);
-    return run.Execute();
+    return this->ExecuteAndRecord(call.team, call.service, run);
   });
 }
 
--- a/source/core/serve/request_handler.h
+++ b/source/core/serve/request_handler.h
@@ -34,6 +34,11 @@
   void RequireRunning() const;
   template <typename Run>
   auto Counted(const char* kind, Run run);
+  // Executes the run and records how it ends under the team's hour band.
+  template <typename Run>
+  auto ExecuteAndRecord(const std::string& team,
+                        const std::string& service,
+                        Run& run);
 
   Parts& parts;
   std::atomic<bool> stopping{false};
--- a/source/core/serve/service_run.cc
+++ b/source/core/serve/service_run.cc
@@ -54,6 +54,10 @@
   return response;
 }
 
+bool ServiceRun::in_time() const {
+  return this->parts.timers.Now() <= this->steps.deadline();
+}
+
 void ServiceRun::PrepareRoute() {
   this->route.service = this->call.service;
   this->route.zone = this->parts.settings.zone;
--- a/source/core/serve/service_run.h
+++ b/source/core/serve/service_run.h
@@ -18,6 +18,9 @@
   // The service's answer. Throws common::Error when there is none.
   runtime::HttpResponse Execute();
 
+  // Whether the deadline has not passed yet.
+  bool in_time() const;
+
  private:
   void PrepareRoute();
   runtime::HttpResponse RunWithRetry();
--- a/source/core/serve/settings.cc
+++ b/source/core/serve/settings.cc
@@ -28,6 +28,10 @@
   return "must have at least " + std::to_string(kLeastKeyChars) + " characters";
 }
 
+std::optional<std::string> CheckOptionalKey(std::string_view text) {
+  return text.empty() ? std::nullopt : CheckKey(text);
+}
+
 }  // namespace
 
 const std::vector<common::SettingDeclaration<Settings>>& SettingTable() {
@@ -47,6 +51,9 @@
        "Address of the platform's object API", true, CheckAddress},
       {"deployment_key", &S::deployment_key, "", 0, 0,
        "Secret shared by the hosts of the deployment", true, CheckKey},
+      {"operator_key", &S::operator_key, "", 0, 0,
+       "Bearer key of operators; empty accepts every caller", false,
+       CheckOptionalKey},
       {"worker_threads", &S::worker_threads, "threads", 1, 256,
        "Threads that serve requests"},
       {"utc_offset_minutes", &S::utc_offset_minutes, "min", -14 * 60, 14 * 60,
--- a/source/core/serve/settings.h
+++ b/source/core/serve/settings.h
@@ -19,6 +19,8 @@
   std::string host_address = "127.0.0.1:8082";
   std::string platform_address;
   std::string deployment_key;
+  // Empty: the operator address accepts every caller.
+  std::string operator_key;
   int64_t worker_threads = 2;
   int64_t utc_offset_minutes = 0;
 
--- a/source/jujuberock/command.h
+++ b/source/jujuberock/command.h
@@ -30,6 +30,7 @@
 int RunCheck(const CommandLine& line);
 int RunStatus(const CommandLine& line);
 int RunStop(const CommandLine& line);
+int RunReport(const CommandLine& line);
 
 }  // namespace jujuberock
 
--- a/source/jujuberock/main.cc
+++ b/source/jujuberock/main.cc
@@ -22,6 +22,9 @@
             "prints what a host knows and does", RunStatus},
     Command{"stop", "stop --operator ADDRESS",
             "starts the planned stop of a host", RunStop},
+    Command{"report", "report burn --operator ADDRESS[,ADDRESS]... [--json]",
+            "shows which teams use up their error budget, over all given hosts",
+            RunReport},
 };
 
 void PrintUsage(std::ostream& out) {
--- a/source/jujuberock/operator_commands.cc
+++ b/source/jujuberock/operator_commands.cc
@@ -1,42 +1,101 @@
 #include <gflags/gflags.h>
 
+#include <cstdlib>
+#include <fstream>
 #include <iostream>
+#include <sstream>
+#include <vector>
 
 #include "core/common/error.h"
+#include "core/report/burn_render.h"
 #include "core/runtime/http_client.h"
 #include "core/runtime/worker_pool.h"
 #include "jujuberock/command.h"
 
 DEFINE_string(operator,
               "127.0.0.1:8081",
-              "status, stop: operator address of the host");
+              "status, stop, report: operator address of the host; report "
+              "takes several, separated by commas");
+DEFINE_string(operator_key_file,
+              "",
+              "status, stop, report: file with the operator key; without it "
+              "the environment variable JUJUBEROCK_OPERATOR_KEY is used");
+DEFINE_bool(json, false, "report: print JSON instead of a table");
 
 namespace jujuberock {
 
 namespace {
 
-// Prints the answer; the exit status tells whether it was a success.
-int CallOperator(const std::string& method, const std::string& path) {
-  const auto address = runtime::Address::Parse(FLAGS_operator);
-  if (!address) {
-    std::cerr << "--operator must have the form ip:port\n";
-    return kExitUsage;
+using common::Error;
+using common::ResultCode;
+
+// Neither a flag nor an argument, since other users can read those.
+std::string OperatorKey() {
+  if (FLAGS_operator_key_file.empty()) {
+    const char* key = std::getenv("JUJUBEROCK_OPERATOR_KEY");
+    return key ? key : "";
   }
-  int status = kExitFailed;
+  std::ifstream file(FLAGS_operator_key_file);
+  std::string key;
+  if (!std::getline(file, key))
+    throw Error(ResultCode::kUsage,
+                "can not read a key from " + FLAGS_operator_key_file);
+  return key;
+}
+
+std::vector<runtime::Address> OperatorAddresses() {
+  std::vector<runtime::Address> addresses;
+  std::stringstream list(FLAGS_operator);
+  std::string text;
+  while (std::getline(list, text, ',')) {
+    const auto address = runtime::Address::Parse(text);
+    if (!address)
+      throw Error(ResultCode::kUsage,
+                  "--operator: not of the form ip:port: " + text);
+    addresses.push_back(*address);
+  }
+  if (addresses.empty())
+    throw Error(ResultCode::kUsage, "--operator names no address");
+  return addresses;
+}
+
+// The body of a successful answer. Throws common::Error with the body of any
+// other answer.
+std::string Call(runtime::HttpClient& client,
+                 const runtime::Address& address,
+                 const std::string& method,
+                 const std::string& path) {
+  runtime::HttpRequest request{method, path, {}, ""};
+  const std::string key = OperatorKey();
+  if (!key.empty())
+    request.headers.Add("Authorization", "Bearer " + key);
+  const runtime::HttpResponse response = client.Fetch(address, request);
+  if (response.status / 100 != 2)
+    throw Error(ResultCode::kPeerUnavailable,
+                address.ToString() + ": " + response.body);
+  return response.body;
+}
+
+// Runs `body` on a fiber and turns errors into exit statuses.
+int RunWithClient(const std::function<void(runtime::HttpClient&)>& body) {
   runtime::WorkerPool pool(1);
   try {
     pool.Run([&] {
       runtime::HttpClient client(pool, {});
-      const runtime::HttpResponse response =
-          client.Fetch(*address, {method, path, {}, ""});
-      const bool done = response.status / 100 == 2;
-      (done ? std::cout : std::cerr) << response.body;
-      status = done ? kExitOk : kExitFailed;
+      body(client);
     });
-  } catch (const common::Error& error) {
+  } catch (const Error& error) {
     std::cerr << "jujuberock: " << error.what() << "\n";
+    return error.code() == ResultCode::kUsage ? kExitUsage : kExitFailed;
   }
-  return status;
+  return kExitOk;
+}
+
+int CallOperator(const std::string& method, const std::string& path) {
+  return RunWithClient([&](runtime::HttpClient& client) {
+    for (const runtime::Address& address : OperatorAddresses())
+      std::cout << Call(client, address, method, path);
+  });
 }
 
 }  // namespace
@@ -49,4 +108,21 @@
   return CallOperator("POST", "/stop");
 }
 
+int RunReport(const CommandLine& line) {
+  if (line.arguments != std::vector<std::string>{"burn"}) {
+    std::cerr << "usage: jujuberock report burn --operator ADDRESS,...\n";
+    return kExitUsage;
+  }
+  return RunWithClient([](runtime::HttpClient& client) {
+    std::vector<std::vector<report::BurnRow>> hosts;
+    for (const runtime::Address& address : OperatorAddresses())
+      hosts.push_back(report::ParseJson(Call(client, address, "GET", "/burn")));
+    const auto rows = report::MergeRows(hosts);
+    std::cout << (FLAGS_json
+                      ? report::RenderJson(rows, report::kDefaultObjective) +
+                            "\n"
+                      : report::RenderText(rows, report::kDefaultObjective));
+  });
+}
+
 }  // namespace jujuberock
