--- a/source/core/serve/settings.cc
+++ b/source/core/serve/settings.cc
@@ -36,7 +36,7 @@
 
 const std::vector<common::SettingDeclaration<Settings>>& SettingTable() {
   using S = Settings;
-  static const std::vector<common::SettingDeclaration<Settings>> table = {
+  static const std::vector<common::SettingDeclaration<Settings>> kTable = {
       {"host_name", &S::host_name, "", 0, 0, "Name of this host", true,
        CheckName},
       {"zone", &S::zone, "", 0, 0, "Availability zone of this host", true,
@@ -97,7 +97,7 @@
       {"stop_limit_ms", &S::stop_limit, "ms", 0, 86'400'000,
        "Longest wait for running requests in a planned stop"},
   };
-  return table;
+  return kTable;
 }
 
 }  // namespace jujuberock::serve
