--- a/source/core/journal/codec.cc
+++ b/source/core/journal/codec.cc
@@ -109,8 +109,7 @@
   } catch (const msgpack::type_error&) {
     ThrowMalformed();
   } catch (const msgpack::unpack_error&) {
-    ThrowMalformed();
-  } catch (const msgpack::size_overflow&) {
+    // Sizes beyond the limits are among these.
     ThrowMalformed();
   }
 }
--- a/source/core/journal/options.h
+++ b/source/core/journal/options.h
@@ -14,10 +14,11 @@
   // Fixed for the life of the stored records: the platform object
   // `layout` (kind `journal`) holds it and a host with another value refuses to
   // serve.
-  uint32_t shards = 64;
-  // Shortest time between two head writes of one shard. A write after a quiet
-  // period starts at once.
-  common::Duration write_spacing{0};
+  uint32_t shards = 1;
+  // Limit for the head writes of all shards together, whatever the load. The
+  // goal is 200 platform writes a second; sealing takes 5 of them at 1,000
+  // calls a second. See docs/decisions/journal.md.
+  double writes_per_second = 190;
   // An intent waits this long for others to share its write.
   common::Duration write_window{0};
   // An outcome waits this long for a write to ride on.
@@ -39,15 +40,24 @@
   std::chrono::milliseconds in_progress_limit = std::chrono::minutes(10);
   // Head segments larger than this are sealed.
   size_t head_bytes = 64 * 1024;
+  // So many sealed segments are listed by one index. An index of 64 holds
+  // about 11,600 records of 360 bytes in 130 KB.
+  size_t index_segments = 64;
   // Bodies of answers up to this size are kept.
   size_t answer_bytes = 8 * 1024;
-  // New intents are refused while the head is larger; the platform holds
-  // values up to 1 MB.
+  // New intents are refused while the head is larger: the platform holds
+  // values up to 1 MB, and outcomes still have to fit.
   size_t head_limit_bytes = 900 * 1024;
   // Segments that are read at the same time by a takeover.
   size_t parallel_reads = 16;
   // Answers that a host keeps to replay what itself forwarded.
   size_t host_answers = 1024;
+
+  // Shortest time between two head writes of one shard. A write after a quiet
+  // period starts at once.
+  common::Duration WriteSpacing() const {
+    return common::FromSeconds(this->shards / this->writes_per_second);
+  }
 };
 
 }  // namespace jujuberock::journal
--- a/source/core/journal/record.cc
+++ b/source/core/journal/record.cc
@@ -37,7 +37,7 @@
                       static_cast<int>(text.size()));
   if (length < 0 || static_cast<uint64_t>(length) < size)
     throw common::Error(common::ResultCode::kProtocolError,
-                        "journal: a saved body is malformed");
+                        "journal: stored bytes are malformed");
   bytes.resize(size);
   return bytes;
 }
@@ -149,12 +149,17 @@
   for (const SegmentInfo& segment : head.segments)
     segments.push_back(
         {segment.name, ToMillis(segment.newest_issued), segment.records});
+  json indexes = json::array();
+  for (const IndexInfo& index : head.indexes)
+    indexes.push_back(
+        {index.name, ToMillis(index.newest_issued), index.records});
   const json value = {{"format", kFormat},
                       {"term", head.term},
                       {"owner", head.owner},
                       {"floor", ToMillis(head.floor)},
-                      {"next_segment", head.next_segment},
-                      {"segments", std::move(segments)}};
+                      {"next_object", head.next_object},
+                      {"segments", std::move(segments)},
+                      {"indexes", std::move(indexes)}};
   std::string body = Dump(value);
   body.back() = ',';
   body += "\"records\":[";
@@ -170,7 +175,11 @@
     head.term = value.at("term").get<Term>();
     head.owner = value.at("owner").get<std::string>();
     head.floor = FromMillis(value.at("floor"));
-    head.next_segment = value.at("next_segment").get<uint64_t>();
+    head.next_object = value.at("next_object").get<uint64_t>();
+    for (const json& index : value.at("indexes"))
+      head.indexes.push_back({index.at(0).get<std::string>(),
+                              FromMillis(index.at(1)),
+                              index.at(2).get<uint64_t>()});
     for (const json& segment : value.at("segments"))
       head.segments.push_back({segment.at(0).get<std::string>(),
                                FromMillis(segment.at(1)),
@@ -191,6 +200,40 @@
   });
 }
 
+std::string RenderIndex(const std::vector<IndexedSegment>& segments) {
+  json list = json::array();
+  for (const IndexedSegment& segment : segments) {
+    std::string bytes;
+    bytes.reserve(segment.hashes.size() * sizeof(uint64_t));
+    for (uint64_t hash : segment.hashes) {
+      for (size_t i = 0; i < sizeof(uint64_t); ++i)
+        bytes += static_cast<char>(hash >> (8 * i) & 0xff);
+    }
+    list.push_back({segment.name, segment.hashes.size(), ToBase64(bytes)});
+  }
+  return Dump({{"format", kFormat}, {"segments", std::move(list)}});
+}
+
+std::vector<IndexedSegment> ParseIndex(std::string_view body) {
+  return Parsed(body, [](const json& value) {
+    std::vector<IndexedSegment> segments;
+    for (const json& item : value.at("segments")) {
+      IndexedSegment segment;
+      segment.name = item.at(0).get<std::string>();
+      const auto count = item.at(1).get<size_t>();
+      const std::string bytes =
+          FromBase64(item.at(2).get<std::string>(), count * sizeof(uint64_t));
+      segment.hashes.resize(count);
+      for (size_t i = 0; i < bytes.size(); ++i)
+        segment.hashes[i / sizeof(uint64_t)] |=
+            uint64_t{static_cast<unsigned char>(bytes[i])}
+            << (8 * (i % sizeof(uint64_t)));
+      segments.push_back(std::move(segment));
+    }
+    return segments;
+  });
+}
+
 std::string HeadName(ShardId shard) {
   return "shard-" + TwoDigits(shard);
 }
@@ -200,6 +243,11 @@
          std::to_string(number);
 }
 
+std::string IndexName(ShardId shard, Term term, uint64_t number) {
+  return HeadName(shard) + ".t" + std::to_string(term) + ".i" +
+         std::to_string(number);
+}
+
 std::optional<ShardId> ShardOfObject(std::string_view name) {
   constexpr std::string_view kPrefix = "shard-";
   if (!name.starts_with(kPrefix))
--- a/source/core/journal/record.h
+++ b/source/core/journal/record.h
@@ -41,6 +41,20 @@
   uint64_t records = 0;
 };
 
+// An object that lists sealed segments with the hashes of their keys, so that
+// a takeover reads one object instead of many.
+struct IndexInfo {
+  std::string name;
+  common::UnixTime newest_issued;
+  uint64_t records = 0;
+};
+
+struct IndexedSegment {
+  std::string name;
+  // HashKey() of every key in the segment.
+  std::vector<uint64_t> hashes;
+};
+
 // The changing object of a shard.
 struct Head {
   Term term = 0;
@@ -48,8 +62,10 @@
   // Calls issued before it are refused, and only their records are dropped. It
   // is stored and never falls, so hosts with differing clocks agree.
   common::UnixTime floor;
-  uint64_t next_segment = 0;
-  std::vector<SegmentInfo> segments;
+  // Number of the next segment or index of this term.
+  uint64_t next_object = 0;
+  std::vector<SegmentInfo> segments;  // those that no index lists
+  std::vector<IndexInfo> indexes;
 };
 
 struct HeadContent {
@@ -69,12 +85,15 @@
 HeadContent ParseHead(std::string_view body);
 std::string RenderSegment(std::string_view records);
 std::vector<Record> ParseSegment(std::string_view body);
+std::string RenderIndex(const std::vector<IndexedSegment>& segments);
+std::vector<IndexedSegment> ParseIndex(std::string_view body);
 
-// Names of the objects. A segment's name carries the term that wrote it, so a
-// former owner can never touch a segment of its successors.
+// Names of the objects. The name of a segment or index carries the term that
+// wrote it, so a former owner can never touch those of its successors.
 std::string HeadName(ShardId shard);
 std::string SegmentName(ShardId shard, Term term, uint64_t number);
-// The shard that an object of either name belongs to.
+std::string IndexName(ShardId shard, Term term, uint64_t number);
+// The shard that an object of these names belongs to.
 std::optional<ShardId> ShardOfObject(std::string_view name);
 
 // The object that fixes the number of shards for all hosts.
--- a/source/core/journal/shard_owner.cc
+++ b/source/core/journal/shard_owner.cc
@@ -13,12 +13,11 @@
 
 namespace {
 
-std::vector<uint64_t> SortedHashes(const std::vector<Record>& records) {
+std::vector<uint64_t> HashesOf(const std::vector<Record>& records) {
   std::vector<uint64_t> hashes;
   hashes.reserve(records.size());
   for (const Record& record : records)
     hashes.push_back(HashKey(record.key));
-  std::sort(hashes.begin(), hashes.end());
   return hashes;
 }
 
@@ -108,7 +107,7 @@
     this->OnSealSettled(this->SettleByRead(*this->seal_write, ok, object, now),
                         now);
   } else if (this->state == State::kLoading) {
-    this->OnSegmentLoaded(name, ok, object, now, wall);
+    this->OnSealedLoaded(name, ok, object, now, wall);
   } else if (this->lookups.contains(name)) {
     this->OnLookupRead(name, ok, object, now, wall);
   }
@@ -181,8 +180,8 @@
 
 size_t ShardOwner::sealed_records() const {
   size_t total = 0;
-  for (const auto& [name, hashes] : this->sealed)
-    total += hashes.size();
+  for (const auto& [name, group] : this->sealed)
+    total += group.hashes.size();
   return total;
 }
 
@@ -214,12 +213,14 @@
   if (object)
     content = ParseHead(object->body);
   this->head = std::move(content.head);
-  // An owner that died between writing a segment and listing it left it here.
-  if (this->head.term > 0)
-    this->stray_segment =
-        SegmentName(this->shard, this->head.term, this->head.next_segment);
+  // An owner that died between writing an object and listing it left it here.
+  if (this->head.term > 0) {
+    const uint64_t number = this->head.next_object;
+    this->strays = {SegmentName(this->shard, this->head.term, number),
+                    IndexName(this->shard, this->head.term, number)};
+  }
   ++this->head.term;
-  this->head.next_segment = 0;
+  this->head.next_object = 0;
   this->head.owner = this->host;
   for (Record& record : content.records) {
     Entry entry;
@@ -232,11 +233,11 @@
 }
 
 void ShardOwner::OnTakenOver(TimePoint now, UnixTime wall) {
-  if (!this->stray_segment.empty())
-    this->actions.deletes.push_back(std::exchange(this->stray_segment, {}));
+  for (std::string& name : std::exchange(this->strays, {}))
+    this->actions.deletes.push_back(std::move(name));
   this->state = State::kLoading;
   this->load = {};
-  this->load.left = this->head.segments.size();
+  this->load.left = this->head.segments.size() + this->head.indexes.size();
   if (this->load.left == 0)
     this->Activate(now, wall);
   else
@@ -244,30 +245,39 @@
 }
 
 void ShardOwner::LoadMore() {
-  while (this->load.next < this->head.segments.size() &&
+  const size_t segments = this->head.segments.size();
+  const size_t total = segments + this->head.indexes.size();
+  while (this->load.next < total &&
          this->load.in_flight < this->options.parallel_reads) {
+    const size_t next = this->load.next++;
     this->actions.reads.push_back(
-        {this->head.segments[this->load.next++].name});
+        {next < segments ? this->head.segments[next].name
+                         : this->head.indexes[next - segments].name});
     ++this->load.in_flight;
   }
 }
 
-void ShardOwner::OnSegmentLoaded(const std::string& name,
-                                 bool ok,
-                                 const std::optional<Object>& object,
-                                 TimePoint now,
-                                 UnixTime wall) {
+void ShardOwner::OnSealedLoaded(const std::string& name,
+                                bool ok,
+                                const std::optional<Object>& object,
+                                TimePoint now,
+                                UnixTime wall) {
   if (this->sealed.contains(name))
     return;
   if (ok && !object) {
-    // Only a later owner deletes a listed segment.
+    // Only a later owner deletes a listed object.
     this->Lose({}, now);
     return;
   }
   try {
     if (!ok)
       throw common::Error(common::ResultCode::kPlatformUnavailable, name);
-    this->sealed.emplace(name, SortedHashes(ParseSegment(object->body)));
+    std::vector<IndexedSegment> segments;
+    if (this->IsIndex(name))
+      segments = ParseIndex(object->body);
+    else
+      segments.push_back({name, HashesOf(ParseSegment(object->body))});
+    this->sealed.emplace(name, MakeGroup(std::move(segments)));
   } catch (const common::Error&) {
     this->load.retries[name] = now + this->options.platform_retry;
     return;
@@ -314,7 +324,7 @@
   this->state = State::kIdle;
   this->version = 0;
   this->head = {};
-  this->stray_segment.clear();
+  this->strays.clear();
   this->head_read_retry.reset();
   this->load = {};
   this->waiting.clear();
@@ -327,7 +337,7 @@
   this->committed_change = this->last_change;
   this->first_intent.reset();
   this->first_outcome.reset();
-  this->expired_segments.clear();
+  this->expired.clear();
   this->head_write.reset();
   this->seal_write.reset();
   this->deferred_permits.clear();
--- a/source/core/journal/shard_owner.h
+++ b/source/core/journal/shard_owner.h
@@ -136,9 +136,10 @@
     // Changes up to this number are part of it (head).
     uint64_t change = 0;
     std::vector<std::string> deletes;
-    // What is being sealed (segment).
+    // What is being sealed (segment), or listed (index).
     SegmentInfo segment;
     std::vector<uint64_t> entries;
+    bool is_index = false;
   };
   enum class Settled { kNo, kTookEffect, kSuperseded };
   struct Load {
@@ -151,6 +152,13 @@
     std::vector<Waiting> waiting;
     std::optional<common::TimePoint> retry_at;
   };
+  // The sorted hashes of the keys in one segment or in all those of an index,
+  // with the position of each key's segment: ten bytes a record.
+  struct SealedGroup {
+    std::vector<std::string> segments;
+    std::vector<uint64_t> hashes;
+    std::vector<uint16_t> positions;
+  };
   struct KeyHasher {
     size_t operator()(const CallKey& key) const { return HashKey(key); }
   };
@@ -164,11 +172,11 @@
   void OnTakenOver(common::TimePoint now, common::UnixTime wall);
   void Insert(Entry entry);
   void LoadMore();
-  void OnSegmentLoaded(const std::string& name,
-                       bool ok,
-                       const std::optional<platform::Object>& object,
-                       common::TimePoint now,
-                       common::UnixTime wall);
+  void OnSealedLoaded(const std::string& name,
+                      bool ok,
+                      const std::optional<platform::Object>& object,
+                      common::TimePoint now,
+                      common::UnixTime wall);
   void Activate(common::TimePoint now, common::UnixTime wall);
   // Answers everybody who waits that this host is not the owner.
   void Lose(const HostId& new_owner, common::TimePoint now);
@@ -207,6 +215,17 @@
   void StartHeadWrite();
   void DropExpired(common::UnixTime wall);
   void SealIfLarge();
+  void IndexIfMany();
+  void OnSealed(const PendingWrite& pending);
+  void OnIndexed(const PendingWrite& pending);
+  static SealedGroup MakeGroup(std::vector<IndexedSegment> segments);
+  bool IsIndex(const std::string& name) const;
+  // Segments that hold a key with this hash, unless in `searched`.
+  std::vector<std::string> SegmentsWith(
+      uint64_t hash,
+      const std::unordered_set<std::string>& searched) const;
+  bool IsListed(const std::string& segment) const;
+  size_t HeadBytes() const;
   void Send(PendingWrite& pending);
   Settled Settle(PendingWrite& pending,
                  const platform::WriteResult& result,
@@ -237,10 +256,10 @@
   std::optional<common::TimePoint> head_read_retry;
   common::TimePoint not_before;
   HostId last_known_owner;
-  // Segment that the former owner may have written without listing it.
-  std::string stray_segment;
-  // Segments that the next head write no longer lists.
-  std::vector<std::string> expired_segments;
+  // Objects that the former owner may have written without listing them.
+  std::vector<std::string> strays;
+  // Objects that the next head write no longer lists.
+  std::vector<std::string> expired;
   Load load;
   std::vector<Waiting> waiting;
   std::vector<WaitingOutcome> waiting_outcomes;
@@ -250,8 +269,8 @@
   std::unordered_map<CallKey, uint64_t, KeyHasher> by_key;
   uint64_t next_entry = 0;
   size_t record_bytes = 0;
-  // Sorted hashes of the keys in each sealed segment: eight bytes a record.
-  std::unordered_map<std::string, std::vector<uint64_t>> sealed;
+  // By the name of the segment or index.
+  std::map<std::string, SealedGroup> sealed;
   std::map<std::string, Lookup> lookups;
   // Calls that reported kNotRun before any intent of theirs arrived here.
   std::deque<CallId> released_calls;
--- a/source/core/journal/shard_owner_records.cc
+++ b/source/core/journal/shard_owner_records.cc
@@ -49,7 +49,7 @@
     this->Reply(asking.to, PermitVerdict::kReleased);
     return;
   }
-  if (this->record_bytes > this->options.head_limit_bytes) {
+  if (this->HeadBytes() > this->options.head_limit_bytes) {
     this->Reply(asking.to, PermitVerdict::kUnavailable);
     return;
   }
@@ -100,18 +100,16 @@
 }
 
 bool ShardOwner::SearchSealed(Waiting& asking) {
-  const uint64_t hash = HashKey(asking.request.key);
-  for (const auto& [name, hashes] : this->sealed) {
-    if (asking.searched.contains(name) ||
-        !std::binary_search(hashes.begin(), hashes.end(), hash))
-      continue;
-    Lookup& lookup = this->lookups[name];
-    if (lookup.waiting.empty() && !lookup.retry_at)
-      this->actions.reads.push_back({name});
-    lookup.waiting.push_back(std::move(asking));
-    return true;
-  }
-  return false;
+  const std::vector<std::string> segments =
+      this->SegmentsWith(HashKey(asking.request.key), asking.searched);
+  if (segments.empty())
+    return false;
+  const std::string& name = segments.front();
+  Lookup& lookup = this->lookups[name];
+  if (lookup.waiting.empty() && !lookup.retry_at)
+    this->actions.reads.push_back({name});
+  lookup.waiting.push_back(std::move(asking));
+  return true;
 }
 
 void ShardOwner::OnLookupRead(const std::string& name,
@@ -119,7 +117,7 @@
                               const std::optional<platform::Object>& object,
                               TimePoint now,
                               UnixTime wall) {
-  if (ok && !object && this->sealed.contains(name)) {
+  if (ok && !object && this->IsListed(name)) {
     // Only a later owner deletes a listed segment.
     this->Lose({}, now);
     return;
@@ -239,11 +237,7 @@
 }
 
 bool ShardOwner::IsSealed(const CallKey& key) const {
-  const uint64_t hash = HashKey(key);
-  return std::any_of(
-      this->sealed.begin(), this->sealed.end(), [hash](const auto& item) {
-        return std::binary_search(item.second.begin(), item.second.end(), hash);
-      });
+  return !this->SegmentsWith(HashKey(key), {}).empty();
 }
 
 bool ShardOwner::IsKnownReleased(const CallId& call_id) const {
--- a/source/core/journal/shard_owner_writes.cc
+++ b/source/core/journal/shard_owner_writes.cc
@@ -18,10 +18,11 @@
     return;
   this->DropExpired(wall);
   this->SealIfLarge();
+  this->IndexIfMany();
   this->StartHeadWrite();
   this->first_intent.reset();
   this->first_outcome.reset();
-  this->next_write = now + this->options.write_spacing;
+  this->next_write = now + this->options.WriteSpacing();
 }
 
 std::optional<TimePoint> ShardOwner::WriteDue() const {
@@ -48,7 +49,7 @@
   pending.write = {HeadName(this->shard), this->version,
                    RenderHead(this->head, joined), this->make_token()};
   pending.change = this->last_change;
-  pending.deletes = std::exchange(this->expired_segments, {});
+  pending.deletes = std::exchange(this->expired, {});
   this->head_write = std::move(pending);
   this->Send(*this->head_write);
 }
@@ -62,13 +63,24 @@
   }
   for (uint64_t number : expired)
     this->EraseEntry(number);
-  std::erase_if(this->head.segments, [this](const SegmentInfo& segment) {
-    if (segment.newest_issued >= this->head.floor)
+  // Segments that an index is about to list expire together with it.
+  const bool indexing = this->seal_write && this->seal_write->is_index;
+  std::erase_if(this->head.segments, [&](const SegmentInfo& segment) {
+    if (indexing || segment.newest_issued >= this->head.floor)
       return false;
-    this->expired_segments.push_back(segment.name);
+    this->expired.push_back(segment.name);
     this->sealed.erase(segment.name);
     return true;
   });
+  std::erase_if(this->head.indexes, [this](const IndexInfo& index) {
+    if (index.newest_issued >= this->head.floor)
+      return false;
+    for (const std::string& name : this->sealed[index.name].segments)
+      this->expired.push_back(name);
+    this->expired.push_back(index.name);
+    this->sealed.erase(index.name);
+    return true;
+  });
 }
 
 void ShardOwner::SealIfLarge() {
@@ -100,7 +112,7 @@
   for (uint64_t number : pending.entries)
     this->records.at(number).sealing = true;
   pending.segment.name =
-      SegmentName(this->shard, this->head.term, this->head.next_segment);
+      SegmentName(this->shard, this->head.term, this->head.next_object);
   pending.segment.records = pending.entries.size();
   pending.write = {pending.segment.name, 0, RenderSegment(joined),
                    this->make_token()};
@@ -184,9 +196,7 @@
   return Settled::kSuperseded;
 }
 
-void ShardOwner::OnHeadSettled(Settled settled,
-                               TimePoint now,
-                               UnixTime wall) {
+void ShardOwner::OnHeadSettled(Settled settled, TimePoint now, UnixTime wall) {
   if (settled == Settled::kNo)
     return;
   const PendingWrite pending = std::move(*this->head_write);
@@ -206,28 +216,128 @@
   this->ReleaseReplies();
 }
 
+void ShardOwner::IndexIfMany() {
+  const std::vector<SegmentInfo>& listed = this->head.segments;
+  if (this->seal_write || listed.size() < this->options.index_segments)
+    return;
+  PendingWrite pending;
+  pending.is_index = true;
+  pending.segment.name =
+      IndexName(this->shard, this->head.term, this->head.next_object);
+  std::vector<IndexedSegment> segments;
+  for (const SegmentInfo& segment : listed) {
+    segments.push_back({segment.name, this->sealed.at(segment.name).hashes});
+    pending.segment.records += segment.records;
+    pending.segment.newest_issued =
+        std::max(pending.segment.newest_issued, segment.newest_issued);
+  }
+  pending.write = {pending.segment.name, 0, RenderIndex(segments),
+                   this->make_token()};
+  this->seal_write = std::move(pending);
+  this->Send(*this->seal_write);
+}
+
 void ShardOwner::OnSealSettled(Settled settled, TimePoint now) {
   if (settled == Settled::kNo)
     return;
   const PendingWrite pending = std::move(*this->seal_write);
   this->seal_write.reset();
-  ++this->head.next_segment;
+  ++this->head.next_object;
   if (settled == Settled::kSuperseded) {
     for (uint64_t number : pending.entries)
       this->records.at(number).sealing = false;
     return;
   }
-  std::vector<uint64_t>& hashes = this->sealed[pending.segment.name];
-  hashes.reserve(pending.entries.size());
+  if (pending.is_index)
+    this->OnIndexed(pending);
+  else
+    this->OnSealed(pending);
+  ++this->last_change;
+  if (!this->first_outcome)
+    this->first_outcome = now;
+}
+
+void ShardOwner::OnSealed(const PendingWrite& pending) {
+  IndexedSegment segment;
+  segment.name = pending.segment.name;
   for (uint64_t number : pending.entries) {
-    hashes.push_back(HashKey(this->records.at(number).record.key));
+    segment.hashes.push_back(HashKey(this->records.at(number).record.key));
     this->EraseEntry(number);
   }
-  std::sort(hashes.begin(), hashes.end());
   this->head.segments.push_back(pending.segment);
-  ++this->last_change;
-  if (!this->first_outcome)
-    this->first_outcome = now;
+  this->sealed.emplace(pending.segment.name, MakeGroup({std::move(segment)}));
+}
+
+void ShardOwner::OnIndexed(const PendingWrite& pending) {
+  std::vector<IndexedSegment> segments = ParseIndex(pending.write.body);
+  for (const IndexedSegment& segment : segments) {
+    this->sealed.erase(segment.name);
+    std::erase_if(this->head.segments, [&](const SegmentInfo& listed) {
+      return listed.name == segment.name;
+    });
+  }
+  this->head.indexes.push_back({pending.segment.name,
+                                pending.segment.newest_issued,
+                                pending.segment.records});
+  this->sealed.emplace(pending.segment.name, MakeGroup(std::move(segments)));
+}
+
+ShardOwner::SealedGroup ShardOwner::MakeGroup(
+    std::vector<IndexedSegment> segments) {
+  std::vector<std::pair<uint64_t, uint16_t>> sorted;
+  SealedGroup group;
+  for (IndexedSegment& segment : segments) {
+    const auto position = static_cast<uint16_t>(group.segments.size());
+    for (uint64_t hash : segment.hashes)
+      sorted.emplace_back(hash, position);
+    group.segments.push_back(std::move(segment.name));
+  }
+  std::sort(sorted.begin(), sorted.end());
+  group.hashes.reserve(sorted.size());
+  group.positions.reserve(sorted.size());
+  for (const auto& [hash, position] : sorted) {
+    group.hashes.push_back(hash);
+    group.positions.push_back(position);
+  }
+  return group;
+}
+
+bool ShardOwner::IsIndex(const std::string& name) const {
+  return std::any_of(
+      this->head.indexes.begin(), this->head.indexes.end(),
+      [&name](const IndexInfo& index) { return index.name == name; });
+}
+
+std::vector<std::string> ShardOwner::SegmentsWith(
+    uint64_t hash,
+    const std::unordered_set<std::string>& searched) const {
+  std::vector<std::string> found;
+  for (const auto& [name, group] : this->sealed) {
+    const auto [first, last] =
+        std::equal_range(group.hashes.begin(), group.hashes.end(), hash);
+    for (auto it = first; it != last; ++it) {
+      const auto at = static_cast<size_t>(it - group.hashes.begin());
+      const std::string& segment = group.segments[group.positions[at]];
+      if (!searched.contains(segment))
+        found.push_back(segment);
+    }
+  }
+  return found;
+}
+
+bool ShardOwner::IsListed(const std::string& segment) const {
+  return std::any_of(
+      this->sealed.begin(), this->sealed.end(), [&segment](const auto& item) {
+        const std::vector<std::string>& names = item.second.segments;
+        return std::find(names.begin(), names.end(), segment) != names.end();
+      });
+}
+
+size_t ShardOwner::HeadBytes() const {
+  // An entry of a list takes its name, a time and a count.
+  constexpr size_t kListedBytes = 64;
+  return this->record_bytes + kListedBytes * (this->head.segments.size() +
+                                              this->head.indexes.size());
 }
 
 void ShardOwner::ReleaseReplies() {
--- a/source/unit_tests/core/journal/world.cc
+++ b/source/unit_tests/core/journal/world.cc
@@ -69,6 +69,7 @@
       hosts(kHosts) {
   this->journal.shards = 2;
   this->journal.head_bytes = this->options.head_bytes;
+  this->journal.index_segments = 3;
   for (size_t i = 0; i < kHosts; ++i) {
     this->hosts[i].id = std::string(1, static_cast<char>('a' + i));
     this->Start(i);
@@ -421,7 +422,9 @@
       object->body = WithoutFloor(object->body);
     const bool segment = read.name.find('.') != std::string::npos;
     if (object && segment && !this->options.mechanisms.sealed_search)
-      object->body = RenderSegment("");
+      object->body = read.name.find(".i") != std::string::npos
+                         ? RenderIndex({})
+                         : RenderSegment("");
     this->At(host, start, [=, this](Node& node) {
       node.OnReadReply(read.name, ok, object, this->now(), this->WallOf(host));
     });
