Test the spread of changes over whole deployments

Fleet runs the decision objects of many hosts over a fake network and platform with the manual timer service. A frame counts 60 bytes and a platform call 400, which is assumed.

--- a/source/core/membership/coordinator.cc
+++ b/source/core/membership/coordinator.cc
@@ -70,10 +70,6 @@
     step.calls.push_back(this->CallOf(std::move(send)));
   step.host_changes = std::move(actions.host_changes);
   step.endpoint_changes = std::move(actions.endpoint_changes);
-  for (const HostChange& change : step.host_changes) {
-    if (change.state == HostState::kDead)
-      this->sync.Forget(change.host);
-  }
   return step;
 }
 
@@ -84,6 +80,7 @@
   this->rows = current;
   step->Append(this->Membership(
       [&](View* view) { return view->OnPlatformList(*current, now); }));
+  this->sync.Retain(this->KnownHosts());
 }
 
 Step Coordinator::OnTick(TimePoint now) {
@@ -298,20 +295,24 @@
 }
 
 std::vector<table::HostLag> Coordinator::Lags(TimePoint now) const {
-  return this->sync.Lags(now);
+  return this->sync.Lags(this->KnownHosts(), now);
 }
 
-std::vector<PeerCall> Coordinator::AskDigests(TimePoint now) const {
-  const table::PeerSet peers = this->Peers(now);
+std::set<std::string> Coordinator::KnownHosts() const {
+  std::set<std::string> known;
+  for (const auto& [name, row] : this->table.Current()->hosts())
+    known.insert(name);
+  const common::RankedLock lock(this->mutex);
+  for (const auto& [name, member] : this->view.members())
+    known.insert(name);
+  known.erase(this->view.self().name);
+  return known;
+}
+
+std::vector<PeerCall> Coordinator::AskDigests() const {
   std::vector<PeerCall> calls;
-  for (const std::string& host : peers.zone_peers)
+  for (const std::string& host : this->KnownHosts())
     calls.push_back(CallOf(this->sync.Compare(host), false));
-  const table::SnapshotPtr current = this->table.Current();
-  const std::string zone = this->self().zone;
-  for (const auto& [name, row] : current->hosts()) {
-    if (row->zone != zone)
-      calls.push_back(CallOf(this->sync.Compare(name), false));
-  }
   return calls;
 }
 
--- a/source/core/membership/coordinator.h
+++ b/source/core/membership/coordinator.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -107,17 +108,20 @@
   HostNews self() const;
   std::map<std::string, Member> Members() const;
   std::map<std::string, ZoneState> Zones(common::TimePoint now) const;
-  // Hosts whose configuration differs, as of their last message.
+  // Hosts of the deployment whose configuration differs, as of their last
+  // message. Ask for their digests first to see the present state.
   std::vector<table::HostLag> Lags(common::TimePoint now) const;
   // Messages that ask each known host for its digest, so that Lags() is
   // current. The number grows with the hosts; for status only.
-  std::vector<PeerCall> AskDigests(common::TimePoint now) const;
+  std::vector<PeerCall> AskDigests() const;
   // Time since the last successful contact with the platform, if any.
   std::optional<common::Duration> PlatformSilence(common::TimePoint now) const;
 
  private:
   using Change = std::function<Actions(View*)>;
 
+  std::set<std::string> KnownHosts() const;
+
   Step Membership(const Change& change);
   PeerCall CallOf(Send send) const;
   static PeerCall CallOf(table::SyncSend send, bool start);
--- a/source/core/table/host_progress.cc
+++ b/source/core/table/host_progress.cc
@@ -35,19 +35,25 @@
     seen.differs_since = now;
 }
 
-void HostProgress::Forget(const std::string& host) {
-  this->hosts.erase(host);
+void HostProgress::Retain(const std::set<std::string>& known) {
+  std::erase_if(this->hosts,
+                [&](const auto& item) { return !known.contains(item.first); });
 }
 
-std::vector<HostLag> HostProgress::Lags(const DigestSummary& mine,
+std::vector<HostLag> HostProgress::Lags(const std::set<std::string>& known,
+                                        const DigestSummary& mine,
                                         common::TimePoint now) const {
   std::vector<HostLag> lags;
-  for (const auto& [host, seen] : this->hosts) {
-    if (seen.summary == mine)
+  for (const std::string& host : known) {
+    const auto found = this->hosts.find(host);
+    const bool heard = found != this->hosts.end();
+    if (heard && found->second.summary == mine)
       continue;
     HostLag lag;
     lag.host = host;
-    lag.heard_ago = now - seen.when;
+    const Seen seen = heard ? found->second : Seen{};
+    if (heard)
+      lag.heard_ago = now - seen.when;
     const auto missing = std::find_if(
         this->applied.begin(), this->applied.end(), [&](const Applied& change) {
           return change.object.version > seen.summary.high;
@@ -55,8 +61,10 @@
     if (missing != this->applied.end()) {
       lag.oldest_missing = missing->object;
       lag.lacking = now - missing->when;
+      lag.confirmed = heard && seen.when > missing->when;
     } else if (seen.differs_since) {
       lag.lacking = now - *seen.differs_since;
+      lag.confirmed = true;
     }
     lags.push_back(std::move(lag));
   }
--- a/source/core/table/host_progress.h
+++ b/source/core/table/host_progress.h
@@ -4,6 +4,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -12,17 +13,20 @@
 
 namespace jujuberock::table {
 
-// A host that does not have in force what this host has.
+// A host that, as far as is known, lacks something that this host has.
 struct HostLag {
   std::string host;
+  // The host was heard of after this host had the change. Otherwise it may
+  // have the change by now: it did not answer since.
+  bool confirmed = false;
   // The oldest change that the host lacks, if it is among the recent ones;
   // otherwise the host differs in something older.
   std::optional<Object> oldest_missing;
   // How long ago this host learned of that change, or how long the host has
   // differed. At least this long the change has been missing there.
   common::Duration lacking{0};
-  // Age of the host's last message.
-  common::Duration heard_ago{0};
+  // Age of the host's last message; nothing when it never sent one.
+  std::optional<common::Duration> heard_ago;
 };
 
 // Tracks which configuration each host has in force by the digests in its
@@ -36,10 +40,12 @@
                  const DigestSummary& theirs,
                  const DigestSummary& mine,
                  common::TimePoint now);
-  // Forgets a host that is no longer a member.
-  void Forget(const std::string& host);
+  // Forgets hosts that are not among these.
+  void Retain(const std::set<std::string>& known);
 
-  std::vector<HostLag> Lags(const DigestSummary& mine,
+  // Those of `known` whose last digest differs from `mine`.
+  std::vector<HostLag> Lags(const std::set<std::string>& known,
+                            const DigestSummary& mine,
                             common::TimePoint now) const;
 
  private:
--- a/source/core/table/sync.cc
+++ b/source/core/table/sync.cc
@@ -202,15 +202,16 @@
   this->is_ready = true;
 }
 
-std::vector<HostLag> Sync::Lags(common::TimePoint now) const {
+std::vector<HostLag> Sync::Lags(const std::set<std::string>& known,
+                                common::TimePoint now) const {
   const DigestSummary mine = this->view.Summary();
   const common::RankedLock lock(this->mutex);
-  return this->progress.Lags(mine, now);
+  return this->progress.Lags(known, mine, now);
 }
 
-void Sync::Forget(const std::string& host) {
+void Sync::Retain(const std::set<std::string>& known) {
   const common::RankedLock lock(this->mutex);
-  this->progress.Forget(host);
+  this->progress.Retain(known);
 }
 
 }  // namespace jujuberock::table
--- a/source/core/table/sync.h
+++ b/source/core/table/sync.h
@@ -2,6 +2,7 @@
 #define CORE_TABLE_SYNC_H_
 
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -80,9 +81,10 @@
   void OnPlatformComplete();
 
   // What the other hosts have in force, as far as their messages tell.
-  std::vector<HostLag> Lags(common::TimePoint now) const;
-  // Forgets what is known of a host that is no longer a member.
-  void Forget(const std::string& host);
+  std::vector<HostLag> Lags(const std::set<std::string>& known,
+                            common::TimePoint now) const;
+  // Forgets hosts that are not among these.
+  void Retain(const std::set<std::string>& known);
 
  private:
   SyncMessage Header() const;
--- /dev/null
+++ b/source/unit_tests/core/membership/fleet.cc
@@ -0,0 +1,316 @@
+#include "unit_tests/core/membership/fleet.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace jujuberock::membership {
+
+using common::Duration;
+using common::TimePoint;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr Duration kStep = milliseconds(10);
+constexpr Duration kTick = milliseconds(100);
+constexpr Duration kCallDeadline = milliseconds(1000);
+constexpr Duration kNetworkLatency = milliseconds(1);
+constexpr Duration kPlatformLatency = milliseconds(3);
+// Frame and header bytes of one message or answer on the wire, as the
+// transport test measures them.
+constexpr size_t kFrameBytes = 60;
+// Request and response heads of one call to the platform.
+constexpr size_t kPlatformCallBytes = 400;
+
+}  // namespace
+
+Fleet::Host& Fleet::Add(const std::string& name,
+                        const std::string& zone,
+                        CoordinatorOptions options) {
+  auto host = std::make_unique<Host>();
+  host->name = name;
+  host->zone = zone;
+  host->table = std::make_unique<table::SharedView>();
+  const HostNews self{name, zone, "127.0.0.1:1", ++this->next_incarnation,
+                      HostState::kAlive};
+  host->coordinator = std::make_unique<Coordinator>(*host->table, self, options,
+                                                    this->random.Next());
+  Host* added = host.get();
+  this->hosts[name] = std::move(host);
+  this->Start(added);
+  return *added;
+}
+
+void Fleet::Start(Host* host) {
+  const auto phase = Duration(this->random.Below(kTick.count()));
+  this->ticks.push_back(this->timers.At(this->now() + phase, [=,
+                                                              this](TimePoint) {
+    this->ticks.push_back(this->timers.Every(kTick, [=, this](TimePoint now) {
+      if (!host->killed && !host->paused)
+        this->Perform(host, host->coordinator->OnTick(now));
+    }));
+  }));
+}
+
+Fleet::Host& Fleet::Restart(const std::string& name,
+                            const std::vector<std::string>& seeds) {
+  auto old = this->hosts.extract(name);
+  old.mapped()->killed = true;
+  Host& host = this->Add(name, old.mapped()->zone);
+  // Kept, since messages for the old process may be on their way.
+  this->ended.push_back(std::move(old.mapped()));
+  for (const std::string& seed : seeds)
+    host.coordinator->AddSeed(
+        {seed, this->Get(seed).zone, "127.0.0.1:1", 0, HostState::kAlive});
+  return host;
+}
+
+void Fleet::AskDigests(const std::string& name) {
+  Host& host = this->Get(name);
+  for (PeerCall& call : host.coordinator->AskDigests())
+    this->SendCall(&host, std::move(call));
+  this->Run(kCallDeadline);
+}
+
+void Fleet::Resume(const std::string& name) {
+  Host& host = this->Get(name);
+  host.paused = false;
+  for (auto& event : std::exchange(host.held, {}))
+    event();
+}
+
+void Fleet::At(Duration after, std::function<void()> event) {
+  this->events.emplace(this->now() + after, std::move(event));
+}
+
+Duration Fleet::Latency() {
+  return kNetworkLatency +
+         Duration(this->random.Below(
+             static_cast<uint64_t>(this->jitter.count()) + 1));
+}
+
+bool Fleet::Lost(const Host& from, const Host& to) {
+  return from.killed || to.killed || (this->cut && this->cut(from, to)) ||
+         this->random.Unit() < this->loss;
+}
+
+void Fleet::CountBytes(Host* host, const std::string& message, size_t bytes) {
+  host->bytes += bytes + kFrameBytes;
+  ++host->messages;
+  host->bytes_by_message[message] += bytes + kFrameBytes;
+}
+
+void Fleet::Perform(Host* host, Step step) {
+  for (const HostChange& change : step.host_changes)
+    host->changes.push_back(change);
+  for (const EndpointChange& change : step.endpoint_changes) {
+    if (change.leaving)
+      host->left_at.try_emplace(change.endpoint, this->now());
+  }
+  for (PeerCall& call : step.calls)
+    this->SendCall(host, std::move(call));
+  for (const table::FollowAction& action : step.platform)
+    this->CallPlatform(host, action);
+}
+
+void Fleet::SendCall(Host* from, PeerCall call) {
+  this->CountBytes(from, call.message, call.body.size());
+  const auto to = this->hosts.find(call.to);
+  if (to == this->hosts.end() || this->Lost(*from, *to->second)) {
+    this->At(kCallDeadline, [=, this] {
+      if (!from->killed)
+        from->coordinator->OnCallFailed(call, this->now());
+    });
+    return;
+  }
+  Host* target = to->second.get();
+  const int copies = this->random.Unit() < this->duplicates ? 2 : 1;
+  for (int i = 0; i < copies; ++i) {
+    this->At(this->Latency(), [=, this] {
+      if (target->paused)
+        target->held.push_back(
+            [=, this] { this->Deliver(from, target, call); });
+      else
+        this->Deliver(from, target, call);
+    });
+  }
+}
+
+void Fleet::Deliver(Host* from, Host* to, const PeerCall& call) {
+  if (to->killed)
+    return;
+  this->CountBytes(to, call.message, call.body.size());
+  Step step;
+  const std::string answer = to->coordinator->OnRequest(
+      from->name, call.message, call.body, this->now(), &step);
+  this->CountBytes(to, call.message, answer.size());
+  this->Perform(to, std::move(step));
+  if (this->Lost(*to, *from))
+    return;
+  this->At(this->Latency(), [=, this] {
+    if (from->killed)
+      return;
+    if (from->paused) {
+      // The deadline passes during the pause.
+      from->held.push_back(
+          [=, this] { from->coordinator->OnCallFailed(call, this->now()); });
+      return;
+    }
+    this->CountBytes(from, call.message, answer.size());
+    this->Perform(from, from->coordinator->OnAnswer(call, answer, this->now()));
+  });
+}
+
+void Fleet::CallPlatform(Host* host, const table::FollowAction& action) {
+  ++this->platform_calls;
+  this->CountBytes(host, "platform", kPlatformCallBytes);
+  const bool down = this->platform_cut && this->platform_cut(*host);
+  if (action.type == table::FollowAction::Type::kWatch) {
+    if (down)
+      this->At(kPlatformLatency, [=, this] {
+        host->coordinator->OnWatchEnd(action, std::nullopt, this->now());
+      });
+    else
+      this->OpenWatch(host, action);
+    return;
+  }
+  ++this->platform_lists;
+  platform::ObjectList list;
+  list.version = this->version;
+  for (const auto& [key, object] : this->store) {
+    if (key.first != NameOf(action.kind))
+      continue;
+    this->CountBytes(host, "platform", object.body.size() + 100);
+    if (!object.deleted)
+      list.objects.push_back(object);
+  }
+  this->At(kPlatformLatency, [=, this, list = std::move(list)] {
+    if (host->killed)
+      return;
+    host->coordinator->OnList(action, down ? std::nullopt : std::optional(list),
+                              this->now());
+  });
+}
+
+void Fleet::OpenWatch(Host* host, const table::FollowAction& action) {
+  const size_t id = this->next_watch++;
+  const bool silent = this->silent_watch && this->silent_watch(*host);
+  this->watches[id] = {host, action, silent};
+  const auto& limits = table::FollowerOptions{};
+  const auto end =
+      silent ? platform::WatchEnd::kSilent : platform::WatchEnd::kExpired;
+  this->At(silent ? limits.silence_limit : limits.watch_lifetime,
+           [=, this] { this->EndWatch(id, end); });
+  if (silent)
+    return;
+  std::vector<table::Object> missed;
+  for (const auto& [key, object] : this->store) {
+    if (key.first == NameOf(action.kind) && object.version > action.since)
+      missed.push_back(object);
+  }
+  this->At(kPlatformLatency, [=, this] {
+    for (const table::Object& object : missed) {
+      if (!host->killed)
+        host->coordinator->OnWatchChange(action, object, this->now());
+    }
+  });
+}
+
+void Fleet::EndWatch(size_t id, platform::WatchEnd end) {
+  const auto found = this->watches.find(id);
+  if (found == this->watches.end())
+    return;
+  const Watch watch = found->second;
+  this->watches.erase(found);
+  Host& host = *watch.host;
+  if (host.killed)
+    return;
+  if (host.paused)
+    host.held.push_back([=, this, &host] {
+      host.coordinator->OnWatchEnd(watch.action, end, this->now());
+    });
+  else
+    host.coordinator->OnWatchEnd(watch.action, end, this->now());
+}
+
+table::Version Fleet::Write(table::Object object) {
+  object.version = ++this->version;
+  this->store[{object.kind, object.name}] = object;
+  for (const auto& [id, watch] : this->watches) {
+    Host* host = watch.host;
+    const bool reached = !watch.silent && !host->killed &&
+                         NameOf(watch.action.kind) == object.kind &&
+                         !(this->platform_cut && this->platform_cut(*host));
+    if (!reached)
+      continue;
+    this->CountBytes(host, "platform", object.body.size() + 100);
+    auto deliver = [=, this, action = watch.action] {
+      if (!host->killed)
+        host->coordinator->OnWatchChange(action, object, this->now());
+    };
+    this->At(kPlatformLatency, [=] {
+      if (host->paused)
+        host->held.push_back(deliver);
+      else
+        deliver();
+    });
+  }
+  return object.version;
+}
+
+bool Fleet::InForce(const std::string& kind,
+                    const std::string& name,
+                    table::Version version,
+                    const std::string& zone) {
+  return std::all_of(this->hosts.begin(), this->hosts.end(), [&](auto& item) {
+    const Host& host = *item.second;
+    if (host.killed || host.paused || (!zone.empty() && host.zone != zone))
+      return true;
+    const auto held = host.table->Find(kind, name);
+    return held && held->version == version;
+  });
+}
+
+void Fleet::Run(Duration length) {
+  const TimePoint end = this->now() + length;
+  while (this->now() < end) {
+    this->timers.Advance(kStep);
+    while (!this->events.empty() &&
+           this->events.begin()->first <= this->now()) {
+      auto event = std::move(this->events.begin()->second);
+      this->events.erase(this->events.begin());
+      event();
+    }
+  }
+}
+
+std::optional<Duration> Fleet::RunUntil(const std::function<bool()>& done,
+                                        Duration limit) {
+  const TimePoint begin = this->now();
+  while (this->now() - begin < limit) {
+    if (done())
+      return this->now() - begin;
+    this->Run(kStep);
+  }
+  if (done())
+    return this->now() - begin;
+  return std::nullopt;
+}
+
+void Fleet::Preload() {
+  std::vector<table::Object> all;
+  for (const auto& [key, object] : this->store)
+    all.push_back(object);
+  for (auto& [name, host] : this->hosts)
+    host->table->Apply(all);
+}
+
+void Fleet::ResetCounts() {
+  for (auto& [name, host] : this->hosts) {
+    host->bytes = host->messages = 0;
+    host->bytes_by_message.clear();
+  }
+  this->platform_calls = this->platform_lists = 0;
+}
+
+}  // namespace jujuberock::membership
