Let suspected hosts refute before they count as dead

With 10% of messages lost, 20 hosts declared one another dead about 250 times in 5 minutes: gossip alone did not carry a refutation within the 3 s of a suspicion. A longer suspicion was ruled out, since it delays real failures. Now the suspecting host probes again in every period, the others once, and the suspected host announces its refutation to its zone.

--- a/source/core/membership/coordinator.cc
+++ b/source/core/membership/coordinator.cc
@@ -147,7 +147,9 @@
   *step = this->Membership(
       [&](View* view) { return view->OnMessage(from, probe, now); });
   // The acknowledgement is the answer; anything else is sent by itself.
-  if (probe.type != MessageType::kProbe)
+  const bool wants_ack =
+      probe.type == MessageType::kProbe || probe.type == MessageType::kAnnounce;
+  if (!wants_ack)
     return "";
   for (auto it = step->calls.begin(); it != step->calls.end(); ++it) {
     if (it->to != from)
--- a/source/core/membership/message.h
+++ b/source/core/membership/message.h
@@ -70,8 +70,9 @@
   kAck,          // answers a probe
   kRelayProbe,   // asks the receiver to probe `subject` for the sender
   kRelayAnswer,  // the receiver's relay probe reached `subject`
+  kAnnounce,     // urgent news to all; acknowledged without news
 };
-constexpr size_t kMessageTypes = 4;
+constexpr size_t kMessageTypes = 5;
 
 // A message as a msgpack array:
 //   [1, type, sequence, subject, [name, zone, address, incarnation, state],
--- a/source/core/membership/view.cc
+++ b/source/core/membership/view.cc
@@ -256,8 +256,14 @@
                     TimePoint now,
                     Actions* actions) {
   member->news.state = state;
-  if (state == HostState::kSuspect)
+  member->check_at.reset();
+  if (state == HostState::kSuspect) {
+    const auto window =
+        static_cast<uint64_t>(this->options.suspicion.count() / 2);
+    const auto wait = static_cast<int64_t>(this->random.Below(window + 1));
     member->dead_at = now + this->options.suspicion;
+    member->check_at = now + common::Duration(wait);
+  }
   this->queue.Add(member->news);
   actions->host_changes.push_back({member->news.name, state});
 }
@@ -268,14 +274,21 @@
     return;
   if (member->second.news.state < HostState::kSuspect)
     this->SetState(&member->second, HostState::kSuspect, now, actions);
+  // An own probe without an answer, also a repeated one: ask again at once.
+  if (member->second.news.state == HostState::kSuspect)
+    member->second.check_at = now;
 }
 
 void View::CheckSuspects(TimePoint now, Actions* actions) {
   for (auto& [name, member] : this->hosts) {
-    const bool overdue =
-        member.news.state == HostState::kSuspect && now >= member.dead_at;
-    if (overdue)
+    if (member.news.state != HostState::kSuspect)
+      continue;
+    if (now >= member.dead_at) {
       this->SetState(&member, HostState::kDead, now, actions);
+    } else if (member.check_at && now >= *member.check_at) {
+      member.check_at.reset();
+      this->SendProbe(name, actions, now);
+    }
   }
 }
 
@@ -309,6 +322,14 @@
       actions.sends.push_back({from, std::move(ack)});
       break;
     }
+    case MessageType::kAnnounce: {
+      Message ack;
+      ack.type = MessageType::kAck;
+      ack.sequence = message.sequence;
+      ack.sender = this->own;
+      actions.sends.push_back({from, std::move(ack)});
+      break;
+    }
     case MessageType::kAck:
     case MessageType::kRelayAnswer:
       this->OnAck(from, message.sequence, &actions);
@@ -343,19 +364,23 @@
   actions->sends.push_back({probe.relay_for, std::move(answer)});
 }
 
-void View::Refute(const HostNews& news) {
+void View::Refute(const HostNews& news, TimePoint now) {
   const bool wrong =
       news.state != this->own.state || news.address != this->own.address;
   const bool older_process = news.incarnation > this->own.incarnation;
   if (news.incarnation < this->own.incarnation || (!wrong && !older_process))
     return;
   this->own.incarnation = news.incarnation + 1;
-  this->queue.Add(this->own);
+  // Gossip alone may reach the last host after its suspicion has run out.
+  if (news.state >= HostState::kSuspect)
+    this->Announce(this->own, now);
+  else
+    this->queue.Add(this->own);
 }
 
 void View::MergeHost(const HostNews& news, TimePoint now, Actions* actions) {
   if (news.name == this->own.name) {
-    this->Refute(news);
+    this->Refute(news, now);
     return;
   }
   if (news.zone != this->own.zone) {
@@ -501,6 +526,7 @@
         // Not recorded as a probe: the target's silence is judged by the
         // regular ones.
         Message message;
+        message.type = MessageType::kAnnounce;
         message.sequence = this->next_sequence++;
         message.sender = this->own;
         message.news.push_back(announcement.news);
--- a/source/core/membership/view.h
+++ b/source/core/membership/view.h
@@ -24,7 +24,8 @@
   // A probe without an answer for this long is repeated through other hosts.
   common::Duration ack_timeout = std::chrono::milliseconds(300);
   size_t relays = 2;
-  // Time in which a suspected host can refute before it counts as dead.
+  // Time in which a suspected host can refute before it counts as dead. The
+  // host that suspects probes it again in every period, the others once.
   common::Duration suspicion = std::chrono::seconds(3);
   // Every so many probes go to a dead host that the platform still lists, so
   // that the sides of a healed partition find each other.
@@ -84,6 +85,8 @@
   std::optional<common::TimePoint> unlisted_since;
   // When a suspected host counts as dead.
   common::TimePoint dead_at;
+  // When a suspected host is probed again, so that it can refute.
+  std::optional<common::TimePoint> check_at;
 };
 
 struct ZoneState {
@@ -188,7 +191,7 @@
                     common::TimePoint now,
                     Actions* actions);
   void MergeZone(const ZoneNews& news, common::TimePoint now);
-  void Refute(const HostNews& news);
+  void Refute(const HostNews& news, common::TimePoint now);
   void SetState(Member* member,
                 HostState state,
                 common::TimePoint now,
