--- a/tools/process_cluster.py
+++ b/tools/process_cluster.py
@@ -252,11 +252,18 @@
 
     def put(self, kind, name, body):
         """Writes an object on its present version and returns the new one."""
+        path = f"/objects/{kind}/{name}"
         version = self.object_versions.get((kind, name), 0)
-        status, _, text = call(
-            self.platform.address, "PUT", f"/objects/{kind}/{name}",
-            {"token": f"cluster-{time.monotonic_ns()}", "body": body},
-            {"If-Version": str(version)})
+        token = f"cluster-{time.monotonic_ns()}"
+        try:
+            status, _, text = call(
+                self.platform.address, "PUT", path,
+                {"token": token, "body": body}, {"If-Version": str(version)})
+        except http.client.RemoteDisconnected:
+            # The answer was lost; the token tells whether the write was.
+            status, _, text = call(self.platform.address, "GET", path)
+            if status != 200 or json.loads(text)["token"] != token:
+                raise
         if status != 200:
             raise RuntimeError(f"writing {kind}/{name}: {status} {text}")
         self.object_versions[(kind, name)] = json.loads(text)["version"]
@@ -367,12 +374,14 @@
         self.done = False
         self.first_token_s = None
         self.refused = []   # (code, outcome)
-        self.broken = []    # (host, whether a byte of the answer had come)
+        self.broken = []    # (host, whether a token had come, error, time)
+        self.stream_errors = []  # (host, code, time) after the first byte
         self.resumes = 0
         self.restarts = 0
+        self.started = self.ended = None
 
     def run(self):
-        started = time.monotonic()
+        started = self.started = time.monotonic()
         host = None
         while not self.done and time.monotonic() - started < self.give_up_s:
             host = self.balancer.pick(avoid=host)
@@ -390,6 +399,7 @@
                 wait = 0.05
             if not self.done and len(self.text) == got:
                 time.sleep(wait)
+        self.ended = time.monotonic()
         return self
 
     def headers(self):
@@ -418,7 +428,7 @@
             response = connection.getresponse()
             if response.status != 200:
                 return self.on_problem(json.loads(response.read()))
-            return self.read_events(response, started)
+            return self.read_events(host, response, started)
         finally:
             connection.close()
 
@@ -433,7 +443,7 @@
         self.text = ""
         self.last_id = None
 
-    def read_events(self, response, started):
+    def read_events(self, host, response, started):
         event = {}
         while True:
             line = response.readline().decode()
@@ -445,7 +455,10 @@
                 event[name] = value.lstrip()
                 continue
             if event.get("event") == "error":
-                return self.on_problem(json.loads(event["data"]))
+                problem = json.loads(event["data"])
+                self.stream_errors.append(
+                    (host.name, problem.get("code"), time.monotonic()))
+                return self.on_problem(problem)
             if event.get("data") == "[DONE]":
                 self.done = True
                 return 0
@@ -472,7 +485,7 @@
         self.attempts = attempts
         self.answers = []   # "done", "not_run", "unknown", "broken", "refused"
         self.codes = []
-        self.broken = []
+        self.broken = []    # as in Completion
         self.issued_at = time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime())
 
     def run(self):
