--- a/source/core/platform/client.cc
+++ b/source/core/platform/client.cc
@@ -151,7 +151,10 @@
         if (!line.empty() && !on_change(ParseObject(line)))
           return WatchEnd::kStopped;
       }
-      if (std::chrono::steady_clock::now() - opened >= lifetime)
+      // Cast first: the longest lifetime does not fit into the clock's unit.
+      const auto age = std::chrono::duration_cast<common::Duration>(
+          std::chrono::steady_clock::now() - opened);
+      if (age >= lifetime)
         return WatchEnd::kExpired;
     }
   } catch (const runtime::HttpError& error) {
--- a/source/standin/block_tiers.cc
+++ b/source/standin/block_tiers.cc
@@ -117,7 +117,7 @@
 }
 
 void BlockTiers::AddEvent(bool added, const std::string& key) {
-  this->recent.push_back({++this->last_event, added, key});
+  this->recent.push_back({this->next_sequence++, added, key});
   if (this->recent.size() > kEventsKept)
     this->recent.pop_front();
 }
--- a/source/standin/block_tiers.h
+++ b/source/standin/block_tiers.h
@@ -70,6 +70,11 @@
   uint64_t used_bytes() const;
   std::vector<std::string> Keys() const;
   const std::list<TierEvent>& events() const { return this->recent; }
+  // Sequences of the oldest event that is kept and of the next to come.
+  uint64_t first_event() const {
+    return this->next_sequence - this->recent.size();
+  }
+  uint64_t next_event() const { return this->next_sequence; }
 
  private:
   struct Entry {
@@ -94,7 +99,7 @@
   uint64_t occupied = 0;
   uint64_t uses = 0;
   uint64_t last_generation = 0;
-  uint64_t last_event = 0;
+  uint64_t next_sequence = 0;
   std::list<TierEvent> recent;
 };
 
--- a/source/standin/cache_store_standin.cc
+++ b/source/standin/cache_store_standin.cc
@@ -1,5 +1,6 @@
 #include "standin/cache_store_standin.h"
 
+#include <algorithm>
 #include <cstdlib>
 #include <string_view>
 #include <utility>
@@ -46,7 +47,7 @@
   if (segments.size() == 2 && segments[0] == "control")
     return this->Control(request, target, writer);
   if (segments.size() == 1 && segments[0] == "status")
-    return SendJson(writer, 200, this->Status());
+    return SendJson(writer, 200, this->Status(target.NumberOr("since", 0)));
   if (segments.size() == 2 && segments[0] == "blocks") {
     if (request.method == "PUT")
       return this->Put(request, segments[1], writer);
@@ -162,9 +163,11 @@
   writer.FinishStream();
 }
 
-json CacheStoreStandin::Status() const {
+json CacheStoreStandin::Status(uint64_t since) const {
   json events = json::array();
   for (const TierEvent& event : this->tiers.events()) {
+    if (event.sequence < since)
+      continue;
     events.push_back({{"seq", event.sequence},
                       {"op", event.added ? "add" : "remove"},
                       {"key", event.key}});
@@ -174,6 +177,8 @@
           {"link_bytes_per_s", this->out_link.rate()},
           {"sent_bytes", this->counts.sent_bytes},
           {"received_bytes", this->counts.received_bytes},
+          {"first", std::max(since, this->tiers.first_event())},
+          {"next", this->tiers.next_event()},
           {"events", std::move(events)}};
 }
 
--- a/source/standin/cache_store_standin.h
+++ b/source/standin/cache_store_standin.h
@@ -53,7 +53,8 @@
   void SendBody(const std::string& key,
                 const SealedBlock& block,
                 runtime::ResponseWriter& writer);
-  nlohmann::json Status() const;
+  // The status with the kept events from `since` on.
+  nlohmann::json Status(uint64_t since) const;
   uint64_t Scaled(size_t body_bytes) const {
     return body_bytes * this->options.tiers.bytes_per_body_byte;
   }
--- a/source/unit_tests/standin/models_test.cc
+++ b/source/unit_tests/standin/models_test.cc
@@ -105,6 +105,20 @@
   REQUIRE(tiers.used_bytes() == 0);
 }
 
+// Guards against a store whose link is accounted in another unit than its
+// size, with which no restore could be predicted.
+TEST_CASE("a scaled store counts the size that its bodies stand for") {
+  BlockTiers tiers(
+      {.memory_bytes = 2000, .disk_bytes = 0, .bytes_per_body_byte = 100});
+  REQUIRE(tiers.Seal("a", {"t", "v", "", std::string(10, 'x')}));
+  REQUIRE(tiers.used_bytes() == 1000);
+  REQUIRE(tiers.Seal("b", {"t", "v", "", std::string(11, 'x')}));
+  REQUIRE(tiers.GenerationOf("a") == 0);
+  REQUIRE_FALSE(tiers.Seal("c", {"t", "v", "", std::string(21, 'x')}));
+  REQUIRE(tiers.first_event() == 0);
+  REQUIRE(tiers.next_event() == 3);
+}
+
 TEST_CASE("a token bucket delays what exceeds its rate") {
   TokenBucket bucket(1000, 100);
   const common::TimePoint now(std::chrono::hours(1));
