Halve the bytes of load entries

Cause: at 41 hosts and 300 endpoints load entries took 2.8 KB/s received and about as much sent; with 2.2 KB/s for membership and the table a host went over its 6 KB/s. Change: an entry carries a 4-byte id, 16 bits of its time, running requests and queued tokens in steps of 64; the rest goes with a full report, sent on change, when cache use moves by 5% and each minute. A host that holds no full report polls the endpoint itself when its turn comes. Ruled out: a longer period alone, which would make the figures 6 s old.

--- a/source/core/load_exchange/codec.cc
+++ b/source/core/load_exchange/codec.cc
@@ -12,18 +12,23 @@
 namespace {
 
 constexpr int kFormat = 1;
-constexpr size_t kEntryFields = 7;
-constexpr size_t kFullFields = 7;
+constexpr size_t kShortFields = 4;
+constexpr size_t kEntryFields = 6;
+constexpr size_t kFullFields = 11;
 
 using Packer = msgpack::packer<msgpack::sbuffer>;
 
 void PackFull(Packer& packer, const LoadEntry::Full& full) {
   packer.pack_array(kFullFields);
   packer.pack(full.endpoint);
+  packer.pack(full.report.as_of.count());
+  packer.pack(full.report.running);
+  packer.pack(full.report.queued_tokens);
   packer.pack(full.report.slots);
   packer.pack(full.report.prefill_tokens_per_s);
   packer.pack(full.report.decode_ms);
   packer.pack(full.report.kv_capacity_blocks);
+  packer.pack(full.report.kv_used_blocks);
   packer.pack(full.report.version);
   packer.pack(full.report.leaving);
 }
@@ -41,12 +46,14 @@
 }
 
 void PackEntry(Packer& packer, const LoadEntry& entry) {
-  packer.pack_array(kEntryFields);
+  const bool extended = entry.full || entry.cache;
+  packer.pack_array(extended ? kEntryFields : kShortFields);
   packer.pack(entry.endpoint_id);
-  packer.pack(entry.as_of.count());
-  packer.pack(entry.figures.running);
-  packer.pack(entry.figures.queued_tokens);
-  packer.pack(entry.figures.kv_used_blocks);
+  packer.pack(entry.as_of_ms_low);
+  packer.pack(entry.running);
+  packer.pack(entry.queued_steps);
+  if (!extended)
+    return;
   if (entry.full)
     PackFull(packer, *entry.full);
   else
@@ -68,12 +75,16 @@
   const msgpack::object* fields = Elements(object, kFullFields);
   LoadEntry::Full full;
   full.endpoint = fields[0].as<std::string>();
-  full.report.slots = fields[1].as<uint32_t>();
-  full.report.prefill_tokens_per_s = fields[2].as<double>();
-  full.report.decode_ms = fields[3].as<double>();
-  full.report.kv_capacity_blocks = fields[4].as<uint64_t>();
-  full.report.version = fields[5].as<std::string>();
-  full.report.leaving = fields[6].as<bool>();
+  full.report.as_of = common::Duration(fields[1].as<int64_t>());
+  full.report.running = fields[2].as<uint32_t>();
+  full.report.queued_tokens = fields[3].as<uint64_t>();
+  full.report.slots = fields[4].as<uint32_t>();
+  full.report.prefill_tokens_per_s = fields[5].as<double>();
+  full.report.decode_ms = fields[6].as<double>();
+  full.report.kv_capacity_blocks = fields[7].as<uint64_t>();
+  full.report.kv_used_blocks = fields[8].as<uint64_t>();
+  full.report.version = fields[9].as<std::string>();
+  full.report.leaving = fields[10].as<bool>();
   return full;
 }
 
@@ -93,17 +104,18 @@
 }
 
 LoadEntry UnpackEntry(const msgpack::object& object) {
-  const msgpack::object* fields = Elements(object, kEntryFields);
+  const msgpack::object* fields = Elements(object, kShortFields);
   LoadEntry entry;
-  entry.endpoint_id = fields[0].as<uint64_t>();
-  entry.as_of = common::Duration(fields[1].as<int64_t>());
-  entry.figures.running = fields[2].as<uint32_t>();
-  entry.figures.queued_tokens = fields[3].as<uint64_t>();
-  entry.figures.kv_used_blocks = fields[4].as<uint64_t>();
+  entry.endpoint_id = fields[0].as<uint32_t>();
+  entry.as_of_ms_low = fields[1].as<uint16_t>();
+  entry.running = fields[2].as<uint32_t>();
+  entry.queued_steps = fields[3].as<uint32_t>();
+  if (object.via.array.size < kEntryFields)
+    return entry;
+  if (!fields[4].is_nil())
+    entry.full = UnpackFull(fields[4]);
   if (!fields[5].is_nil())
-    entry.full = UnpackFull(fields[5]);
-  if (!fields[6].is_nil())
-    entry.cache = UnpackCache(fields[6]);
+    entry.cache = UnpackCache(fields[5]);
   return entry;
 }
 
--- a/source/core/load_exchange/codec.h
+++ b/source/core/load_exchange/codec.h
@@ -9,9 +9,10 @@
 namespace jujuberock::load_exchange {
 
 // Message `load_reports`, a msgpack array: [format, [entry, ...]] where an
-// entry is [id, as_of_us, running, queued_tokens, kv_used_blocks, full, cache].
-// `full` is nil or [name, slots, prefill_tokens_per_s, decode_ms,
-// kv_capacity_blocks, version, leaving]; `cache` is nil or [first_sequence,
+// entry is [id, as_of_ms_low, running, queued_steps] and, when one of them is
+// there, also `full` and `cache`. `full` is nil or [name, as_of_us, running,
+// queued_tokens, slots, prefill_tokens_per_s, decode_ms, kv_capacity_blocks,
+// kv_used_blocks, version, leaving]; `cache` is nil or [first_sequence,
 // [[added, key_high, key_low], ...]].
 std::string Encode(const LoadMessage& message);
 
--- a/source/core/load_exchange/exchange.cc
+++ b/source/core/load_exchange/exchange.cc
@@ -1,6 +1,7 @@
 #include "core/load_exchange/exchange.h"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 #include <utility>
 
@@ -13,21 +14,35 @@
 
 namespace {
 
-// A load entry without a full report in msgpack: an 8-byte id, a time and
-// three small numbers, with their type bytes.
-constexpr double kEntryBytes = 24;
+// A load entry without a full report in msgpack: a 4-byte id, a 2-byte time and
+// two small numbers, with their type bytes.
+constexpr double kEntryBytes = 14;
 
 // A cache event in msgpack: a 16-byte key and its type bytes.
 constexpr double kEventBytes = 20;
 
-LoadFigures FiguresOf(const routing::LoadReport& report) {
-  return {report.running, report.queued_tokens, report.kv_used_blocks};
+// A full report is sent again when the use of the cache has moved by this
+// share of its capacity, which is what exports depend on.
+constexpr double kCacheUseStep = 0.05;
+
+int64_t ToMs(Duration time) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
+
+// The time closest to `near` with these low 16 bits.
+int64_t CompleteMs(int64_t near, uint16_t low) {
+  return near + static_cast<int16_t>(low - static_cast<uint16_t>(near));
 }
 
-void SetFigures(routing::LoadReport& report, const LoadFigures& figures) {
-  report.running = figures.running;
-  report.queued_tokens = figures.queued_tokens;
-  report.kv_used_blocks = figures.kv_used_blocks;
+LoadEntry ShortEntry(uint32_t id, const routing::LoadReport& report) {
+  LoadEntry entry;
+  entry.endpoint_id = id;
+  entry.as_of_ms_low = static_cast<uint16_t>(ToMs(report.as_of));
+  entry.running = report.running;
+  entry.queued_steps = static_cast<uint32_t>(
+      (report.queued_tokens + LoadEntry::kQueuedStep / 2) /
+      LoadEntry::kQueuedStep);
+  return entry;
 }
 
 // Whether the parts that only a full report carries are the same.
@@ -56,7 +71,7 @@
     auto [found, added] = this->endpoints.try_emplace(name);
     if (!added)
       continue;
-    found->second.id = common::Hash64(name);
+    found->second.id = static_cast<uint32_t>(common::Hash64(name));
     found->second.rank = this->RankOf(name);
     found->second.heard_at = now;
     this->names_by_id[found->second.id] = name;
@@ -175,7 +190,11 @@
 }
 
 bool Exchange::NeedsFull(const State& state, TimePoint now) const {
-  return !state.full_sent ||
+  const double moved =
+      std::abs(static_cast<double>(state.report->kv_used_blocks) -
+               static_cast<double>(state.full_kv_used_blocks));
+  const auto capacity = static_cast<double>(state.report->kv_capacity_blocks);
+  return !state.full_sent || moved > kCacheUseStep * capacity ||
          now >= state.full_sent_at + this->options.full_period;
 }
 
@@ -187,14 +206,12 @@
     if (!state.unsent)
       continue;
     state.unsent = false;
-    LoadEntry entry;
-    entry.endpoint_id = state.id;
-    entry.as_of = state.report->as_of;
-    entry.figures = FiguresOf(*state.report);
+    LoadEntry entry = ShortEntry(state.id, *state.report);
     if (this->NeedsFull(state, now)) {
       entry.full = LoadEntry::Full{name, *state.report};
       state.full_sent = true;
       state.full_sent_at = now;
+      state.full_kv_used_blocks = state.report->kv_used_blocks;
     }
     this->AttachEvents(state, entry, events_left);
     message.entries.push_back(std::move(entry));
@@ -202,6 +219,26 @@
   return message;
 }
 
+// Nothing when the entry is older than the report held, or no report is held
+// that could complete it.
+std::optional<routing::LoadReport> Exchange::ReportOf(
+    const State& state,
+    const LoadEntry& entry) const {
+  if (entry.full)
+    return entry.full->report;
+  if (!state.report)
+    return std::nullopt;
+  const int64_t held = ToMs(state.report->as_of);
+  const int64_t made = CompleteMs(held, entry.as_of_ms_low);
+  if (made < held)
+    return std::nullopt;
+  routing::LoadReport report = *state.report;
+  report.as_of = std::chrono::milliseconds(made);
+  report.running = entry.running;
+  report.queued_tokens = entry.queued_steps * LoadEntry::kQueuedStep;
+  return report;
+}
+
 std::vector<NamedReport> Exchange::OnMessage(const LoadMessage& message,
                                              TimePoint now) {
   std::vector<NamedReport> news;
@@ -210,18 +247,15 @@
     if (name == this->names_by_id.end())
       continue;
     State& state = this->endpoints.find(name->second)->second;
-    // Heard even when it is older: somebody polls this endpoint.
-    state.heard_at = now;
-    if (!state.report && !entry.full)
-      continue;
-    if (state.report && entry.as_of < state.report->as_of && !entry.full)
+    // Somebody polls this endpoint, even when this report comes late. Without a
+    // full report the entry is of no use, so this host will ask by itself.
+    if (state.report || entry.full)
+      state.heard_at = now;
+    std::optional<routing::LoadReport> report = this->ReportOf(state, entry);
+    if (!report)
       continue;
-    routing::LoadReport report =
-        entry.full ? entry.full->report : *state.report;
-    report.as_of = entry.as_of;
-    SetFigures(report, entry.figures);
     state.report = report;
-    news.push_back({name->second, std::move(report), entry.cache});
+    news.push_back({name->second, std::move(*report), entry.cache});
   }
   return news;
 }
--- a/source/core/load_exchange/exchange.h
+++ b/source/core/load_exchange/exchange.h
@@ -14,27 +14,24 @@
 
 namespace jujuberock::load_exchange {
 
-// The part of a load report that changes all the time.
-struct LoadFigures {
-  uint32_t running = 0;
-  uint64_t queued_tokens = 0;
-  uint64_t kv_used_blocks = 0;
-
-  bool operator==(const LoadFigures&) const = default;
-};
-
 // Cache events in a row, the first with this sequence number.
 struct EventRun {
   uint64_t first_sequence = 0;
   std::vector<routing::CacheEvent> events;
 };
 
-// One endpoint in a message. The name is sent with a full report only.
+// One endpoint in a message. It is kept small, since a host receives one for
+// each endpoint of its zone all the time; the rest is sent with a full report.
 struct LoadEntry {
-  uint64_t endpoint_id = 0;
-  // When the report was made, on the endpoint's own clock.
-  common::Duration as_of{0};
-  LoadFigures figures;
+  // Steps in which queued tokens are sent.
+  static constexpr uint64_t kQueuedStep = 64;
+
+  uint32_t endpoint_id = 0;
+  // Low 16 bits of the time of the report in milliseconds, on the endpoint's
+  // own clock. The receiver completes it from the last report that it holds.
+  uint16_t as_of_ms_low = 0;
+  uint32_t running = 0;
+  uint32_t queued_steps = 0;
   struct Full {
     std::string endpoint;
     routing::LoadReport report;
@@ -59,16 +56,18 @@
 
 struct ExchangeOptions {
   common::Duration min_period = std::chrono::milliseconds(250);
-  // Bytes of load entries that a host may receive in a second. A target of
-  // 6 KB/s for all control traffic leaves about this much for loads.
-  double receive_budget_bytes_per_s = 2500;
+  // Bytes of load entries that a host may receive in a second. It sends about
+  // as much, and the frames around them take as much again; membership and the
+  // table take 2 KB/s of the 6 KB/s that a host has for control.
+  double receive_budget_bytes_per_s = 1200;
   // The same for cache events; each host may send its even share of it.
-  double event_budget_bytes_per_s = 1500;
+  double event_budget_bytes_per_s = 400;
   // An endpoint that was not heard of for this long is polled by the next host
   // in rendezvous order, and so on for each further host.
   common::Duration takeover_delay = std::chrono::milliseconds(1500);
-  // Full reports are repeated this often, for hosts that have missed them.
-  common::Duration full_period = std::chrono::seconds(20);
+  // Full reports are repeated this often, for hosts that have missed them. A
+  // host that misses one polls the endpoint itself when its turn comes.
+  common::Duration full_period = std::chrono::seconds(60);
 };
 
 // Shares the polling of load reports among the hosts of a zone: each endpoint
@@ -111,7 +110,7 @@
 
  private:
   struct State {
-    uint64_t id = 0;
+    uint32_t id = 0;
     size_t rank = 0;
     std::optional<routing::LoadReport> report;
     // Last report by whichever way it came; set to the time of adding first.
@@ -121,11 +120,14 @@
     bool unsent = false;
     common::TimePoint full_sent_at;
     bool full_sent = false;
+    uint64_t full_kv_used_blocks = 0;
     EventRun unsent_events;
   };
 
   size_t EventsPerMessage(common::TimePoint now) const;
   void AttachEvents(State& state, LoadEntry& entry, size_t& events_left);
+  std::optional<routing::LoadReport> ReportOf(const State& state,
+                                              const LoadEntry& entry) const;
   bool IsDue(const State& state, common::TimePoint now) const;
   bool NeedsFull(const State& state, common::TimePoint now) const;
   void RefreshRanks();
@@ -135,7 +137,7 @@
   std::vector<std::string> hosts;
   common::TimePoint last_message;
   std::map<std::string, State, std::less<>> endpoints;
-  std::map<uint64_t, std::string> names_by_id;
+  std::map<uint32_t, std::string> names_by_id;
 };
 
 }  // namespace jujuberock::load_exchange
