--- a/source/core/platform/client.cc
+++ b/source/core/platform/client.cc
@@ -151,7 +151,8 @@
         if (!line.empty() && !on_change(ParseObject(line)))
           return WatchEnd::kStopped;
       }
-      // Cast first: the longest lifetime does not fit into the clock's unit.
+      // Compared in microseconds: the largest lifetime overflows the clock's
+      // nanoseconds.
       const auto age = std::chrono::duration_cast<common::Duration>(
           std::chrono::steady_clock::now() - opened);
       if (age >= lifetime)
--- a/source/core/serve/settings.cc
+++ b/source/core/serve/settings.cc
@@ -28,11 +28,15 @@
   return "must have at least " + std::to_string(kLeastKeyChars) + " characters";
 }
 
+std::optional<std::string> CheckOptionalKey(std::string_view text) {
+  return text.empty() ? std::nullopt : CheckKey(text);
+}
+
 }  // namespace
 
 const std::vector<common::SettingDeclaration<Settings>>& SettingTable() {
   using S = Settings;
-  static const std::vector<common::SettingDeclaration<Settings>> table = {
+  static const std::vector<common::SettingDeclaration<Settings>> kTable = {
       {"host_name", &S::host_name, "", 0, 0, "Name of this host", true,
        CheckName},
       {"zone", &S::zone, "", 0, 0, "Availability zone of this host", true,
@@ -47,6 +51,9 @@
        "Address of the platform's object API", true, CheckAddress},
       {"deployment_key", &S::deployment_key, "", 0, 0,
        "Secret shared by the hosts of the deployment", true, CheckKey},
+      {"operator_key", &S::operator_key, "", 0, 0,
+       "Bearer key of operators; empty accepts every caller", false,
+       CheckOptionalKey},
       {"worker_threads", &S::worker_threads, "threads", 1, 256,
        "Threads that serve requests"},
       {"utc_offset_minutes", &S::utc_offset_minutes, "min", -14 * 60, 14 * 60,
@@ -78,7 +85,7 @@
       {"capacity_headroom", &S::capacity_headroom, "", 0.1, 100,
        "This host's share of the engines' slots, relative to an even share"},
       {"load_poll_period_ms", &S::load_poll_period, "ms", 10, 60'000,
-       "Time between two load reports of an engine"},
+       "Least time between two load reports of an engine of this zone"},
       {"store_poll_period_ms", &S::store_poll_period, "ms", 10, 60'000,
        "Time between two status reports of a cache store"},
       {"relist_period_ms", &S::relist_period, "ms", 100, 3'600'000,
@@ -86,11 +93,11 @@
       {"watch_idle_limit_ms", &S::watch_idle_limit, "ms", 100, 3'600'000,
        "Silence of a platform watch before it is opened again"},
       {"polls_per_second", &S::polls_per_second, "polls", 1, 100'000,
-       "Limit of load reports fetched by this host"},
+       "Engines of other zones asked for their load by this host"},
       {"stop_limit_ms", &S::stop_limit, "ms", 0, 86'400'000,
        "Longest wait for running requests in a planned stop"},
   };
-  return table;
+  return kTable;
 }
 
 }  // namespace jujuberock::serve
