Run every decision object in the host

A stream resumed at another host is announced to the host that had it, which must not cancel it (message stream_taken).

--- a/source/core/cache_store/client.cc
+++ b/source/core/cache_store/client.cc
@@ -44,9 +44,9 @@
 
 }  // namespace
 
-StoreStatus Client::Status(const Address& store) {
+StoreStatus Client::Status(const Address& store, uint64_t since) {
   const HttpResponse response = this->http.Fetch(
-      store, {"GET", "/status", {}, ""},
+      store, {"GET", "/status?since=" + std::to_string(since), {}, ""},
       {.header_timeout = kStatusTimeout, .read_timeout = kStatusTimeout});
   RequireStatus(response, 200);
   try {
@@ -57,6 +57,11 @@
     status.link_bytes_per_s = value.value("link_bytes_per_s", 0.0);
     status.sent_bytes = value.value("sent_bytes", uint64_t{0});
     status.received_bytes = value.value("received_bytes", uint64_t{0});
+    status.first_event = value.value("first", since);
+    for (const auto& item : value.at("events")) {
+      const bool added = item.at("op").get<std::string>() == "add";
+      status.events.push_back({added, item.at("key").get<std::string>()});
+    }
     return status;
   } catch (const nlohmann::json::exception& error) {
     throw Error(ResultCode::kProtocolError,
--- a/source/core/caller/key_directory.cc
+++ b/source/core/caller/key_directory.cc
@@ -71,6 +71,16 @@
   }
 }
 
+std::set<std::string> KeyDirectory::Teams() const {
+  RankedLock lock(this->mutex);
+  std::set<std::string> teams;
+  for (const Entry& entry : this->entries) {
+    if (!entry.removed)
+      teams.insert(entry.team);
+  }
+  return teams;
+}
+
 std::string KeyDirectory::TeamOf(std::string_view key) const {
   const KeyHash hash = HashKey(key);
   const Entry* match = nullptr;
--- a/source/core/caller/key_directory.h
+++ b/source/core/caller/key_directory.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -27,6 +28,9 @@
   // The team's keys stay known, so that they get kUnknownTeam.
   void RemoveTeam(const std::string& team);
 
+  // Names of the teams that were set and not removed.
+  std::set<std::string> Teams() const;
+
   // The team of a key. Throws common::Error kUnauthenticated for an unknown
   // key and kUnknownTeam for one of a team that was removed. Compares with
   // every hash in constant time, so timing tells nothing about any of them.
--- a/source/core/endpoint/plain_client.cc
+++ b/source/core/endpoint/plain_client.cc
@@ -45,20 +45,30 @@
 
 HttpResponse PlainClient::Forward(const Address& service,
                                   const runtime::HttpRequest& request,
-                                  common::Duration timeout,
-                                  bool once) {
+                                  common::Duration timeout) {
+  return this->http.Fetch(service, request,
+                          {.header_timeout = timeout, .read_timeout = timeout});
+}
+
+HttpResponse PlainClient::ForwardOnce(
+    const Address& service,
+    const runtime::HttpRequest& request,
+    common::Duration timeout,
+    const std::function<bool()>& before_first_byte) {
   return this->http.Fetch(service, request,
                           {.header_timeout = timeout,
                            .read_timeout = timeout,
-                           .fresh_connection = once});
+                           .fresh_connection = true,
+                           .before_first_byte = before_first_byte});
 }
 
 CallStatus PlainClient::Status(const Address& service,
                                const std::string& status_path,
+                               const std::string& team,
                                const std::string& key) {
   const std::string target = status_path + "/" + EscapePathSegment(key);
   const HttpResponse response = this->http.Fetch(
-      service, {"GET", target, {}, ""},
+      service, {"GET", target, {{"Jujuberock-Team", team}}, ""},
       {.header_timeout = kStatusTimeout, .read_timeout = kStatusTimeout});
   if (response.status != 200)
     throw Error(ResultCode::kEndpointFailed,
--- a/source/core/endpoint/plain_client.h
+++ b/source/core/endpoint/plain_client.h
@@ -1,6 +1,7 @@
 #ifndef CORE_ENDPOINT_PLAIN_CLIENT_H_
 #define CORE_ENDPOINT_PLAIN_CLIENT_H_
 
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -23,17 +24,25 @@
  public:
   explicit PlainClient(runtime::HttpClient& http) : http(http) {}
 
-  // Forwards one call. `once` forbids a pooled connection, because a call
-  // that must not run twice can not be sent again when that was closed.
+  // Forwards one call that may be repeated.
   runtime::HttpResponse Forward(const runtime::Address& service,
                                 const runtime::HttpRequest& request,
-                                common::Duration timeout,
-                                bool once);
-
-  // Asks a service that offers a status call for the state of a key. Throws
-  // common::Error kProtocolError when the answer is malformed.
+                                common::Duration timeout);
+  // Forwards a call that must not run twice, on a new connection: one that was
+  // kept may be closed already, and the call could not be sent again.
+  // `before_first_byte` runs just before the first byte is written; nothing is
+  // sent when it returns false.
+  runtime::HttpResponse ForwardOnce(
+      const runtime::Address& service,
+      const runtime::HttpRequest& request,
+      common::Duration timeout,
+      const std::function<bool()>& before_first_byte);
+
+  // Asks a service that offers a status call for the state of a team's key.
+  // Throws common::Error kProtocolError when the answer is malformed.
   CallStatus Status(const runtime::Address& service,
                     const std::string& status_path,
+                    const std::string& team,
                     const std::string& key);
 
   // Asks for anything on a new connection; any status is an answer.
--- a/source/core/runtime/http_client.cc
+++ b/source/core/runtime/http_client.cc
@@ -226,6 +226,9 @@
     connection = this->state->TakeIdle(address);
   if (!connection)
     connection = this->state->Connect(address);
+  if (options.before_first_byte && !options.before_first_byte())
+    throw HttpError(ResultCode::kCanceled, "withdrawn before it was sent",
+                    false);
   auto keep = [state = this->state, address](ConnectionPtr done) {
     state->Keep(address, std::move(done));
   };
--- a/source/core/runtime/http_client.h
+++ b/source/core/runtime/http_client.h
@@ -49,6 +49,9 @@
   // Never uses a pooled connection. For requests that must not be repeated: a
   // pooled connection may have been closed by the peer already.
   bool fresh_connection = false;
+  // Runs once a connection is there and before the first byte is written. When
+  // it returns false, nothing is sent and HttpError kCanceled is thrown.
+  std::function<bool()> before_first_byte = nullptr;
 };
 
 // A response whose body arrives piece by piece. Destroying it before the end
--- a/source/core/serve/completion_run.cc
+++ b/source/core/serve/completion_run.cc
@@ -79,6 +79,8 @@
 void CompletionRun::Execute() {
   this->steps.SetDeadline(this->call.headers);
   this->PrepareRoute();
+  this->owner = this->parts.sharing.AskOwner(this->call.headers.conversation,
+                                             this->route);
   this->steps.Admit(this->route);
   this->route.isolate = this->steps.CheckSuspect();
   this->RunWithRetry();
@@ -123,6 +125,7 @@
     throw Error(ResultCode::kNoEndpoint, "the endpoint has just been removed");
   Attempt attempt(this->parts, this->steps, this->route, decision);
   this->dispatched = true;
+  this->parts.sharing.TellOwner(this->owner, this->route, decision);
   try {
     const RelayResult result = this->RunAt(decision, *address);
     this->writer.Finish(result.reason, {this->route.prompt_tokens,
@@ -229,6 +232,7 @@
   if (!address)
     throw Error(ResultCode::kStreamGone, "the stream's endpoint is gone");
   parts.detached.TakeOver(position.stream);
+  parts.sharing.TellTakenOver(position.host, position.stream);
   const auto caller = CallerState::Watch(writer);
   endpoint::ResumingStream stream(parts.engines, parts.timers, *address,
                                   position.stream, position.offset,
--- a/source/core/serve/completion_run.h
+++ b/source/core/serve/completion_run.h
@@ -53,6 +53,8 @@
   std::shared_ptr<CallerState> caller;
   RequestSteps steps;
   routing::RouteRequest route;
+  // Host that keeps the index entry of the request's conversation.
+  std::string owner;
   // False until something was sent to an endpoint.
   bool dispatched = false;
   bool first_token_in_time = false;
--- a/source/core/serve/fleet.cc
+++ b/source/core/serve/fleet.cc
@@ -84,8 +84,9 @@
       exchange(settings.host_name, ExchangeOptionsOf(settings)),
       fibers(pool) {}
 
-void Fleet::Start(SendToZone send) {
+void Fleet::Start(SendToZone send, OnLeavingReport on_leaving) {
   this->send_to_zone = std::move(send);
+  this->on_leaving_report = std::move(on_leaving);
   // Half a period, since a poll that is due just after a tick waits for the
   // next one.
   this->fibers.Every(this->timers, this->settings.load_poll_period / 2,
@@ -161,7 +162,8 @@
 // Tells the router about a changed state; the mutex must be held.
 void Fleet::Tell(Member& member) {
   EndpointState state = EndpointState::kLive;
-  if (member.leaving_in_table || member.leaving_by_report)
+  if (member.leaving_in_table || member.leaving_by_report ||
+      member.leaving_in_zone)
     state = EndpointState::kLeaving;
   if (member.down)
     state = EndpointState::kGone;
@@ -184,12 +186,12 @@
   this->Tell(found->second);
 }
 
-void Fleet::ReportLeaving(std::string_view endpoint) {
+void Fleet::SetLeavingInZone(std::string_view endpoint, bool leaving) {
   RankedLock lock(this->mutex);
   const auto found = this->members.find(endpoint);
   if (found == this->members.end())
     return;
-  found->second.leaving_by_report = true;
+  found->second.leaving_in_zone = leaving;
   this->Tell(found->second);
 }
 
@@ -232,7 +234,8 @@
 
 std::vector<std::string> Fleet::Leaving() {
   return this->NamesWhere([](const Member& member) {
-    return member.leaving_in_table || member.leaving_by_report;
+    return member.leaving_in_table || member.leaving_by_report ||
+           member.leaving_in_zone;
   });
 }
 
@@ -335,9 +338,12 @@
   load_exchange::EventRun run =
       ToEventRun(this->engines.Events(address, since));
   this->OnReport(name, report, run);
-  RankedLock lock(this->mutex);
-  this->exchange.OnPolled(name, report, this->timers.Now());
-  this->exchange.OnPolledEvents(name, std::move(run));
+  {
+    RankedLock lock(this->mutex);
+    this->exchange.OnPolled(name, report, this->timers.Now());
+    this->exchange.OnPolledEvents(name, std::move(run));
+  }
+  this->on_leaving_report(name, report.leaving);
 }
 
 void Fleet::OnReport(const std::string& name,
@@ -404,15 +410,26 @@
 
 void Fleet::PollStore(const std::string& name, const Address& address) {
   try {
-    const cache_store::StoreStatus status = this->stores.Status(address);
+    const uint64_t since = this->router.With(
+        [&](routing::Router& router) { return router.NextSequence(name); });
+    const cache_store::StoreStatus status = this->stores.Status(address, since);
     routing::LinkReport report;
     report.capacity_bytes = status.capacity_bytes;
     report.used_bytes = status.used_bytes;
     report.link_bytes_per_s = status.link_bytes_per_s;
     report.sent_bytes = status.sent_bytes;
     report.received_bytes = status.received_bytes;
+    std::vector<routing::CacheEvent> events;
+    for (const cache_store::StoreEvent& event : status.events) {
+      if (const auto key = routing::ParseBlockKey(event.key))
+        events.push_back({event.added ? routing::CacheEvent::Op::kAdd
+                                      : routing::CacheEvent::Op::kRemove,
+                          *key});
+    }
     this->router.With([&](routing::Router& router) {
       router.OnLinkReport(name, report, this->timers.Now());
+      router.OnCacheEvents(name, status.first_event, events,
+                           this->timers.Now());
     });
   } catch (const Error& error) {
     this->poll_failures.Add();
--- a/source/core/serve/fleet.h
+++ b/source/core/serve/fleet.h
@@ -40,9 +40,12 @@
   // Sends a `load_reports` message to the other hosts of the zone.
   using SendToZone = std::function<void(const std::string& bytes)>;
 
-  // `send` runs on a fiber and may suspend. Without it every engine of the
-  // zone is polled by this host.
-  void Start(SendToZone send = nullptr);
+  // An engine told whether it leaves.
+  using OnLeavingReport =
+      std::function<void(const std::string& endpoint, bool leaving)>;
+
+  // Both run on fibers and may suspend.
+  void Start(SendToZone send, OnLeavingReport on_leaving);
   // Live hosts of this zone, this one included.
   void SetZoneHosts(std::vector<std::string> hosts);
   // Takes a `load_reports` message of another host of the zone. Throws
@@ -54,8 +57,8 @@
   // The endpoint gave no answer on a new connection. It gets no work until it
   // answers a poll again.
   void ReportDown(std::string_view endpoint);
-  // Another host sees the endpoint as leaving.
-  void ReportLeaving(std::string_view endpoint);
+  // Whether any host of the zone sees the endpoint as leaving.
+  void SetLeavingInZone(std::string_view endpoint, bool leaving);
 
   std::optional<runtime::Address> AddressOf(std::string_view endpoint) const;
 
@@ -73,6 +76,7 @@
     bool plain = false;
     bool leaving_in_table = false;
     bool leaving_by_report = false;
+    bool leaving_in_zone = false;
     bool down = false;
     int failed_polls = 0;
     uint32_t slots = 0;
@@ -116,6 +120,7 @@
   load_exchange::Exchange exchange;
   common::TimePoint reports_due;
   SendToZone send_to_zone;
+  OnLeavingReport on_leaving_report;
   // Where the round of polls goes on.
   std::string next_poll;
   // Last: its fibers use everything above.
--- a/source/core/serve/host.cc
+++ b/source/core/serve/host.cc
@@ -12,16 +12,24 @@
 #include "core/common/error.h"
 #include "core/common/hash.h"
 #include "core/common/random.h"
+#include "core/host/http2_transport.h"
+#include "core/membership/coordinator.h"
 #include "core/operator_api/server.h"
+#include "core/orders/rollout_service.h"
 #include "core/platform/client.h"
 #include "core/report/burn_render.h"
 #include "core/runtime/http_client.h"
 #include "core/runtime/wall_timer_service.h"
 #include "core/runtime/worker_pool.h"
-#include "core/serve/config_sync.h"
+#include "core/serve/guarded_peers.h"
 #include "core/serve/limits.h"
 #include "core/serve/parts.h"
+#include "core/serve/peer_messages.h"
+#include "core/serve/recorded_run.h"
 #include "core/serve/request_handler.h"
+#include "core/serve/zone_driver.h"
+#include "core/serve/zone_sharing.h"
+#include "core/table/rendezvous.h"
 
 namespace jujuberock::serve {
 
@@ -34,6 +42,8 @@
 constexpr common::Duration kLimitsTick = std::chrono::milliseconds(500);
 constexpr common::Duration kExportTick = std::chrono::milliseconds(250);
 constexpr common::Duration kDrainCheck = std::chrono::milliseconds(10);
+// Time for releasing the journal's shards once no request runs.
+constexpr common::Duration kDutiesLimit = std::chrono::seconds(5);
 
 Address RequiredAddress(const std::string& text) {
   const auto address = Address::Parse(text);
@@ -72,13 +82,43 @@
   return options;
 }
 
+// The incarnation exceeds that of an earlier process of the same name.
+membership::HostNews SelfNews(const Settings& settings,
+                              common::UnixTime wall_now) {
+  membership::HostNews self;
+  self.name = settings.host_name;
+  self.zone = settings.zone;
+  self.address = settings.host_address;
+  self.incarnation = static_cast<uint64_t>(wall_now.time_since_epoch().count());
+  return self;
+}
+
+membership::CoordinatorOptions CoordinatorOptionsOf(const Settings& settings) {
+  membership::CoordinatorOptions options;
+  options.follower.list_period = settings.relist_period;
+  options.follower.silence_limit = settings.watch_idle_limit;
+  return options;
+}
+
+host::Http2TransportOptions TransportOptions(const Settings& settings) {
+  host::Http2TransportOptions options;
+  options.name = settings.host_name;
+  options.listen = RequiredAddress(settings.host_address);
+  options.deployment_key = settings.deployment_key;
+  return options;
+}
+
 }  // namespace
 
 struct Host::Impl {
   Impl(const Settings& settings, std::function<void()> on_stop_requested);
+  ~Impl();
 
-  void OnConfig(const std::vector<table::Object>& changed);
+  void OnTable();
   void StartTimers();
+  ZoneDriver::Hooks ZoneHooks();
+  bool IsPreferredForOrders(std::string_view service);
+  std::vector<std::string> ShardOrder(journal::ShardId shard);
   void StartExports();
   void RunExport(const routing::Export& order);
   std::optional<std::string> NotReady() const;
@@ -96,6 +136,9 @@
   endpoint::PlainClient plains;
   cache_store::Client stores;
   table::SharedView view;
+  membership::Coordinator coordinator;
+  host::Http2Transport transport;
+  GuardedPeers peers;
   GuardedRouter router;
   GuardedBudget budget;
   GuardedSuspects suspects;
@@ -106,12 +149,17 @@
   DetachedStreams detached;
   BurnLog burn;
   Fleet fleet;
+  ZoneSharing sharing;
   Limits limits;
+  ZoneDriver zone;
+  std::unique_ptr<journal::Store> journal_store;
+  JournalTransport journal_transport;
+  journal::Service journal;
+  orders::RolloutService rollouts;
   Parts parts;
   caller::KeyDirectory keys;
   caller::EventIdSealer sealer;
   RequestHandler handler;
-  ConfigSync config;
   FiberGroup periodic;
   caller::Server callers;
   operator_api::Server operators;
@@ -127,6 +175,19 @@
       plains(http),
       stores(http),
       view(ViewOptionsOf(settings)),
+      coordinator(view,
+                  SelfNews(settings, timers.WallNow()),
+                  CoordinatorOptionsOf(settings),
+                  common::EntropySeed()),
+      transport(pool,
+                timers,
+                counters,
+                TransportOptions(settings),
+                [this](const std::string& host) -> std::optional<Address> {
+                  const auto address = this->coordinator.AddressOf(host);
+                  return address ? Address::Parse(*address) : std::nullopt;
+                }),
+      peers(transport),
       router(settings.zone, routing::RouterSettings()),
       gate(timers, counters),
       id_prefix(IdPrefix(settings)),
@@ -142,21 +203,52 @@
             stores,
             counters,
             settings),
-      limits(timers, view, fleet, gate, budget, settings),
-      parts{settings, timers, counters, view,    fleet,
-            router,   budget, suspects, gate,    in_flight,
-            detached, burn,   ids,      engines, plains},
+      sharing(pool,
+              timers,
+              peers,
+              gate,
+              suspects,
+              router,
+              fleet,
+              detached,
+              counters,
+              settings.host_name),
+      limits(timers, view, fleet, gate, budget, sharing, settings),
+      zone(pool,
+           timers,
+           coordinator,
+           peers,
+           platform,
+           view,
+           counters,
+           CoordinatorOptionsOf(settings).follower,
+           this->ZoneHooks()),
+      journal_store(journal::MakePlatformStore(platform)),
+      journal_transport(peers, timers),
+      journal(
+          journal::Options(),
+          settings.host_name,
+          *journal_store,
+          journal_transport,
+          timers,
+          [this](journal::ShardId shard) { return this->ShardOrder(shard); },
+          counters),
+      rollouts(
+          platform,
+          engines,
+          view,
+          [this](std::string_view service) {
+            return this->IsPreferredForOrders(service);
+          },
+          timers,
+          counters,
+          settings.host_name,
+          orders::RolloutOptions()),
+      parts{settings, timers,   counters, view,      fleet,    router,
+            budget,   suspects, gate,     in_flight, detached, burn,
+            ids,      engines,  plains,   sharing,   journal},
       sealer(settings.deployment_key),
       handler(parts),
-      config(pool,
-             timers,
-             platform,
-             view,
-             counters,
-             {settings.relist_period, settings.watch_idle_limit},
-             [this](const std::vector<table::Object>& changed) {
-               this->OnConfig(changed);
-             }),
       periodic(pool),
       callers(pool,
               RequiredAddress(settings.caller_address),
@@ -176,20 +268,68 @@
                                              report::kDefaultObjective);
                  },
                  std::move(on_stop_requested)}) {
-  this->config.Start();
-  this->fleet.Start();
+  this->zone.RegisterHandlers();
+  this->sharing.RegisterHandlers();
+  for (const std::string_view message : {kPermitMessage, kOutcomeMessage}) {
+    this->peers.Handle(
+        std::string(message),
+        [this, message](const std::string&, std::string_view body) {
+          return this->journal.HandleMessage(message, body);
+        });
+  }
+  this->transport.Serve();
+  this->zone.Start();
+  this->sharing.Start();
+  this->fleet.Start(
+      [this](const std::string& bytes) {
+        this->sharing.SendLoadReports(bytes);
+      },
+      [this](const std::string& endpoint, bool leaving) {
+        this->zone.OnEndpointReport(endpoint, leaving);
+      });
+  this->rollouts.Start();
   this->StartTimers();
 }
 
-void Host::Impl::OnConfig(const std::vector<table::Object>& changed) {
+Host::Impl::~Impl() {
+  // Messages of other hosts use parts that are destroyed before the transport.
+  this->peers.ShutHandlers();
+  this->rollouts.Stop();
+}
+
+ZoneDriver::Hooks Host::Impl::ZoneHooks() {
+  return {[this] { this->OnTable(); },
+          [this](const std::vector<std::string>& hosts) {
+            this->sharing.SetHosts(hosts);
+            this->fleet.SetZoneHosts(hosts);
+          },
+          [this](const std::string& endpoint, bool leaving) {
+            this->fleet.SetLeavingInZone(endpoint, leaving);
+          }};
+}
+
+// Hosts of every zone, since shards belong to the whole deployment.
+std::vector<std::string> Host::Impl::ShardOrder(journal::ShardId shard) {
+  const std::vector<std::string> hosts = this->zone.AllHosts();
+  return table::TopByRendezvous("journal-" + std::to_string(shard), hosts,
+                                hosts.size());
+}
+
+bool Host::Impl::IsPreferredForOrders(std::string_view service) {
+  const std::vector<std::string> top = table::TopByRendezvous(
+      "orders-" + std::string(service), this->zone.AllHosts(), 1);
+  return !top.empty() && top[0] == this->settings.host_name;
+}
+
+void Host::Impl::OnTable() {
   const table::SnapshotPtr rows = this->view.Current();
-  for (const table::Object& object : changed) {
-    if (object.kind != table::NameOf(table::Kind::kTeam))
+  for (const auto& [name, team] : rows->teams())
+    this->keys.SetTeam(name, team->key_digests);
+  for (const std::string& team : this->keys.Teams()) {
+    if (rows->FindTeam(team))
       continue;
-    if (const table::Team* team = rows->FindTeam(object.name))
-      this->keys.SetTeam(object.name, team->key_digests);
-    else
-      this->keys.RemoveTeam(object.name);
+    this->keys.RemoveTeam(team);
+    this->sharing.RemoveTeam(team);
   }
   this->fleet.OnConfig();
   this->limits.Update();
@@ -199,7 +339,7 @@
   this->periodic.Every(this->timers, kAdmissionTick, [this](TimePoint now) {
     this->gate.OnTick(now);
     this->detached.OnTick(now);
-    if (!this->handler.is_ready() && this->config.complete())
+    if (!this->handler.is_ready() && this->coordinator.ready())
       this->handler.SetReady();
   });
   this->periodic.Every(this->timers, kLimitsTick,
@@ -256,7 +396,7 @@
       {"host", this->settings.host_name},
       {"zone", this->settings.zone},
       {"state", this->NotReady().value_or("ready")},
-      {"platform", this->config.platform_up() ? "up" : "down"},
+      {"platform", this->zone.platform_up() ? "up" : "down"},
       {"active_requests", this->callers.ActiveRequests()},
       {"open_connections", this->callers.OpenConnections()},
       {"table",
@@ -277,6 +417,7 @@
 StopReport Host::Impl::Stop() {
   LOG(INFO) << "planned stop: no new requests";
   this->handler.StartStopping();
+  this->zone.AnnounceStop();
   this->callers.Drain();
   std::promise<void> drained;
   const TimePoint limit = this->timers.Now() + this->settings.stop_limit;
@@ -291,7 +432,8 @@
   report.cut_off = this->callers.ActiveRequests();
   this->counters.GetCounter("requests_cut_off_total").Add(report.cut_off);
   LOG(INFO) << "planned stop: " << report.cut_off << " requests cut off";
-  this->periodic.Stop();
+  this->journal.Stop(kDutiesLimit);
+  this->rollouts.Stop();
   return report;
 }
 
--- a/source/core/serve/limits.cc
+++ b/source/core/serve/limits.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 
 namespace jujuberock::serve {
 
@@ -17,6 +18,26 @@
   return std::max<size_t>(1, live);
 }
 
+// The part of each team's limit that this zone may use. Shares are stated per
+// service while limits are per team, so the mean over the services counts; it
+// adds up to one over the zones when each service's shares do.
+double ZoneShare(const table::Snapshot& rows, const std::string& zone) {
+  std::set<std::string> zones{zone};
+  for (const auto& [name, host] : rows.hosts())
+    zones.insert(host->zone);
+  const double even = 1.0 / static_cast<double>(zones.size());
+  double sum = 0;
+  for (const auto& [name, service] : rows.services()) {
+    const auto found = service->zone_shares.find(zone);
+    if (service->zone_shares.empty())
+      sum += even;
+    else if (found != service->zone_shares.end())
+      sum += found->second;
+  }
+  const size_t services = rows.services().size();
+  return services == 0 ? even : sum / static_cast<double>(services);
+}
+
 template <typename BandType>
 const BandType* BandAt(const std::vector<BandType>& bands, int minute) {
   for (const BandType& band : bands) {
@@ -63,13 +84,12 @@
   const table::TeamBand* band = BandAt(team.bands, minute);
   if (!band || band->weight <= 0)
     return;
-  const double share = static_cast<double>(band->max_running) /
-                       static_cast<double>(LiveHosts(rows));
-  // A limit below the number of hosts still allows one request on each, which
-  // exceeds it by less than the number of hosts.
+  const double zone_limit = static_cast<double>(band->max_running) *
+                            ZoneShare(rows, this->settings.zone);
+  // A limit below the number of zones still allows one request in each.
   const double least = band->max_running > 0 ? 1.0 : 0.0;
-  this->gate.SetTeam(team.name, band->weight,
-                     ToCount(std::max(least, std::floor(share))));
+  this->sharing.SetTeam(team.name, band->weight,
+                        ToCount(std::max(least, std::floor(zone_limit))));
 }
 
 }  // namespace jujuberock::serve
--- a/source/core/serve/limits.h
+++ b/source/core/serve/limits.h
@@ -6,6 +6,7 @@
 #include "core/serve/decisions.h"
 #include "core/serve/fleet.h"
 #include "core/serve/settings.h"
+#include "core/serve/zone_sharing.h"
 #include "core/table/shared_view.h"
 
 namespace jujuberock::serve {
@@ -19,12 +20,14 @@
          Fleet& fleet,
          AdmissionGate& gate,
          GuardedBudget& budget,
+         ZoneSharing& sharing,
          const Settings& settings)
       : timers(timers),
         view(view),
         fleet(fleet),
         gate(gate),
         budget(budget),
+        sharing(sharing),
         settings(settings) {}
 
   // Call on every change of the table and at least once a second, since bands
@@ -41,6 +44,7 @@
   Fleet& fleet;
   AdmissionGate& gate;
   GuardedBudget& budget;
+  ZoneSharing& sharing;
   const Settings& settings;
 };
 
--- a/source/core/serve/parts.h
+++ b/source/core/serve/parts.h
@@ -5,6 +5,7 @@
 #include "core/common/timer_service.h"
 #include "core/endpoint/engine_client.h"
 #include "core/endpoint/plain_client.h"
+#include "core/journal/service.h"
 #include "core/runtime/worker_pool.h"
 #include "core/serve/admission_gate.h"
 #include "core/serve/burn_log.h"
@@ -14,6 +15,7 @@
 #include "core/serve/in_flight.h"
 #include "core/serve/request_ids.h"
 #include "core/serve/settings.h"
+#include "core/serve/zone_sharing.h"
 #include "core/table/shared_view.h"
 
 namespace jujuberock::serve {
@@ -35,6 +37,8 @@
   RequestIds& ids;
   endpoint::EngineClient& engines;
   endpoint::PlainClient& plains;
+  ZoneSharing& sharing;
+  journal::Service& journal;
 };
 
 }  // namespace jujuberock::serve
--- /dev/null
+++ b/source/core/serve/peer_messages.cc
@@ -0,0 +1,177 @@
+#include "core/serve/peer_messages.h"
+
+#include <tuple>
+#include <utility>
+
+#include <msgpack.hpp>
+
+#include "core/common/error.h"
+#include "core/common/msgpack_unpack.h"
+
+namespace jujuberock::serve {
+
+namespace {
+
+constexpr int kFormat = 1;
+
+using DemandFields = std::tuple<std::string, uint32_t, uint32_t>;
+using GrantFields = std::tuple<std::string, uint32_t, int64_t, bool>;
+using MarkFields = std::tuple<uint64_t, std::string, int64_t>;
+using KeyFields = std::tuple<uint64_t, uint64_t>;
+using HolderFields = std::tuple<std::string, uint32_t, bool>;
+using StoredFields = std::tuple<std::string, std::vector<uint32_t>>;
+using EventFields = std::tuple<bool, uint64_t, uint64_t>;
+
+template <typename... Fields>
+std::string Pack(const Fields&... fields) {
+  msgpack::sbuffer buffer;
+  msgpack::packer<msgpack::sbuffer> packer(buffer);
+  packer.pack_array(1 + sizeof...(fields));
+  packer.pack(kFormat);
+  (packer.pack(fields), ...);
+  return {buffer.data(), buffer.size()};
+}
+
+template <typename... Fields, size_t... kIndex>
+std::tuple<Fields...> UnpackFields(const msgpack::object* fields,
+                                   std::index_sequence<kIndex...>) {
+  return {fields[kIndex].template as<Fields>()...};
+}
+
+template <typename... Fields>
+std::tuple<Fields...> Unpack(std::string_view bytes, std::string_view message) {
+  try {
+    const msgpack::object_handle handle = common::UnpackMessage(bytes);
+    const msgpack::object& object = handle.get();
+    if (object.type != msgpack::type::ARRAY ||
+        object.via.array.size < 1 + sizeof...(Fields) ||
+        object.via.array.ptr[0].as<int>() != kFormat)
+      throw msgpack::type_error();
+    return UnpackFields<Fields...>(object.via.array.ptr + 1,
+                                   std::index_sequence_for<Fields...>());
+  } catch (const std::exception&) {
+    throw common::Error(common::ResultCode::kProtocolError,
+                        "malformed " + std::string(message) + " message");
+  }
+}
+
+}  // namespace
+
+std::string EncodeDemands(const std::vector<admission::LimitDemand>& demands) {
+  std::vector<DemandFields> fields;
+  std::string host;
+  for (const admission::LimitDemand& demand : demands) {
+    host = demand.host;
+    fields.emplace_back(demand.team, demand.running, demand.queued);
+  }
+  return Pack(host, fields);
+}
+
+std::vector<admission::LimitDemand> DecodeDemands(std::string_view bytes) {
+  const auto [host, fields] =
+      Unpack<std::string, std::vector<DemandFields>>(bytes, kLimitGrantMessage);
+  std::vector<admission::LimitDemand> demands;
+  for (const auto& [team, running, queued] : fields)
+    demands.push_back({team, host, running, queued});
+  return demands;
+}
+
+std::string EncodeGrants(const std::vector<admission::LimitGrant>& grants) {
+  std::vector<GrantFields> fields;
+  for (const admission::LimitGrant& grant : grants)
+    fields.emplace_back(grant.team, grant.share, grant.lifetime.count(),
+                        grant.pending);
+  return Pack(fields);
+}
+
+std::vector<admission::LimitGrant> DecodeGrants(std::string_view bytes) {
+  const auto [fields] =
+      Unpack<std::vector<GrantFields>>(bytes, kLimitGrantMessage);
+  std::vector<admission::LimitGrant> grants;
+  for (const auto& [team, share, lifetime, pending] : fields)
+    grants.push_back({team, share, common::Duration(lifetime), pending});
+  return grants;
+}
+
+std::string EncodeMarks(const std::vector<suspects::Mark>& marks) {
+  std::vector<MarkFields> fields;
+  for (const suspects::Mark& mark : marks)
+    fields.emplace_back(mark.fingerprint, mark.endpoint, mark.age.count());
+  return Pack(fields);
+}
+
+std::vector<suspects::Mark> DecodeMarks(std::string_view bytes) {
+  const auto [fields] =
+      Unpack<std::vector<MarkFields>>(bytes, kSuspectMarksMessage);
+  std::vector<suspects::Mark> marks;
+  for (const auto& [fingerprint, endpoint, age] : fields)
+    marks.push_back({fingerprint, endpoint, common::Duration(age)});
+  return marks;
+}
+
+std::string EncodeQuery(const routing::IndexQuery& query) {
+  std::vector<KeyFields> fields;
+  for (const routing::BlockKey& key : query.keys)
+    fields.emplace_back(key.high, key.low);
+  return Pack(fields);
+}
+
+routing::IndexQuery DecodeQuery(std::string_view bytes) {
+  const auto [fields] =
+      Unpack<std::vector<KeyFields>>(bytes, kIndexQueryMessage);
+  routing::IndexQuery query;
+  for (const auto& [high, low] : fields)
+    query.keys.push_back({high, low});
+  return query;
+}
+
+std::string EncodeAnswer(const routing::IndexAnswer& answer) {
+  std::vector<HolderFields> endpoints;
+  for (const routing::Holder& holder : answer.endpoints)
+    endpoints.emplace_back(holder.name, holder.leading_blocks, holder.doubtful);
+  std::vector<StoredFields> stores;
+  for (const routing::StoredBlocks& stored : answer.stores)
+    stores.emplace_back(stored.store, stored.positions);
+  return Pack(endpoints, stores);
+}
+
+routing::IndexAnswer DecodeAnswer(std::string_view bytes) {
+  const auto [endpoints, stores] =
+      Unpack<std::vector<HolderFields>, std::vector<StoredFields>>(
+          bytes, kIndexQueryMessage);
+  routing::IndexAnswer answer;
+  for (const auto& [name, blocks, doubtful] : endpoints)
+    answer.endpoints.push_back({name, blocks, doubtful});
+  for (const auto& [store, positions] : stores)
+    answer.stores.push_back({store, positions});
+  return answer;
+}
+
+std::string EncodeUpdate(const routing::IndexUpdate& update) {
+  std::vector<EventFields> fields;
+  for (const routing::CacheEvent& event : update.events)
+    fields.emplace_back(event.op == routing::CacheEvent::Op::kAdd,
+                        event.key.high, event.key.low);
+  return Pack(update.holder, update.holder_is_store, fields);
+}
+
+routing::IndexUpdate DecodeUpdate(std::string_view bytes) {
+  using Op = routing::CacheEvent::Op;
+  const auto [holder, is_store, fields] =
+      Unpack<std::string, bool, std::vector<EventFields>>(bytes,
+                                                          kIndexUpdateMessage);
+  routing::IndexUpdate update{holder, is_store, {}};
+  for (const auto& [added, high, low] : fields)
+    update.events.push_back({added ? Op::kAdd : Op::kRemove, {high, low}});
+  return update;
+}
+
+std::string EncodeStreamTaken(const std::string& stream) {
+  return Pack(stream);
+}
+
+std::string DecodeStreamTaken(std::string_view bytes) {
+  return std::get<0>(Unpack<std::string>(bytes, kStreamTakenMessage));
+}
+
+}  // namespace jujuberock::serve
--- a/source/core/serve/request_handler.cc
+++ b/source/core/serve/request_handler.cc
@@ -2,6 +2,7 @@
 
 #include "core/common/error.h"
 #include "core/serve/completion_run.h"
+#include "core/serve/recorded_run.h"
 #include "core/serve/service_run.h"
 
 namespace jujuberock::serve {
@@ -81,8 +82,10 @@
     if (!service || service->kind != table::ServiceKind::kPlain)
       throw Error(ResultCode::kUnknownService,
                   "no plain service " + call.service);
-    if (IsNonIdempotent(*service, call.request))
-      throw Error(ResultCode::kJournalUnavailable, "no journal");
+    if (IsNonIdempotent(*service, call.request)) {
+      RecordedRun run(this->parts, call, service->status_path);
+      return this->ExecuteAndRecord(call.team, call.service, run);
+    }
     ServiceRun run(this->parts, call);
     return this->ExecuteAndRecord(call.team, call.service, run);
   });
--- a/source/core/serve/request_steps.cc
+++ b/source/core/serve/request_steps.cc
@@ -115,6 +115,7 @@
   this->parts.suspects.With([&](suspects::SuspectList& list) {
     list.OnEndpointCrash(endpoint, marked, this->parts.timers.Now());
   });
+  this->parts.sharing.SpreadMarks();
 }
 
 void RequestSteps::OnPlainFailure(const std::string& endpoint,
--- a/source/core/serve/service_run.cc
+++ b/source/core/serve/service_run.cc
@@ -19,6 +19,17 @@
       call.request.body);
 }
 
+routing::RouteRequest PlainRoute(const Parts& parts,
+                                 const caller::ServiceCall& call,
+                                 const RequestSteps& steps) {
+  routing::RouteRequest route;
+  route.service = call.service;
+  route.zone = parts.settings.zone;
+  route.team = call.team;
+  route.deadline = steps.deadline();
+  return route;
+}
+
 HttpRequest ForwardedRequest(const caller::ServiceCall& call,
                              const std::string& request_id) {
   HttpRequest request = call.request;
@@ -46,7 +57,7 @@
 
 HttpResponse ServiceRun::Execute() {
   this->steps.SetDeadline(this->call.headers);
-  this->PrepareRoute();
+  this->route = PlainRoute(this->parts, this->call, this->steps);
   this->steps.Admit(this->route);
   this->route.isolate = this->steps.CheckSuspect();
   HttpResponse response = this->RunWithRetry();
@@ -58,13 +69,6 @@
   return this->parts.timers.Now() <= this->steps.deadline();
 }
 
-void ServiceRun::PrepareRoute() {
-  this->route.service = this->call.service;
-  this->route.zone = this->parts.settings.zone;
-  this->route.team = this->call.team;
-  this->route.deadline = this->steps.deadline();
-}
-
 HttpResponse ServiceRun::RunWithRetry() {
   try {
     return this->RunAttempt();
@@ -88,7 +92,7 @@
       this->steps.deadline() - this->parts.timers.Now();
   try {
     HttpResponse response = this->parts.plains.Forward(
-        *address, ForwardedRequest(this->call, request_id), left, false);
+        *address, ForwardedRequest(this->call, request_id), left);
     attempt.Succeed();
     return response;
   } catch (const HttpError& error) {
--- a/source/core/serve/service_run.h
+++ b/source/core/serve/service_run.h
@@ -22,7 +22,6 @@
   bool in_time() const;
 
  private:
-  void PrepareRoute();
   runtime::HttpResponse RunWithRetry();
   runtime::HttpResponse RunAttempt();
 
@@ -33,6 +32,11 @@
   bool dispatched = false;
 };
 
+// What the router needs to know about a plain call.
+routing::RouteRequest PlainRoute(const Parts& parts,
+                                 const caller::ServiceCall& call,
+                                 const RequestSteps& steps);
+
 // The request as a plain service receives it.
 runtime::HttpRequest ForwardedRequest(const caller::ServiceCall& call,
                                       const std::string& request_id);
--- a/source/core/serve/settings.h
+++ b/source/core/serve/settings.h
@@ -44,8 +44,8 @@
   // Periodic work.
   common::Duration load_poll_period = std::chrono::milliseconds(250);
   common::Duration store_poll_period = std::chrono::seconds(1);
-  common::Duration relist_period = std::chrono::seconds(10);
-  common::Duration watch_idle_limit = std::chrono::seconds(3);
+  common::Duration relist_period = std::chrono::minutes(30);
+  common::Duration watch_idle_limit = std::chrono::milliseconds(1500);
   int64_t polls_per_second = 4;
 
   common::Duration stop_limit = std::chrono::seconds(120);
--- /dev/null
+++ b/source/core/serve/zone_sharing.cc
@@ -0,0 +1,279 @@
+#include "core/serve/zone_sharing.h"
+
+#include <utility>
+
+#include "core/common/error.h"
+#include "core/serve/peer_messages.h"
+
+namespace jujuberock::serve {
+
+using admission::LimitDemand;
+using admission::LimitGrant;
+using common::Error;
+using common::RankedLock;
+using common::TimePoint;
+
+namespace {
+
+constexpr common::Duration kLimitsPeriod = admission::kGrantLifetime / 4;
+// Marks are sent on every crash; this repeats them for hosts that have started
+// since.
+constexpr common::Duration kMarksPeriod = std::chrono::seconds(10);
+constexpr common::Duration kMessageTimeout = std::chrono::milliseconds(500);
+
+}  // namespace
+
+ZoneSharing::ZoneSharing(runtime::WorkerPool& pool,
+                         common::TimerService& timers,
+                         host::PeerTransport& peers,
+                         AdmissionGate& gate,
+                         GuardedSuspects& suspects,
+                         GuardedRouter& router,
+                         Fleet& fleet,
+                         DetachedStreams& detached,
+                         common::CounterRegistry& counters,
+                         const std::string& self)
+    : timers(timers),
+      peers(peers),
+      gate(gate),
+      suspects(suspects),
+      router(router),
+      fleet(fleet),
+      detached(detached),
+      late_answers(counters.GetCounter("index_queries_late_total")),
+      self(self),
+      hosts({self}),
+      limit_share(self),
+      fibers(pool) {
+  this->SetHosts({self});
+}
+
+void ZoneSharing::RegisterHandlers() {
+  const auto handle = [this](std::string_view message, auto handler) {
+    this->peers.Handle(std::string(message),
+                       [handler](const std::string&, std::string_view body) {
+                         return handler(body);
+                       });
+  };
+  handle(kLimitGrantMessage, [this](std::string_view body) {
+    return EncodeGrants(this->Grant(DecodeDemands(body)));
+  });
+  handle(kSuspectMarksMessage, [this](std::string_view body) -> std::string {
+    const std::vector<suspects::Mark> marks = DecodeMarks(body);
+    this->suspects.With([&](suspects::SuspectList& list) {
+      list.Merge(marks, this->timers.Now());
+    });
+    return "";
+  });
+  handle(kLoadReportsMessage, [this](std::string_view body) -> std::string {
+    this->fleet.OnLoadReports(body);
+    return "";
+  });
+  handle(kIndexQueryMessage, [this](std::string_view body) {
+    const routing::IndexQuery query = DecodeQuery(body);
+    return EncodeAnswer(this->router.With(
+        [&](routing::Router& router) { return router.Answer(query); }));
+  });
+  handle(kIndexUpdateMessage, [this](std::string_view body) -> std::string {
+    const routing::IndexUpdate update = DecodeUpdate(body);
+    this->router.With([&](routing::Router& router) {
+      router.Apply(update, this->timers.Now());
+    });
+    return "";
+  });
+  handle(kStreamTakenMessage, [this](std::string_view body) -> std::string {
+    this->detached.TakeOver(DecodeStreamTaken(body));
+    return "";
+  });
+}
+
+void ZoneSharing::Start() {
+  this->fibers.Every(this->timers, kLimitsPeriod,
+                     [this](TimePoint) { this->AskForLimits(); });
+  this->fibers.Every(this->timers, kMarksPeriod,
+                     [this](TimePoint) { this->SpreadMarks(); });
+}
+
+void ZoneSharing::SetHosts(const std::vector<std::string>& hosts) {
+  RankedLock lock(this->mutex);
+  this->hosts = hosts;
+  this->limit_owner.SetHosts(hosts);
+  this->limit_share.SetHosts(hosts);
+  this->owners.SetHosts(hosts);
+}
+
+void ZoneSharing::SetTeam(const std::string& team,
+                          double weight,
+                          uint32_t zone_limit) {
+  uint32_t share;
+  {
+    RankedLock lock(this->mutex);
+    this->teams[team] = {weight, zone_limit};
+    this->limit_owner.SetLimit(team, zone_limit);
+    this->limit_share.SetLimit(team, zone_limit);
+    share = this->limit_share.ShareOf(team, this->timers.Now());
+  }
+  this->gate.SetTeam(team, weight, share);
+}
+
+void ZoneSharing::RemoveTeam(const std::string& team) {
+  RankedLock lock(this->mutex);
+  this->teams.erase(team);
+}
+
+std::vector<std::string> ZoneSharing::OtherHosts() {
+  RankedLock lock(this->mutex);
+  std::vector<std::string> others;
+  for (const std::string& host : this->hosts) {
+    if (host != this->self)
+      others.push_back(host);
+  }
+  return others;
+}
+
+void ZoneSharing::Send(const std::string& host,
+                       std::string_view message,
+                       const std::string& body) {
+  this->fibers.Spawn([this, host, message, body] {
+    try {
+      this->peers.Call(host, message, body,
+                       this->timers.Now() + kMessageTimeout);
+    } catch (const Error&) {
+      // All of these messages are hints; the transport counts failures.
+    }
+  });
+}
+
+void ZoneSharing::SendToZone(std::string_view message,
+                             const std::string& body) {
+  for (const std::string& host : this->OtherHosts())
+    this->Send(host, message, body);
+}
+
+void ZoneSharing::SpreadMarks() {
+  const std::vector<suspects::Mark> marks =
+      this->suspects.With([&](suspects::SuspectList& list) {
+        return list.Marks(this->timers.Now());
+      });
+  if (!marks.empty())
+    this->SendToZone(kSuspectMarksMessage, EncodeMarks(marks));
+}
+
+void ZoneSharing::SendLoadReports(const std::string& bytes) {
+  this->SendToZone(kLoadReportsMessage, bytes);
+}
+
+void ZoneSharing::TellTakenOver(const std::string& host,
+                                const std::string& stream) {
+  if (host != this->self)
+    this->Send(host, kStreamTakenMessage, EncodeStreamTaken(stream));
+}
+
+std::vector<LimitGrant> ZoneSharing::Grant(
+    const std::vector<LimitDemand>& demands) {
+  const TimePoint now = this->timers.Now();
+  RankedLock lock(this->mutex);
+  std::vector<LimitGrant> grants;
+  for (const LimitDemand& demand : demands) {
+    // A team that this host does not know yet has no limit to hand out.
+    if (this->teams.contains(demand.team))
+      grants.push_back(this->limit_owner.OnDemand(demand, now));
+  }
+  return grants;
+}
+
+void ZoneSharing::AskForLimits() {
+  std::vector<std::string> names;
+  std::vector<std::string> hosts_now;
+  {
+    RankedLock lock(this->mutex);
+    hosts_now = this->hosts;
+    for (const auto& [team, share] : this->teams)
+      names.push_back(team);
+  }
+  std::map<std::string, std::vector<LimitDemand>> by_owner;
+  for (const std::string& team : names) {
+    const LimitDemand demand{team, this->self, this->gate.running(team),
+                             this->gate.queued(team)};
+    // A host with nothing to run keeps its even share and asks nobody.
+    if (demand.running + demand.queued > 0)
+      by_owner[admission::LimitOwnerOf(team, hosts_now)].push_back(demand);
+  }
+  for (const auto& [owner, demands] : by_owner) {
+    this->fibers.Spawn([this, owner = owner, demands = demands] {
+      this->AskOwnerForLimits(owner, demands);
+    });
+  }
+  this->ApplyLimits();
+}
+
+void ZoneSharing::AskOwnerForLimits(const std::string& owner,
+                                    const std::vector<LimitDemand>& demands) {
+  const TimePoint sent = this->timers.Now();
+  std::vector<LimitGrant> grants;
+  try {
+    grants = owner == this->self
+                 ? this->Grant(demands)
+                 : DecodeGrants(this->peers.Call(owner, kLimitGrantMessage,
+                                                 EncodeDemands(demands),
+                                                 sent + kMessageTimeout));
+  } catch (const Error&) {
+    // Without a grant the even share over the last view applies.
+    return;
+  }
+  {
+    RankedLock lock(this->mutex);
+    for (const LimitGrant& grant : grants)
+      this->limit_share.OnGrant(grant, sent);
+  }
+  this->ApplyLimits();
+}
+
+void ZoneSharing::ApplyLimits() {
+  const TimePoint now = this->timers.Now();
+  RankedLock lock(this->mutex);
+  for (const auto& [team, share] : this->teams)
+    this->gate.SetTeam(team, share.weight,
+                       this->limit_share.ShareOf(team, now));
+}
+
+std::string ZoneSharing::OwnerOf(const std::string& conversation,
+                                 const routing::RouteRequest& request) {
+  const auto hash = routing::ConversationOwners::ConversationOf(
+      request.team, conversation, request.block_keys);
+  if (!hash || request.block_keys.empty())
+    return this->self;
+  RankedLock lock(this->mutex);
+  return this->owners.OwnerOf(*hash, this->timers.Now());
+}
+
+std::string ZoneSharing::AskOwner(const std::string& conversation,
+                                  routing::RouteRequest& request) {
+  const std::string owner = this->OwnerOf(conversation, request);
+  if (owner == this->self || owner.empty())
+    return owner;
+  try {
+    request.owner_answer = DecodeAnswer(this->peers.Call(
+        owner, kIndexQueryMessage, EncodeQuery({request.block_keys}),
+        this->timers.Now() + routing::kOwnerAnswerLimit));
+  } catch (const Error&) {
+    this->late_answers.Add();
+    request.load_only = true;
+  }
+  return owner;
+}
+
+void ZoneSharing::TellOwner(const std::string& owner,
+                            const routing::RouteRequest& request,
+                            const routing::RouteDecision& decision) {
+  if (owner == this->self || owner.empty())
+    return;
+  const routing::IndexUpdate update =
+      this->router.With([&](routing::Router& router) {
+        return router.UpdateFor(request, decision);
+      });
+  if (!update.events.empty())
+    this->Send(owner, kIndexUpdateMessage, EncodeUpdate(update));
+}
+
+}  // namespace jujuberock::serve
--- a/source/jujuberock/serve_command.cc
+++ b/source/jujuberock/serve_command.cc
@@ -2,6 +2,7 @@
 #include <glog/logging.h>
 
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
 #include <optional>
 
@@ -57,7 +58,11 @@
     LOG(INFO) << "serving callers on " << host.caller_address().ToString()
               << ", operators on " << host.operator_address().ToString();
     io.run();
-    host.Stop();
+    if (host.Stop().cut_off > 0) {
+      // Handlers that still run would hold up the end of the host.
+      google::FlushLogFiles(google::INFO);
+      std::_Exit(kExitOk);
+    }
     return kExitOk;
   } catch (const common::Error& error) {
     std::cerr << "jujuberock serve: " << error.what() << "\n";
