--- a/source/core/journal/service.cc
+++ b/source/core/journal/service.cc
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <deque>
 #include <map>
+#include <thread>
 #include <utility>
 
 #include <boost/fiber/condition_variable.hpp>
@@ -31,6 +32,7 @@
 // up by then.
 constexpr common::Duration kHandlerGrace = std::chrono::milliseconds(100);
 constexpr common::Duration kStopPoll = std::chrono::milliseconds(5);
+constexpr common::Duration kClosePoll = std::chrono::milliseconds(1);
 
 // What wakes the fiber of a call.
 struct CallEvent {
@@ -61,6 +63,20 @@
   std::deque<CallEvent> events;
 };
 
+// Counts what still uses the dependencies of the service.
+class Operation {
+ public:
+  explicit Operation(std::atomic<size_t>& count) : count(count) {
+    ++this->count;
+  }
+  ~Operation() { --this->count; }
+  Operation(const Operation&) = delete;
+  Operation& operator=(const Operation&) = delete;
+
+ private:
+  std::atomic<size_t>& count;
+};
+
 std::string Incarnation() {
   return std::to_string(common::EntropySeed());
 }
@@ -122,6 +138,7 @@
   }
 
   std::string HandlePermit(std::string_view body) {
+    this->RequireOpen();
     const PermitRequest request = DecodePermitRequest(body);
     return this->Answer<PermitReply>(
         this->permit_waiters, this->options.ask_timeout + kHandlerGrace,
@@ -131,6 +148,7 @@
   }
 
   std::string HandleOutcome(std::string_view body) {
+    this->RequireOpen();
     const OutcomeRequest request = DecodeOutcomeRequest(body);
     return this->Answer<OutcomeReply>(
         this->outcome_waiters,
@@ -157,10 +175,24 @@
     LOG(WARNING) << "journal: stopped before everything was confirmed";
   }
 
+  std::string HandleMessage(std::string_view message, std::string_view body) {
+    const Operation operation(this->operations);
+    if (message == kPermitMessage)
+      return this->HandlePermit(body);
+    if (message == kOutcomeMessage)
+      return this->HandleOutcome(body);
+    throw Error(ResultCode::kProtocolError,
+                "journal: unknown message " + std::string(message));
+  }
+
   void Close() {
-    common::RankedLock lock(this->mutex);
-    this->closed = true;
-    this->timer.Cancel();
+    {
+      common::RankedLock lock(this->mutex);
+      this->closed = true;
+      this->timer.Cancel();
+    }
+    while (this->operations > 0)
+      std::this_thread::sleep_for(kClosePoll);
   }
 
  private:
@@ -178,6 +210,12 @@
     std::vector<std::pair<PromisePtr<OutcomeReply>, OutcomeReply>> outcomes;
   };
 
+  void RequireOpen() {
+    common::RankedLock lock(this->mutex);
+    if (this->closed)
+      throw Error(ResultCode::kStopping, "journal: this host has stopped");
+  }
+
   template <typename Event>
   void Update(Event event) {
     Batch batch;
@@ -256,12 +294,12 @@
   // The fiber keeps this object alive.
   template <typename Body>
   void Spawn(Body body) {
-    ++this->operations;
-    runtime::SpawnHere(
-        [self = this->shared_from_this(), body = std::move(body)] {
-          body();
-          --self->operations;
-        });
+    auto operation = std::make_shared<Operation>(this->operations);
+    runtime::SpawnHere([self = this->shared_from_this(), operation,
+                        body = std::move(body)]() mutable {
+      body();
+      operation.reset();
+    });
   }
 
   void DoWrite(const WriteAction& write) {
@@ -409,6 +447,7 @@
   }
 
   void OnTimer(TimePoint due) {
+    const Operation operation(this->operations);
     this->Update([&](TimePoint now, UnixTime wall) {
       if (this->armed == due)
         this->armed.reset();
@@ -466,12 +505,13 @@
 
 std::string Service::HandleMessage(std::string_view message,
                                    std::string_view body) {
-  if (message == kPermitMessage)
-    return this->impl->HandlePermit(body);
-  if (message == kOutcomeMessage)
-    return this->impl->HandleOutcome(body);
-  throw Error(ResultCode::kProtocolError,
-              "journal: unknown message " + std::string(message));
+  return this->impl->HandleMessage(message, body);
+}
+
+Service::MessageHandler Service::Handler() {
+  return [impl = this->impl](std::string_view message, std::string_view body) {
+    return impl->HandleMessage(message, body);
+  };
 }
 
 void Service::Stop(common::Duration limit) {
--- a/source/core/journal/service.h
+++ b/source/core/journal/service.h
@@ -74,8 +74,9 @@
 using HostOrder = std::function<std::vector<HostId>(ShardId)>;
 
 // Runs non-idempotent calls and owns shards on this host. Thread-safe; call it
-// from fibers. Every dependency must outlive it, and every call must have
-// returned before it is destroyed.
+// from fibers. Every dependency must outlive it, and every Execute() must have
+// returned before it is destroyed. The destructor waits for the platform calls
+// and messages that are under way; it must not run on a worker.
 class Service {
  public:
   Service(Options options,
@@ -98,6 +99,11 @@
   // Handles a message of another host and returns the reply's bytes. Throws
   // common::Error kProtocolError for malformed bytes.
   std::string HandleMessage(std::string_view message, std::string_view body);
+  // HandleMessage as a function that may outlive the service; it throws
+  // common::Error kStopping then.
+  using MessageHandler = std::function<std::string(std::string_view message,
+                                                   std::string_view body)>;
+  MessageHandler Handler();
 
   // Planned stop: commits what is outstanding, hands unconfirmed outcomes to
   // their owners and waits at most `limit`. Takes over no shard after that.
--- a/source/core/runtime/http_client.cc
+++ b/source/core/runtime/http_client.cc
@@ -233,6 +233,9 @@
       std::move(connection), this->state->options.body_limit_bytes,
       options.read_timeout, std::move(keep));
   http::request<http::string_body> message = ToBeast(address, request);
+  if (options.before_first_byte && !options.before_first_byte())
+    throw HttpError(ResultCode::kCanceled, "withdrawn before it was sent",
+                    false);
   stream->SendRequest(message, this->state->options.write_timeout);
   stream->ReadHeader(options.header_timeout);
   return stream;
--- a/source/core/runtime/http_client.h
+++ b/source/core/runtime/http_client.h
@@ -49,6 +49,10 @@
   // Never uses a pooled connection. For requests that must not be repeated: a
   // pooled connection may have been closed by the peer already.
   bool fresh_connection = false;
+  // Called when a connection is ready and just before the first byte of the
+  // request is written to it. When it returns false, nothing is written and
+  // the call throws HttpError kCanceled, not sent.
+  std::function<bool()> before_first_byte = {};
 };
 
 // A response whose body arrives piece by piece. Destroying it before the end
--- /dev/null
+++ b/source/unit_tests/core/journal/service_test.cc
@@ -0,0 +1,320 @@
+// Several journal services on real fibers, sockets and stand-ins.
+
+#include "core/journal/service.h"
+
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "core/host/http2_transport.h"
+#include "core/platform/client.h"
+#include "core/runtime/sleep.h"
+#include "core/runtime/wall_timer_service.h"
+#include "core/serve/journal_transport.h"
+#include "standin/plain_service_standin.h"
+#include "standin/platform_standin.h"
+
+namespace jujuberock::journal {
+namespace {
+
+using common::Outcome;
+using common::ResultCode;
+using runtime::Address;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const Address kAnyPort{"127.0.0.1", 0};
+
+// A stand-in behind an HTTP server on a worker of its own.
+template <typename Standin, typename StandinOptions>
+struct Served {
+  explicit Served(StandinOptions options)
+      : standin(std::move(options)),
+        server(
+            pool,
+            kAnyPort,
+            {},
+            [this](const runtime::HttpRequest& request,
+                   runtime::ResponseWriter& writer) {
+              this->standin.Handle(request, writer);
+            },
+            runtime::RenderPlainError) {
+    this->pool.Run([this] { this->standin.Start(); });
+  }
+
+  runtime::WorkerPool pool{1};
+  Standin standin;
+  runtime::HttpServer server;
+};
+
+class Cluster;
+
+// One host of the cluster, without its callers' interface.
+struct ClusterHost {
+  ClusterHost(Cluster& cluster, const std::string& name);
+
+  common::CounterRegistry counters;
+  runtime::HttpClient http;
+  platform::Client platform;
+  std::unique_ptr<Store> store;
+  host::Http2Transport peers;
+  serve::JournalTransport transport;
+  Service service;
+};
+
+class Cluster {
+ public:
+  explicit Cluster(size_t size) {
+    for (size_t i = 0; i < size; ++i)
+      this->hosts.push_back(
+          std::make_unique<ClusterHost>(*this, "host-" + std::to_string(i)));
+    this->live = std::set<size_t>();
+    for (size_t i = 0; i < size; ++i)
+      this->live.insert(i);
+  }
+
+  std::vector<HostId> Order(ShardId) const {
+    std::vector<HostId> order;
+    for (size_t host : this->live)
+      order.push_back("host-" + std::to_string(host));
+    return order;
+  }
+
+  std::optional<Address> Resolve(const std::string& name) const {
+    for (const auto& host : this->hosts) {
+      if (host && "host-" + std::to_string(&host - this->hosts.data()) == name)
+        return host->peers.address();
+    }
+    return std::nullopt;
+  }
+
+  // Sends one call to one host, like `serve` does. Runs on a worker.
+  CallResult Call(size_t host,
+                  const std::string& key,
+                  const std::string& body,
+                  common::Duration patience = seconds(5)) {
+    ClusterHost& entry = *this->hosts[host];
+    CallRequest request;
+    request.key = {"tienda", key};
+    request.issued = this->issued;
+    request.request_hash = HashRequest("POST", "/pay", body, request.issued);
+    request.deadline = this->timers.Now() + patience;
+    return entry.service.Execute(
+        request, [&](const BeforeFirstByte& before_first_byte) {
+          runtime::HttpRequest message{"POST", "/pay", {}, body};
+          message.headers.Add("Jujuberock-Team", "tienda");
+          message.headers.Add("Idempotency-Key", key);
+          const runtime::HttpResponse response =
+              entry.http.Fetch(this->plain.server.address(), message,
+                               {.header_timeout = seconds(5),
+                                .read_timeout = seconds(5),
+                                .fresh_connection = true,
+                                .before_first_byte = before_first_byte});
+          ForwardResult result;
+          result.answer =
+              MakeAnswer(response.status, "application/json", response.body);
+          return result;
+        });
+  }
+
+  std::map<std::string, int> Executions() {
+    std::map<std::string, int> counts;
+    this->pool.Run([&] {
+      runtime::HttpClient http(this->pool, {});
+      const auto response = http.Fetch(this->plain.server.address(),
+                                       {"GET", "/control/executions", {}, ""});
+      counts = nlohmann::json::parse(response.body)
+                   .get<std::map<std::string, int>>();
+    });
+    return counts;
+  }
+
+  void SetPlatformFault(const nlohmann::json& fault) {
+    this->pool.Run([&] {
+      runtime::HttpClient http(this->pool, {});
+      http.Fetch(this->platform.server.address(),
+                 {"POST", "/control/faults", {}, fault.dump()});
+    });
+  }
+
+  runtime::WorkerPool pool{3};
+  runtime::WallTimerService timers{pool, 0};
+  Served<standin::PlatformStandin, standin::PlatformOptions> platform{
+      standin::PlatformOptions{}};
+  Served<standin::PlainServiceStandin, standin::PlainServiceOptions> plain{
+      standin::PlainServiceOptions{}};
+  const common::UnixTime issued = timers.WallNow();
+  std::vector<std::unique_ptr<ClusterHost>> hosts;
+  std::set<size_t> live;
+};
+
+host::Http2TransportOptions PeerOptions(const std::string& name) {
+  host::Http2TransportOptions options;
+  options.name = name;
+  options.listen = kAnyPort;
+  options.deployment_key = "secret";
+  return options;
+}
+
+ClusterHost::ClusterHost(Cluster& cluster, const std::string& name)
+    : http(cluster.pool, {}),
+      platform(http, cluster.platform.server.address(), counters),
+      store(MakePlatformStore(platform)),
+      peers(cluster.pool,
+            cluster.timers,
+            counters,
+            PeerOptions(name),
+            [&cluster](const std::string& host) {
+              return cluster.Resolve(host);
+            }),
+      transport(peers, cluster.timers),
+      service(
+          Options(),
+          name,
+          *store,
+          transport,
+          cluster.timers,
+          [&cluster](ShardId shard) { return cluster.Order(shard); },
+          counters) {
+  serve::HandleJournalMessages(this->peers, this->service);
+  this->peers.Serve();
+}
+
+// Guards against a second execution when the same call reaches several hosts
+// at once, and against answers of another key.
+TEST_CASE("calls sent to three hosts at once run once and are replayed") {
+  Cluster cluster(3);
+  constexpr int kKeys = 40;
+  std::atomic<int> wrong{0};
+  std::atomic<int> settled{0};
+  cluster.pool.Run([&] {
+    std::atomic<int> done{0};
+    for (int i = 0; i < kKeys * 3; ++i) {
+      cluster.pool.Spawn([&, i] {
+        const std::string key = "pay-" + std::to_string(i / 3);
+        const auto result =
+            cluster.Call(static_cast<size_t>(i % 3), key, "body " + key);
+        settled += result.code == ResultCode::kOk;
+        wrong += result.code != ResultCode::kOk &&
+                 result.code != ResultCode::kCallInProgress;
+        ++done;
+      });
+    }
+    while (done < kKeys * 3)
+      runtime::SleepFor(milliseconds(1));
+    for (int i = 0; i < kKeys; ++i) {
+      const std::string key = "pay-" + std::to_string(i);
+      const auto result =
+          cluster.Call(static_cast<size_t>(i % 3), key, "body " + key);
+      const bool right =
+          result.code == ResultCode::kOk && result.replayed &&
+          nlohmann::json::parse(result.answer.body).at("key") == key;
+      wrong += !right;
+    }
+  });
+  CHECK(wrong == 0);
+  CHECK(settled >= kKeys);
+  const auto executions = cluster.Executions();
+  CHECK(executions.size() == kKeys);
+  for (const auto& [key, count] : executions)
+    CHECK(count == 1);
+}
+
+TEST_CASE("a planned stop hands every answer to the next owner") {
+  Cluster cluster(3);
+  cluster.pool.Run([&] {
+    for (int i = 0; i < 10; ++i)
+      CHECK(cluster.Call(0, "pay-" + std::to_string(i), "b").code ==
+            ResultCode::kOk);
+    cluster.hosts[0]->service.Stop(seconds(5));
+    CHECK(cluster.Call(0, "late", "b").code == ResultCode::kStopping);
+    cluster.live.erase(0);
+    for (int i = 0; i < 10; ++i) {
+      const auto result = cluster.Call(2, "pay-" + std::to_string(i), "b");
+      CHECK(result.code == ResultCode::kOk);
+      CHECK(result.replayed);
+    }
+  });
+  CHECK(cluster.Executions().size() == 10);
+}
+
+TEST_CASE("an owner that lost its shard is replaced and the call goes on") {
+  Cluster cluster(3);
+  cluster.pool.Run([&] {
+    CHECK(cluster.Call(1, "first", "b").code == ResultCode::kOk);
+    // The order differs now, so that host 1 takes the shard from host 0.
+    cluster.live.erase(0);
+    CHECK(cluster.Call(2, "second", "b").code == ResultCode::kOk);
+    cluster.live.insert(0);
+    CHECK(cluster.Call(2, "third", "b").code == ResultCode::kOk);
+    CHECK(cluster.Call(0, "second", "b").replayed);
+  });
+  CHECK(cluster.Executions().size() == 3);
+}
+
+// Guards against calls that run while nothing can be recorded, and against
+// replays that need the platform.
+TEST_CASE("an outage refuses new calls as not run and replays old ones") {
+  Cluster cluster(2);
+  cluster.pool.Run(
+      [&] { CHECK(cluster.Call(1, "old", "b").code == ResultCode::kOk); });
+  cluster.SetPlatformFault({{"outage_ms", 60'000}});
+  cluster.pool.Run([&] {
+    const auto refused = cluster.Call(1, "new", "b", milliseconds(300));
+    CHECK(refused.code == ResultCode::kJournalUnavailable);
+    CHECK(refused.outcome == Outcome::kNotRun);
+    const auto replayed = cluster.Call(0, "old", "b", milliseconds(300));
+    CHECK(replayed.code == ResultCode::kOk);
+    CHECK(replayed.replayed);
+    const auto reused = cluster.Call(0, "old", "other", milliseconds(300));
+    CHECK(reused.code == ResultCode::kIdempotencyKeyReused);
+  });
+  cluster.SetPlatformFault({{"outage_ms", 0}});
+  cluster.pool.Run(
+      [&] { CHECK(cluster.Call(0, "new", "b").code == ResultCode::kOk); });
+  CHECK(cluster.Executions().at("tienda/new") == 1);
+}
+
+// The platform's answers get lost one by one while calls run.
+TEST_CASE("lost answers of the platform are settled by reading back") {
+  Cluster cluster(2);
+  cluster.pool.Run(
+      [&] { CHECK(cluster.Call(0, "first", "b").code == ResultCode::kOk); });
+  for (int i = 0; i < 5; ++i) {
+    cluster.SetPlatformFault({{"lose_answers", 1}});
+    cluster.pool.Run([&] {
+      CHECK(cluster.Call(1, "pay-" + std::to_string(i), "b").code ==
+            ResultCode::kOk);
+    });
+  }
+  for (const auto& [key, count] : cluster.Executions())
+    CHECK(count == 1);
+}
+
+TEST_CASE("a refused connection is told as not run and releases the key") {
+  Cluster cluster(2);
+  cluster.pool.Run([&] {
+    CallRequest request;
+    request.key = {"tienda", "pay"};
+    request.issued = cluster.issued;
+    request.request_hash = HashRequest("POST", "/pay", "b", request.issued);
+    request.deadline = cluster.timers.Now() + seconds(5);
+    const auto result = cluster.hosts[1]->service.Execute(
+        request, [&](const BeforeFirstByte&) -> ForwardResult {
+          throw common::Error(ResultCode::kPeerUnavailable, "refused");
+        });
+    CHECK(result.code == ResultCode::kPeerUnavailable);
+    CHECK(result.outcome == Outcome::kNotRun);
+    auto again = cluster.Call(1, "pay", "b");
+    CHECK(again.code == ResultCode::kOk);
+  });
+}
+
+}  // namespace
+}  // namespace jujuberock::journal
