--- a/source/core/serve/host.cc
+++ b/source/core/serve/host.cc
@@ -22,6 +22,7 @@
 #include "core/runtime/wall_timer_service.h"
 #include "core/runtime/worker_pool.h"
 #include "core/serve/guarded_peers.h"
+#include "core/serve/journal_transport.h"
 #include "core/serve/limits.h"
 #include "core/serve/parts.h"
 #include "core/serve/peer_messages.h"
@@ -270,13 +271,7 @@
                  std::move(on_stop_requested)}) {
   this->zone.RegisterHandlers();
   this->sharing.RegisterHandlers();
-  for (const std::string_view message : {kPermitMessage, kOutcomeMessage}) {
-    this->peers.Handle(
-        std::string(message),
-        [this, message](const std::string&, std::string_view body) {
-          return this->journal.HandleMessage(message, body);
-        });
-  }
+  HandleJournalMessages(this->peers, this->journal);
   this->transport.Serve();
   this->zone.Start();
   this->sharing.Start();
