--- a/tools/process_cluster.py
+++ b/tools/process_cluster.py
@@ -21,6 +21,8 @@
 BLOCK_BYTES = 8000
 DEPLOYMENT_KEY = "loopback-deployment-key"
 TOKEN_TIMEOUT_S = 15
+SERVICE_BAND = {"from": "00:00", "to": "24:00", "patience_ms": 10000,
+                "max_queue": 1000}
 # Real blocks have 64 MB, the size that hosts estimate with. Stand-ins move
 # this many bytes for a block and account for the real size.
 KV_BYTES_PER_BLOCK = 64 * 1024
@@ -278,20 +280,22 @@
                 "max_running": 200, "patience_ms": 10000, **changes}
         return {"keys": [sha(self.keys[team])], "bands": [band]}
 
+    def put_engine_service(self, version):
+        d = self.deployment
+        self.put("service", d["engine_service"], {
+            "kind": "engine", "models": [d["model"]], "version": version,
+            "loads_at_once": 3, "retry_budget": 0.2, "bands": [SERVICE_BAND]})
+
     def write_table(self):
         d = self.deployment
         for team in d["teams"]:
             self.keys[team] = f"key-of-{team}"
             self.put("team", team, self.team_body(team))
-        band = {"from": "00:00", "to": "24:00", "patience_ms": 10000,
-                "max_queue": 1000}
-        self.put("service", d["engine_service"], {
-            "kind": "engine", "models": [d["model"]], "version": "v1",
-            "loads_at_once": 3, "retry_budget": 0.2, "bands": [band]})
+        self.put_engine_service("v1")
         self.put("service", d["plain_service"], {
             "kind": "plain", "status_path": "/status",
             "non_idempotent": [{"method": "POST", "path_prefix": "/pay"}],
-            "retry_budget": 0.2, "bands": [band]})
+            "retry_budget": 0.2, "bands": [SERVICE_BAND]})
         for name, store in self.stores.items():
             self.put("store", name, {"zone": d["zones"][0],
                                      "address": store.address})
