--- a/source/core/membership/coordinator.h
+++ b/source/core/membership/coordinator.h
@@ -62,6 +62,10 @@
               CoordinatorOptions options,
               uint64_t seed);
 
+  const table::FollowerOptions& follower_options() const {
+    return this->options.follower;
+  }
+
   // Hosts from the settings, asked at the start before others are known.
   void AddSeed(const HostNews& seed);
 
--- a/source/core/membership/view.cc
+++ b/source/core/membership/view.cc
@@ -404,8 +404,11 @@
                       news.state > member.news.state);
   if (!newer)
     return;
+  const HostState before = member.news.state;
   member.news = news;
   this->SetState(&member, news.state, now, actions);
+  if (before == news.state)
+    actions->host_changes.pop_back();
 }
 
 bool View::MergeLeaving(const LeavingNews& news,
--- a/source/core/platform/client.cc
+++ b/source/core/platform/client.cc
@@ -128,7 +128,8 @@
                        Version since,
                        common::Duration idle,
                        const std::function<bool(const Object&)>& on_change,
-                       common::Duration lifetime) {
+                       common::Duration lifetime,
+                       const std::function<bool()>& stopped) {
   this->watches.Add();
   const std::string target =
       "/watch/" + std::string(kind) + "?since=" + std::to_string(since);
@@ -151,6 +152,8 @@
         if (!line.empty() && !on_change(ParseObject(line)))
           return WatchEnd::kStopped;
       }
+      if (stopped && stopped())
+        return WatchEnd::kStopped;
       // Compared in microseconds: the largest lifetime overflows the clock's
       // nanoseconds.
       const auto age = std::chrono::duration_cast<common::Duration>(
--- a/source/core/platform/client.h
+++ b/source/core/platform/client.h
@@ -41,14 +41,16 @@
 
   // Calls `on_change` for every change of the kind after version `since` until
   // it returns false, the connection ends, nothing arrives for `idle`, or the
-  // watch has been open for `lifetime` (checked when something arrives). Opens
+  // watch has been open for `lifetime` or `stopped` returns true (both are
+  // checked when something arrives, a keep-alive line at the latest). Opens
   // a connection of its own, since a kept one may have gone silent. Throws as
   // Read when the watch can not be opened.
   WatchEnd Watch(std::string_view kind,
                  Version since,
                  common::Duration idle,
                  const std::function<bool(const Object&)>& on_change,
-                 common::Duration lifetime = common::Duration::max());
+                 common::Duration lifetime = common::Duration::max(),
+                 const std::function<bool()>& stopped = nullptr);
 
  private:
   runtime::HttpResponse Fetch(const runtime::HttpRequest& request);
--- a/source/core/table/shared_view.cc
+++ b/source/core/table/shared_view.cc
@@ -6,23 +6,32 @@
     : view(options), current(this->view.snapshot()) {}
 
 std::vector<Object> SharedView::Apply(const std::vector<Object>& objects) {
-  const common::RankedLock lock(this->mutex);
-  std::vector<Object> changed;
-  for (const Object& object : objects) {
-    if (this->view.Apply(object))
-      changed.push_back(object);
-  }
-  if (!changed.empty())
-    this->current.store(this->view.snapshot());
-  return changed;
+  return this->Merge([&](View* view) {
+    std::vector<Object> changed;
+    for (const Object& object : objects) {
+      if (view->Apply(object))
+        changed.push_back(object);
+    }
+    return changed;
+  });
 }
 
 std::vector<Object> SharedView::ApplyList(Kind kind,
                                           const platform::ObjectList& list) {
-  const common::RankedLock lock(this->mutex);
-  std::vector<Object> changed = this->view.ApplyList(kind, list);
-  if (!changed.empty())
-    this->current.store(this->view.snapshot());
+  return this->Merge([&](View* view) { return view->ApplyList(kind, list); });
+}
+
+std::vector<Object> SharedView::Merge(
+    const std::function<std::vector<Object>(View*)>& merge) {
+  std::vector<Object> changed;
+  {
+    const common::RankedLock lock(this->mutex);
+    changed = merge(&this->view);
+    if (!changed.empty())
+      this->current.store(this->view.snapshot());
+  }
+  if (!changed.empty() && this->listener)
+    this->listener(changed);
   return changed;
 }
 
--- a/source/core/table/shared_view.h
+++ b/source/core/table/shared_view.h
@@ -2,9 +2,11 @@
 #define CORE_TABLE_SHARED_VIEW_H_
 
 #include <atomic>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "core/common/ranked_mutex.h"
@@ -18,6 +20,12 @@
  public:
   explicit SharedView(ViewOptions options = {});
 
+  // Called after each merge that changed something, without a lock and on the
+  // merging fiber. Two merges may call it at the same time. Set it before
+  // anything merges.
+  using Listener = std::function<void(const std::vector<Object>& changed)>;
+  void SetListener(Listener listener) { this->listener = std::move(listener); }
+
   // The rows in force. Keep the pointer for as long as rows are used.
   SnapshotPtr Current() const { return this->current.load(); }
 
@@ -36,9 +44,13 @@
   size_t size() const;
 
  private:
+  std::vector<Object> Merge(
+      const std::function<std::vector<Object>(View*)>& merge);
+
   mutable common::RankedMutex mutex{common::LockRank::kTable};
   View view;
   std::atomic<SnapshotPtr> current;
+  Listener listener;
 };
 
 }  // namespace jujuberock::table
--- /dev/null
+++ b/source/unit_tests/core/membership/service_test.cc
@@ -0,0 +1,261 @@
+#include "core/membership/service.h"
+
+#include <catch2/catch.hpp>
+#include <cstdio>
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "core/runtime/http_client.h"
+#include "core/runtime/http_server.h"
+#include "core/runtime/wall_timer_service.h"
+#include "standin/platform_standin.h"
+
+namespace jujuberock::membership {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const runtime::Address kAnyPort{"127.0.0.1", 0};
+
+std::string TeamBody(int patience_ms) {
+  return R"({"keys":[],"bands":[{"from":"00:00","to":"24:00","weight":1,)"
+         R"("max_running":8,"patience_ms":)" +
+         std::to_string(patience_ms) + "}]}";
+}
+
+// The platform stand-in on a port of its own.
+struct Platform {
+  Platform()
+      : server(
+            this->pool,
+            kAnyPort,
+            {},
+            [this](const auto& request, auto& writer) {
+              this->standin.Handle(request, writer);
+            },
+            runtime::RenderPlainError),
+        http(this->pool, {}),
+        client(this->http, this->server.address(), this->counters) {}
+
+  platform::Version Write(const std::string& kind,
+                          const std::string& name,
+                          platform::Version expected,
+                          const std::string& body) {
+    platform::WriteResult result;
+    this->pool.Run([&] {
+      result = this->client.Write(kind, name, expected, body, "test");
+    });
+    REQUIRE(result.state == platform::WriteState::kWritten);
+    return result.version;
+  }
+  void Fault(const std::string& fault) {
+    this->pool.Run([&] {
+      this->http.Fetch(this->server.address(),
+                       {"POST", "/control/faults", {}, fault});
+    });
+  }
+
+  runtime::WorkerPool pool{1};
+  standin::PlatformStandin standin{{}};
+  runtime::HttpServer server;
+  runtime::HttpClient http;
+  common::CounterRegistry counters;
+  platform::Client client;
+};
+
+// All parts of one host that concern configuration and membership.
+struct Node {
+  Node(const std::string& name,
+       const std::string& zone,
+       const runtime::Address& platform_address,
+       uint64_t incarnation)
+      : http(this->pool, {}),
+        client(this->http, platform_address, this->counters),
+        transport(this->pool,
+                  this->timers,
+                  this->counters,
+                  TransportOptions(name),
+                  [this](const std::string& host) {
+                    return ResolverOf(*this->coordinator)(host);
+                  }),
+        coordinator(this->MakeCoordinator(name, zone, incarnation)),
+        service(*this->coordinator,
+                this->transport,
+                this->client,
+                this->pool,
+                this->timers,
+                this->counters) {}
+
+  Coordinator* MakeCoordinator(const std::string& name,
+                               const std::string& zone,
+                               uint64_t incarnation) {
+    const HostNews self{name, zone, this->transport.address().ToString(),
+                        incarnation, HostState::kAlive};
+    this->owned = std::make_unique<Coordinator>(
+        this->table, self, CoordinatorOptions{}, incarnation);
+    return this->owned.get();
+  }
+
+  static host::Http2TransportOptions TransportOptions(const std::string& name) {
+    host::Http2TransportOptions options;
+    options.name = name;
+    options.listen = kAnyPort;
+    options.deployment_key = "a key of this deployment";
+    return options;
+  }
+
+  void Start() {
+    this->transport.Serve();
+    this->service.Start();
+  }
+
+  uint64_t WireBytes() {
+    uint64_t total = 0;
+    for (const char* direction : {"sent", "received"})
+      total +=
+          this->counters
+              .GetCounter("host_wire_bytes_total", {{"direction", direction}})
+              .value();
+    return total;
+  }
+
+  runtime::WorkerPool pool{2};
+  runtime::WallTimerService timers{pool, 0};
+  common::CounterRegistry counters;
+  runtime::HttpClient http;
+  platform::Client client;
+  table::SharedView table;
+  // Outlives the transport, which resolves names with it, but is made after
+  // the kernel has chosen the port.
+  std::unique_ptr<Coordinator> owned;
+  host::Http2Transport transport;
+  Coordinator* coordinator;
+  membership::Service service;
+};
+
+// Waits on the wall clock, since real sockets carry the messages.
+bool WaitFor(const std::function<bool()>& done, common::Duration limit) {
+  const auto end = std::chrono::steady_clock::now() + limit;
+  while (!done()) {
+    if (std::chrono::steady_clock::now() > end)
+      return false;
+    std::this_thread::sleep_for(milliseconds(5));
+  }
+  return true;
+}
+
+struct Deployment {
+  // Four hosts in three zones.
+  Deployment() {
+    const std::vector<std::string> zones = {"z1", "z1", "z2", "z3"};
+    for (size_t i = 0; i < zones.size(); ++i) {
+      const std::string name = "host" + std::to_string(i);
+      this->nodes.push_back(std::make_unique<Node>(
+          name, zones[i], this->platform.server.address(), 1000 + i));
+      const std::string address =
+          this->nodes.back()->transport.address().ToString();
+      this->platform.Write("host", name, 0,
+                           R"({"zone":")" + zones[i] + R"(","address":")" +
+                               address + R"(","state":"live"})");
+    }
+    this->version = this->platform.Write("team", "a", 0, TeamBody(100));
+    for (auto& node : this->nodes)
+      node->Start();
+  }
+
+  bool AllReady() {
+    for (auto& node : this->nodes) {
+      if (!node->coordinator->ready())
+        return false;
+    }
+    return true;
+  }
+  bool AllHave(platform::Version wanted) {
+    for (auto& node : this->nodes) {
+      const auto* team = node->table.Current()->FindTeam("a");
+      if (!team || team->version != wanted)
+        return false;
+    }
+    return true;
+  }
+
+  Platform platform;
+  platform::Version version = 0;
+  std::vector<std::unique_ptr<Node>> nodes;
+};
+
+// The decisions over real sockets, HTTP/2 and the platform's stand-in.
+TEST_CASE("changes reach every host over the real transport") {
+  Deployment deployment;
+  REQUIRE(WaitFor([&] { return deployment.AllReady(); }, seconds(5)));
+  uint64_t before = 0;
+  for (auto& node : deployment.nodes)
+    before += node->WireBytes();
+  const auto begin = std::chrono::steady_clock::now();
+  const auto changed =
+      deployment.platform.Write("team", "a", deployment.version, TeamBody(200));
+  REQUIRE(WaitFor([&] { return deployment.AllHave(changed); }, seconds(3)));
+  const double took = std::chrono::duration<double, std::milli>(
+                          std::chrono::steady_clock::now() - begin)
+                          .count();
+  std::this_thread::sleep_for(seconds(3));
+  uint64_t after = 0;
+  for (auto& node : deployment.nodes)
+    after += node->WireBytes();
+  std::printf(
+      "4 hosts over sockets: in force after %.0f ms; %.0f bytes/s per "
+      "host on the wire between hosts\n",
+      took, static_cast<double>(after - before) / 3.0 / 4.0);
+
+  // Every watch goes silent: the lists after them still bring the change.
+  deployment.platform.Fault(R"({"silent_watches": true})");
+  const auto silent =
+      deployment.platform.Write("team", "a", changed, TeamBody(300));
+  const auto silent_begin = std::chrono::steady_clock::now();
+  REQUIRE(WaitFor([&] { return deployment.AllHave(silent); }, seconds(3)));
+  std::printf("4 hosts over sockets, silent watches: in force after %.0f ms\n",
+              std::chrono::duration<double, std::milli>(
+                  std::chrono::steady_clock::now() - silent_begin)
+                  .count());
+  // Lets the stand-in's watches notice that their connections are closed.
+  deployment.platform.Fault(R"({"silent_watches": false})");
+}
+
+TEST_CASE(
+    "a host restarted in an outage of the platform gets its peers' rows") {
+  Deployment deployment;
+  REQUIRE(WaitFor([&] { return deployment.AllReady(); }, seconds(5)));
+  deployment.platform.Fault(R"({"outage_ms": 60000})");
+  auto& node = deployment.nodes[1];
+  node.reset();
+  node = std::make_unique<Node>("host1", "z1",
+                                deployment.platform.server.address(), 5000);
+  auto& peer = *deployment.nodes[0];
+  node->coordinator->AddSeed({"host0", "z1",
+                              peer.transport.address().ToString(), 0,
+                              HostState::kAlive});
+  CHECK_FALSE(node->coordinator->ready());
+  node->Start();
+  REQUIRE(WaitFor([&] { return node->coordinator->ready(); }, seconds(5)));
+  CHECK(node->table.Current()->FindTeam("a")->version == deployment.version);
+}
+
+TEST_CASE("an endpoint that one host sees leaving is left out by its peer") {
+  Deployment deployment;
+  REQUIRE(WaitFor([&] { return deployment.AllReady(); }, seconds(5)));
+  deployment.nodes[0]->service.OnEndpointReport("worker-1", true);
+  CHECK(WaitFor(
+      [&] { return deployment.nodes[1]->coordinator->IsLeaving("worker-1"); },
+      seconds(3)));
+  std::vector<table::HostLag> lags;
+  deployment.nodes[0]->pool.Run(
+      [&] { lags = deployment.nodes[0]->service.CollectLags(); });
+  CHECK(lags.empty());
+}
+
+}  // namespace
+}  // namespace jujuberock::membership
