--- a/source/core/common/ranked_mutex.h
+++ b/source/core/common/ranked_mutex.h
@@ -8,6 +8,7 @@
 // The lock order of the process: a thread takes mutexes in ascending rank.
 // Code that holds a ranked mutex must not suspend its fiber.
 enum class LockRank {
+  kConfig = 5,
   kServe = 10,
   kTable = 20,
   kMembership = 30,
--- a/source/core/serve/host.cc
+++ b/source/core/serve/host.cc
@@ -14,6 +14,7 @@
 #include "core/common/random.h"
 #include "core/host/http2_transport.h"
 #include "core/membership/coordinator.h"
+#include "core/membership/service.h"
 #include "core/operator_api/server.h"
 #include "core/orders/rollout_service.h"
 #include "core/platform/client.h"
@@ -22,13 +23,13 @@
 #include "core/runtime/wall_timer_service.h"
 #include "core/runtime/worker_pool.h"
 #include "core/serve/guarded_peers.h"
+#include "core/serve/host_lists.h"
 #include "core/serve/journal_transport.h"
 #include "core/serve/limits.h"
 #include "core/serve/parts.h"
 #include "core/serve/peer_messages.h"
 #include "core/serve/recorded_run.h"
 #include "core/serve/request_handler.h"
-#include "core/serve/zone_driver.h"
 #include "core/serve/zone_sharing.h"
 #include "core/table/rendezvous.h"
 
@@ -109,6 +110,16 @@
   return options;
 }
 
+// Null when the platform never answered this host; hosts that do not act for
+// their zone never ask it.
+nlohmann::json PlatformSilence(const membership::Coordinator& coordinator,
+                               TimePoint now) {
+  const auto silence = coordinator.PlatformSilence(now);
+  if (!silence)
+    return nullptr;
+  return common::ToSeconds(*silence);
+}
+
 }  // namespace
 
 struct Host::Impl {
@@ -117,12 +128,14 @@
 
   void OnTable();
   void StartTimers();
-  ZoneDriver::Hooks ZoneHooks();
+  void StartMembership();
+  void RefreshHosts();
   bool IsPreferredForOrders(std::string_view service);
   std::vector<std::string> ShardOrder(journal::ShardId shard);
   void StartExports();
   void RunExport(const routing::Export& order);
   std::optional<std::string> NotReady() const;
+  nlohmann::json RenderLags();
   std::string RenderStatus();
   StopReport Stop();
 
@@ -137,6 +150,7 @@
   endpoint::PlainClient plains;
   cache_store::Client stores;
   table::SharedView view;
+  common::RankedMutex table_mutex{common::LockRank::kConfig};
   membership::Coordinator coordinator;
   host::Http2Transport transport;
   GuardedPeers peers;
@@ -152,7 +166,8 @@
   Fleet fleet;
   ZoneSharing sharing;
   Limits limits;
-  ZoneDriver zone;
+  HostLists hosts;
+  membership::Service members;
   std::unique_ptr<journal::Store> journal_store;
   JournalTransport journal_transport;
   journal::Service journal;
@@ -184,10 +199,7 @@
                 timers,
                 counters,
                 TransportOptions(settings),
-                [this](const std::string& host) -> std::optional<Address> {
-                  const auto address = this->coordinator.AddressOf(host);
-                  return address ? Address::Parse(*address) : std::nullopt;
-                }),
+                membership::ResolverOf(coordinator)),
       peers(transport),
       router(settings.zone, routing::RouterSettings()),
       gate(timers, counters),
@@ -215,15 +227,8 @@
               counters,
               settings.host_name),
       limits(timers, view, fleet, gate, budget, sharing, settings),
-      zone(pool,
-           timers,
-           coordinator,
-           peers,
-           platform,
-           view,
-           counters,
-           CoordinatorOptionsOf(settings).follower,
-           this->ZoneHooks()),
+      hosts(coordinator),
+      members(coordinator, peers, platform, pool, timers, counters),
       journal_store(journal::MakePlatformStore(platform)),
       journal_transport(peers, timers),
       journal(
@@ -269,18 +274,19 @@
                                              report::kDefaultObjective);
                  },
                  std::move(on_stop_requested)}) {
-  this->zone.RegisterHandlers();
   this->sharing.RegisterHandlers();
+  this->view.SetListener(
+      [this](const std::vector<table::Object>&) { this->OnTable(); });
   HandleJournalMessages(this->peers, this->journal);
   this->transport.Serve();
-  this->zone.Start();
+  this->StartMembership();
   this->sharing.Start();
   this->fleet.Start(
       [this](const std::string& bytes) {
         this->sharing.SendLoadReports(bytes);
       },
       [this](const std::string& endpoint, bool leaving) {
-        this->zone.OnEndpointReport(endpoint, leaving);
+        this->members.OnEndpointReport(endpoint, leaving);
       });
   this->rollouts.Start();
   this->StartTimers();
@@ -290,33 +296,45 @@
   // Messages of other hosts use parts that are destroyed before the transport.
   this->peers.ShutHandlers();
   this->rollouts.Stop();
+  this->members.Stop();
 }
 
-ZoneDriver::Hooks Host::Impl::ZoneHooks() {
-  return {[this] { this->OnTable(); },
-          [this](const std::vector<std::string>& hosts) {
-            this->sharing.SetHosts(hosts);
-            this->fleet.SetZoneHosts(hosts);
-          },
-          [this](const std::string& endpoint, bool leaving) {
-            this->fleet.SetLeavingInZone(endpoint, leaving);
-          }};
+void Host::Impl::StartMembership() {
+  this->RefreshHosts();
+  this->members.SetEndpointListener(
+      [this](const membership::EndpointChange& change) {
+        this->fleet.SetLeavingInZone(change.endpoint, change.leaving);
+      });
+  this->members.SetHostListener(
+      [this](const membership::HostChange&) { this->RefreshHosts(); });
+  this->members.Start();
+}
+
+void Host::Impl::RefreshHosts() {
+  if (!this->hosts.Refresh(this->timers.Now()))
+    return;
+  const std::vector<std::string> zone = this->hosts.Zone();
+  this->sharing.SetHosts(zone);
+  this->fleet.SetZoneHosts(zone);
 }
 
 // Hosts of every zone, since shards belong to the whole deployment.
 std::vector<std::string> Host::Impl::ShardOrder(journal::ShardId shard) {
-  const std::vector<std::string> hosts = this->zone.AllHosts();
+  const std::vector<std::string> hosts = this->hosts.All();
   return table::TopByRendezvous("journal-" + std::to_string(shard), hosts,
                                 hosts.size());
 }
 
 bool Host::Impl::IsPreferredForOrders(std::string_view service) {
   const std::vector<std::string> top = table::TopByRendezvous(
-      "orders-" + std::string(service), this->zone.AllHosts(), 1);
+      "orders-" + std::string(service), this->hosts.All(), 1);
   return !top.empty() && top[0] == this->settings.host_name;
 }
 
+// Two merges may come here at the same time; the lock makes the last one use
+// the newest rows, so that no older row replaces a newer one.
 void Host::Impl::OnTable() {
+  common::RankedLock lock(this->table_mutex);
   const table::SnapshotPtr rows = this->view.Current();
   for (const auto& [name, team] : rows->teams())
     this->keys.SetTeam(name, team->key_digests);
@@ -337,8 +355,10 @@
     if (!this->handler.is_ready() && this->coordinator.ready())
       this->handler.SetReady();
   });
-  this->periodic.Every(this->timers, kLimitsTick,
-                       [this](TimePoint) { this->limits.Update(); });
+  this->periodic.Every(this->timers, kLimitsTick, [this](TimePoint) {
+    this->RefreshHosts();
+    this->limits.Update();
+  });
   this->periodic.Every(this->timers, kExportTick,
                        [this](TimePoint) { this->StartExports(); });
 }
@@ -377,7 +397,25 @@
   return std::nullopt;
 }
 
+// Hosts that lack a change, and for how long.
+nlohmann::json Host::Impl::RenderLags() {
+  nlohmann::json lags = nlohmann::json::array();
+  for (const table::HostLag& lag : this->members.CollectLags()) {
+    nlohmann::json entry = {{"host", lag.host},
+                            {"confirmed", lag.confirmed},
+                            {"lacking_s", common::ToSeconds(lag.lacking)}};
+    if (lag.oldest_missing) {
+      entry["oldest_missing"] = {{"kind", lag.oldest_missing->kind},
+                                 {"name", lag.oldest_missing->name},
+                                 {"version", lag.oldest_missing->version}};
+    }
+    lags.push_back(std::move(entry));
+  }
+  return lags;
+}
+
 std::string Host::Impl::RenderStatus() {
+  const TimePoint now = this->timers.Now();
   const table::SnapshotPtr rows = this->view.Current();
   const table::DigestSummary summary = this->view.Summary();
   nlohmann::json problems = nlohmann::json::array();
@@ -391,7 +429,9 @@
       {"host", this->settings.host_name},
       {"zone", this->settings.zone},
       {"state", this->NotReady().value_or("ready")},
-      {"platform", this->zone.platform_up() ? "up" : "down"},
+      {"platform_silence_s", PlatformSilence(this->coordinator, now)},
+      {"hosts_in_zone", this->hosts.Zone()},
+      {"lagging_hosts", this->RenderLags()},
       {"active_requests", this->callers.ActiveRequests()},
       {"open_connections", this->callers.OpenConnections()},
       {"table",
@@ -412,7 +452,7 @@
 StopReport Host::Impl::Stop() {
   LOG(INFO) << "planned stop: no new requests";
   this->handler.StartStopping();
-  this->zone.AnnounceStop();
+  this->pool.Run([this] { this->members.Announce(); });
   this->callers.Drain();
   std::promise<void> drained;
   const TimePoint limit = this->timers.Now() + this->settings.stop_limit;
@@ -427,7 +467,7 @@
   report.cut_off = this->callers.ActiveRequests();
   this->counters.GetCounter("requests_cut_off_total").Add(report.cut_off);
   LOG(INFO) << "planned stop: " << report.cut_off << " requests cut off";
-  this->journal.Stop(kDutiesLimit);
+  this->pool.Run([this] { this->journal.Stop(kDutiesLimit); });
   this->rollouts.Stop();
   return report;
 }
