Answer slow requests with 408 and test malformed input

The timeout of beast::tcp_stream closes the socket, so a slow header or body got no answer. A timer that only cancels the read leaves the connection usable for the answer. The table of malformed requests found it (slow header: no answer before, 408 now) and runs against a listening server, which must answer a good request after each line.

--- a/source/core/runtime/http_server.cc
+++ b/source/core/runtime/http_server.cc
@@ -12,6 +12,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/socket_base.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
@@ -59,10 +60,6 @@
   message.keep_alive(keep_alive);
 }
 
-bool IsTimeout(const error_code& error) {
-  return error == beast::error::timeout;
-}
-
 // The error to answer for a failed read; nothing when the peer is gone.
 std::optional<Error> ErrorOfRead(const error_code& error) {
   if (error == http::error::body_limit)
@@ -70,9 +67,6 @@
   if (error == http::error::header_limit ||
       error == http::error::buffer_overflow)
     return Error(ResultCode::kHeaderTooLarge, "header too large");
-  if (IsTimeout(error))
-    return Error(ResultCode::kRequestTimeout,
-                 "the request did not arrive in time");
   if (error == http::error::partial_message)
     return Error(ResultCode::kMalformedRequest, "the request is incomplete");
   if (error.category() ==
@@ -82,6 +76,50 @@
   return std::nullopt;
 }
 
+// Ends a read that takes too long. The timeout of beast::tcp_stream would close
+// the socket, and the caller could not be told.
+class ReadDeadline {
+ public:
+  ReadDeadline(beast::tcp_stream& stream, common::Duration limit)
+      : timer(CurrentIo()), state(std::make_shared<State>()) {
+    this->state->stream = &stream;
+    this->Extend(limit);
+  }
+  ~ReadDeadline() { this->Stop(); }
+  ReadDeadline(const ReadDeadline&) = delete;
+  ReadDeadline& operator=(const ReadDeadline&) = delete;
+
+  // Counts from now; ends the former wait.
+  void Extend(common::Duration limit) {
+    this->timer.expires_after(limit);
+    this->timer.async_wait([state = this->state](const error_code& error) {
+      if (error || !state->stream)
+        return;
+      state->expired = true;
+      error_code ignored;
+      state->stream->socket().cancel(ignored);
+    });
+  }
+
+  // The read has ended in time.
+  void Stop() {
+    this->state->stream = nullptr;
+    this->timer.cancel();
+  }
+
+  bool expired() const { return this->state->expired; }
+
+ private:
+  // Shared with the pending wait, which may end later.
+  struct State {
+    beast::tcp_stream* stream = nullptr;
+    bool expired = false;
+  };
+
+  boost::asio::steady_timer timer;
+  std::shared_ptr<State> state;
+};
+
 class StreamWriter : public ResponseWriter {
  public:
   StreamWriter(beast::tcp_stream& stream,
@@ -355,21 +393,27 @@
   http::request_parser<http::string_body> parser;
   parser.header_limit(static_cast<uint32_t>(this->options.header_limit_bytes));
   parser.body_limit(this->options.body_limit_bytes);
-  stream.expires_after(this->options.header_timeout);
+  stream.expires_never();
+  ReadDeadline deadline(stream, this->options.header_timeout);
   http::async_read_header(stream, buffer, parser, Await(error));
   if (!error && !parser.is_done()) {
     if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
       http::response<http::empty_body> proceed(http::status::continue_, 11);
       http::async_write(stream, proceed, Await(error));
     }
-    stream.expires_after(this->options.body_timeout);
+    stream.expires_never();
+    deadline.Extend(this->options.body_timeout);
     http::async_read(stream, buffer, parser, Await(error));
   }
   if (error) {
-    if (auto problem = ErrorOfRead(error))
+    if (deadline.expired())
+      this->Reject(stream, Error(ResultCode::kRequestTimeout,
+                                 "the request did not arrive in time"));
+    else if (auto problem = ErrorOfRead(error))
       this->Reject(stream, *problem);
     return false;
   }
+  deadline.Stop();
   return this->Answer(stream, parser.get());
 }
 
--- /dev/null
+++ b/source/unit_tests/core/caller/malformed_input_test.cc
@@ -0,0 +1,232 @@
+#include <openssl/sha.h>
+#include <catch2/catch.hpp>
+
+#include <cstdio>
+#include <string>
+
+#include "core/caller/server.h"
+#include "unit_tests/core/caller/raw_client.h"
+
+namespace jujuberock::caller {
+namespace {
+
+constexpr const char* kKey = "key-of-alfa";
+
+std::string HexHash(const std::string& key) {
+  std::string hex;
+  for (const uint8_t byte : HashKey(key)) {
+    char digits[3];
+    std::snprintf(digits, sizeof(digits), "%02x", byte);
+    hex += digits;
+  }
+  return hex;
+}
+
+// Answers every request with one token.
+class OneTokenHandler : public Handler {
+ public:
+  void Complete(const CompletionCall&, CompletionWriter& writer) override {
+    writer.WriteToken({"w1", "s1", "m", "h1", 1}, "token");
+    writer.Finish("stop", {});
+  }
+  void Resume(const ResumeCall&, CompletionWriter& writer) override {
+    writer.Finish("stop", {});
+  }
+  runtime::HttpResponse CallService(const ServiceCall& call) override {
+    runtime::HttpResponse response;
+    for (const auto& field : call.request.headers.all())
+      response.body += field.name + "=" + field.value + ";";
+    return response;
+  }
+};
+
+ServerOptions ShortLimits() {
+  ServerOptions options;
+  options.http.header_limit_bytes = 2048;
+  options.http.body_limit_bytes = 4096;
+  options.http.header_timeout = std::chrono::milliseconds(150);
+  options.http.body_timeout = std::chrono::milliseconds(150);
+  return options;
+}
+
+struct Listening {
+  Listening() {
+    this->keys.SetTeam("alfa", {HexHash(kKey)});
+    this->keys.SetTeam("gone", {HexHash("key-of-gone")});
+    this->keys.RemoveTeam("gone");
+  }
+
+  runtime::WorkerPool pool{1};
+  common::CounterRegistry counters;
+  KeyDirectory keys;
+  EventIdSealer sealer{"0123456789abcdef"};
+  OneTokenHandler handler;
+  Server server{pool,   {"127.0.0.1", 0}, ShortLimits(), keys,
+                sealer, handler,          counters};
+};
+
+constexpr const char* kText = "/v1/completions";
+constexpr const char* kChat = "/v1/chat/completions";
+constexpr const char* kGood = R"({"model":"m","prompt":"p"})";
+
+std::string Request(const std::string& method,
+                    const std::string& path,
+                    const std::string& body,
+                    const std::string& fields = "",
+                    const std::string& key = kKey) {
+  return method + " " + path + " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n" +
+         (key.empty() ? "" : "Authorization: Bearer " + key + "\r\n") + fields +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string Post(const std::string& body, const std::string& fields = "") {
+  return Request("POST", kText, body, fields);
+}
+
+struct Case {
+  const char* name;
+  std::string bytes;
+  int status;
+  // Number of the problem's code; 0: not checked.
+  int code;
+};
+
+// Each line guards against a crash or a wrong answer for one kind of input.
+const std::vector<Case> kCases = {
+    {"wrong method", Request("PUT", kText, kGood), 405, 106},
+    {"get without event id", Request("GET", kText, ""), 405, 106},
+    {"unknown path", Request("POST", "/v2/x", kGood), 404, 104},
+    {"path with nul escape", Request("POST", "/%00", kGood), 404, 104},
+    {"empty body", Post(""), 400, 100},
+    {"not json", Post("{"), 400, 100},
+    {"json array", Post("[]"), 400, 100},
+    {"invalid utf-8", Post("{\"model\":\"\xff\xfe\",\"prompt\":\"p\"}"), 400,
+     0},
+    {"deep nesting", Post(std::string(3000, '[')), 400, 100},
+    {"missing model", Post(R"({"prompt":"p"})"), 400, 100},
+    {"missing prompt", Post(R"({"model":"m"})"), 400, 100},
+    {"empty prompt", Post(R"({"model":"m","prompt":""})"), 400, 100},
+    {"model not text", Post(R"({"model":1,"prompt":"p"})"), 400, 100},
+    {"prompt not text", Post(R"({"model":"m","prompt":[1]})"), 400, 100},
+    {"control character", Post(R"({"model":"m\n","prompt":"p"})"), 400, 100},
+    {"zero tokens", Post(R"({"model":"m","prompt":"p","max_tokens":0})"), 400,
+     100},
+    {"negative tokens", Post(R"({"model":"m","prompt":"p","max_tokens":-5})"),
+     400, 100},
+    {"too many tokens",
+     Post(R"({"model":"m","prompt":"p","max_tokens":18446744073709551615})"),
+     400, 100},
+    {"fractional tokens",
+     Post(R"({"model":"m","prompt":"p","max_tokens":1.5})"), 400, 100},
+    {"stream not bool", Post(R"({"model":"m","prompt":"p","stream":"yes"})"),
+     400, 100},
+    {"chat without messages", Request("POST", kChat, kGood), 400, 100},
+    {"chat with no message",
+     Request("POST", kChat, R"({"model":"m","messages":[]})"), 400, 100},
+    {"chat message not object",
+     Request("POST", kChat, R"({"model":"m","messages":["x"]})"), 400, 100},
+    {"chat content not text",
+     Request("POST",
+             kChat,
+             R"({"model":"m","messages":[{"role":"user","content":1}]})"),
+     400, 100},
+    {"no bearer", Request("POST", kText, kGood, "", ""), 401, 101},
+    {"bad bearer", Request("POST", kText, kGood, "", "other"), 401, 101},
+    {"empty bearer", Request("POST", kText, kGood, "", " "), 401, 101},
+    {"basic scheme",
+     Request("POST", kText, kGood, "Authorization: Basic eA==\r\n", ""), 401,
+     101},
+    {"unknown team", Request("POST", kText, kGood, "", "key-of-gone"), 401,
+     102},
+    {"negative deadline", Post(kGood, "Jujuberock-Deadline-Ms: -1\r\n"), 400,
+     110},
+    {"zero deadline", Post(kGood, "Jujuberock-Deadline-Ms: 0\r\n"), 400, 110},
+    {"deadline not a number", Post(kGood, "Jujuberock-Deadline-Ms: 1s\r\n"),
+     400, 110},
+    {"huge deadline",
+     Post(kGood, "Jujuberock-Deadline-Ms: 99999999999999999999\r\n"), 400, 110},
+    {"bad issue time", Post(kGood, "Jujuberock-Issued-At: yesterday\r\n"), 400,
+     100},
+    {"impossible date",
+     Post(kGood, "Jujuberock-Issued-At: 2025-02-30T00:00:00Z\r\n"), 400, 100},
+    {"long idempotency key",
+     Post(kGood, "Idempotency-Key: " + std::string(300, 'k') + "\r\n"), 400,
+     100},
+    {"bad event id", Post(kGood, "Last-Event-ID: abc\r\n"), 400, 112},
+    {"event id not base64", Post(kGood, "Last-Event-ID: !!\r\n"), 400, 112},
+    {"huge header", Post(kGood, "X: " + std::string(4000, 'x') + "\r\n"), 431,
+     109},
+    {"huge body", Post(std::string(9000, 'x')), 413, 108},
+    {"announced huge body",
+     "POST /v1/completions HTTP/1.1\r\nContent-Length: 99999999999\r\n\r\n",
+     413, 108},
+    {"negative length",
+     "POST /v1/completions HTTP/1.1\r\nContent-Length: -1\r\n\r\n", 400, 100},
+    {"not http", "\x16\x03\x01\x02garbage\r\n\r\n", 400, 100},
+    {"wrong version", "GET / HTTP/9.9\r\n\r\n", 400, 100},
+    {"header without colon", "GET / HTTP/1.1\r\nnonsense\r\n\r\n", 400, 100},
+    {"bad chunk",
+     "POST /v1/completions HTTP/1.1\r\nTransfer-Encoding: "
+     "chunked\r\n\r\nzz\r\n",
+     400, 100},
+    {"slow header", "POST /v1/completions HTTP/1.1\r\nHost:", 408, 107},
+    {"slow body",
+     "POST /v1/completions HTTP/1.1\r\nContent-Length: 100\r\n\r\n{\"mo", 408,
+     107},
+};
+
+TEST_CASE("each malformed request is answered and the server goes on") {
+  Listening listening;
+  for (const Case& input : kCases) {
+    INFO(input.name);
+    RawClient client(listening.server.address());
+    client.Send(input.bytes);
+    const std::string answer = client.ReadAll();
+    INFO(answer);
+    REQUIRE(StatusOf(answer) == input.status);
+    if (input.code != 0) {
+      REQUIRE(answer.find("application/problem+json") != std::string::npos);
+      REQUIRE(answer.find("\"code\":" + std::to_string(input.code) + ",") !=
+              std::string::npos);
+      REQUIRE(answer.find("\"outcome\":\"not_run\"") != std::string::npos);
+    }
+    RawClient next(listening.server.address());
+    next.Send(Post(kGood));
+    REQUIRE(StatusOf(next.ReadAll()) == 200);
+  }
+}
+
+TEST_CASE("a caller that leaves within its request does no harm") {
+  Listening listening;
+  for (const std::string& part :
+       {std::string("POST /v1/comp"), Post(kGood).substr(0, 60),
+        Post(kGood).substr(0, Post(kGood).size() - 3)}) {
+    { RawClient(listening.server.address()).Send(part); }
+    RawClient ended(listening.server.address());
+    ended.Send(part);
+    ended.EndSending();
+    const int status = StatusOf(ended.ReadAll());
+    REQUIRE((status == 400 || status == 0));
+  }
+  RawClient next(listening.server.address());
+  next.Send(Post(kGood));
+  REQUIRE(StatusOf(next.ReadAll()) == 200);
+}
+
+TEST_CASE("headers that the system sets do not pass from callers") {
+  Listening listening;
+  RawClient client(listening.server.address());
+  client.Send(Request("POST", "/services/app/x", "",
+                      "Jujuberock-Team: beta\r\nJujuberock-Request-Id: 1\r\n"
+                      "X-Own: kept\r\nX-Hop: 1\r\nConnection: X-Hop\r\n"));
+  const std::string answer = client.ReadAll();
+  INFO(answer);
+  REQUIRE(StatusOf(answer) == 200);
+  REQUIRE(answer.find("X-Own=kept") != std::string::npos);
+  REQUIRE(answer.find("beta") == std::string::npos);
+  REQUIRE(answer.find("Request-Id") == std::string::npos);
+  REQUIRE(answer.find(kKey) == std::string::npos);
+}
+
+}  // namespace
+}  // namespace jujuberock::caller
--- /dev/null
+++ b/source/unit_tests/core/caller/raw_client.h
@@ -0,0 +1,64 @@
+#ifndef UNIT_TESTS_CORE_CALLER_RAW_CLIENT_H_
+#define UNIT_TESTS_CORE_CALLER_RAW_CLIENT_H_
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cstdlib>
+#include <string>
+
+#include "core/runtime/http_types.h"
+
+namespace jujuberock {
+
+// A blocking connection that sends exactly the bytes it is given.
+class RawClient {
+ public:
+  explicit RawClient(const runtime::Address& address)
+      : socket(::socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in target{};
+    target.sin_family = AF_INET;
+    target.sin_port = htons(address.port);
+    inet_pton(AF_INET, address.ip.c_str(), &target.sin_addr);
+    connect(this->socket, reinterpret_cast<sockaddr*>(&target), sizeof(target));
+    // Longer than any answer of the tests takes.
+    const timeval limit{10, 0};
+    setsockopt(this->socket, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+  }
+  ~RawClient() { close(this->socket); }
+  RawClient(const RawClient&) = delete;
+  RawClient& operator=(const RawClient&) = delete;
+
+  void Send(const std::string& bytes) {
+    ::send(this->socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+  }
+  void EndSending() { shutdown(this->socket, SHUT_WR); }
+
+  // Reads until `text` has arrived or the connection ends.
+  std::string ReadUntil(const std::string& text) {
+    std::array<char, 4096> buffer;
+    while (text.empty() || this->received.find(text) == std::string::npos) {
+      const ssize_t bytes = recv(this->socket, buffer.data(), buffer.size(), 0);
+      if (bytes <= 0)
+        break;
+      this->received.append(buffer.data(), static_cast<size_t>(bytes));
+    }
+    return this->received;
+  }
+  std::string ReadAll() { return this->ReadUntil(""); }
+
+ private:
+  int socket;
+  std::string received;
+};
+
+// Status of an answer; 0 when the connection ended without one.
+inline int StatusOf(const std::string& answer) {
+  return answer.rfind("HTTP/1.1 ", 0) == 0 ? std::atoi(answer.c_str() + 9) : 0;
+}
+
+}  // namespace jujuberock
+
+#endif  // UNIT_TESTS_CORE_CALLER_RAW_CLIENT_H_
