--- a/source/core/serve/peer_messages.h
+++ b/source/core/serve/peer_messages.h
@@ -19,8 +19,6 @@
 inline constexpr std::string_view kIndexQueryMessage = "index_query";
 inline constexpr std::string_view kIndexUpdateMessage = "index_update";
 inline constexpr std::string_view kStreamTakenMessage = "stream_taken";
-inline constexpr std::string_view kPermitMessage = "permit";
-inline constexpr std::string_view kOutcomeMessage = "outcome";
 
 // limit_grant: [1, host, [[team, running, queued], ...]], answered with
 // [1, [[team, share, lifetime_us, pending], ...]].
--- a/source/core/serve/recorded_run.h
+++ b/source/core/serve/recorded_run.h
@@ -4,32 +4,12 @@
 #include <string>
 
 #include "core/caller/handler.h"
-#include "core/host/peer_transport.h"
 #include "core/journal/service.h"
 #include "core/serve/parts.h"
 #include "core/serve/request_steps.h"
 
 namespace jujuberock::serve {
 
-// Carries the journal's messages between hosts.
-class JournalTransport : public journal::Transport {
- public:
-  JournalTransport(host::PeerTransport& peers,
-                   const common::TimerService& timers)
-      : peers(peers), timers(timers) {}
-
-  std::string Send(const journal::HostId& host,
-                   std::string_view message,
-                   const std::string& body,
-                   common::Duration timeout) override {
-    return this->peers.Call(host, message, body, this->timers.Now() + timeout);
-  }
-
- private:
-  host::PeerTransport& peers;
-  const common::TimerService& timers;
-};
-
 // One non-idempotent call of a plain service: it runs at most once, which the
 // journal records.
 class RecordedRun {
