--- a/source/core/journal/service.cc
+++ b/source/core/journal/service.cc
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <deque>
+#include <future>
 #include <map>
 #include <thread>
 #include <utility>
@@ -159,6 +160,20 @@
   }
 
   void Stop(common::Duration limit) {
+    if (runtime::WorkerPool::CurrentWorker()) {
+      this->StopOnWorker(limit);
+      return;
+    }
+    std::promise<void> stopped;
+    const common::TimerSubscription start =
+        this->timers.At(this->timers.Now(), [&](TimePoint) {
+          this->StopOnWorker(limit);
+          stopped.set_value();
+        });
+    stopped.get_future().wait();
+  }
+
+  void StopOnWorker(common::Duration limit) {
     this->stopping = true;
     const TimePoint end = this->timers.Now() + limit;
     this->Update([&](TimePoint, UnixTime) { this->node.StopTakingOver(); });
--- a/source/core/serve/request_handler.cc
+++ b/source/core/serve/request_handler.cc
@@ -2,6 +2,7 @@
 
 #include "core/common/error.h"
 #include "core/serve/completion_run.h"
+#include "core/serve/recorded_run.h"
 #include "core/serve/service_run.h"
 
 namespace jujuberock::serve {
@@ -33,6 +34,26 @@
   }
 }
 
+template <typename Run>
+auto RequestHandler::ExecuteAndRecord(const std::string& team,
+                                      const std::string& service,
+                                      Run& run) {
+  BurnLog& burn = this->parts.burn;
+  try {
+    if constexpr (std::is_void_v<decltype(run.Execute())>) {
+      run.Execute();
+      burn.RecordAnswer(team, service, run.in_time());
+    } else {
+      auto result = run.Execute();
+      burn.RecordAnswer(team, service, run.in_time());
+      return result;
+    }
+  } catch (const Error& error) {
+    burn.RecordError(team, service, error.code());
+    throw;
+  }
+}
+
 void RequestHandler::RequireRunning() const {
   if (this->stopping)
     throw Error(ResultCode::kStopping, "this host accepts no new requests");
@@ -44,7 +65,7 @@
                               caller::CompletionWriter& writer) {
   this->Counted("completion", [&] {
     CompletionRun run(this->parts, call, writer);
-    run.Execute();
+    this->ExecuteAndRecord(call.team, run.service(), run);
   });
 }
 
@@ -61,10 +82,12 @@
     if (!service || service->kind != table::ServiceKind::kPlain)
       throw Error(ResultCode::kUnknownService,
                   "no plain service " + call.service);
-    if (IsNonIdempotent(*service, call.request))
-      throw Error(ResultCode::kJournalUnavailable, "no journal");
+    if (IsNonIdempotent(*service, call.request)) {
+      RecordedRun run(this->parts, call, service->status_path);
+      return this->ExecuteAndRecord(call.team, call.service, run);
+    }
     ServiceRun run(this->parts, call);
-    return run.Execute();
+    return this->ExecuteAndRecord(call.team, call.service, run);
   });
 }
 
--- a/source/unit_tests/core/journal/service_test.cc
+++ b/source/unit_tests/core/journal/service_test.cc
@@ -13,10 +13,11 @@
 #include <nlohmann/json.hpp>
 
 #include "core/host/http2_transport.h"
+#include "core/journal/codec.h"
 #include "core/platform/client.h"
 #include "core/runtime/sleep.h"
 #include "core/runtime/wall_timer_service.h"
-#include "core/serve/journal_transport.h"
+#include "core/serve/recorded_run.h"
 #include "standin/plain_service_standin.h"
 #include "standin/platform_standin.h"
 
@@ -182,7 +183,12 @@
           cluster.timers,
           [&cluster](ShardId shard) { return cluster.Order(shard); },
           counters) {
-  serve::HandleJournalMessages(this->peers, this->service);
+  for (const char* message : {kPermitMessage, kOutcomeMessage}) {
+    this->peers.Handle(message, [handler = this->service.Handler(), message](
+                                    const std::string&, std::string_view body) {
+      return handler(message, body);
+    });
+  }
   this->peers.Serve();
 }
 
@@ -232,7 +238,10 @@
     for (int i = 0; i < 10; ++i)
       CHECK(cluster.Call(0, "pay-" + std::to_string(i), "b").code ==
             ResultCode::kOk);
-    cluster.hosts[0]->service.Stop(seconds(5));
+  });
+  // `serve` stops the service on its main thread.
+  cluster.hosts[0]->service.Stop(seconds(5));
+  cluster.pool.Run([&] {
     CHECK(cluster.Call(0, "late", "b").code == ResultCode::kStopping);
     cluster.live.erase(0);
     for (int i = 0; i < 10; ++i) {
