--- a/tools/process_cluster.py
+++ b/tools/process_cluster.py
@@ -132,6 +132,14 @@
     def status(self):
         return get_json(self.operators, "/status")
 
+    def kill_when_busy(self, requests=2, seconds=3):
+        """Kills the host while it serves that many requests."""
+        limit = time.monotonic() + seconds
+        while (self.status()["active_requests"] < requests and
+               time.monotonic() < limit):
+            time.sleep(0.005)
+        self.process.kill()
+
 
 class Cluster:
     """A deployment: platform, stores, engines, plain services and hosts."""
--- a/tools/process_demo.py
+++ b/tools/process_demo.py
@@ -50,9 +50,9 @@
     payments = [Payment(cluster, balancer, teams[i % len(teams)],
                         f"payment-{number}-{i}")
                 for i in range(PAYMENTS_PER_TURN)]
-    jobs_and_payments = jobs + payments
-    source.shuffle(jobs_and_payments)
-    return jobs, payments, jobs_and_payments
+    mixed = jobs + payments
+    source.shuffle(mixed)
+    return jobs, payments, mixed
 
 
 class KillHost:
@@ -62,7 +62,7 @@
         self.host = host
 
     def run(self):
-        self.host.process.kill()
+        self.host.kill_when_busy()
 
 
 def run_load(with_stores):
