--- a/source/unit_tests/core/journal/service_test.cc
+++ b/source/unit_tests/core/journal/service_test.cc
@@ -17,7 +17,7 @@
 #include "core/platform/client.h"
 #include "core/runtime/sleep.h"
 #include "core/runtime/wall_timer_service.h"
-#include "core/serve/recorded_run.h"
+#include "core/serve/journal_transport.h"
 #include "standin/plain_service_standin.h"
 #include "standin/platform_standin.h"
 
