--- a/tools/process_cluster.py
+++ b/tools/process_cluster.py
@@ -331,11 +331,16 @@
         return total
 
     def executions(self):
-        """Executions by "TEAM/KEY", from the log that all workers share."""
+        """Executions by "TEAM/KEY", from the log that all workers share.
+
+        Calls without a key are left out: they are hosts' probes.
+        """
         counts = {}
         if os.path.exists(self.execution_log):
             with open(self.execution_log) as log:
                 for key in log.read().split():
+                    if key.endswith("/"):
+                        continue
                     counts[key] = counts.get(key, 0) + 1
         return counts
 
