Add the table, version and load subcommands

Cause: operators edit rows and versions, and compare policies, from the command line; the libraries for it had no front end. Change: jujuberock table, version set and load.

--- a/source/jujuberock/main.cc
+++ b/source/jujuberock/main.cc
@@ -25,6 +25,15 @@
     Command{"report", "report burn --operator ADDRESS[,ADDRESS]... [--json]",
             "shows which teams use up their error budget, over all given hosts",
             RunReport},
+    Command{"table", "table get|set|diff|history ... --platform ADDRESS",
+            "shows and edits rows of the table; `table` alone lists its forms",
+            RunTable},
+    Command{"version", "version set SERVICE VERSION --platform ADDRESS",
+            "asks for another weight version of a service", RunVersion},
+    Command{
+        "load", "load [--seeds N] [--ablations] [--plot FILE]",
+        "replays callers against modelled deployments and compares policies",
+        RunLoad},
 };
 
 void PrintUsage(std::ostream& out) {
@@ -54,9 +63,36 @@
   return overrides;
 }
 
+bool IsFlag(const std::string& text, const std::string& name) {
+  return text.rfind("-" + name, 0) == 0 || text.rfind("--" + name, 0) == 0;
+}
+
+// The subcommands of `table` have options of their own, among them --version,
+// which gflags would take for its own. Only --platform is left to gflags.
+std::vector<std::string> TakeTableArguments(std::vector<char*>& arguments) {
+  constexpr size_t kFirst = 2;
+  std::vector<std::string> own;
+  std::vector<char*> left(arguments.begin(), arguments.begin() + kFirst);
+  for (size_t i = kFirst; i < arguments.size(); ++i) {
+    const std::string text = arguments[i];
+    if (!IsFlag(text, "platform")) {
+      own.push_back(text);
+      continue;
+    }
+    left.push_back(arguments[i]);
+    const bool value_follows = text.find('=') == std::string::npos;
+    if (value_follows && i + 1 < arguments.size())
+      left.push_back(arguments[++i]);
+  }
+  arguments = left;
+  return own;
+}
+
 int Run(int argc, char** argv) {
   std::vector<char*> arguments(argv, argv + argc);
   CommandLine line;
+  if (argc > 1 && std::string(argv[1]) == "table")
+    line.arguments = TakeTableArguments(arguments);
   line.overrides = TakeOverrides(arguments);
   int count = static_cast<int>(arguments.size());
   arguments.push_back(nullptr);
--- a/source/jujuberock/operator_commands.cc
+++ b/source/jujuberock/operator_commands.cc
@@ -9,7 +9,7 @@
 #include "core/common/error.h"
 #include "core/report/burn_render.h"
 #include "core/runtime/http_client.h"
-#include "core/runtime/worker_pool.h"
+#include "jujuberock/client_runner.h"
 #include "jujuberock/command.h"
 
 DEFINE_string(operator,
@@ -76,25 +76,11 @@
   return response.body;
 }
 
-// Runs `body` on a fiber and turns errors into exit statuses.
-int RunWithClient(const std::function<void(runtime::HttpClient&)>& body) {
-  runtime::WorkerPool pool(1);
-  try {
-    pool.Run([&] {
-      runtime::HttpClient client(pool, {});
-      body(client);
-    });
-  } catch (const Error& error) {
-    std::cerr << "jujuberock: " << error.what() << "\n";
-    return error.code() == ResultCode::kUsage ? kExitUsage : kExitFailed;
-  }
-  return kExitOk;
-}
-
 int CallOperator(const std::string& method, const std::string& path) {
   return RunWithClient([&](runtime::HttpClient& client) {
     for (const runtime::Address& address : OperatorAddresses())
       std::cout << Call(client, address, method, path);
+    return kExitOk;
   });
 }
 
@@ -122,6 +108,7 @@
                       ? report::RenderJson(rows, report::kDefaultObjective) +
                             "\n"
                       : report::RenderText(rows, report::kDefaultObjective));
+    return kExitOk;
   });
 }
 
