Print the settings page from the declarations

Cause: a page written by hand would drift from the declarations. Load entries get 900 B/s and polls of other zones one a second, since the sum of all control traffic at the target was worked out to pass 6 KB/s.

--- a/source/core/load_exchange/exchange.h
+++ b/source/core/load_exchange/exchange.h
@@ -59,7 +59,7 @@
   // Bytes of load entries that a host may receive in a second. It sends about
   // as much, and the frames around them take as much again; membership and the
   // table take 2 KB/s of the 6 KB/s that a host has for control.
-  double receive_budget_bytes_per_s = 1200;
+  double receive_budget_bytes_per_s = 900;
   // The same for cache events; each host may send its even share of it.
   double event_budget_bytes_per_s = 400;
   // An endpoint that was not heard of for this long is polled by the next host
--- a/source/core/serve/settings.h
+++ b/source/core/serve/settings.h
@@ -46,7 +46,7 @@
   common::Duration store_poll_period = std::chrono::seconds(1);
   common::Duration relist_period = std::chrono::minutes(30);
   common::Duration watch_idle_limit = std::chrono::milliseconds(1500);
-  int64_t polls_per_second = 4;
+  int64_t polls_per_second = 1;
 
   common::Duration stop_limit = std::chrono::seconds(120);
 };
--- a/source/jujuberock/command.h
+++ b/source/jujuberock/command.h
@@ -28,6 +28,7 @@
 
 int RunServe(const CommandLine& line);
 int RunCheck(const CommandLine& line);
+int RunSettings(const CommandLine& line);
 int RunStatus(const CommandLine& line);
 int RunStop(const CommandLine& line);
 int RunReport(const CommandLine& line);
--- a/source/jujuberock/main.cc
+++ b/source/jujuberock/main.cc
@@ -18,6 +18,8 @@
             "runs a host until SIGTERM or `stop`", RunServe},
     Command{"check", "check FILE [--set NAME=VALUE]...",
             "reports every mistake in a settings file", RunCheck},
+    Command{"settings", "settings", "prints all settings as docs/settings.md",
+            RunSettings},
     Command{"status", "status --operator ADDRESS",
             "prints what a host knows and does", RunStatus},
     Command{"stop", "stop --operator ADDRESS",
--- a/source/jujuberock/serve_command.cc
+++ b/source/jujuberock/serve_command.cc
@@ -12,6 +12,7 @@
 
 #include "core/common/error.h"
 #include "core/common/settings.h"
+#include "core/common/settings_page.h"
 #include "core/serve/host.h"
 #include "core/serve/settings.h"
 #include "jujuberock/command.h"
@@ -81,4 +82,19 @@
   return kExitOk;
 }
 
+int RunSettings(const CommandLine&) {
+  std::cout
+      << "# Settings\n\n"
+         "`jujuberock serve --config FILE` reads one flat JSON object that may "
+         "contain comments. Layers: default, then\nfile, then `--set "
+         "name=value`. Unknown settings are errors; `jujuberock check FILE` "
+         "reports every mistake\nwith file, line and setting. Keep a file with "
+         "keys readable for the service only; values of `--set` can be\nread "
+         "by "
+         "other users of the machine.\n\nThis page is the output of "
+         "`jujuberock settings`.\n\n"
+      << common::RenderSettingsTable(serve::SettingTable());
+  return kExitOk;
+}
+
 }  // namespace jujuberock
