Test hosts against the stand-ins and correct what the tests found

Found by test_serve: a request that is to run alone asked for its reservation under a new number each time and never got it, so three of six requests of a crashed engine timed out; a stream taken over by another host was canceled when the takeover was announced before the first host noticed the end of its own connection. Found by the process test: 2 of 12 planned stops crashed, because polls and order rounds went on while parts were destroyed; all background work now ends first.

--- a/source/core/serve/completion_run.cc
+++ b/source/core/serve/completion_run.cc
@@ -227,12 +227,15 @@
 void ResumeRun(Parts& parts,
                const caller::ResumeCall& call,
                caller::CompletionWriter& writer) {
-  const caller::StreamPosition& position = call.position;
+  caller::StreamPosition position = call.position;
   const auto address = parts.fleet.AddressOf(position.endpoint);
   if (!address)
     throw Error(ResultCode::kStreamGone, "the stream's endpoint is gone");
-  parts.detached.TakeOver(position.stream);
-  parts.sharing.TellTakenOver(position.host, position.stream);
+  if (position.host == parts.settings.host_name)
+    parts.detached.TakeOver(position.stream);
+  else
+    parts.sharing.TellTakenOver(position.host, position.stream);
+  position.host = parts.settings.host_name;
   const auto caller = CallerState::Watch(writer);
   endpoint::ResumingStream stream(parts.engines, parts.timers, *address,
                                   position.stream, position.offset,
--- a/source/core/serve/detached_streams.cc
+++ b/source/core/serve/detached_streams.cc
@@ -10,6 +10,14 @@
 using common::RankedLock;
 using runtime::Address;
 
+namespace {
+
+// A connection that ended is noticed at the next token; after this time the
+// stream has ended by itself or been read to the end elsewhere.
+constexpr common::Duration kTakenMemory = std::chrono::minutes(2);
+
+}  // namespace
+
 DetachedStreams::DetachedStreams(runtime::WorkerPool& pool,
                                  common::TimerService& timers,
                                  endpoint::EngineClient& engines,
@@ -37,13 +45,16 @@
   if (this->grace <= common::Duration::zero())
     return this->Cancel(engine, stream);
   RankedLock lock(this->mutex);
+  if (this->taken.erase(stream) > 0)
+    return;
   this->detached[stream] = {engine, this->timers.Now() + this->grace};
 }
 
 void DetachedStreams::TakeOver(const std::string& stream) {
   RankedLock lock(this->mutex);
-  if (this->detached.erase(stream) > 0)
-    this->taken_over.Add();
+  this->taken_over.Add();
+  if (this->detached.erase(stream) == 0)
+    this->taken[stream] = this->timers.Now() + kTakenMemory;
 }
 
 void DetachedStreams::OnTick(common::TimePoint now) {
@@ -56,6 +67,8 @@
     }
     for (const auto& [stream, engine] : due)
       this->detached.erase(stream);
+    std::erase_if(this->taken,
+                  [now](const auto& entry) { return entry.second <= now; });
   }
   for (const auto& [stream, engine] : due)
     this->Cancel(engine, stream);
--- a/source/core/serve/detached_streams.h
+++ b/source/core/serve/detached_streams.h
@@ -26,7 +26,8 @@
   void Cancel(const runtime::Address& engine, const std::string& stream);
   // Cancels the request after the grace period.
   void Detach(const runtime::Address& engine, const std::string& stream);
-  // The caller is back, here or at another host: the request goes on.
+  // The caller is back, here or at another host: the request goes on. This
+  // host may notice only later that its own connection to the caller ended.
   void TakeOver(const std::string& stream);
   void OnTick(common::TimePoint now);
 
@@ -43,6 +44,9 @@
   common::Counter& taken_over;
   common::RankedMutex mutex{common::LockRank::kServe};
   std::map<std::string, Detached> detached;
+  // Streams that went on over another connection before this host noticed the
+  // end of the former one; forgotten at the time given.
+  std::map<std::string, common::TimePoint> taken;
   // Last: its fibers use everything above.
   FiberGroup fibers;
 };
--- a/source/core/serve/fleet.h
+++ b/source/core/serve/fleet.h
@@ -46,6 +46,8 @@
 
   // Both run on fibers and may suspend.
   void Start(SendToZone send, OnLeavingReport on_leaving);
+  // Ends all polls, before what the two functions use is destroyed.
+  void Stop() { this->fibers.Stop(); }
   // Live hosts of this zone, this one included.
   void SetZoneHosts(std::vector<std::string> hosts);
   // Takes a `load_reports` message of another host of the zone. Throws
--- a/source/core/serve/host.cc
+++ b/source/core/serve/host.cc
@@ -42,6 +42,7 @@
 
 constexpr common::Duration kAdmissionTick = std::chrono::milliseconds(20);
 constexpr common::Duration kLimitsTick = std::chrono::milliseconds(500);
+constexpr common::Duration kRolloutTick = std::chrono::milliseconds(250);
 constexpr common::Duration kExportTick = std::chrono::milliseconds(250);
 constexpr common::Duration kDrainCheck = std::chrono::milliseconds(10);
 // Time for releasing the journal's shards once no request runs.
@@ -172,6 +173,7 @@
   JournalTransport journal_transport;
   journal::Service journal;
   orders::RolloutService rollouts;
+  std::atomic<bool> stop_rollouts{false};
   Parts parts;
   caller::KeyDirectory keys;
   caller::EventIdSealer sealer;
@@ -288,15 +290,17 @@
       [this](const std::string& endpoint, bool leaving) {
         this->members.OnEndpointReport(endpoint, leaving);
       });
-  this->rollouts.Start();
   this->StartTimers();
 }
 
 Host::Impl::~Impl() {
-  // Messages of other hosts use parts that are destroyed before the transport.
+  // Background work uses parts in either direction, so all of it ends before
+  // the first part is destroyed.
   this->peers.ShutHandlers();
-  this->rollouts.Stop();
+  this->fleet.Stop();
+  this->periodic.Stop();
   this->members.Stop();
+  this->sharing.Stop();
 }
 
 void Host::Impl::StartMembership() {
@@ -359,6 +363,11 @@
     this->RefreshHosts();
     this->limits.Update();
   });
+  // Not by its own timer: a round that runs must end before it is destroyed.
+  this->periodic.Every(this->timers, kRolloutTick, [this](TimePoint now) {
+    if (!this->stop_rollouts)
+      this->rollouts.RunOnce(now);
+  });
   this->periodic.Every(this->timers, kExportTick,
                        [this](TimePoint) { this->StartExports(); });
 }
@@ -468,7 +477,7 @@
   this->counters.GetCounter("requests_cut_off_total").Add(report.cut_off);
   LOG(INFO) << "planned stop: " << report.cut_off << " requests cut off";
   this->pool.Run([this] { this->journal.Stop(kDutiesLimit); });
-  this->rollouts.Stop();
+  this->stop_rollouts = true;
   return report;
 }
 
--- a/source/core/serve/request_steps.cc
+++ b/source/core/serve/request_steps.cc
@@ -83,13 +83,14 @@
 }
 
 RouteDecision RequestSteps::Route(RouteRequest& route) {
+  // The router keeps a reservation by the id, so all asks use the same one.
+  route.id = this->parts.ids.Next();
   while (true) {
     const TimePoint now = this->parts.timers.Now();
     if (now >= this->until)
       throw Error(ResultCode::kDeadlineExceeded,
                   "the deadline passed before an endpoint was free",
                   common::Outcome::kNotRun);
-    route.id = this->parts.ids.Next();
     std::optional<RouteDecision> decision = this->parts.router.With(
         [&](routing::Router& router) { return router.Choose(route, now); });
     if (decision)
--- a/source/core/serve/zone_sharing.cc
+++ b/source/core/serve/zone_sharing.cc
@@ -165,8 +165,7 @@
 
 void ZoneSharing::TellTakenOver(const std::string& host,
                                 const std::string& stream) {
-  if (host != this->self)
-    this->Send(host, kStreamTakenMessage, EncodeStreamTaken(stream));
+  this->Send(host, kStreamTakenMessage, EncodeStreamTaken(stream));
 }
 
 std::vector<LimitGrant> ZoneSharing::Grant(
--- a/source/core/serve/zone_sharing.h
+++ b/source/core/serve/zone_sharing.h
@@ -39,6 +39,7 @@
   // serves.
   void RegisterHandlers();
   void Start();
+  void Stop() { this->fibers.Stop(); }
 
   // Live hosts of the zone, this one included.
   void SetHosts(const std::vector<std::string>& hosts);
--- /dev/null
+++ b/source/unit_tests/core/serve/host_test.cc
@@ -0,0 +1,213 @@
+#include <catch2/catch.hpp>
+
+#include <thread>
+
+#include <nlohmann/json.hpp>
+
+#include "unit_tests/core/caller/raw_client.h"
+#include "unit_tests/core/serve/deployment.h"
+
+namespace jujuberock::serve {
+namespace {
+
+using nlohmann::json;
+
+constexpr const char* kPath = "/v1/completions";
+
+std::string RawRequest(const std::string& body,
+                       const std::string& fields = "") {
+  return std::string("POST ") + kPath + " HTTP/1.1\r\nHost: x\r\n" +
+         "Authorization: Bearer " + kKey + "\r\n" + fields +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+// The value of a counter of the host, summed over its labels.
+double Metric(Deployment& deployment, size_t host, const std::string& name) {
+  const std::string text =
+      deployment.Get(deployment.host(host).operator_address(), "/metrics").body;
+  double sum = 0;
+  size_t at = 0;
+  while ((at = text.find("\n" + name, at)) != std::string::npos) {
+    ++at;
+    sum += std::stod(text.substr(text.find(' ', at)));
+  }
+  return sum;
+}
+
+// Waits for something that happens in the background.
+template <typename Condition>
+bool Eventually(Condition condition) {
+  for (int i = 0; i < 300; ++i) {
+    if (condition())
+      return true;
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  return false;
+}
+
+TEST_CASE("each caller gets the whole answer to its own prompt") {
+  Deployment deployment(1);
+  for (const std::string prompt : {"one", "two"}) {
+    const auto whole = deployment.Post(0, kPath, Deployment::Prompt(prompt, 6));
+    REQUIRE(whole.status == 200);
+    REQUIRE(json::parse(whole.body)["choices"][0]["text"] ==
+            Deployment::Answer(prompt, 6));
+    const auto streamed =
+        deployment.Post(0, kPath, Deployment::Prompt(prompt, 6, true));
+    const auto events = Deployment::ParseEvents(streamed.body);
+    REQUIRE(events.text == Deployment::Answer(prompt, 6));
+    REQUIRE(events.ids.size() == 6);
+    REQUIRE(events.done);
+  }
+  REQUIRE(
+      deployment.Post(0, kPath, R"({"model":"other","prompt":"p"})").status ==
+      404);
+  REQUIRE(deployment.Post(0, "/services/cajas-app/price", "").status == 200);
+  REQUIRE(deployment.Post(0, "/services/none/price", "").status == 404);
+}
+
+TEST_CASE("an engine that dies with a request costs the caller nothing") {
+  Deployment deployment(1);
+  std::thread killer([&] {
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    deployment.engines[0]->Kill();
+  });
+  // Several at once, so that the engine that dies has some of them.
+  std::vector<std::thread> callers;
+  std::atomic<int> right{0};
+  for (int i = 0; i < 6; ++i) {
+    callers.emplace_back([&, i] {
+      RawClient client(deployment.host(0).caller_address());
+      const std::string prompt = "p" + std::to_string(i);
+      client.Send(RawRequest(Deployment::Prompt(prompt, 60)));
+      const std::string answer = client.ReadUntil("usage");
+      if (answer.find(Deployment::Answer(prompt, 60)) != std::string::npos)
+        ++right;
+    });
+  }
+  for (std::thread& caller : callers)
+    caller.join();
+  killer.join();
+  REQUIRE(right == 6);
+  REQUIRE(Metric(deployment, 0, "retries_total") >= 1);
+  REQUIRE(Metric(deployment, 0, "endpoint_crashes_total") == 1);
+}
+
+TEST_CASE("a stream goes on when the engine's connections fall silent") {
+  Deployment deployment(1);
+  RawClient client(deployment.host(0).caller_address());
+  client.Send(
+      RawRequest(Deployment::Prompt("p", 100, true), "Connection: close\r\n"));
+  client.ReadUntil("\nid: ");
+  for (const auto& engine : deployment.engines)
+    engine->SetFaults(R"({"silent": true})");
+  const auto events = Deployment::ParseEvents(client.ReadAll());
+  for (const auto& engine : deployment.engines)
+    engine->SetFaults(R"({"release": true})");
+  REQUIRE(events.done);
+  REQUIRE(events.text == Deployment::Answer("p", 100));
+}
+
+TEST_CASE("a caller goes on at another host after the last event it has") {
+  Deployment deployment(2);
+  std::string first;
+  {
+    RawClient client(deployment.host(0).caller_address());
+    client.Send(RawRequest(Deployment::Prompt("p", 200, true)));
+    client.ReadUntil("\nid: ");
+    std::this_thread::sleep_for(std::chrono::milliseconds(60));
+    first = client.ReadUntil("\nid: ");
+  }
+  // What arrived whole; the rest is lost with the connection.
+  first = first.substr(0, first.rfind("\n\n") + 2);
+  const auto before = Deployment::ParseEvents(first);
+  REQUIRE(!before.ids.empty());
+  const auto response =
+      deployment.Post(1, kPath, "", {{"Last-Event-ID", before.ids.back()}});
+  REQUIRE(response.status == 200);
+  const auto after = Deployment::ParseEvents(response.body);
+  REQUIRE(after.done);
+  // Takes longer than the grace period, after which the first host would have
+  // canceled the request.
+  REQUIRE(before.text + after.text == Deployment::Answer("p", 200));
+  REQUIRE(Metric(deployment, 0, "engine_cancels_total") == 0);
+
+  const auto foreign =
+      deployment.Post(1, kPath, "",
+                      {{"Last-Event-ID", before.ids.back()},
+                       {"Authorization", "Bearer key-of-beta"}});
+  REQUIRE(foreign.status == 400);
+}
+
+TEST_CASE("the engine stops working for a caller that went away") {
+  Deployment deployment(1);
+  for (const bool stream : {false, true}) {
+    const double before = Metric(deployment, 0, "engine_cancels_total");
+    {
+      RawClient client(deployment.host(0).caller_address());
+      client.Send(RawRequest(Deployment::Prompt("p", 5000, stream)));
+      std::this_thread::sleep_for(std::chrono::milliseconds(150));
+    }
+    REQUIRE(Eventually([&] {
+      return Metric(deployment, 0, "engine_cancels_total") == before + 1;
+    }));
+  }
+}
+
+TEST_CASE("a marked call runs once however often and wherever it is sent") {
+  Deployment deployment(2);
+  const runtime::HttpHeaders identity = {
+      {"Idempotency-Key", "k1"}, {"Jujuberock-Issued-At", Deployment::Now()}};
+  const std::string path = "/services/cajas-app/pay/1";
+  const auto first = deployment.Post(0, path, "a", identity);
+  REQUIRE(first.status == 200);
+  REQUIRE(json::parse(first.body)["execution"] == 1);
+  // The record of the answer reaches the shard's owner a little later; until
+  // then the key counts as in progress or unknown, and the call never runs.
+  runtime::HttpResponse again;
+  REQUIRE(Eventually([&] {
+    again = deployment.Post(1, path, "a", identity);
+    return again.status == 200;
+  }));
+  REQUIRE(again.body == first.body);
+  REQUIRE(deployment.Post(1, path, "other", identity).status == 422);
+  const auto unnamed = deployment.Post(0, path, "a");
+  REQUIRE(unnamed.status == 400);
+  REQUIRE(json::parse(unnamed.body)["outcome"] == "not_run");
+}
+
+TEST_CASE("a deadline that can not be met is refused as not run") {
+  Deployment deployment(1);
+  // The prediction needs a load report of each engine.
+  REQUIRE(Eventually(
+      [&] { return Metric(deployment, 0, "endpoint_polls_total") >= 4; }));
+  // 100,000 prompt tokens take 2.5 s to compute.
+  const auto response = deployment.Post(
+      0, kPath, Deployment::Prompt(std::string(400'000, 'a'), 1),
+      {{"Jujuberock-Deadline-Ms", "200"}});
+  INFO(response.body);
+  REQUIRE(response.status == 503);
+  REQUIRE(json::parse(response.body)["outcome"] == "not_run");
+  REQUIRE(response.headers.Find("Retry-After"));
+}
+
+TEST_CASE("a planned stop cuts off no request and takes no new one") {
+  Deployment deployment(1);
+  RawClient running(deployment.host(0).caller_address());
+  running.Send(RawRequest(Deployment::Prompt("p", 300, true)));
+  running.ReadUntil("\nid: ");
+  StopReport report;
+  std::thread stopper([&] { report = deployment.host(0).Stop(); });
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  const auto refused = deployment.Post(0, kPath, Deployment::Prompt("q", 1));
+  REQUIRE(refused.status == 503);
+  REQUIRE(json::parse(refused.body)["code"] == 204);
+  const auto events = Deployment::ParseEvents(running.ReadAll());
+  stopper.join();
+  REQUIRE(events.done);
+  REQUIRE(events.text == Deployment::Answer("p", 300));
+  REQUIRE(report.cut_off == 0);
+}
+
+}  // namespace
+}  // namespace jujuberock::serve
