--- a/source/core/journal/options.h
+++ b/source/core/journal/options.h
@@ -19,6 +19,9 @@
   // goal is 200 platform writes a second; sealing takes 5 of them at 1,000
   // calls a second. See docs/decisions/journal.md.
   double writes_per_second = 190;
+  // Writes that a shard may make at once after a quiet period. Without it, the
+  // spacing delays calls at low rates too.
+  uint32_t write_burst = 4;
   // An intent waits this long for others to share its write.
   common::Duration write_window{0};
   // An outcome waits this long for a write to ride on.
@@ -53,8 +56,7 @@
   // Answers that a host keeps to replay what itself forwarded.
   size_t host_answers = 1024;
 
-  // Shortest time between two head writes of one shard. A write after a quiet
-  // period starts at once.
+  // Mean time between two head writes of one shard under load.
   common::Duration WriteSpacing() const {
     return common::FromSeconds(this->shards / this->writes_per_second);
   }
--- a/source/core/journal/shard_owner.h
+++ b/source/core/journal/shard_owner.h
@@ -279,7 +279,8 @@
   uint64_t committed_change = 0;
   std::optional<common::TimePoint> first_intent;
   std::optional<common::TimePoint> first_outcome;
-  common::TimePoint next_write;
+  // When the writes so far are paid for, one for each spacing.
+  common::TimePoint write_budget_end;
   std::optional<PendingWrite> head_write;
   std::optional<PendingWrite> seal_write;
   std::multimap<uint64_t, PermitReplyAction> deferred_permits;
--- a/source/core/journal/shard_owner_writes.cc
+++ b/source/core/journal/shard_owner_writes.cc
@@ -22,7 +22,8 @@
   this->StartHeadWrite();
   this->first_intent.reset();
   this->first_outcome.reset();
-  this->next_write = now + this->options.WriteSpacing();
+  this->write_budget_end =
+      std::max(this->write_budget_end, now) + this->options.WriteSpacing();
 }
 
 std::optional<TimePoint> ShardOwner::WriteDue() const {
@@ -34,7 +35,10 @@
     due = *this->first_intent + this->options.write_window;
   if (this->first_outcome)
     due = std::min(due, *this->first_outcome + this->options.outcome_delay);
-  return std::max(due, this->next_write);
+  const TimePoint allowed =
+      this->write_budget_end -
+      (this->options.write_burst - 1) * this->options.WriteSpacing();
+  return std::max(due, allowed);
 }
 
 void ShardOwner::StartHeadWrite() {
