--- a/source/core/serve/completion_run.cc
+++ b/source/core/serve/completion_run.cc
@@ -143,8 +143,10 @@
   // Unless the caller takes part of the answer, its absence ends the work at
   // once; the engine then ends the stream that this fiber reads.
   this->caller->on_gone = [this, address, stream_id] {
-    if (!this->writer.started())
-      this->parts.detached.Cancel(address, stream_id);
+    if (this->writer.started())
+      return;
+    this->engine_told = true;
+    this->parts.detached.Cancel(address, stream_id);
   };
   endpoint::ResumingStream stream(this->parts.engines, this->parts.timers,
                                   address, stream_id, 0,
@@ -196,7 +198,7 @@
                        error.code() == ResultCode::kWrongVersion ||
                        error.code() == ResultCode::kProtocolError ||
                        error.code() == ResultCode::kCanceled;
-  if (!may_run)
+  if (!may_run || this->engine_told)
     return;
   const bool may_return =
       error.code() == ResultCode::kCanceled && this->writer.started();
--- a/source/core/serve/completion_run.h
+++ b/source/core/serve/completion_run.h
@@ -57,6 +57,8 @@
   std::string owner;
   // False until something was sent to an endpoint.
   bool dispatched = false;
+  // The engine was told to end its work because the caller went away.
+  bool engine_told = false;
   bool first_token_in_time = false;
 };
 
--- a/source/unit_tests/core/serve/host_test.cc
+++ b/source/unit_tests/core/serve/host_test.cc
@@ -143,14 +143,19 @@
   Deployment deployment(1);
   for (const bool stream : {false, true}) {
     const double before = Metric(deployment, 0, "engine_cancels_total");
+    const double answered = Metric(deployment, 0, "requests_total");
     {
       RawClient client(deployment.host(0).caller_address());
       client.Send(RawRequest(Deployment::Prompt("p", 5000, stream)));
       std::this_thread::sleep_for(std::chrono::milliseconds(150));
     }
     REQUIRE(Eventually([&] {
-      return Metric(deployment, 0, "engine_cancels_total") == before + 1;
+      return Metric(deployment, 0, "engine_cancels_total") > before;
     }));
+    REQUIRE(Eventually([&] {
+      return Metric(deployment, 0, "requests_total") == answered + 1;
+    }));
+    REQUIRE(Metric(deployment, 0, "engine_cancels_total") == before + 1);
   }
 }
 
