Learn how far doubtful cache entries can be trusted

A discount of a half moved long shared prompts to other endpoints after every gap.

The write direction of a link is learned from unconfirmed exports and no longer from restores.

--- a/source/core/load/policy_experiment.cc
+++ b/source/core/load/policy_experiment.cc
@@ -35,7 +35,7 @@
 constexpr size_t kFirstToken = 0;
 constexpr size_t kRecomputed = 1;
 constexpr size_t kWithinPatience = 2;
-constexpr size_t kLinkMean = 5;
+constexpr size_t kLinkMost = 6;
 constexpr size_t kPlottedMeasures = 3;
 
 constexpr char kOurs[] = "restoring";
@@ -156,8 +156,8 @@
           ours->measures[kFirstToken].median, least_first_token / 2);
   at_most("recomputed share at most a third",
           ours->measures[kRecomputed].median, least_recomputed / 3);
-  at_most("link use within budget (mean, largest seed)",
-          ours->measures[kLinkMean].maximum, 1);
+  at_most("link use within budget (any 10 s, any seed)",
+          ours->measures[kLinkMost].maximum, 1);
   const double within = ours->measures[kWithinPatience].median;
   text += Verdict(table.title, "share within patience never worse", within,
                   most_within, within >= most_within);
--- a/source/core/routing/router.cc
+++ b/source/core/routing/router.cc
@@ -51,6 +51,7 @@
       added = std::make_unique<Endpoint>();
       known = added.get();
       known->info = info;
+      known->confidence[1] = this->settings.doubtful_confidence;
       known->holder = this->DeclareHolder(info.name, false);
       this->holders[known->holder].endpoint = known;
       this->services[info.service].push_back(known);
@@ -133,8 +134,10 @@
                     known->late_share > 2 * this->other_late_share;
   known->late_share *= kLateDecay;
   known->read.OnReport(report.link_bytes_per_s, report.sent_bytes, late, now);
-  known->write.OnReport(report.link_bytes_per_s, report.received_bytes, late,
-                        now);
+  known->write.OnReport(
+      report.link_bytes_per_s, report.received_bytes,
+      this->settings.weights.learn_link_speed && this->ExportsLate(*known, now),
+      now);
 }
 
 void Router::OnCacheEvents(std::string_view holder,
@@ -202,6 +205,7 @@
   entry.team = request.team;
   entry.keys = request.block_keys;
   entry.predicted_cached_tokens = decision.cached_tokens;
+  entry.doubtful = decision.doubtful;
   entry.dispatched_at = now;
   entry.predicted_first_token = decision.predicted_first_token;
   entry.predicted_restore = decision.predicted_restore;
@@ -381,7 +385,7 @@
     const double share =
         std::min(1.0, static_cast<double>(cached_tokens) /
                           static_cast<double>(request.predicted_cached_tokens));
-    double& confidence = request.endpoint->confidence;
+    double& confidence = request.endpoint->confidence[request.doubtful ? 1 : 0];
     confidence += kConfidenceSmoothing * (share - confidence);
     confidence = std::max(confidence, kMinConfidence);
   }
--- a/source/core/routing/router.h
+++ b/source/core/routing/router.h
@@ -1,6 +1,7 @@
 #ifndef CORE_ROUTING_ROUTER_H_
 #define CORE_ROUTING_ROUTER_H_
 
+#include <array>
 #include <deque>
 #include <map>
 #include <memory>
@@ -113,8 +114,9 @@
     EndpointState state = EndpointState::kLive;
     HolderId holder = 0;
     EndpointLoad load;
-    // Smoothed share of predicted cached tokens that were found.
-    double confidence = 1;
+    // Smoothed share of predicted cached tokens that were found, for entries
+    // that are not doubtful and for those that are.
+    std::array<double, 2> confidence{1, 1};
     std::optional<RequestId> reserved_by;
     common::TimePoint reserved_until;
     // Another host keeps it free for a suspect.
@@ -146,6 +148,7 @@
     std::string team;
     std::vector<BlockKey> keys;
     uint64_t predicted_cached_tokens = 0;
+    bool doubtful = false;
     common::TimePoint dispatched_at;
     common::Duration predicted_first_token{0};
     common::Duration predicted_restore{0};
@@ -198,6 +201,8 @@
   Store* StoreForExport(const BlockKey& key, common::TimePoint now);
   void ConfirmExport(const BlockKey& key, HolderId store);
   void ExpireExports(common::TimePoint now);
+  // Whether most exports to the store should have been confirmed by now.
+  bool ExportsLate(const Store& store, common::TimePoint now) const;
   bool TakeExport(const PendingExport& pending,
                   std::vector<Export>& exports,
                   common::TimePoint now);
--- a/source/core/routing/router_choice.cc
+++ b/source/core/routing/router_choice.cc
@@ -156,9 +156,8 @@
 
   double confidence = 1;
   if (weights.doubt && candidate.matched_blocks > 0) {
-    confidence = endpoint.confidence;
-    if (this->matched_doubtful[endpoint.holder])
-      confidence *= this->settings.doubtful_confidence;
+    const bool doubtful = this->matched_doubtful[endpoint.holder] != 0;
+    confidence = endpoint.confidence[doubtful ? 1 : 0];
   }
   const double block_seconds = kBlockTokens / rate;
   const auto plan = this->planner.PlanFor(
@@ -190,6 +189,8 @@
       common::FromSeconds(candidate.first_token_seconds);
   decision.predicted_wait = common::FromSeconds(candidate.wait_seconds);
   decision.predicted_restore = common::FromSeconds(candidate.restore_seconds);
+  decision.doubtful = candidate.matched_blocks > 0 &&
+                      this->matched_doubtful[endpoint.holder] != 0;
   decision.cached_tokens = uint64_t{candidate.matched_blocks} * kBlockTokens;
   for (uint32_t i = 0; i < candidate.restored_blocks; ++i) {
     const uint32_t position = candidate.matched_blocks + i;
--- a/source/core/routing/router_exports.cc
+++ b/source/core/routing/router_exports.cc
@@ -5,6 +5,14 @@
 
 namespace jujuberock::routing {
 
+namespace {
+
+// Exports are confirmed by the store's events, which arrive with its reports,
+// once or twice per second.
+constexpr common::Duration kLateExport = std::chrono::seconds(2);
+
+}  // namespace
+
 std::vector<Export> Router::TakeExports(common::TimePoint now) {
   std::vector<Export> exports;
   this->ExpireExports(now);
@@ -83,6 +91,16 @@
              static_cast<double>(report.kv_capacity_blocks);
 }
 
+bool Router::ExportsLate(const Store& store, common::TimePoint now) const {
+  size_t late = 0;
+  for (const auto& [key, sent] : this->sent_exports) {
+    const bool same = this->holders[sent.store].store == &store;
+    if (same && now - sent.at > kLateExport)
+      ++late;
+  }
+  return 2 * late > store.unconfirmed;
+}
+
 void Router::ConfirmExport(const BlockKey& key, HolderId holder) {
   auto found = this->sent_exports.find(key);
   if (found == this->sent_exports.end() || found->second.store != holder)
--- a/source/core/routing/types.h
+++ b/source/core/routing/types.h
@@ -129,6 +129,8 @@
   common::Duration predicted_restore{0};
   // Prompt tokens expected to be in the endpoint's cache already.
   uint64_t cached_tokens = 0;
+  // Events of the endpoint were lost since it was known to hold them.
+  bool doubtful = false;
   // Blocks that the endpoint is to pull from stores before prefill.
   std::vector<Restore> restores;
 };
