Tell unproved refusals of resent calls as unknown, and refuse other spellings

Ruled out: unknown for every refusal without a record, since a first send in an outage of the platform is provably not run. Change: a call that arrives more than 2 s after its issue time is refused as unknown unless a record or its own permit proves more; paths of plain services must be in normal form.

--- a/source/core/caller/server.cc
+++ b/source/core/caller/server.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "core/caller/completion_request.h"
+#include "core/caller/normal_path.h"
 #include "core/caller/problem.h"
 #include "core/common/error.h"
 
@@ -188,6 +189,8 @@
   call.request.target = end == std::string::npos ? "/" : rest.substr(end);
   if (call.request.target.front() == '?')
     call.request.target.insert(0, "/");
+  if (const auto problem = PathProblem(call.request.target))
+    throw Error(ResultCode::kMalformedRequest, *problem);
   call.request.headers = CleanHeaders(request.headers);
   call.request.body = request.body;
   HttpResponse response = this->handler.CallService(call);
--- a/source/core/serve/recorded_run.cc
+++ b/source/core/serve/recorded_run.cc
@@ -35,6 +35,11 @@
                 "the table marks this call as non-idempotent");
 }
 
+// A caller sends a call for the first time right after it issued it. A call
+// that comes later may have been sent before, and a refusal that did not see
+// the journal's record can not tell that it was not run then.
+constexpr std::chrono::milliseconds kFirstSendWindow = std::chrono::seconds(2);
+
 ServiceState ToServiceState(endpoint::CallState state) {
   switch (state) {
     case endpoint::CallState::kDone:
@@ -55,10 +60,31 @@
     : parts(parts),
       call(call),
       status_path(status_path),
-      steps(parts, call.team, call.service, FingerprintOf(call)) {}
+      steps(parts, call.team, call.service, FingerprintOf(call)),
+      arrived(parts.timers.WallNow()) {}
 
 HttpResponse RecordedRun::Execute() {
   RequireIdentity(this->call.headers);
+  try {
+    return this->ExecuteRecorded();
+  } catch (const Error& error) {
+    // The record belongs to another request, or gave the permit to this send:
+    // then no other send has run.
+    const bool proved =
+        this->holds_permit || error.code() == ResultCode::kIdempotencyKeyReused;
+    const bool says_not_run = error.outcome() == common::Outcome::kNotRun;
+    if (says_not_run && !proved && this->MayBeResend())
+      throw Error(error.code(), error.what(), common::Outcome::kUnknown);
+    throw;
+  }
+}
+
+bool RecordedRun::MayBeResend() const {
+  const auto age = this->arrived - *this->call.headers.issued_at;
+  return age > kFirstSendWindow;
+}
+
+HttpResponse RecordedRun::ExecuteRecorded() {
   this->steps.SetDeadline(this->call.headers);
   this->route = PlainRoute(this->parts, this->call, this->steps);
   this->steps.Admit(this->route);
@@ -96,6 +122,7 @@
 }
 
 ForwardResult RecordedRun::Forward(const journal::BeforeFirstByte& before) {
+  this->holds_permit = true;
   try {
     const routing::RouteDecision decision = this->steps.Route(this->route);
     const auto address = this->parts.fleet.AddressOf(decision.endpoint);
--- a/source/core/serve/recorded_run.h
+++ b/source/core/serve/recorded_run.h
@@ -27,6 +27,8 @@
   bool in_time() const;
 
  private:
+  runtime::HttpResponse ExecuteRecorded();
+  bool MayBeResend() const;
   journal::CallRequest JournalRequest() const;
   journal::ForwardResult Forward(const journal::BeforeFirstByte& before);
   journal::StatusResult QueryStatus();
@@ -36,6 +38,9 @@
   std::string status_path;
   RequestSteps steps;
   routing::RouteRequest route;
+  common::UnixTime arrived;
+  // Set once the journal lets this send go to an endpoint.
+  bool holds_permit = false;
 };
 
 }  // namespace jujuberock::serve
--- a/source/unit_tests/core/routing/router_test.cc
+++ b/source/unit_tests/core/routing/router_test.cc
@@ -280,8 +280,8 @@
   request.owner_answer = owner.router.Answer({request.block_keys});
   CHECK(f.Choose(request).endpoint == "e2");
   request.owner_answer.reset();
-  f.router.Apply(owner.router.UpdateFor(request, {"e2", {}, {}, {}, 0, false, {}}),
-                 At(1));
+  f.router.Apply(
+      owner.router.UpdateFor(request, {"e2", {}, {}, {}, 0, false, {}}), At(1));
   CHECK(f.Choose(request).endpoint == "e2");
   request.load_only = true;
   CHECK(f.Choose(request).cached_tokens == 0);
--- a/source/unit_tests/core/serve/host_test.cc
+++ b/source/unit_tests/core/serve/host_test.cc
@@ -181,6 +181,26 @@
   REQUIRE(json::parse(unnamed.body)["outcome"] == "not_run");
 }
 
+// A call from before the retention period may have run and been forgotten, so
+// a refusal that calls it not run could make its caller pay again.
+TEST_CASE("a refusal that saw no record says not run for a first send only") {
+  Deployment deployment(1);
+  const std::string path = "/services/cajas-app/pay/1";
+  const auto old =
+      deployment.Post(0, path, "a",
+                      {{"Idempotency-Key", "k1"},
+                       {"Jujuberock-Issued-At", "2026-01-01T00:00:00Z"}});
+  REQUIRE(old.status == 422);
+  REQUIRE(json::parse(old.body)["outcome"] == "unknown");
+  const auto first =
+      deployment.Post(0, path, "a",
+                      {{"Idempotency-Key", "k2"},
+                       {"Jujuberock-Issued-At", Deployment::Now()},
+                       {"Jujuberock-Deadline-Ms", "1"}});
+  REQUIRE(first.status != 200);
+  REQUIRE(json::parse(first.body)["outcome"] == "not_run");
+}
+
 TEST_CASE("a deadline that can not be met is refused as not run") {
   Deployment deployment(1);
   // The prediction needs a load report of each engine.
