--- a/source/core/journal/service.cc
+++ b/source/core/journal/service.cc
@@ -515,7 +515,9 @@
 CallResult Service::Execute(const CallRequest& request,
                             const Forward& forward,
                             const QueryStatus& query_status) {
-  return this->impl->Execute(request, forward, query_status);
+  // A call that a stop cuts off may return after the service is gone.
+  const std::shared_ptr<Impl> kept = this->impl;
+  return kept->Execute(request, forward, query_status);
 }
 
 std::string Service::HandleMessage(std::string_view message,
--- a/source/unit_tests/core/journal/service_test.cc
+++ b/source/unit_tests/core/journal/service_test.cc
@@ -2,10 +2,12 @@
 
 #include "core/journal/service.h"
 
+#include <algorithm>
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <set>
 #include <string>
 #include <vector>
@@ -71,7 +73,8 @@
 
 class Cluster {
  public:
-  explicit Cluster(size_t size) {
+  explicit Cluster(size_t size, standin::PlatformOptions options = {})
+      : platform(std::move(options)) {
     for (size_t i = 0; i < size; ++i)
       this->hosts.push_back(
           std::make_unique<ClusterHost>(*this, "host-" + std::to_string(i)));
@@ -101,6 +104,7 @@
                   const std::string& body,
                   common::Duration patience = seconds(5)) {
     ClusterHost& entry = *this->hosts[host];
+    const common::TimePoint start = this->timers.Now();
     CallRequest request;
     request.key = {"tienda", key};
     request.issued = this->issued;
@@ -108,6 +112,8 @@
     request.deadline = this->timers.Now() + patience;
     return entry.service.Execute(
         request, [&](const BeforeFirstByte& before_first_byte) {
+          if (this->on_permit)
+            this->on_permit(this->timers.Now() - start);
           runtime::HttpRequest message{"POST", "/pay", {}, body};
           message.headers.Add("Jujuberock-Team", "tienda");
           message.headers.Add("Idempotency-Key", key);
@@ -146,13 +152,14 @@
 
   runtime::WorkerPool pool{3};
   runtime::WallTimerService timers{pool, 0};
-  Served<standin::PlatformStandin, standin::PlatformOptions> platform{
-      standin::PlatformOptions{}};
+  Served<standin::PlatformStandin, standin::PlatformOptions> platform;
   Served<standin::PlainServiceStandin, standin::PlainServiceOptions> plain{
       standin::PlainServiceOptions{}};
   const common::UnixTime issued = timers.WallNow();
   std::vector<std::unique_ptr<ClusterHost>> hosts;
   std::set<size_t> live;
+  // Told how long each call waited for its permit.
+  std::function<void(common::Duration)> on_permit;
 };
 
 host::Http2TransportOptions PeerOptions(const std::string& name) {
@@ -325,5 +332,71 @@
   });
 }
 
+// Checks the figures of tools/bench-journal on real fibers and sockets. Hidden,
+// because they depend on what else the machine does.
+TEST_CASE("added latency and writes on real connections", "[.][load]") {
+  for (const int calls_per_second : {10, 100, 1000}) {
+    standin::PlatformOptions options;
+    options.delay = milliseconds(4);
+    Cluster cluster(4, options);
+    std::vector<double> waits;
+    std::mutex mutex;
+    cluster.on_permit = [&](common::Duration wait) {
+      const std::lock_guard lock(mutex);
+      waits.push_back(common::ToMilliseconds(wait));
+    };
+    cluster.pool.Run([&] { cluster.Call(0, "warm up", "b"); });
+    auto writes = [&] {
+      uint64_t total = 0;
+      for (const auto& host : cluster.hosts)
+        total += host->counters
+                     .GetCounter("platform_calls_total", {{"call", "write"}})
+                     .value();
+      return total;
+    };
+    std::vector<double> trips;
+    cluster.pool.Run([&] {
+      for (int i = 0; i < 100; ++i) {
+        const common::TimePoint start = cluster.timers.Now();
+        cluster.hosts[0]->store->Read("absent");
+        trips.push_back(common::ToMilliseconds(cluster.timers.Now() - start));
+      }
+    });
+    std::sort(trips.begin(), trips.end());
+    const double trip = trips[trips.size() / 2];
+    const uint64_t before = writes();
+    constexpr int kSeconds = 5;
+    std::atomic<int> right{0};
+    cluster.pool.Run([&] {
+      std::atomic<int> done{0};
+      const int calls = calls_per_second * kSeconds;
+      const common::TimePoint start = cluster.timers.Now();
+      for (int i = 0; i < calls; ++i) {
+        const auto due =
+            start + common::FromSeconds(double(i) / calls_per_second);
+        if (due > cluster.timers.Now())
+          runtime::SleepFor(due - cluster.timers.Now());
+        cluster.pool.Spawn([&, i] {
+          right += cluster
+                       .Call(static_cast<size_t>(i % 4),
+                             "pay-" + std::to_string(i), "b")
+                       .code == ResultCode::kOk;
+          ++done;
+        });
+      }
+      while (done < calls)
+        runtime::SleepFor(milliseconds(1));
+    });
+    const uint64_t written = writes() - before;
+    std::sort(waits.begin(), waits.end());
+    CHECK(right == calls_per_second * kSeconds);
+    WARN(calls_per_second << " calls/s: one round trip " << trip
+                          << " ms, median " << waits[waits.size() / 2] / trip
+                          << " round trips, p99 "
+                          << waits[waits.size() * 99 / 100] / trip << ", "
+                          << written / kSeconds << " platform writes/s");
+  }
+}
+
 }  // namespace
 }  // namespace jujuberock::journal
