--- a/source/core/load/policy_experiment.cc
+++ b/source/core/load/policy_experiment.cc
@@ -31,6 +31,7 @@
     {"restored share", &PolicyRunResult::restored_share},
     {"link/budget mean", &PolicyRunResult::link_use_mean},
     {"link/budget max", &PolicyRunResult::link_use_max},
+    {"windows over budget", &PolicyRunResult::link_over_budget},
 };
 constexpr size_t kFirstToken = 0;
 constexpr size_t kRecomputed = 1;
--- a/source/core/load/policy_run.cc
+++ b/source/core/load/policy_run.cc
@@ -407,16 +407,20 @@
     const double budget = this->deployment.store.budget_share;
     double sum = 0;
     size_t count = 0;
+    double over = 0;
     for (const auto& [name, store] : this->stores) {
       for (const ModelledLink* link : {&store->read_link, &store->write_link}) {
         for (double use : link->UseOfWindows(this->begin, this->end)) {
           sum += use / budget;
           ++count;
+          over += use > budget ? 1 : 0;
           result.link_use_max = std::max(result.link_use_max, use / budget);
         }
       }
     }
-    result.link_use_mean = count == 0 ? 0 : sum / static_cast<double>(count);
+    const double windows = std::max<double>(1, static_cast<double>(count));
+    result.link_use_mean = sum / windows;
+    result.link_over_budget = over / windows;
   }
 
   routing::EndpointInfo InfoOf(size_t index) const {
--- a/source/core/load/policy_run.h
+++ b/source/core/load/policy_run.h
@@ -37,6 +37,8 @@
   // budget; the largest over windows of 10 s.
   double link_use_mean = 0;
   double link_use_max = 0;
+  // Of all windows, links and directions, those above the budget.
+  double link_over_budget = 0;
   double restored_share = 0;
   double answered_within_patience = 0;
   size_t turns = 0;
--- a/source/core/load/routing_cost.cc
+++ b/source/core/load/routing_cost.cc
@@ -32,6 +32,12 @@
   return resident * static_cast<double>(sysconf(_SC_PAGESIZE));
 }
 
+std::string Format(double value) {
+  char text[32];
+  std::snprintf(text, sizeof text, "%.1f", value);
+  return text;
+}
+
 routing::BlockKey KeyOf(size_t prompt, size_t block) {
   common::Random random(prompt * 64 + block);
   return {random.Next(), random.Next()};
@@ -120,12 +126,16 @@
     Fill(router, endpoints, prompts, options.blocks);
     const double used = ResidentBytes() - before;
     const auto count = static_cast<double>(router.index_blocks());
+    // The allocator reuses memory of earlier indexes, so that only the first
+    // figure is the index's own.
+    const std::string resident =
+        text.find('\n') + 1 == text.size() ? Format(used / count) : "-";
     char line[160];
-    std::snprintf(line, sizeof line,
-                  "%9zu  %7zu  %8zu  %9.2f  %20.1f  %21.1f\n", endpoints,
-                  prompts, router.index_blocks(),
-                  MicrosecondsPerChoice(router, prompts, options), used / count,
-                  static_cast<double>(router.index_bytes()) / count);
+    std::snprintf(
+        line, sizeof line, "%9zu  %7zu  %8zu  %9.2f  %20s  %21s\n", endpoints,
+        prompts, router.index_blocks(),
+        MicrosecondsPerChoice(router, prompts, options), resident.c_str(),
+        Format(static_cast<double>(router.index_bytes()) / count).c_str());
     text += line;
   };
   // Largest first: memory that the allocator keeps from an earlier index would
--- a/source/core/routing/settings.h
+++ b/source/core/routing/settings.h
@@ -48,8 +48,8 @@
   double near_eviction_share = 0.9;
   // Probability that an entry still holds after its holder's events were lost,
   // until the endpoint's own reports of cached tokens tell more. Lower values
-  // move long shared prompts to other endpoints after every gap, which then hold
-  // them twice.
+  // move long shared prompts to other endpoints after every gap, which then
+  // hold them twice.
   double doubtful_confidence = 0.95;
   // A load report older than this says nothing about the endpoint's queue.
   common::Duration report_lifetime = std::chrono::seconds(5);
