--- a/source/core/serve/completion_run.cc
+++ b/source/core/serve/completion_run.cc
@@ -79,6 +79,8 @@
 void CompletionRun::Execute() {
   this->steps.SetDeadline(this->call.headers);
   this->PrepareRoute();
+  this->owner = this->parts.sharing.AskOwner(this->call.headers.conversation,
+                                             this->route);
   this->steps.Admit(this->route);
   this->route.isolate = this->steps.CheckSuspect();
   this->RunWithRetry();
@@ -123,6 +125,7 @@
     throw Error(ResultCode::kNoEndpoint, "the endpoint has just been removed");
   Attempt attempt(this->parts, this->steps, this->route, decision);
   this->dispatched = true;
+  this->parts.sharing.TellOwner(this->owner, this->route, decision);
   try {
     const RelayResult result = this->RunAt(decision, *address);
     this->writer.Finish(result.reason, {this->route.prompt_tokens,
@@ -140,8 +143,10 @@
   // Unless the caller takes part of the answer, its absence ends the work at
   // once; the engine then ends the stream that this fiber reads.
   this->caller->on_gone = [this, address, stream_id] {
-    if (!this->writer.started())
-      this->parts.detached.Cancel(address, stream_id);
+    if (this->writer.started())
+      return;
+    this->engine_told = true;
+    this->parts.detached.Cancel(address, stream_id);
   };
   endpoint::ResumingStream stream(this->parts.engines, this->parts.timers,
                                   address, stream_id, 0,
@@ -193,7 +198,7 @@
                        error.code() == ResultCode::kWrongVersion ||
                        error.code() == ResultCode::kProtocolError ||
                        error.code() == ResultCode::kCanceled;
-  if (!may_run)
+  if (!may_run || this->engine_told)
     return;
   const bool may_return =
       error.code() == ResultCode::kCanceled && this->writer.started();
@@ -224,11 +229,15 @@
 void ResumeRun(Parts& parts,
                const caller::ResumeCall& call,
                caller::CompletionWriter& writer) {
-  const caller::StreamPosition& position = call.position;
+  caller::StreamPosition position = call.position;
   const auto address = parts.fleet.AddressOf(position.endpoint);
   if (!address)
     throw Error(ResultCode::kStreamGone, "the stream's endpoint is gone");
-  parts.detached.TakeOver(position.stream);
+  if (position.host == parts.settings.host_name)
+    parts.detached.TakeOver(position.stream);
+  else
+    parts.sharing.TellTakenOver(position.host, position.stream);
+  position.host = parts.settings.host_name;
   const auto caller = CallerState::Watch(writer);
   endpoint::ResumingStream stream(parts.engines, parts.timers, *address,
                                   position.stream, position.offset,
--- a/source/core/serve/completion_run.h
+++ b/source/core/serve/completion_run.h
@@ -53,8 +53,12 @@
   std::shared_ptr<CallerState> caller;
   RequestSteps steps;
   routing::RouteRequest route;
+  // Host that keeps the index entry of the request's conversation.
+  std::string owner;
   // False until something was sent to an endpoint.
   bool dispatched = false;
+  // The engine was told to end its work because the caller went away.
+  bool engine_told = false;
   bool first_token_in_time = false;
 };
 
--- a/source/core/serve/host.cc
+++ b/source/core/serve/host.cc
@@ -12,16 +12,26 @@
 #include "core/common/error.h"
 #include "core/common/hash.h"
 #include "core/common/random.h"
+#include "core/host/http2_transport.h"
+#include "core/membership/coordinator.h"
+#include "core/membership/service.h"
 #include "core/operator_api/server.h"
+#include "core/orders/rollout_service.h"
 #include "core/platform/client.h"
 #include "core/report/burn_render.h"
 #include "core/runtime/http_client.h"
 #include "core/runtime/wall_timer_service.h"
 #include "core/runtime/worker_pool.h"
-#include "core/serve/config_sync.h"
+#include "core/serve/guarded_peers.h"
+#include "core/serve/host_lists.h"
+#include "core/serve/journal_transport.h"
 #include "core/serve/limits.h"
 #include "core/serve/parts.h"
+#include "core/serve/peer_messages.h"
+#include "core/serve/recorded_run.h"
 #include "core/serve/request_handler.h"
+#include "core/serve/zone_sharing.h"
+#include "core/table/rendezvous.h"
 
 namespace jujuberock::serve {
 
@@ -32,8 +42,11 @@
 
 constexpr common::Duration kAdmissionTick = std::chrono::milliseconds(20);
 constexpr common::Duration kLimitsTick = std::chrono::milliseconds(500);
+constexpr common::Duration kRolloutTick = std::chrono::milliseconds(250);
 constexpr common::Duration kExportTick = std::chrono::milliseconds(250);
 constexpr common::Duration kDrainCheck = std::chrono::milliseconds(10);
+// Time for releasing the journal's shards once no request runs.
+constexpr common::Duration kDutiesLimit = std::chrono::seconds(5);
 
 Address RequiredAddress(const std::string& text) {
   const auto address = Address::Parse(text);
@@ -72,16 +85,58 @@
   return options;
 }
 
+// The incarnation exceeds that of an earlier process of the same name.
+membership::HostNews SelfNews(const Settings& settings,
+                              common::UnixTime wall_now) {
+  membership::HostNews self;
+  self.name = settings.host_name;
+  self.zone = settings.zone;
+  self.address = settings.host_address;
+  self.incarnation = static_cast<uint64_t>(wall_now.time_since_epoch().count());
+  return self;
+}
+
+membership::CoordinatorOptions CoordinatorOptionsOf(const Settings& settings) {
+  membership::CoordinatorOptions options;
+  options.follower.list_period = settings.relist_period;
+  options.follower.silence_limit = settings.watch_idle_limit;
+  return options;
+}
+
+host::Http2TransportOptions TransportOptions(const Settings& settings) {
+  host::Http2TransportOptions options;
+  options.name = settings.host_name;
+  options.listen = RequiredAddress(settings.host_address);
+  options.deployment_key = settings.deployment_key;
+  return options;
+}
+
+// Null when the platform never answered this host; hosts that do not act for
+// their zone never ask it.
+nlohmann::json PlatformSilence(const membership::Coordinator& coordinator,
+                               TimePoint now) {
+  const auto silence = coordinator.PlatformSilence(now);
+  if (!silence)
+    return nullptr;
+  return common::ToSeconds(*silence);
+}
+
 }  // namespace
 
 struct Host::Impl {
   Impl(const Settings& settings, std::function<void()> on_stop_requested);
+  ~Impl();
 
-  void OnConfig(const std::vector<table::Object>& changed);
+  void OnTable();
   void StartTimers();
+  void StartMembership();
+  void RefreshHosts();
+  bool IsPreferredForOrders(std::string_view service);
+  std::vector<std::string> ShardOrder(journal::ShardId shard);
   void StartExports();
   void RunExport(const routing::Export& order);
   std::optional<std::string> NotReady() const;
+  nlohmann::json RenderLags();
   std::string RenderStatus();
   StopReport Stop();
 
@@ -96,6 +151,10 @@
   endpoint::PlainClient plains;
   cache_store::Client stores;
   table::SharedView view;
+  common::RankedMutex table_mutex{common::LockRank::kConfig};
+  membership::Coordinator coordinator;
+  host::Http2Transport transport;
+  GuardedPeers peers;
   GuardedRouter router;
   GuardedBudget budget;
   GuardedSuspects suspects;
@@ -106,12 +165,19 @@
   DetachedStreams detached;
   BurnLog burn;
   Fleet fleet;
+  ZoneSharing sharing;
   Limits limits;
+  HostLists hosts;
+  membership::Service members;
+  std::unique_ptr<journal::Store> journal_store;
+  JournalTransport journal_transport;
+  journal::Service journal;
+  orders::RolloutService rollouts;
+  std::atomic<bool> stop_rollouts{false};
   Parts parts;
   caller::KeyDirectory keys;
   caller::EventIdSealer sealer;
   RequestHandler handler;
-  ConfigSync config;
   FiberGroup periodic;
   caller::Server callers;
   operator_api::Server operators;
@@ -127,6 +193,16 @@
       plains(http),
       stores(http),
       view(ViewOptionsOf(settings)),
+      coordinator(view,
+                  SelfNews(settings, timers.WallNow()),
+                  CoordinatorOptionsOf(settings),
+                  common::EntropySeed()),
+      transport(pool,
+                timers,
+                counters,
+                TransportOptions(settings),
+                membership::ResolverOf(coordinator)),
+      peers(transport),
       router(settings.zone, routing::RouterSettings()),
       gate(timers, counters),
       id_prefix(IdPrefix(settings)),
@@ -142,21 +218,45 @@
             stores,
             counters,
             settings),
-      limits(timers, view, fleet, gate, budget, settings),
-      parts{settings, timers, counters, view,    fleet,
-            router,   budget, suspects, gate,    in_flight,
-            detached, burn,   ids,      engines, plains},
+      sharing(pool,
+              timers,
+              peers,
+              gate,
+              suspects,
+              router,
+              fleet,
+              detached,
+              counters,
+              settings.host_name),
+      limits(timers, view, fleet, gate, budget, sharing, settings),
+      hosts(coordinator),
+      members(coordinator, peers, platform, pool, timers, counters),
+      journal_store(journal::MakePlatformStore(platform)),
+      journal_transport(peers, timers),
+      journal(
+          journal::Options(),
+          settings.host_name,
+          *journal_store,
+          journal_transport,
+          timers,
+          [this](journal::ShardId shard) { return this->ShardOrder(shard); },
+          counters),
+      rollouts(
+          platform,
+          engines,
+          view,
+          [this](std::string_view service) {
+            return this->IsPreferredForOrders(service);
+          },
+          timers,
+          counters,
+          settings.host_name,
+          orders::RolloutOptions()),
+      parts{settings, timers,   counters, view,      fleet,    router,
+            budget,   suspects, gate,     in_flight, detached, burn,
+            ids,      engines,  plains,   sharing,   journal},
       sealer(settings.deployment_key),
       handler(parts),
-      config(pool,
-             timers,
-             platform,
-             view,
-             counters,
-             {settings.relist_period, settings.watch_idle_limit},
-             [this](const std::vector<table::Object>& changed) {
-               this->OnConfig(changed);
-             }),
       periodic(pool),
       callers(pool,
               RequiredAddress(settings.caller_address),
@@ -176,20 +276,77 @@
                                              report::kDefaultObjective);
                  },
                  std::move(on_stop_requested)}) {
-  this->config.Start();
-  this->fleet.Start();
+  this->sharing.RegisterHandlers();
+  this->view.SetListener(
+      [this](const std::vector<table::Object>&) { this->OnTable(); });
+  HandleJournalMessages(this->peers, this->journal);
+  this->transport.Serve();
+  this->StartMembership();
+  this->sharing.Start();
+  this->fleet.Start(
+      [this](const std::string& bytes) {
+        this->sharing.SendLoadReports(bytes);
+      },
+      [this](const std::string& endpoint, bool leaving) {
+        this->members.OnEndpointReport(endpoint, leaving);
+      });
   this->StartTimers();
 }
 
-void Host::Impl::OnConfig(const std::vector<table::Object>& changed) {
+Host::Impl::~Impl() {
+  // Background work uses parts in either direction, so all of it ends before
+  // the first part is destroyed.
+  this->peers.ShutHandlers();
+  this->fleet.Stop();
+  this->periodic.Stop();
+  this->members.Stop();
+  this->sharing.Stop();
+}
+
+void Host::Impl::StartMembership() {
+  this->RefreshHosts();
+  this->members.SetEndpointListener(
+      [this](const membership::EndpointChange& change) {
+        this->fleet.SetLeavingInZone(change.endpoint, change.leaving);
+      });
+  this->members.SetHostListener(
+      [this](const membership::HostChange&) { this->RefreshHosts(); });
+  this->members.Start();
+}
+
+void Host::Impl::RefreshHosts() {
+  if (!this->hosts.Refresh(this->timers.Now()))
+    return;
+  const std::vector<std::string> zone = this->hosts.Zone();
+  this->sharing.SetHosts(zone);
+  this->fleet.SetZoneHosts(zone);
+}
+
+// Hosts of every zone, since shards belong to the whole deployment.
+std::vector<std::string> Host::Impl::ShardOrder(journal::ShardId shard) {
+  const std::vector<std::string> hosts = this->hosts.All();
+  return table::TopByRendezvous("journal-" + std::to_string(shard), hosts,
+                                hosts.size());
+}
+
+bool Host::Impl::IsPreferredForOrders(std::string_view service) {
+  const std::vector<std::string> top = table::TopByRendezvous(
+      "orders-" + std::string(service), this->hosts.All(), 1);
+  return !top.empty() && top[0] == this->settings.host_name;
+}
+
+// Two merges may come here at the same time; the lock makes the last one use
+// the newest rows, so that no older row replaces a newer one.
+void Host::Impl::OnTable() {
+  common::RankedLock lock(this->table_mutex);
   const table::SnapshotPtr rows = this->view.Current();
-  for (const table::Object& object : changed) {
-    if (object.kind != table::NameOf(table::Kind::kTeam))
+  for (const auto& [name, team] : rows->teams())
+    this->keys.SetTeam(name, team->key_digests);
+  for (const std::string& team : this->keys.Teams()) {
+    if (rows->FindTeam(team))
       continue;
-    if (const table::Team* team = rows->FindTeam(object.name))
-      this->keys.SetTeam(object.name, team->key_digests);
-    else
-      this->keys.RemoveTeam(object.name);
+    this->keys.RemoveTeam(team);
+    this->sharing.RemoveTeam(team);
   }
   this->fleet.OnConfig();
   this->limits.Update();
@@ -199,11 +356,18 @@
   this->periodic.Every(this->timers, kAdmissionTick, [this](TimePoint now) {
     this->gate.OnTick(now);
     this->detached.OnTick(now);
-    if (!this->handler.is_ready() && this->config.complete())
+    if (!this->handler.is_ready() && this->coordinator.ready())
       this->handler.SetReady();
   });
-  this->periodic.Every(this->timers, kLimitsTick,
-                       [this](TimePoint) { this->limits.Update(); });
+  this->periodic.Every(this->timers, kLimitsTick, [this](TimePoint) {
+    this->RefreshHosts();
+    this->limits.Update();
+  });
+  // Not by its own timer: a round that runs must end before it is destroyed.
+  this->periodic.Every(this->timers, kRolloutTick, [this](TimePoint now) {
+    if (!this->stop_rollouts)
+      this->rollouts.RunOnce(now);
+  });
   this->periodic.Every(this->timers, kExportTick,
                        [this](TimePoint) { this->StartExports(); });
 }
@@ -242,7 +406,25 @@
   return std::nullopt;
 }
 
+// Hosts that lack a change, and for how long.
+nlohmann::json Host::Impl::RenderLags() {
+  nlohmann::json lags = nlohmann::json::array();
+  for (const table::HostLag& lag : this->members.CollectLags()) {
+    nlohmann::json entry = {{"host", lag.host},
+                            {"confirmed", lag.confirmed},
+                            {"lacking_s", common::ToSeconds(lag.lacking)}};
+    if (lag.oldest_missing) {
+      entry["oldest_missing"] = {{"kind", lag.oldest_missing->kind},
+                                 {"name", lag.oldest_missing->name},
+                                 {"version", lag.oldest_missing->version}};
+    }
+    lags.push_back(std::move(entry));
+  }
+  return lags;
+}
+
 std::string Host::Impl::RenderStatus() {
+  const TimePoint now = this->timers.Now();
   const table::SnapshotPtr rows = this->view.Current();
   const table::DigestSummary summary = this->view.Summary();
   nlohmann::json problems = nlohmann::json::array();
@@ -256,7 +438,9 @@
       {"host", this->settings.host_name},
       {"zone", this->settings.zone},
       {"state", this->NotReady().value_or("ready")},
-      {"platform", this->config.platform_up() ? "up" : "down"},
+      {"platform_silence_s", PlatformSilence(this->coordinator, now)},
+      {"hosts_in_zone", this->hosts.Zone()},
+      {"lagging_hosts", this->RenderLags()},
       {"active_requests", this->callers.ActiveRequests()},
       {"open_connections", this->callers.OpenConnections()},
       {"table",
@@ -277,6 +461,7 @@
 StopReport Host::Impl::Stop() {
   LOG(INFO) << "planned stop: no new requests";
   this->handler.StartStopping();
+  this->pool.Run([this] { this->members.Announce(); });
   this->callers.Drain();
   std::promise<void> drained;
   const TimePoint limit = this->timers.Now() + this->settings.stop_limit;
@@ -291,7 +476,8 @@
   report.cut_off = this->callers.ActiveRequests();
   this->counters.GetCounter("requests_cut_off_total").Add(report.cut_off);
   LOG(INFO) << "planned stop: " << report.cut_off << " requests cut off";
-  this->periodic.Stop();
+  this->pool.Run([this] { this->journal.Stop(kDutiesLimit); });
+  this->stop_rollouts = true;
   return report;
 }
 
--- a/source/jujuberock/serve_command.cc
+++ b/source/jujuberock/serve_command.cc
@@ -2,6 +2,7 @@
 #include <glog/logging.h>
 
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
 #include <optional>
 
@@ -11,6 +12,7 @@
 
 #include "core/common/error.h"
 #include "core/common/settings.h"
+#include "core/common/settings_page.h"
 #include "core/serve/host.h"
 #include "core/serve/settings.h"
 #include "jujuberock/command.h"
@@ -57,7 +59,11 @@
     LOG(INFO) << "serving callers on " << host.caller_address().ToString()
               << ", operators on " << host.operator_address().ToString();
     io.run();
-    host.Stop();
+    if (host.Stop().cut_off > 0) {
+      // Handlers that still run would hold up the end of the host.
+      google::FlushLogFiles(google::INFO);
+      std::_Exit(kExitOk);
+    }
     return kExitOk;
   } catch (const common::Error& error) {
     std::cerr << "jujuberock serve: " << error.what() << "\n";
@@ -76,4 +82,19 @@
   return kExitOk;
 }
 
+int RunSettings(const CommandLine&) {
+  std::cout
+      << "# Settings\n\n"
+         "`jujuberock serve --config FILE` reads one flat JSON object that may "
+         "contain comments. Layers: default, then\nfile, then `--set "
+         "name=value`. Unknown settings are errors; `jujuberock check FILE` "
+         "reports every mistake\nwith file, line and setting. Keep a file with "
+         "keys readable for the service only; values of `--set` can be\nread "
+         "by "
+         "other users of the machine.\n\nThis page is the output of "
+         "`jujuberock settings`.\n\n"
+      << common::RenderSettingsTable(serve::SettingTable());
+  return kExitOk;
+}
+
 }  // namespace jujuberock
