--- a/source/jujuberock/load_command.cc
+++ b/source/jujuberock/load_command.cc
@@ -3,52 +3,64 @@
 #include <fstream>
 #include <iostream>
 
-#include "core/common/error.h"
+#include "core/load/overload_experiment.h"
 #include "core/load/policy_experiment.h"
+#include "core/load/routing_cost.h"
 #include "jujuberock/command.h"
 
-DEFINE_uint64(seeds, 10, "load: runs of each policy, each with its own seed");
-DEFINE_uint64(first_seed, 1, "load: seed of the first run");
+DEFINE_uint64(seeds, 10, "load: runs of each variant");
 DEFINE_uint64(threads, 2, "load: runs at the same time");
-DEFINE_bool(ablations, false, "load: also with each part of the policy off");
-DEFINE_string(plot, "", "load: file for a plot of the results (SVG)");
-DEFINE_string(json_file, "", "load: file for the results (JSON)");
+DEFINE_string(out, "", "load: prefix of the .json and .svg files to write");
 
 namespace jujuberock {
 
 namespace {
 
-bool WriteFile(const std::string& path, const std::string& text) {
-  if (path.empty())
-    return true;
-  std::ofstream file(path);
-  file << text;
-  file.close();
-  if (file)
-    return true;
-  std::cerr << "jujuberock: can not write " << path << "\n";
-  return false;
+int Print(const load::ExperimentReport& report) {
+  std::cout << report.table;
+  if (FLAGS_out.empty())
+    return kExitOk;
+  std::ofstream json(FLAGS_out + ".json");
+  json << report.json << '\n';
+  std::ofstream svg(FLAGS_out + ".svg");
+  svg << report.svg;
+  if (json.good() && svg.good())
+    return kExitOk;
+  std::cerr << "can not write " << FLAGS_out << ".json or .svg\n";
+  return kExitFailed;
 }
 
 }  // namespace
 
 int RunLoad(const CommandLine& line) {
-  if (!line.arguments.empty() || FLAGS_seeds == 0 || FLAGS_threads == 0) {
-    std::cerr << "usage: jujuberock load [--seeds N] [--first_seed N] "
-                 "[--threads N] [--ablations] [--plot FILE] [--json_file "
-                 "FILE]\n";
+  const std::string what =
+      line.arguments.size() == 1 ? line.arguments.front() : "";
+  const size_t seeds = FLAGS_seeds;
+  if (seeds == 0) {
+    std::cerr << "--seeds must be at least 1\n";
     return kExitUsage;
   }
-  load::PolicyExperimentOptions options;
-  options.seeds = FLAGS_seeds;
-  options.first_seed = FLAGS_first_seed;
-  options.threads = FLAGS_threads;
-  options.ablations = FLAGS_ablations;
-  const load::ExperimentReport report = load::RunPolicyExperiment(options);
-  std::cout << report.table;
-  const bool written = WriteFile(FLAGS_plot, report.svg) &&
-                       WriteFile(FLAGS_json_file, report.json);
-  return written ? kExitOk : kExitFailed;
+  if (what == "policy" || what == "ablation") {
+    load::PolicyExperimentOptions options;
+    options.seeds = seeds;
+    options.threads = FLAGS_threads;
+    options.policies = what == "policy";
+    options.ablations = what == "ablation";
+    return Print(load::RunPolicyExperiment(options));
+  }
+  if (what == "overload") {
+    load::OverloadExperimentOptions options;
+    options.seeds = seeds;
+    options.threads = FLAGS_threads;
+    return Print(load::RunOverloadExperiment(options));
+  }
+  if (what == "routing-cost") {
+    std::cout << load::MeasureRoutingCost({});
+    return kExitOk;
+  }
+  std::cerr << "usage: jujuberock load policy|ablation|overload|routing-cost"
+               " [--seeds N] [--threads N] [--out PREFIX]\n";
+  return kExitUsage;
 }
 
 }  // namespace jujuberock
--- a/source/jujuberock/main.cc
+++ b/source/jujuberock/main.cc
@@ -18,6 +18,8 @@
             "runs a host until SIGTERM or `stop`", RunServe},
     Command{"check", "check FILE [--set NAME=VALUE]...",
             "reports every mistake in a settings file", RunCheck},
+    Command{"settings", "settings", "prints all settings as docs/settings.md",
+            RunSettings},
     Command{"status", "status --operator ADDRESS",
             "prints what a host knows and does", RunStatus},
     Command{"stop", "stop --operator ADDRESS",
@@ -30,10 +32,10 @@
             RunTable},
     Command{"version", "version set SERVICE VERSION --platform ADDRESS",
             "asks for another weight version of a service", RunVersion},
-    Command{
-        "load", "load [--seeds N] [--ablations] [--plot FILE]",
-        "replays callers against modelled deployments and compares policies",
-        RunLoad},
+    Command{"load",
+            "load policy|ablation|overload|routing-cost [--seeds N] "
+            "[--threads N] [--out PREFIX]",
+            "runs experiments on modelled deployments", RunLoad},
 };
 
 void PrintUsage(std::ostream& out) {
