--- a/source/core/caller/event_id.cc
+++ b/source/core/caller/event_id.cc
@@ -129,14 +129,14 @@
   unsigned char* nonce = Bytes(sealed);
   unsigned char* body = nonce + kNonceBytes;
   CHECK_EQ(RAND_bytes(nonce, kNonceBytes), 1);
-  EVP_CIPHER_CTX* kContext = ThreadContext();
+  EVP_CIPHER_CTX* context = ThreadContext();
   int written = 0;
   const bool done =
-      EVP_EncryptInit_ex(kContext, EVP_aes_256_gcm(), nullptr, this->key.data(),
+      EVP_EncryptInit_ex(context, EVP_aes_256_gcm(), nullptr, this->key.data(),
                          nonce) == 1 &&
-      EVP_EncryptUpdate(kContext, nullptr, &written, Bytes(team), Size(team)) ==
+      EVP_EncryptUpdate(context, nullptr, &written, Bytes(team), Size(team)) ==
           1 &&
-      EVP_EncryptUpdate(kContext, body, &written, Bytes(text), Size(text)) ==
+      EVP_EncryptUpdate(context, body, &written, Bytes(text), Size(text)) ==
           1 &&
       EVP_EncryptFinal_ex(context, body + written, &written) == 1 &&
       EVP_CIPHER_CTX_ctrl(context, EVP_CTRL_GCM_GET_TAG, kTagBytes,
