Test that another weight version and a leaving endpoint stay away from callers

Cause: no test made an engine answer from another version than the table's, or counted what a leaving endpoint is given. Change: an engine that reports v1 and answers from v0; 20 requests after an endpoint was marked as leaving.

--- a/source/unit_tests/core/serve/deployment.cc
+++ b/source/unit_tests/core/serve/deployment.cc
@@ -250,4 +250,24 @@
   return events;
 }
 
+void Deployment::PutObject(const std::string& kind,
+                           const std::string& name,
+                           const std::string& body) {
+  this->pool.Run([&] {
+    const auto at = *runtime::Address::Parse(this->platform->address());
+    const std::string path = "/objects/" + kind + "/" + name;
+    const HttpResponse held = this->client.Fetch(at, {"GET", path, {}, ""});
+    const uint64_t version =
+        held.status == 200
+            ? json::parse(held.body).at("version").get<uint64_t>()
+            : 0;
+    const HttpResponse written = this->client.Fetch(
+        at, {"PUT",
+             path,
+             {{"If-Version", std::to_string(version)}},
+             json{{"token", "t"}, {"body", json::parse(body)}}.dump()});
+    REQUIRE(written.status == 200);
+  });
+}
+
 }  // namespace jujuberock::serve
--- a/source/unit_tests/core/serve/deployment.h
+++ b/source/unit_tests/core/serve/deployment.h
@@ -56,6 +56,10 @@
                              const runtime::HttpHeaders& headers = {});
   runtime::HttpResponse Get(const runtime::Address& address,
                             const std::string& path);
+  // Writes an object of the platform on its present version.
+  void PutObject(const std::string& kind,
+                 const std::string& name,
+                 const std::string& body);
   // The wall time as RFC 3339.
   static std::string Now();
   // A completion of `tokens` tokens.
--- a/source/unit_tests/core/serve/host_test.cc
+++ b/source/unit_tests/core/serve/host_test.cc
@@ -181,6 +181,79 @@
   REQUIRE(json::parse(unnamed.body)["outcome"] == "not_run");
 }
 
+std::string EndpointBody(const std::string& address, const char* state) {
+  return json{{"service", "asistente"},
+              {"zone", "sauce"},
+              {"address", address},
+              {"state", state}}
+      .dump();
+}
+
+// Says that it runs v1 and answers with tokens of v0, as an engine does whose
+// weights changed between its report and the request.
+void AnswerFromOldVersion(const runtime::HttpRequest& request,
+                          runtime::ResponseWriter& writer) {
+  if (request.target == "/load") {
+    const json load = {{"as_of_ms", 1},       {"running", 0},
+                       {"queued_tokens", 0},  {"slots", 8},
+                       {"decode_ms", 1},      {"prefill_tokens_per_s", 1e6},
+                       {"kv_used_blocks", 0}, {"kv_capacity_blocks", 64},
+                       {"version", "v1"},     {"leaving", false}};
+    return writer.Send({200, {}, load.dump()});
+  }
+  if (request.target.rfind("/kv/events", 0) == 0)
+    return writer.Send({200, {}, R"({"first":1,"next":1,"events":[]})"});
+  if (request.target != "/v1/generate")
+    return writer.Send({404, {}, "{}"});
+  writer.StartStream(200, {{"Content-Type", "text/event-stream"}});
+  const json token = {{"offset", 0},
+                      {"text", "stale"},
+                      {"version", "v0"},
+                      {"cached_tokens", 0},
+                      {"restored_tokens", 0}};
+  writer.Write("data: " + token.dump() + "\n\n");
+  writer.Write("data: {\"done\":true,\"reason\":\"length\",\"tokens\":1}\n\n");
+  writer.FinishStream();
+}
+
+// During a weight swap a caller must not receive a single token of the version
+// that is no longer in force.
+TEST_CASE("an answer from another weight version reaches no caller") {
+  Deployment deployment(1);
+  runtime::WorkerPool pool(1);
+  runtime::HttpServer stale(pool, {"127.0.0.1", 0}, {}, AnswerFromOldVersion,
+                            runtime::RenderPlainError);
+  const std::string address = stale.address().ToString();
+  deployment.PutObject("endpoint", "w0", EndpointBody(address, "live"));
+  deployment.PutObject("endpoint", "w1", EndpointBody(address, "live"));
+  REQUIRE(Eventually([&] {
+    const auto answer =
+        deployment.Post(0, kPath, Deployment::Prompt("one", 1, true));
+    REQUIRE(answer.body.find("stale") == std::string::npos);
+    return answer.body.find("\"code\":402") != std::string::npos;
+  }));
+}
+
+// An operator who takes an endpoint out expects it to be idle soon after.
+TEST_CASE("a leaving endpoint gets no new work within 3 s") {
+  Deployment deployment(2);
+  const std::string address = deployment.engines[0]->address();
+  deployment.PutObject("endpoint", "w0", EndpointBody(address, "leaving"));
+  std::this_thread::sleep_for(std::chrono::seconds(3));
+  const auto generated = [&] {
+    const auto counts =
+        deployment.Get(*runtime::Address::Parse(address), "/control/counts");
+    return json::parse(counts.body).at("requests").get<int>();
+  };
+  const int before = generated();
+  for (int i = 0; i < 20; ++i) {
+    const auto answer = deployment.Post(
+        i % 2, kPath, Deployment::Prompt("p" + std::to_string(i), 2));
+    REQUIRE(answer.status == 200);
+  }
+  REQUIRE(generated() == before);
+}
+
 // A call from before the retention period may have run and been forgotten, so
 // a refusal that calls it not run could make its caller pay again.
 TEST_CASE("a refusal that saw no record says not run for a first send only") {
