Let leaving hosts keep their share of limits and cut the cost of requests

The process test showed planned stops that waited up to the patience of a row: a zone's limit owner gave a leaving host no share, so requests queued there were never admitted. Limits are now shared with leaving hosts.

--- a/source/core/endpoint/engine_client.cc
+++ b/source/core/endpoint/engine_client.cc
@@ -131,11 +131,28 @@
   return std::nullopt;
 }
 
+// The connection can be used again only once its body has been read. The end
+// follows the last event closely, so a wait for it means trouble.
+void EngineStream::ReadToEnd() {
+  constexpr common::Duration kEndLimit = std::chrono::milliseconds(20);
+  try {
+    this->stream->set_read_timeout(kEndLimit);
+    while (this->stream->Read()) {
+    }
+  } catch (const runtime::HttpError&) {
+    // The answer is complete; only the connection is lost.
+  }
+}
+
 std::optional<EngineEvent> EngineStream::Next(common::Duration limit) {
   this->stream->set_read_timeout(limit);
   while (true) {
-    if (auto data = this->TakeData())
-      return Parsed(*data, EventFromJson);
+    if (auto data = this->TakeData()) {
+      const EngineEvent event = Parsed(*data, EventFromJson);
+      if (std::holds_alternative<StreamEnd>(event))
+        this->ReadToEnd();
+      return event;
+    }
     auto bytes = this->stream->Read();
     if (!bytes)
       return std::nullopt;
--- a/source/core/endpoint/engine_client.h
+++ b/source/core/endpoint/engine_client.h
@@ -63,6 +63,7 @@
 
  private:
   std::optional<std::string> TakeData();
+  void ReadToEnd();
 
   std::unique_ptr<runtime::HttpStream> stream;
   std::string pending;
--- a/source/core/runtime/http_client.cc
+++ b/source/core/runtime/http_client.cc
@@ -1,5 +1,8 @@
 #include "core/runtime/http_client.h"
 
+#include <sys/socket.h>
+
+#include <cerrno>
 #include <map>
 #include <utility>
 #include <vector>
@@ -106,13 +109,11 @@
  private:
   // An idle connection that is readable was closed or broken by the peer.
   static bool HasInput(Connection& connection) {
-    error_code error;
     char byte;
-    auto& socket = connection.stream.socket();
-    socket.non_blocking(true, error);
-    socket.receive(boost::asio::buffer(&byte, 1), tcp::socket::message_peek,
-                   error);
-    return error != boost::asio::error::would_block;
+    const int handle = connection.stream.socket().native_handle();
+    const ssize_t bytes =
+        ::recv(handle, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+    return bytes >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
   }
 };
 
--- a/source/core/serve/host.cc
+++ b/source/core/serve/host.cc
@@ -318,7 +318,7 @@
   if (!this->hosts.Refresh(this->timers.Now()))
     return;
   const std::vector<std::string> zone = this->hosts.Zone();
-  this->sharing.SetHosts(zone);
+  this->sharing.SetHosts(zone, this->hosts.Sharing());
   this->fleet.SetZoneHosts(zone);
 }
 
--- a/source/core/serve/request_handler.cc
+++ b/source/core/serve/request_handler.cc
@@ -10,26 +10,54 @@
 using common::Error;
 using common::ResultCode;
 
+namespace {
+
+class InProgress {
+ public:
+  explicit InProgress(common::Gauge& gauge) : gauge(gauge) { gauge.Add(1); }
+  ~InProgress() { this->gauge.Add(-1); }
+  InProgress(const InProgress&) = delete;
+  InProgress& operator=(const InProgress&) = delete;
+
+ private:
+  common::Gauge& gauge;
+};
+
+}  // namespace
+
+RequestHandler::Counts::Counts(common::CounterRegistry& counters,
+                               const char* kind)
+    : in_progress(counters.GetGauge("requests_in_progress", {{"kind", kind}})),
+      ok(counters.GetCounter("requests_total",
+                             {{"kind", kind}, {"code", "ok"}})) {
+  for (const common::ResultCodeInfo& info : common::AllResultCodes()) {
+    const std::string name(info.name);
+    this->by_code[info.code] = &counters.GetCounter(
+        "requests_total", {{"kind", kind}, {"code", name}});
+  }
+}
+
+RequestHandler::RequestHandler(Parts& parts)
+    : parts(parts),
+      completions(parts.counters, "completion"),
+      resumes(parts.counters, "resume"),
+      services(parts.counters, "service") {}
+
 template <typename Run>
-auto RequestHandler::Counted(const char* kind, Run run) {
-  const auto count = [&](ResultCode code) {
-    const std::string name(common::InfoOf(code).name);
-    this->parts.counters
-        .GetCounter("requests_total", {{"kind", kind}, {"code", name}})
-        .Add();
-  };
+auto RequestHandler::Counted(Counts& counts, Run run) {
+  const InProgress in_progress(counts.in_progress);
   try {
     this->RequireRunning();
     if constexpr (std::is_void_v<decltype(run())>) {
       run();
-      count(ResultCode::kOk);
+      counts.ok.Add();
     } else {
       auto result = run();
-      count(ResultCode::kOk);
+      counts.ok.Add();
       return result;
     }
   } catch (const Error& error) {
-    count(error.code());
+    counts.by_code.at(error.code())->Add();
     throw;
   }
 }
@@ -63,7 +91,7 @@
 
 void RequestHandler::Complete(const caller::CompletionCall& call,
                               caller::CompletionWriter& writer) {
-  this->Counted("completion", [&] {
+  this->Counted(this->completions, [&] {
     CompletionRun run(this->parts, call, writer);
     this->ExecuteAndRecord(call.team, run.service(), run);
   });
@@ -71,12 +99,12 @@
 
 void RequestHandler::Resume(const caller::ResumeCall& call,
                             caller::CompletionWriter& writer) {
-  this->Counted("resume", [&] { ResumeRun(this->parts, call, writer); });
+  this->Counted(this->resumes, [&] { ResumeRun(this->parts, call, writer); });
 }
 
 runtime::HttpResponse RequestHandler::CallService(
     const caller::ServiceCall& call) {
-  return this->Counted("service", [&] {
+  return this->Counted(this->services, [&] {
     const table::SnapshotPtr rows = this->parts.view.Current();
     const table::Service* service = rows->ServicePolicy(call.service);
     if (!service || service->kind != table::ServiceKind::kPlain)
--- a/source/core/serve/request_handler.h
+++ b/source/core/serve/request_handler.h
@@ -3,6 +3,7 @@
 
 #include <atomic>
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 
@@ -15,7 +16,7 @@
 // how they end.
 class RequestHandler : public caller::Handler {
  public:
-  explicit RequestHandler(Parts& parts) : parts(parts) {}
+  explicit RequestHandler(Parts& parts);
 
   void Complete(const caller::CompletionCall& call,
                 caller::CompletionWriter& writer) override;
@@ -31,9 +32,18 @@
   bool is_ready() const { return this->ready; }
 
  private:
+  // How requests of one kind end, looked up once.
+  struct Counts {
+    Counts(common::CounterRegistry& counters, const char* kind);
+
+    common::Gauge& in_progress;
+    common::Counter& ok;
+    std::map<common::ResultCode, common::Counter*> by_code;
+  };
+
   void RequireRunning() const;
   template <typename Run>
-  auto Counted(const char* kind, Run run);
+  auto Counted(Counts& counts, Run run);
   // Executes the run and records how it ends under the team's hour band.
   template <typename Run>
   auto ExecuteAndRecord(const std::string& team,
@@ -41,6 +51,9 @@
                         Run& run);
 
   Parts& parts;
+  Counts completions;
+  Counts resumes;
+  Counts services;
   std::atomic<bool> stopping{false};
   std::atomic<bool> ready{false};
 };
--- a/source/core/serve/request_steps.cc
+++ b/source/core/serve/request_steps.cc
@@ -21,6 +21,9 @@
 // running answer takes, so asking more often gains little.
 constexpr common::Duration kReservationPause = std::chrono::milliseconds(10);
 
+// A choice older than this may miss a load report or another dispatch.
+constexpr common::Duration kChoiceLifetime = std::chrono::milliseconds(1);
+
 // Failures after which another endpoint may do the work.
 constexpr std::array kRetryable = {
     ResultCode::kEndpointFailed,  ResultCode::kEndpointSilent,
@@ -55,10 +58,9 @@
 }
 
 void RequestSteps::Admit(const RouteRequest& route) {
-  const std::optional<RouteDecision> decision =
-      this->parts.router.With([&](routing::Router& router) {
-        return router.Choose(route, this->parts.timers.Now());
-      });
+  const TimePoint now = this->parts.timers.Now();
+  std::optional<RouteDecision> decision = this->parts.router.With(
+      [&](routing::Router& router) { return router.Choose(route, now); });
   admission::AdmissionRequest request;
   request.team = this->team_name;
   request.service = this->service_name;
@@ -69,6 +71,9 @@
   if (decision)
     request.predicted_first_token = decision->predicted_first_token;
   this->admission = this->parts.gate.Enter(request);
+  const bool at_once = this->parts.timers.Now() - now < kChoiceLifetime;
+  if (at_once)
+    this->early_choice = std::move(decision);
 }
 
 bool RequestSteps::CheckSuspect() {
@@ -85,6 +90,9 @@
 RouteDecision RequestSteps::Route(RouteRequest& route) {
   // The router keeps a reservation by the id, so all asks use the same one.
   route.id = this->parts.ids.Next();
+  if (auto choice = std::exchange(this->early_choice, std::nullopt);
+      choice && !route.isolate)
+    return *std::move(choice);
   while (true) {
     const TimePoint now = this->parts.timers.Now();
     if (now >= this->until)
--- a/source/core/serve/request_steps.h
+++ b/source/core/serve/request_steps.h
@@ -61,6 +61,8 @@
   common::TimePoint arrived;
   common::TimePoint until;
   Admission admission;
+  // The choice made for admission; used when the request starts at once.
+  std::optional<routing::RouteDecision> early_choice;
 };
 
 // One attempt at one endpoint; ends it for the router when it is destroyed.
--- a/source/core/serve/zone_sharing.cc
+++ b/source/core/serve/zone_sharing.cc
@@ -45,7 +45,7 @@
       hosts({self}),
       limit_share(self),
       fibers(pool) {
-  this->SetHosts({self});
+  this->SetHosts({self}, {self});
 }
 
 void ZoneSharing::RegisterHandlers() {
@@ -94,11 +94,12 @@
                      [this](TimePoint) { this->SpreadMarks(); });
 }
 
-void ZoneSharing::SetHosts(const std::vector<std::string>& hosts) {
+void ZoneSharing::SetHosts(const std::vector<std::string>& hosts,
+                           const std::vector<std::string>& sharing) {
   RankedLock lock(this->mutex);
   this->hosts = hosts;
-  this->limit_owner.SetHosts(hosts);
-  this->limit_share.SetHosts(hosts);
+  this->limit_owner.SetHosts(sharing);
+  this->limit_share.SetHosts(sharing);
   this->owners.SetHosts(hosts);
 }
 
--- a/source/core/serve/zone_sharing.h
+++ b/source/core/serve/zone_sharing.h
@@ -41,8 +41,10 @@
   void Start();
   void Stop() { this->fibers.Stop(); }
 
-  // Live hosts of the zone, this one included.
-  void SetHosts(const std::vector<std::string>& hosts);
+  // Live hosts of the zone, and those that share its limits; both with this
+  // one. A leaving host without a share could not finish what it has queued.
+  void SetHosts(const std::vector<std::string>& hosts,
+                const std::vector<std::string>& sharing);
   // The zone's part of a team's limit and the team's weight.
   void SetTeam(const std::string& team, double weight, uint32_t zone_limit);
   void RemoveTeam(const std::string& team);
