--- a/source/core/journal/service.h
+++ b/source/core/journal/service.h
@@ -70,7 +70,8 @@
   SavedAnswer answer;
 };
 using QueryStatus = std::function<StatusResult()>;
-// Live hosts in rendezvous order of the shard, this one included.
+// Live hosts in rendezvous order of the shard, this one included. Runs with the
+// service's lock held (LockRank::kJournal) and must not suspend.
 using HostOrder = std::function<std::vector<HostId>(ShardId)>;
 
 // Runs non-idempotent calls and owns shards on this host. Thread-safe; call it
@@ -107,6 +108,7 @@
 
   // Planned stop: commits what is outstanding, hands unconfirmed outcomes to
   // their owners and waits at most `limit`. Takes over no shard after that.
+  // Callable from any thread.
   void Stop(common::Duration limit);
 
  private:
--- a/tools/process_cluster.py
+++ b/tools/process_cluster.py
@@ -132,6 +132,14 @@
     def status(self):
         return get_json(self.operators, "/status")
 
+    def kill_when_busy(self, requests=2, seconds=3):
+        """Kills the host while it serves that many requests."""
+        limit = time.monotonic() + seconds
+        while (self.status()["active_requests"] < requests and
+               time.monotonic() < limit):
+            time.sleep(0.005)
+        self.process.kill()
+
 
 class Cluster:
     """A deployment: platform, stores, engines, plain services and hosts."""
@@ -323,11 +331,16 @@
         return total
 
     def executions(self):
-        """Executions by "TEAM/KEY", from the log that all workers share."""
+        """Executions by "TEAM/KEY", from the log that all workers share.
+
+        Calls without a key are left out: they are hosts' probes.
+        """
         counts = {}
         if os.path.exists(self.execution_log):
             with open(self.execution_log) as log:
                 for key in log.read().split():
+                    if key.endswith("/"):
+                        continue
                     counts[key] = counts.get(key, 0) + 1
         return counts
 
