--- a/source/core/caller/event_id.cc
+++ b/source/core/caller/event_id.cc
@@ -79,9 +79,9 @@
 
 // One context for each thread: creating one costs more than sealing an id.
 EVP_CIPHER_CTX* ThreadContext() {
-  thread_local const CipherContext context(EVP_CIPHER_CTX_new(),
-                                           &EVP_CIPHER_CTX_free);
-  return context.get();
+  thread_local const CipherContext kContext(EVP_CIPHER_CTX_new(),
+                                            &EVP_CIPHER_CTX_free);
+  return kContext.get();
 }
 
 std::string Join(const StreamPosition& position) {
--- a/source/core/routing/router.h
+++ b/source/core/routing/router.h
@@ -1,6 +1,7 @@
 #ifndef CORE_ROUTING_ROUTER_H_
 #define CORE_ROUTING_ROUTER_H_
 
+#include <array>
 #include <deque>
 #include <map>
 #include <memory>
@@ -113,8 +114,9 @@
     EndpointState state = EndpointState::kLive;
     HolderId holder = 0;
     EndpointLoad load;
-    // Smoothed share of predicted cached tokens that were found.
-    double confidence = 1;
+    // Smoothed share of predicted cached tokens that were found, for entries
+    // that are not doubtful and for those that are.
+    std::array<double, 2> confidence{1, 1};
     std::optional<RequestId> reserved_by;
     common::TimePoint reserved_until;
     // Another host keeps it free for a suspect.
@@ -125,7 +127,8 @@
     bool live = true;
     LinkBudget read;
     LinkBudget write;
-    uint64_t free_bytes = 0;
+    // Smoothed share of restores whose first token came later than predicted.
+    double late_share = 0;
     // Exports sent and not yet confirmed, and since when none was.
     size_t unconfirmed = 0;
     common::TimePoint unconfirmed_since;
@@ -145,8 +148,12 @@
     std::string team;
     std::vector<BlockKey> keys;
     uint64_t predicted_cached_tokens = 0;
-    // Blocks pulled from each store, and their positions in `keys`.
-    std::vector<std::pair<HolderId, uint64_t>> restore_bytes;
+    bool doubtful = false;
+    common::TimePoint dispatched_at;
+    common::Duration predicted_first_token{0};
+    common::Duration predicted_restore{0};
+    // Stores of the restored blocks, and the blocks' positions in `keys`.
+    std::vector<HolderId> restored_from;
     uint32_t restore_from = 0;
     uint32_t restore_blocks = 0;
     bool first_token = false;
@@ -185,12 +192,17 @@
   bool Reserved(const Endpoint& endpoint,
                 RequestId request,
                 common::TimePoint now) const;
-  void CompleteRestores(InFlight& request);
+  void ObserveLateness(const InFlight& request, common::TimePoint now);
+  void ObserveCached(const InFlight& request,
+                     uint64_t cached_tokens,
+                     uint64_t restored_tokens);
 
   bool NearEviction(HolderId endpoint) const;
   Store* StoreForExport(const BlockKey& key, common::TimePoint now);
   void ConfirmExport(const BlockKey& key, HolderId store);
   void ExpireExports(common::TimePoint now);
+  // Whether most exports to the store should have been confirmed by now.
+  bool ExportsLate(const Store& store, common::TimePoint now) const;
   bool TakeExport(const PendingExport& pending,
                   std::vector<Export>& exports,
                   common::TimePoint now);
@@ -211,6 +223,8 @@
   std::vector<HolderId> free_holder_ids;
 
   std::unordered_map<RequestId, InFlight> in_flight;
+  // As Store::late_share, of requests without restores.
+  double other_late_share = 0;
   // Endpoints kept free for suspects. An entry whose time is over stays until
   // the suspect has finished or another takes the endpoint.
   std::unordered_map<RequestId, Endpoint*> reserved;
--- a/source/core/serve/completion_run.h
+++ b/source/core/serve/completion_run.h
@@ -25,6 +25,10 @@
   // Throws common::Error when the request ends without a whole answer.
   void Execute();
 
+  const std::string& service() const { return this->steps.service(); }
+  // Whether the first token came before the deadline.
+  bool in_time() const { return this->first_token_in_time; }
+
  private:
   CompletionRun(Parts& parts,
                 const caller::CompletionCall& call,
@@ -49,8 +53,13 @@
   std::shared_ptr<CallerState> caller;
   RequestSteps steps;
   routing::RouteRequest route;
+  // Host that keeps the index entry of the request's conversation.
+  std::string owner;
   // False until something was sent to an endpoint.
   bool dispatched = false;
+  // The engine was told to end its work because the caller went away.
+  bool engine_told = false;
+  bool first_token_in_time = false;
 };
 
 // Goes on with a stream that the caller received in part.
--- a/source/core/serve/fleet.h
+++ b/source/core/serve/fleet.h
@@ -1,6 +1,7 @@
 #ifndef CORE_SERVE_FLEET_H_
 #define CORE_SERVE_FLEET_H_
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -13,6 +14,7 @@
 #include "core/common/timer_service.h"
 #include "core/endpoint/engine_client.h"
 #include "core/endpoint/plain_client.h"
+#include "core/load_exchange/exchange.h"
 #include "core/runtime/worker_pool.h"
 #include "core/serve/decisions.h"
 #include "core/serve/fiber_group.h"
@@ -35,15 +37,30 @@
         common::CounterRegistry& counters,
         const Settings& settings);
 
-  void Start();
+  // Sends a `load_reports` message to the other hosts of the zone.
+  using SendToZone = std::function<void(const std::string& bytes)>;
+
+  // An engine told whether it leaves.
+  using OnLeavingReport =
+      std::function<void(const std::string& endpoint, bool leaving)>;
+
+  // Both run on fibers and may suspend.
+  void Start(SendToZone send, OnLeavingReport on_leaving);
+  // Ends all polls, before what the two functions use is destroyed.
+  void Stop() { this->fibers.Stop(); }
+  // Live hosts of this zone, this one included.
+  void SetZoneHosts(std::vector<std::string> hosts);
+  // Takes a `load_reports` message of another host of the zone. Throws
+  // common::Error kProtocolError when it is malformed.
+  void OnLoadReports(std::string_view bytes);
   // Brings the endpoints and stores in line with the table.
   void OnConfig();
 
   // The endpoint gave no answer on a new connection. It gets no work until it
   // answers a poll again.
   void ReportDown(std::string_view endpoint);
-  // Another host sees the endpoint as leaving.
-  void ReportLeaving(std::string_view endpoint);
+  // Whether any host of the zone sees the endpoint as leaving.
+  void SetLeavingInZone(std::string_view endpoint, bool leaving);
 
   std::optional<runtime::Address> AddressOf(std::string_view endpoint) const;
 
@@ -61,6 +78,7 @@
     bool plain = false;
     bool leaving_in_table = false;
     bool leaving_by_report = false;
+    bool leaving_in_zone = false;
     bool down = false;
     int failed_polls = 0;
     uint32_t slots = 0;
@@ -70,13 +88,20 @@
   };
 
   void Tell(Member& member);
-  void PollDueEndpoints(common::TimePoint now);
+  void PollZone(common::TimePoint now);
+  void PollOthers();
+  void StartPoll(const std::string& name, Member& member);
+  void SendReports(common::TimePoint now);
+  void OnReport(const std::string& name,
+                const routing::LoadReport& report,
+                const std::optional<load_exchange::EventRun>& run);
+  bool IsOwnEngine(const Member& member) const;
   void PollEndpoint(const std::string& name,
                     const runtime::Address& address,
                     bool plain);
   void PollEngine(const std::string& name, const runtime::Address& address);
-  void OnPollAnswered(const std::string& name,
-                      std::optional<endpoint::EngineLoad> load);
+  void OnPollAnswered(const std::string& name);
+  void Note(const std::string& name, const routing::LoadReport& report);
   void OnPollFailed(const std::string& name);
   void PollStores();
   void PollStore(const std::string& name, const runtime::Address& address);
@@ -94,6 +119,10 @@
   common::RankedMutex mutex{common::LockRank::kServe};
   std::map<std::string, Member, std::less<>> members;
   std::map<std::string, runtime::Address> known_stores;
+  load_exchange::Exchange exchange;
+  common::TimePoint reports_due;
+  SendToZone send_to_zone;
+  OnLeavingReport on_leaving_report;
   // Where the round of polls goes on.
   std::string next_poll;
   // Last: its fibers use everything above.
--- a/source/core/serve/service_run.h
+++ b/source/core/serve/service_run.h
@@ -18,8 +18,10 @@
   // The service's answer. Throws common::Error when there is none.
   runtime::HttpResponse Execute();
 
+  // Whether the deadline has not passed yet.
+  bool in_time() const;
+
  private:
-  void PrepareRoute();
   runtime::HttpResponse RunWithRetry();
   runtime::HttpResponse RunAttempt();
 
@@ -30,6 +32,11 @@
   bool dispatched = false;
 };
 
+// What the router needs to know about a plain call.
+routing::RouteRequest PlainRoute(const Parts& parts,
+                                 const caller::ServiceCall& call,
+                                 const RequestSteps& steps);
+
 // The request as a plain service receives it.
 runtime::HttpRequest ForwardedRequest(const caller::ServiceCall& call,
                                       const std::string& request_id);
--- a/source/core/serve/settings.h
+++ b/source/core/serve/settings.h
@@ -19,6 +19,8 @@
   std::string host_address = "127.0.0.1:8082";
   std::string platform_address;
   std::string deployment_key;
+  // Empty: the operator address accepts every caller.
+  std::string operator_key;
   int64_t worker_threads = 2;
   int64_t utc_offset_minutes = 0;
 
@@ -42,9 +44,9 @@
   // Periodic work.
   common::Duration load_poll_period = std::chrono::milliseconds(250);
   common::Duration store_poll_period = std::chrono::seconds(1);
-  common::Duration relist_period = std::chrono::seconds(10);
-  common::Duration watch_idle_limit = std::chrono::seconds(3);
-  int64_t polls_per_second = 100;
+  common::Duration relist_period = std::chrono::minutes(30);
+  common::Duration watch_idle_limit = std::chrono::milliseconds(1500);
+  int64_t polls_per_second = 1;
 
   common::Duration stop_limit = std::chrono::seconds(120);
 };
--- a/tools/process_cluster.py
+++ b/tools/process_cluster.py
@@ -21,6 +21,8 @@
 BLOCK_BYTES = 8000
 DEPLOYMENT_KEY = "loopback-deployment-key"
 TOKEN_TIMEOUT_S = 15
+SERVICE_BAND = {"from": "00:00", "to": "24:00", "patience_ms": 10000,
+                "max_queue": 1000}
 # Real blocks have 64 MB, the size that hosts estimate with. Stand-ins move
 # this many bytes for a block and account for the real size.
 KV_BYTES_PER_BLOCK = 64 * 1024
@@ -130,6 +132,14 @@
     def status(self):
         return get_json(self.operators, "/status")
 
+    def kill_when_busy(self, requests=2, seconds=3):
+        """Kills the host while it serves that many requests."""
+        limit = time.monotonic() + seconds
+        while (self.status()["active_requests"] < requests and
+               time.monotonic() < limit):
+            time.sleep(0.005)
+        self.process.kill()
+
 
 class Cluster:
     """A deployment: platform, stores, engines, plain services and hosts."""
@@ -252,11 +262,18 @@
 
     def put(self, kind, name, body):
         """Writes an object on its present version and returns the new one."""
+        path = f"/objects/{kind}/{name}"
         version = self.object_versions.get((kind, name), 0)
-        status, _, text = call(
-            self.platform.address, "PUT", f"/objects/{kind}/{name}",
-            {"token": f"cluster-{time.monotonic_ns()}", "body": body},
-            {"If-Version": str(version)})
+        token = f"cluster-{time.monotonic_ns()}"
+        try:
+            status, _, text = call(
+                self.platform.address, "PUT", path,
+                {"token": token, "body": body}, {"If-Version": str(version)})
+        except http.client.RemoteDisconnected:
+            # The answer was lost; the token tells whether the write was.
+            status, _, text = call(self.platform.address, "GET", path)
+            if status != 200 or json.loads(text)["token"] != token:
+                raise
         if status != 200:
             raise RuntimeError(f"writing {kind}/{name}: {status} {text}")
         self.object_versions[(kind, name)] = json.loads(text)["version"]
@@ -271,20 +288,22 @@
                 "max_running": 200, "patience_ms": 10000, **changes}
         return {"keys": [sha(self.keys[team])], "bands": [band]}
 
+    def put_engine_service(self, version):
+        d = self.deployment
+        self.put("service", d["engine_service"], {
+            "kind": "engine", "models": [d["model"]], "version": version,
+            "loads_at_once": 3, "retry_budget": 0.2, "bands": [SERVICE_BAND]})
+
     def write_table(self):
         d = self.deployment
         for team in d["teams"]:
             self.keys[team] = f"key-of-{team}"
             self.put("team", team, self.team_body(team))
-        band = {"from": "00:00", "to": "24:00", "patience_ms": 10000,
-                "max_queue": 1000}
-        self.put("service", d["engine_service"], {
-            "kind": "engine", "models": [d["model"]], "version": "v1",
-            "loads_at_once": 3, "retry_budget": 0.2, "bands": [band]})
+        self.put_engine_service("v1")
         self.put("service", d["plain_service"], {
             "kind": "plain", "status_path": "/status",
             "non_idempotent": [{"method": "POST", "path_prefix": "/pay"}],
-            "retry_budget": 0.2, "bands": [band]})
+            "retry_budget": 0.2, "bands": [SERVICE_BAND]})
         for name, store in self.stores.items():
             self.put("store", name, {"zone": d["zones"][0],
                                      "address": store.address})
@@ -312,11 +331,16 @@
         return total
 
     def executions(self):
-        """Executions by "TEAM/KEY", from the log that all workers share."""
+        """Executions by "TEAM/KEY", from the log that all workers share.
+
+        Calls without a key are left out: they are hosts' probes.
+        """
         counts = {}
         if os.path.exists(self.execution_log):
             with open(self.execution_log) as log:
                 for key in log.read().split():
+                    if key.endswith("/"):
+                        continue
                     counts[key] = counts.get(key, 0) + 1
         return counts
 
@@ -367,12 +391,14 @@
         self.done = False
         self.first_token_s = None
         self.refused = []   # (code, outcome)
-        self.broken = []    # (host, whether a byte of the answer had come)
+        self.broken = []    # (host, whether a token had come, error, time)
+        self.stream_errors = []  # (host, code, time) after the first byte
         self.resumes = 0
         self.restarts = 0
+        self.started = self.ended = None
 
     def run(self):
-        started = time.monotonic()
+        started = self.started = time.monotonic()
         host = None
         while not self.done and time.monotonic() - started < self.give_up_s:
             host = self.balancer.pick(avoid=host)
@@ -390,6 +416,7 @@
                 wait = 0.05
             if not self.done and len(self.text) == got:
                 time.sleep(wait)
+        self.ended = time.monotonic()
         return self
 
     def headers(self):
@@ -418,7 +445,7 @@
             response = connection.getresponse()
             if response.status != 200:
                 return self.on_problem(json.loads(response.read()))
-            return self.read_events(response, started)
+            return self.read_events(host, response, started)
         finally:
             connection.close()
 
@@ -433,7 +460,7 @@
         self.text = ""
         self.last_id = None
 
-    def read_events(self, response, started):
+    def read_events(self, host, response, started):
         event = {}
         while True:
             line = response.readline().decode()
@@ -445,7 +472,10 @@
                 event[name] = value.lstrip()
                 continue
             if event.get("event") == "error":
-                return self.on_problem(json.loads(event["data"]))
+                problem = json.loads(event["data"])
+                self.stream_errors.append(
+                    (host.name, problem.get("code"), time.monotonic()))
+                return self.on_problem(problem)
             if event.get("data") == "[DONE]":
                 self.done = True
                 return 0
@@ -472,7 +502,7 @@
         self.attempts = attempts
         self.answers = []   # "done", "not_run", "unknown", "broken", "refused"
         self.codes = []
-        self.broken = []
+        self.broken = []    # as in Completion
         self.issued_at = time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime())
 
     def run(self):
