--- a/source/unit_tests/core/membership/view_test.cc
+++ b/source/unit_tests/core/membership/view_test.cc
@@ -86,6 +86,21 @@
   }
 }
 
+// One broken path must not make two healthy hosts look dead.
+TEST_CASE("hosts that can not reach each other are reached through others") {
+  for (uint64_t seed = 1; seed <= 3; ++seed) {
+    auto fleet = MakeZone(seed, 8);
+    fleet->cut = [](const Fleet::Host& a, const Fleet::Host& b) {
+      return a.name + b.name == "host1host2" || a.name + b.name == "host2host1";
+    };
+    fleet->Run(minutes(2));
+    for (auto& [name, host] : fleet->hosts) {
+      for (const HostChange& change : host->changes)
+        CHECK(change.state == HostState::kAlive);
+    }
+  }
+}
+
 // On resume its own waits look like time-outs of everybody else.
 TEST_CASE("a paused host rejoins and suspects nobody") {
   for (uint64_t seed = 1; seed <= 10; ++seed) {
