--- a/source/unit_tests/standin/engine_standin_test.cc
+++ b/source/unit_tests/standin/engine_standin_test.cc
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "core/common/hash.h"
 #include "core/runtime/http_client.h"
 #include "core/runtime/http_server.h"
 #include "core/runtime/sleep.h"
@@ -165,6 +166,37 @@
   });
 }
 
+// A block that was cut off or changed on its way to the store must not become
+// visible: no engine could tell it from a whole one by its length alone.
+TEST_CASE("a store seals a block only when length and checksum match") {
+  Fixture f;
+  f.pool.Run([&] {
+    const std::string body = "block";
+    const auto put = [&](const std::string& length, const std::string& sum) {
+      return f.client
+          .Fetch(f.store_server.address(), {"PUT",
+                                            "/blocks/k1",
+                                            {{"Block-Team", "a"},
+                                             {"Block-Version", "v1"},
+                                             {"Block-Length", length},
+                                             {"Block-Checksum", sum}},
+                                            body})
+          .status;
+    };
+    const auto get = [&] {
+      return f.client
+          .Fetch(f.store_server.address(), {"GET", "/blocks/k1", {}, ""})
+          .status;
+    };
+    const std::string sum = common::Hash128Hex(body);
+    REQUIRE(put("9", sum) == 400);
+    REQUIRE(put("5", common::Hash128Hex("other")) == 400);
+    REQUIRE(get() == 404);
+    REQUIRE(put("5", sum) == 200);
+    REQUIRE(get() == 200);
+  });
+}
+
 // Guards against a test oracle that can not see a mixed answer: a cached block
 // of another prompt must change the text.
 TEST_CASE("a wrong key shows in the answer") {
