--- a/source/jujuberock/main.cc
+++ b/source/jujuberock/main.cc
@@ -32,10 +32,10 @@
             RunTable},
     Command{"version", "version set SERVICE VERSION --platform ADDRESS",
             "asks for another weight version of a service", RunVersion},
-    Command{
-        "load", "load [--seeds N] [--ablations] [--plot FILE]",
-        "replays callers against modelled deployments and compares policies",
-        RunLoad},
+    Command{"load",
+            "load policy|ablation|overload|routing-cost [--seeds N] "
+            "[--threads N] [--out PREFIX]",
+            "runs experiments on modelled deployments", RunLoad},
 };
 
 void PrintUsage(std::ostream& out) {
