--- a/source/unit_tests/core/host/http2_transport_test.cc
+++ b/source/unit_tests/core/host/http2_transport_test.cc
@@ -217,9 +217,12 @@
             .value() == 0);
 }
 
-// Connects, optionally proves the deployment key, sends `bytes` and waits until
-// the server closes the connection.
-void SendRaw(TwoHosts& hosts, const std::string& bytes, bool prove) {
+// Connects, proves `key` unless it is empty, sends `bytes` and waits until the
+// server closes the connection. Returns the bytes received after the challenge.
+size_t SendRaw(TwoHosts& hosts,
+               const std::string& bytes,
+               const std::string& key) {
+  size_t received = 0;
   hosts.pool.Run([&] {
     tcp::socket socket(runtime::CurrentIo());
     error_code error;
@@ -228,24 +231,33 @@
         tcp::endpoint(boost::asio::ip::make_address(address.ip), address.port),
         Await(error));
     REQUIRE_FALSE(error);
+    std::array<char, kHandshakeMagic.size() + kNonceBytes> challenge;
+    boost::asio::async_read(socket, boost::asio::buffer(challenge),
+                            Await(error));
     std::string sent = bytes;
-    if (prove) {
-      std::array<char, kHandshakeMagic.size() + kNonceBytes> challenge;
-      boost::asio::async_read(socket, boost::asio::buffer(challenge),
-                              Await(error));
+    if (!key.empty()) {
       HandshakeFacts facts;
       std::copy_n(challenge.begin() + kHandshakeMagic.size(), kNonceBytes,
                   facts.server_nonce.begin());
       facts.client_name = "host-a";
-      const Proof proof = MakeProof("secret", Role::kClient, facts);
+      const Proof proof = MakeProof(key, Role::kClient, facts);
       sent = std::string(kNonceBytes, '\0') + '\x06' + "host-a" +
              std::string(proof.begin(), proof.end()) + bytes;
     }
     boost::asio::async_write(socket, boost::asio::buffer(sent), Await(error));
     std::array<char, 512> buffer;
     while (!error)
-      socket.async_read_some(boost::asio::buffer(buffer), Await(error));
+      received +=
+          socket.async_read_some(boost::asio::buffer(buffer), Await(error));
   });
+  return received;
+}
+
+// The client's own check of the server must not be what keeps it out.
+TEST_CASE("a client that proves another key gets no byte") {
+  TwoHosts hosts;
+  CHECK(SendRaw(hosts, "", "another secret") == 0);
+  CHECK(SendRaw(hosts, std::string(200, 'x'), "") == 0);
 }
 
 // Malformed bytes must close that connection only, never the process.
@@ -260,8 +272,8 @@
        {std::string("GET / HTTP/1.1\r\n\r\n"), std::string(300, '\xff'),
         preface + std::string(64, 'x'), preface + settings + huge_frame,
         preface + settings + bad_headers, preface + settings + data_on_idle}) {
-    SendRaw(hosts, bytes, false);
-    SendRaw(hosts, bytes, true);
+    SendRaw(hosts, bytes, "");
+    SendRaw(hosts, bytes, "secret");
   }
   CHECK(hosts.Call("host-b", "echo", "x") == "host-a:x");
 }
--- a/source/unit_tests/core/membership/view_test.cc
+++ b/source/unit_tests/core/membership/view_test.cc
@@ -107,7 +107,8 @@
     auto fleet = MakeZone(seed, 20);
     // Slow answers, so that some are on their way when the pause begins.
     fleet->jitter = milliseconds(400);
-    fleet->Run(seconds(3));
+    // Hosts probe just after each full second.
+    fleet->Run(seconds(3) + milliseconds(250));
     fleet->Pause("host3");
     REQUIRE(fleet->RunUntil(
         [&] { return AllSee(*fleet, "host3", HostState::kDead); },
