Keep a reserve for predictions while requests wait

At twice the load a quarter of the answers came after their deadline: endpoints are busier when a request starts than its prediction assumed. While requests wait, admission now takes 1.5 times the predicted first token; on an idle service the prediction stands, so that long prompts are not refused needlessly.

--- a/source/core/admission/controller.cc
+++ b/source/core/admission/controller.cc
@@ -9,6 +9,11 @@
 // Weight of the newest observation in the smoothed running time.
 constexpr double kSmoothing = 0.05;
 
+// While requests wait, endpoints are busy and first tokens come later than
+// predicted at arrival. Without this factor a quarter of the answers at twice
+// the load came after their deadline in the overload experiment.
+constexpr double kBusyFactor = 1.5;
+
 // A shorter hint would bring the caller back before anything has changed.
 constexpr double kMinRetrySeconds = 0.2;
 
@@ -47,8 +52,11 @@
   Team& team = this->TeamOf(request.team);
   const bool at_limit = team.running >= team.max_running;
   const double wait = this->PredictedWait(service, request.team, team);
+  const double factor = wait > 0 ? kBusyFactor : 1;
+  const common::Duration start_to_token = common::FromSeconds(
+      factor * common::ToSeconds(request.predicted_first_token));
   const common::TimePoint first_token =
-      now + common::FromSeconds(wait) + request.predicted_first_token;
+      now + common::FromSeconds(wait) + start_to_token;
   Decision decision;
   if (first_token > request.deadline) {
     decision.code = at_limit ? common::ResultCode::kTeamLimit
@@ -69,9 +77,8 @@
   auto& queue = service.queues[request.team];
   if (queue.empty())
     service.order->OnWaiting(request.team);
-  queue.push_back({decision.ticket,
-                   request.deadline - request.predicted_first_token,
-                   request.cost});
+  queue.push_back(
+      {decision.ticket, request.deadline - start_to_token, request.cost});
   ++team.queued;
   ++service.queued;
   std::vector<Ticket> admitted;
--- a/source/unit_tests/core/admission/controller_test.cc
+++ b/source/unit_tests/core/admission/controller_test.cc
@@ -51,6 +51,18 @@
         common::ResultCode::kDeadlineUnreachable);
 }
 
+// Predictions are exact on idle endpoints and short on busy ones.
+TEST_CASE("a prediction needs a reserve only while others run") {
+  Controller controller;
+  controller.SetService("s", 1, 100);
+  Teach(controller, 0.01);
+  AdmissionRequest request = Request("a", 1, 2);
+  request.predicted_first_token = milliseconds(1600);
+  CHECK(controller.Submit(request, At(1)).state == DecisionState::kAdmitted);
+  CHECK(controller.Submit(request, At(1)).code ==
+        common::ResultCode::kDeadlineUnreachable);
+}
+
 TEST_CASE("a waiting request that becomes late expires and frees its place") {
   Controller controller;
   controller.SetService("s", 1, 1);
