Connect the remaining decisions of routing and admission to the host

Cause: serve never told the router how many hosts share the links, did not exchange reservations for suspects, did not use the concurrency limit, and did not notice that an engine restarted with an empty cache. Change: all four are connected; reservations travel every 100 ms while there are any; the poller passes a restart on with the cache events. Ruled out: taking a lower report time as a restart, since engines may report wall time.

--- a/source/core/admission/controller.cc
+++ b/source/core/admission/controller.cc
@@ -141,6 +141,11 @@
   return found == this->teams.end() ? 0 : found->second.queued;
 }
 
+uint32_t Controller::service_running(std::string_view service) const {
+  auto found = this->services.find(service);
+  return found == this->services.end() ? 0 : found->second.running;
+}
+
 Controller::Team& Controller::TeamOf(std::string_view name) {
   auto found = this->teams.find(name);
   if (found == this->teams.end())
--- a/source/core/admission/controller.h
+++ b/source/core/admission/controller.h
@@ -89,6 +89,8 @@
   // Running and queued requests of a team, for its limit's owner.
   uint32_t running(std::string_view team) const;
   uint32_t queued(std::string_view team) const;
+  // Running requests of a service.
+  uint32_t service_running(std::string_view service) const;
 
  private:
   struct Waiting {
--- a/source/core/load_exchange/codec.cc
+++ b/source/core/load_exchange/codec.cc
@@ -15,6 +15,7 @@
 constexpr size_t kShortFields = 4;
 constexpr size_t kEntryFields = 6;
 constexpr size_t kFullFields = 11;
+constexpr size_t kCacheFields = 3;
 
 using Packer = msgpack::packer<msgpack::sbuffer>;
 
@@ -34,8 +35,9 @@
 }
 
 void PackCache(Packer& packer, const EventRun& run) {
-  packer.pack_array(2);
+  packer.pack_array(kCacheFields);
   packer.pack(run.first_sequence);
+  packer.pack(run.restarted);
   packer.pack_array(static_cast<uint32_t>(run.events.size()));
   for (const routing::CacheEvent& event : run.events) {
     packer.pack_array(3);
@@ -89,11 +91,12 @@
 }
 
 EventRun UnpackCache(const msgpack::object& object) {
-  const msgpack::object* fields = Elements(object, 2);
-  const msgpack::object* events = Elements(fields[1], 0);
+  const msgpack::object* fields = Elements(object, kCacheFields);
+  const msgpack::object* events = Elements(fields[2], 0);
   EventRun run;
   run.first_sequence = fields[0].as<uint64_t>();
-  for (size_t i = 0; i < fields[1].via.array.size; ++i) {
+  run.restarted = fields[1].as<bool>();
+  for (size_t i = 0; i < fields[2].via.array.size; ++i) {
     const msgpack::object* event = Elements(events[i], 3);
     const bool added = event[0].as<bool>();
     run.events.push_back({added ? routing::CacheEvent::Op::kAdd
--- a/source/core/load_exchange/codec.h
+++ b/source/core/load_exchange/codec.h
@@ -13,6 +13,7 @@
 // there, also `full` and `cache`. `full` is nil or [name, as_of_us, running,
 // queued_tokens, slots, prefill_tokens_per_s, decode_ms, kv_capacity_blocks,
 // kv_used_blocks, version, leaving]; `cache` is nil or [first_sequence,
+// restarted,
 // [[added, key_high, key_low], ...]].
 std::string Encode(const LoadMessage& message);
 
--- a/source/core/load_exchange/exchange.cc
+++ b/source/core/load_exchange/exchange.cc
@@ -149,11 +149,13 @@
 
 void Exchange::OnPolledEvents(const std::string& endpoint, EventRun run) {
   auto found = this->endpoints.find(endpoint);
-  if (found == this->endpoints.end() || run.events.empty())
+  if (found == this->endpoints.end() || (run.events.empty() && !run.restarted))
     return;
   EventRun& unsent = found->second.unsent_events;
   const uint64_t expected = unsent.first_sequence + unsent.events.size();
-  if (unsent.events.empty() || run.first_sequence != expected) {
+  if (unsent.events.empty() || run.restarted ||
+      run.first_sequence != expected) {
+    run.restarted = run.restarted || unsent.restarted;
     unsent = std::move(run);
     return;
   }
@@ -175,7 +177,7 @@
                             LoadEntry& entry,
                             size_t& events_left) {
   EventRun run = std::exchange(state.unsent_events, {});
-  if (run.events.empty())
+  if (run.events.empty() && !run.restarted)
     return;
   // The newest events are worth most; the gap makes older entries doubtful.
   if (run.events.size() > events_left) {
@@ -185,7 +187,7 @@
     run.first_sequence += dropped;
   }
   events_left -= run.events.size();
-  if (!run.events.empty())
+  if (!run.events.empty() || run.restarted)
     entry.cache = std::move(run);
 }
 
--- a/source/core/load_exchange/exchange.h
+++ b/source/core/load_exchange/exchange.h
@@ -18,6 +18,8 @@
 struct EventRun {
   uint64_t first_sequence = 0;
   std::vector<routing::CacheEvent> events;
+  // The endpoint's numbers went back: it restarted with an empty cache.
+  bool restarted = false;
 };
 
 // One endpoint in a message. It is kept small, since a host receives one for
--- a/source/core/serve/admission_gate.cc
+++ b/source/core/serve/admission_gate.cc
@@ -94,7 +94,28 @@
                                uint32_t max_running,
                                uint32_t max_queue) {
   RankedLock lock(this->mutex);
-  this->controller.SetService(service, max_running, max_queue);
+  auto found = this->limits.find(service);
+  if (found == this->limits.end()) {
+    const ServiceLimit limit{admission::ConcurrencyLimit(max_running), 0};
+    found = this->limits.emplace(service, limit).first;
+  }
+  ServiceLimit& limit = found->second;
+  limit.running.SetMost(max_running);
+  limit.max_queue = max_queue;
+  this->controller.SetService(service, limit.running.value(), max_queue);
+}
+
+void AdmissionGate::OnFirstToken(std::string_view service,
+                                 common::Duration elapsed,
+                                 common::Duration patience) {
+  RankedLock lock(this->mutex);
+  const auto found = this->limits.find(service);
+  if (found == this->limits.end())
+    return;
+  ServiceLimit& limit = found->second;
+  limit.running.OnFirstToken(elapsed, patience,
+                             this->controller.service_running(service));
+  this->controller.SetService(service, limit.running.value(), limit.max_queue);
 }
 
 void AdmissionGate::SetTeam(std::string_view team,
--- a/source/core/serve/admission_gate.h
+++ b/source/core/serve/admission_gate.h
@@ -1,12 +1,15 @@
 #ifndef CORE_SERVE_ADMISSION_GATE_H_
 #define CORE_SERVE_ADMISSION_GATE_H_
 
+#include <map>
 #include <memory>
+#include <string>
 #include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <vector>
 
+#include "core/admission/concurrency_limit.h"
 #include "core/admission/controller.h"
 #include "core/common/counters.h"
 #include "core/common/ranked_mutex.h"
@@ -48,9 +51,15 @@
   // case the request has not run.
   Admission Enter(const admission::AdmissionRequest& request);
 
+  // `max_running` is this host's share of the endpoints' slots; fewer run when
+  // first tokens come late.
   void SetService(std::string_view service,
                   uint32_t max_running,
                   uint32_t max_queue);
+  // A first token came this long after its dispatch.
+  void OnFirstToken(std::string_view service,
+                    common::Duration elapsed,
+                    common::Duration patience);
   void SetTeam(std::string_view team, double weight, uint32_t max_running);
   // Expires requests that can not meet their deadline any more.
   void OnTick(common::TimePoint now);
@@ -74,7 +83,13 @@
   common::Counter& expired;
   common::DurationHistogram& wait_time;
   common::RankedMutex mutex{common::LockRank::kAdmission};
+  struct ServiceLimit {
+    admission::ConcurrencyLimit running;
+    uint32_t max_queue = 0;
+  };
+
   admission::Controller controller;
+  std::map<std::string, ServiceLimit, std::less<>> limits;
   std::unordered_map<admission::Ticket, WaiterPtr> waiters;
 };
 
--- a/source/core/serve/completion_run.cc
+++ b/source/core/serve/completion_run.cc
@@ -125,6 +125,7 @@
     throw Error(ResultCode::kNoEndpoint, "the endpoint has just been removed");
   Attempt attempt(this->parts, this->steps, this->route, decision);
   this->dispatched = true;
+  this->dispatched_at = this->parts.timers.Now();
   this->parts.sharing.TellOwner(this->owner, this->route, decision);
   try {
     const RelayResult result = this->RunAt(decision, *address);
@@ -168,6 +169,9 @@
                 "the engine answered with another weight version");
   const common::TimePoint now = this->parts.timers.Now();
   this->first_token_in_time = now <= this->steps.deadline();
+  this->parts.gate.OnFirstToken(this->steps.service(),
+                                now - this->dispatched_at,
+                                this->steps.deadline() - this->steps.start());
   this->parts.router.With([&](routing::Router& router) {
     router.OnFirstToken(this->route.id,
                         static_cast<uint64_t>(token.cached_tokens),
--- a/source/core/serve/completion_run.h
+++ b/source/core/serve/completion_run.h
@@ -60,6 +60,7 @@
   // The engine was told to end its work because the caller went away.
   bool engine_told = false;
   bool first_token_in_time = false;
+  common::TimePoint dispatched_at;
 };
 
 // Goes on with a stream that the caller received in part.
--- a/source/core/serve/fleet.cc
+++ b/source/core/serve/fleet.cc
@@ -335,8 +335,12 @@
   this->OnPollAnswered(name);
   const uint64_t since = this->router.With(
       [&](routing::Router& router) { return router.NextSequence(name); });
-  load_exchange::EventRun run =
-      ToEventRun(this->engines.Events(address, since));
+  endpoint::CacheEvents received = this->engines.Events(address, since);
+  const bool restarted = received.next < since;
+  if (restarted)
+    received = this->engines.Events(address, 0);
+  load_exchange::EventRun run = ToEventRun(received);
+  run.restarted = restarted;
   this->OnReport(name, report, run);
   {
     RankedLock lock(this->mutex);
@@ -353,6 +357,8 @@
   const TimePoint now = this->timers.Now();
   this->router.With([&](routing::Router& router) {
     router.OnLoadReport(name, report, now);
+    if (run && run->restarted)
+      router.OnHolderRestarted(name);
     if (run)
       router.OnCacheEvents(name, run->first_sequence, run->events, now);
   });
--- a/source/core/serve/host.cc
+++ b/source/core/serve/host.cc
@@ -228,7 +228,7 @@
               detached,
               counters,
               settings.host_name),
-      limits(timers, view, fleet, gate, budget, sharing, settings),
+      limits(timers, view, fleet, gate, budget, router, sharing, settings),
       hosts(coordinator),
       members(coordinator, peers, platform, pool, timers, counters),
       journal_store(journal::MakePlatformStore(platform)),
--- a/source/core/serve/limits.cc
+++ b/source/core/serve/limits.cc
@@ -55,6 +55,9 @@
 
 void Limits::Update() {
   const table::SnapshotPtr rows = this->view.Current();
+  // Every host may use the links of every store.
+  this->router.With(
+      [&](routing::Router& router) { router.OnHostCount(LiveHosts(*rows)); });
   for (const auto& [name, service] : rows->services())
     this->UpdateService(*rows, *service);
   for (const auto& [name, team] : rows->teams())
--- a/source/core/serve/limits.h
+++ b/source/core/serve/limits.h
@@ -20,6 +20,7 @@
          Fleet& fleet,
          AdmissionGate& gate,
          GuardedBudget& budget,
+         GuardedRouter& router,
          ZoneSharing& sharing,
          const Settings& settings)
       : timers(timers),
@@ -27,6 +28,7 @@
         fleet(fleet),
         gate(gate),
         budget(budget),
+        router(router),
         sharing(sharing),
         settings(settings) {}
 
@@ -44,6 +46,7 @@
   Fleet& fleet;
   AdmissionGate& gate;
   GuardedBudget& budget;
+  GuardedRouter& router;
   ZoneSharing& sharing;
   const Settings& settings;
 };
--- a/source/core/serve/peer_messages.cc
+++ b/source/core/serve/peer_messages.cc
@@ -17,6 +17,7 @@
 using DemandFields = std::tuple<std::string, uint32_t, uint32_t>;
 using GrantFields = std::tuple<std::string, uint32_t, int64_t, bool>;
 using MarkFields = std::tuple<uint64_t, std::string, int64_t>;
+using ReservationFields = std::tuple<std::string, int64_t>;
 using KeyFields = std::tuple<uint64_t, uint64_t>;
 using HolderFields = std::tuple<std::string, uint32_t, bool>;
 using StoredFields = std::tuple<std::string, std::vector<uint32_t>>;
@@ -109,6 +110,23 @@
   return marks;
 }
 
+std::string EncodeReservations(
+    const std::vector<routing::Reservation>& reservations) {
+  std::vector<ReservationFields> fields;
+  for (const routing::Reservation& reservation : reservations)
+    fields.emplace_back(reservation.endpoint, reservation.remaining.count());
+  return Pack(fields);
+}
+
+std::vector<routing::Reservation> DecodeReservations(std::string_view bytes) {
+  const auto [fields] =
+      Unpack<std::vector<ReservationFields>>(bytes, kReservationsMessage);
+  std::vector<routing::Reservation> reservations;
+  for (const auto& [endpoint, remaining] : fields)
+    reservations.push_back({endpoint, common::Duration(remaining)});
+  return reservations;
+}
+
 std::string EncodeQuery(const routing::IndexQuery& query) {
   std::vector<KeyFields> fields;
   for (const routing::BlockKey& key : query.keys)
--- a/source/core/serve/peer_messages.h
+++ b/source/core/serve/peer_messages.h
@@ -16,6 +16,7 @@
 inline constexpr std::string_view kLoadReportsMessage = "load_reports";
 inline constexpr std::string_view kLimitGrantMessage = "limit_grant";
 inline constexpr std::string_view kSuspectMarksMessage = "suspect_marks";
+inline constexpr std::string_view kReservationsMessage = "reservations";
 inline constexpr std::string_view kIndexQueryMessage = "index_query";
 inline constexpr std::string_view kIndexUpdateMessage = "index_update";
 inline constexpr std::string_view kStreamTakenMessage = "stream_taken";
@@ -26,6 +27,9 @@
 std::string EncodeGrants(const std::vector<admission::LimitGrant>& grants);
 // suspect_marks: [1, [[fingerprint, endpoint, age_us], ...]].
 std::string EncodeMarks(const std::vector<suspects::Mark>& marks);
+// reservations: [1, [[endpoint, remaining_us], ...]].
+std::string EncodeReservations(
+    const std::vector<routing::Reservation>& reservations);
 // index_query: [1, [[high, low], ...]], answered with
 // [1, [[endpoint, leading_blocks, doubtful], ...], [[store, positions], ...]].
 std::string EncodeQuery(const routing::IndexQuery& query);
@@ -39,6 +43,7 @@
 std::vector<admission::LimitDemand> DecodeDemands(std::string_view bytes);
 std::vector<admission::LimitGrant> DecodeGrants(std::string_view bytes);
 std::vector<suspects::Mark> DecodeMarks(std::string_view bytes);
+std::vector<routing::Reservation> DecodeReservations(std::string_view bytes);
 routing::IndexQuery DecodeQuery(std::string_view bytes);
 routing::IndexAnswer DecodeAnswer(std::string_view bytes);
 routing::IndexUpdate DecodeUpdate(std::string_view bytes);
--- a/source/core/serve/zone_sharing.cc
+++ b/source/core/serve/zone_sharing.cc
@@ -19,6 +19,8 @@
 // Marks are sent on every crash; this repeats them for hosts that have started
 // since.
 constexpr common::Duration kMarksPeriod = std::chrono::seconds(10);
+// A reserved endpoint drains first, which takes longer than this.
+constexpr common::Duration kReservationsPeriod = std::chrono::milliseconds(100);
 constexpr common::Duration kMessageTimeout = std::chrono::milliseconds(500);
 
 }  // namespace
@@ -65,6 +67,14 @@
     });
     return "";
   });
+  handle(kReservationsMessage, [this](std::string_view body) -> std::string {
+    const std::vector<routing::Reservation> reservations =
+        DecodeReservations(body);
+    this->router.With([&](routing::Router& router) {
+      router.OnReservations(reservations, this->timers.Now());
+    });
+    return "";
+  });
   handle(kLoadReportsMessage, [this](std::string_view body) -> std::string {
     this->fleet.OnLoadReports(body);
     return "";
@@ -90,6 +100,8 @@
 void ZoneSharing::Start() {
   this->fibers.Every(this->timers, kLimitsPeriod,
                      [this](TimePoint) { this->AskForLimits(); });
+  this->fibers.Every(this->timers, kReservationsPeriod,
+                     [this](TimePoint) { this->SpreadReservations(); });
   this->fibers.Every(this->timers, kMarksPeriod,
                      [this](TimePoint) { this->SpreadMarks(); });
 }
@@ -160,6 +172,15 @@
     this->SendToZone(kSuspectMarksMessage, EncodeMarks(marks));
 }
 
+void ZoneSharing::SpreadReservations() {
+  const std::vector<routing::Reservation> reservations =
+      this->router.With([&](routing::Router& router) {
+        return router.Reservations(this->timers.Now());
+      });
+  if (!reservations.empty())
+    this->SendToZone(kReservationsMessage, EncodeReservations(reservations));
+}
+
 void ZoneSharing::SendLoadReports(const std::string& bytes) {
   this->SendToZone(kLoadReportsMessage, bytes);
 }
--- a/source/core/serve/zone_sharing.h
+++ b/source/core/serve/zone_sharing.h
@@ -50,6 +50,8 @@
   void RemoveTeam(const std::string& team);
   // Sends the marks of a crash to the zone at once.
   void SpreadMarks();
+  // Sends the endpoints that this host keeps free for suspects, if any.
+  void SpreadReservations();
   void SendLoadReports(const std::string& bytes);
   // The host that had the stream must not cancel it.
   void TellTakenOver(const std::string& host, const std::string& stream);
