--- a/tools/process_cluster.py
+++ b/tools/process_cluster.py
@@ -13,6 +13,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -167,6 +168,8 @@
             "JUJUBEROCK_BUILD", os.path.join(ROOT, "build"))
 
     def __enter__(self):
+        # Ends through __exit__, so that no process is left behind.
+        signal.signal(signal.SIGTERM, lambda *unused: sys.exit(143))
         try:
             self.start()
         except BaseException:
