Spread suspect marks to all zones and wait for endpoints that load a version

Change: marks go to every host; a request waits, at most until its deadline, while live endpoints load its version or are reserved; the timer shares its state.

--- a/source/core/serve/host.cc
+++ b/source/core/serve/host.cc
@@ -138,6 +138,7 @@
   std::optional<std::string> NotReady() const;
   nlohmann::json RenderLags();
   std::string RenderStatus();
+  void WaitUntilDrained();
   StopReport Stop();
 
   // In the order of construction; each part uses those above it.
@@ -318,7 +319,7 @@
   if (!this->hosts.Refresh(this->timers.Now()))
     return;
   const std::vector<std::string> zone = this->hosts.Zone();
-  this->sharing.SetHosts(zone, this->hosts.Sharing());
+  this->sharing.SetHosts(zone, this->hosts.Sharing(), this->hosts.All());
   this->fleet.SetZoneHosts(zone);
 }
 
@@ -458,20 +459,29 @@
   return status.dump(2) + "\n";
 }
 
+void Host::Impl::WaitUntilDrained() {
+  const TimePoint limit = this->timers.Now() + this->settings.stop_limit;
+  // Shared with the timer, which may fire once more after this returns.
+  struct Wait {
+    std::promise<void> drained;
+    std::atomic<bool> done{false};
+  };
+  auto wait = std::make_shared<Wait>();
+  this->periodic.Every(
+      this->timers, kDrainCheck, [this, wait, limit](TimePoint now) {
+        const bool over = this->callers.IsDrained() || now >= limit;
+        if (over && !wait->done.exchange(true))
+          wait->drained.set_value();
+      });
+  wait->drained.get_future().wait();
+}
+
 StopReport Host::Impl::Stop() {
   LOG(INFO) << "planned stop: no new requests";
   this->handler.StartStopping();
   this->pool.Run([this] { this->members.Announce(); });
   this->callers.Drain();
-  std::promise<void> drained;
-  const TimePoint limit = this->timers.Now() + this->settings.stop_limit;
-  std::atomic<bool> done{false};
-  this->periodic.Every(this->timers, kDrainCheck, [&](TimePoint now) {
-    const bool over = this->callers.IsDrained() || now >= limit;
-    if (over && !done.exchange(true))
-      drained.set_value();
-  });
-  drained.get_future().wait();
+  this->WaitUntilDrained();
   StopReport report;
   report.cut_off = this->callers.ActiveRequests();
   this->counters.GetCounter("requests_cut_off_total").Add(report.cut_off);
--- a/source/core/serve/host_lists.h
+++ b/source/core/serve/host_lists.h
@@ -19,7 +19,7 @@
   explicit HostLists(const membership::Coordinator& coordinator)
       : coordinator(coordinator), lists(std::make_shared<const Lists>()) {}
 
-  // Returns whether the hosts of the own zone have changed.
+  // Returns whether one of the lists has changed.
   bool Refresh(common::TimePoint now) {
     const table::PeerSet peers = this->coordinator.Peers(now);
     auto fresh = std::make_shared<Lists>();
@@ -36,7 +36,8 @@
     for (const auto& [zone, hosts] : peers.other_zones)
       fresh->all.insert(fresh->all.end(), hosts.begin(), hosts.end());
     const std::shared_ptr<const Lists> before = this->lists.exchange(fresh);
-    return before->zone != fresh->zone || before->sharing != fresh->sharing;
+    return before->sharing != fresh->sharing || before->all != fresh->all ||
+           before->zone != fresh->zone;
   }
 
   // Of the own zone, this host included.
--- a/source/core/serve/request_steps.cc
+++ b/source/core/serve/request_steps.cc
@@ -87,6 +87,13 @@
   return verdict == suspects::Verdict::kIsolate;
 }
 
+// Live endpoints that can not be chosen are loading the version in force, or
+// are kept for a suspect; both end within a patience most of the time.
+bool RequestSteps::MayBecomeFree(const RouteRequest& route) const {
+  return route.excluded.empty() &&
+         this->parts.fleet.SlotsOf(this->service_name).has_value();
+}
+
 RouteDecision RequestSteps::Route(RouteRequest& route) {
   // The router keeps a reservation by the id, so all asks use the same one.
   route.id = this->parts.ids.Next();
@@ -103,7 +110,7 @@
         [&](routing::Router& router) { return router.Choose(route, now); });
     if (decision)
       return *std::move(decision);
-    if (!route.isolate)
+    if (!route.isolate && !this->MayBecomeFree(route))
       throw Error(ResultCode::kNoEndpoint,
                   "no endpoint of service " + this->service_name);
     runtime::SleepFor(kReservationPause);
--- a/source/core/serve/request_steps.h
+++ b/source/core/serve/request_steps.h
@@ -28,7 +28,8 @@
   // Refuses a request that crashed two endpoints; one that crashed one is to
   // run alone. Returns whether it must be isolated.
   bool CheckSuspect();
-  // Chooses an endpoint; waits until one is reserved for an isolated request.
+  // Chooses an endpoint. Waits, at most until the deadline, while one may
+  // become free.
   routing::RouteDecision Route(routing::RouteRequest& route);
   // The endpoint did not do the work; it is not chosen again.
   void ExcludeEndpoint(routing::RouteRequest& route,
@@ -53,6 +54,8 @@
   common::TimePoint start() const { return this->arrived; }
 
  private:
+  bool MayBecomeFree(const routing::RouteRequest& route) const;
+
   Parts& parts;
   std::string team_name;
   std::string service_name;
--- a/source/core/serve/zone_sharing.cc
+++ b/source/core/serve/zone_sharing.cc
@@ -47,7 +47,7 @@
       hosts({self}),
       limit_share(self),
       fibers(pool) {
-  this->SetHosts({self}, {self});
+  this->SetHosts({self}, {self}, {self});
 }
 
 void ZoneSharing::RegisterHandlers() {
@@ -107,9 +107,11 @@
 }
 
 void ZoneSharing::SetHosts(const std::vector<std::string>& hosts,
-                           const std::vector<std::string>& sharing) {
+                           const std::vector<std::string>& sharing,
+                           const std::vector<std::string>& all) {
   RankedLock lock(this->mutex);
   this->hosts = hosts;
+  this->all_hosts = all;
   this->limit_owner.SetHosts(sharing);
   this->limit_share.SetHosts(sharing);
   this->owners.SetHosts(hosts);
@@ -134,10 +136,10 @@
   this->teams.erase(team);
 }
 
-std::vector<std::string> ZoneSharing::OtherHosts() {
+std::vector<std::string> ZoneSharing::OtherHosts(bool in_all_zones) {
   RankedLock lock(this->mutex);
   std::vector<std::string> others;
-  for (const std::string& host : this->hosts) {
+  for (const std::string& host : in_all_zones ? this->all_hosts : this->hosts) {
     if (host != this->self)
       others.push_back(host);
   }
@@ -168,8 +170,11 @@
       this->suspects.With([&](suspects::SuspectList& list) {
         return list.Marks(this->timers.Now());
       });
-  if (!marks.empty())
-    this->SendToZone(kSuspectMarksMessage, EncodeMarks(marks));
+  if (marks.empty())
+    return;
+  const std::string body = EncodeMarks(marks);
+  for (const std::string& host : this->OtherHosts(true))
+    this->Send(host, kSuspectMarksMessage, body);
 }
 
 void ZoneSharing::SpreadReservations() {
--- a/source/core/serve/zone_sharing.h
+++ b/source/core/serve/zone_sharing.h
@@ -41,14 +41,17 @@
   void Start();
   void Stop() { this->fibers.Stop(); }
 
-  // Live hosts of the zone, and those that share its limits; both with this
-  // one. A leaving host without a share could not finish what it has queued.
+  // Live hosts of the zone, those that share its limits, and those of all
+  // zones, each with this one. A leaving host without a share could not finish
+  // what it has queued.
   void SetHosts(const std::vector<std::string>& hosts,
-                const std::vector<std::string>& sharing);
+                const std::vector<std::string>& sharing,
+                const std::vector<std::string>& all);
   // The zone's part of a team's limit and the team's weight.
   void SetTeam(const std::string& team, double weight, uint32_t zone_limit);
   void RemoveTeam(const std::string& team);
-  // Sends the marks of a crash to the zone at once.
+  // Sends the marks of a crash at once, to all zones: the caller may send the
+  // request again anywhere, and two endpoints altogether are what it may cost.
   void SpreadMarks();
   // Sends the endpoints that this host keeps free for suspects, if any.
   void SpreadReservations();
@@ -73,7 +76,7 @@
 
   std::string OwnerOf(const std::string& conversation,
                       const routing::RouteRequest& request);
-  std::vector<std::string> OtherHosts();
+  std::vector<std::string> OtherHosts(bool in_all_zones = false);
   void SendToZone(std::string_view message, const std::string& body);
   void Send(const std::string& host,
             std::string_view message,
@@ -96,6 +99,7 @@
   std::string self;
   common::RankedMutex mutex{common::LockRank::kServe};
   std::vector<std::string> hosts;
+  std::vector<std::string> all_hosts;
   std::map<std::string, TeamShare> teams;
   admission::LimitOwner limit_owner;
   admission::LimitShare limit_share;
