Add settings for restore, the block size and the index

Cause: the demo compared against a deployment without stores instead of the same one with restore off; the index bound of 1,000,000 blocks takes 104 MB of the 128 MB that the target allows. Change: restore, block_bytes and index_blocks (500,000, about 52 MB).

--- a/source/core/serve/host.cc
+++ b/source/core/serve/host.cc
@@ -19,6 +19,7 @@
 #include "core/orders/rollout_service.h"
 #include "core/platform/client.h"
 #include "core/report/burn_render.h"
+#include "core/routing/choice_policy.h"
 #include "core/runtime/http_client.h"
 #include "core/runtime/wall_timer_service.h"
 #include "core/runtime/worker_pool.h"
@@ -96,6 +97,18 @@
   return self;
 }
 
+routing::RouterSettings RouterSettingsOf(const Settings& settings) {
+  routing::RouterSettings options;
+  options.block_bytes = static_cast<uint64_t>(settings.block_bytes);
+  options.max_index_blocks = static_cast<size_t>(settings.index_blocks);
+  return options;
+}
+
+std::unique_ptr<routing::ChoicePolicy> PolicyOf(const Settings& settings) {
+  return settings.restore ? routing::MakeRestoringPolicy()
+                          : routing::MakePredictedPrefixPolicy();
+}
+
 membership::CoordinatorOptions CoordinatorOptionsOf(const Settings& settings) {
   membership::CoordinatorOptions options;
   options.follower.list_period = settings.relist_period;
@@ -204,7 +217,7 @@
                 TransportOptions(settings),
                 membership::ResolverOf(coordinator)),
       peers(transport),
-      router(settings.zone, routing::RouterSettings()),
+      router(settings.zone, RouterSettingsOf(settings), PolicyOf(settings)),
       gate(timers, counters),
       id_prefix(IdPrefix(settings)),
       ids(id_prefix),
@@ -374,6 +387,8 @@
 }
 
 void Host::Impl::StartExports() {
+  if (!this->settings.restore)
+    return;
   const std::vector<routing::Export> orders =
       this->router.With([&](routing::Router& router) {
         return router.TakeExports(this->timers.Now());
--- a/source/core/serve/settings.h
+++ b/source/core/serve/settings.h
@@ -41,6 +41,12 @@
   int64_t plain_slots = 64;
   double capacity_headroom = 1.25;
 
+  // Returning prompts.
+  bool restore = true;
+  int64_t block_bytes = 64 << 20;
+  // 104 bytes each; the target allows a host 128 MB for all of its control.
+  int64_t index_blocks = 500'000;
+
   // Periodic work.
   common::Duration load_poll_period = std::chrono::milliseconds(250);
   common::Duration store_poll_period = std::chrono::seconds(1);
--- a/tools/process_demo.py
+++ b/tools/process_demo.py
@@ -65,12 +65,12 @@
         self.host.kill_when_busy()
 
 
-def run_load(with_stores):
+def run_load(restore):
     source = random.Random(SEED)
     result = {"completions": [], "payments": [], "first_token_s": [],
               "faults": []}
     with Cluster(CANELONES, HOST_ZONES, engine_flags=ENGINE_FLAGS,
-                 store_flags=STORE_FLAGS, with_stores=with_stores) as cluster:
+                 store_flags=STORE_FLAGS, host_settings={"restore": restore}) as cluster:
         balancer = Balancer(cluster, SEED)
         conversations = [Conversation(i, source, CANELONES["teams"])
                          for i in range(CONVERSATIONS)]
