--- a/source/unit_tests/core/serve/host_test.cc
+++ b/source/unit_tests/core/serve/host_test.cc
@@ -181,6 +181,24 @@
   REQUIRE(json::parse(unnamed.body)["outcome"] == "not_run");
 }
 
+// Two teams may choose the same key; one must not get the other's answer, nor
+// be refused because of it.
+TEST_CASE("an Idempotency-Key belongs to its team") {
+  Deployment deployment(1);
+  const std::string path = "/services/cajas-app/pay/1";
+  const std::string now = Deployment::Now();
+  const auto alfa = deployment.Post(
+      0, path, "a",
+      {{"Idempotency-Key", "shared"}, {"Jujuberock-Issued-At", now}});
+  const auto beta = deployment.Post(0, path, "b",
+                                    {{"Idempotency-Key", "shared"},
+                                     {"Jujuberock-Issued-At", now},
+                                     {"Authorization", "Bearer key-of-beta"}});
+  REQUIRE(alfa.status == 200);
+  REQUIRE(beta.status == 200);
+  REQUIRE(json::parse(beta.body)["execution"] == 1);
+}
+
 std::string EndpointBody(const std::string& address, const char* state) {
   return json{{"service", "asistente"},
               {"zone", "sauce"},
