Wake a waiting request that a new one's arrival admits

Cause: Controller::Submit took any ticket admitted in the same step for its own. When a limit had grown since the last tick, a waiting request was counted as running but never told, and the new one ran without a place. Its caller got no answer, and a planned stop waited for it without end. Ruled out: lost wakes of fibers and sockets (every wait but this one has a time limit), conversation owners (seen on hosts without zone peers). Change: Submit returns the others that it admitted and the gate wakes them. The new unit test fails without the change.

--- a/source/core/admission/controller.cc
+++ b/source/core/admission/controller.cc
@@ -81,11 +81,12 @@
       {decision.ticket, request.deadline - start_to_token, request.cost});
   ++team.queued;
   ++service.queued;
-  std::vector<Ticket> admitted;
-  // Nothing else can start: a request that could would not have been waiting.
-  this->AdmitWaiting(service, now, admitted);
+  // Others that wait may start as well when a limit has grown meanwhile.
+  this->AdmitWaiting(service, now, decision.admitted_before);
+  const bool is_admitted =
+      std::erase(decision.admitted_before, decision.ticket) > 0;
   decision.state =
-      admitted.empty() ? DecisionState::kQueued : DecisionState::kAdmitted;
+      is_admitted ? DecisionState::kAdmitted : DecisionState::kQueued;
   return decision;
 }
 
--- a/source/core/admission/controller.h
+++ b/source/core/admission/controller.h
@@ -42,6 +42,9 @@
   common::ResultCode code = common::ResultCode::kOk;
   // When a refused caller may try again.
   common::Duration retry_after{0};
+  // Requests that waited and are admitted now, because a limit has grown since
+  // the last tick. The caller must start them.
+  std::vector<Ticket> admitted_before;
 };
 
 // What became of queued requests at a tick.
--- a/source/core/load/overload_run.cc
+++ b/source/core/load/overload_run.cc
@@ -278,6 +278,7 @@
     submit.predicted_first_token =
         decision ? decision->predicted_first_token : common::Duration(0);
     const auto admitted = host.controller.Submit(submit, this->queue.now());
+    this->Start(host, admitted.admitted_before);
     if (admitted.state == admission::DecisionState::kRefused)
       return;
     request->ticket = admitted.ticket;
--- a/source/core/serve/admission_gate.cc
+++ b/source/core/serve/admission_gate.cc
@@ -38,6 +38,7 @@
   const TimePoint start = this->timers.Now();
   WaiterPtr waiter;
   Decision decision;
+  std::vector<WaiterPtr> admitted_before;
   {
     RankedLock lock(this->mutex);
     decision = this->controller.Submit(request, start);
@@ -45,7 +46,10 @@
       waiter = std::make_shared<Waiter>();
       this->waiters[decision.ticket] = waiter;
     }
+    admitted_before = this->TakeWaiters(decision.admitted_before);
   }
+  for (const WaiterPtr& other : admitted_before)
+    other->admitted.set_value(true);
   if (decision.state == DecisionState::kRefused) {
     const std::string name(common::InfoOf(decision.code).name);
     this->counters.GetCounter("admission_refused_total", {{"code", name}})
--- a/source/unit_tests/core/admission/controller_test.cc
+++ b/source/unit_tests/core/admission/controller_test.cc
@@ -51,6 +51,24 @@
         common::ResultCode::kDeadlineUnreachable);
 }
 
+// A limit that grows between two ticks lets a waiting request start when the
+// next one arrives. Taking that for the new one's admission left the waiting
+// one without an answer for good.
+TEST_CASE("a request that waited is told when a new one finds more room") {
+  Controller controller;
+  controller.SetService("s", 1, 100);
+  Teach(controller, 0.01);
+  REQUIRE(controller.Submit(Request("a", 1, 9), At(1)).state ==
+          DecisionState::kAdmitted);
+  const Decision waiting = controller.Submit(Request("a", 1, 9), At(1));
+  REQUIRE(waiting.state == DecisionState::kQueued);
+  controller.SetService("s", 2, 100);
+  const Decision next = controller.Submit(Request("a", 1, 9), At(1));
+  CHECK(next.state == DecisionState::kQueued);
+  CHECK(next.admitted_before == std::vector<Ticket>{waiting.ticket});
+  CHECK(controller.service_running("s") == 2);
+}
+
 // Predictions are exact on idle endpoints and short on busy ones.
 TEST_CASE("a prediction needs a reserve only while others run") {
   Controller controller;
