--- a/source/core/load/deployment.h
+++ b/source/core/load/deployment.h
@@ -48,7 +48,7 @@
 
 // Shared long rule texts; clerks return after gaps.
 Deployment Koperasi();
-// Short private histories; a dawn peak between quiet hours.
+// Short private histories; a morning peak between quiet hours.
 Deployment Canelones();
 
 }  // namespace jujuberock::load
--- a/source/core/serve/host.cc
+++ b/source/core/serve/host.cc
@@ -97,6 +97,12 @@
   return self;
 }
 
+journal::Options JournalOptionsOf(const Settings& settings) {
+  journal::Options options;
+  options.shards = static_cast<uint32_t>(settings.journal_shards);
+  return options;
+}
+
 routing::RouterSettings RouterSettingsOf(const Settings& settings) {
   routing::RouterSettings options;
   options.block_bytes = static_cast<uint64_t>(settings.block_bytes);
@@ -248,7 +254,7 @@
       journal_store(journal::MakePlatformStore(platform)),
       journal_transport(peers, timers),
       journal(
-          journal::Options(),
+          JournalOptionsOf(settings),
           settings.host_name,
           *journal_store,
           journal_transport,
--- a/source/core/serve/settings.cc
+++ b/source/core/serve/settings.cc
@@ -84,6 +84,9 @@
        "Requests at once at one worker of a plain service"},
       {"capacity_headroom", &S::capacity_headroom, "", 0.1, 100,
        "This host's share of the engines' slots, relative to an even share"},
+      {"journal_shards", &S::journal_shards, "shards", 1, 4096,
+       "Shards of the journal; the same on all hosts, fixed by the first "
+       "record"},
       {"restore", &S::restore, "", 0, 0,
        "Export blocks to cache stores and restore them from there"},
       {"block_bytes", &S::block_bytes, "bytes", 1, 1LL << 40,
--- a/source/core/serve/settings.h
+++ b/source/core/serve/settings.h
@@ -41,6 +41,9 @@
   int64_t plain_slots = 64;
   double capacity_headroom = 1.25;
 
+  // One shard has one owner; more spread its memory and cost platform writes.
+  int64_t journal_shards = 1;
+
   // Returning prompts.
   bool restore = true;
   int64_t block_bytes = 64 << 20;
--- a/source/unit_tests/core/runtime/http_test.cc
+++ b/source/unit_tests/core/runtime/http_test.cc
@@ -93,6 +93,8 @@
     REQUIRE(client.Fetch(server.address(), {"POST", "/", {}, "a"}).body == "a");
     auto running = client.Open(server.address(), {"GET", "/stream", {}, ""});
     server.Drain();
+    // Late enough for a server that closes at once to have done so.
+    SleepFor(std::chrono::milliseconds(100));
     REQUIRE(client.Fetch(server.address(), {"POST", "/", {}, "b"}).body == "b");
     std::string body;
     while (auto bytes = running->Read())
