--- a/source/core/load/overload_experiment.cc
+++ b/source/core/load/overload_experiment.cc
@@ -9,12 +9,7 @@
 
 namespace {
 
-struct Measure {
-  const char* name;
-  double OverloadRunResult::*value;
-};
-
-constexpr Measure kMeasures[] = {
+constexpr Measure<OverloadRunResult> kMeasures[] = {
     {"goodput (1/s)", &OverloadRunResult::goodput},
     {"fairness error", &OverloadRunResult::fairness_error},
     {"limit overshoot", &OverloadRunResult::limit_overshoot},
@@ -69,10 +64,6 @@
 SummaryTable RunTable(const OverloadExperimentOptions& options,
                       const std::string& title,
                       const std::vector<OverloadRunOptions>& variants) {
-  SummaryTable table;
-  table.title = title;
-  for (const Measure& measure : kMeasures)
-    table.measures.emplace_back(measure.name);
   const size_t seeds = options.seeds;
   std::vector<OverloadRunResult> results(variants.size() * seeds);
   RunAll(results.size(), options.threads, [&](size_t i) {
@@ -82,18 +73,10 @@
     run.measured = options.measured;
     results[i] = RunOverload(run);
   });
-  for (size_t v = 0; v < variants.size(); ++v) {
-    SummaryRow row;
-    row.name = NameOf(variants[v]);
-    for (const Measure& measure : kMeasures) {
-      std::vector<double> values;
-      for (size_t s = 0; s < seeds; ++s)
-        values.push_back(results[v * seeds + s].*measure.value);
-      row.measures.push_back(SpreadOf(values));
-    }
-    table.rows.push_back(row);
-  }
-  return table;
+  std::vector<std::string> names;
+  for (const OverloadRunOptions& variant : variants)
+    names.push_back(NameOf(variant));
+  return Summarise<OverloadRunResult>(title, kMeasures, names, results);
 }
 
 const SummaryRow& RowOf(const SummaryTable& table, const std::string& name) {
--- a/source/core/load/policy_experiment.cc
+++ b/source/core/load/policy_experiment.cc
@@ -18,12 +18,7 @@
   bool owners = true;
 };
 
-struct Measure {
-  const char* name;
-  double PolicyRunResult::*value;
-};
-
-constexpr Measure kMeasures[] = {
+constexpr Measure<PolicyRunResult> kMeasures[] = {
     {"first token p95 (s)", &PolicyRunResult::first_token_p95},
     {"recomputed share", &PolicyRunResult::recomputed_share},
     {"within patience", &PolicyRunResult::answered_within_patience},
@@ -83,10 +78,7 @@
                       const Deployment& deployment,
                       const std::vector<Variant>& variants,
                       bool faults) {
-  SummaryTable table;
-  table.title = deployment.name + (faults ? " with faults" : "");
-  for (const Measure& measure : kMeasures)
-    table.measures.emplace_back(measure.name);
+  const std::string title = deployment.name + (faults ? " with faults" : "");
   const size_t seeds = options.seeds;
   std::vector<PolicyRunResult> results(variants.size() * seeds);
   RunAll(results.size(), options.threads, [&](size_t i) {
@@ -102,18 +94,10 @@
     run.measured = options.measured;
     results[i] = RunPolicy(run);
   });
-  for (size_t v = 0; v < variants.size(); ++v) {
-    SummaryRow row;
-    row.name = variants[v].name;
-    for (const Measure& measure : kMeasures) {
-      std::vector<double> values;
-      for (size_t s = 0; s < seeds; ++s)
-        values.push_back(results[v * seeds + s].*measure.value);
-      row.measures.push_back(SpreadOf(values));
-    }
-    table.rows.push_back(row);
-  }
-  return table;
+  std::vector<std::string> names;
+  for (const Variant& variant : variants)
+    names.push_back(variant.name);
+  return Summarise<PolicyRunResult>(title, kMeasures, names, results);
 }
 
 std::string Verdict(const std::string& title,
--- a/source/core/load/summary.h
+++ b/source/core/load/summary.h
@@ -2,6 +2,7 @@
 #define CORE_LOAD_SUMMARY_H_
 
 #include <map>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -35,6 +36,39 @@
   std::vector<SummaryRow> rows;
 };
 
+// A member of a run's result that is summarised, with its heading.
+template <typename Result>
+struct Measure {
+  const char* name;
+  double Result::*value;
+};
+
+// `results` holds the runs of each variant one after the other, as many for
+// each, and `names` the variants.
+template <typename Result>
+SummaryTable Summarise(const std::string& title,
+                       std::span<const Measure<Result>> measures,
+                       const std::vector<std::string>& names,
+                       const std::vector<Result>& results) {
+  SummaryTable table;
+  table.title = title;
+  for (const Measure<Result>& measure : measures)
+    table.measures.emplace_back(measure.name);
+  const size_t runs = results.size() / names.size();
+  for (size_t v = 0; v < names.size(); ++v) {
+    SummaryRow row;
+    row.name = names[v];
+    for (const Measure<Result>& measure : measures) {
+      std::vector<double> values;
+      for (size_t i = v * runs; i < (v + 1) * runs; ++i)
+        values.push_back(results[i].*measure.value);
+      row.measures.push_back(SpreadOf(values));
+    }
+    table.rows.push_back(row);
+  }
+  return table;
+}
+
 std::string RenderText(const std::vector<SummaryTable>& tables);
 std::string RenderJson(const std::vector<SummaryTable>& tables);
 // Bars from zero to the median with the range from minimum to maximum, one
