--- /dev/null
+++ b/source/core/dispatch/endpoint_health.cc
@@ -0,0 +1,49 @@
+#include "core/dispatch/endpoint_health.h"
+
+#include <algorithm>
+
+namespace jujuberock::dispatch {
+
+EndpointHealth::State EndpointHealth::StateAt(common::TimePoint now) const {
+  if (!this->ejected)
+    return State::kGood;
+  return now < this->ejected_until ? State::kEjected : State::kProbation;
+}
+
+bool EndpointHealth::OnOutcome(SendOutcome outcome,
+                               double usual_failure_share,
+                               common::TimePoint now) {
+  const bool good = outcome == SendOutcome::kGood;
+  this->failures += kWeight * ((good ? 0.0 : 1.0) - this->failures);
+  if (good) {
+    this->consecutive = 0;
+    const bool still_failing =
+        this->failures > usual_failure_share + kExcessShare;
+    if (this->StateAt(now) == State::kProbation && !still_failing) {
+      this->ejected = false;
+      this->next_ejection = kFirstEjection;
+    }
+    return false;
+  }
+  ++this->consecutive;
+  const bool unreachable =
+      outcome == SendOutcome::kNoRoute || outcome == SendOutcome::kSilent;
+  const bool failing = this->consecutive >= 3 &&
+                       this->failures > usual_failure_share + kExcessShare;
+  const bool relapse = this->StateAt(now) == State::kProbation;
+  if (this->StateAt(now) == State::kEjected)
+    return false;
+  const bool mostly_failing = this->failures > usual_failure_share + 0.3;
+  if (!unreachable && !failing && !relapse && !mostly_failing)
+    return false;
+  this->Eject(now);
+  return true;
+}
+
+void EndpointHealth::Eject(common::TimePoint now) {
+  this->ejected = true;
+  this->ejected_until = now + this->next_ejection;
+  this->next_ejection = std::min(2 * this->next_ejection, kLongestEjection);
+}
+
+}  // namespace jujuberock::dispatch
--- /dev/null
+++ b/source/core/dispatch/endpoint_record.cc
@@ -0,0 +1,116 @@
+#include "core/dispatch/endpoint_record.h"
+
+#include <algorithm>
+
+namespace jujuberock::dispatch {
+
+namespace {
+
+constexpr double kLatencyWeight = 0.1;
+
+}  // namespace
+
+void EndpointRecord::OnSent(SendTicket& ticket, common::TimePoint now) {
+  ticket.sent_at = now;
+  ticket.tokens_ahead =
+      this->PendingTokens(ticket.urgency) + ticket.uncached_tokens;
+  if (this->own_waiting() == 0)
+    this->oldest_unanswered = now;
+  ++this->in_flight;
+  this->memory += ticket.memory_tokens;
+  this->pending_tokens[static_cast<size_t>(ticket.urgency)] +=
+      ticket.uncached_tokens;
+}
+
+void EndpointRecord::OnStarted(SendTicket& ticket, common::TimePoint now) {
+  if (ticket.started || ticket.ended)
+    return;
+  ticket.started = true;
+  ++this->started;
+  this->heard_at = now;
+  this->oldest_unanswered = now;
+  this->pending_tokens[static_cast<size_t>(ticket.urgency)] -=
+      ticket.uncached_tokens;
+}
+
+void EndpointRecord::OnEnded(SendTicket& ticket, common::TimePoint now) {
+  if (ticket.ended)
+    return;
+  if (ticket.started)
+    --this->started;
+  else
+    this->pending_tokens[static_cast<size_t>(ticket.urgency)] -=
+        ticket.uncached_tokens;
+  ticket.ended = true;
+  --this->in_flight;
+  this->memory -= ticket.memory_tokens;
+  if (!ticket.started)
+    this->oldest_unanswered = now;
+}
+
+void EndpointRecord::OnLoadReport(const LoadReport& load,
+                                  common::TimePoint now) {
+  this->report = load;
+  this->reported_at = now;
+  this->own_at_report = this->in_flight;
+  this->own_waiting_at_report = this->own_waiting();
+}
+
+void EndpointRecord::OnLatency(common::Duration latency) {
+  const double ms = common::ToMilliseconds(latency);
+  if (this->latency_ms == 0)
+    this->latency_ms = ms;
+  this->latency_ms += kLatencyWeight * (ms - this->latency_ms);
+}
+
+int64_t EndpointRecord::PendingTokens(int urgency) const {
+  int64_t tokens = 0;
+  for (int i = 0; i <= urgency; ++i)
+    tokens += this->pending_tokens[static_cast<size_t>(i)];
+  return tokens;
+}
+
+double EndpointRecord::ReportWeight(common::TimePoint now) const {
+  if (!this->report)
+    return 0;
+  const double age = common::ToSeconds(now - this->reported_at) /
+                     common::ToSeconds(kReportLifetime);
+  return std::clamp(1 - age, 0.0, 1.0);
+}
+
+double EndpointRecord::OthersInFlight(common::TimePoint now) const {
+  if (!this->report)
+    return 0;
+  const auto others =
+      this->report->running + this->report->waiting - this->own_at_report;
+  return this->ReportWeight(now) *
+         static_cast<double>(std::max<int64_t>(0, others));
+}
+
+double EndpointRecord::OthersWaiting(common::TimePoint now) const {
+  if (!this->report)
+    return 0;
+  const auto others = this->report->waiting - this->own_waiting_at_report;
+  return this->ReportWeight(now) *
+         static_cast<double>(std::max<int64_t>(0, others));
+}
+
+uint64_t EndpointRecord::VersionOf(std::string_view model) const {
+  for (const catalog::ModelVersion& entry : this->description.models) {
+    if (entry.model == model)
+      return entry.version;
+  }
+  return 0;
+}
+
+void EndpointRecord::SetVersion(std::string_view model, uint64_t version) {
+  for (catalog::ModelVersion& entry : this->description.models) {
+    if (entry.model != model || entry.version >= version)
+      continue;
+    entry.version = version;
+    // New weights make every cached part useless.
+    this->cache.Clear();
+  }
+}
+
+}  // namespace jujuberock::dispatch
--- /dev/null
+++ b/source/core/dispatch/service_pool.h
@@ -0,0 +1,112 @@
+#ifndef CORE_DISPATCH_SERVICE_POOL_H_
+#define CORE_DISPATCH_SERVICE_POOL_H_
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/catalog/types.h"
+#include "core/common/random.h"
+#include "core/dispatch/endpoint_record.h"
+#include "core/dispatch/first_token_model.h"
+#include "core/dispatch/prompt.h"
+
+namespace jujuberock::dispatch {
+
+// What the choice of an endpoint depends on.
+struct SendNeeds {
+  int urgency = 0;
+  // Null for plain services.
+  const Prompt* prompt = nullptr;
+  std::string_view salt;
+  // Version of the weights that the request must (or had better) run on; 0
+  // when any will do.
+  uint64_t required_version = 0;
+  uint64_t preferred_version = 0;
+  // Endpoints that this request was sent to already.
+  const std::set<std::string>* tried = nullptr;
+  // Had a part in a crash: runs where it endangers least.
+  bool isolate = false;
+};
+
+struct Choice {
+  std::shared_ptr<EndpointRecord> endpoint;
+  // Expected time to the first byte.
+  common::Duration predicted{0};
+  // The endpoint has places and memory, and nothing waits there.
+  bool idle = false;
+  int64_t uncached_tokens = 0;
+};
+
+// The endpoints of one service as this host sees them, and the choice among
+// them. Not thread-safe.
+class ServicePool {
+ public:
+  ServicePool(std::string zone, size_t hosts, uint64_t seed)
+      : zone(std::move(zone)), hosts(hosts), random(seed) {}
+
+  // Endpoints registered for the service now. Records of endpoints that are
+  // still known keep their books; a new start gets a new record.
+  void Update(const catalog::Service& service,
+              const std::vector<catalog::Endpoint>& endpoints);
+  void SetHostCount(size_t count) { this->hosts = count == 0 ? 1 : count; }
+
+  // The best endpoint for the request; nothing when none may take it.
+  std::optional<Choice> Choose(const SendNeeds& needs, common::TimePoint now);
+
+  void OnFirstToken(const SendTicket& ticket, common::TimePoint now);
+  // Returns whether the endpoint was ejected by it.
+  bool OnOutcome(EndpointRecord& endpoint,
+                 SendOutcome outcome,
+                 common::TimePoint now);
+
+  const std::map<std::string, std::shared_ptr<EndpointRecord>>& records()
+      const {
+    return this->endpoints;
+  }
+  std::shared_ptr<EndpointRecord> Find(std::string_view id) const;
+  const FirstTokenModel& first_token() const { return this->model; }
+  bool is_engine() const { return this->traits.has_value(); }
+  double usual_failures() const { return this->failure_share; }
+
+ private:
+  enum class Eligibility { kNo, kLastResort, kYes };
+
+  Eligibility EligibilityOf(const EndpointRecord& record,
+                            const SendNeeds& needs,
+                            common::TimePoint now) const;
+  // The first two endpoints of a session by rendezvous hashing.
+  struct Affinity {
+    const EndpointRecord* first = nullptr;
+    const EndpointRecord* second = nullptr;
+  };
+
+  Affinity AffinityOf(const Prompt& prompt) const;
+  // Cost in milliseconds; fills the rest of the choice.
+  double Score(Choice& choice,
+               const SendNeeds& needs,
+               const Affinity& affinity,
+               common::TimePoint now);
+  double ScoreEngine(Choice& choice,
+                     const SendNeeds& needs,
+                     const Affinity& affinity,
+                     common::TimePoint now);
+  double ScorePlain(Choice& choice, common::TimePoint now);
+
+  std::string zone;
+  size_t hosts;
+  common::Random random;
+  std::optional<catalog::EngineTraits> traits;
+  std::map<std::string, std::shared_ptr<EndpointRecord>> endpoints;
+  FirstTokenModel model;
+  double failure_share = 0;
+  double mean_uncached = 0;
+};
+
+}  // namespace jujuberock::dispatch
+
+#endif  // CORE_DISPATCH_SERVICE_POOL_H_
--- /dev/null
+++ b/source/core/forward/connection_pool.cc
@@ -0,0 +1,122 @@
+#include "core/forward/connection_pool.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/error.hpp>
+
+#include "core/common/error.h"
+#include "core/runtime/await.h"
+#include "core/runtime/boot_clock.h"
+#include "core/runtime/worker_pool.h"
+
+namespace jujuberock::forward {
+
+namespace {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+using common::Error;
+using common::ResultCode;
+
+// An idle connection that is readable was closed by the endpoint, or holds
+// bytes that belong to no request.
+bool HasInput(Connection& connection) {
+  if (connection.buffer.size() > 0)
+    return true;
+  char byte;
+  const int handle = connection.stream.socket().native_handle();
+  const ssize_t bytes =
+      ::recv(handle, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+  return bytes >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+void SetUserTimeout(Connection& connection, common::Duration timeout) {
+  const auto ms = static_cast<unsigned int>(timeout.count() / 1000);
+  // Best effort: without it a dead connection is found by timeouts only.
+  ::setsockopt(connection.stream.socket().native_handle(), IPPROTO_TCP,
+               TCP_USER_TIMEOUT, &ms, sizeof(ms));
+}
+
+}  // namespace
+
+ConnectionPool::ConnectionPool(ConnectionPoolOptions options,
+                               common::CounterRegistry& counters)
+    : options(options),
+      opened(counters.GetCounter("endpoint_connections_opened_total")) {}
+
+ConnectionPtr ConnectionPool::TakeIdle(const std::string& address,
+                                       common::TimePoint now) {
+  const auto found = this->idle.find(address);
+  if (found == this->idle.end())
+    return nullptr;
+  auto& kept = found->second;
+  while (!kept.empty()) {
+    ConnectionPtr connection = std::move(kept.back());
+    kept.pop_back();
+    const bool young = now - connection->idle_since < connection->idle_limit;
+    if (young && !HasInput(*connection)) {
+      connection->reused = true;
+      return connection;
+    }
+  }
+  return nullptr;
+}
+
+ConnectionPtr ConnectionPool::Connect(const std::string& address) {
+  const auto parsed = runtime::Address::Parse(address);
+  if (!parsed)
+    throw Error(ResultCode::kPeerUnavailable, "not an address: " + address);
+  auto connection = std::make_shared<Connection>(runtime::CurrentIo());
+  error_code error;
+  const auto ip = boost::asio::ip::make_address(parsed->ip, error);
+  if (error)
+    throw Error(ResultCode::kPeerUnavailable, "not an IP number: " + address);
+  this->opened.Add();
+  connection->stream.expires_after(this->options.connect_timeout);
+  connection->stream.async_connect(tcp::endpoint(ip, parsed->port),
+                                   runtime::Await(error));
+  if (error)
+    throw Error(ResultCode::kPeerUnavailable,
+                "connect to " + address + ": " + error.message());
+  connection->stream.socket().set_option(tcp::no_delay(true), error);
+  SetUserTimeout(*connection, this->options.unacknowledged_timeout);
+  connection->opened_at = runtime::BootNow();
+  return connection;
+}
+
+void ConnectionPool::Keep(const std::string& address,
+                          ConnectionPtr connection,
+                          common::TimePoint now) {
+  auto& kept = this->idle[address];
+  if (kept.size() >= this->options.idle_connections)
+    return;
+  connection->stream.expires_never();
+  connection->idle_since = now;
+  if (connection->idle_limit == common::Duration(0))
+    connection->idle_limit = this->options.idle_lifetime;
+  kept.push_back(std::move(connection));
+}
+
+void ConnectionPool::DropUsedBefore(common::TimePoint moment) {
+  for (auto& [address, kept] : this->idle) {
+    std::erase_if(kept, [&](const ConnectionPtr& connection) {
+      return connection->idle_since < moment;
+    });
+  }
+}
+
+void ConnectionPool::Expire(common::TimePoint now) {
+  for (auto it = this->idle.begin(); it != this->idle.end();) {
+    std::erase_if(it->second, [&](const ConnectionPtr& connection) {
+      return now - connection->idle_since >= connection->idle_limit;
+    });
+    it = it->second.empty() ? this->idle.erase(it) : std::next(it);
+  }
+}
+
+}  // namespace jujuberock::forward
--- /dev/null
+++ b/source/core/forward/endpoint_send.cc
@@ -0,0 +1,227 @@
+#include "core/forward/endpoint_send.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+#include <boost/beast/core/error.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include "core/common/error.h"
+#include "core/runtime/await.h"
+#include "core/runtime/boot_clock.h"
+#include "core/runtime/worker_pool.h"
+
+namespace jujuberock::forward {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace {
+
+// A longer body is written while the answer is read: an endpoint may answer
+// before it has read it, and stop reading until the answer is taken.
+constexpr size_t kInlineBodyBytes = 8 * 1024;
+constexpr uint32_t kHeaderLimitBytes = 32 * 1024;
+constexpr size_t kReadBytes = 4 * 1024;
+// Answers to other requests that are dropped before the connection is given up.
+constexpr int kMostForeignAnswers = 4;
+constexpr common::Duration kLeastExpiry = std::chrono::milliseconds(1);
+
+using RequestMessage = http::request<http::string_body>;
+
+RequestMessage ToMessage(const CallerRequest& request,
+                         const runtime::HttpHeaders& headers) {
+  RequestMessage message;
+  message.version(11);
+  message.method_string(request.method);
+  message.target(request.target);
+  for (const runtime::HttpHeader& field : headers.all())
+    message.insert(field.name, field.value);
+  message.body() = request.body;
+  message.prepare_payload();
+  return message;
+}
+
+}  // namespace
+
+struct EndpointSend::BackgroundWrite {
+  RequestMessage message;
+  bool done = false;
+};
+
+EndpointSend::EndpointSend(ConnectionPool& pool,
+                           const Codec& codec,
+                           std::string address)
+    : pool(pool), codec(codec), address(std::move(address)) {}
+
+EndpointSend::~EndpointSend() {
+  if (this->connection)
+    this->connection->stream.close();
+}
+
+void EndpointSend::Cancel() {
+  this->canceled = true;
+  if (this->connection)
+    this->connection->stream.close();
+}
+
+void EndpointSend::Fail(const error_code& error, const char* step) const {
+  const std::string detail = std::string(step) + ": " + error.message();
+  if (this->canceled)
+    throw SendError(SendFailure::kCanceled, detail);
+  if (error == beast::error::timeout)
+    throw SendError(SendFailure::kTimeout, detail);
+  const bool parse_error =
+      error.category() ==
+      http::make_error_code(http::error::bad_version).category();
+  const bool ended = error == http::error::end_of_stream ||
+                     error == http::error::partial_message;
+  throw SendError(
+      parse_error && !ended ? SendFailure::kMalformed : SendFailure::kBroken,
+      detail);
+}
+
+void EndpointSend::SetExpiry() {
+  const auto left = this->deadline - runtime::BootNow();
+  this->connection->stream.expires_after(std::max(left, kLeastExpiry));
+}
+
+void EndpointSend::Connect() {
+  this->connection = this->pool.TakeIdle(this->address, runtime::BootNow());
+  if (this->connection) {
+    this->reused = true;
+    return;
+  }
+  ConnectionPtr opened;
+  try {
+    opened = this->pool.Connect(this->address);
+  } catch (const common::Error& error) {
+    throw SendError(SendFailure::kNotConnected, error.what());
+  }
+  if (this->canceled)
+    throw SendError(SendFailure::kCanceled, "canceled while connecting");
+  this->connection = std::move(opened);
+}
+
+AnswerHead EndpointSend::Open(const CallerRequest& request,
+                              const SendOrder& order,
+                              common::TimePoint deadline) {
+  this->deadline = deadline;
+  this->attempt_id = request.attempt_id;
+  this->is_head_method = request.method == "HEAD";
+  this->Connect();
+  this->Write(request, order);
+  for (int i = 0; i < kMostForeignAnswers; ++i) {
+    this->head = this->ReadHead();
+    const bool foreign =
+        this->head.attempt_id && *this->head.attempt_id != this->attempt_id;
+    if (!foreign && this->head.status >= 200)
+      return this->head;
+    this->SkipBody();
+  }
+  throw SendError(SendFailure::kMalformed, "answers to other requests only");
+}
+
+void EndpointSend::Write(const CallerRequest& request, const SendOrder& order) {
+  RequestMessage message =
+      ToMessage(request, this->codec.EncodeSend(request, order));
+  this->was_sent = true;
+  this->SetExpiry();
+  if (message.body().size() <= kInlineBodyBytes) {
+    error_code error;
+    http::async_write(this->connection->stream, message, runtime::Await(error));
+    if (error)
+      this->Fail(error, "write");
+    return;
+  }
+  this->background = std::make_shared<BackgroundWrite>();
+  this->background->message = std::move(message);
+  runtime::SpawnHere([job = this->background, kept = this->connection] {
+    error_code error;
+    http::async_write(kept->stream, job->message, runtime::Await(error));
+    // A failed write shows as a failed read of the answer.
+    job->done = !error;
+  });
+}
+
+void EndpointSend::ResetParser() {
+  this->parser = std::make_unique<Parser>();
+  this->parser->header_limit(kHeaderLimitBytes);
+  // Beast 1.74 takes "no limit" for a limit of zero.
+  this->parser->body_limit(std::numeric_limits<uint64_t>::max());
+  if (this->is_head_method)
+    this->parser->skip(true);
+}
+
+AnswerHead EndpointSend::ReadHead() {
+  this->ResetParser();
+  error_code error;
+  this->SetExpiry();
+  http::async_read_header(this->connection->stream, this->connection->buffer,
+                          *this->parser, runtime::Await(error));
+  if (error)
+    this->Fail(error, "read answer");
+  runtime::HttpHeaders headers;
+  for (const auto& field : this->parser->get())
+    headers.Add(std::string(field.name_string()), std::string(field.value()));
+  const int status = static_cast<int>(this->parser->get().result_int());
+  return this->codec.DecodeAnswer(status, headers);
+}
+
+void EndpointSend::SkipBody() {
+  while (this->ReadPiece()) {
+  }
+  if (!this->parser->get().keep_alive())
+    throw SendError(SendFailure::kBroken, "closed after a foreign answer");
+}
+
+std::optional<std::string> EndpointSend::ReadPiece() {
+  while (!this->parser->is_done()) {
+    std::string bytes(kReadBytes, '\0');
+    auto& body = this->parser->get().body();
+    body.data = bytes.data();
+    body.size = bytes.size();
+    body.more = true;
+    error_code error;
+    this->SetExpiry();
+    http::async_read_some(this->connection->stream, this->connection->buffer,
+                          *this->parser, runtime::Await(error));
+    if (error && error != http::error::need_buffer)
+      this->Fail(error, "read body");
+    bytes.resize(bytes.size() - body.size);
+    if (!bytes.empty())
+      return bytes;
+  }
+  return std::nullopt;
+}
+
+std::optional<std::string> EndpointSend::Read() {
+  if (!this->connection)
+    return std::nullopt;
+  auto bytes = this->ReadPiece();
+  if (!bytes)
+    this->Finish();
+  return bytes;
+}
+
+void EndpointSend::Finish() {
+  const bool body_is_out = !this->background || this->background->done;
+  const bool clean = this->connection->buffer.size() == 0;
+  const bool keeps = this->parser->get().keep_alive() && !this->head.closes;
+  ConnectionPtr done = std::move(this->connection);
+  this->connection = nullptr;
+  if (!body_is_out || !clean || !keeps || this->canceled) {
+    done->stream.close();
+    return;
+  }
+  if (this->head.keep_alive)
+    done->idle_limit = *this->head.keep_alive;
+  this->pool.Keep(this->address, std::move(done), runtime::BootNow());
+}
+
+}  // namespace jujuberock::forward
--- /dev/null
+++ b/source/core/forward/event_splitter.cc
@@ -0,0 +1,91 @@
+#include "core/forward/event_splitter.h"
+
+#include <charconv>
+#include <utility>
+
+namespace jujuberock::forward {
+
+namespace {
+
+// End of the first event in `text`, behind its blank line, or npos.
+size_t EndOfEvent(std::string_view text) {
+  size_t line = 0;
+  while (line < text.size()) {
+    const size_t end = text.find('\n', line);
+    if (end == std::string_view::npos)
+      return std::string_view::npos;
+    const bool blank = end == line || (end == line + 1 && text[line] == '\r');
+    if (blank)
+      return end + 1;
+    line = end + 1;
+  }
+  return std::string_view::npos;
+}
+
+std::optional<std::string_view> IdOf(std::string_view event) {
+  size_t line = 0;
+  while (line < event.size()) {
+    size_t end = event.find('\n', line);
+    if (end == std::string_view::npos)
+      end = event.size();
+    std::string_view text = event.substr(line, end - line);
+    if (text.substr(0, 3) == "id:") {
+      text.remove_prefix(3);
+      while (!text.empty() && text.front() == ' ')
+        text.remove_prefix(1);
+      while (!text.empty() && (text.back() == '\r' || text.back() == ' '))
+        text.remove_suffix(1);
+      return text;
+    }
+    line = end + 1;
+  }
+  return std::nullopt;
+}
+
+std::optional<uint64_t> NumberOf(std::string_view text) {
+  uint64_t number = 0;
+  const char* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, number);
+  if (parsed.ec != std::errc() || parsed.ptr != end)
+    return std::nullopt;
+  return number;
+}
+
+}  // namespace
+
+bool EventSplitter::Accept(std::string_view event) {
+  const auto id = IdOf(event);
+  if (!id)
+    return true;
+  const auto number = NumberOf(*id);
+  if (number && this->last_number && *number <= *this->last_number)
+    return false;
+  this->last = std::string(*id);
+  if (number)
+    this->last_number = number;
+  return true;
+}
+
+std::string EventSplitter::Push(std::string_view bytes) {
+  this->rest += bytes;
+  std::string whole;
+  size_t begin = 0;
+  const std::string_view text = this->rest;
+  while (true) {
+    const size_t length = EndOfEvent(text.substr(begin));
+    if (length == std::string_view::npos)
+      break;
+    const std::string_view event = text.substr(begin, length);
+    if (this->Accept(event))
+      whole += event;
+    begin += length;
+  }
+  this->rest.erase(0, begin);
+  return whole;
+}
+
+std::string EventSplitter::TakeRest() {
+  return std::exchange(this->rest, {});
+}
+
+}  // namespace jujuberock::forward
--- /dev/null
+++ b/source/core/gateway/gateway.cc
@@ -0,0 +1,188 @@
+#include "core/gateway/gateway.h"
+
+#include <utility>
+
+#include "core/gateway/refused_error.h"
+#include "core/runtime/boot_clock.h"
+#include "core/runtime/sleep.h"
+
+namespace jujuberock::gateway {
+
+namespace {
+
+using common::Duration;
+using common::Error;
+using common::ResultCode;
+using events::Event;
+using events::Field;
+using events::Line;
+
+// The balancer asks every second and takes a host out after two misses.
+constexpr Duration kStillServing = std::chrono::milliseconds(2400);
+// Left of the grace for the process to end by itself.
+constexpr Duration kExitReserve = std::chrono::milliseconds(400);
+constexpr Duration kStopPoll = std::chrono::milliseconds(20);
+
+runtime::HttpServerOptions OptionsFor(const catalog::CallerLimits& limits) {
+  runtime::HttpServerOptions options;
+  options.header_limit_bytes = limits.header_bytes;
+  options.body_limit_bytes = limits.body_bytes;
+  options.header_timeout = limits.header_timeout;
+  options.idle_timeout = limits.idle_timeout;
+  return options;
+}
+
+}  // namespace
+
+Gateway::Gateway(Settings settings,
+                 runtime::WorkerPool& workers,
+                 PlatformPeers peers,
+                 events::EventLog& log,
+                 common::CounterRegistry& counters)
+    : settings(std::move(settings)),
+      workers(workers),
+      peers(peers),
+      log(log),
+      counters(counters),
+      connections({}, counters),
+      view(this->settings, peers.store, peers.decoder, log),
+      dispatcher(this->settings, this->view, this->connections, log, counters),
+      parts{this->settings,
+            this->view,
+            this->dispatcher,
+            this->connections,
+            peers.codec,
+            log,
+            counters.GetCounter("requests_answered_total"),
+            counters.GetCounter("requests_refused_total"),
+            counters.GetCounter("requests_failed_total"),
+            counters.GetHistogram("request_first_byte_seconds"),
+            counters.GetHistogram("request_seconds")} {
+  this->view.OnChange([this] { this->OnViewChange(); });
+  const auto address = [](const std::string& text) {
+    return *runtime::Address::Parse(text);
+  };
+  this->caller_server = std::make_unique<runtime::HttpServer>(
+      workers, address(this->settings.caller_address),
+      OptionsFor(catalog::CallerLimits()),
+      [this](const auto& request, auto& writer) {
+        this->Serve(request, writer);
+      },
+      runtime::RenderPlainError);
+  this->ready_server = std::make_unique<runtime::HttpServer>(
+      workers, address(this->settings.ready_address),
+      runtime::HttpServerOptions(),
+      [this](const auto&, auto& writer) { this->ServeReadiness(writer); },
+      runtime::RenderPlainError);
+  if (this->settings.metrics_port != 0) {
+    runtime::Address metrics = address(this->settings.caller_address);
+    metrics.port = static_cast<uint16_t>(this->settings.metrics_port);
+    this->metrics_server = std::make_unique<runtime::HttpServer>(
+        workers, metrics, runtime::HttpServerOptions(),
+        [this](const auto&, auto& writer) {
+          runtime::HttpResponse response;
+          response.headers.Add("Content-Type", "text/plain; version=0.0.4");
+          response.body = this->counters.RenderPrometheus();
+          writer.Send(std::move(response));
+        },
+        runtime::RenderPlainError);
+  }
+  workers.Spawn(0, [this] {
+    Line(this->log, Event::kStarted).Add(Field::kDetail, "serving");
+    this->view.Start();
+    while (!this->stopping || this->caller_server) {
+      runtime::SleepFor(Dispatcher::kCheckPeriod);
+      this->Tick();
+    }
+  });
+}
+
+Gateway::~Gateway() {
+  this->view.Stop();
+}
+
+void Gateway::Reload(const Settings& changed) {
+  const auto level = events::kLevelNames.ValueOf(changed.log_level);
+  if (level)
+    this->log.SetLevel(*level);
+  Line(this->log, Event::kReloaded).Add(Field::kDetail, changed.log_level);
+}
+
+void Gateway::OnViewChange() {
+  this->dispatcher.Refresh();
+  if (const auto config = this->view.config())
+    this->caller_server->SetOptions(OptionsFor(config->config().limits));
+}
+
+void Gateway::Tick() {
+  const common::TimePoint now = runtime::BootNow();
+  this->view.Expire(now);
+  this->dispatcher.CheckSilence();
+  this->connections.Expire(now);
+  this->NoteViewAge(now);
+  this->log.Flush();
+}
+
+void Gateway::NoteViewAge(common::TimePoint now) {
+  const bool fresh = this->view.age().IsFresh(now);
+  if (fresh == this->was_fresh)
+    return;
+  this->was_fresh = fresh;
+  const auto age = this->view.age().AgeAt(now);
+  Line(this->log, fresh ? Event::kViewRenewed : Event::kViewStale)
+      .Add(Field::kViewAgeMs, age.value_or(Duration(0)));
+}
+
+void Gateway::ServeReadiness(runtime::ResponseWriter& writer) {
+  const bool ready = !this->stopping && this->view.IsComplete() &&
+                     this->view.age().IsFresh(runtime::BootNow());
+  runtime::HttpResponse response;
+  response.status = ready ? 200 : 503;
+  writer.Send(std::move(response));
+}
+
+void Gateway::Serve(const runtime::HttpRequest& request,
+                    runtime::ResponseWriter& writer) {
+  try {
+    RequestTask task(this->parts, this->peers.codec.DecodeRequest(request),
+                     writer);
+    task.Run();
+  } catch (const RefusedError& error) {
+    this->SendRefusal(error, error.retry_after(), writer);
+  }
+}
+
+void Gateway::SendRefusal(const Error& error,
+                          std::optional<Duration> retry_after,
+                          runtime::ResponseWriter& writer) {
+  runtime::HttpResponse response = runtime::RenderPlainError(error);
+  // Refusals promise that the request has not run, which only these statuses
+  // say.
+  response.status = 503;
+  if (retry_after)
+    this->peers.codec.AddRetryAfter(response.headers, *retry_after);
+  writer.Send(std::move(response));
+}
+
+void Gateway::Stop() {
+  this->stopping = true;
+  const auto began = runtime::BootNow();
+  this->workers.Run([this, began] {
+    Line(this->log, Event::kStopping)
+        .Add(Field::kInFlight,
+             static_cast<uint64_t>(this->caller_server->ActiveRequests()));
+    runtime::SleepFor(kStillServing);
+    this->caller_server->Drain();
+    const auto limit = this->settings.stop_grace - kExitReserve;
+    while (!this->caller_server->IsDrained() &&
+           runtime::BootNow() - began < limit)
+      runtime::SleepFor(kStopPoll);
+    Line(this->log, Event::kStopped)
+        .Add(Field::kInFlight,
+             static_cast<uint64_t>(this->caller_server->ActiveRequests()))
+        .Add(Field::kTookMs, runtime::BootNow() - began);
+    this->log.Flush();
+  });
+}
+
+}  // namespace jujuberock::gateway
--- /dev/null
+++ b/source/core/gateway/request_task.h
@@ -0,0 +1,133 @@
+#ifndef CORE_GATEWAY_REQUEST_TASK_H_
+#define CORE_GATEWAY_REQUEST_TASK_H_
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "core/catalog/config_view.h"
+#include "core/dispatch/admission_policy.h"
+#include "core/events/event_log.h"
+#include "core/forward/endpoint_send.h"
+#include "core/forward/event_splitter.h"
+#include "core/forward/types.h"
+#include "core/gateway/dispatcher.h"
+#include "core/runtime/http_server.h"
+
+namespace jujuberock::gateway {
+
+// What all requests of a host share.
+struct RequestParts {
+  const Settings& settings;
+  const ViewKeeper& view;
+  Dispatcher& dispatcher;
+  forward::ConnectionPool& connections;
+  const forward::Codec& codec;
+  events::EventLog& log;
+  common::Counter& answered;
+  common::Counter& refused;
+  common::Counter& failed;
+  common::DurationHistogram& first_byte;
+  common::DurationHistogram& total;
+};
+
+// One request of a caller, from its head to the end of its answer. Runs on the
+// fiber of the caller's connection.
+class RequestTask {
+ public:
+  RequestTask(RequestParts& parts,
+              forward::CallerRequest request,
+              runtime::ResponseWriter& writer);
+  ~RequestTask();
+
+  // Answers the request. Throws common::Error when nothing was answered, also
+  // when a begun answer had to be broken off.
+  void Run();
+
+ private:
+  // What the task shares with callbacks that may outlive it.
+  struct Shared {
+    bool caller_gone = false;
+    bool moved = false;
+    forward::EndpointSend* send = nullptr;
+    // The endpoint must not go on when the caller has left.
+    bool cancel_when_gone = false;
+  };
+
+  enum class AttemptEnd {
+    kAnswered,
+    kNotRun,   // the endpoint did not run it, or nothing was sent
+    kUnknown,  // it may have run
+  };
+
+  void Route();
+  void CheckKey(const catalog::ConfigView& config);
+  void CheckSuspect();
+  void PickService();
+  void WatchCaller();
+
+  // Waits until the request may be sent; throws when it is refused.
+  dispatch::Choice AwaitEndpoint();
+  dispatch::SendNeeds Needs() const;
+  [[noreturn]] void Refuse(common::ResultCode code,
+                           const char* reason,
+                           std::optional<common::Duration> retry_after);
+
+  AttemptEnd Attempt(const dispatch::Choice& choice);
+  AttemptEnd TakeAnswer(forward::EndpointSend& send,
+                        const forward::AnswerHead& head,
+                        dispatch::SendTicket& ticket);
+  AttemptEnd TakeWhole(forward::EndpointSend& send,
+                       const forward::AnswerHead& head,
+                       dispatch::SendTicket& ticket);
+  AttemptEnd Relay(forward::EndpointSend& send,
+                   const forward::AnswerHead& head,
+                   dispatch::SendTicket& ticket);
+  AttemptEnd OnSendError(const forward::SendError& error,
+                         const forward::EndpointSend& send,
+                         dispatch::SendTicket& ticket);
+  void NoteHead(const forward::AnswerHead& head,
+                dispatch::EndpointRecord& record);
+  void NoteFirstByte(dispatch::SendTicket& ticket);
+
+  bool MayRepeat() const;
+  bool MaySendAgain(AttemptEnd end);
+  [[noreturn]] void GiveUp();
+  forward::SendOrder OrderFor(const dispatch::Choice& choice) const;
+  std::optional<common::Duration> MoveAfter(
+      const dispatch::Choice& choice) const;
+  common::Duration Remaining(common::TimePoint now) const;
+  uint64_t RequiredVersion(common::TimePoint now) const;
+  std::string Salt() const;
+
+  RequestParts& parts;
+  forward::CallerRequest request;
+  runtime::ResponseWriter& writer;
+  std::shared_ptr<const catalog::ConfigView> config;
+  const catalog::Route* route = nullptr;
+  const catalog::Team* team = nullptr;
+  std::string service;
+  dispatch::ServicePool* pool = nullptr;
+  suspects::Fingerprint fingerprint = 0;
+  bool isolate = false;
+  std::string salt;
+  int urgency = 5;
+  common::TimePoint received_at;
+  common::TimePoint deadline;
+  // Before the request reached this host, as far as it shows.
+  common::Duration elapsed_before{0};
+  common::Duration held{0};
+  std::shared_ptr<Shared> shared;
+  std::set<std::string> tried;
+  int64_t sends = 0;
+  int64_t failed_connects = 0;
+  bool may_have_run = false;
+  bool timed_out = false;
+  bool answer_started = false;
+  forward::EventSplitter splitter;
+};
+
+}  // namespace jujuberock::gateway
+
+#endif  // CORE_GATEWAY_REQUEST_TASK_H_
--- /dev/null
+++ b/source/core/gateway/settings.cc
@@ -0,0 +1,77 @@
+#include "core/gateway/settings.h"
+
+#include "core/events/event_log.h"
+#include "core/runtime/http_types.h"
+
+namespace jujuberock::gateway {
+
+namespace {
+
+std::optional<std::string> CheckAddress(std::string_view text) {
+  if (runtime::Address::Parse(text))
+    return std::nullopt;
+  return "must have the form ip:port";
+}
+
+std::optional<std::string> CheckNotEmpty(std::string_view text) {
+  if (!text.empty())
+    return std::nullopt;
+  return "must not be empty";
+}
+
+std::optional<std::string> CheckLevel(std::string_view text) {
+  if (events::kLevelNames.ValueOf(text))
+    return std::nullopt;
+  return "must be off, lifecycle, beliefs or requests";
+}
+
+}  // namespace
+
+const std::vector<common::SettingDeclaration<Settings>>& SettingTable() {
+  using S = Settings;
+  static const std::vector<common::SettingDeclaration<Settings>> kTable = {
+      {"host_name", &S::host_name, "", 0, 0, "Name of this host", true,
+       CheckNotEmpty},
+      {"zone", &S::zone, "", 0, 0, "Availability zone of this host", true,
+       CheckNotEmpty},
+      {"caller_address", &S::caller_address, "", 0, 0,
+       "Listen address for callers", true, CheckAddress},
+      {"ready_address", &S::ready_address, "", 0, 0,
+       "Listen address of the readiness probe", true, CheckAddress},
+      {"platform_address", &S::platform_address, "", 0, 0,
+       "Address of the platform's store", true, CheckAddress},
+      {"metrics_port", &S::metrics_port, "", 0, 65535,
+       "Port of `/metrics` on the address of the callers' listener; 0: none"},
+      {"log_level", &S::log_level, "", 0, 0,
+       "Last level of log lines: off, lifecycle, beliefs or requests", false,
+       CheckLevel},
+      {"engines_check_fences", &S::engines_check_fences, "", 0, 0,
+       "Engines refuse orders with an old fencing token"},
+      {"revocation_bound_ms", &S::revocation_bound, "ms", 1000, 600000,
+       "Longest time that a key is accepted after it was taken away"},
+      {"version_bound_ms", &S::version_bound, "ms", 1000, 600000,
+       "Longest time that requests run on old weights after new ones were "
+       "named"},
+      {"lease_ms", &S::lease_time, "ms", 500, 60000,
+       "Lease of the host that gives orders to engines"},
+      {"stop_grace_ms", &S::stop_grace, "ms", 1000, 600000,
+       "Time from SIGTERM until the process is killed"},
+      {"retry_window_ms", &S::retry_window, "ms", 1000, 600000,
+       "Window in which retries are counted"},
+      {"retry_ratio", &S::retry_ratio, "", 0, 10,
+       "Retries allowed for each request of the window"},
+      {"retry_slack", &S::retry_slack, "retries", 0, 100000,
+       "Retries allowed besides, over all hosts"},
+      {"assumed_hosts", &S::assumed_hosts, "hosts", 1, 10000,
+       "Number of hosts until they have been counted"},
+      {"config_watch_wait_ms", &S::config_watch_wait, "ms", 100, 30000,
+       "Longest wait of one watch of the configuration"},
+      {"endpoints_watch_wait_ms", &S::endpoints_watch_wait, "ms", 100, 30000,
+       "Longest wait of one watch of the endpoints"},
+      {"other_watch_wait_ms", &S::other_watch_wait, "ms", 100, 30000,
+       "Longest wait of one watch of weight versions and of hosts"},
+  };
+  return kTable;
+}
+
+}  // namespace jujuberock::gateway
--- /dev/null
+++ b/source/core/gateway/settings.h
@@ -0,0 +1,42 @@
+#ifndef CORE_GATEWAY_SETTINGS_H_
+#define CORE_GATEWAY_SETTINGS_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "core/common/settings.h"
+#include "core/common/time.h"
+
+namespace jujuberock::gateway {
+
+// Settings of one host that serves the platform's callers.
+struct Settings {
+  std::string host_name;
+  std::string zone;
+  std::string caller_address;
+  std::string ready_address;
+  std::string platform_address;
+  // 0: no metrics are served.
+  int64_t metrics_port = 0;
+  std::string log_level = "requests";
+  bool engines_check_fences = false;
+  common::Duration revocation_bound = std::chrono::milliseconds(5000);
+  common::Duration version_bound = std::chrono::milliseconds(8000);
+  common::Duration lease_time = std::chrono::milliseconds(3000);
+  common::Duration stop_grace = std::chrono::milliseconds(8000);
+  common::Duration retry_window = std::chrono::milliseconds(10000);
+  double retry_ratio = 0.2;
+  double retry_slack = 0;
+  int64_t assumed_hosts = 4;
+  common::Duration config_watch_wait = std::chrono::milliseconds(1000);
+  common::Duration endpoints_watch_wait = std::chrono::milliseconds(1500);
+  common::Duration other_watch_wait = std::chrono::milliseconds(2500);
+};
+
+// All settings, with names, ranges and help.
+const std::vector<common::SettingDeclaration<Settings>>& SettingTable();
+
+}  // namespace jujuberock::gateway
+
+#endif  // CORE_GATEWAY_SETTINGS_H_
--- a/source/core/runtime/http_server.cc
+++ b/source/core/runtime/http_server.cc
@@ -263,7 +263,7 @@
         HttpHandler handler,
         ErrorRenderer render_error)
       : pool(pool),
-        options(options),
+        limits(std::make_shared<const HttpServerOptions>(options)),
         handler(std::move(handler)),
         render_error(std::move(render_error)),
         streams(pool.size()) {}
@@ -282,7 +282,11 @@
   void Close();
 
   WorkerPool& pool;
-  HttpServerOptions options;
+  std::shared_ptr<const HttpServerOptions> Limits() const {
+    return this->limits.load();
+  }
+
+  std::atomic<std::shared_ptr<const HttpServerOptions>> limits;
   HttpHandler handler;
   ErrorRenderer render_error;
   Address bound;
@@ -381,7 +385,7 @@
   error_code error;
   if (buffer.size() == 0) {
     stream.expires_after(this->draining ? kDrainGrace
-                                        : this->options.idle_timeout);
+                                        : this->Limits()->idle_timeout);
     auto space = buffer.prepare(4096);
     const size_t bytes = stream.async_read_some(space, Await(error));
     if (error)
@@ -400,10 +404,11 @@
                                       beast::flat_buffer& buffer) {
   error_code error;
   http::request_parser<http::string_body> parser;
-  parser.header_limit(static_cast<uint32_t>(this->options.header_limit_bytes));
-  parser.body_limit(this->options.body_limit_bytes);
+  parser.header_limit(
+      static_cast<uint32_t>(this->Limits()->header_limit_bytes));
+  parser.body_limit(this->Limits()->body_limit_bytes);
   stream.expires_never();
-  ReadDeadline deadline(stream, this->options.header_timeout);
+  ReadDeadline deadline(stream, this->Limits()->header_timeout);
   http::async_read_header(stream, buffer, parser, Await(error));
   if (!error && !parser.is_done()) {
     if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
@@ -411,7 +416,7 @@
       http::async_write(stream, proceed, Await(error));
     }
     stream.expires_never();
-    deadline.Extend(this->options.body_timeout);
+    deadline.Extend(this->Limits()->body_timeout);
     http::async_read(stream, buffer, parser, Await(error));
   }
   if (error) {
@@ -431,7 +436,8 @@
   const bool keep_alive = message.keep_alive() && !this->draining;
   const bool is_head = message.method() == http::verb::head;
   const HttpRequest request = FromBeast(message);
-  StreamWriter writer(stream, this->options.write_timeout, keep_alive, is_head);
+  StreamWriter writer(stream, this->Limits()->write_timeout, keep_alive,
+                      is_head);
   try {
     // A handler may wait far longer than a read or write may take.
     stream.expires_never();
@@ -454,7 +460,7 @@
 
 void HttpServer::State::Reject(Stream& stream, const Error& error) {
   try {
-    StreamWriter writer(stream, this->options.write_timeout, false, false);
+    StreamWriter writer(stream, this->Limits()->write_timeout, false, false);
     writer.Send(this->render_error(error));
   } catch (const Error&) {
     // The peer has gone away.
@@ -535,6 +541,10 @@
   return this->state->bound;
 }
 
+void HttpServer::SetOptions(HttpServerOptions options) {
+  this->state->limits.store(std::make_shared<const HttpServerOptions>(options));
+}
+
 void HttpServer::Drain() {
   this->state->Drain();
 }
--- a/source/core/runtime/http_server.h
+++ b/source/core/runtime/http_server.h
@@ -68,6 +68,9 @@
 
   Address address() const;
 
+  // Replaces the limits; requests that are being read keep the former ones.
+  void SetOptions(HttpServerOptions options);
+
   // Closes each connection after the request that it is serving. For one
   // second more the server accepts connections and requests, which the handler
   // should refuse, so that nothing already sent is reset. Returns at once.
--- /dev/null
+++ b/source/jujuberock/gateway_command.cc
@@ -0,0 +1,143 @@
+#include <gflags/gflags.h>
+#include <glog/logging.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <optional>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include "core/common/error.h"
+#include "core/common/settings.h"
+#include "core/events/event_log.h"
+#include "core/gateway/gateway.h"
+#include "core/gateway/settings.h"
+#include "core/runtime/http_client.h"
+#include "core/runtime/worker_pool.h"
+#include "jujuberock/command.h"
+#include "platform/codec.h"
+#include "platform/peers.h"
+#include "platform/store_client.h"
+
+DECLARE_string(config);
+
+namespace jujuberock {
+
+namespace {
+
+common::UnixTime WallNow() {
+  return std::chrono::time_point_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now());
+}
+
+std::optional<gateway::Settings> ReadSettings(const std::string& path,
+                                              const CommandLine& line,
+                                              std::ostream& problems_out) {
+  common::SettingsReader reader;
+  if (!path.empty())
+    reader.ReadFile(path);
+  for (const std::string& assignment : line.overrides)
+    reader.ReadOverride(assignment);
+  gateway::Settings settings;
+  const auto problems =
+      common::ApplySettings(gateway::SettingTable(), reader, settings);
+  for (const common::SettingsProblem& problem : problems)
+    problems_out << problem.ToString() << "\n";
+  if (!problems.empty())
+    return std::nullopt;
+  return settings;
+}
+
+// Reads the settings again on SIGHUP and stops the loop on SIGTERM.
+class SignalLoop {
+ public:
+  SignalLoop(gateway::Gateway& host,
+             runtime::WorkerPool& workers,
+             const CommandLine& line)
+      : host(host), workers(workers), line(line), signals(this->io, SIGTERM) {
+    this->signals.add(SIGINT);
+    this->signals.add(SIGHUP);
+    this->Wait();
+  }
+
+  void Run() { this->io.run(); }
+
+ private:
+  void Wait() {
+    this->signals.async_wait(
+        [this](const boost::system::error_code&, int number) {
+          if (number != SIGHUP) {
+            this->io.stop();
+            return;
+          }
+          this->Reload();
+          this->Wait();
+        });
+  }
+
+  void Reload() {
+    const auto changed = ReadSettings(FLAGS_config, this->line, std::cerr);
+    if (!changed) {
+      LOG(ERROR) << "settings not reloaded: the file has mistakes";
+      return;
+    }
+    this->workers.Run([&] { this->host.Reload(*changed); });
+  }
+
+  gateway::Gateway& host;
+  runtime::WorkerPool& workers;
+  const CommandLine& line;
+  boost::asio::io_context io;
+  boost::asio::signal_set signals;
+};
+
+}  // namespace
+
+int RunGateway(const CommandLine& line) {
+  const auto settings = ReadSettings(FLAGS_config, line, std::cerr);
+  if (!settings)
+    return kExitFailed;
+  try {
+    // A caller that closes while an answer is written must not end the process.
+    std::signal(SIGPIPE, SIG_IGN);
+    common::CounterRegistry counters;
+    events::StandardOutput output;
+    events::EventLog log(output, settings->host_name, WallNow, counters);
+    log.SetLevel(*events::kLevelNames.ValueOf(settings->log_level));
+    runtime::WorkerPool workers(1);
+    runtime::HttpClient http(workers, {});
+    platform_adapter::StoreClient store(
+        http, *runtime::Address::Parse(settings->platform_address), counters);
+    const platform_adapter::PlatformDecoder decoder;
+    const platform_adapter::PlatformCodec codec;
+    gateway::Gateway host(*settings, workers, {store, decoder, codec}, log,
+                          counters);
+    SignalLoop(host, workers, line).Run();
+    host.Stop();
+    // Fibers that still run would hold up the end of the process.
+    std::_Exit(kExitOk);
+  } catch (const common::Error& error) {
+    std::cerr << "jujuberock gateway: " << error.what() << "\n";
+    return kExitFailed;
+  }
+}
+
+int RunCheckGateway(const CommandLine& line) {
+  if (line.arguments.size() != 1) {
+    std::cerr << "usage: jujuberock check-gateway FILE\n";
+    return kExitUsage;
+  }
+  if (!ReadSettings(line.arguments[0], line, std::cerr))
+    return kExitFailed;
+  std::cout << line.arguments[0] << ": the settings are valid\n";
+  return kExitOk;
+}
+
+int RunEvents(const CommandLine&) {
+  std::cout << events::RenderEventsPage();
+  return kExitOk;
+}
+
+}  // namespace jujuberock
--- /dev/null
+++ b/source/platform/codec.h
@@ -0,0 +1,25 @@
+#ifndef PLATFORM_CODEC_H_
+#define PLATFORM_CODEC_H_
+
+#include "core/forward/types.h"
+
+namespace jujuberock::platform_adapter {
+
+// The header fields of the platform's requests and answers.
+class PlatformCodec : public forward::Codec {
+ public:
+  forward::CallerRequest DecodeRequest(
+      const runtime::HttpRequest& request) const override;
+  runtime::HttpHeaders EncodeSend(
+      const forward::CallerRequest& request,
+      const forward::SendOrder& order) const override;
+  forward::AnswerHead DecodeAnswer(
+      int status,
+      const runtime::HttpHeaders& headers) const override;
+  void AddRetryAfter(runtime::HttpHeaders& headers,
+                     common::Duration after) const override;
+};
+
+}  // namespace jujuberock::platform_adapter
+
+#endif  // PLATFORM_CODEC_H_
--- /dev/null
+++ b/source/platform/peers.h
@@ -0,0 +1,28 @@
+#ifndef PLATFORM_PEERS_H_
+#define PLATFORM_PEERS_H_
+
+#include "core/gateway/decoder.h"
+#include "platform/codec.h"
+#include "platform/decode.h"
+
+namespace jujuberock::platform_adapter {
+
+// Reads the objects that the operator and the endpoints write.
+class PlatformDecoder : public gateway::ObjectDecoder {
+ public:
+  catalog::Config Config(const catalog::StoredObject& object) const override {
+    return DecodeConfig(object);
+  }
+  catalog::ModelVersion Version(
+      const catalog::StoredObject& object) const override {
+    return DecodeModelVersion(object);
+  }
+  std::optional<catalog::Endpoint> Endpoint(
+      const catalog::StoredObject& object) const override {
+    return DecodeEndpoint(object);
+  }
+};
+
+}  // namespace jujuberock::platform_adapter
+
+#endif  // PLATFORM_PEERS_H_
--- /dev/null
+++ b/source/platform/store_client.cc
@@ -0,0 +1,220 @@
+#include "platform/store_client.h"
+
+#include <array>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "core/common/error.h"
+#include "platform/wire_names.h"
+
+namespace jujuberock::platform_adapter {
+
+namespace {
+
+using common::Duration;
+using common::Error;
+using common::ResultCode;
+using Json = nlohmann::json;
+
+constexpr Duration kReadTimeout = std::chrono::milliseconds(900);
+constexpr Duration kWriteTimeout = std::chrono::milliseconds(900);
+// Time beyond its wait after which a watch counts as silent.
+constexpr Duration kWatchSlack = std::chrono::milliseconds(700);
+
+// In the order of catalog::ObjectKind.
+constexpr std::array kKindNames = {wire::kConfigKind, wire::kEndpointsKind,
+                                   wire::kVersionsKind, wire::kHostsKind};
+
+std::string PathOf(catalog::ObjectKind kind) {
+  std::string path(wire::kObjectsPath);
+  path += kKindNames[static_cast<size_t>(kind)];
+  return path;
+}
+
+runtime::HttpRequest Request(std::string method, std::string target) {
+  runtime::HttpRequest request;
+  request.method = std::move(method);
+  request.target = std::move(target);
+  return request;
+}
+
+Json ParseBody(const runtime::HttpResponse& response) {
+  Json value = Json::parse(response.body, nullptr, false);
+  if (!value.is_object())
+    throw Error(ResultCode::kProtocolError, "the store sent no JSON object");
+  return value;
+}
+
+catalog::StoredObject ToObject(const Json& value) {
+  catalog::StoredObject object;
+  const Json& metadata = value.at("metadata");
+  object.name = metadata.at("name").get<std::string>();
+  object.revision = metadata.value("rev", uint64_t{0});
+  if (value.contains("spec"))
+    object.content = value["spec"].dump();
+  return object;
+}
+
+[[noreturn]] void ThrowStatus(const runtime::HttpResponse& response) {
+  if (response.status == 429)
+    throw Error(ResultCode::kPlatformRateLimited, "the store limits the rate");
+  throw Error(ResultCode::kPlatformUnavailable,
+              "the store answered " + std::to_string(response.status));
+}
+
+std::string WriteBody(std::string_view name,
+                      std::optional<uint64_t> revision,
+                      std::string_view content) {
+  Json body;
+  body["metadata"]["name"] = std::string(name);
+  body["metadata"]["finalizers"] = Json::array();
+  if (revision)
+    body["metadata"]["rev"] = *revision;
+  body["spec"] = Json::parse(content);
+  return body.dump();
+}
+
+}  // namespace
+
+StoreClient::StoreClient(runtime::HttpClient& http,
+                         runtime::Address address,
+                         common::CounterRegistry& counters)
+    : http(http),
+      address(std::move(address)),
+      lists(counters.GetCounter("store_calls_total", {{"call", "list"}})),
+      watches(counters.GetCounter("store_calls_total", {{"call", "watch"}})),
+      reads(counters.GetCounter("store_calls_total", {{"call", "read"}})),
+      writes(counters.GetCounter("store_calls_total", {{"call", "write"}})) {}
+
+runtime::HttpResponse StoreClient::Fetch(const runtime::HttpRequest& request,
+                                         Duration timeout) {
+  runtime::HttpCallOptions options;
+  options.header_timeout = timeout;
+  options.read_timeout = kReadTimeout;
+  try {
+    return this->http.Fetch(this->address, request, options);
+  } catch (const runtime::HttpError& error) {
+    throw Error(
+        ResultCode::kPlatformUnavailable, error.what(),
+        error.sent() ? common::Outcome::kUnknown : common::Outcome::kNotRun);
+  }
+}
+
+catalog::ObjectSnapshot StoreClient::List(catalog::ObjectKind kind) {
+  catalog::ObjectSnapshot snapshot;
+  std::string after;
+  while (true) {
+    this->lists.Add();
+    std::string target = PathOf(kind);
+    if (!after.empty())
+      target += "?after=" + after;
+    const auto response = this->Fetch(Request("GET", target), kReadTimeout);
+    if (response.status != 200)
+      ThrowStatus(response);
+    try {
+      const Json page = ParseBody(response);
+      for (const Json& item : page.at("items"))
+        snapshot.objects.push_back(ToObject(item));
+      // The first page is the oldest; a watch from there misses nothing.
+      if (after.empty())
+        snapshot.revision = page.at("storeRevision").get<uint64_t>();
+      if (!page.value("more", false) || snapshot.objects.empty())
+        return snapshot;
+      after = snapshot.objects.back().name;
+    } catch (const Json::exception& error) {
+      throw Error(ResultCode::kProtocolError, error.what());
+    }
+  }
+}
+
+catalog::ObjectChanges StoreClient::Watch(catalog::ObjectKind kind,
+                                          uint64_t revision,
+                                          Duration wait) {
+  this->watches.Add();
+  const std::string target = PathOf(kind) +
+                             "?watch=" + std::to_string(revision) +
+                             "&waitMs=" + std::to_string(wait.count() / 1000);
+  const auto response = this->Fetch(Request("GET", target), wait + kWatchSlack);
+  catalog::ObjectChanges changes;
+  changes.revision = revision;
+  if (response.status == 410) {
+    changes.history_gone = true;
+    return changes;
+  }
+  if (response.status != 200)
+    ThrowStatus(response);
+  try {
+    const Json body = ParseBody(response);
+    for (const Json& event : body.at("events")) {
+      changes.changes.push_back(
+          {ToObject(event.at("object")), event.value("deleted", false)});
+    }
+    changes.revision = body.at("storeRevision").get<uint64_t>();
+  } catch (const Json::exception& error) {
+    throw Error(ResultCode::kProtocolError, error.what());
+  }
+  return changes;
+}
+
+std::optional<catalog::StoredObject> StoreClient::Read(catalog::ObjectKind kind,
+                                                       std::string_view name) {
+  this->reads.Add();
+  const auto response = this->Fetch(
+      Request("GET", PathOf(kind) + "/" + std::string(name)), kReadTimeout);
+  if (response.status == 404)
+    return std::nullopt;
+  if (response.status != 200)
+    ThrowStatus(response);
+  try {
+    return ToObject(ParseBody(response));
+  } catch (const Json::exception& error) {
+    throw Error(ResultCode::kProtocolError, error.what());
+  }
+}
+
+catalog::WriteReply StoreClient::Write(runtime::HttpRequest request) {
+  this->writes.Add();
+  request.headers.Set("Content-Type", "application/json");
+  catalog::WriteReply reply;
+  try {
+    const auto response = this->Fetch(request, kWriteTimeout);
+    if (response.status == 429 || response.status == 503 ||
+        response.status == 404) {
+      reply.state = catalog::WriteState::kRefused;
+      return reply;
+    }
+    const bool written = response.status >= 200 && response.status < 300;
+    if (!written && response.status != 409)
+      return reply;
+    reply.state = written ? catalog::WriteState::kWritten
+                          : catalog::WriteState::kConflict;
+    reply.current = ToObject(ParseBody(response));
+  } catch (const Error& error) {
+    if (error.outcome() == common::Outcome::kNotRun)
+      reply.state = catalog::WriteState::kRefused;
+  } catch (const Json::exception&) {
+    // The state tells what happened; the object must be read again.
+    reply.current.reset();
+  }
+  return reply;
+}
+
+catalog::WriteReply StoreClient::Create(catalog::ObjectKind kind,
+                                        std::string_view name,
+                                        std::string_view content) {
+  auto request = Request("POST", PathOf(kind));
+  request.body = WriteBody(name, std::nullopt, content);
+  return this->Write(std::move(request));
+}
+
+catalog::WriteReply StoreClient::Replace(catalog::ObjectKind kind,
+                                         std::string_view name,
+                                         uint64_t expected,
+                                         std::string_view content) {
+  auto request = Request("PUT", PathOf(kind) + "/" + std::string(name));
+  request.body = WriteBody(name, expected, content);
+  return this->Write(std::move(request));
+}
+
+}  // namespace jujuberock::platform_adapter
--- /dev/null
+++ b/source/platform/store_client.h
@@ -0,0 +1,51 @@
+#ifndef PLATFORM_STORE_CLIENT_H_
+#define PLATFORM_STORE_CLIENT_H_
+
+#include <functional>
+#include <string>
+#include <string_view>
+
+#include "core/catalog/object_store.h"
+#include "core/common/counters.h"
+#include "core/runtime/http_client.h"
+
+namespace jujuberock::platform_adapter {
+
+// The platform's metadata store over HTTP. Calls are counted in
+// `store_calls_total{call}`.
+class StoreClient : public catalog::ObjectStore {
+ public:
+  StoreClient(runtime::HttpClient& http,
+              runtime::Address address,
+              common::CounterRegistry& counters);
+
+  catalog::ObjectSnapshot List(catalog::ObjectKind kind) override;
+  catalog::ObjectChanges Watch(catalog::ObjectKind kind,
+                               uint64_t revision,
+                               common::Duration wait) override;
+  std::optional<catalog::StoredObject> Read(catalog::ObjectKind kind,
+                                            std::string_view name) override;
+  catalog::WriteReply Create(catalog::ObjectKind kind,
+                             std::string_view name,
+                             std::string_view content) override;
+  catalog::WriteReply Replace(catalog::ObjectKind kind,
+                              std::string_view name,
+                              uint64_t expected,
+                              std::string_view content) override;
+
+ private:
+  runtime::HttpResponse Fetch(const runtime::HttpRequest& request,
+                              common::Duration timeout);
+  catalog::WriteReply Write(runtime::HttpRequest request);
+
+  runtime::HttpClient& http;
+  runtime::Address address;
+  common::Counter& lists;
+  common::Counter& watches;
+  common::Counter& reads;
+  common::Counter& writes;
+};
+
+}  // namespace jujuberock::platform_adapter
+
+#endif  // PLATFORM_STORE_CLIENT_H_
