--- a/source/core/dispatch/service_pool.cc
+++ b/source/core/dispatch/service_pool.cc
@@ -19,6 +19,9 @@
 // average, since other hosts send the same session there.
 constexpr double kFirstAffinity = 0.35;
 constexpr double kSecondAffinity = 0.12;
+// Time for a fetched token, as a share of that for a token that is read; it
+// takes a link's time, not the engine's.
+constexpr double kFetchShare = 0.4;
 constexpr double kOtherZoneMs = 1.5;
 // Requests on old weights earn less and soon nothing.
 constexpr double kOldVersionMs = 200;
@@ -149,6 +152,9 @@
   const Prompt& prompt = *needs.prompt;
   choice.uncached_tokens =
       record.part_cache().UncachedTokens(needs.salt, prompt);
+  const int64_t fetched = this->TakeStored(choice, needs);
+  const double fetch_ms =
+      kFetchShare * this->model.token_ms() * static_cast<double>(fetched);
   const double others = record.OthersWaiting(now) * this->mean_uncached;
   const double ahead =
       static_cast<double>(record.PendingTokens(needs.urgency)) + others;
@@ -181,6 +187,17 @@
   return score;
 }
 
+int64_t ServicePool::TakeStored(Choice& choice, const SendNeeds& needs) const {
+  if (!needs.stored_tokens)
+    return 0;
+  const uint64_t version = choice.endpoint->VersionOf(needs.prompt->model);
+  const int64_t stored = needs.stored_tokens(version);
+  const int64_t cached = needs.prompt->prompt_tokens - choice.uncached_tokens;
+  const int64_t fetched = std::max<int64_t>(0, stored - cached);
+  choice.uncached_tokens -= fetched;
+  return fetched;
+}
+
 ServicePool::Affinity ServicePool::AffinityOf(const Prompt& prompt) const {
   Affinity affinity;
   const std::string_view key = SessionKey(prompt);
--- a/source/core/dispatch/service_pool.h
+++ b/source/core/dispatch/service_pool.h
@@ -1,6 +1,7 @@
 #ifndef CORE_DISPATCH_SERVICE_POOL_H_
 #define CORE_DISPATCH_SERVICE_POOL_H_
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -29,6 +30,9 @@
   uint64_t preferred_version = 0;
   // Endpoints that this request was sent to already.
   const std::set<std::string>* tried = nullptr;
+  // Tokens from the beginning of the prompt that engines of this weight version
+  // can fetch instead of reading them; may be empty.
+  std::function<int64_t(uint64_t version)> stored_tokens;
   // Had a part in a crash: runs where it endangers least.
   bool isolate = false;
 };
@@ -95,6 +99,8 @@
                      const SendNeeds& needs,
                      const Affinity& affinity,
                      common::TimePoint now);
+  // Tokens that the engine has to fetch; lowers the uncached ones.
+  int64_t TakeStored(Choice& choice, const SendNeeds& needs) const;
   double ScorePlain(Choice& choice, common::TimePoint now);
 
   std::string zone;
--- a/source/core/gateway/gateway.cc
+++ b/source/core/gateway/gateway.cc
@@ -47,9 +47,18 @@
       connections({}, counters),
       view(this->settings, peers.store, peers.decoder, log),
       dispatcher(this->settings, this->view, this->connections, log, counters),
+      store_watch(peers.control, this->store_book, log),
+      rollout(this->settings,
+              this->view,
+              this->dispatcher,
+              peers.store,
+              peers.control,
+              log),
+      hosts(this->settings, this->dispatcher, peers.store),
       parts{this->settings,
             this->view,
             this->dispatcher,
+            this->store_book,
             this->connections,
             peers.codec,
             log,
@@ -59,6 +68,8 @@
             counters.GetHistogram("request_first_byte_seconds"),
             counters.GetHistogram("request_seconds")} {
   this->view.OnChange([this] { this->OnViewChange(); });
+  this->view.OnHostObject(
+      [this](const auto& change) { this->OnHostObject(change); });
   const auto address = [](const std::string& text) {
     return *runtime::Address::Parse(text);
   };
@@ -90,6 +101,8 @@
   workers.Spawn(0, [this] {
     Line(this->log, Event::kStarted).Add(Field::kDetail, "serving");
     this->view.Start();
+    runtime::SpawnHere([this] { this->rollout.Run(); });
+    runtime::SpawnHere([this] { this->hosts.Run(); });
     while (!this->stopping || this->caller_server) {
       runtime::SleepFor(Dispatcher::kCheckPeriod);
       this->Tick();
@@ -99,6 +112,9 @@
 
 Gateway::~Gateway() {
   this->view.Stop();
+  this->store_watch.Stop();
+  this->rollout.Stop();
+  this->hosts.Stop();
 }
 
 void Gateway::Reload(const Settings& changed) {
@@ -110,8 +126,20 @@
 
 void Gateway::OnViewChange() {
   this->dispatcher.Refresh();
-  if (const auto config = this->view.config())
-    this->caller_server->SetOptions(OptionsFor(config->config().limits));
+  const auto config = this->view.config();
+  if (!config)
+    return;
+  this->caller_server->SetOptions(OptionsFor(config->config().limits));
+  this->store_watch.Refresh(*config);
+}
+
+void Gateway::OnHostObject(const catalog::ObjectChange& change) {
+  if (change.object.name == RolloutDuty::kObjectName) {
+    if (!change.deleted)
+      this->rollout.OnLeaseObject(change.object);
+    return;
+  }
+  this->hosts.OnObject(change);
 }
 
 void Gateway::Tick() {
@@ -168,6 +196,7 @@
   this->stopping = true;
   const auto began = runtime::BootNow();
   this->workers.Run([this, began] {
+    this->rollout.Stop();
     Line(this->log, Event::kStopping)
         .Add(Field::kInFlight,
              static_cast<uint64_t>(this->caller_server->ActiveRequests()));
--- a/source/core/gateway/gateway.h
+++ b/source/core/gateway/gateway.h
@@ -12,8 +12,12 @@
 #include "core/forward/types.h"
 #include "core/gateway/decoder.h"
 #include "core/gateway/dispatcher.h"
+#include "core/gateway/endpoint_control.h"
+#include "core/gateway/host_board.h"
 #include "core/gateway/request_task.h"
+#include "core/gateway/rollout_duty.h"
 #include "core/gateway/settings.h"
+#include "core/gateway/store_watch.h"
 #include "core/gateway/view_keeper.h"
 #include "core/runtime/http_server.h"
 #include "core/runtime/worker_pool.h"
@@ -25,6 +29,7 @@
   catalog::ObjectStore& store;
   const ObjectDecoder& decoder;
   const forward::Codec& codec;
+  EndpointControl& control;
 };
 
 // One host: serves callers, follows the platform's store, answers the
@@ -54,6 +59,7 @@
                    std::optional<common::Duration> retry_after,
                    runtime::ResponseWriter& writer);
   void OnViewChange();
+  void OnHostObject(const catalog::ObjectChange& change);
   void Tick();
   void NoteViewAge(common::TimePoint now);
 
@@ -65,6 +71,10 @@
   forward::ConnectionPool connections;
   ViewKeeper view;
   Dispatcher dispatcher;
+  reuse::StoreBook store_book;
+  StoreWatch store_watch;
+  RolloutDuty rollout;
+  HostBoard hosts;
   RequestParts parts;
   std::unique_ptr<runtime::HttpServer> caller_server;
   std::unique_ptr<runtime::HttpServer> ready_server;
--- /dev/null
+++ b/source/core/gateway/host_board.h
@@ -0,0 +1,44 @@
+#ifndef CORE_GATEWAY_HOST_BOARD_H_
+#define CORE_GATEWAY_HOST_BOARD_H_
+
+#include <set>
+#include <string>
+
+#include "core/catalog/object_store.h"
+#include "core/common/time.h"
+#include "core/gateway/dispatcher.h"
+#include "core/gateway/settings.h"
+
+namespace jujuberock::gateway {
+
+// This host's object in the hosts' own kind, and what the others' objects say:
+// how many hosts exist, and which requests crashed endpoints. No guarantee
+// depends on the number; it only divides budgets.
+class HostBoard {
+ public:
+  HostBoard(const Settings& settings,
+            Dispatcher& dispatcher,
+            catalog::ObjectStore& store);
+
+  void OnObject(const catalog::ObjectChange& change);
+  // Writes this host's object whenever it has changed; until Stop().
+  void Run();
+  void Stop() { this->stopping = true; }
+
+ private:
+  bool Write();
+  std::string Content() const;
+
+  const Settings& settings;
+  Dispatcher& dispatcher;
+  catalog::ObjectStore& store;
+  std::string own_name;
+  std::optional<uint64_t> own_revision;
+  std::set<std::string> names;
+  bool changed = true;
+  bool stopping = false;
+};
+
+}  // namespace jujuberock::gateway
+
+#endif  // CORE_GATEWAY_HOST_BOARD_H_
--- a/source/core/gateway/request_task.cc
+++ b/source/core/gateway/request_task.cc
@@ -1,6 +1,7 @@
 #include "core/gateway/request_task.h"
 
 #include <algorithm>
+#include <map>
 #include <utility>
 
 #include <boost/beast/core/string.hpp>
@@ -181,6 +182,10 @@
   return "shared";
 }
 
+std::string RequestTask::SaltFor(uint64_t version) const {
+  return "v" + std::to_string(version) + "/" + this->salt;
+}
+
 Duration RequestTask::Remaining(TimePoint now) const {
   return this->deadline - now;
 }
@@ -206,6 +211,14 @@
   needs.required_version = this->RequiredVersion(runtime::BootNow());
   const auto named = this->parts.view.VersionOf(needs.prompt->model);
   needs.preferred_version = named ? named->version : 0;
+  needs.stored_tokens = [this, known = std::map<uint64_t, int64_t>()](
+                            uint64_t version) mutable {
+    const auto [entry, is_new] = known.try_emplace(version, 0);
+    if (is_new)
+      entry->second = this->parts.stores.ReadableTokens(
+          this->SaltFor(version), *this->request.prompt, runtime::BootNow());
+    return entry->second;
+  };
   return needs;
 }
 
@@ -284,13 +297,23 @@
   order.urgency = this->urgency;
   const uint64_t version =
       choice.endpoint->VersionOf(this->request.prompt->model);
-  order.cache_salt = "v" + std::to_string(version) + "/" + this->salt;
-  const uint64_t required = this->RequiredVersion(now);
-  if (required != 0)
-    order.expected_version = version;
+  order.cache_salt = this->SaltFor(version);
+  // Parts are found by their salt alone, so the weights that make them must be
+  // those that the salt names.
+  order.expected_version = version;
+  this->AddReuse(order);
   return order;
 }
 
+void RequestTask::AddReuse(forward::SendOrder& order) const {
+  reuse::ReusePlan plan = this->parts.stores.Plan(
+      *order.cache_salt, *this->request.prompt, runtime::BootNow());
+  order.cache_sources = std::move(plan.sources);
+  order.cache_targets = std::move(plan.targets);
+  if (plan.source_tokens > 0)
+    order.cache_until_ms = plan.until_ms;
+}
+
 std::optional<Duration> RequestTask::MoveAfter(
     const dispatch::Choice& choice) const {
   const bool is_last = this->sends + 1 >= this->route->max_attempts;
--- a/source/core/gateway/request_task.h
+++ b/source/core/gateway/request_task.h
@@ -13,6 +13,7 @@
 #include "core/forward/event_splitter.h"
 #include "core/forward/types.h"
 #include "core/gateway/dispatcher.h"
+#include "core/reuse/store_book.h"
 #include "core/runtime/http_server.h"
 
 namespace jujuberock::gateway {
@@ -22,6 +23,7 @@
   const Settings& settings;
   const ViewKeeper& view;
   Dispatcher& dispatcher;
+  reuse::StoreBook& stores;
   forward::ConnectionPool& connections;
   const forward::Codec& codec;
   events::EventLog& log;
@@ -100,6 +102,9 @@
   common::Duration Remaining(common::TimePoint now) const;
   uint64_t RequiredVersion(common::TimePoint now) const;
   std::string Salt() const;
+  // The salt of parts that this version of the weights makes.
+  std::string SaltFor(uint64_t version) const;
+  void AddReuse(forward::SendOrder& order) const;
 
   RequestParts& parts;
   forward::CallerRequest request;
--- a/source/jujuberock/gateway_command.cc
+++ b/source/jujuberock/gateway_command.cc
@@ -18,6 +18,7 @@
 #include "core/runtime/worker_pool.h"
 #include "jujuberock/command.h"
 #include "platform/codec.h"
+#include "platform/endpoint_control.h"
 #include "platform/peers.h"
 #include "platform/store_client.h"
 
@@ -112,8 +113,9 @@
         http, *runtime::Address::Parse(settings->platform_address), counters);
     const platform_adapter::PlatformDecoder decoder;
     const platform_adapter::PlatformCodec codec;
-    gateway::Gateway host(*settings, workers, {store, decoder, codec}, log,
-                          counters);
+    platform_adapter::PlatformEndpointControl control(http);
+    gateway::Gateway host(*settings, workers, {store, decoder, codec, control},
+                          log, counters);
     SignalLoop(host, workers, line).Run();
     host.Stop();
     // Fibers that still run would hold up the end of the process.
--- /dev/null
+++ b/source/platform/endpoint_control.cc
@@ -0,0 +1,138 @@
+#include "platform/endpoint_control.h"
+
+#include <nlohmann/json.hpp>
+
+#include "platform/wire_names.h"
+
+namespace jujuberock::platform_adapter {
+
+namespace {
+
+using common::Duration;
+using Json = nlohmann::json;
+
+constexpr Duration kReportTimeout = std::chrono::milliseconds(400);
+constexpr Duration kOrderTimeout = std::chrono::milliseconds(500);
+constexpr Duration kEventsSlack = std::chrono::milliseconds(300);
+
+gateway::EngineReport DecodeReport(const Json& body) {
+  gateway::EngineReport report;
+  report.busy = body.value("busy", false);
+  report.sequence = body.value("sequence", uint64_t{0});
+  for (const Json& model : body.value("models", Json::array())) {
+    report.models.push_back({model.at("name").get<std::string>(),
+                             model.at("version").get<uint64_t>()});
+  }
+  return report;
+}
+
+// [number, "+" or "-", salt, part, tokens stored now, model]
+reuse::StoreEvent DecodeEvent(const Json& item) {
+  reuse::StoreEvent event;
+  event.added = item.at(1).get<std::string>() == "+";
+  event.salt = item.at(2).get<std::string>();
+  event.part = item.at(3).get<std::string>();
+  event.tokens = item.at(4).get<int64_t>();
+  return event;
+}
+
+reuse::StoreEvents DecodeEvents(const Json& body) {
+  reuse::StoreEvents events;
+  events.epoch = body.at("epoch").get<uint64_t>();
+  events.next = body.at("next").get<uint64_t>();
+  events.lost = body.value("lost", false);
+  if (body.contains("clock_ms"))
+    events.clock_ms =
+        static_cast<int64_t>(body["clock_ms"].get<double>());
+  for (const Json& item : body.at("events"))
+    events.events.push_back(DecodeEvent(item));
+  return events;
+}
+
+}  // namespace
+
+std::optional<runtime::HttpResponse> PlatformEndpointControl::Fetch(
+    const std::string& address,
+    const runtime::HttpRequest& request,
+    Duration timeout) {
+  const auto parsed = runtime::Address::Parse(address);
+  if (!parsed)
+    return std::nullopt;
+  runtime::HttpCallOptions options;
+  options.header_timeout = timeout;
+  options.read_timeout = timeout;
+  try {
+    return this->http.Fetch(*parsed, request, options);
+  } catch (const runtime::HttpError&) {
+    return std::nullopt;
+  }
+}
+
+std::optional<gateway::EngineReport> PlatformEndpointControl::Report(
+    const catalog::Endpoint& endpoint) {
+  runtime::HttpRequest request;
+  request.target = std::string(wire::kReportPath);
+  request.headers.Set(wire::kExpectInstance, endpoint.id);
+  const auto response =
+      this->Fetch(endpoint.address, request, kReportTimeout);
+  if (!response || response->status != 200)
+    return std::nullopt;
+  try {
+    return DecodeReport(Json::parse(response->body));
+  } catch (const Json::exception&) {
+    return std::nullopt;
+  }
+}
+
+gateway::OrderReply PlatformEndpointControl::Order(
+    const catalog::Endpoint& endpoint,
+    const gateway::VersionOrder& order) {
+  runtime::HttpRequest request;
+  request.method = "POST";
+  request.target = std::string(wire::kOrderPath);
+  request.headers.Set(wire::kExpectInstance, endpoint.id);
+  request.headers.Set("Content-Type", "application/json");
+  Json body;
+  body["opcode"] = "version";
+  body["model"] = order.model;
+  body["version"] = order.version;
+  body["switchMode"] = "queue";
+  body["holder"] = order.holder;
+  body["fencingToken"] = order.token;
+  body["expected"] = order.expected_sequence;
+  request.body = body.dump();
+  const auto response =
+      this->Fetch(endpoint.address, request, kOrderTimeout);
+  if (!response)
+    return gateway::OrderReply::kUnknown;
+  switch (response->status) {
+    case 200:
+      return gateway::OrderReply::kInForce;
+    case 202:
+      return gateway::OrderReply::kAccepted;
+    case 412:
+      return gateway::OrderReply::kStale;
+    default:
+      return gateway::OrderReply::kRefused;
+  }
+}
+
+std::optional<reuse::StoreEvents> PlatformEndpointControl::CacheEvents(
+    const std::string& address,
+    uint64_t next,
+    Duration wait) {
+  runtime::HttpRequest request;
+  request.target = std::string(wire::kCacheEventsPath) +
+                   "?since=" + std::to_string(next);
+  request.headers.Set(wire::kWait, std::to_string(wait.count() / 1000));
+  const auto response = this->Fetch(address, request, wait + kEventsSlack);
+  if (!response || response->status != 200)
+    return std::nullopt;
+  try {
+    return DecodeEvents(Json::parse(response->body));
+  } catch (const Json::exception&) {
+    return std::nullopt;
+  }
+}
+
+}  // namespace jujuberock::platform_adapter
--- /dev/null
+++ b/source/platform/endpoint_control.h
@@ -0,0 +1,37 @@
+#ifndef PLATFORM_ENDPOINT_CONTROL_H_
+#define PLATFORM_ENDPOINT_CONTROL_H_
+
+#include <optional>
+#include <string>
+
+#include "core/gateway/endpoint_control.h"
+#include "core/runtime/http_client.h"
+
+namespace jujuberock::platform_adapter {
+
+// Reports, orders and cache events in the platform's form.
+class PlatformEndpointControl : public gateway::EndpointControl {
+ public:
+  explicit PlatformEndpointControl(runtime::HttpClient& http) : http(http) {}
+
+  std::optional<gateway::EngineReport> Report(
+      const catalog::Endpoint& endpoint) override;
+  gateway::OrderReply Order(const catalog::Endpoint& endpoint,
+                            const gateway::VersionOrder& order) override;
+  std::optional<reuse::StoreEvents> CacheEvents(const std::string& address,
+                                                uint64_t next,
+                                                common::Duration wait) override;
+
+ private:
+  // Nothing when there was no answer.
+  std::optional<runtime::HttpResponse> Fetch(
+      const std::string& address,
+      const runtime::HttpRequest& request,
+      common::Duration timeout);
+
+  runtime::HttpClient& http;
+};
+
+}  // namespace jujuberock::platform_adapter
+
+#endif  // PLATFORM_ENDPOINT_CONTROL_H_
