Plan transfers from cache stores by a model of each store's link

Cause: kv_slow and saturated store links made fetches late; late fetches were read by the engines, which overloaded them, and the system did not recover. The first-token model made it worse: least squares kept a poisoned constant and what was refused was never observed again.

--- a/source/core/catalog/types.h
+++ b/source/core/catalog/types.h
@@ -54,6 +54,7 @@
   int64_t slots = 0;
   int64_t kv_capacity_tokens = 0;
   int64_t kv_token_bytes = 0;
+  double link_mbps = 0;
   std::vector<std::string> models;
 };
 
--- a/source/core/dispatch/first_token_model.cc
+++ b/source/core/dispatch/first_token_model.cc
@@ -5,29 +5,18 @@
 namespace jujuberock::dispatch {
 
 void FirstTokenModel::Observe(int64_t tokens, common::Duration first_token) {
-  const auto x = static_cast<double>(tokens);
-  const double y = common::ToMilliseconds(first_token);
-  this->weight = this->weight * kDecay + 1;
-  this->sum_x = this->sum_x * kDecay + x;
-  this->sum_y = this->sum_y * kDecay + y;
-  this->sum_xx = this->sum_xx * kDecay + x * x;
-  this->sum_xy = this->sum_xy * kDecay + x * y;
-  if (this->weight >= kLeastWeight)
-    this->Fit();
-}
-
-void FirstTokenModel::Fit() {
-  const double variance =
-      this->weight * this->sum_xx - this->sum_x * this->sum_x;
-  if (variance > 0) {
-    const double covariance =
-        this->weight * this->sum_xy - this->sum_x * this->sum_y;
-    this->slope_ms =
-        std::clamp(covariance / variance, kLeastTokenMs, kMostTokenMs);
-  }
-  const double mean_rest =
-      (this->sum_y - this->slope_ms * this->sum_x) / this->weight;
-  this->intercept_ms = std::clamp(mean_rest, 0.0, kMostBaseMs);
+  const double observed = common::ToMilliseconds(first_token);
+  const double expected = common::ToMilliseconds(this->Predict(tokens));
+  const double direction = observed > expected ? 1 : -1;
+  const double share =
+      std::min(1.0, static_cast<double>(tokens) / kStepTokens);
+  // Short prompts tell of the constant, long ones of the time for a token.
+  this->intercept_ms =
+      std::clamp(this->intercept_ms + direction * kBaseStepMs * (1 - share),
+                 0.0, kMostBaseMs);
+  this->slope_ms =
+      std::clamp(this->slope_ms * (1 + direction * kTokenStep * share),
+                 kLeastTokenMs, kMostTokenMs);
 }
 
 common::Duration FirstTokenModel::Predict(int64_t tokens) const {
--- a/source/core/dispatch/first_token_model.h
+++ b/source/core/dispatch/first_token_model.h
@@ -8,9 +8,12 @@
 namespace jujuberock::dispatch {
 
 // Learns how long the engines of a service take to the first token: a constant
-// plus a time for each prompt token that is read before it. Weighted least
-// squares over the recent observations, with bounds that keep it sane while it
-// has seen little. Not thread-safe.
+// plus a time for each prompt token that is read before it. Online median
+// regression: each observation moves the parameters by a bounded step, so that
+// times from a disturbance (a slow store, a crashed engine) neither spoil the
+// prediction nor last in it. Least squares did both: after one slow store it
+// predicted lateness everywhere, and what is refused is never observed again.
+// Not thread-safe.
 class FirstTokenModel {
  public:
   // `tokens`: uncached tokens of the prompt and of those before it.
@@ -22,22 +25,17 @@
   double base_ms() const { return this->intercept_ms; }
 
  private:
-  // An observation weighs half after about 140 more.
-  static constexpr double kDecay = 0.995;
-  static constexpr double kLeastWeight = 20;
   static constexpr double kPriorTokenMs = 0.02;
   static constexpr double kPriorBaseMs = 60;
-  static constexpr double kLeastTokenMs = 0.002;
-  static constexpr double kMostTokenMs = 0.2;
-  static constexpr double kMostBaseMs = 400;
+  static constexpr double kLeastTokenMs = 0.004;
+  static constexpr double kMostTokenMs = 0.1;
+  // An idle engine must never seem too slow for a usual target.
+  static constexpr double kMostBaseMs = 200;
+  static constexpr double kBaseStepMs = 0.8;
+  // Relative step of the time for a token, for a prompt of kStepTokens.
+  static constexpr double kTokenStep = 0.006;
+  static constexpr double kStepTokens = 8000;
 
-  void Fit();
-
-  double weight = 0;
-  double sum_x = 0;
-  double sum_y = 0;
-  double sum_xx = 0;
-  double sum_xy = 0;
   double slope_ms = kPriorTokenMs;
   double intercept_ms = kPriorBaseMs;
 };
--- a/source/core/dispatch/service_pool.cc
+++ b/source/core/dispatch/service_pool.cc
@@ -152,6 +152,7 @@
   const Prompt& prompt = *needs.prompt;
   choice.uncached_tokens =
       record.part_cache().UncachedTokens(needs.salt, prompt);
+  choice.cached_tokens = prompt.prompt_tokens - choice.uncached_tokens;
   const int64_t fetched = this->TakeStored(choice, needs);
   const double fetch_ms =
       kFetchShare * this->model.token_ms() * static_cast<double>(fetched);
@@ -192,8 +193,7 @@
     return 0;
   const uint64_t version = choice.endpoint->VersionOf(needs.prompt->model);
   const int64_t stored = needs.stored_tokens(version);
-  const int64_t cached = needs.prompt->prompt_tokens - choice.uncached_tokens;
-  const int64_t fetched = std::max<int64_t>(0, stored - cached);
+  const int64_t fetched = std::max<int64_t>(0, stored - choice.cached_tokens);
   choice.uncached_tokens -= fetched;
   return fetched;
 }
--- a/source/core/dispatch/service_pool.h
+++ b/source/core/dispatch/service_pool.h
@@ -43,7 +43,10 @@
   common::Duration predicted{0};
   // The endpoint has places and memory, and nothing waits there.
   bool idle = false;
+  // Tokens that the engine must read.
   int64_t uncached_tokens = 0;
+  // Tokens that it is thought to hold; the others can be fetched.
+  int64_t cached_tokens = 0;
 };
 
 // The endpoints of one service as this host sees them, and the choice among
@@ -74,6 +77,9 @@
   }
   std::shared_ptr<EndpointRecord> Find(std::string_view id) const;
   const FirstTokenModel& first_token() const { return this->model; }
+  const std::optional<catalog::EngineTraits>& engine_traits() const {
+    return this->traits;
+  }
   bool is_engine() const { return this->traits.has_value(); }
   double usual_failures() const { return this->failure_share; }
 
--- a/source/core/gateway/gateway.cc
+++ b/source/core/gateway/gateway.cc
@@ -19,6 +19,10 @@
 
 // The balancer asks every second and takes a host out after two misses.
 constexpr Duration kStillServing = std::chrono::milliseconds(2400);
+// A request that comes later may not end within the grace, so it is refused
+// while that is still true to say.
+constexpr Duration kTakesUntil = std::chrono::milliseconds(2700);
+constexpr Duration kStoppingRetryAfter = std::chrono::milliseconds(100);
 // Left of the grace for the process to end by itself.
 constexpr Duration kExitReserve = std::chrono::milliseconds(400);
 constexpr Duration kStopPoll = std::chrono::milliseconds(20);
@@ -54,7 +58,7 @@
               peers.store,
               peers.control,
               log),
-      hosts(this->settings, this->dispatcher, peers.store),
+      hosts(this->settings, this->dispatcher, this->store_book, peers.store),
       parts{this->settings,
             this->view,
             this->dispatcher,
@@ -171,7 +175,11 @@
 
 void Gateway::Serve(const runtime::HttpRequest& request,
                     runtime::ResponseWriter& writer) {
+  const auto stop_began = this->stop_began;
   try {
+    if (stop_began && runtime::BootNow() - *stop_began > kTakesUntil)
+      throw RefusedError(ResultCode::kStopping, "the host is stopping",
+                         kStoppingRetryAfter);
     RequestTask task(this->parts, this->peers.codec.DecodeRequest(request),
                      writer);
     task.Run();
@@ -196,6 +204,7 @@
   this->stopping = true;
   const auto began = runtime::BootNow();
   this->workers.Run([this, began] {
+    this->stop_began = began;
     this->rollout.Stop();
     Line(this->log, Event::kStopping)
         .Add(Field::kInFlight,
--- a/source/core/gateway/gateway.h
+++ b/source/core/gateway/gateway.h
@@ -81,6 +81,8 @@
   std::unique_ptr<runtime::HttpServer> metrics_server;
   std::atomic<bool> stopping{false};
   bool was_fresh = false;
+  // Set on worker 0 when the planned stop began.
+  std::optional<common::TimePoint> stop_began;
 };
 
 }  // namespace jujuberock::gateway
--- a/source/core/gateway/host_board.cc
+++ b/source/core/gateway/host_board.cc
@@ -40,11 +40,14 @@
 
 HostBoard::HostBoard(const Settings& settings,
                      Dispatcher& dispatcher,
+                     reuse::StoreBook& stores,
                      catalog::ObjectStore& store)
     : settings(settings),
       dispatcher(dispatcher),
+      stores(stores),
       store(store),
       own_name(std::string(kNamePrefix) + settings.host_name) {
+  this->stores.SetHostCount(static_cast<size_t>(settings.assumed_hosts));
   this->dispatcher.OnCrashMarks([this] { this->changed = true; });
 }
 
@@ -57,6 +60,7 @@
   else
     this->names.insert(name);
   this->dispatcher.SetHostCount(this->names.size());
+  this->stores.SetHostCount(this->names.size());
   if (name == this->own_name) {
     this->own_revision = change.object.revision;
     return;
--- a/source/core/gateway/host_board.h
+++ b/source/core/gateway/host_board.h
@@ -8,6 +8,7 @@
 #include "core/common/time.h"
 #include "core/gateway/dispatcher.h"
 #include "core/gateway/settings.h"
+#include "core/reuse/store_book.h"
 
 namespace jujuberock::gateway {
 
@@ -18,6 +19,7 @@
  public:
   HostBoard(const Settings& settings,
             Dispatcher& dispatcher,
+            reuse::StoreBook& stores,
             catalog::ObjectStore& store);
 
   void OnObject(const catalog::ObjectChange& change);
@@ -31,6 +33,7 @@
 
   const Settings& settings;
   Dispatcher& dispatcher;
+  reuse::StoreBook& stores;
   catalog::ObjectStore& store;
   std::string own_name;
   std::optional<uint64_t> own_revision;
--- a/source/core/gateway/request_task.cc
+++ b/source/core/gateway/request_task.cc
@@ -46,6 +46,11 @@
 constexpr double kPlainMoveShare = 0.8;
 constexpr double kStreamMoveFactor = 2.5;
 constexpr Duration kStreamMoveExtra = std::chrono::milliseconds(150);
+// Part of the target within which stored parts must have been fetched; after
+// that there is still time to read them.
+constexpr double kFetchShare = 0.75;
+// Part of the target that a fetch may wait for the store's link.
+constexpr double kFetchWaitShare = 0.45;
 // Answers that are kept whole before they are passed on end here.
 constexpr size_t kMostWholeBytes = 16 * 1024 * 1024;
 
@@ -282,7 +287,7 @@
   throw RefusedError(code, reason, retry_after);
 }
 
-forward::SendOrder RequestTask::OrderFor(const dispatch::Choice& choice) const {
+forward::SendOrder RequestTask::OrderFor(const dispatch::Choice& choice) {
   const TimePoint now = runtime::BootNow();
   forward::SendOrder order;
   order.endpoint_id = choice.endpoint->endpoint().id;
@@ -301,13 +306,31 @@
   // Parts are found by their salt alone, so the weights that make them must be
   // those that the salt names.
   order.expected_version = version;
-  this->AddReuse(order);
+  this->AddReuse(choice, order);
   return order;
 }
 
-void RequestTask::AddReuse(forward::SendOrder& order) const {
-  reuse::ReusePlan plan = this->parts.stores.Plan(
-      *order.cache_salt, *this->request.prompt, runtime::BootNow());
+reuse::FetchTerms RequestTask::TermsFor(const dispatch::Choice& choice) const {
+  reuse::FetchTerms terms;
+  terms.read_token_ms = this->pool->first_token().token_ms();
+  const auto& traits = this->pool->engine_traits();
+  if (traits) {
+    terms.token_bytes = traits->kv_token_bytes;
+    terms.engine_link_mbps = traits->link_mbps;
+  }
+  terms.cached_tokens = choice.cached_tokens;
+  terms.most_wait = Scale(this->route->target_latency, kFetchWaitShare);
+  terms.read_time = Scale(this->route->target_latency, kFetchShare);
+  terms.chance = this->parts.dispatcher.random().Unit();
+  return terms;
+}
+
+void RequestTask::AddReuse(const dispatch::Choice& choice,
+                           forward::SendOrder& order) {
+  reuse::ReusePlan plan =
+      this->parts.stores.Plan(*order.cache_salt, *this->request.prompt,
+                              this->TermsFor(choice), runtime::BootNow());
+  this->reuse_source = plan.main_source;
   order.cache_sources = std::move(plan.sources);
   order.cache_targets = std::move(plan.targets);
   if (plan.source_tokens > 0)
@@ -333,6 +356,8 @@
 RequestTask::AttemptEnd RequestTask::Attempt(const dispatch::Choice& choice) {
   auto& record = *choice.endpoint;
   const TimePoint now = runtime::BootNow();
+  this->predicted = choice.predicted;
+  this->reuse_source.clear();
   dispatch::SendTicket ticket;
   ticket.endpoint = choice.endpoint;
   ticket.urgency = this->urgency;
@@ -442,6 +467,9 @@
   record.OnStarted(ticket, now);
   if (this->request.prompt && this->pool->is_engine()) {
     this->pool->OnFirstToken(ticket, now);
+    if (!this->reuse_source.empty())
+      this->parts.stores.OnFetched(this->reuse_source,
+                                   now - ticket.sent_at - this->predicted);
     record.part_cache().Insert(this->salt, *this->request.prompt);
   }
   this->parts.first_byte.Observe(now - this->received_at);
--- a/source/core/gateway/request_task.h
+++ b/source/core/gateway/request_task.h
@@ -96,7 +96,7 @@
   bool MayRepeat() const;
   bool MaySendAgain(AttemptEnd end);
   [[noreturn]] void GiveUp();
-  forward::SendOrder OrderFor(const dispatch::Choice& choice) const;
+  forward::SendOrder OrderFor(const dispatch::Choice& choice);
   std::optional<common::Duration> MoveAfter(
       const dispatch::Choice& choice) const;
   common::Duration Remaining(common::TimePoint now) const;
@@ -104,7 +104,8 @@
   std::string Salt() const;
   // The salt of parts that this version of the weights makes.
   std::string SaltFor(uint64_t version) const;
-  void AddReuse(forward::SendOrder& order) const;
+  void AddReuse(const dispatch::Choice& choice, forward::SendOrder& order);
+  reuse::FetchTerms TermsFor(const dispatch::Choice& choice) const;
 
   RequestParts& parts;
   forward::CallerRequest request;
@@ -127,6 +128,9 @@
   std::set<std::string> tried;
   int64_t sends = 0;
   int64_t failed_connects = 0;
+  // The store that this send reads from, and the first token as predicted.
+  std::string reuse_source;
+  common::Duration predicted{0};
   bool may_have_run = false;
   bool timed_out = false;
   bool answer_started = false;
--- a/source/core/reuse/store_book.cc
+++ b/source/core/reuse/store_book.cc
@@ -16,6 +16,23 @@
 constexpr int kMostSaveTries = 3;
 // A store this full takes no more: saves would be lost.
 constexpr double kFullShare = 0.97;
+// Reading a part again takes engine time from others, which weighs as much as
+// the waiting of the request itself.
+constexpr double kReadWeight = 3;
+constexpr double kSlackMs = 20;
+constexpr double kExcessWeight = 0.06;
+// Requests that a store must have served to be compared with.
+constexpr int kLeastSamples = 20;
+constexpr double kMostExcessMs = 1500;
+// Reads from a slow store that are tried, to see whether it has recovered.
+constexpr double kTrialShare = 0.06;
+// A store whose requests are later than this delivers less than its link.
+constexpr double kSlowExcessMs = 150;
+constexpr double kSlowStep = 0.94;
+constexpr double kRecoverStep = 1.03;
+constexpr double kLeastLinkShare = 0.05;
+// Saves wait for fetches.
+constexpr double kMostSaveWaitMs = 150;
 // Shorter parts are read faster than they are fetched.
 constexpr int64_t kLeastTokens = 64;
 
@@ -96,7 +113,67 @@
 }
 
 bool StoreBook::Savable(const Store& store, common::TimePoint now) const {
-  return this->Readable(store, now) && now - store.epoch_seen_at >= kQuietTime;
+  return this->Readable(store, now) &&
+         now - store.epoch_seen_at >= kQuietTime;
+}
+
+double StoreBook::RelativeExcessMs(const Store& store) const {
+  double least = store.excess_ms;
+  for (const auto& [address, other] : this->stores) {
+    if (other.samples >= kLeastSamples)
+      least = std::min(least, other.excess_ms);
+  }
+  return store.excess_ms - least;
+}
+
+double StoreBook::WaitMs(Store& store, common::TimePoint now) const {
+  const double rate = store.traits.link_mbps * store.link_share;
+  if (rate <= 0)
+    return 0;
+  const double passed = common::ToSeconds(now - store.queued_at);
+  store.queued_mbit = std::max(0.0, store.queued_mbit - rate * passed);
+  store.queued_at = now;
+  return 1000 * store.queued_mbit / rate;
+}
+
+bool StoreBook::IsWorthFetching(Store& store,
+                                int64_t tokens,
+                                const FetchTerms& terms,
+                                common::TimePoint now) const {
+  const auto count = static_cast<double>(tokens);
+  const double mbit = count * static_cast<double>(terms.token_bytes) * 8 / 1e6;
+  const double transfer_ms =
+      terms.engine_link_mbps > 0 ? 1000 * mbit / terms.engine_link_mbps : 0;
+  const double allowed_ms =
+      std::min(common::ToMilliseconds(terms.most_wait),
+               kReadWeight * terms.read_token_ms * count + kSlackMs);
+  return this->WaitMs(store, now) + transfer_ms <= allowed_ms;
+}
+
+void StoreBook::BookTransfer(Store& store,
+                             int64_t tokens,
+                             const FetchTerms& terms,
+                             common::TimePoint now) const {
+  this->WaitMs(store, now);
+  store.queued_mbit += static_cast<double>(this->hosts) *
+                       static_cast<double>(tokens) *
+                       static_cast<double>(terms.token_bytes) * 8 / 1e6;
+}
+
+void StoreBook::OnFetched(std::string_view address, common::Duration excess) {
+  const auto found = this->stores.find(address);
+  if (found == this->stores.end())
+    return;
+  const double ms =
+      std::clamp(common::ToMilliseconds(excess), 0.0, kMostExcessMs);
+  ++found->second.samples;
+  double& mean = found->second.excess_ms;
+  mean += kExcessWeight * (ms - mean);
+  const bool is_slow =
+      this->RelativeExcessMs(found->second) > kSlowExcessMs && ms > mean / 2;
+  double& share = found->second.link_share;
+  share = std::clamp(share * (is_slow ? kSlowStep : kRecoverStep),
+                     kLeastLinkShare, 1.0);
 }
 
 const StoreBook::Store* StoreBook::HomeOf(std::string_view part) const {
@@ -124,8 +201,9 @@
 bool StoreBook::BookSave(Store& store,
                          const std::string& key,
                          int64_t tokens,
+                         const FetchTerms& terms,
                          common::TimePoint now) {
-  if (!this->Savable(store, now))
+  if (!this->Savable(store, now) || this->WaitMs(store, now) > kMostSaveWaitMs)
     return false;
   const double limit =
       kFullShare * static_cast<double>(store.traits.capacity_tokens);
@@ -137,37 +215,54 @@
     return false;
   saving.since = now;
   ++saving.tries;
+  this->BookTransfer(store, tokens, terms, now);
   return true;
 }
 
 ReusePlan StoreBook::Plan(std::string_view salt,
                           const dispatch::Prompt& prompt,
+                          const FetchTerms& terms,
                           common::TimePoint now) {
   ReusePlan plan;
+  int64_t main_tokens = 0;
+  int64_t end = 0;
   plan.sources.resize(prompt.parts.size());
   plan.targets.resize(prompt.parts.size());
   for (size_t i = 0; i < prompt.parts.size(); ++i) {
     const dispatch::PromptPart& part = prompt.parts[i];
+    end += part.tokens;
     Store* store = part.tokens >= kLeastTokens ? this->HomeOf(part.id) : nullptr;
     if (!store)
       continue;
     const std::string key = KeyOf(salt, part.id);
     const auto known = store->parts.find(key);
     if (known != store->parts.end()) {
-      if (this->Readable(*store, now)) {
-        plan.sources[i] = store->traits.address;
-        plan.source_tokens += part.tokens;
+      if (!this->Readable(*store, now))
+        continue;
+      // What the engine holds is not fetched again, so naming it costs nothing.
+      const bool held = end <= terms.cached_tokens;
+      if (!held && terms.chance >= kTrialShare &&
+          !this->IsWorthFetching(*store, part.tokens, terms, now))
+        continue;
+      if (!held)
+        this->BookTransfer(*store, part.tokens, terms, now);
+      plan.sources[i] = store->traits.address;
+      plan.source_tokens += part.tokens;
+      if (!held && part.tokens > main_tokens) {
+        main_tokens = part.tokens;
+        plan.main_source = store->traits.address;
       }
       continue;
     }
     // The last part belongs to this request alone.
     const bool is_last = i + 1 == prompt.parts.size();
-    if (!is_last && this->BookSave(*store, key, part.tokens, now))
+    if (!is_last && this->BookSave(*store, key, part.tokens, terms, now))
       plan.targets[i] = store->traits.address;
   }
   if (this->clock_offset_ms)
     plan.until_ms = static_cast<uint64_t>(
-        Milliseconds(now + kReadTime) + *this->clock_offset_ms);
+        Milliseconds(now + std::min(terms.read_time, kReadTime)) +
+        *this->clock_offset_ms);
   return plan;
 }
 
--- a/source/core/reuse/store_book.h
+++ b/source/core/reuse/store_book.h
@@ -36,12 +36,31 @@
   std::vector<StoreEvent> events;
 };
 
+// What decides whether stored parts are worth fetching.
+struct FetchTerms {
+  // Time that an engine takes to read a token of a prompt.
+  double read_token_ms = 0.02;
+  int64_t token_bytes = 0;
+  // Link of the engine.
+  double engine_link_mbps = 0;
+  // Tokens from the beginning that the engine is thought to hold already.
+  int64_t cached_tokens = 0;
+  // Time that waiting for a fetch may take at most.
+  common::Duration most_wait{0};
+  // Reads that end after this time from now are thrown away.
+  common::Duration read_time{0};
+  // Uniform in [0, 1); decides whether a slow store is tried all the same.
+  double chance = 1;
+};
+
 // Where one request reads and saves the parts of its prompt; one entry a part,
 // empty for none.
 struct ReusePlan {
   std::vector<std::string> sources;
   std::vector<std::string> targets;
   int64_t source_tokens = 0;
+  // The store that most tokens come from.
+  std::string main_source;
   // Reads that end later are thrown away, on the endpoints' clock.
   std::optional<uint64_t> until_ms;
 };
@@ -54,7 +73,7 @@
 // thread-safe.
 class StoreBook {
  public:
-  // Time that a read may take from the send on.
+  // Most time that a read may take from the send on.
   static constexpr common::Duration kReadTime = std::chrono::milliseconds(1200);
   // A store that has answered nothing for this time is not used.
   static constexpr common::Duration kAnswerAge = std::chrono::milliseconds(900);
@@ -73,10 +92,17 @@
                 common::TimePoint now);
   void OnNoAnswer(std::string_view address);
 
-  // Plans the parts of a prompt and books the saves.
+  // Hosts that share the stores; each knows only its own transfers.
+  void SetHostCount(size_t count) { this->hosts = count == 0 ? 1 : count; }
+
+  // Plans the parts of a prompt and books the transfers.
   ReusePlan Plan(std::string_view salt,
                  const dispatch::Prompt& prompt,
+                 const FetchTerms& terms,
                  common::TimePoint now);
+  // A request whose parts came mostly from this store had its first token so
+  // much later than expected.
+  void OnFetched(std::string_view address, common::Duration excess);
   // Tokens from the beginning of the prompt that a store can give.
   int64_t ReadableTokens(std::string_view salt,
                          const dispatch::Prompt& prompt,
@@ -96,12 +122,33 @@
     common::TimePoint answered_at;
     common::TimePoint epoch_seen_at;
     int64_t used_tokens = 0;
+    // Mean lateness of the requests that read from it.
+    double excess_ms = 0;
+    int samples = 0;
+    // Transfers of all hosts that wait for the link, as estimated from this
+    // host's own, in Mbit at `queued_at`.
+    double queued_mbit = 0;
+    common::TimePoint queued_at;
+    // Share of its link that the store seems to deliver.
+    double link_share = 1;
     std::unordered_map<std::string, int64_t> parts;
     std::unordered_map<std::string, Saving> saving;
   };
 
   static std::string KeyOf(std::string_view salt, std::string_view part);
   bool Readable(const Store& store, common::TimePoint now) const;
+  // Lateness beyond that of the best store: all are late when engines are.
+  double RelativeExcessMs(const Store& store) const;
+  // Time that a transfer begun now would wait for the store's link.
+  double WaitMs(Store& store, common::TimePoint now) const;
+  bool IsWorthFetching(Store& store,
+                       int64_t tokens,
+                       const FetchTerms& terms,
+                       common::TimePoint now) const;
+  void BookTransfer(Store& store,
+                    int64_t tokens,
+                    const FetchTerms& terms,
+                    common::TimePoint now) const;
   bool Savable(const Store& store, common::TimePoint now) const;
   // The store that a part belongs to; the same on every host.
   Store* HomeOf(std::string_view part);
@@ -109,8 +156,10 @@
   bool BookSave(Store& store,
                 const std::string& key,
                 int64_t tokens,
+                const FetchTerms& terms,
                 common::TimePoint now);
 
+  size_t hosts = 1;
   std::map<std::string, Store, std::less<>> stores;
   // The endpoints' clock minus this host's, in milliseconds.
   std::optional<int64_t> clock_offset_ms;
--- a/source/platform/decode.cc
+++ b/source/platform/decode.cc
@@ -62,6 +62,7 @@
   engine.slots = value.value("slots", int64_t{1});
   engine.kv_capacity_tokens = value.value("kvCapacity", int64_t{0});
   engine.kv_token_bytes = value.value("kvTokenBytes", int64_t{0});
+  engine.link_mbps = value.value("linkMbps", 0.0);
   for (const Json& model : value.value("models", Json::array()))
     engine.models.push_back(model.value("name", ""));
   return engine;
