Let runs go on across a change of weights and shorten the lease of orders

Cause: orders that wait for runs to end held engines for 2 to 4 s each, and a lost holder cost 3.6 s, so changes took longer than the bound and hosts insisted on engines that were not there yet.

--- a/source/core/dispatch/endpoint_record.h
+++ b/source/core/dispatch/endpoint_record.h
@@ -85,6 +85,8 @@
 
   // No new work until this time: its weights are being changed.
   common::TimePoint reserved_until;
+  // No long runs until this time: its weights are changed next.
+  common::TimePoint short_runs_until;
   // Set when the endpoint's entry is gone; sends that run there go on.
   bool removed = false;
 
--- a/source/core/dispatch/service_pool.cc
+++ b/source/core/dispatch/service_pool.cc
@@ -24,7 +24,9 @@
 constexpr double kFetchShare = 0.4;
 constexpr double kOtherZoneMs = 1.5;
 // Requests on old weights earn less and soon nothing.
-constexpr double kOldVersionMs = 200;
+constexpr double kOldVersionMs = 60;
+// A long run delays the change of weights on its engine.
+constexpr double kLongRunMs = 250;
 constexpr double kMemoryOverflowMs = 400;
 constexpr double kFailureWeight = 0.02;
 constexpr double kPlainPriorLatencyMs = 20;
@@ -108,6 +110,10 @@
   std::optional<Choice> best;
   double best_score = 0;
   Eligibility best_eligibility = Eligibility::kNo;
+  if (needs.prompt)
+    this->mean_output += 0.02 * (static_cast<double>(
+                                     needs.prompt->max_output_tokens) -
+                                 this->mean_output);
   const Affinity affinity =
       needs.prompt ? this->AffinityOf(*needs.prompt) : Affinity();
   for (const auto& [id, record] : this->endpoints) {
--- a/source/core/dispatch/service_pool.h
+++ b/source/core/dispatch/service_pool.h
@@ -117,6 +117,8 @@
   FirstTokenModel model;
   double failure_share = 0;
   double mean_uncached = 0;
+  // Most output tokens that requests ask for, on average.
+  double mean_output = 0;
 };
 
 }  // namespace jujuberock::dispatch
--- a/source/core/events/event_log.h
+++ b/source/core/events/event_log.h
@@ -42,6 +42,7 @@
   kHolderGained,
   kHolderLost,
   kWeightsOrdered,
+  kWeightsInForce,
   kCrashMarked,
   kRequestRefused,
   kRequestQueued,
@@ -52,7 +53,7 @@
   kRequestAnswered,
 };
 
-inline constexpr size_t kEvents = 27;
+inline constexpr size_t kEvents = 28;
 
 inline constexpr common::NameTable<Event, kEvents> kEventNames(
     {"started",         "stopping",         "stopped",
--- a/source/core/gateway/request_task.cc
+++ b/source/core/gateway/request_task.cc
@@ -40,7 +40,7 @@
 // until the view has caught up.
 constexpr Duration kMismatchPause = std::chrono::milliseconds(400);
 // Part of the bound on old weights after which requests insist on new ones.
-constexpr double kInsistShare = 0.75;
+constexpr double kInsistShare = 0.8;
 constexpr Duration kStaleViewRetryAfter = std::chrono::milliseconds(300);
 constexpr double kPlainMoveFactor = 5;
 constexpr double kPlainMoveShare = 0.8;
--- a/source/core/gateway/rollout_duty.cc
+++ b/source/core/gateway/rollout_duty.cc
@@ -23,7 +23,7 @@
 using rollout::LeaseRecord;
 
 constexpr Duration kStepPeriod = std::chrono::milliseconds(50);
-constexpr Duration kPollPeriod = std::chrono::milliseconds(200);
+constexpr Duration kPollPeriod = std::chrono::milliseconds(120);
 // Hosts do not all try at once.
 constexpr Duration kMostTakeDelay = std::chrono::milliseconds(250);
 constexpr Duration kTakePause = std::chrono::milliseconds(400);
@@ -82,12 +82,17 @@
       if (const auto endpoint = pool->Find(id))
         endpoint->reserved_until = now + kReservationTime;
     }
+    for (const std::string& id : record.upcoming) {
+      if (const auto endpoint = pool->Find(id))
+        endpoint->short_runs_until = now + kReservationTime;
+    }
     for (const std::string& id : record.updated) {
       const auto endpoint = pool->Find(id);
       if (!endpoint || endpoint->VersionOf(record.model) >= record.version)
         continue;
       endpoint->SetVersion(record.model, record.version);
       endpoint->reserved_until = now;
+      endpoint->short_runs_until = now;
     }
   }
 }
@@ -169,9 +174,14 @@
     this->ReadLease();
   if (!this->lease_known || !this->lease.MayTake(runtime::BootNow()))
     return;
+  const LeaseRecord former = this->lease.record();
   if (!this->WriteRecord(this->lease.Taking()))
     return;
   this->plans.clear();
+  this->former_reserved.clear();
+  if (former.holder != this->settings.host_name)
+    this->former_reserved = former.reserved;
+  this->taken_at = runtime::BootNow();
   Line(this->log, Event::kHolderGained)
       .Add(Field::kToken, this->lease.token());
 }
@@ -219,9 +229,13 @@
 }
 
 rollout::RolloutPlan& RolloutDuty::PlanOf(const Work& work) {
-  auto& plan =
-      this->plans.try_emplace(work.model, rollout::RolloutPlanOptions())
-          .first->second;
+  const auto [entry, is_new] =
+      this->plans.try_emplace(work.model, rollout::RolloutPlanOptions());
+  auto& plan = entry->second;
+  // Two holders must not give orders to one endpoint within a lease.
+  if (is_new)
+    plan.Defer(this->former_reserved,
+               this->taken_at + this->settings.lease_time);
   plan.SetTarget(work.version);
   return plan;
 }
@@ -254,6 +268,7 @@
   record.model = work.model;
   record.version = work.version;
   record.reserved = this->PlanOf(work).Reserved();
+  record.upcoming = this->PlanOf(work).Upcoming();
   record.updated.clear();
   for (const auto& endpoint : work.endpoints) {
     if (endpoint->VersionOf(work.model) >= work.version)
@@ -300,6 +315,7 @@
       .Add(Field::kModel, model)
       .Add(Field::kVersion, version)
       .Add(Field::kToken, order.token)
+      .Add(Field::kInFlight, endpoint->own_in_flight())
       .Add(Field::kStatus, static_cast<int>(reply));
   const auto again = this->plans.find(model);
   if (again == this->plans.end())
@@ -339,7 +355,12 @@
               endpoint->VersionOf(model) < plan->second.target())
             return;
           plan->second.OnUpdated(id);
+          Line(this->log, Event::kWeightsInForce)
+              .Add(Field::kEndpoint, id)
+              .Add(Field::kVersion, endpoint->VersionOf(model))
+              .Add(Field::kInFlight, endpoint->own_in_flight());
           endpoint->reserved_until = runtime::BootNow();
+          endpoint->short_runs_until = runtime::BootNow();
         });
   }
 }
--- a/source/core/gateway/rollout_duty.h
+++ b/source/core/gateway/rollout_duty.h
@@ -79,6 +79,9 @@
   std::set<std::string> calling;
   common::TimePoint polled_at;
   common::TimePoint next_take;
+  common::TimePoint taken_at;
+  // What the former holder had reserved when it lost the lease.
+  std::vector<std::string> former_reserved;
   bool lease_known = false;
   bool stopping = false;
 };
--- a/source/core/rollout/lease_record.cc
+++ b/source/core/rollout/lease_record.cc
@@ -15,6 +15,7 @@
   value["model"] = record.model;
   value["version"] = record.version;
   value["reserved"] = record.reserved;
+  value["upcoming"] = record.upcoming;
   value["updated"] = record.updated;
   return value.dump();
 }
@@ -32,6 +33,7 @@
     record.model = value.at("model").get<std::string>();
     record.version = value.at("version").get<uint64_t>();
     record.reserved = value.at("reserved").get<std::vector<std::string>>();
+    record.upcoming = value.at("upcoming").get<std::vector<std::string>>();
     record.updated = value.at("updated").get<std::vector<std::string>>();
     return record;
   } catch (const Json::exception&) {
--- a/source/core/rollout/lease_record.h
+++ b/source/core/rollout/lease_record.h
@@ -24,6 +24,8 @@
   uint64_t version = 0;
   // Endpoints that get an order next, or carry one out.
   std::vector<std::string> reserved;
+  // Endpoints that are reserved soon: long runs should not begin there.
+  std::vector<std::string> upcoming;
   // Endpoints that have the version already.
   std::vector<std::string> updated;
 
--- a/source/core/rollout/order_lease.cc
+++ b/source/core/rollout/order_lease.cc
@@ -6,11 +6,12 @@
 
 // Shares of the lease: the holder uses it this long after a renewal was sent,
 // and renews this often.
-constexpr double kUsedShare = 0.55;
-constexpr double kRenewShare = 0.17;
-// Others wait this much longer than the lease; orders of the former holder may
-// still be on their way when it ends.
-constexpr double kTakeShare = 1.2;
+constexpr double kUsedShare = 0.36;
+constexpr double kRenewShare = 0.11;
+// Others wait this long for a change of the record. Well beyond the used share,
+// so that a holder that was suspended has stopped, and short, so that its loss
+// costs little of the time in which the weights must change.
+constexpr double kTakeShare = 0.62;
 
 common::Duration Scale(common::Duration duration, double factor) {
   return common::FromSeconds(common::ToSeconds(duration) * factor);
--- a/source/core/rollout/rollout_plan.cc
+++ b/source/core/rollout/rollout_plan.cc
@@ -45,17 +45,38 @@
       [](const PlannedEndpoint& a, const PlannedEndpoint& b) {
         return a.in_flight < b.in_flight;
       });
+  std::erase_if(this->upcoming, [&](const std::string& id) {
+    return !outdated.contains(id) || this->changes.contains(id);
+  });
+  // Those that were announced first come first; then those with least work.
+  std::vector<std::string> order = this->upcoming;
   for (const PlannedEndpoint& endpoint : candidates) {
-    if (this->changes.size() >= most)
-      break;
-    if (!outdated.contains(endpoint.id) || this->changes.contains(endpoint.id))
-      continue;
-    this->changes[endpoint.id].reserved_at = now;
+    if (outdated.contains(endpoint.id) && !this->changes.contains(endpoint.id) &&
+        std::find(order.begin(), order.end(), endpoint.id) == order.end())
+      order.push_back(endpoint.id);
+  }
+  size_t taken = 0;
+  // Places are not given to those that must wait.
+  std::stable_partition(order.begin(), order.end(), [&](const std::string& id) {
+    const auto held_back = this->deferred.find(id);
+    return held_back == this->deferred.end() || now >= held_back->second;
+  });
+  for (; taken < order.size() && this->changes.size() < most; ++taken) {
+    this->changes[order[taken]].reserved_at = now;
     changed = true;
   }
+  const size_t end = std::min(order.size(), taken + most);
+  this->upcoming.assign(order.begin() + static_cast<ptrdiff_t>(taken),
+                        order.begin() + static_cast<ptrdiff_t>(end));
   return changed;
 }
 
+void RolloutPlan::Defer(const std::vector<std::string>& ids,
+                        common::TimePoint until) {
+  for (const std::string& id : ids)
+    this->deferred[id] = until;
+}
+
 std::vector<std::string> RolloutPlan::Due(common::TimePoint now) const {
   std::vector<std::string> due;
   for (const auto& [id, change] : this->changes) {
@@ -63,6 +84,9 @@
         change.is_ordered &&
         now - change.ordered_at >= this->options.order_timeout;
     const bool noticed = now - change.reserved_at >= this->options.notice;
+    const auto held_back = this->deferred.find(id);
+    if (held_back != this->deferred.end() && now < held_back->second)
+      continue;
     if (noticed && now >= change.not_before &&
         (!change.is_ordered || timed_out))
       due.push_back(id);
--- a/source/core/rollout/rollout_plan.h
+++ b/source/core/rollout/rollout_plan.h
@@ -19,18 +19,19 @@
 };
 
 struct RolloutPlanOptions {
-  // Share of the endpoints that change at the same time. A third of them
-  // drains and loads while the others serve.
-  double changing_share = 0.34;
+  // Share of the endpoints that change at the same time, and of those that are
+  // announced as next.
+  double changing_share = 0.28;
   // Time between telling the other hosts and the order.
-  common::Duration notice = std::chrono::milliseconds(250);
+  common::Duration notice = std::chrono::milliseconds(900);
   // An order without effect is given again after this time.
   common::Duration order_timeout = std::chrono::milliseconds(4500);
 };
 
 // Brings the endpoints of one model to a version, a few at a time, those with
-// the least work first. Endpoints are reserved, so that all hosts stop sending
-// there, before they get the order. Pure state machine, not thread-safe.
+// the least work first. An endpoint is first announced, so that no long runs
+// begin there, then reserved, so that all hosts stop sending there, and then
+// gets the order; so it drains quickly. Pure state machine, not thread-safe.
 class RolloutPlan {
  public:
   explicit RolloutPlan(RolloutPlanOptions options) : options(options) {}
@@ -51,7 +52,12 @@
   void OnOrderFailed(const std::string& id, common::TimePoint now);
   void OnUpdated(const std::string& id);
 
+  // These may carry out orders of another holder; they get none before
+  // `until`.
+  void Defer(const std::vector<std::string>& ids, common::TimePoint until);
+
   std::vector<std::string> Reserved() const;
+  const std::vector<std::string>& Upcoming() const { return this->upcoming; }
 
  private:
   struct Change {
@@ -65,6 +71,9 @@
   RolloutPlanOptions options;
   uint64_t version = 0;
   std::map<std::string, Change> changes;
+  std::map<std::string, common::TimePoint> deferred;
+  // In the order in which they are reserved.
+  std::vector<std::string> upcoming;
 };
 
 }  // namespace jujuberock::rollout
--- a/source/platform/endpoint_control.cc
+++ b/source/platform/endpoint_control.cc
@@ -96,7 +96,7 @@
   body["opcode"] = "version";
   body["model"] = order.model;
   body["version"] = order.version;
-  body["switchMode"] = "queue";
+  body["switchMode"] = "retain";
   body["holder"] = order.holder;
   body["fencingToken"] = order.token;
   body["expected"] = order.expected_sequence;
