--- a/source/core/gateway/host_board.cc
+++ b/source/core/gateway/host_board.cc
@@ -1,5 +1,6 @@
 #include "core/gateway/host_board.h"
 
+#include <iterator>
 #include <vector>
 
 #include <nlohmann/json.hpp>
@@ -41,10 +42,12 @@
 HostBoard::HostBoard(const Settings& settings,
                      Dispatcher& dispatcher,
                      reuse::StoreBook& stores,
+                     StoreWatch& store_watch,
                      catalog::ObjectStore& store)
     : settings(settings),
       dispatcher(dispatcher),
       stores(stores),
+      store_watch(store_watch),
       store(store),
       own_name(std::string(kNamePrefix) + settings.host_name) {
   this->stores.SetHostCount(static_cast<size_t>(settings.assumed_hosts));
@@ -59,8 +62,7 @@
     this->names.erase(name);
   else
     this->names.insert(name);
-  this->dispatcher.SetHostCount(this->names.size());
-  this->stores.SetHostCount(this->names.size());
+  this->OnCountChange();
   if (name == this->own_name) {
     this->own_revision = change.object.revision;
     return;
@@ -77,6 +79,15 @@
   }
 }
 
+void HostBoard::OnCountChange() {
+  const size_t count = this->names.size();
+  const auto rank = static_cast<size_t>(std::distance(
+      this->names.begin(), this->names.lower_bound(this->own_name)));
+  this->dispatcher.SetHostCount(count);
+  this->stores.SetHostCount(count);
+  this->store_watch.SetHosts(count, rank);
+}
+
 std::string HostBoard::Content() const {
   Json value;
   value["zone"] = this->settings.zone;
--- a/source/core/gateway/host_board.h
+++ b/source/core/gateway/host_board.h
@@ -8,6 +8,7 @@
 #include "core/common/time.h"
 #include "core/gateway/dispatcher.h"
 #include "core/gateway/settings.h"
+#include "core/gateway/store_watch.h"
 #include "core/reuse/store_book.h"
 
 namespace jujuberock::gateway {
@@ -20,6 +21,7 @@
   HostBoard(const Settings& settings,
             Dispatcher& dispatcher,
             reuse::StoreBook& stores,
+            StoreWatch& store_watch,
             catalog::ObjectStore& store);
 
   void OnObject(const catalog::ObjectChange& change);
@@ -28,12 +30,14 @@
   void Stop() { this->stopping = true; }
 
  private:
+  void OnCountChange();
   bool Write();
   std::string Content() const;
 
   const Settings& settings;
   Dispatcher& dispatcher;
   reuse::StoreBook& stores;
+  StoreWatch& store_watch;
   catalog::ObjectStore& store;
   std::string own_name;
   std::optional<uint64_t> own_revision;
--- a/source/core/gateway/rollout_duty.cc
+++ b/source/core/gateway/rollout_duty.cc
@@ -23,6 +23,7 @@
 using rollout::LeaseRecord;
 
 constexpr Duration kStepPeriod = std::chrono::milliseconds(50);
+constexpr Duration kWritePeriod = std::chrono::milliseconds(200);
 constexpr Duration kPollPeriod = std::chrono::milliseconds(120);
 // Hosts do not all try at once.
 constexpr Duration kMostTakeDelay = std::chrono::milliseconds(250);
@@ -188,6 +189,7 @@
 
 bool RolloutDuty::WriteRecord(const LeaseRecord& record) {
   const TimePoint sent_at = runtime::BootNow();
+  this->written_at = sent_at;
   const std::string content = rollout::RenderLeaseRecord(record);
   const auto expected = this->lease.expected_revision();
   const catalog::WriteReply reply =
@@ -248,7 +250,10 @@
                          endpoint->own_in_flight()});
   }
   const TimePoint now = runtime::BootNow();
-  const bool changed = this->PlanOf(work).Reserve(endpoints, now);
+  // Changes of the reservations wait for each other: all hosts read each write.
+  bool changed = false;
+  if (now - this->written_at >= kWritePeriod)
+    changed = this->PlanOf(work).Reserve(endpoints, now);
   if (changed || this->lease.MustRenew(now))
     this->UpdateRecord(work, changed);
   if (!this->lease.Holds(runtime::BootNow()))
--- a/source/core/gateway/rollout_duty.h
+++ b/source/core/gateway/rollout_duty.h
@@ -78,6 +78,7 @@
   // Endpoints with a call under way.
   std::set<std::string> calling;
   common::TimePoint polled_at;
+  common::TimePoint written_at;
   common::TimePoint next_take;
   common::TimePoint taken_at;
   // What the former holder had reserved when it lost the lease.
--- a/source/core/gateway/store_watch.h
+++ b/source/core/gateway/store_watch.h
@@ -1,6 +1,8 @@
 #ifndef CORE_GATEWAY_STORE_WATCH_H_
 #define CORE_GATEWAY_STORE_WATCH_H_
 
+#include <map>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -22,16 +24,25 @@
 
   // Starts to follow stores that are new in the configuration.
   void Refresh(const catalog::ConfigView& config);
+  // Where this host stands among all hosts, in the order of their names.
+  void SetHosts(size_t count, size_t rank);
   void Stop() { this->stopping = true; }
 
  private:
   void Follow(const std::string& address);
+  // Time between two questions to a store that answers this many at once;
+  // nothing when other hosts use up its places.
+  std::optional<common::Duration> AskPeriod(int64_t places) const;
+  void SetPeriod();
 
   EndpointControl& control;
   reuse::StoreBook& book;
   events::EventLog& log;
-  // Stores that the configuration in force has.
-  std::set<std::string> wanted;
+  // Stores that the configuration in force has, with their places for
+  // questions.
+  std::map<std::string, int64_t> wanted;
+  size_t host_count = 1;
+  size_t host_rank = 0;
   // Stores that a fiber follows.
   std::set<std::string> followed;
   bool stopping = false;
--- a/source/core/gateway/view_keeper.cc
+++ b/source/core/gateway/view_keeper.cc
@@ -20,6 +20,9 @@
 using events::Field;
 using events::Line;
 
+constexpr Duration kNoGathering{0};
+constexpr Duration kGatherEndpoints = std::chrono::milliseconds(250);
+constexpr Duration kGatherHosts = std::chrono::milliseconds(150);
 constexpr Duration kFirstBackoff = std::chrono::milliseconds(100);
 constexpr Duration kLongestBackoff = std::chrono::milliseconds(800);
 // An answer to a watch that comes this much before its wait has passed may
@@ -48,13 +51,14 @@
 void ViewKeeper::Start() {
   const std::vector<Follower> followers = {
       {ObjectKind::kConfig, "store:config", this->settings.config_watch_wait,
-       &ViewKeeper::ApplyConfig},
+       kNoGathering, &ViewKeeper::ApplyConfig},
       {ObjectKind::kEndpoints, "store:endpoints",
-       this->settings.endpoints_watch_wait, &ViewKeeper::ApplyEndpoint},
+       this->settings.endpoints_watch_wait, kGatherEndpoints,
+       &ViewKeeper::ApplyEndpoint},
       {ObjectKind::kVersions, "store:versions", this->settings.other_watch_wait,
-       &ViewKeeper::ApplyVersion},
+       kNoGathering, &ViewKeeper::ApplyVersion},
       {ObjectKind::kHosts, "store:hosts", this->settings.other_watch_wait,
-       &ViewKeeper::ApplyHost},
+       kGatherHosts, &ViewKeeper::ApplyHost},
   };
   for (const Follower& follower : followers)
     runtime::SpawnHere([this, follower] { this->Follow(follower); });
@@ -108,6 +112,8 @@
                  waited ? std::min(answered, asked + follower.wait) : asked);
   for (const ObjectChange& change : changes.changes)
     (this->*follower.apply)(change);
+  if (!changes.changes.empty() && follower.gather > kNoGathering)
+    runtime::SleepFor(follower.gather);
 }
 
 void ViewKeeper::OnAnswer(Follower& follower,
--- a/source/core/gateway/view_keeper.h
+++ b/source/core/gateway/view_keeper.h
@@ -73,6 +73,8 @@
     catalog::ObjectKind kind;
     const char* name;
     common::Duration wait;
+    // Pause after changes, so that one call brings several of them.
+    common::Duration gather;
     void (ViewKeeper::*apply)(const catalog::ObjectChange&);
     std::optional<uint64_t> revision = std::nullopt;
     int failures = 0;
--- a/source/core/reuse/store_book.cc
+++ b/source/core/reuse/store_book.cc
@@ -33,6 +33,7 @@
 constexpr double kLeastLinkShare = 0.05;
 // Saves wait for fetches.
 constexpr double kMostSaveWaitMs = 150;
+constexpr common::Duration kQuietMargin = std::chrono::milliseconds(400);
 // Shorter parts are read faster than they are fetched.
 constexpr int64_t kLeastTokens = 64;
 
@@ -61,6 +62,14 @@
   });
 }
 
+void StoreBook::SetAskPeriod(common::Duration period) {
+  this->answer_age = std::max(kAnswerAge, period * 5 / 2);
+}
+
+common::Duration StoreBook::QuietTime() const {
+  return this->answer_age + kReadTime + kQuietMargin;
+}
+
 uint64_t StoreBook::NextEvent(std::string_view address) const {
   const auto found = this->stores.find(address);
   return found == this->stores.end() ? 0 : found->second.next;
@@ -108,13 +117,13 @@
 }
 
 bool StoreBook::Readable(const Store& store, common::TimePoint now) const {
-  return store.answers && now - store.answered_at < kAnswerAge &&
+  return store.answers && now - store.answered_at < this->answer_age &&
          this->clock_offset_ms.has_value();
 }
 
 bool StoreBook::Savable(const Store& store, common::TimePoint now) const {
   return this->Readable(store, now) &&
-         now - store.epoch_seen_at >= kQuietTime;
+         now - store.epoch_seen_at >= this->QuietTime();
 }
 
 double StoreBook::RelativeExcessMs(const Store& store) const {
--- a/source/core/reuse/store_book.h
+++ b/source/core/reuse/store_book.h
@@ -75,13 +75,14 @@
  public:
   // Most time that a read may take from the send on.
   static constexpr common::Duration kReadTime = std::chrono::milliseconds(1200);
-  // A store that has answered nothing for this time is not used.
+  // A store that has answered nothing for this time is not used; more when
+  // hosts take turns in asking it.
   static constexpr common::Duration kAnswerAge = std::chrono::milliseconds(900);
-  // Nothing is saved this long after a start of the store was first seen.
-  static constexpr common::Duration kQuietTime = std::chrono::milliseconds(2500);
 
   // The stores of the configuration in force.
   void SetStores(const std::vector<catalog::CacheStoreTraits>& stores);
+  // Hosts ask each store once in this time, since it answers few at once.
+  void SetAskPeriod(common::Duration period);
   // Where to go on asking for events.
   uint64_t NextEvent(std::string_view address) const;
 
@@ -159,7 +160,12 @@
                 const FetchTerms& terms,
                 common::TimePoint now);
 
+  // Nothing is saved this long after a start of the store was first seen: all
+  // reads with knowledge from before have ended by then, on any host.
+  common::Duration QuietTime() const;
+
   size_t hosts = 1;
+  common::Duration answer_age = kAnswerAge;
   std::map<std::string, Store, std::less<>> stores;
   // The endpoints' clock minus this host's, in milliseconds.
   std::optional<int64_t> clock_offset_ms;
