Do not take the caller's remaining time for the time it has waited

Cause: callers have budgets of their own, so a request with less than its route's timeout was taken for one that had waited, and refused as late. Log the first byte and the longest pause of streams; name weights_in_force.

--- a/source/core/dispatch/admission_policy.h
+++ b/source/core/dispatch/admission_policy.h
@@ -13,7 +13,8 @@
 // What is known of a request that asks to be sent.
 struct AdmissionRequest {
   common::Duration target_latency{0};
-  // Time since the caller first asked, as far as it shows.
+  // Time since the request arrived. What callers still wait does not tell how
+  // long they have waited: each has a budget of its own.
   common::Duration elapsed{0};
   // Time that it has waited on this host.
   common::Duration held{0};
--- a/source/core/events/event_log.h
+++ b/source/core/events/event_log.h
@@ -62,7 +62,8 @@
      "view_stale",      "view_renewed",     "endpoint_added",
      "endpoint_left",   "endpoint_ejected", "endpoint_readmitted",
      "version_named",   "holder_gained",    "holder_lost",
-     "weights_ordered", "crash_marked",     "request_refused",
+     "weights_ordered",
+     "weights_in_force", "crash_marked",     "request_refused",
      "request_queued",  "request_sent",     "request_resent",
      "request_resumed", "request_cut",      "request_answered"});
 
@@ -83,6 +84,7 @@
   kHeldMs,
   kPredictedMs,
   kFirstByteMs,
+  kLongestPauseMs,
   kTookMs,
   kRetryAfterMs,
   kUncachedTokens,
@@ -97,13 +99,13 @@
   kDetail,
 };
 
-inline constexpr size_t kFields = 27;
+inline constexpr size_t kFields = 28;
 
 inline constexpr common::NameTable<Field, kFields> kFieldNames(
     {"request",        "route",           "service",       "endpoint",
      "team",           "reason",          "status",        "attempt",
      "config_version", "view_age_ms",     "remaining_ms",  "elapsed_ms",
-     "held_ms",        "predicted_ms",    "first_byte_ms", "took_ms",
+     "held_ms",        "predicted_ms",    "first_byte_ms", "longest_pause_ms", "took_ms",
      "retry_after_ms", "uncached_tokens", "in_flight",     "failure_share",
      "model",          "version",         "token",         "fingerprint",
      "count",          "dependency",      "detail"});
--- a/source/core/gateway/request_task.cc
+++ b/source/core/gateway/request_task.cc
@@ -122,8 +122,6 @@
       this->request.remaining.value_or(this->route->timeout);
   this->deadline =
       this->received_at + std::min(remaining, this->route->timeout);
-  this->elapsed_before =
-      std::max(Duration(0), this->route->timeout - remaining);
   this->salt = this->Salt();
 }
 
@@ -237,7 +235,7 @@
     const auto choice = this->pool->Choose(this->Needs(), now);
     dispatch::AdmissionRequest ask;
     ask.target_latency = this->route->target_latency;
-    ask.elapsed = this->elapsed_before + (now - this->received_at);
+    ask.elapsed = now - this->received_at;
     ask.held = now - began;
     ask.remaining = this->Remaining(now);
     const auto decision = dispatch::DecideAdmission(ask, choice);
@@ -459,6 +457,14 @@
   return end;
 }
 
+void RequestTask::NotePause() {
+  const TimePoint now = runtime::BootNow();
+  if (this->last_event_at != TimePoint())
+    this->longest_pause =
+        std::max(this->longest_pause, now - this->last_event_at);
+  this->last_event_at = now;
+}
+
 void RequestTask::NoteFirstByte(dispatch::SendTicket& ticket) {
   if (ticket.started)
     return;
@@ -472,6 +478,8 @@
                                    now - ticket.sent_at - this->predicted);
     record.part_cache().Insert(this->salt, *this->request.prompt);
   }
+  if (this->first_byte_at == TimePoint())
+    this->first_byte_at = now;
   this->parts.first_byte.Observe(now - this->received_at);
 }
 
@@ -513,8 +521,10 @@
     ticket.endpoint->OnSignOfLife(runtime::BootNow());
     const std::string whole =
         events ? this->splitter.Push(*bytes) : std::move(*bytes);
-    if (!whole.empty())
-      this->writer.Write(whole);
+    if (whole.empty())
+      continue;
+    this->NotePause();
+    this->writer.Write(whole);
   }
   const std::string rest = this->splitter.TakeRest();
   if (!rest.empty())
@@ -524,7 +534,11 @@
   Line(this->parts.log, Event::kRequestAnswered)
       .Add(Field::kRequest, this->request.attempt_id)
       .Add(Field::kStatus, head.status)
-      .Add(Field::kFirstByteMs, ticket.sent_at - this->received_at)
+      .Add(Field::kRoute, this->route->name)
+      .Add(Field::kEndpoint, ticket.endpoint->endpoint().id)
+      .Add(Field::kPredictedMs, this->predicted)
+      .Add(Field::kFirstByteMs, this->first_byte_at - this->received_at)
+      .Add(Field::kLongestPauseMs, this->longest_pause)
       .Add(Field::kTookMs, now - this->received_at);
   return AttemptEnd::kAnswered;
 }
--- a/source/core/gateway/request_task.h
+++ b/source/core/gateway/request_task.h
@@ -91,6 +91,7 @@
                          dispatch::SendTicket& ticket);
   void NoteHead(const forward::AnswerHead& head,
                 dispatch::EndpointRecord& record);
+  void NotePause();
   void NoteFirstByte(dispatch::SendTicket& ticket);
 
   bool MayRepeat() const;
@@ -121,8 +122,6 @@
   int urgency = 5;
   common::TimePoint received_at;
   common::TimePoint deadline;
-  // Before the request reached this host, as far as it shows.
-  common::Duration elapsed_before{0};
   common::Duration held{0};
   std::shared_ptr<Shared> shared;
   std::set<std::string> tried;
@@ -131,6 +130,9 @@
   // The store that this send reads from, and the first token as predicted.
   std::string reuse_source;
   common::Duration predicted{0};
+  common::TimePoint first_byte_at;
+  common::TimePoint last_event_at;
+  common::Duration longest_pause{0};
   bool may_have_run = false;
   bool timed_out = false;
   bool answer_started = false;
