Let hosts tell each other which engines they give prompts to read

Cause: with many hosts each sees a small part of an engine's load, so prompts met on one engine while another was idle.

--- a/source/core/dispatch/endpoint_record.cc
+++ b/source/core/dispatch/endpoint_record.cc
@@ -95,6 +95,22 @@
          static_cast<double>(std::max<int64_t>(0, others));
 }
 
+void EndpointRecord::OnPeerPrompt(int64_t tokens, common::TimePoint now) {
+  if (this->peer_tokens <= 0)
+    this->peer_tokens_at = now;
+  this->peer_tokens += static_cast<double>(tokens);
+}
+
+double EndpointRecord::PeerTokens(double token_ms,
+                                  common::TimePoint now) const {
+  if (this->peer_tokens <= 0 || token_ms <= 0)
+    return 0;
+  const double passed_ms = common::ToMilliseconds(now - this->peer_tokens_at);
+  this->peer_tokens = std::max(0.0, this->peer_tokens - passed_ms / token_ms);
+  this->peer_tokens_at = now;
+  return this->peer_tokens;
+}
+
 uint64_t EndpointRecord::VersionOf(std::string_view model) const {
   for (const catalog::ModelVersion& entry : this->description.models) {
     if (entry.model == model)
--- a/source/core/dispatch/endpoint_record.h
+++ b/source/core/dispatch/endpoint_record.h
@@ -74,6 +74,11 @@
   // Requests of other hosts there, running and waiting, as far as known.
   double OthersInFlight(common::TimePoint now) const;
   double OthersWaiting(common::TimePoint now) const;
+  // Another host gave the engine a prompt to read.
+  void OnPeerPrompt(int64_t tokens, common::TimePoint now);
+  // Tokens of other hosts' prompts that the engine has not read yet, if it
+  // takes this long for one.
+  double PeerTokens(double token_ms, common::TimePoint now) const;
   common::TimePoint last_heard() const { return this->heard_at; }
   // When the oldest send that has no answer yet was sent.
   common::TimePoint waiting_since() const { return this->oldest_unanswered; }
@@ -109,6 +114,9 @@
   int64_t own_at_report = 0;
   int64_t own_waiting_at_report = 0;
   common::TimePoint heard_at;
+  // As of `peer_tokens_at`; the engine reads on since then.
+  mutable double peer_tokens = 0;
+  mutable common::TimePoint peer_tokens_at;
   common::TimePoint oldest_unanswered;
   double latency_ms = 0;
 };
--- a/source/core/dispatch/first_token_model.cc
+++ b/source/core/dispatch/first_token_model.cc
@@ -8,8 +8,7 @@
   const double observed = common::ToMilliseconds(first_token);
   const double expected = common::ToMilliseconds(this->Predict(tokens));
   const double direction = observed > expected ? 1 : -1;
-  const double share =
-      std::min(1.0, static_cast<double>(tokens) / kStepTokens);
+  const double share = std::min(1.0, static_cast<double>(tokens) / kStepTokens);
   // Short prompts tell of the constant, long ones of the time for a token.
   this->intercept_ms =
       std::clamp(this->intercept_ms + direction * kBaseStepMs * (1 - share),
--- a/source/core/dispatch/service_pool.cc
+++ b/source/core/dispatch/service_pool.cc
@@ -27,6 +27,9 @@
 constexpr double kOldVersionMs = 60;
 // A long run delays the change of weights on its engine.
 constexpr double kLongRunMs = 250;
+// Prompts that are read on the engine make the pauses of a long run longer,
+// also those that are less urgent.
+constexpr double kPauseWeight = 0.5;
 constexpr double kMemoryOverflowMs = 400;
 constexpr double kFailureWeight = 0.02;
 constexpr double kPlainPriorLatencyMs = 20;
@@ -111,9 +114,9 @@
   double best_score = 0;
   Eligibility best_eligibility = Eligibility::kNo;
   if (needs.prompt)
-    this->mean_output += 0.02 * (static_cast<double>(
-                                     needs.prompt->max_output_tokens) -
-                                 this->mean_output);
+    this->mean_output +=
+        0.02 * (static_cast<double>(needs.prompt->max_output_tokens) -
+                this->mean_output);
   const Affinity affinity =
       needs.prompt ? this->AffinityOf(*needs.prompt) : Affinity();
   for (const auto& [id, record] : this->endpoints) {
@@ -162,7 +165,9 @@
   const int64_t fetched = this->TakeStored(choice, needs);
   const double fetch_ms =
       kFetchShare * this->model.token_ms() * static_cast<double>(fetched);
-  const double others = record.OthersWaiting(now) * this->mean_uncached;
+  const double peer_tokens = record.PeerTokens(this->model.token_ms(), now);
+  const double others =
+      std::max(peer_tokens, record.OthersWaiting(now) * this->mean_uncached);
   const double ahead =
       static_cast<double>(record.PendingTokens(needs.urgency)) + others;
   choice.predicted =
@@ -175,6 +180,12 @@
     score -= reading_ms * kFirstAffinity;
   if (affinity.second == &record)
     score -= reading_ms * kSecondAffinity;
+  const bool is_long =
+      static_cast<double>(prompt.max_output_tokens) > this->mean_output;
+  const double all_pending =
+      static_cast<double>(record.PendingTokens(kUrgencies - 1)) + peer_tokens;
+  if (is_long)
+    score += kPauseWeight * this->model.token_ms() * all_pending;
   if (needs.preferred_version != 0 &&
       record.VersionOf(prompt.model) < needs.preferred_version)
     score += kOldVersionMs;
--- a/source/core/events/event_log.h
+++ b/source/core/events/event_log.h
@@ -62,10 +62,10 @@
      "view_stale",      "view_renewed",     "endpoint_added",
      "endpoint_left",   "endpoint_ejected", "endpoint_readmitted",
      "version_named",   "holder_gained",    "holder_lost",
-     "weights_ordered",
-     "weights_in_force", "crash_marked",     "request_refused",
-     "request_queued",  "request_sent",     "request_resent",
-     "request_resumed", "request_cut",      "request_answered"});
+     "weights_ordered", "weights_in_force", "crash_marked",
+     "request_refused", "request_queued",   "request_sent",
+     "request_resent",  "request_resumed",  "request_cut",
+     "request_answered"});
 
 // The fields that lines may carry.
 enum class Field {
@@ -102,13 +102,13 @@
 inline constexpr size_t kFields = 28;
 
 inline constexpr common::NameTable<Field, kFields> kFieldNames(
-    {"request",        "route",           "service",       "endpoint",
-     "team",           "reason",          "status",        "attempt",
-     "config_version", "view_age_ms",     "remaining_ms",  "elapsed_ms",
-     "held_ms",        "predicted_ms",    "first_byte_ms", "longest_pause_ms", "took_ms",
-     "retry_after_ms", "uncached_tokens", "in_flight",     "failure_share",
-     "model",          "version",         "token",         "fingerprint",
-     "count",          "dependency",      "detail"});
+    {"request",        "route",          "service",         "endpoint",
+     "team",           "reason",         "status",          "attempt",
+     "config_version", "view_age_ms",    "remaining_ms",    "elapsed_ms",
+     "held_ms",        "predicted_ms",   "first_byte_ms",   "longest_pause_ms",
+     "took_ms",        "retry_after_ms", "uncached_tokens", "in_flight",
+     "failure_share",  "model",          "version",         "token",
+     "fingerprint",    "count",          "dependency",      "detail"});
 
 Level LevelOf(Event event);
 
--- a/source/core/gateway/dispatcher.cc
+++ b/source/core/gateway/dispatcher.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "core/common/error.h"
+#include "core/common/hash.h"
 #include "core/runtime/boot_clock.h"
 #include "core/runtime/sleep.h"
 #include "core/runtime/worker_pool.h"
@@ -77,6 +78,25 @@
                                            this->random_source.Next());
     pool->Update(service, registered[service.name]);
   }
+  this->IndexEndpoints();
+}
+
+void Dispatcher::IndexEndpoints() {
+  this->engines_by_hash.clear();
+  for (const auto& [name, pool] : this->pools) {
+    if (!pool->is_engine())
+      continue;
+    for (const auto& [id, record] : pool->records())
+      this->engines_by_hash[common::Hash64(id)] = record;
+  }
+}
+
+void Dispatcher::OnPeerPrompt(uint64_t endpoint_hash, int64_t tokens) {
+  const auto found = this->engines_by_hash.find(endpoint_hash);
+  if (found == this->engines_by_hash.end())
+    return;
+  if (const auto record = found->second.lock())
+    record->OnPeerPrompt(tokens, runtime::BootNow());
 }
 
 ServicePool* Dispatcher::PoolOf(std::string_view service) {
--- a/source/core/gateway/dispatcher.h
+++ b/source/core/gateway/dispatcher.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 
 #include "core/common/counters.h"
 #include "core/common/random.h"
@@ -51,6 +52,9 @@
   common::Random& random() { return this->random_source; }
   void SetHostCount(size_t hosts);
 
+  // Another host gave an engine a prompt to read.
+  void OnPeerPrompt(uint64_t endpoint_hash, int64_t tokens);
+
   using SendHandle = uint64_t;
   SendHandle Register(ActiveSend send);
   void MarkStarted(SendHandle handle);
@@ -80,6 +84,7 @@
     std::vector<suspects::Fingerprint> fingerprints;
   };
 
+  void IndexEndpoints();
   void CheckEndpoint(dispatch::ServicePool& pool,
                      dispatch::EndpointRecord& record,
                      common::TimePoint now);
@@ -94,6 +99,9 @@
   common::Counter& moved_sends;
   std::map<std::string, std::unique_ptr<dispatch::ServicePool>, std::less<>>
       pools;
+  // Records of engines by the hash of their id.
+  std::unordered_map<uint64_t, std::weak_ptr<dispatch::EndpointRecord>>
+      engines_by_hash;
   dispatch::RetryWindow retry_window;
   suspects::SuspectList suspect_list;
   common::Random random_source;
--- a/source/core/gateway/endpoint_control.h
+++ b/source/core/gateway/endpoint_control.h
@@ -35,10 +35,10 @@
 
 enum class OrderReply {
   kAccepted,
-  kInForce,   // the engine has that version already
-  kRefused,   // busy, or the sequence has changed
-  kStale,     // a higher fencing token was seen
-  kUnknown,   // no answer: it may be carried out later
+  kInForce,  // the engine has that version already
+  kRefused,  // busy, or the sequence has changed
+  kStale,    // a higher fencing token was seen
+  kUnknown,  // no answer: it may be carried out later
 };
 
 // Calls to engines and cache stores besides requests. Each suspends the
--- a/source/core/gateway/gateway.cc
+++ b/source/core/gateway/gateway.cc
@@ -58,7 +58,11 @@
               peers.store,
               peers.control,
               log),
-      hosts(this->settings, this->dispatcher, this->store_book, this->store_watch, peers.store),
+      hosts(this->settings,
+            this->dispatcher,
+            this->store_book,
+            this->store_watch,
+            peers.store),
       parts{this->settings,
             this->view,
             this->dispatcher,
@@ -70,7 +74,8 @@
             counters.GetCounter("requests_refused_total"),
             counters.GetCounter("requests_failed_total"),
             counters.GetHistogram("request_first_byte_seconds"),
-            counters.GetHistogram("request_seconds")} {
+            counters.GetHistogram("request_seconds"),
+            nullptr} {
   this->view.OnChange([this] { this->OnViewChange(); });
   this->view.OnHostObject(
       [this](const auto& change) { this->OnHostObject(change); });
@@ -89,6 +94,8 @@
       runtime::HttpServerOptions(),
       [this](const auto&, auto& writer) { this->ServeReadiness(writer); },
       runtime::RenderPlainError);
+  if (this->settings.peer_port != 0)
+    this->StartPeerLoads();
   if (this->settings.metrics_port != 0) {
     runtime::Address metrics = address(this->settings.caller_address);
     metrics.port = static_cast<uint16_t>(this->settings.metrics_port);
@@ -114,6 +121,19 @@
   });
 }
 
+void Gateway::StartPeerLoads() {
+  runtime::Address address =
+      *runtime::Address::Parse(this->settings.caller_address);
+  address.port = static_cast<uint16_t>(this->settings.peer_port);
+  this->peer_loads = std::make_unique<PeerLoads>(
+      this->dispatcher, this->workers.IoOf(0), address, this->counters);
+  this->hosts.OnPeers([this](std::vector<runtime::Address> peers) {
+    this->peer_loads->SetPeers(std::move(peers));
+  });
+  this->parts.peer_loads = this->peer_loads.get();
+  this->workers.Spawn(0, [this] { this->peer_loads->Start(); });
+}
+
 Gateway::~Gateway() {
   this->view.Stop();
   this->store_watch.Stop();
--- a/source/core/gateway/gateway.h
+++ b/source/core/gateway/gateway.h
@@ -14,6 +14,7 @@
 #include "core/gateway/dispatcher.h"
 #include "core/gateway/endpoint_control.h"
 #include "core/gateway/host_board.h"
+#include "core/gateway/peer_loads.h"
 #include "core/gateway/request_task.h"
 #include "core/gateway/rollout_duty.h"
 #include "core/gateway/settings.h"
@@ -58,6 +59,7 @@
   void SendRefusal(const common::Error& error,
                    std::optional<common::Duration> retry_after,
                    runtime::ResponseWriter& writer);
+  void StartPeerLoads();
   void OnViewChange();
   void OnHostObject(const catalog::ObjectChange& change);
   void Tick();
@@ -75,6 +77,7 @@
   StoreWatch store_watch;
   RolloutDuty rollout;
   HostBoard hosts;
+  std::unique_ptr<PeerLoads> peer_loads;
   RequestParts parts;
   std::unique_ptr<runtime::HttpServer> caller_server;
   std::unique_ptr<runtime::HttpServer> ready_server;
--- a/source/core/gateway/host_board.cc
+++ b/source/core/gateway/host_board.cc
@@ -71,6 +71,8 @@
   if (!value.is_object() || !value.contains("marks"))
     return;
   try {
+    this->OnPeerAddress(name,
+                        change.deleted ? "" : value.value("peer_address", ""));
     const auto marks = DecodeMarks(value["marks"]);
     this->dispatcher.suspects().Merge(marks, runtime::BootNow());
   } catch (const Json::exception&) {
@@ -79,6 +81,21 @@
   }
 }
 
+void HostBoard::OnPeerAddress(const std::string& name,
+                              const std::string& address) {
+  const auto parsed = runtime::Address::Parse(address);
+  if (parsed)
+    this->peers[name] = *parsed;
+  else
+    this->peers.erase(name);
+  if (!this->peers_changed)
+    return;
+  std::vector<runtime::Address> addresses;
+  for (const auto& [host, peer] : this->peers)
+    addresses.push_back(peer);
+  this->peers_changed(std::move(addresses));
+}
+
 void HostBoard::OnCountChange() {
   const size_t count = this->names.size();
   const auto rank = static_cast<size_t>(std::distance(
@@ -92,6 +109,11 @@
   Json value;
   value["zone"] = this->settings.zone;
   value["address"] = this->settings.caller_address;
+  if (this->settings.peer_port != 0) {
+    auto peer = *runtime::Address::Parse(this->settings.caller_address);
+    peer.port = static_cast<uint16_t>(this->settings.peer_port);
+    value["peer_address"] = peer.ToString();
+  }
   value["marks"] = Json::array();
   auto marks = this->dispatcher.suspects().Marks(runtime::BootNow());
   if (marks.size() > kMostMarks)
@@ -114,8 +136,8 @@
       this->own_revision = reply.current->revision;
     return reply.state == WriteState::kWritten;
   }
-  const auto reply = this->store.Replace(
-      ObjectKind::kHosts, this->own_name, *this->own_revision, this->Content());
+  const auto reply = this->store.Replace(ObjectKind::kHosts, this->own_name,
+                                         *this->own_revision, this->Content());
   if (reply.current)
     this->own_revision = reply.current->revision;
   return reply.state == WriteState::kWritten;
--- a/source/core/gateway/host_board.h
+++ b/source/core/gateway/host_board.h
@@ -1,8 +1,11 @@
 #ifndef CORE_GATEWAY_HOST_BOARD_H_
 #define CORE_GATEWAY_HOST_BOARD_H_
 
+#include <functional>
+#include <map>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "core/catalog/object_store.h"
 #include "core/common/time.h"
@@ -10,6 +13,7 @@
 #include "core/gateway/settings.h"
 #include "core/gateway/store_watch.h"
 #include "core/reuse/store_book.h"
+#include "core/runtime/http_types.h"
 
 namespace jujuberock::gateway {
 
@@ -28,9 +32,14 @@
   // Writes this host's object whenever it has changed; until Stop().
   void Run();
   void Stop() { this->stopping = true; }
+  // Called with the addresses of the other hosts.
+  void OnPeers(std::function<void(std::vector<runtime::Address>)> callback) {
+    this->peers_changed = std::move(callback);
+  }
 
  private:
   void OnCountChange();
+  void OnPeerAddress(const std::string& name, const std::string& address);
   bool Write();
   std::string Content() const;
 
@@ -42,6 +51,8 @@
   std::string own_name;
   std::optional<uint64_t> own_revision;
   std::set<std::string> names;
+  std::map<std::string, runtime::Address> peers;
+  std::function<void(std::vector<runtime::Address>)> peers_changed;
   bool changed = true;
   bool stopping = false;
 };
--- a/source/core/gateway/request_task.cc
+++ b/source/core/gateway/request_task.cc
@@ -364,6 +364,9 @@
     ticket.memory_tokens = this->request.prompt->MemoryTokens();
   record.OnSent(ticket, now);
   this->tried.insert(record.endpoint().id);
+  if (this->parts.peer_loads)
+    this->parts.peer_loads->OnSent(record.endpoint().id,
+                                   choice.uncached_tokens);
 
   forward::EndpointSend send(this->parts.connections, this->parts.codec,
                              record.endpoint().address);
@@ -523,6 +526,7 @@
         events ? this->splitter.Push(*bytes) : std::move(*bytes);
     if (whole.empty())
       continue;
+    ++this->events_sent;
     this->NotePause();
     this->writer.Write(whole);
   }
@@ -539,6 +543,7 @@
       .Add(Field::kPredictedMs, this->predicted)
       .Add(Field::kFirstByteMs, this->first_byte_at - this->received_at)
       .Add(Field::kLongestPauseMs, this->longest_pause)
+      .Add(Field::kCount, this->events_sent)
       .Add(Field::kTookMs, now - this->received_at);
   return AttemptEnd::kAnswered;
 }
--- a/source/core/gateway/request_task.h
+++ b/source/core/gateway/request_task.h
@@ -13,6 +13,7 @@
 #include "core/forward/event_splitter.h"
 #include "core/forward/types.h"
 #include "core/gateway/dispatcher.h"
+#include "core/gateway/peer_loads.h"
 #include "core/reuse/store_book.h"
 #include "core/runtime/http_server.h"
 
@@ -32,6 +33,8 @@
   common::Counter& failed;
   common::DurationHistogram& first_byte;
   common::DurationHistogram& total;
+  // Null when hosts tell each other nothing.
+  PeerLoads* peer_loads = nullptr;
 };
 
 // One request of a caller, from its head to the end of its answer. Runs on the
@@ -133,6 +136,7 @@
   common::TimePoint first_byte_at;
   common::TimePoint last_event_at;
   common::Duration longest_pause{0};
+  uint64_t events_sent = 0;
   bool may_have_run = false;
   bool timed_out = false;
   bool answer_started = false;
--- a/source/core/gateway/rollout_duty.cc
+++ b/source/core/gateway/rollout_duty.cc
@@ -183,8 +183,7 @@
   if (former.holder != this->settings.host_name)
     this->former_reserved = former.reserved;
   this->taken_at = runtime::BootNow();
-  Line(this->log, Event::kHolderGained)
-      .Add(Field::kToken, this->lease.token());
+  Line(this->log, Event::kHolderGained).Add(Field::kToken, this->lease.token());
 }
 
 bool RolloutDuty::WriteRecord(const LeaseRecord& record) {
--- a/source/core/gateway/settings.cc
+++ b/source/core/gateway/settings.cc
@@ -42,6 +42,9 @@
        "Address of the platform's store", true, CheckAddress},
       {"metrics_port", &S::metrics_port, "", 0, 65535,
        "Port of `/metrics` on the address of the callers' listener; 0: none"},
+      {"peer_port", &S::peer_port, "", 0, 65535,
+       "UDP port for the other hosts, on the address of the callers' "
+       "listener; 0: none"},
       {"log_level", &S::log_level, "", 0, 0,
        "Last level of log lines: off, lifecycle, beliefs or requests", false,
        CheckLevel},
--- a/source/core/gateway/settings.h
+++ b/source/core/gateway/settings.h
@@ -17,6 +17,8 @@
   std::string caller_address;
   std::string ready_address;
   std::string platform_address;
+  // 0: hosts tell each other nothing.
+  int64_t peer_port = 0;
   // 0: no metrics are served.
   int64_t metrics_port = 0;
   std::string log_level = "requests";
--- a/source/core/reuse/store_book.cc
+++ b/source/core/reuse/store_book.cc
@@ -240,7 +240,8 @@
   for (size_t i = 0; i < prompt.parts.size(); ++i) {
     const dispatch::PromptPart& part = prompt.parts[i];
     end += part.tokens;
-    Store* store = part.tokens >= kLeastTokens ? this->HomeOf(part.id) : nullptr;
+    Store* store =
+        part.tokens >= kLeastTokens ? this->HomeOf(part.id) : nullptr;
     if (!store)
       continue;
     const std::string key = KeyOf(salt, part.id);
--- a/source/core/rollout/rollout_plan.cc
+++ b/source/core/rollout/rollout_plan.cc
@@ -36,22 +36,22 @@
     return !outdated.contains(entry.first);
   });
   changed = before != this->changes.size();
-  const auto most = static_cast<size_t>(std::max(
-      1.0, std::floor(this->options.changing_share *
-                      static_cast<double>(endpoints.size()))));
+  const auto most = static_cast<size_t>(
+      std::max(1.0, std::floor(this->options.changing_share *
+                               static_cast<double>(endpoints.size()))));
   std::vector<PlannedEndpoint> candidates = endpoints;
-  std::stable_sort(
-      candidates.begin(), candidates.end(),
-      [](const PlannedEndpoint& a, const PlannedEndpoint& b) {
-        return a.in_flight < b.in_flight;
-      });
+  std::stable_sort(candidates.begin(), candidates.end(),
+                   [](const PlannedEndpoint& a, const PlannedEndpoint& b) {
+                     return a.in_flight < b.in_flight;
+                   });
   std::erase_if(this->upcoming, [&](const std::string& id) {
     return !outdated.contains(id) || this->changes.contains(id);
   });
   // Those that were announced first come first; then those with least work.
   std::vector<std::string> order = this->upcoming;
   for (const PlannedEndpoint& endpoint : candidates) {
-    if (outdated.contains(endpoint.id) && !this->changes.contains(endpoint.id) &&
+    if (outdated.contains(endpoint.id) &&
+        !this->changes.contains(endpoint.id) &&
         std::find(order.begin(), order.end(), endpoint.id) == order.end())
       order.push_back(endpoint.id);
   }
@@ -80,9 +80,8 @@
 std::vector<std::string> RolloutPlan::Due(common::TimePoint now) const {
   std::vector<std::string> due;
   for (const auto& [id, change] : this->changes) {
-    const bool timed_out =
-        change.is_ordered &&
-        now - change.ordered_at >= this->options.order_timeout;
+    const bool timed_out = change.is_ordered && now - change.ordered_at >=
+                                                    this->options.order_timeout;
     const bool noticed = now - change.reserved_at >= this->options.notice;
     const auto held_back = this->deferred.find(id);
     if (held_back != this->deferred.end() && now < held_back->second)
--- a/source/platform/endpoint_control.cc
+++ b/source/platform/endpoint_control.cc
@@ -42,8 +42,7 @@
   events.next = body.at("next").get<uint64_t>();
   events.lost = body.value("lost", false);
   if (body.contains("clock_ms"))
-    events.clock_ms =
-        static_cast<int64_t>(body["clock_ms"].get<double>());
+    events.clock_ms = static_cast<int64_t>(body["clock_ms"].get<double>());
   for (const Json& item : body.at("events"))
     events.events.push_back(DecodeEvent(item));
   return events;
@@ -73,8 +72,7 @@
   runtime::HttpRequest request;
   request.target = std::string(wire::kReportPath);
   request.headers.Set(wire::kExpectInstance, endpoint.id);
-  const auto response =
-      this->Fetch(endpoint.address, request, kReportTimeout);
+  const auto response = this->Fetch(endpoint.address, request, kReportTimeout);
   if (!response || response->status != 200)
     return std::nullopt;
   try {
@@ -101,8 +99,7 @@
   body["fencingToken"] = order.token;
   body["expected"] = order.expected_sequence;
   request.body = body.dump();
-  const auto response =
-      this->Fetch(endpoint.address, request, kOrderTimeout);
+  const auto response = this->Fetch(endpoint.address, request, kOrderTimeout);
   if (!response)
     return gateway::OrderReply::kUnknown;
   switch (response->status) {
@@ -122,8 +119,8 @@
     uint64_t next,
     Duration wait) {
   runtime::HttpRequest request;
-  request.target = std::string(wire::kCacheEventsPath) +
-                   "?since=" + std::to_string(next);
+  request.target =
+      std::string(wire::kCacheEventsPath) + "?since=" + std::to_string(next);
   request.headers.Set(wire::kWait, std::to_string(wait.count() / 1000));
   const auto response = this->Fetch(address, request, wait + kEventsSlack);
   if (!response || response->status != 200)
