Test the modules of the gateway and the platform adapter

The names of events and fields are checked against their enumerations, since a missing name had shifted all names behind it.

--- a/source/core/dispatch/service_pool.cc
+++ b/source/core/dispatch/service_pool.cc
@@ -19,9 +19,6 @@
 // average, since other hosts send the same session there.
 constexpr double kFirstAffinity = 0.35;
 constexpr double kSecondAffinity = 0.12;
-// Time for a fetched token, as a share of that for a token that is read; it
-// takes a link's time, not the engine's.
-constexpr double kFetchShare = 0.4;
 constexpr double kOtherZoneMs = 1.5;
 // Requests on old weights earn less and soon nothing.
 constexpr double kOldVersionMs = 60;
@@ -162,9 +159,7 @@
   choice.uncached_tokens =
       record.part_cache().UncachedTokens(needs.salt, prompt);
   choice.cached_tokens = prompt.prompt_tokens - choice.uncached_tokens;
-  const int64_t fetched = this->TakeStored(choice, needs);
-  const double fetch_ms =
-      kFetchShare * this->model.token_ms() * static_cast<double>(fetched);
+  this->TakeStored(choice, needs);
   const double peer_tokens = record.PeerTokens(this->model.token_ms(), now);
   const double others =
       std::max(peer_tokens, record.OthersWaiting(now) * this->mean_uncached);
@@ -205,14 +200,13 @@
   return score;
 }
 
-int64_t ServicePool::TakeStored(Choice& choice, const SendNeeds& needs) const {
+void ServicePool::TakeStored(Choice& choice, const SendNeeds& needs) const {
   if (!needs.stored_tokens)
-    return 0;
+    return;
   const uint64_t version = choice.endpoint->VersionOf(needs.prompt->model);
   const int64_t stored = needs.stored_tokens(version);
-  const int64_t fetched = std::max<int64_t>(0, stored - choice.cached_tokens);
-  choice.uncached_tokens -= fetched;
-  return fetched;
+  // Fetches take the time of a link, not the engine's.
+  choice.uncached_tokens -= std::max<int64_t>(0, stored - choice.cached_tokens);
 }
 
 ServicePool::Affinity ServicePool::AffinityOf(const Prompt& prompt) const {
--- a/source/core/dispatch/service_pool.h
+++ b/source/core/dispatch/service_pool.h
@@ -105,8 +105,8 @@
                      const SendNeeds& needs,
                      const Affinity& affinity,
                      common::TimePoint now);
-  // Tokens that the engine has to fetch; lowers the uncached ones.
-  int64_t TakeStored(Choice& choice, const SendNeeds& needs) const;
+  // Lowers the tokens that must be read by those that can be fetched.
+  void TakeStored(Choice& choice, const SendNeeds& needs) const;
   double ScorePlain(Choice& choice, common::TimePoint now);
 
   std::string zone;
--- /dev/null
+++ b/source/unit_tests/core/dispatch/endpoint_health_test.cc
@@ -0,0 +1,66 @@
+#include "core/dispatch/endpoint_health.h"
+
+#include <catch2/catch.hpp>
+
+namespace jujuberock::dispatch {
+namespace {
+
+using common::TimePoint;
+using std::chrono::milliseconds;
+using State = EndpointHealth::State;
+
+TimePoint At(int ms) {
+  return TimePoint(milliseconds(ms));
+}
+
+TEST_CASE("an endpoint without a route is ejected at once") {
+  EndpointHealth health;
+  CHECK(health.OnOutcome(SendOutcome::kNoRoute, 0, At(0)));
+  CHECK(health.StateAt(At(1)) == State::kEjected);
+}
+
+TEST_CASE("one failure ejects nothing") {
+  EndpointHealth health;
+  CHECK_FALSE(health.OnOutcome(SendOutcome::kError, 0, At(0)));
+  CHECK(health.StateAt(At(1)) == State::kGood);
+}
+
+// Guards against an endpoint that fails part of its requests and keeps getting
+// its full share.
+TEST_CASE("an endpoint that fails half of its requests is ejected") {
+  EndpointHealth health;
+  bool ejected = false;
+  for (int i = 0; i < 40 && !ejected; ++i) {
+    const auto outcome = i % 2 ? SendOutcome::kGood : SendOutcome::kError;
+    ejected = health.OnOutcome(outcome, 0.05, At(i));
+  }
+  CHECK(ejected);
+}
+
+// Guards against the ejection of endpoints for failures that every endpoint of
+// the service has.
+TEST_CASE("failures that are usual for the service eject nothing") {
+  EndpointHealth health;
+  for (int i = 0; i < 200; ++i) {
+    const auto outcome = i % 7 ? SendOutcome::kGood : SendOutcome::kError;
+    CHECK_FALSE(health.OnOutcome(outcome, 0.14, At(i)));
+  }
+}
+
+TEST_CASE("a good answer on probation readmits, a bad one ejects for longer") {
+  EndpointHealth health;
+  health.OnOutcome(SendOutcome::kSilent, 0, At(0));
+  CHECK(health.StateAt(At(800)) == State::kProbation);
+  SECTION("good") {
+    health.OnOutcome(SendOutcome::kGood, 0, At(800));
+    CHECK(health.StateAt(At(801)) == State::kGood);
+  }
+  SECTION("bad") {
+    health.OnOutcome(SendOutcome::kError, 0, At(800));
+    CHECK(health.StateAt(At(800 + 1300)) == State::kEjected);
+    CHECK(health.StateAt(At(800 + 1500)) == State::kProbation);
+  }
+}
+
+}  // namespace
+}  // namespace jujuberock::dispatch
--- /dev/null
+++ b/source/unit_tests/core/dispatch/part_cache_test.cc
@@ -0,0 +1,42 @@
+#include "core/dispatch/part_cache.h"
+
+#include <catch2/catch.hpp>
+
+namespace jujuberock::dispatch {
+namespace {
+
+Prompt MakePrompt(std::vector<PromptPart> parts) {
+  Prompt prompt;
+  prompt.parts = std::move(parts);
+  for (const PromptPart& part : prompt.parts)
+    prompt.prompt_tokens += part.tokens;
+  return prompt;
+}
+
+TEST_CASE("a part counts as cached only behind cached parts") {
+  PartCache cache(1000);
+  cache.Insert("s", MakePrompt({{"b", 100}}));
+  CHECK(cache.UncachedTokens("s", MakePrompt({{"a", 50}, {"b", 100}})) == 150);
+  cache.Insert("s", MakePrompt({{"a", 50}}));
+  CHECK(cache.UncachedTokens("s", MakePrompt({{"a", 50}, {"b", 100}})) == 0);
+}
+
+// Guards against parts of one team that are taken for another team's.
+TEST_CASE("parts of another salt are not cached") {
+  PartCache cache(1000);
+  cache.Insert("team/a", MakePrompt({{"p", 100}}));
+  CHECK(cache.UncachedTokens("team/b", MakePrompt({{"p", 100}})) == 100);
+}
+
+TEST_CASE("the least recently used part goes first") {
+  PartCache cache(200);
+  cache.Insert("s", MakePrompt({{"a", 100}}));
+  cache.Insert("s", MakePrompt({{"b", 100}}));
+  cache.Insert("s", MakePrompt({{"a", 100}}));
+  cache.Insert("s", MakePrompt({{"c", 100}}));
+  CHECK(cache.UncachedTokens("s", MakePrompt({{"a", 100}})) == 0);
+  CHECK(cache.UncachedTokens("s", MakePrompt({{"b", 100}})) == 100);
+}
+
+}  // namespace
+}  // namespace jujuberock::dispatch
--- /dev/null
+++ b/source/unit_tests/core/dispatch/retry_window_test.cc
@@ -0,0 +1,57 @@
+#include "core/dispatch/retry_window.h"
+
+#include <catch2/catch.hpp>
+
+namespace jujuberock::dispatch {
+namespace {
+
+using common::TimePoint;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TimePoint At(int ms) {
+  return TimePoint(seconds(1000) + milliseconds(ms));
+}
+
+int TakeAll(RetryWindow& window, TimePoint now) {
+  int taken = 0;
+  while (taken < 1000 && window.TryRetry("s", now))
+    ++taken;
+  return taken;
+}
+
+// Guards against retries that multiply the load of a service that fails: over
+// all hosts together they must stay below ratio times requests plus slack.
+TEST_CASE("retries of all hosts stay within the bound") {
+  constexpr int kHosts = 4;
+  constexpr int kRequests = 400;
+  int retries = 0;
+  for (int host = 0; host < kHosts; ++host) {
+    RetryWindow window({0.2, 54, seconds(10)});
+    window.SetHostCount(kHosts);
+    for (int i = 0; i < kRequests; ++i)
+      window.OnRequest("s", At(i * 20));
+    retries += TakeAll(window, At(8000));
+  }
+  CHECK(retries <= 0.2 * kHosts * kRequests + 54);
+  CHECK(retries > 200);
+}
+
+TEST_CASE("the budget comes back when the window has moved on") {
+  RetryWindow window({0, 40, seconds(10)});
+  window.SetHostCount(1);
+  const int first = TakeAll(window, At(0));
+  CHECK(first > 0);
+  CHECK(TakeAll(window, At(9000)) == 0);
+  CHECK(TakeAll(window, At(10600)) == first);
+}
+
+TEST_CASE("services have budgets of their own") {
+  RetryWindow window({0, 8, seconds(10)});
+  window.SetHostCount(1);
+  TakeAll(window, At(0));
+  CHECK(window.TryRetry("other", At(0)));
+}
+
+}  // namespace
+}  // namespace jujuberock::dispatch
--- /dev/null
+++ b/source/unit_tests/core/events/event_log_test.cc
@@ -0,0 +1,112 @@
+#include "core/events/event_log.h"
+
+#include <catch2/catch.hpp>
+
+namespace jujuberock::events {
+namespace {
+
+common::UnixTime Now() {
+  return common::UnixTime(std::chrono::milliseconds(1700000000000));
+}
+
+// Takes `room` bytes in all.
+class LimitedSink : public Sink {
+ public:
+  explicit LimitedSink(size_t room) : room(room) {}
+
+  size_t Write(std::string_view bytes) override {
+    const size_t taken = std::min(bytes.size(), this->room);
+    this->text += bytes.substr(0, taken);
+    this->room -= taken;
+    return taken;
+  }
+
+  size_t room;
+  std::string text;
+};
+
+// Guards against a table that is shorter than its enumeration, which shifted
+// the names of all events behind.
+TEST_CASE("every event and field has a name of its own") {
+  for (size_t i = 0; i < kEvents; ++i) {
+    const auto name = kEventNames.NameOf(static_cast<Event>(i));
+    CHECK_FALSE(name.empty());
+    CHECK(kEventNames.ValueOf(name) == static_cast<Event>(i));
+  }
+  for (size_t i = 0; i < kFields; ++i) {
+    const auto name = kFieldNames.NameOf(static_cast<Field>(i));
+    CHECK_FALSE(name.empty());
+    CHECK(kFieldNames.ValueOf(name) == static_cast<Field>(i));
+  }
+  CHECK(kEventNames.NameOf(Event::kRequestAnswered) == "request_answered");
+  CHECK(kFieldNames.NameOf(Field::kDetail) == "detail");
+}
+
+TEST_CASE("a line is one JSON object with its fields in order") {
+  common::CounterRegistry counters;
+  LimitedSink sink(10000);
+  EventLog log(sink, "host-1", Now, counters);
+  Line(log, Event::kRequestSent)
+      .Add(Field::kRequest, "a\"\n\x01\xff")
+      .Add(Field::kInFlight, 3)
+      .Add(Field::kPredictedMs, common::Duration(1500));
+  log.Flush();
+  CHECK(sink.text ==
+        "{\"time_ms\":1700000000000,\"host\":\"host-1\",\"event\":"
+        "\"request_sent\",\"request\":\"a\\\"\\u000a\\u0001\\u00ff\","
+        "\"in_flight\":3,\"predicted_ms\":1.5}\n");
+}
+
+TEST_CASE("the level decides which lines are written") {
+  common::CounterRegistry counters;
+  LimitedSink sink(10000);
+  EventLog log(sink, "h", Now, counters);
+  log.SetLevel(Level::kBeliefs);
+  { Line(log, Event::kRequestSent); }
+  { Line(log, Event::kConfigInForce); }
+  log.Flush();
+  CHECK(sink.text.find("request_sent") == std::string::npos);
+  CHECK(sink.text.find("config_in_force") != std::string::npos);
+}
+
+// Guards against a stopped reader of the log that stalls requests or takes the
+// memory, and against losing beliefs for the sake of request lines.
+TEST_CASE("a stopped reader costs request lines first, and the loss is told") {
+  common::CounterRegistry counters;
+  LimitedSink sink(0);
+  EventLog log(sink, "h", Now, counters, 4000);
+  for (int i = 0; i < 200; ++i) {
+    Line(log, Event::kRequestSent).Add(Field::kCount, i);
+    log.Flush();
+  }
+  for (int i = 0; i < 10; ++i)
+    Line(log, Event::kConfigInForce).Add(Field::kConfigVersion, uint64_t{7});
+  CHECK(log.queued_bytes() <= 4000);
+  sink.room = 100000;
+  log.Flush();
+  log.Flush();
+  size_t beliefs = 0;
+  for (size_t at = 0;
+       (at = sink.text.find("config_in_force", at)) != std::string::npos; ++at)
+    ++beliefs;
+  CHECK(beliefs == 10);
+  CHECK(sink.text.find("lines_dropped") != std::string::npos);
+}
+
+// Guards against a line that is cut when the reader takes only part of it.
+TEST_CASE("a partly taken line goes on where it stopped") {
+  common::CounterRegistry counters;
+  LimitedSink sink(25);
+  EventLog log(sink, "h", Now, counters);
+  { Line(log, Event::kStarted); }
+  { Line(log, Event::kStopped); }
+  log.Flush();
+  sink.room = 1000;
+  log.Flush();
+  CHECK(sink.text ==
+        "{\"time_ms\":1700000000000,\"host\":\"h\",\"event\":\"started\"}\n"
+        "{\"time_ms\":1700000000000,\"host\":\"h\",\"event\":\"stopped\"}\n");
+}
+
+}  // namespace
+}  // namespace jujuberock::events
--- /dev/null
+++ b/source/unit_tests/core/forward/endpoint_send_test.cc
@@ -0,0 +1,227 @@
+#include "core/forward/endpoint_send.h"
+
+#include <catch2/catch.hpp>
+#include <thread>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
+
+#include "core/runtime/boot_clock.h"
+#include "core/runtime/worker_pool.h"
+
+namespace jujuberock::forward {
+namespace {
+
+using boost::asio::ip::tcp;
+
+// The id and the flag of an answer in plain fields.
+class TestCodec : public Codec {
+ public:
+  CallerRequest DecodeRequest(const runtime::HttpRequest&) const override {
+    return {};
+  }
+  runtime::HttpHeaders EncodeSend(const CallerRequest& request,
+                                  const SendOrder&) const override {
+    return {{"Host", "h"}, {"Id", request.attempt_id}};
+  }
+  AnswerHead DecodeAnswer(int status,
+                          const runtime::HttpHeaders& headers) const override {
+    AnswerHead head;
+    head.status = status;
+    if (const auto id = headers.Find("Id"))
+      head.attempt_id = std::string(*id);
+    return head;
+  }
+  void AddRetryAfter(runtime::HttpHeaders&, common::Duration) const override {}
+};
+
+// Answers each request on one connection with the next text, then ends the
+// connection, by a reset when `reset` is set.
+class Peer {
+ public:
+  Peer(std::vector<std::string> answers, bool reset)
+      : answers(std::move(answers)), reset(reset) {
+    this->thread = std::thread([this] { this->Serve(); });
+  }
+  ~Peer() { this->thread.join(); }
+
+  std::string address() const {
+    return "127.0.0.1:" +
+           std::to_string(this->acceptor.local_endpoint().port());
+  }
+
+ private:
+  void Serve() {
+    tcp::socket socket(this->io);
+    this->acceptor.accept(socket);
+    boost::system::error_code error;
+    boost::asio::streambuf buffer;
+    for (const std::string& answer : this->answers) {
+      const size_t size =
+          boost::asio::read_until(socket, buffer, "\r\n\r\n", error);
+      if (error)
+        return;
+      buffer.consume(size);
+      boost::asio::write(socket, boost::asio::buffer(answer), error);
+    }
+    if (this->reset)
+      socket.set_option(boost::asio::socket_base::linger(true, 0), error);
+    socket.close(error);
+  }
+
+  std::vector<std::string> answers;
+  bool reset;
+  boost::asio::io_context io;
+  tcp::acceptor acceptor{
+      io, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0)};
+  std::thread thread;
+};
+
+struct Result {
+  int status = 0;
+  std::string body;
+  std::optional<SendFailure> failure;
+};
+
+Result Send(ConnectionPool& pool, const std::string& address, const char* id) {
+  const TestCodec codec;
+  CallerRequest request;
+  request.method = "GET";
+  request.target = "/";
+  request.attempt_id = id;
+  Result result;
+  EndpointSend send(pool, codec, address);
+  try {
+    const auto deadline = runtime::BootNow() + std::chrono::seconds(5);
+    result.status = send.Open(request, {}, deadline).status;
+    while (auto bytes = send.Read())
+      result.body += *bytes;
+  } catch (const SendError& error) {
+    result.failure = error.failure();
+  }
+  return result;
+}
+
+std::vector<Result> SendAll(std::vector<std::string> answers,
+                            bool reset,
+                            std::vector<const char*> ids) {
+  runtime::WorkerPool workers(1);
+  common::CounterRegistry counters;
+  std::vector<Result> results;
+  Peer peer(std::move(answers), reset);
+  workers.Run([&] {
+    ConnectionPool pool({}, counters);
+    for (const char* id : ids)
+      results.push_back(Send(pool, peer.address(), id));
+  });
+  return results;
+}
+
+constexpr const char* kGood =
+    "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 2\r\n\r\nok";
+
+TEST_CASE("a whole answer arrives in each framing") {
+  const char* answers[] = {
+      kGood,
+      "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "1\r\no\r\n1\r\nk\r\n0\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nId: a\r\n\r\nok",
+      "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nId: a\r\n"
+      "Content-Length: 2\r\n\r\nok"};
+  for (const char* answer : answers) {
+    INFO(answer);
+    const auto results = SendAll({answer}, false, {"a"});
+    CHECK_FALSE(results[0].failure);
+    CHECK(results[0].status == 200);
+    CHECK(results[0].body == "ok");
+  }
+}
+
+// Guards against an answer that ends early and looks complete, and against
+// bytes that are no answer.
+TEST_CASE("answers that are cut short or no answers are failures") {
+  struct Case {
+    const char* answer;
+    bool reset;
+    SendFailure failure;
+  };
+  const Case cases[] = {
+      {"HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 9\r\n\r\nok", false,
+       SendFailure::kBroken},
+      {"HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+       "2\r\nok\r\n",
+       false, SendFailure::kBroken},
+      {"HTTP/1.1 200 OK\r\nId: a\r\n\r\nok", true, SendFailure::kBroken},
+      {"HTTP/1.1 200 OK\r\nId", false, SendFailure::kBroken},
+      {"", false, SendFailure::kBroken},
+      {"garbage\r\n\r\n", false, SendFailure::kMalformed},
+      {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok",
+       false, SendFailure::kMalformed},
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+       "Content-Length: 2\r\n\r\nok",
+       false, SendFailure::kMalformed},
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", false,
+       SendFailure::kMalformed},
+  };
+  for (const Case& c : cases) {
+    INFO(c.answer);
+    const auto results = SendAll({c.answer}, c.reset, {"a"});
+    REQUIRE(results[0].failure);
+    CHECK(*results[0].failure == c.failure);
+  }
+}
+
+// Guards against an answer of an earlier request that arrives where the next
+// one is expected.
+TEST_CASE("a late answer to another request is dropped") {
+  const std::string late =
+      "HTTP/1.1 200 OK\r\nId: old\r\nContent-Length: 3\r\n\r\nold";
+  const auto results = SendAll({late + kGood}, false, {"a"});
+  CHECK_FALSE(results[0].failure);
+  CHECK(results[0].body == "ok");
+}
+
+// Guards against bytes after a complete answer that are taken for the next
+// one: the connection must not be used again.
+TEST_CASE("a connection with extra bytes is not used again") {
+  runtime::WorkerPool workers(1);
+  common::CounterRegistry counters;
+  Peer first({std::string(kGood) + "extra"}, false);
+  workers.Run([&] {
+    ConnectionPool pool({}, counters);
+    CHECK(Send(pool, first.address(), "a").body == "ok");
+    CHECK_FALSE(pool.TakeIdle(first.address(), runtime::BootNow()));
+  });
+}
+
+TEST_CASE("a kept connection carries the next request") {
+  const auto results = SendAll({kGood, kGood}, false, {"a", "a"});
+  CHECK(results[0].body == "ok");
+  CHECK(results[1].body == "ok");
+}
+
+TEST_CASE("nothing is sent to an address where nobody listens") {
+  runtime::WorkerPool workers(1);
+  common::CounterRegistry counters;
+  workers.Run([&] {
+    ConnectionPool pool({}, counters);
+    const TestCodec codec;
+    EndpointSend send(pool, codec, "127.0.0.1:1");
+    CallerRequest request;
+    request.method = "GET";
+    request.target = "/";
+    try {
+      send.Open(request, {}, runtime::BootNow() + std::chrono::seconds(1));
+      FAIL("no error");
+    } catch (const SendError& error) {
+      CHECK(error.failure() == SendFailure::kNotConnected);
+    }
+    CHECK_FALSE(send.sent());
+  });
+}
+
+}  // namespace
+}  // namespace jujuberock::forward
--- /dev/null
+++ b/source/unit_tests/core/forward/event_splitter_test.cc
@@ -0,0 +1,49 @@
+#include "core/forward/event_splitter.h"
+
+#include <catch2/catch.hpp>
+
+namespace jujuberock::forward {
+namespace {
+
+TEST_CASE("an event passes only when it is whole") {
+  EventSplitter splitter;
+  CHECK(splitter.Push("id: 1\ndata: a").empty());
+  CHECK(splitter.Push("\n\nid: 2\n") == "id: 1\ndata: a\n\n");
+  CHECK(*splitter.last_id() == "1");
+  CHECK(splitter.pending() > 0);
+}
+
+// Guards against a stream in which pieces of two runs are joined.
+TEST_CASE("a resumed stream drops the begun event and repeated ones") {
+  EventSplitter splitter;
+  splitter.Push("id: 1\ndata: a\n\nid: 2\ndata: half");
+  splitter.Restart();
+  CHECK(splitter.Push("id: 1\ndata: a\n\n").empty());
+  CHECK(splitter.Push("id: 2\ndata: b\n\n") == "id: 2\ndata: b\n\n");
+  CHECK(*splitter.last_id() == "2");
+}
+
+TEST_CASE("line ends, events without id and long pieces are handled") {
+  struct Case {
+    const char* input;
+    const char* output;
+  };
+  const Case cases[] = {
+      {"id: 1\r\ndata: a\r\n\r\n", "id: 1\r\ndata: a\r\n\r\n"},
+      {"data: a\n\ndata: b\n\n", "data: a\n\ndata: b\n\n"},
+      {"id:7\ndata: a\n\n", "id:7\ndata: a\n\n"},
+      {"id: x\ndata: a\n\nid: x\ndata: b\n\n",
+       "id: x\ndata: a\n\nid: x\ndata: b\n\n"},
+      {": keep-alive\n\n", ": keep-alive\n\n"},
+      {"\n", "\n"},
+      {"data: no end", ""},
+  };
+  for (const Case& c : cases) {
+    INFO(c.input);
+    EventSplitter splitter;
+    CHECK(splitter.Push(c.input) == c.output);
+  }
+}
+
+}  // namespace
+}  // namespace jujuberock::forward
--- /dev/null
+++ b/source/unit_tests/core/reuse/store_book_test.cc
@@ -0,0 +1,167 @@
+#include "core/reuse/store_book.h"
+
+#include <catch2/catch.hpp>
+
+namespace jujuberock::reuse {
+namespace {
+
+using common::TimePoint;
+using std::chrono::milliseconds;
+
+constexpr const char* kStore = "10.0.0.1:80";
+
+TimePoint At(int ms) {
+  return TimePoint(milliseconds(100000 + ms));
+}
+
+catalog::CacheStoreTraits Traits() {
+  catalog::CacheStoreTraits traits;
+  traits.address = kStore;
+  traits.capacity_tokens = 10000;
+  traits.link_mbps = 100000;
+  traits.managed = true;
+  return traits;
+}
+
+dispatch::Prompt MakePrompt() {
+  dispatch::Prompt prompt;
+  prompt.prompt_tokens = 1100;
+  prompt.parts = {{"a", 400}, {"b", 500}, {"own", 200}};
+  return prompt;
+}
+
+FetchTerms Terms() {
+  FetchTerms terms;
+  terms.token_bytes = 100000;
+  terms.engine_link_mbps = 100000;
+  terms.most_wait = milliseconds(300);
+  terms.read_time = milliseconds(400);
+  return terms;
+}
+
+StoreEvents Events(uint64_t epoch, std::vector<StoreEvent> events) {
+  StoreEvents answer;
+  answer.epoch = epoch;
+  answer.clock_ms = 5000;
+  answer.events = std::move(events);
+  return answer;
+}
+
+StoreBook Answering(int at) {
+  StoreBook book;
+  book.SetStores({Traits()});
+  book.OnEvents(kStore, Events(1, {}), At(0), At(0));
+  book.OnEvents(kStore, Events(1, {}), At(at), At(at));
+  return book;
+}
+
+TEST_CASE("parts are saved once, but not the request's own") {
+  StoreBook book = Answering(4000);
+  const ReusePlan first = book.Plan("v1", MakePrompt(), Terms(), At(4000));
+  CHECK(first.targets == std::vector<std::string>{kStore, kStore, ""});
+  CHECK(first.source_tokens == 0);
+  const ReusePlan again = book.Plan("v1", MakePrompt(), Terms(), At(4010));
+  CHECK(again.targets == std::vector<std::string>{"", "", ""});
+}
+
+// Guards against reads of parts that are not whole in the store.
+TEST_CASE("a part is read only after the store reported it complete") {
+  StoreBook book = Answering(4000);
+  book.Plan("v1", MakePrompt(), Terms(), At(4000));
+  CHECK(book.Plan("v1", MakePrompt(), Terms(), At(4100)).source_tokens == 0);
+  book.OnEvents(kStore, Events(1, {{true, "v1", "a", 400}}), At(4100),
+                At(4200));
+  const ReusePlan plan = book.Plan("v1", MakePrompt(), Terms(), At(4200));
+  CHECK(plan.sources == std::vector<std::string>{kStore, "", ""});
+  CHECK(plan.until_ms == uint64_t{5000 + 400});
+}
+
+// Guards against cached context of other weights or of an isolated team.
+TEST_CASE("a part of another salt is not read") {
+  StoreBook book = Answering(4000);
+  book.OnEvents(kStore, Events(1, {{true, "v1", "a", 400}}), At(4000),
+                At(4100));
+  CHECK(book.Plan("v2", MakePrompt(), Terms(), At(4100)).source_tokens == 0);
+}
+
+// Guards against a read from a store that has restarted, while another host
+// saves the same part there again.
+TEST_CASE("a store that does not answer is not used") {
+  StoreBook book = Answering(4000);
+  book.OnEvents(kStore, Events(1, {{true, "v1", "a", 400}}), At(4000),
+                At(4100));
+  SECTION("an answer failed") {
+    book.OnNoAnswer(kStore);
+    CHECK(book.Plan("v1", MakePrompt(), Terms(), At(4200)).source_tokens == 0);
+  }
+  SECTION("its last answer is old") {
+    CHECK(book.Plan("v1", MakePrompt(), Terms(), At(6000)).source_tokens == 0);
+  }
+}
+
+TEST_CASE("after a restart nothing is saved until earlier reads have ended") {
+  StoreBook book = Answering(4000);
+  book.OnEvents(kStore, Events(1, {{true, "v1", "a", 400}}), At(4000),
+                At(4100));
+  book.OnEvents(kStore, Events(2, {}), At(5000), At(5000));
+  CHECK(book.known_parts() == 0);
+  const ReusePlan early = book.Plan("v1", MakePrompt(), Terms(), At(5100));
+  CHECK(early.targets == std::vector<std::string>{"", "", ""});
+  const auto quiet = StoreBook::kAnswerAge + StoreBook::kReadTime;
+  book.OnEvents(kStore, Events(2, {}), At(5000) + quiet, At(5000) + quiet);
+  CHECK(book.Plan("v1", MakePrompt(), Terms(), At(5000) + quiet)
+            .targets[0]
+            .empty());
+  const TimePoint later = At(8000);
+  book.OnEvents(kStore, Events(2, {}), later, later);
+  CHECK(book.Plan("v1", MakePrompt(), Terms(), later).targets[0] == kStore);
+}
+
+// Load pattern: more fetches than the store's link carries. Guards against a
+// queue of late fetches, which engines then read on top of their other work.
+TEST_CASE("fetches beyond the link are read by the engines instead") {
+  StoreBook book = Answering(4000);
+  book.OnEvents(kStore, Events(1, {{true, "v1", "a", 400}}), At(4000),
+                At(4100));
+  int fetched = 0;
+  for (int i = 0; i < 400; ++i)
+    fetched +=
+        book.Plan("v1", MakePrompt(), Terms(), At(4100)).source_tokens > 0 ? 1
+                                                                           : 0;
+  // 400 tokens are 0.32 Gbit, 3.2 ms of the link; 44 ms of waiting are worth
+  // it.
+  CHECK(fetched > 5);
+  CHECK(fetched < 30);
+}
+
+// Load pattern: one store's link turns slow. Guards against requests that all
+// wait for it while the other store is well.
+TEST_CASE("a store that makes its requests late is asked less") {
+  StoreBook book;
+  catalog::CacheStoreTraits other = Traits();
+  other.address = "10.0.0.2:80";
+  book.SetStores({Traits(), other});
+  for (const char* address : {kStore, "10.0.0.2:80"})
+    book.OnEvents(address, Events(1, {{true, "v1", "a", 400}}), At(4000),
+                  At(4000));
+  for (int i = 0; i < 60; ++i) {
+    book.OnFetched(kStore, milliseconds(1200));
+    book.OnFetched("10.0.0.2:80", milliseconds(10));
+  }
+  int fetched = 0;
+  int home = 0;
+  for (int i = 0; i < 200; ++i) {
+    dispatch::Prompt prompt = MakePrompt();
+    prompt.parts[0].id = "p" + std::to_string(i);
+    book.OnEvents(kStore, Events(1, {{true, "v1", prompt.parts[0].id, 400}}),
+                  At(4000), At(4000));
+    const auto plan = book.Plan("v1", prompt, Terms(), At(4000 + i));
+    home += plan.targets[0].empty() ? 1 : 0;
+    fetched += plan.sources[0] == kStore ? 1 : 0;
+  }
+  CHECK(home > 50);
+  CHECK(fetched < home / 2);
+}
+
+}  // namespace
+}  // namespace jujuberock::reuse
--- /dev/null
+++ b/source/unit_tests/platform/codec_test.cc
@@ -0,0 +1,172 @@
+#include "platform/codec.h"
+
+#include <catch2/catch.hpp>
+#include <set>
+
+namespace jujuberock::platform_adapter {
+namespace {
+
+runtime::HttpRequest CallerRequest(runtime::HttpHeaders headers) {
+  runtime::HttpRequest request;
+  request.method = "POST";
+  request.target = "/a/b?c=d";
+  request.headers = std::move(headers);
+  request.body = "body";
+  return request;
+}
+
+std::multiset<std::string> NamesOf(const runtime::HttpHeaders& headers) {
+  std::multiset<std::string> names;
+  for (const auto& field : headers.all())
+    names.insert(field.name);
+  return names;
+}
+
+TEST_CASE("a request is decoded once into typed fields") {
+  const PlatformCodec codec;
+  const auto request = codec.DecodeRequest(
+      CallerRequest({{"Host", "h.example"},
+                     {"X-Attempt-Id", "id1"},
+                     {"X-Key", "secret"},
+                     {"X-Deadline-Remaining", "1500"},
+                     {"X-Model", "m"},
+                     {"X-Token-Count", "1460,80"},
+                     {"X-Prompt-Prefix", "5c:800, 91:410,e4:250"},
+                     {"Last-Event-Id", "12"}}));
+  CHECK(request.host == "h.example");
+  CHECK(request.attempt_id == "id1");
+  CHECK(request.key == "secret");
+  CHECK(*request.remaining == std::chrono::milliseconds(1500));
+  CHECK(*request.last_event_id == "12");
+  REQUIRE(request.prompt);
+  CHECK(request.prompt->prompt_tokens == 1460);
+  CHECK(request.prompt->max_output_tokens == 80);
+  REQUIRE(request.prompt->parts.size() == 3);
+  CHECK(request.prompt->parts[1].id == "91");
+  CHECK(request.prompt->parts[1].tokens == 410);
+}
+
+// Guards against a caller that sets what only the system may set, and against
+// its key at an endpoint.
+TEST_CASE("fields of the system are never passed on from a caller") {
+  const PlatformCodec codec;
+  const char* names[] = {"X-Key",
+                         "X-Tenant",
+                         "x-tenant",
+                         "X-Hold",
+                         "X-Pin-Duration",
+                         "X-Kv-Backup",
+                         "Kv-From",
+                         "X-Kv-Source",
+                         "X-Kv-Target",
+                         "X-Kv-Until",
+                         "X-Cache-Salt",
+                         "X-Request-Urgency",
+                         "X-Expect-Version",
+                         "X-Expect-Instance",
+                         "X-Not-Executed",
+                         "X-Server-Stamp",
+                         "Transfer-Encoding",
+                         "Content-Length",
+                         "Keep-Alive",
+                         "Upgrade"};
+  for (const char* name : names) {
+    INFO(name);
+    const auto request =
+        codec.DecodeRequest(CallerRequest({{"Host", "h"}, {name, "forged"}}));
+    CHECK(NamesOf(request.passed_on) == std::multiset<std::string>{"Host"});
+  }
+}
+
+// Guards against a Connection field that makes the system drop what endpoints
+// must see unchanged.
+TEST_CASE("fields named by Connection are dropped, but not essential ones") {
+  const PlatformCodec codec;
+  const auto request = codec.DecodeRequest(
+      CallerRequest({{"Host", "h"},
+                     {"Connection", "X-Own, X-Attempt-Id, X-Model, Host"},
+                     {"X-Own", "1"},
+                     {"X-Attempt-Id", "id"},
+                     {"X-Model", "m"}}));
+  CHECK(NamesOf(request.passed_on) ==
+        std::multiset<std::string>{"Host", "X-Attempt-Id", "X-Model"});
+}
+
+TEST_CASE("a send carries the order of the system") {
+  const PlatformCodec codec;
+  const auto request = codec.DecodeRequest(
+      CallerRequest({{"Host", "h"}, {"X-Key", "k"}, {"Last-Event-Id", "3"}}));
+  forward::SendOrder order;
+  order.endpoint_id = "i-1";
+  order.remaining = std::chrono::milliseconds(1234);
+  order.team = "t";
+  order.urgency = 2;
+  order.cache_salt = "v1/shared";
+  order.expected_version = 1;
+  order.last_event_id = "9";
+  order.cache_sources = {"10.0.0.1:1", ""};
+  order.cache_targets = {"", ""};
+  order.cache_until_ms = 77;
+  const auto headers = codec.EncodeSend(request, order);
+  CHECK(headers.Find("X-Expect-Instance") == "i-1");
+  CHECK(headers.Find("X-Deadline-Remaining") == "1234");
+  CHECK(headers.Find("X-Tenant") == "t");
+  CHECK(headers.Find("X-Request-Urgency") == "2");
+  CHECK(headers.Find("X-Cache-Salt") == "v1/shared");
+  CHECK(headers.Find("X-Expect-Version") == "1");
+  CHECK(headers.Find("Last-Event-Id") == "9");
+  CHECK(headers.Find("X-Kv-Source") == "10.0.0.1:1,-");
+  CHECK_FALSE(headers.Find("X-Kv-Target"));
+  CHECK_FALSE(headers.Find("X-Key"));
+}
+
+TEST_CASE("an answer's head tells what the endpoint said") {
+  const PlatformCodec codec;
+  const auto head =
+      codec.DecodeAnswer(200, {{"X-Attempt-Id", "id"},
+                               {"X-Server-Stamp", "s"},
+                               {"X-Server-Load", "3, 1,8"},
+                               {"X-Weight-Versions", "4"},
+                               {"Keep-Alive", "timeout=10, max=3"},
+                               {"Connection", "close"}});
+  CHECK(*head.attempt_id == "id");
+  CHECK(head.is_signed);
+  CHECK(head.load->running == 3);
+  CHECK(head.load->waiting == 1);
+  CHECK(*head.weight_version == 4);
+  CHECK(*head.keep_alive == std::chrono::seconds(7));
+  CHECK(head.closes);
+  CHECK_FALSE(head.not_run);
+  CHECK(codec.DecodeAnswer(503, {{"X-Not-Executed", "1"}}).not_run);
+  CHECK(codec.DecodeAnswer(421, {}).not_run);
+  CHECK_FALSE(codec.DecodeAnswer(503, {}).not_run);
+}
+
+TEST_CASE("malformed values are left out, not guessed") {
+  const PlatformCodec codec;
+  struct Case {
+    const char* name;
+    const char* value;
+  };
+  const Case cases[] = {
+      {"X-Deadline-Remaining", ""},   {"X-Deadline-Remaining", "abc"},
+      {"X-Deadline-Remaining", "-5"}, {"X-Deadline-Remaining", "5x"},
+      {"X-Server-Load", "1,2"},       {"X-Server-Load", "1,,3"},
+      {"X-Server-Load", "-1,2,3"},    {"X-Weight-Versions", "v1"},
+      {"Keep-Alive", "timeout=x"},    {"Keep-Alive", "timeout=0"},
+      {"X-Token-Count", "x,y"},       {"X-Prompt-Prefix", ":::,,"},
+  };
+  for (const Case& c : cases) {
+    INFO(c.name << ": " << c.value);
+    const auto request = codec.DecodeRequest(
+        CallerRequest({{"X-Model", "m"}, {c.name, c.value}}));
+    CHECK_FALSE(request.remaining);
+    const auto head = codec.DecodeAnswer(200, {{c.name, c.value}});
+    CHECK_FALSE(head.load);
+    CHECK_FALSE(head.weight_version);
+    CHECK_FALSE(head.keep_alive);
+  }
+}
+
+}  // namespace
+}  // namespace jujuberock::platform_adapter
--- /dev/null
+++ b/source/unit_tests/platform/decode_test.cc
@@ -0,0 +1,131 @@
+#include "platform/decode.h"
+
+#include <catch2/catch.hpp>
+
+#include "core/common/error.h"
+#include "unit_tests/core/fuzz/mutation.h"
+
+namespace jujuberock::platform_adapter {
+namespace {
+
+constexpr const char* kEndpoint =
+    R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1",)"
+    R"("slots":48,"state":"ready","coldLeftMs":0,"born":1700000000123,)"
+    R"("models":[{"name":"m","version":1,"adapters":[]}],"sequence":4})";
+
+constexpr const char* kConfig =
+    R"({"version":7,"routes":[{"name":"r","host":"h","pathPrefix":"/a/",)"
+    R"("kind":"stream","timeoutMs":5000,"targetLatencyMs":600,"priority":1,)"
+    R"("backends":[{"service":"s","weight":90},{"service":"t","weight":10}],)"
+    R"("maxAttempts":2,"canResume":true,"gapAimMs":300}],"services":[)"
+    R"({"name":"c","kvStoreAddr":"10.0.0.9:1","zone":"z","kvCapacity":9,)"
+    R"("maxInflight":12,"managed":true},{"name":"s","healthPath":"/health",)"
+    R"("maxConns":300,"engine":{"slots":48,"kvCapacity":100,)"
+    R"("kvTokenBytes":8,"linkMbps":5.5,"models":[{"name":"m"}]}}],)"
+    R"("limits":{"maxHeaderBytes":100,"maxBodyBytes":200,)"
+    R"("headerTimeoutMs":3000,"idleTimeoutMs":15000},)"
+    R"("tenants":[{"name":"t","apiKeys":["k"],"priority":1,)"
+    R"("isolated":true}]})";
+
+catalog::StoredObject Object(const std::string& content) {
+  return {"i-1", 5, content};
+}
+
+std::string Replace(std::string text,
+                    const std::string& from,
+                    const std::string& to) {
+  const size_t at = text.find(from);
+  REQUIRE(at != std::string::npos);
+  return text.replace(at, from.size(), to);
+}
+
+TEST_CASE("a configuration is decoded into typed fields") {
+  const catalog::Config config = DecodeConfig(Object(kConfig));
+  CHECK(config.version == 7);
+  REQUIRE(config.routes.size() == 1);
+  const catalog::Route& route = config.routes[0];
+  CHECK(route.kind == catalog::RouteKind::kStream);
+  CHECK(route.timeout == std::chrono::seconds(5));
+  CHECK(route.services.size() == 2);
+  CHECK(route.max_attempts == 2);
+  CHECK(route.can_resume);
+  REQUIRE(config.services.size() == 2);
+  CHECK(config.services[0].cache_store->max_event_calls == 12);
+  CHECK(config.services[1].engine->kv_token_bytes == 8);
+  CHECK(config.limits.body_bytes == 200);
+  CHECK(config.teams[0].isolated);
+  CHECK(config.teams[0].priority == 1);
+}
+
+// Guards against requests that are repeated because their kind is new.
+TEST_CASE("an unknown kind of route may not be repeated") {
+  const auto config =
+      DecodeConfig(Object(Replace(kConfig, "\"stream\"", "\"new\"")));
+  CHECK(config.routes[0].kind == catalog::RouteKind::kNonIdempotent);
+}
+
+TEST_CASE("an endpoint's entry is decoded") {
+  const auto endpoint = DecodeEndpoint(Object(kEndpoint));
+  REQUIRE(endpoint);
+  CHECK(endpoint->id == "i-1");
+  CHECK(endpoint->born == 1700000000123);
+  CHECK(endpoint->slots == 48);
+  CHECK_FALSE(endpoint->leaving);
+  CHECK(endpoint->models[0].version == 1);
+  const auto leaving =
+      DecodeEndpoint(Object(Replace(kEndpoint, "\"ready\"", "\"draining\"")));
+  CHECK(leaving->leaving);
+}
+
+// Guards against requests to an address that a forged or torn entry names.
+TEST_CASE("a forged or torn entry names no endpoint") {
+  struct Case {
+    const char* from;
+    const char* to;
+  };
+  const Case cases[] = {
+      {"\"service\":\"s\",", ""},
+      {"\"address\":\"10.0.0.1:80\",", ""},
+      {"\"zone\":\"z\",", ""},
+      {"\"10.0.0.1:80\"", "7"},
+      {"48", "\"48\""},
+      {"48", "-48"},
+      {"48", "48.5"},
+      {"\"ready\"", "\"unknown\""},
+      {"\"ready\"", "true"},
+      {"1700000000123", "1700000000123.5"},
+      {"1700000000123", "\"1700000000123\""},
+      {"[{\"name\":\"m\"", "[{\"name\":5"},
+      {"\"sequence\":4}", "\"sequence\":4"},
+  };
+  for (const Case& c : cases) {
+    INFO(c.from << " -> " << c.to);
+    CHECK_FALSE(DecodeEndpoint(Object(Replace(kEndpoint, c.from, c.to))));
+  }
+  for (const char* content : {"", "null", "[]", "7", "\xff\xfe", "{"}) {
+    INFO(content);
+    CHECK_FALSE(DecodeEndpoint(Object(content)));
+  }
+}
+
+TEST_CASE("objects of any bytes are refused with an error of the system") {
+  common::Random random(20261204);
+  for (int i = 0; i < 3000; ++i) {
+    const auto endpoint = fuzz::Mutate(kEndpoint, random);
+    CHECK_NOTHROW(DecodeEndpoint(Object(endpoint)));
+    try {
+      DecodeConfig(Object(fuzz::Mutate(kConfig, random)));
+    } catch (const common::Error&) {
+      // Refused, as it should be.
+    }
+    try {
+      DecodeModelVersion(
+          Object(fuzz::Mutate(R"({"model":"m","version":2})", random)));
+    } catch (const common::Error&) {
+      // Refused, as it should be.
+    }
+  }
+}
+
+}  // namespace
+}  // namespace jujuberock::platform_adapter
--- /dev/null
+++ b/source/unit_tests/platform/store_client_test.cc
@@ -0,0 +1,152 @@
+#include "platform/store_client.h"
+
+#include <catch2/catch.hpp>
+#include <functional>
+
+#include "core/common/error.h"
+#include "core/runtime/http_server.h"
+#include "core/runtime/worker_pool.h"
+
+namespace jujuberock::platform_adapter {
+namespace {
+
+using catalog::ObjectKind;
+using catalog::WriteState;
+
+// A store that answers as the test says.
+class Store {
+ public:
+  using Answer =
+      std::function<runtime::HttpResponse(const runtime::HttpRequest&)>;
+
+  explicit Store(Answer answer)
+      : answer(std::move(answer)),
+        server(
+            pool,
+            {"127.0.0.1", 0},
+            {},
+            [this](const auto& request, auto& writer) {
+              this->targets.push_back(request.method + " " + request.target);
+              writer.Send(this->answer(request));
+            },
+            runtime::RenderPlainError),
+        http(pool, {}),
+        client(http, server.address(), counters) {}
+
+  void Run(std::function<void(StoreClient&)> body) {
+    this->pool.Run([&] { body(this->client); });
+  }
+
+  std::vector<std::string> targets;
+
+ private:
+  Answer answer;
+  runtime::WorkerPool pool{1};
+  common::CounterRegistry counters;
+  runtime::HttpServer server;
+  runtime::HttpClient http;
+  StoreClient client;
+};
+
+runtime::HttpResponse Reply(int status, std::string body) {
+  runtime::HttpResponse response;
+  response.status = status;
+  response.body = std::move(body);
+  return response;
+}
+
+TEST_CASE("a list is read page by page, from the revision of the first") {
+  Store store([](const auto& request) {
+    if (request.target.find("after=") == std::string::npos)
+      return Reply(200, R"({"items":[{"metadata":{"name":"a","rev":3},)"
+                        R"("spec":{"x":1}}],"more":true,"storeRevision":9})");
+    return Reply(200, R"({"items":[{"metadata":{"name":"b","rev":4},)"
+                      R"("spec":null}],"more":false,"storeRevision":12})");
+  });
+  store.Run([](StoreClient& client) {
+    const auto snapshot = client.List(ObjectKind::kEndpoints);
+    REQUIRE(snapshot.objects.size() == 2);
+    CHECK(snapshot.objects[0].content == "{\"x\":1}");
+    CHECK(snapshot.objects[1].name == "b");
+    CHECK(snapshot.revision == 9);
+  });
+  CHECK(store.targets[1] == "GET /objects/servers?after=a");
+}
+
+TEST_CASE("a watch returns changes, or says that the history is gone") {
+  int status = 200;
+  Store store([&](const auto&) {
+    return Reply(status, R"({"events":[{"deleted":true,"object":{"metadata":)"
+                         R"({"name":"a","rev":3},"spec":{}}}],)"
+                         R"("storeRevision":14})");
+  });
+  store.Run([&](StoreClient& client) {
+    const auto changes =
+        client.Watch(ObjectKind::kConfig, 9, std::chrono::milliseconds(100));
+    CHECK(changes.changes.at(0).deleted);
+    CHECK(changes.revision == 14);
+    status = 410;
+    CHECK(client.Watch(ObjectKind::kConfig, 9, std::chrono::milliseconds(100))
+              .history_gone);
+  });
+}
+
+TEST_CASE("answers that are no good are errors of the platform") {
+  struct Case {
+    int status;
+    const char* body;
+    common::ResultCode code;
+  };
+  const Case cases[] = {
+      {429, "", common::ResultCode::kPlatformRateLimited},
+      {503, "", common::ResultCode::kPlatformUnavailable},
+      {200, "", common::ResultCode::kProtocolError},
+      {200, "[]", common::ResultCode::kProtocolError},
+      {200, "{\"items\":[{}],\"storeRevision\":1}",
+       common::ResultCode::kProtocolError},
+      {200, "{\"items\":[]}", common::ResultCode::kProtocolError},
+  };
+  for (const Case& c : cases) {
+    INFO(c.status << c.body);
+    Store store([&](const auto&) { return Reply(c.status, c.body); });
+    store.Run([&](StoreClient& client) {
+      try {
+        client.List(ObjectKind::kConfig);
+        FAIL("no error");
+      } catch (const common::Error& error) {
+        CHECK(error.code() == c.code);
+      }
+    });
+  }
+}
+
+// Guards against a lease that this host believes to hold although its write
+// had no effect, or may still have one.
+TEST_CASE("a write tells whether it took effect") {
+  struct Case {
+    int status;
+    WriteState state;
+  };
+  const Case cases[] = {
+      {200, WriteState::kWritten},  {201, WriteState::kWritten},
+      {409, WriteState::kConflict}, {429, WriteState::kRefused},
+      {503, WriteState::kRefused},  {500, WriteState::kUnknown}};
+  for (const Case& c : cases) {
+    INFO(c.status);
+    Store store([&](const auto&) {
+      return Reply(c.status,
+                   R"({"metadata":{"name":"l","rev":6},"spec":{"h":"a"}})");
+    });
+    store.Run([&](StoreClient& client) {
+      const auto reply =
+          client.Replace(ObjectKind::kHosts, "l", 5, "{\"h\":\"a\"}");
+      CHECK(reply.state == c.state);
+      if (c.state == WriteState::kConflict)
+        CHECK(reply.current->revision == 6);
+    });
+    CHECK(store.targets[0] == "PUT /objects/jujuberock/l");
+  }
+}
+
+}  // namespace
+}  // namespace jujuberock::platform_adapter
