--- a/source/jujuberock/command.h
+++ b/source/jujuberock/command.h
@@ -29,6 +29,7 @@
 int RunServe(const CommandLine& line);
 int RunGateway(const CommandLine& line);
 int RunCheckGateway(const CommandLine& line);
+int RunExplain(const CommandLine& line);
 int RunEvents(const CommandLine& line);
 int RunCheck(const CommandLine& line);
 int RunSettings(const CommandLine& line);
--- a/source/jujuberock/gateway_command.cc
+++ b/source/jujuberock/gateway_command.cc
@@ -3,8 +3,10 @@
 
 #include <csignal>
 #include <cstdlib>
+#include <fstream>
 #include <iostream>
 #include <optional>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -12,6 +14,7 @@
 #include "core/common/error.h"
 #include "core/common/settings.h"
 #include "core/events/event_log.h"
+#include "core/events/explain.h"
 #include "core/gateway/gateway.h"
 #include "core/gateway/settings.h"
 #include "core/runtime/http_client.h"
@@ -23,6 +26,10 @@
 #include "platform/store_client.h"
 
 DECLARE_string(config);
+DEFINE_int32(
+    before_ms,
+    3000,
+    "explain: how long before the request its hosts' beliefs are told");
 
 namespace jujuberock {
 
@@ -137,6 +144,34 @@
   return kExitOk;
 }
 
+int RunExplain(const CommandLine& line) {
+  if (line.arguments.size() < 2) {
+    std::cerr << "usage: jujuberock explain REQUEST FILE...\n";
+    return kExitUsage;
+  }
+  std::vector<events::LoggedLine> lines;
+  size_t skipped = 0;
+  for (size_t i = 1; i < line.arguments.size(); ++i) {
+    std::ifstream in(line.arguments[i]);
+    if (!in) {
+      std::cerr << line.arguments[i] << ": can not be read\n";
+      return kExitFailed;
+    }
+    for (events::LoggedLine& read : events::ReadLogLines(in, skipped))
+      lines.push_back(std::move(read));
+  }
+  const std::string story =
+      events::ExplainRequest(lines, line.arguments[0], FLAGS_before_ms);
+  if (skipped > 0)
+    std::cerr << skipped << " lines are no log lines\n";
+  if (story.empty()) {
+    std::cerr << "no line names the request " << line.arguments[0] << "\n";
+    return kExitFailed;
+  }
+  std::cout << story;
+  return kExitOk;
+}
+
 int RunEvents(const CommandLine&) {
   std::cout << events::RenderEventsPage();
   return kExitOk;
--- a/source/jujuberock/main.cc
+++ b/source/jujuberock/main.cc
@@ -22,6 +22,8 @@
     Command{"check-gateway", "check-gateway FILE [--set NAME=VALUE]...",
             "reports every mistake in a settings file of `gateway`",
             RunCheckGateway},
+    Command{"explain", "explain REQUEST FILE... [--before_ms N]",
+            "tells the story of a request from the logs of hosts", RunExplain},
     Command{"events", "events", "prints the log's events as docs/events.md",
             RunEvents},
     Command{"check", "check FILE [--set NAME=VALUE]...",
--- a/source/jujuberock/serve_command.cc
+++ b/source/jujuberock/serve_command.cc
@@ -13,6 +13,7 @@
 #include "core/common/error.h"
 #include "core/common/settings.h"
 #include "core/common/settings_page.h"
+#include "core/gateway/settings.h"
 #include "core/serve/host.h"
 #include "core/serve/settings.h"
 #include "jujuberock/command.h"
@@ -93,7 +94,12 @@
          "by "
          "other users of the machine.\n\nThis page is the output of "
          "`jujuberock settings`.\n\n"
-      << common::RenderSettingsTable(serve::SettingTable());
+      << common::RenderSettingsTable(serve::SettingTable())
+      << "\n## `jujuberock gateway`\n\nThe same form of file; `jujuberock "
+         "check-gateway FILE` reports every mistake. On the ready machines\nit "
+         "is rendered from `deploy/settings.json.template`. SIGHUP reads it "
+         "again; `log_level` changes then.\n\n"
+      << common::RenderSettingsTable(gateway::SettingTable());
   return kExitOk;
 }
 
