--- a/source/core/dispatch/admission_policy.cc
+++ b/source/core/dispatch/admission_policy.cc
@@ -2,10 +2,14 @@
 
 #include <algorithm>
 
+#include "core/common/scale.h"
+
 namespace jujuberock::dispatch {
 
 namespace {
 
+using common::Scale;
+
 // A request is held this share of its target at most; longer holding takes the
 // time that another host or a second try would need.
 constexpr double kHoldShare = 0.2;
@@ -16,10 +20,6 @@
 constexpr double kLateLoad = 0.6;
 constexpr common::Duration kLeastRetryAfter = std::chrono::milliseconds(100);
 
-common::Duration Scale(common::Duration duration, double factor) {
-  return common::FromSeconds(common::ToSeconds(duration) * factor);
-}
-
 }  // namespace
 
 AdmissionDecision DecideAdmission(const AdmissionRequest& request,
--- a/source/core/gateway/request_task.cc
+++ b/source/core/gateway/request_task.cc
@@ -6,6 +6,7 @@
 
 #include <boost/beast/core/string.hpp>
 
+#include "core/common/scale.h"
 #include "core/gateway/refused_error.h"
 #include "core/runtime/boot_clock.h"
 #include "core/runtime/sleep.h"
@@ -18,6 +19,7 @@
 using common::Duration;
 using common::Error;
 using common::ResultCode;
+using common::Scale;
 using common::TimePoint;
 using dispatch::AdmissionStep;
 using dispatch::SendOutcome;
@@ -54,10 +56,6 @@
 // Answers that are kept whole before they are passed on end here.
 constexpr size_t kMostWholeBytes = 16 * 1024 * 1024;
 
-Duration Scale(Duration duration, double factor) {
-  return common::FromSeconds(common::ToSeconds(duration) * factor);
-}
-
 bool IsSuccess(int status) {
   return status >= 200 && status < 300;
 }
--- a/source/core/rollout/order_lease.cc
+++ b/source/core/rollout/order_lease.cc
@@ -1,9 +1,13 @@
 #include "core/rollout/order_lease.h"
 
+#include "core/common/scale.h"
+
 namespace jujuberock::rollout {
 
 namespace {
 
+using common::Scale;
+
 // Shares of the lease: the holder uses it this long after a renewal was sent,
 // and renews this often.
 constexpr double kUsedShare = 0.36;
@@ -13,10 +17,6 @@
 // costs little of the time in which the weights must change.
 constexpr double kTakeShare = 0.62;
 
-common::Duration Scale(common::Duration duration, double factor) {
-  return common::FromSeconds(common::ToSeconds(duration) * factor);
-}
-
 }  // namespace
 
 void OrderLease::OnRecord(const LeaseRecord& record,
