--- a/source/unit_tests/core/dispatch/service_pool_test.cc
+++ b/source/unit_tests/core/dispatch/service_pool_test.cc
@@ -128,8 +128,8 @@
   needs.urgency = 0;
   const auto urgent = pool.pool.Choose(needs, At(1));
   needs.urgency = 2;
-  const auto patient = pool.pool.Choose(needs, At(1));
-  CHECK(urgent->predicted < patient->predicted);
+  const auto relaxed = pool.pool.Choose(needs, At(1));
+  CHECK(urgent->predicted < relaxed->predicted);
 }
 
 TEST_CASE("leaving, tried, reserved and outdated engines get nothing") {
