--- a/source/core/dispatch/endpoint_record.cc
+++ b/source/core/dispatch/endpoint_record.cc
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr double kLatencyWeight = 0.1;
+constexpr size_t kMostPeerRuns = 512;
 
 }  // namespace
 
@@ -18,6 +19,7 @@
     this->oldest_unanswered = now;
   ++this->in_flight;
   this->memory += ticket.memory_tokens;
+  this->own_long_runs += ticket.is_long ? 1 : 0;
   this->pending_tokens[static_cast<size_t>(ticket.urgency)] +=
       ticket.uncached_tokens;
 }
@@ -26,6 +28,7 @@
   if (ticket.started || ticket.ended)
     return;
   ticket.started = true;
+  ticket.started_at = now;
   ++this->started;
   this->heard_at = now;
   this->oldest_unanswered = now;
@@ -44,6 +47,7 @@
   ticket.ended = true;
   --this->in_flight;
   this->memory -= ticket.memory_tokens;
+  this->own_long_runs -= ticket.is_long ? 1 : 0;
   if (!ticket.started)
     this->oldest_unanswered = now;
 }
@@ -87,6 +91,31 @@
          static_cast<double>(std::max<int64_t>(0, others));
 }
 
+void EndpointRecord::ExpirePeerRuns(common::TimePoint now) const {
+  std::erase_if(this->peer_runs, [&](const PeerRun& run) {
+    if (now < run.until)
+      return false;
+    this->peer_memory -= run.memory_tokens;
+    this->peer_long_runs -= run.is_long ? 1 : 0;
+    return true;
+  });
+}
+
+int64_t EndpointRecord::PeerRuns(common::TimePoint now) const {
+  this->ExpirePeerRuns(now);
+  return static_cast<int64_t>(this->peer_runs.size());
+}
+
+int64_t EndpointRecord::PeerMemory(common::TimePoint now) const {
+  this->ExpirePeerRuns(now);
+  return this->peer_memory;
+}
+
+int64_t EndpointRecord::LongRuns(common::TimePoint now) const {
+  this->ExpirePeerRuns(now);
+  return this->own_long_runs + this->peer_long_runs;
+}
+
 double EndpointRecord::OthersWaiting(common::TimePoint now) const {
   if (!this->report)
     return 0;
@@ -95,10 +124,18 @@
          static_cast<double>(std::max<int64_t>(0, others));
 }
 
-void EndpointRecord::OnPeerPrompt(int64_t tokens, common::TimePoint now) {
+void EndpointRecord::OnPeerPrompt(const PeerPrompt& prompt,
+                                  common::TimePoint now) {
   if (this->peer_tokens <= 0)
     this->peer_tokens_at = now;
-  this->peer_tokens += static_cast<double>(tokens);
+  this->peer_tokens += static_cast<double>(prompt.uncached_tokens);
+  // What other hosts tell is not trusted without a limit.
+  if (this->peer_runs.size() >= kMostPeerRuns)
+    return;
+  this->peer_runs.push_back(
+      {now + prompt.run_time, prompt.memory_tokens, prompt.is_long});
+  this->peer_memory += prompt.memory_tokens;
+  this->peer_long_runs += prompt.is_long ? 1 : 0;
 }
 
 double EndpointRecord::PeerTokens(double token_ms,
--- a/source/core/dispatch/endpoint_record.h
+++ b/source/core/dispatch/endpoint_record.h
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <cstdint>
+#include <deque>
 #include <memory>
 #include <optional>
 #include <string>
@@ -11,6 +12,7 @@
 #include "core/common/time.h"
 #include "core/dispatch/endpoint_health.h"
 #include "core/dispatch/part_cache.h"
+#include "core/dispatch/peer_prompt.h"
 
 namespace jujuberock::dispatch {
 
@@ -35,7 +37,11 @@
   // The same plus those of the sends that were waiting there before.
   int64_t tokens_ahead = 0;
   int64_t memory_tokens = 0;
+  int64_t max_output_tokens = 0;
+  // Sends many events.
+  bool is_long = false;
   common::TimePoint sent_at;
+  common::TimePoint started_at;
   bool started = false;
   bool ended = false;
 };
@@ -75,7 +81,13 @@
   double OthersInFlight(common::TimePoint now) const;
   double OthersWaiting(common::TimePoint now) const;
   // Another host gave the engine a prompt to read.
-  void OnPeerPrompt(int64_t tokens, common::TimePoint now);
+  void OnPeerPrompt(const PeerPrompt& prompt, common::TimePoint now);
+  // Runs of other hosts there and the memory that they need, as far as these
+  // have told.
+  int64_t PeerRuns(common::TimePoint now) const;
+  int64_t PeerMemory(common::TimePoint now) const;
+  // Runs that send many events, of all hosts.
+  int64_t LongRuns(common::TimePoint now) const;
   // Tokens of other hosts' prompts that the engine has not read yet, if it
   // takes this long for one.
   double PeerTokens(double token_ms, common::TimePoint now) const;
@@ -100,7 +112,14 @@
   static constexpr common::Duration kReportLifetime =
       std::chrono::milliseconds(1500);
 
+  struct PeerRun {
+    common::TimePoint until;
+    int64_t memory_tokens = 0;
+    bool is_long = false;
+  };
+
   double ReportWeight(common::TimePoint now) const;
+  void ExpirePeerRuns(common::TimePoint now) const;
 
   catalog::Endpoint description;
   EndpointHealth passive_health;
@@ -108,6 +127,7 @@
   int64_t in_flight = 0;
   int64_t started = 0;
   int64_t memory = 0;
+  int64_t own_long_runs = 0;
   std::array<int64_t, kUrgencies> pending_tokens{};
   std::optional<LoadReport> report;
   common::TimePoint reported_at;
@@ -117,6 +137,9 @@
   // As of `peer_tokens_at`; the engine reads on since then.
   mutable double peer_tokens = 0;
   mutable common::TimePoint peer_tokens_at;
+  mutable std::deque<PeerRun> peer_runs;
+  mutable int64_t peer_memory = 0;
+  mutable int64_t peer_long_runs = 0;
   common::TimePoint oldest_unanswered;
   double latency_ms = 0;
 };
--- a/source/core/dispatch/service_pool.cc
+++ b/source/core/dispatch/service_pool.cc
@@ -27,6 +27,18 @@
 // Prompts that are read on the engine make the pauses of a long run longer,
 // also those that are less urgent.
 constexpr double kPauseWeight = 0.5;
+// Engines for long runs are used to this share of their places and of their
+// reading time on average, so that bursts find room.
+constexpr double kLongRunPlaces = 0.5;
+constexpr double kLongRunReading = 0.35;
+// The other prompts need most engines.
+constexpr double kMostLongRunShare = 0.4;
+// A long run on an engine that reads long prompts is often late by its pauses.
+constexpr double kMixedRunMs = 150;
+// What reading on an engine for long runs costs these.
+constexpr double kMixedReadingWeight = 1.5;
+constexpr double kMixedReadingMs = 30;
+constexpr double kOutputWeight = 0.02;
 constexpr double kMemoryOverflowMs = 400;
 constexpr double kFailureWeight = 0.02;
 constexpr double kPlainPriorLatencyMs = 20;
@@ -114,13 +126,18 @@
     this->mean_output +=
         0.02 * (static_cast<double>(needs.prompt->max_output_tokens) -
                 this->mean_output);
+  this->SetLongRunShare(now);
+  const bool is_long = needs.prompt && this->IsLong(*needs.prompt);
   const Affinity affinity =
-      needs.prompt ? this->AffinityOf(*needs.prompt) : Affinity();
+      needs.prompt
+          ? this->AffinityOf(*needs.prompt, is_long && this->long_run_share > 0)
+          : Affinity();
   for (const auto& [id, record] : this->endpoints) {
     const Eligibility eligibility = this->EligibilityOf(*record, needs, now);
     if (eligibility == Eligibility::kNo || eligibility < best_eligibility)
       continue;
     Choice choice{record};
+    choice.is_long = is_long;
     const double score = this->Score(choice, needs, affinity, now);
     if (best && eligibility == best_eligibility && score >= best_score)
       continue;
@@ -165,8 +182,10 @@
       std::max(peer_tokens, record.OthersWaiting(now) * this->mean_uncached);
   const double ahead =
       static_cast<double>(record.PendingTokens(needs.urgency)) + others;
-  choice.predicted =
-      this->model.Predict(static_cast<int64_t>(ahead) + choice.uncached_tokens);
+  // The engine reads other prompts while it fetches.
+  const double fetching = choice.fetch_ms / this->model.token_ms();
+  choice.predicted = this->model.Predict(
+      static_cast<int64_t>(std::max(ahead, fetching)) + choice.uncached_tokens);
   const double reading_ms =
       this->model.token_ms() * static_cast<double>(choice.uncached_tokens);
   double score = common::ToMilliseconds(choice.predicted);
@@ -175,23 +194,27 @@
     score -= reading_ms * kFirstAffinity;
   if (affinity.second == &record)
     score -= reading_ms * kSecondAffinity;
-  const bool is_long =
-      static_cast<double>(prompt.max_output_tokens) > this->mean_output;
   const double all_pending =
       static_cast<double>(record.PendingTokens(kUrgencies - 1)) + peer_tokens;
-  if (is_long)
+  if (choice.is_long)
     score += kPauseWeight * this->model.token_ms() * all_pending;
+  score += this->SeparationCost(choice, reading_ms);
+  choice.run_time =
+      choice.predicted +
+      common::FromSeconds(this->output_token_ms / 1000 *
+                          static_cast<double>(prompt.max_output_tokens));
   if (needs.preferred_version != 0 &&
       record.VersionOf(prompt.model) < needs.preferred_version)
     score += kOldVersionMs;
   const auto capacity = static_cast<double>(this->traits->kv_capacity_tokens);
-  const double memory =
-      static_cast<double>(record.memory_tokens() + prompt.MemoryTokens());
+  const double memory = static_cast<double>(
+      record.memory_tokens() + record.PeerMemory(now) + prompt.MemoryTokens());
   const bool fits = capacity <= 0 || memory <= capacity;
   if (!fits)
     score += kMemoryOverflowMs * (memory / capacity);
-  const double in_flight =
-      static_cast<double>(record.own_in_flight()) + record.OthersInFlight(now);
+  const double in_flight = static_cast<double>(record.own_in_flight()) +
+                           std::max(record.OthersInFlight(now),
+                                    static_cast<double>(record.PeerRuns(now)));
   const bool has_place =
       in_flight < static_cast<double>(record.endpoint().slots);
   if (!has_place)
@@ -201,15 +224,90 @@
 }
 
 void ServicePool::TakeStored(Choice& choice, const SendNeeds& needs) const {
-  if (!needs.stored_tokens)
+  if (!needs.stored)
+    return;
+  const catalog::Endpoint& endpoint = choice.endpoint->endpoint();
+  const std::vector<StoredPart>& stored =
+      needs.stored(choice.endpoint->VersionOf(needs.prompt->model));
+  int64_t end = 0;
+  for (size_t i = 0; i < stored.size(); ++i) {
+    const int64_t tokens = needs.prompt->parts[i].tokens;
+    end += tokens;
+    if (end <= choice.cached_tokens)
+      continue;
+    if (!IsWorthFetching(stored[i], tokens, endpoint.zone, needs.fetch_limits))
+      return;
+    // Fetches take the time of a link, not the engine's.
+    choice.uncached_tokens =
+        std::max<int64_t>(0, choice.uncached_tokens - tokens);
+    choice.fetch_ms = std::max(choice.fetch_ms, stored[i].wait_ms) +
+                      TransferMs(stored[i], endpoint.zone);
+  }
+}
+
+bool ServicePool::IsLong(const Prompt& prompt) const {
+  return static_cast<double>(prompt.max_output_tokens) > this->mean_output;
+}
+
+bool ServicePool::IsForLongRuns(const std::string& id) const {
+  // Another seed than that of the rendezvous weights.
+  constexpr uint64_t kSeed = 0x6c6f6e67;
+  const auto unit =
+      static_cast<double>(common::Hash64(id, kSeed) >> 11) * 0x1.0p-53;
+  return unit < this->long_run_share;
+}
+
+void ServicePool::SetLongRunShare(common::TimePoint now) {
+  double places = 0;
+  double engines = 0;
+  for (const auto& [id, record] : this->endpoints) {
+    if (record->health().StateAt(now) == EndpointHealth::State::kEjected)
+      continue;
+    places += static_cast<double>(record->endpoint().slots);
+    engines += 1;
+  }
+  this->long_run_share = 0;
+  if (places <= 0)
+    return;
+  const double by_places =
+      this->long_run_time.At(now) / (places * kLongRunPlaces);
+  const double reading =
+      this->long_run_tokens.At(now) * this->model.token_ms() / 1000;
+  const double by_reading = reading / (engines * kLongRunReading);
+  const double share = std::max(by_places, by_reading);
+  // Less than an engine separates nothing.
+  if (share * engines >= 1)
+    this->long_run_share = std::min(share, kMostLongRunShare);
+}
+
+double ServicePool::SeparationCost(const Choice& choice,
+                                   double reading_ms) const {
+  if (this->long_run_share <= 0)
+    return 0;
+  const bool for_long_runs =
+      this->IsForLongRuns(choice.endpoint->endpoint().id);
+  if (choice.is_long)
+    return for_long_runs ? 0 : kMixedRunMs;
+  return for_long_runs ? kMixedReadingMs + kMixedReadingWeight * reading_ms : 0;
+}
+
+void ServicePool::OnSent(const PeerPrompt& prompt, common::TimePoint now) {
+  if (!prompt.is_long)
+    return;
+  this->long_run_time.Add(common::ToSeconds(prompt.run_time), now);
+  this->long_run_tokens.Add(static_cast<double>(prompt.uncached_tokens), now);
+}
+
+void ServicePool::OnFinished(const SendTicket& ticket, common::TimePoint now) {
+  if (!ticket.started || ticket.max_output_tokens <= 0)
     return;
-  const uint64_t version = choice.endpoint->VersionOf(needs.prompt->model);
-  const int64_t stored = needs.stored_tokens(version);
-  // Fetches take the time of a link, not the engine's.
-  choice.uncached_tokens -= std::max<int64_t>(0, stored - choice.cached_tokens);
+  const double ms = common::ToMilliseconds(now - ticket.started_at) /
+                    static_cast<double>(ticket.max_output_tokens);
+  this->output_token_ms += kOutputWeight * (ms - this->output_token_ms);
 }
 
-ServicePool::Affinity ServicePool::AffinityOf(const Prompt& prompt) const {
+ServicePool::Affinity ServicePool::AffinityOf(const Prompt& prompt,
+                                              bool is_long) const {
   Affinity affinity;
   const std::string_view key = SessionKey(prompt);
   if (key.empty())
@@ -217,7 +315,7 @@
   uint64_t first = 0;
   uint64_t second = 0;
   for (const auto& [id, record] : this->endpoints) {
-    if (record->endpoint().leaving)
+    if (record->endpoint().leaving || this->IsForLongRuns(id) != is_long)
       continue;
     const uint64_t weight = RendezvousWeight(key, id);
     if (weight > first) {
--- a/source/core/dispatch/service_pool.h
+++ b/source/core/dispatch/service_pool.h
@@ -12,9 +12,11 @@
 
 #include "core/catalog/types.h"
 #include "core/common/random.h"
+#include "core/dispatch/demand.h"
 #include "core/dispatch/endpoint_record.h"
 #include "core/dispatch/first_token_model.h"
 #include "core/dispatch/prompt.h"
+#include "core/dispatch/stored_part.h"
 
 namespace jujuberock::dispatch {
 
@@ -30,9 +32,10 @@
   uint64_t preferred_version = 0;
   // Endpoints that this request was sent to already.
   const std::set<std::string>* tried = nullptr;
-  // Tokens from the beginning of the prompt that engines of this weight version
-  // can fetch instead of reading them; may be empty.
-  std::function<int64_t(uint64_t version)> stored_tokens;
+  // What engines of this weight version can fetch of each part of the prompt
+  // instead of reading it; may be empty.
+  std::function<const std::vector<StoredPart>&(uint64_t version)> stored;
+  FetchLimits fetch_limits;
   // Had a part in a crash: runs where it endangers least.
   bool isolate = false;
 };
@@ -45,8 +48,14 @@
   bool idle = false;
   // Tokens that the engine must read.
   int64_t uncached_tokens = 0;
-  // Tokens that it is thought to hold; the others can be fetched.
+  // Tokens that it is thought to hold.
   int64_t cached_tokens = 0;
+  // Time to fetch what is neither held nor read.
+  double fetch_ms = 0;
+  // The run sends many events, so that pauses are likely to hurt it.
+  bool is_long = false;
+  // Expected time until the run has ended.
+  common::Duration run_time{0};
 };
 
 // The endpoints of one service as this host sees them, and the choice among
@@ -65,7 +74,11 @@
   // The best endpoint for the request; nothing when none may take it.
   std::optional<Choice> Choose(const SendNeeds& needs, common::TimePoint now);
 
+  // Books a send of this host, or one that another host told of.
+  void OnSent(const PeerPrompt& prompt, common::TimePoint now);
   void OnFirstToken(const SendTicket& ticket, common::TimePoint now);
+  // The run has ended well.
+  void OnFinished(const SendTicket& ticket, common::TimePoint now);
   // Returns whether the endpoint was ejected by it.
   bool OnOutcome(EndpointRecord& endpoint,
                  SendOutcome outcome,
@@ -95,7 +108,15 @@
     const EndpointRecord* second = nullptr;
   };
 
-  Affinity AffinityOf(const Prompt& prompt) const;
+  // Among the engines for long runs or among the others.
+  Affinity AffinityOf(const Prompt& prompt, bool is_long) const;
+  bool IsLong(const Prompt& prompt) const;
+  // Engines for long runs are a share of all, the same on every host. Prompts
+  // that engines read between the tokens of a run make its pauses longer, so
+  // long prompts go to the other engines while these have time for them.
+  bool IsForLongRuns(const std::string& id) const;
+  void SetLongRunShare(common::TimePoint now);
+  double SeparationCost(const Choice& choice, double reading_ms) const;
   // Cost in milliseconds; fills the rest of the choice.
   double Score(Choice& choice,
                const SendNeeds& needs,
@@ -105,7 +126,7 @@
                      const SendNeeds& needs,
                      const Affinity& affinity,
                      common::TimePoint now);
-  // Lowers the tokens that must be read by those that can be fetched.
+  // Lowers the tokens that must be read by those that are worth fetching.
   void TakeStored(Choice& choice, const SendNeeds& needs) const;
   double ScorePlain(Choice& choice, common::TimePoint now);
 
@@ -119,6 +140,13 @@
   double mean_uncached = 0;
   // Most output tokens that requests ask for, on average.
   double mean_output = 0;
+  // Time that an engine takes for one output token of a run.
+  double output_token_ms = 6;
+  // Runs that send many events: their time in places, in seconds, and the
+  // tokens that engines read for them.
+  Demand long_run_time;
+  Demand long_run_tokens;
+  double long_run_share = 0;
 };
 
 }  // namespace jujuberock::dispatch
--- a/source/core/events/event_log.h
+++ b/source/core/events/event_log.h
@@ -88,6 +88,9 @@
   kTookMs,
   kRetryAfterMs,
   kUncachedTokens,
+  kFetchedTokens,
+  kSkippedTokens,
+  kAbsentTokens,
   kInFlight,
   kFailureShare,
   kModel,
@@ -99,16 +102,17 @@
   kDetail,
 };
 
-inline constexpr size_t kFields = 28;
+inline constexpr size_t kFields = 31;
 
 inline constexpr common::NameTable<Field, kFields> kFieldNames(
     {"request",        "route",          "service",         "endpoint",
      "team",           "reason",         "status",          "attempt",
      "config_version", "view_age_ms",    "remaining_ms",    "elapsed_ms",
      "held_ms",        "predicted_ms",   "first_byte_ms",   "longest_pause_ms",
-     "took_ms",        "retry_after_ms", "uncached_tokens", "in_flight",
-     "failure_share",  "model",          "version",         "token",
-     "fingerprint",    "count",          "dependency",      "detail"});
+     "took_ms",        "retry_after_ms", "uncached_tokens", "fetched_tokens",
+     "skipped_tokens", "absent_tokens",  "in_flight",       "failure_share",
+     "model",          "version",        "token",           "fingerprint",
+     "count",          "dependency",     "detail"});
 
 Level LevelOf(Event event);
 
--- a/source/core/gateway/dispatcher.cc
+++ b/source/core/gateway/dispatcher.cc
@@ -87,16 +87,19 @@
     if (!pool->is_engine())
       continue;
     for (const auto& [id, record] : pool->records())
-      this->engines_by_hash[common::Hash64(id)] = record;
+      this->engines_by_hash[common::Hash64(id)] = {record, pool.get()};
   }
 }
 
-void Dispatcher::OnPeerPrompt(uint64_t endpoint_hash, int64_t tokens) {
+void Dispatcher::OnPeerPrompt(uint64_t endpoint_hash,
+                              const dispatch::PeerPrompt& prompt) {
   const auto found = this->engines_by_hash.find(endpoint_hash);
   if (found == this->engines_by_hash.end())
     return;
-  if (const auto record = found->second.lock())
-    record->OnPeerPrompt(tokens, runtime::BootNow());
+  const TimePoint now = runtime::BootNow();
+  if (const auto record = found->second.record.lock())
+    record->OnPeerPrompt(prompt, now);
+  found->second.pool->OnSent(prompt, now);
 }
 
 ServicePool* Dispatcher::PoolOf(std::string_view service) {
--- a/source/core/gateway/dispatcher.h
+++ b/source/core/gateway/dispatcher.h
@@ -53,7 +53,7 @@
   void SetHostCount(size_t hosts);
 
   // Another host gave an engine a prompt to read.
-  void OnPeerPrompt(uint64_t endpoint_hash, int64_t tokens);
+  void OnPeerPrompt(uint64_t endpoint_hash, const dispatch::PeerPrompt& prompt);
 
   using SendHandle = uint64_t;
   SendHandle Register(ActiveSend send);
@@ -99,9 +99,13 @@
   common::Counter& moved_sends;
   std::map<std::string, std::unique_ptr<dispatch::ServicePool>, std::less<>>
       pools;
-  // Records of engines by the hash of their id.
-  std::unordered_map<uint64_t, std::weak_ptr<dispatch::EndpointRecord>>
-      engines_by_hash;
+  struct Engine {
+    std::weak_ptr<dispatch::EndpointRecord> record;
+    dispatch::ServicePool* pool = nullptr;
+  };
+
+  // By the hash of their id.
+  std::unordered_map<uint64_t, Engine> engines_by_hash;
   dispatch::RetryWindow retry_window;
   suspects::SuspectList suspect_list;
   common::Random random_source;
--- a/source/core/gateway/gateway.cc
+++ b/source/core/gateway/gateway.cc
@@ -58,11 +58,7 @@
               peers.store,
               peers.control,
               log),
-      hosts(this->settings,
-            this->dispatcher,
-            this->store_book,
-            this->store_watch,
-            peers.store),
+      hosts(this->settings, this->dispatcher, this->store_watch, peers.store),
       parts{this->settings,
             this->view,
             this->dispatcher,
@@ -126,7 +122,8 @@
       *runtime::Address::Parse(this->settings.caller_address);
   address.port = static_cast<uint16_t>(this->settings.peer_port);
   this->peer_loads = std::make_unique<PeerLoads>(
-      this->dispatcher, this->workers.IoOf(0), address, this->counters);
+      this->dispatcher, this->store_book, this->workers.IoOf(0), address,
+      this->counters);
   this->hosts.OnPeers([this](std::vector<runtime::Address> peers) {
     this->peer_loads->SetPeers(std::move(peers));
   });
--- a/source/core/gateway/host_board.cc
+++ b/source/core/gateway/host_board.cc
@@ -41,16 +41,13 @@
 
 HostBoard::HostBoard(const Settings& settings,
                      Dispatcher& dispatcher,
-                     reuse::StoreBook& stores,
                      StoreWatch& store_watch,
                      catalog::ObjectStore& store)
     : settings(settings),
       dispatcher(dispatcher),
-      stores(stores),
       store_watch(store_watch),
       store(store),
       own_name(std::string(kNamePrefix) + settings.host_name) {
-  this->stores.SetHostCount(static_cast<size_t>(settings.assumed_hosts));
   this->dispatcher.OnCrashMarks([this] { this->changed = true; });
 }
 
@@ -101,7 +98,6 @@
   const auto rank = static_cast<size_t>(std::distance(
       this->names.begin(), this->names.lower_bound(this->own_name)));
   this->dispatcher.SetHostCount(count);
-  this->stores.SetHostCount(count);
   this->store_watch.SetHosts(count, rank);
 }
 
--- a/source/core/gateway/host_board.h
+++ b/source/core/gateway/host_board.h
@@ -12,7 +12,6 @@
 #include "core/gateway/dispatcher.h"
 #include "core/gateway/settings.h"
 #include "core/gateway/store_watch.h"
-#include "core/reuse/store_book.h"
 #include "core/runtime/http_types.h"
 
 namespace jujuberock::gateway {
@@ -24,7 +23,6 @@
  public:
   HostBoard(const Settings& settings,
             Dispatcher& dispatcher,
-            reuse::StoreBook& stores,
             StoreWatch& store_watch,
             catalog::ObjectStore& store);
 
@@ -45,7 +43,6 @@
 
   const Settings& settings;
   Dispatcher& dispatcher;
-  reuse::StoreBook& stores;
   StoreWatch& store_watch;
   catalog::ObjectStore& store;
   std::string own_name;
--- a/source/core/gateway/peer_loads.cc
+++ b/source/core/gateway/peer_loads.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <utility>
 
 #include <boost/asio/buffer.hpp>
@@ -24,43 +25,101 @@
 using common::ResultCode;
 using Json = nlohmann::json;
 
-// Prompts of this time share a datagram.
-constexpr common::Duration kGatherTime = std::chrono::milliseconds(10);
-// Shorter prompts take an engine less than a step or two.
-constexpr int64_t kLeastTokens = 700;
-constexpr size_t kMostPrompts = 60;
-constexpr size_t kDatagramBytes = 1400;
+// News of this time share a datagram.
+constexpr common::Duration kGatherTime = std::chrono::milliseconds(12);
+// A full datagram is sent at once; together these fit into kDatagramBytes.
+constexpr size_t kMostPrompts = 40;
+constexpr size_t kMostStores = 20;
+constexpr size_t kMostExcesses = 4;
+constexpr size_t kDatagramBytes = 1472;
 constexpr common::Duration kErrorPause = std::chrono::milliseconds(50);
 
+uint32_t Milliseconds(common::Duration time) {
+  const double ms = common::ToMilliseconds(time);
+  return static_cast<uint32_t>(std::clamp(ms, 0.0, 60000.0));
+}
+
+bool AreNumbers(const Json& list, size_t count) {
+  if (!list.is_array() || list.size() < count)
+    return false;
+  for (size_t i = 0; i < count; ++i) {
+    if (!list[i].is_number_unsigned())
+      return false;
+  }
+  return true;
+}
+
+// [endpoint, uncached tokens, memory tokens, run time in ms, is long]
+std::optional<SentPrompt> DecodePrompt(const Json& item) {
+  if (!AreNumbers(item, 5))
+    return std::nullopt;
+  SentPrompt sent;
+  sent.endpoint = item[0].get<uint64_t>();
+  sent.prompt.uncached_tokens = item[1].get<uint32_t>();
+  sent.prompt.memory_tokens = item[2].get<uint32_t>();
+  sent.prompt.run_time = std::chrono::milliseconds(item[3].get<uint32_t>());
+  sent.prompt.is_long = item[4].get<uint32_t>() != 0;
+  return sent;
+}
+
+// [store, Mbit, excess in ms...]
+std::optional<StoreUse> DecodeStoreUse(const Json& item) {
+  if (!AreNumbers(item, 2) || !AreNumbers(item, item.size()) ||
+      item.size() > 2 + kMostExcesses)
+    return std::nullopt;
+  StoreUse use{item[0].get<uint64_t>(), item[1].get<uint32_t>(), {}};
+  for (size_t i = 2; i < item.size(); ++i)
+    use.excess_ms.push_back(item[i].get<uint32_t>());
+  return use;
+}
+
 }  // namespace
 
-std::vector<uint8_t> EncodeSentPrompts(const std::vector<SentPrompt>& prompts) {
-  Json list = Json::array();
-  for (const SentPrompt& prompt : prompts)
-    list.push_back({prompt.endpoint, prompt.tokens});
-  return Json::to_msgpack(list);
+std::vector<uint8_t> EncodeNews(const PeerNews& news) {
+  Json prompts = Json::array();
+  for (const SentPrompt& sent : news.prompts)
+    prompts.push_back(
+        {sent.endpoint, sent.prompt.uncached_tokens, sent.prompt.memory_tokens,
+         Milliseconds(sent.prompt.run_time), sent.prompt.is_long ? 1 : 0});
+  Json stores = Json::array();
+  for (const StoreUse& use : news.stores) {
+    Json item = {use.store, use.mbit};
+    for (const uint32_t excess : use.excess_ms)
+      item.push_back(excess);
+    stores.push_back(std::move(item));
+  }
+  return Json::to_msgpack(Json::array({std::move(prompts), std::move(stores)}));
 }
 
-std::optional<std::vector<SentPrompt>> DecodeSentPrompts(const uint8_t* bytes,
-                                                         size_t size) {
-  const Json list = Json::from_msgpack(bytes, bytes + size, true, false);
-  if (!list.is_array() || list.size() > kMostPrompts)
+std::optional<PeerNews> DecodeNews(const uint8_t* bytes, size_t size) {
+  const Json lists = Json::from_msgpack(bytes, bytes + size, true, false);
+  if (!lists.is_array() || lists.size() != 2 || !lists[0].is_array() ||
+      !lists[1].is_array() || lists[0].size() > kMostPrompts ||
+      lists[1].size() > kMostStores)
     return std::nullopt;
-  std::vector<SentPrompt> prompts;
-  for (const Json& item : list) {
-    if (!item.is_array() || item.size() != 2 || !item[0].is_number_unsigned() ||
-        !item[1].is_number_unsigned())
+  PeerNews news;
+  for (const Json& item : lists[0]) {
+    const auto sent = DecodePrompt(item);
+    if (!sent)
       return std::nullopt;
-    prompts.push_back({item[0].get<uint64_t>(), item[1].get<uint32_t>()});
+    news.prompts.push_back(*sent);
   }
-  return prompts;
+  for (const Json& item : lists[1]) {
+    auto use = DecodeStoreUse(item);
+    if (!use)
+      return std::nullopt;
+    news.stores.push_back(std::move(*use));
+  }
+  return news;
 }
 
 PeerLoads::PeerLoads(Dispatcher& dispatcher,
+                     reuse::StoreBook& stores,
                      boost::asio::io_context& io,
                      const runtime::Address& address,
                      common::CounterRegistry& counters)
     : dispatcher(dispatcher),
+      stores(stores),
       sent_datagrams(counters.GetCounter("peer_datagrams_sent_total")),
       received_datagrams(counters.GetCounter("peer_datagrams_received_total")),
       malformed_datagrams(
@@ -87,11 +146,33 @@
   }
 }
 
-void PeerLoads::OnSent(std::string_view endpoint, int64_t tokens) {
-  if (tokens < kLeastTokens || this->queued.size() >= kMostPrompts)
-    return;
-  this->queued.push_back(
-      {common::Hash64(endpoint), static_cast<uint32_t>(tokens)});
+void PeerLoads::OnSent(std::string_view endpoint,
+                       const dispatch::PeerPrompt& prompt) {
+  this->queued.prompts.push_back({common::Hash64(endpoint), prompt});
+  if (this->queued.prompts.size() >= kMostPrompts)
+    this->SendQueued();
+}
+
+StoreUse& PeerLoads::UseOf(std::string_view store) {
+  const uint64_t hash = common::Hash64(store);
+  for (StoreUse& use : this->queued.stores) {
+    if (use.store == hash)
+      return use;
+  }
+  if (this->queued.stores.size() >= kMostStores)
+    this->SendQueued();
+  return this->queued.stores.emplace_back(StoreUse{hash, 0, {}});
+}
+
+void PeerLoads::OnTransfer(const reuse::StoreTransfer& transfer) {
+  this->UseOf(transfer.store).mbit +=
+      static_cast<uint32_t>(std::lround(transfer.mbit));
+}
+
+void PeerLoads::OnFetched(std::string_view store, common::Duration excess) {
+  StoreUse& use = this->UseOf(store);
+  if (use.excess_ms.size() < kMostExcesses)
+    use.excess_ms.push_back(Milliseconds(excess));
 }
 
 void PeerLoads::Start() {
@@ -108,14 +189,14 @@
 void PeerLoads::SendLoop() {
   while (!this->stopping) {
     runtime::SleepFor(kGatherTime);
-    if (!this->queued.empty())
+    if (!this->queued.prompts.empty() || !this->queued.stores.empty())
       this->SendQueued();
   }
 }
 
 void PeerLoads::SendQueued() {
-  const auto bytes = EncodeSentPrompts(this->queued);
-  this->queued.clear();
+  const auto bytes = EncodeNews(this->queued);
+  this->queued = {};
   for (const udp::endpoint& peer : this->peers) {
     error_code error;
     // A datagram that can not be sent now is lost, as others are on the way.
@@ -136,13 +217,23 @@
       continue;
     }
     this->received_datagrams.Add();
-    const auto prompts = DecodeSentPrompts(buffer.data(), size);
-    if (!prompts) {
+    const auto news = DecodeNews(buffer.data(), size);
+    if (!news) {
       this->malformed_datagrams.Add();
       continue;
     }
-    for (const SentPrompt& prompt : *prompts)
-      this->dispatcher.OnPeerPrompt(prompt.endpoint, prompt.tokens);
+    this->Take(*news);
+  }
+}
+
+void PeerLoads::Take(const PeerNews& news) {
+  const common::TimePoint now = runtime::BootNow();
+  for (const SentPrompt& sent : news.prompts)
+    this->dispatcher.OnPeerPrompt(sent.endpoint, sent.prompt);
+  for (const StoreUse& use : news.stores) {
+    this->stores.OnPeerTransfer(use.store, use.mbit, now);
+    for (const uint32_t excess : use.excess_ms)
+      this->stores.OnPeerFetched(use.store, std::chrono::milliseconds(excess));
   }
 }
 
--- a/source/core/gateway/peer_loads.h
+++ b/source/core/gateway/peer_loads.h
@@ -13,6 +13,7 @@
 
 #include "core/common/counters.h"
 #include "core/gateway/dispatcher.h"
+#include "core/reuse/store_book.h"
 #include "core/runtime/http_types.h"
 
 namespace jujuberock::gateway {
@@ -21,34 +22,56 @@
 struct SentPrompt {
   // Hash of the endpoint's id.
   uint64_t endpoint = 0;
-  // Tokens that the engine must read.
-  uint32_t tokens = 0;
+  dispatch::PeerPrompt prompt;
 
   friend bool operator==(const SentPrompt&, const SentPrompt&) = default;
 };
 
-// Datagram of prompts sent since the last one; msgpack.
-std::vector<uint8_t> EncodeSentPrompts(const std::vector<SentPrompt>& prompts);
+// What a host did with the link of a cache store.
+struct StoreUse {
+  // Hash of the store's address.
+  uint64_t store = 0;
+  // Planned transfers, in Mbit.
+  uint32_t mbit = 0;
+  // Lateness of requests that read from it, in milliseconds, each by itself.
+  std::vector<uint32_t> excess_ms;
+
+  friend bool operator==(const StoreUse&, const StoreUse&) = default;
+};
+
+// One datagram between hosts.
+struct PeerNews {
+  std::vector<SentPrompt> prompts;
+  std::vector<StoreUse> stores;
+
+  friend bool operator==(const PeerNews&, const PeerNews&) = default;
+};
+
+// As msgpack.
+std::vector<uint8_t> EncodeNews(const PeerNews& news);
 // Nothing when the bytes are no such datagram.
-std::optional<std::vector<SentPrompt>> DecodeSentPrompts(const uint8_t* bytes,
-                                                         size_t size);
+std::optional<PeerNews> DecodeNews(const uint8_t* bytes, size_t size);
 
-// Tells the other hosts which engines this host gives prompts to read, and
-// books what they tell. With many hosts each sees a small part of an engine's
-// load, and prompts meet on one engine while another is idle. Datagrams may be
+// Tells the other hosts which engines this host gives prompts to and how it
+// uses the cache stores, and books what they tell. With many hosts each sees a
+// small part of an engine's load, and prompts meet on one engine, or fetches on
+// one store, while another is idle. Datagrams may be
 // lost, forged or late; no guarantee depends on them.
 class PeerLoads {
  public:
   // Listens on the address at once. Throws common::Error kInvalidSettings.
   PeerLoads(Dispatcher& dispatcher,
+            reuse::StoreBook& stores,
             boost::asio::io_context& io,
             const runtime::Address& address,
             common::CounterRegistry& counters);
 
   // Addresses of the other hosts.
   void SetPeers(std::vector<runtime::Address> peers);
-  // Books a prompt for the next datagram; short ones are not worth telling.
-  void OnSent(std::string_view endpoint, int64_t tokens);
+  // These book something for the next datagram.
+  void OnSent(std::string_view endpoint, const dispatch::PeerPrompt& prompt);
+  void OnTransfer(const reuse::StoreTransfer& transfer);
+  void OnFetched(std::string_view store, common::Duration excess);
   // Runs on two fibers until Stop().
   void Start();
   void Stop();
@@ -60,13 +83,17 @@
 
   using Socket = boost::asio::ip::udp::socket;
 
+  StoreUse& UseOf(std::string_view store);
+  void Take(const PeerNews& news);
+
   Dispatcher& dispatcher;
+  reuse::StoreBook& stores;
   std::unique_ptr<Socket> socket;
   common::Counter& sent_datagrams;
   common::Counter& received_datagrams;
   common::Counter& malformed_datagrams;
   std::vector<boost::asio::ip::udp::endpoint> peers;
-  std::vector<SentPrompt> queued;
+  PeerNews queued;
   bool stopping = false;
 };
 
--- a/source/core/gateway/request_task.cc
+++ b/source/core/gateway/request_task.cc
@@ -212,12 +212,18 @@
   needs.required_version = this->RequiredVersion(runtime::BootNow());
   const auto named = this->parts.view.VersionOf(needs.prompt->model);
   needs.preferred_version = named ? named->version : 0;
-  needs.stored_tokens = [this, known = std::map<uint64_t, int64_t>()](
-                            uint64_t version) mutable {
-    const auto [entry, is_new] = known.try_emplace(version, 0);
+  const reuse::FetchTerms terms = this->TermsFor(nullptr);
+  needs.fetch_limits = terms.limits;
+  needs.stored = [this, terms,
+                  known =
+                      std::map<uint64_t, std::vector<dispatch::StoredPart>>()](
+                     uint64_t version) mutable
+      -> const std::vector<dispatch::StoredPart>& {
+    const auto [entry, is_new] = known.try_emplace(version);
     if (is_new)
-      entry->second = this->parts.stores.ReadableTokens(
-          this->SaltFor(version), *this->request.prompt, runtime::BootNow());
+      entry->second = this->parts.stores.Offer(this->SaltFor(version),
+                                               *this->request.prompt, terms,
+                                               runtime::BootNow());
     return entry->second;
   };
   return needs;
@@ -306,16 +312,20 @@
   return order;
 }
 
-reuse::FetchTerms RequestTask::TermsFor(const dispatch::Choice& choice) const {
+reuse::FetchTerms RequestTask::TermsFor(const dispatch::Choice* choice) const {
   reuse::FetchTerms terms;
-  terms.read_token_ms = this->pool->first_token().token_ms();
+  terms.limits.read_token_ms = this->pool->first_token().token_ms();
+  terms.limits.most_wait_ms = common::ToMilliseconds(
+      Scale(this->route->target_latency, kFetchWaitShare));
   const auto& traits = this->pool->engine_traits();
   if (traits) {
     terms.token_bytes = traits->kv_token_bytes;
     terms.engine_link_mbps = traits->link_mbps;
   }
-  terms.cached_tokens = choice.cached_tokens;
-  terms.most_wait = Scale(this->route->target_latency, kFetchWaitShare);
+  if (choice) {
+    terms.cached_tokens = choice->cached_tokens;
+    terms.engine_zone = choice->endpoint->endpoint().zone;
+  }
   terms.read_time = Scale(this->route->target_latency, kFetchShare);
   terms.chance = this->parts.dispatcher.random().Unit();
   return terms;
@@ -323,14 +333,17 @@
 
 void RequestTask::AddReuse(const dispatch::Choice& choice,
                            forward::SendOrder& order) {
-  reuse::ReusePlan plan =
+  this->reuse =
       this->parts.stores.Plan(*order.cache_salt, *this->request.prompt,
-                              this->TermsFor(choice), runtime::BootNow());
-  this->reuse_source = plan.main_source;
-  order.cache_sources = std::move(plan.sources);
-  order.cache_targets = std::move(plan.targets);
-  if (plan.source_tokens > 0)
-    order.cache_until_ms = plan.until_ms;
+                              this->TermsFor(&choice), runtime::BootNow());
+  order.cache_sources = this->reuse.sources;
+  order.cache_targets = this->reuse.targets;
+  if (this->parts.peer_loads) {
+    for (const reuse::StoreTransfer& transfer : this->reuse.transfers)
+      this->parts.peer_loads->OnTransfer(transfer);
+  }
+  if (this->reuse.source_tokens > 0)
+    order.cache_until_ms = this->reuse.until_ms;
 }
 
 std::optional<Duration> RequestTask::MoveAfter(
@@ -353,18 +366,19 @@
   auto& record = *choice.endpoint;
   const TimePoint now = runtime::BootNow();
   this->predicted = choice.predicted;
-  this->reuse_source.clear();
+  this->reuse = {};
   dispatch::SendTicket ticket;
   ticket.endpoint = choice.endpoint;
   ticket.urgency = this->urgency;
   ticket.uncached_tokens = choice.uncached_tokens;
-  if (this->request.prompt)
+  ticket.is_long = choice.is_long;
+  if (this->request.prompt) {
     ticket.memory_tokens = this->request.prompt->MemoryTokens();
+    ticket.max_output_tokens = this->request.prompt->max_output_tokens;
+  }
   record.OnSent(ticket, now);
   this->tried.insert(record.endpoint().id);
-  if (this->parts.peer_loads)
-    this->parts.peer_loads->OnSent(record.endpoint().id,
-                                   choice.uncached_tokens);
+  this->TellPeers(choice, ticket);
 
   forward::EndpointSend send(this->parts.connections, this->parts.codec,
                              record.endpoint().address);
@@ -377,6 +391,7 @@
       shared->send->Cancel();
   };
   const auto handle = this->parts.dispatcher.Register(std::move(active));
+  const forward::SendOrder order = this->OrderFor(choice);
   Line(this->parts.log, this->sends == 0       ? Event::kRequestSent
                         : this->answer_started ? Event::kRequestResumed
                                                : Event::kRequestResent)
@@ -387,13 +402,16 @@
       .Add(Field::kHeldMs, this->held)
       .Add(Field::kPredictedMs, choice.predicted)
       .Add(Field::kUncachedTokens, choice.uncached_tokens)
+      .Add(Field::kFetchedTokens, this->reuse.fetched_tokens)
+      .Add(Field::kSkippedTokens, this->reuse.skipped_tokens)
+      .Add(Field::kAbsentTokens, this->reuse.absent_tokens)
       .Add(Field::kInFlight, record.own_in_flight())
       .Add(Field::kRemainingMs, this->Remaining(now));
   AttemptEnd end = AttemptEnd::kUnknown;
   std::optional<Error> failure;
   try {
     const forward::AnswerHead head =
-        send.Open(this->request, this->OrderFor(choice), this->deadline);
+        send.Open(this->request, order, this->deadline);
     this->parts.dispatcher.MarkStarted(handle);
     this->NoteHead(head, record);
     end = this->TakeAnswer(send, head, ticket);
@@ -412,6 +430,18 @@
   return end;
 }
 
+void RequestTask::TellPeers(const dispatch::Choice& choice,
+                            const dispatch::SendTicket& ticket) {
+  if (!this->request.prompt || !this->pool->is_engine())
+    return;
+  const dispatch::PeerPrompt prompt{ticket.uncached_tokens,
+                                    ticket.memory_tokens, choice.run_time,
+                                    choice.is_long};
+  this->pool->OnSent(prompt, ticket.sent_at);
+  if (this->parts.peer_loads)
+    this->parts.peer_loads->OnSent(choice.endpoint->endpoint().id, prompt);
+}
+
 void RequestTask::NoteHead(const forward::AnswerHead& head,
                            dispatch::EndpointRecord& record) {
   const TimePoint now = runtime::BootNow();
@@ -474,9 +504,7 @@
   record.OnStarted(ticket, now);
   if (this->request.prompt && this->pool->is_engine()) {
     this->pool->OnFirstToken(ticket, now);
-    if (!this->reuse_source.empty())
-      this->parts.stores.OnFetched(this->reuse_source,
-                                   now - ticket.sent_at - this->predicted);
+    this->NoteFetch(now - ticket.sent_at - this->predicted);
     record.part_cache().Insert(this->salt, *this->request.prompt);
   }
   if (this->first_byte_at == TimePoint())
@@ -484,6 +512,14 @@
   this->parts.first_byte.Observe(now - this->received_at);
 }
 
+void RequestTask::NoteFetch(Duration excess) {
+  if (this->reuse.main_source.empty())
+    return;
+  this->parts.stores.OnFetched(this->reuse.main_source, excess);
+  if (this->parts.peer_loads)
+    this->parts.peer_loads->OnFetched(this->reuse.main_source, excess);
+}
+
 RequestTask::AttemptEnd RequestTask::TakeWhole(forward::EndpointSend& send,
                                                const forward::AnswerHead& head,
                                                dispatch::SendTicket& ticket) {
@@ -533,6 +569,7 @@
     this->writer.Write(rest);
   this->writer.FinishStream();
   const TimePoint now = runtime::BootNow();
+  this->pool->OnFinished(ticket, now);
   Line(this->parts.log, Event::kRequestAnswered)
       .Add(Field::kRequest, this->request.attempt_id)
       .Add(Field::kStatus, head.status)
--- a/source/core/gateway/request_task.h
+++ b/source/core/gateway/request_task.h
@@ -92,10 +92,15 @@
   AttemptEnd OnSendError(const forward::SendError& error,
                          const forward::EndpointSend& send,
                          dispatch::SendTicket& ticket);
+  // Books the prompt in the demand of all hosts.
+  void TellPeers(const dispatch::Choice& choice,
+                 const dispatch::SendTicket& ticket);
   void NoteHead(const forward::AnswerHead& head,
                 dispatch::EndpointRecord& record);
   void NotePause();
   void NoteFirstByte(dispatch::SendTicket& ticket);
+  // The first token came so much later than expected.
+  void NoteFetch(common::Duration excess);
 
   bool MayRepeat() const;
   bool MaySendAgain(AttemptEnd end);
@@ -109,7 +114,8 @@
   // The salt of parts that this version of the weights makes.
   std::string SaltFor(uint64_t version) const;
   void AddReuse(const dispatch::Choice& choice, forward::SendOrder& order);
-  reuse::FetchTerms TermsFor(const dispatch::Choice& choice) const;
+  // `choice`: null before an engine is chosen.
+  reuse::FetchTerms TermsFor(const dispatch::Choice* choice) const;
 
   RequestParts& parts;
   forward::CallerRequest request;
@@ -130,8 +136,8 @@
   std::set<std::string> tried;
   int64_t sends = 0;
   int64_t failed_connects = 0;
-  // The store that this send reads from, and the first token as predicted.
-  std::string reuse_source;
+  // What this send reads from stores, and the first token as predicted.
+  reuse::ReusePlan reuse;
   common::Duration predicted{0};
   common::TimePoint first_byte_at;
   common::TimePoint last_event_at;
--- a/source/core/reuse/store_book.cc
+++ b/source/core/reuse/store_book.cc
@@ -16,10 +16,6 @@
 constexpr int kMostSaveTries = 3;
 // A store this full takes no more: saves would be lost.
 constexpr double kFullShare = 0.97;
-// Reading a part again takes engine time from others, which weighs as much as
-// the waiting of the request itself.
-constexpr double kReadWeight = 3;
-constexpr double kSlackMs = 20;
 constexpr double kExcessWeight = 0.06;
 // Requests that a store must have served to be compared with.
 constexpr int kLeastSamples = 20;
@@ -145,44 +141,78 @@
   return 1000 * store.queued_mbit / rate;
 }
 
-bool StoreBook::IsWorthFetching(Store& store,
-                                int64_t tokens,
-                                const FetchTerms& terms,
-                                common::TimePoint now) const {
-  const auto count = static_cast<double>(tokens);
-  const double mbit = count * static_cast<double>(terms.token_bytes) * 8 / 1e6;
-  const double transfer_ms =
-      terms.engine_link_mbps > 0 ? 1000 * mbit / terms.engine_link_mbps : 0;
-  const double allowed_ms =
-      std::min(common::ToMilliseconds(terms.most_wait),
-               kReadWeight * terms.read_token_ms * count + kSlackMs);
-  return this->WaitMs(store, now) + transfer_ms <= allowed_ms;
+dispatch::StoredPart StoreBook::OfferOf(Store& store,
+                                        int64_t tokens,
+                                        const FetchTerms& terms,
+                                        common::TimePoint now) const {
+  const double mbit = static_cast<double>(tokens) *
+                      static_cast<double>(terms.token_bytes) * 8 / 1e6;
+  const double store_mbps = store.traits.link_mbps * store.link_share;
+  dispatch::StoredPart part;
+  part.readable = this->Readable(store, now);
+  part.zone = store.traits.zone;
+  part.wait_ms = this->WaitMs(store, now);
+  if (terms.engine_link_mbps > 0)
+    part.transfer_ms = 1000 * mbit / terms.engine_link_mbps;
+  if (store_mbps > 0)
+    part.transfer_ms = std::max(part.transfer_ms, 1000 * mbit / store_mbps);
+  return part;
 }
 
 void StoreBook::BookTransfer(Store& store,
                              int64_t tokens,
                              const FetchTerms& terms,
-                             common::TimePoint now) const {
+                             common::TimePoint now,
+                             ReusePlan& plan) const {
+  double mbit = static_cast<double>(tokens) *
+                static_cast<double>(terms.token_bytes) * 8 / 1e6;
+  if (store.traits.zone != terms.engine_zone)
+    mbit *= dispatch::kOtherZoneTransfer;
   this->WaitMs(store, now);
-  store.queued_mbit += static_cast<double>(this->hosts) *
-                       static_cast<double>(tokens) *
-                       static_cast<double>(terms.token_bytes) * 8 / 1e6;
+  store.queued_mbit += mbit;
+  plan.transfers.push_back({store.traits.address, mbit});
+}
+
+StoreBook::Store* StoreBook::FindByHash(uint64_t store_hash) {
+  for (auto& [address, store] : this->stores) {
+    if (common::Hash64(address) == store_hash)
+      return &store;
+  }
+  return nullptr;
+}
+
+void StoreBook::OnPeerTransfer(uint64_t store_hash,
+                               double mbit,
+                               common::TimePoint now) {
+  Store* store = this->FindByHash(store_hash);
+  if (!store)
+    return;
+  this->WaitMs(*store, now);
+  store->queued_mbit += mbit;
+}
+
+void StoreBook::OnPeerFetched(uint64_t store_hash, common::Duration excess) {
+  Store* store = this->FindByHash(store_hash);
+  if (store)
+    this->NoteExcess(*store, excess);
 }
 
 void StoreBook::OnFetched(std::string_view address, common::Duration excess) {
   const auto found = this->stores.find(address);
-  if (found == this->stores.end())
-    return;
+  if (found != this->stores.end())
+    this->NoteExcess(found->second, excess);
+}
+
+void StoreBook::NoteExcess(Store& store, common::Duration excess) const {
   const double ms =
       std::clamp(common::ToMilliseconds(excess), 0.0, kMostExcessMs);
-  ++found->second.samples;
-  double& mean = found->second.excess_ms;
-  mean += kExcessWeight * (ms - mean);
+  ++store.samples;
+  store.excess_ms += kExcessWeight * (ms - store.excess_ms);
   const bool is_slow =
-      this->RelativeExcessMs(found->second) > kSlowExcessMs && ms > mean / 2;
-  double& share = found->second.link_share;
-  share = std::clamp(share * (is_slow ? kSlowStep : kRecoverStep),
-                     kLeastLinkShare, 1.0);
+      this->RelativeExcessMs(store) > kSlowExcessMs && ms > store.excess_ms / 2;
+  store.link_share =
+      std::clamp(store.link_share * (is_slow ? kSlowStep : kRecoverStep),
+                 kLeastLinkShare, 1.0);
 }
 
 const StoreBook::Store* StoreBook::HomeOf(std::string_view part) const {
@@ -211,7 +241,8 @@
                          const std::string& key,
                          int64_t tokens,
                          const FetchTerms& terms,
-                         common::TimePoint now) {
+                         common::TimePoint now,
+                         ReusePlan& plan) {
   if (!this->Savable(store, now) || this->WaitMs(store, now) > kMostSaveWaitMs)
     return false;
   const double limit =
@@ -224,7 +255,7 @@
     return false;
   saving.since = now;
   ++saving.tries;
-  this->BookTransfer(store, tokens, terms, now);
+  this->BookTransfer(store, tokens, terms, now, plan);
   return true;
 }
 
@@ -247,15 +278,21 @@
     const std::string key = KeyOf(salt, part.id);
     const auto known = store->parts.find(key);
     if (known != store->parts.end()) {
-      if (!this->Readable(*store, now))
-        continue;
       // What the engine holds is not fetched again, so naming it costs nothing.
       const bool held = end <= terms.cached_tokens;
-      if (!held && terms.chance >= kTrialShare &&
-          !this->IsWorthFetching(*store, part.tokens, terms, now))
+      const bool skipped = !this->Readable(*store, now) ||
+                           (!held && terms.chance >= kTrialShare &&
+                            !dispatch::IsWorthFetching(
+                                this->OfferOf(*store, part.tokens, terms, now),
+                                part.tokens, terms.engine_zone, terms.limits));
+      if (skipped) {
+        plan.skipped_tokens += part.tokens;
         continue;
-      if (!held)
-        this->BookTransfer(*store, part.tokens, terms, now);
+      }
+      if (!held) {
+        this->BookTransfer(*store, part.tokens, terms, now, plan);
+        plan.fetched_tokens += part.tokens;
+      }
       plan.sources[i] = store->traits.address;
       plan.source_tokens += part.tokens;
       if (!held && part.tokens > main_tokens) {
@@ -266,7 +303,9 @@
     }
     // The last part belongs to this request alone.
     const bool is_last = i + 1 == prompt.parts.size();
-    if (!is_last && this->BookSave(*store, key, part.tokens, terms, now))
+    if (!is_last)
+      plan.absent_tokens += part.tokens;
+    if (!is_last && this->BookSave(*store, key, part.tokens, terms, now, plan))
       plan.targets[i] = store->traits.address;
   }
   if (this->clock_offset_ms)
@@ -276,18 +315,19 @@
   return plan;
 }
 
-int64_t StoreBook::ReadableTokens(std::string_view salt,
-                                  const dispatch::Prompt& prompt,
-                                  common::TimePoint now) const {
-  int64_t tokens = 0;
-  for (const dispatch::PromptPart& part : prompt.parts) {
-    const Store* store = this->HomeOf(part.id);
-    if (!store || !this->Readable(*store, now) ||
-        !store->parts.contains(KeyOf(salt, part.id)))
-      return tokens;
-    tokens += part.tokens;
+std::vector<dispatch::StoredPart> StoreBook::Offer(
+    std::string_view salt,
+    const dispatch::Prompt& prompt,
+    const FetchTerms& terms,
+    common::TimePoint now) {
+  std::vector<dispatch::StoredPart> offers(prompt.parts.size());
+  for (size_t i = 0; i < prompt.parts.size(); ++i) {
+    const dispatch::PromptPart& part = prompt.parts[i];
+    Store* store = this->HomeOf(part.id);
+    if (store && store->parts.contains(KeyOf(salt, part.id)))
+      offers[i] = this->OfferOf(*store, part.tokens, terms, now);
   }
-  return tokens;
+  return offers;
 }
 
 size_t StoreBook::known_parts() const {
--- a/source/core/reuse/store_book.h
+++ b/source/core/reuse/store_book.h
@@ -12,6 +12,7 @@
 #include "core/catalog/types.h"
 #include "core/common/time.h"
 #include "core/dispatch/prompt.h"
+#include "core/dispatch/stored_part.h"
 
 namespace jujuberock::reuse {
 
@@ -38,29 +39,40 @@
 
 // What decides whether stored parts are worth fetching.
 struct FetchTerms {
-  // Time that an engine takes to read a token of a prompt.
-  double read_token_ms = 0.02;
+  dispatch::FetchLimits limits;
   int64_t token_bytes = 0;
-  // Link of the engine.
+  // Link and zone of the engine.
   double engine_link_mbps = 0;
+  std::string_view engine_zone;
   // Tokens from the beginning that the engine is thought to hold already.
   int64_t cached_tokens = 0;
-  // Time that waiting for a fetch may take at most.
-  common::Duration most_wait{0};
   // Reads that end after this time from now are thrown away.
   common::Duration read_time{0};
   // Uniform in [0, 1); decides whether a slow store is tried all the same.
   double chance = 1;
 };
 
+// Work for the link of a store.
+struct StoreTransfer {
+  std::string store;
+  double mbit = 0;
+};
+
 // Where one request reads and saves the parts of its prompt; one entry a part,
 // empty for none.
 struct ReusePlan {
   std::vector<std::string> sources;
   std::vector<std::string> targets;
   int64_t source_tokens = 0;
+  // Tokens that the engine is to fetch, those that a store has but whose link
+  // or answers are too slow, and those that no store is known to have.
+  int64_t fetched_tokens = 0;
+  int64_t skipped_tokens = 0;
+  int64_t absent_tokens = 0;
   // The store that most tokens come from.
   std::string main_source;
+  // What the request adds to the work of the stores' links.
+  std::vector<StoreTransfer> transfers;
   // Reads that end later are thrown away, on the endpoints' clock.
   std::optional<uint64_t> until_ms;
 };
@@ -93,8 +105,10 @@
                 common::TimePoint now);
   void OnNoAnswer(std::string_view address);
 
-  // Hosts that share the stores; each knows only its own transfers.
-  void SetHostCount(size_t count) { this->hosts = count == 0 ? 1 : count; }
+  // Another host planned a transfer; stores are named by a hash of their
+  // address.
+  void OnPeerTransfer(uint64_t store_hash, double mbit, common::TimePoint now);
+  void OnPeerFetched(uint64_t store_hash, common::Duration excess);
 
   // Plans the parts of a prompt and books the transfers.
   ReusePlan Plan(std::string_view salt,
@@ -104,10 +118,11 @@
   // A request whose parts came mostly from this store had its first token so
   // much later than expected.
   void OnFetched(std::string_view address, common::Duration excess);
-  // Tokens from the beginning of the prompt that a store can give.
-  int64_t ReadableTokens(std::string_view salt,
-                         const dispatch::Prompt& prompt,
-                         common::TimePoint now) const;
+  // What stores can give of each part of the prompt.
+  std::vector<dispatch::StoredPart> Offer(std::string_view salt,
+                                          const dispatch::Prompt& prompt,
+                                          const FetchTerms& terms,
+                                          common::TimePoint now);
   size_t known_parts() const;
 
  private:
@@ -126,8 +141,7 @@
     // Mean lateness of the requests that read from it.
     double excess_ms = 0;
     int samples = 0;
-    // Transfers of all hosts that wait for the link, as estimated from this
-    // host's own, in Mbit at `queued_at`.
+    // Transfers of all hosts that wait for the link, in Mbit at `queued_at`.
     double queued_mbit = 0;
     common::TimePoint queued_at;
     // Share of its link that the store seems to deliver.
@@ -142,14 +156,17 @@
   double RelativeExcessMs(const Store& store) const;
   // Time that a transfer begun now would wait for the store's link.
   double WaitMs(Store& store, common::TimePoint now) const;
-  bool IsWorthFetching(Store& store,
-                       int64_t tokens,
-                       const FetchTerms& terms,
-                       common::TimePoint now) const;
+  dispatch::StoredPart OfferOf(Store& store,
+                               int64_t tokens,
+                               const FetchTerms& terms,
+                               common::TimePoint now) const;
   void BookTransfer(Store& store,
                     int64_t tokens,
                     const FetchTerms& terms,
-                    common::TimePoint now) const;
+                    common::TimePoint now,
+                    ReusePlan& plan) const;
+  Store* FindByHash(uint64_t store_hash);
+  void NoteExcess(Store& store, common::Duration excess) const;
   bool Savable(const Store& store, common::TimePoint now) const;
   // The store that a part belongs to; the same on every host.
   Store* HomeOf(std::string_view part);
@@ -158,13 +175,13 @@
                 const std::string& key,
                 int64_t tokens,
                 const FetchTerms& terms,
-                common::TimePoint now);
+                common::TimePoint now,
+                ReusePlan& plan);
 
   // Nothing is saved this long after a start of the store was first seen: all
   // reads with knowledge from before have ended by then, on any host.
   common::Duration QuietTime() const;
 
-  size_t hosts = 1;
   common::Duration answer_age = kAnswerAge;
   std::map<std::string, Store, std::less<>> stores;
   // The endpoints' clock minus this host's, in milliseconds.
--- a/source/unit_tests/core/dispatch/service_pool_test.cc
+++ b/source/unit_tests/core/dispatch/service_pool_test.cc
@@ -89,7 +89,7 @@
 TEST_CASE("prompts of other hosts are seen until the engine has read them") {
   Pool pool(2);
   const auto busy = pool.pool.Find("e0");
-  busy->OnPeerPrompt(12000, At(0));
+  busy->OnPeerPrompt({12000, 12000, milliseconds(300), false}, At(0));
   for (int i = 0; i < 8; ++i) {
     const Prompt prompt = MakePrompt("s" + std::to_string(i), 4000);
     SendNeeds needs;
@@ -99,6 +99,77 @@
   CHECK(busy->PeerTokens(0.02, At(5000)) == 0);
 }
 
+// Load pattern: hosts that each see a few runs of an engine. Guards against
+// more memory on one engine than it has, which preempts runs.
+TEST_CASE("memory that other hosts' runs need is seen until they end") {
+  Pool pool(2);
+  const auto full = pool.pool.Find("e0");
+  for (int i = 0; i < 5; ++i)
+    full->OnPeerPrompt({0, 9500, milliseconds(400), false}, At(0));
+  CHECK(full->PeerRuns(At(1)) == 5);
+  const Prompt prompt = MakePrompt("s", 4000);
+  SendNeeds needs;
+  needs.prompt = &prompt;
+  for (int i = 0; i < 8; ++i)
+    CHECK(pool.pool.Choose(needs, At(5))->endpoint != full);
+  CHECK(full->PeerMemory(At(500)) == 0);
+  CHECK(full->PeerRuns(At(500)) == 0);
+}
+
+// Load pattern: chats with long answers beside long prompts with short ones.
+// Guards against chats whose events pause while their engine reads a prompt.
+TEST_CASE("long prompts keep away from the engines of long runs") {
+  Pool pool(20);
+  Prompt chat = MakePrompt("chat", 400);
+  chat.max_output_tokens = 80;
+  const Prompt document = MakePrompt("document", 9000);
+  SendNeeds chat_needs;
+  chat_needs.prompt = &chat;
+  SendNeeds document_needs;
+  document_needs.prompt = &document;
+  std::set<std::string> of_chats;
+  std::set<std::string> of_documents;
+  for (int i = 0; i < 600; ++i) {
+    const TimePoint now = At(20 * i);
+    const auto for_document = pool.pool.Choose(document_needs, now);
+    const auto for_chat = pool.pool.Choose(chat_needs, now);
+    // The chats of all hosts keep about 16 of 160 places busy.
+    pool.pool.OnSent({400, 480, milliseconds(350), true}, now);
+    if (i < 300)
+      continue;
+    REQUIRE(for_chat->is_long);
+    REQUIRE_FALSE(for_document->is_long);
+    of_chats.insert(for_chat->endpoint->endpoint().id);
+    of_documents.insert(for_document->endpoint->endpoint().id);
+  }
+  for (const std::string& id : of_chats)
+    CHECK_FALSE(of_documents.contains(id));
+}
+
+// Load pattern: a store in each zone. Guards against fetches between zones
+// while an engine beside the store is as idle.
+TEST_CASE("a prompt goes to the zone of the store that has it") {
+  Pool pool(0);
+  auto endpoints = MakeEndpoints(6);
+  for (size_t i = 0; i < endpoints.size(); ++i)
+    endpoints[i].zone = i < 3 ? "z" : "far";
+  pool.pool.Update(EngineService(), endpoints);
+  const Prompt prompt = MakePrompt("s", 9000);
+  std::vector<StoredPart> stored(2);
+  stored[0] = {true, "far", 0, 60};
+  SendNeeds needs;
+  needs.prompt = &prompt;
+  needs.stored = [&](uint64_t) -> const std::vector<StoredPart>& {
+    return stored;
+  };
+  needs.fetch_limits.most_wait_ms = 270;
+  for (int i = 0; i < 10; ++i) {
+    const auto choice = pool.pool.Choose(needs, At(1));
+    CHECK(choice->endpoint->endpoint().zone == "far");
+    CHECK(choice->uncached_tokens == 4500);
+  }
+}
+
 // Load pattern: a session returns again and again at a quiet time. Guards
 // against reading its prompt on another engine each time.
 TEST_CASE("a session returns to the engine that has its prompt") {
--- /dev/null
+++ b/source/unit_tests/core/dispatch/stored_part_test.cc
@@ -0,0 +1,41 @@
+#include "core/dispatch/stored_part.h"
+
+#include <catch2/catch.hpp>
+
+namespace jujuberock::dispatch {
+namespace {
+
+constexpr FetchLimits kLimits{270, 0.02};
+
+// Guards against fetches that take longer than reading is worth, or than the
+// request has time.
+TEST_CASE("a part is fetched when that costs less than reading it") {
+  // 5000 tokens: reading takes 100 ms and weighs as much as 320 ms of waiting.
+  StoredPart part{true, "z", 0, 40};
+  CHECK(IsWorthFetching(part, 5000, "z", kLimits));
+  // The same wait is too much for a part that is read sooner.
+  part.wait_ms = 60;
+  CHECK(IsWorthFetching(part, 5000, "z", kLimits));
+  CHECK_FALSE(IsWorthFetching(part, 1000, "z", kLimits));
+  part.wait_ms = 0;
+  SECTION("the store does not answer") {
+    part.readable = false;
+  }
+  SECTION("its link is busy") {
+    part.wait_ms = 240;
+  }
+  SECTION("its link is slow and the engine is in another zone") {
+    part.transfer_ms = 140;
+    part.zone = "y";
+  }
+  CHECK_FALSE(IsWorthFetching(part, 5000, "z", kLimits));
+}
+
+TEST_CASE("a transfer between zones takes twice as long") {
+  const StoredPart part{true, "z", 0, 40};
+  CHECK(TransferMs(part, "z") == 40);
+  CHECK(TransferMs(part, "y") == 80);
+}
+
+}  // namespace
+}  // namespace jujuberock::dispatch
--- a/source/unit_tests/core/gateway/peer_loads_test.cc
+++ b/source/unit_tests/core/gateway/peer_loads_test.cc
@@ -7,23 +7,43 @@
 namespace jujuberock::gateway {
 namespace {
 
+PeerNews MakeNews() {
+  PeerNews news;
+  news.prompts = {{1, {9000, 9400, std::chrono::milliseconds(420), false}},
+                  {~uint64_t{0}, {0, 700, std::chrono::seconds(2), true}}};
+  news.stores = {{7, 5200, {0, 310}}, {8, 0, {}}};
+  return news;
+}
+
 TEST_CASE("a datagram survives its coding") {
-  const std::vector<SentPrompt> prompts = {{1, 9000}, {~uint64_t{0}, 700}};
-  const auto bytes = EncodeSentPrompts(prompts);
-  CHECK(DecodeSentPrompts(bytes.data(), bytes.size()) == prompts);
+  const PeerNews news = MakeNews();
+  const auto bytes = EncodeNews(news);
+  CHECK(DecodeNews(bytes.data(), bytes.size()) == news);
 }
 
 // Guards against a datagram from anywhere that ends the process.
 TEST_CASE("other bytes are refused") {
-  const auto valid = EncodeSentPrompts({{1, 9000}, {2, 700}});
+  const auto valid = EncodeNews(MakeNews());
   const std::string text(valid.begin(), valid.end());
   common::Random random(20261204);
   for (int i = 0; i < 4000; ++i) {
     const std::string input = fuzz::Mutate(text, random);
     const auto* bytes = reinterpret_cast<const uint8_t*>(input.data());
-    CHECK_NOTHROW(DecodeSentPrompts(bytes, input.size()));
+    CHECK_NOTHROW(DecodeNews(bytes, input.size()));
   }
-  CHECK_FALSE(DecodeSentPrompts(nullptr, 0));
+  CHECK_FALSE(DecodeNews(nullptr, 0));
+}
+
+// Guards against news that no host would send and that would fill the books.
+TEST_CASE("a datagram with too many entries is refused") {
+  PeerNews news;
+  news.prompts.resize(41);
+  const auto prompts = EncodeNews(news);
+  CHECK_FALSE(DecodeNews(prompts.data(), prompts.size()));
+  news.prompts.clear();
+  news.stores = {{7, 1, {1, 2, 3, 4, 5}}};
+  const auto excesses = EncodeNews(news);
+  CHECK_FALSE(DecodeNews(excesses.data(), excesses.size()));
 }
 
 }  // namespace
--- a/source/unit_tests/core/reuse/store_book_test.cc
+++ b/source/unit_tests/core/reuse/store_book_test.cc
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include "core/common/hash.h"
+
 namespace jujuberock::reuse {
 namespace {
 
@@ -34,7 +36,7 @@
   FetchTerms terms;
   terms.token_bytes = 100000;
   terms.engine_link_mbps = 100000;
-  terms.most_wait = milliseconds(300);
+  terms.limits.most_wait_ms = 300;
   terms.read_time = milliseconds(400);
   return terms;
 }
@@ -134,6 +136,53 @@
   CHECK(fetched < 30);
 }
 
+// Load pattern: many hosts fetch from one store, each a few parts. Guards
+// against fetches that wait behind those of other hosts.
+TEST_CASE("transfers of other hosts count as this host's own") {
+  StoreBook book = Answering(4000);
+  book.OnEvents(kStore, Events(1, {{true, "v1", "a", 400}}), At(4000),
+                At(4100));
+  // 8 Gbit take 80 ms of the link; 44 ms are worth waiting.
+  book.OnPeerTransfer(common::Hash64(kStore), 8000, At(4100));
+  const ReusePlan busy = book.Plan("v1", MakePrompt(), Terms(), At(4100));
+  CHECK(busy.fetched_tokens == 0);
+  CHECK(busy.skipped_tokens == 400);
+  const ReusePlan free = book.Plan("v1", MakePrompt(), Terms(), At(4200));
+  CHECK(free.fetched_tokens == 400);
+  REQUIRE(free.transfers.size() == 1);
+  CHECK(free.transfers[0].mbit == 320);
+}
+
+// Load pattern: few fetches a host. Guards against a host that takes its own
+// few transfers for the mean of all hosts and then reads instead of fetching.
+TEST_CASE("an own transfer occupies the link for its own time only") {
+  StoreBook book = Answering(4000);
+  book.OnEvents(kStore, Events(1, {{true, "v1", "a", 400}}), At(4000),
+                At(4100));
+  book.Plan("v1", MakePrompt(), Terms(), At(4100));
+  const auto offer = book.Offer("v1", MakePrompt(), Terms(), At(4100));
+  REQUIRE(offer.size() == 3);
+  CHECK(offer[0].readable);
+  CHECK(offer[0].wait_ms < 10);
+  CHECK_FALSE(offer[1].readable);
+}
+
+// Guards against fetches between zones, which occupy the links twice as long,
+// that are booked as those inside a zone.
+TEST_CASE("a transfer to another zone is booked twice") {
+  catalog::CacheStoreTraits traits = Traits();
+  traits.zone = "far";
+  StoreBook book;
+  book.SetStores({traits});
+  book.OnEvents(kStore, Events(1, {{true, "v1", "a", 400}}), At(4000),
+                At(4000));
+  FetchTerms terms = Terms();
+  terms.engine_zone = "near";
+  const ReusePlan plan = book.Plan("v1", MakePrompt(), terms, At(4100));
+  REQUIRE(plan.transfers.size() == 1);
+  CHECK(plan.transfers[0].mbit == 640);
+}
+
 // Load pattern: one store's link turns slow. Guards against requests that all
 // wait for it while the other store is well.
 TEST_CASE("a store that makes its requests late is asked less") {
