Learn the time of an output token from long runs apart from short ones

Cause: the first pause of short runs was taken for their time of a token, so the demand of long runs seemed three times as high and 40% of the engines were kept for them (trial copy with the numbers of the choice in the log).

--- a/source/core/dispatch/service_pool.cc
+++ b/source/core/dispatch/service_pool.cc
@@ -199,10 +199,7 @@
   if (choice.is_long)
     score += kPauseWeight * this->model.token_ms() * all_pending;
   score += this->SeparationCost(choice, reading_ms);
-  choice.run_time =
-      choice.predicted +
-      common::FromSeconds(this->output_token_ms / 1000 *
-                          static_cast<double>(prompt.max_output_tokens));
+  choice.run_time = this->RunTime(choice, prompt);
   if (needs.preferred_version != 0 &&
       record.VersionOf(prompt.model) < needs.preferred_version)
     score += kOldVersionMs;
@@ -249,6 +246,15 @@
   return static_cast<double>(prompt.max_output_tokens) > this->mean_output;
 }
 
+common::Duration ServicePool::RunTime(const Choice& choice,
+                                      const Prompt& prompt) const {
+  const double token_ms = choice.is_long ? this->long_output_token_ms
+                                         : this->short_output_token_ms;
+  return choice.predicted +
+         common::FromSeconds(token_ms / 1000 *
+                             static_cast<double>(prompt.max_output_tokens));
+}
+
 bool ServicePool::IsForLongRuns(const std::string& id) const {
   // Another seed than that of the rendezvous weights.
   constexpr uint64_t kSeed = 0x6c6f6e67;
@@ -303,7 +309,9 @@
     return;
   const double ms = common::ToMilliseconds(now - ticket.started_at) /
                     static_cast<double>(ticket.max_output_tokens);
-  this->output_token_ms += kOutputWeight * (ms - this->output_token_ms);
+  double& mean = ticket.is_long ? this->long_output_token_ms
+                                : this->short_output_token_ms;
+  mean += kOutputWeight * (ms - mean);
 }
 
 ServicePool::Affinity ServicePool::AffinityOf(const Prompt& prompt,
--- a/source/core/dispatch/service_pool.h
+++ b/source/core/dispatch/service_pool.h
@@ -111,6 +111,7 @@
   // Among the engines for long runs or among the others.
   Affinity AffinityOf(const Prompt& prompt, bool is_long) const;
   bool IsLong(const Prompt& prompt) const;
+  common::Duration RunTime(const Choice& choice, const Prompt& prompt) const;
   // Engines for long runs are a share of all, the same on every host. Prompts
   // that engines read between the tokens of a run make its pauses longer, so
   // long prompts go to the other engines while these have time for them.
@@ -140,8 +141,10 @@
   double mean_uncached = 0;
   // Most output tokens that requests ask for, on average.
   double mean_output = 0;
-  // Time that an engine takes for one output token of a run.
-  double output_token_ms = 6;
+  // Time that an engine takes for one output token of a run; that of short
+  // runs contains the first pause, which is most of it.
+  double long_output_token_ms = 6;
+  double short_output_token_ms = 20;
   // Runs that send many events: their time in places, in seconds, and the
   // tokens that engines read for them.
   Demand long_run_time;
