Free the parts of replaced weights in the cache stores

Cause: managed stores drop nothing. Change: a version's parts are freed when every engine that is registered, or was within 20 s, has had newer weights for longer than a read may take; a read begins only on an engine of the part's version, so no host can begin one then. Hosts share the stores by rendezvous hashing. The salt names the model, so that models do not free each other's parts.

--- a/source/core/dispatch/service_pool.cc
+++ b/source/core/dispatch/service_pool.cc
@@ -248,8 +248,8 @@
 
 common::Duration ServicePool::RunTime(const Choice& choice,
                                       const Prompt& prompt) const {
-  const double token_ms = choice.is_long ? this->long_output_token_ms
-                                         : this->short_output_token_ms;
+  const double token_ms =
+      choice.is_long ? this->long_output_token_ms : this->short_output_token_ms;
   return choice.predicted +
          common::FromSeconds(token_ms / 1000 *
                              static_cast<double>(prompt.max_output_tokens));
@@ -309,8 +309,8 @@
     return;
   const double ms = common::ToMilliseconds(now - ticket.started_at) /
                     static_cast<double>(ticket.max_output_tokens);
-  double& mean = ticket.is_long ? this->long_output_token_ms
-                                : this->short_output_token_ms;
+  double& mean =
+      ticket.is_long ? this->long_output_token_ms : this->short_output_token_ms;
   mean += kOutputWeight * (ms - mean);
 }
 
--- a/source/core/events/event_log.h
+++ b/source/core/events/event_log.h
@@ -43,6 +43,7 @@
   kHolderLost,
   kWeightsOrdered,
   kWeightsInForce,
+  kPartsFreed,
   kCrashMarked,
   kRequestRefused,
   kRequestQueued,
@@ -53,7 +54,7 @@
   kRequestAnswered,
 };
 
-inline constexpr size_t kEvents = 28;
+inline constexpr size_t kEvents = 29;
 
 inline constexpr common::NameTable<Event, kEvents> kEventNames(
     {"started",         "stopping",         "stopped",
@@ -62,10 +63,10 @@
      "view_stale",      "view_renewed",     "endpoint_added",
      "endpoint_left",   "endpoint_ejected", "endpoint_readmitted",
      "version_named",   "holder_gained",    "holder_lost",
-     "weights_ordered", "weights_in_force", "crash_marked",
-     "request_refused", "request_queued",   "request_sent",
-     "request_resent",  "request_resumed",  "request_cut",
-     "request_answered"});
+     "weights_ordered", "weights_in_force", "parts_freed",
+     "crash_marked",    "request_refused",  "request_queued",
+     "request_sent",    "request_resent",   "request_resumed",
+     "request_cut",     "request_answered"});
 
 // The fields that lines may carry.
 enum class Field {
--- a/source/core/gateway/endpoint_control.h
+++ b/source/core/gateway/endpoint_control.h
@@ -41,6 +41,15 @@
   kUnknown,  // no answer: it may be carried out later
 };
 
+// Parts that a cache store is to free.
+struct FreeOrder {
+  std::vector<reuse::StoredPartName> parts;
+  // The store refuses when it has another epoch, or later than this on the
+  // endpoints' clock.
+  uint64_t epoch = 0;
+  uint64_t until_ms = 0;
+};
+
 // Calls to engines and cache stores besides requests. Each suspends the
 // calling fiber; nothing is thrown.
 class EndpointControl {
@@ -56,6 +65,8 @@
       const std::string& address,
       uint64_t next,
       common::Duration wait) = 0;
+  // Whether the store has freed the parts.
+  virtual bool Free(const std::string& address, const FreeOrder& order) = 0;
 };
 
 }  // namespace jujuberock::gateway
--- a/source/core/gateway/gateway.cc
+++ b/source/core/gateway/gateway.cc
@@ -59,6 +59,12 @@
               peers.control,
               log),
       hosts(this->settings, this->dispatcher, this->store_watch, peers.store),
+      cleaner(this->view,
+              this->dispatcher,
+              this->hosts,
+              this->store_book,
+              peers.control,
+              log),
       parts{this->settings,
             this->view,
             this->dispatcher,
@@ -110,6 +116,7 @@
     this->view.Start();
     runtime::SpawnHere([this] { this->rollout.Run(); });
     runtime::SpawnHere([this] { this->hosts.Run(); });
+    runtime::SpawnHere([this] { this->cleaner.Run(); });
     while (!this->stopping || this->caller_server) {
       runtime::SleepFor(Dispatcher::kCheckPeriod);
       this->Tick();
@@ -136,6 +143,7 @@
   this->store_watch.Stop();
   this->rollout.Stop();
   this->hosts.Stop();
+  this->cleaner.Stop();
 }
 
 void Gateway::Reload(const Settings& changed) {
--- a/source/core/gateway/gateway.h
+++ b/source/core/gateway/gateway.h
@@ -18,6 +18,7 @@
 #include "core/gateway/request_task.h"
 #include "core/gateway/rollout_duty.h"
 #include "core/gateway/settings.h"
+#include "core/gateway/store_cleaner.h"
 #include "core/gateway/store_watch.h"
 #include "core/gateway/view_keeper.h"
 #include "core/runtime/http_server.h"
@@ -77,6 +78,7 @@
   StoreWatch store_watch;
   RolloutDuty rollout;
   HostBoard hosts;
+  StoreCleaner cleaner;
   std::unique_ptr<PeerLoads> peer_loads;
   RequestParts parts;
   std::unique_ptr<runtime::HttpServer> caller_server;
--- a/source/core/gateway/host_board.cc
+++ b/source/core/gateway/host_board.cc
@@ -1,11 +1,13 @@
 #include "core/gateway/host_board.h"
 
+#include <algorithm>
 #include <iterator>
 #include <vector>
 
 #include <nlohmann/json.hpp>
 
 #include "core/common/error.h"
+#include "core/common/hash.h"
 #include "core/runtime/boot_clock.h"
 #include "core/runtime/sleep.h"
 
@@ -101,6 +103,15 @@
   this->store_watch.SetHosts(count, rank);
 }
 
+size_t HostBoard::RankFor(std::string_view key) const {
+  const uint64_t seed = common::Hash64(key);
+  const uint64_t own = common::Hash64(this->own_name, seed);
+  return static_cast<size_t>(std::count_if(
+      this->names.begin(), this->names.end(), [&](const std::string& name) {
+        return common::Hash64(name, seed) > own;
+      }));
+}
+
 std::string HostBoard::Content() const {
   Json value;
   value["zone"] = this->settings.zone;
--- a/source/core/gateway/host_board.h
+++ b/source/core/gateway/host_board.h
@@ -30,6 +30,9 @@
   // Writes this host's object whenever it has changed; until Stop().
   void Run();
   void Stop() { this->stopping = true; }
+  // This host's place among all hosts in the order of rendezvous hashing for
+  // the key; 0 is the first.
+  size_t RankFor(std::string_view key) const;
   // Called with the addresses of the other hosts.
   void OnPeers(std::function<void(std::vector<runtime::Address>)> callback) {
     this->peers_changed = std::move(callback);
--- a/source/core/gateway/request_task.cc
+++ b/source/core/gateway/request_task.cc
@@ -120,7 +120,11 @@
       this->request.remaining.value_or(this->route->timeout);
   this->deadline =
       this->received_at + std::min(remaining, this->route->timeout);
-  this->salt = this->Salt();
+  if (this->request.prompt)
+    this->salt.model = this->request.prompt->model;
+  if (this->team && this->team->isolated)
+    this->salt.isolated_team = this->team->name;
+  this->cache_key = reuse::RenderSalt(this->salt);
 }
 
 void RequestTask::CheckKey(const catalog::ConfigView& config) {
@@ -177,14 +181,10 @@
   });
 }
 
-std::string RequestTask::Salt() const {
-  if (this->team && this->team->isolated)
-    return "team/" + this->team->name;
-  return "shared";
-}
-
 std::string RequestTask::SaltFor(uint64_t version) const {
-  return "v" + std::to_string(version) + "/" + this->salt;
+  reuse::Salt made = this->salt;
+  made.version = version;
+  return reuse::RenderSalt(made);
 }
 
 Duration RequestTask::Remaining(TimePoint now) const {
@@ -208,7 +208,7 @@
   if (!this->request.prompt || !this->pool->is_engine())
     return needs;
   needs.prompt = &*this->request.prompt;
-  needs.salt = this->salt;
+  needs.salt = this->cache_key;
   needs.required_version = this->RequiredVersion(runtime::BootNow());
   const auto named = this->parts.view.VersionOf(needs.prompt->model);
   needs.preferred_version = named ? named->version : 0;
@@ -505,7 +505,7 @@
   if (this->request.prompt && this->pool->is_engine()) {
     this->pool->OnFirstToken(ticket, now);
     this->NoteFetch(now - ticket.sent_at - this->predicted);
-    record.part_cache().Insert(this->salt, *this->request.prompt);
+    record.part_cache().Insert(this->cache_key, *this->request.prompt);
   }
   if (this->first_byte_at == TimePoint())
     this->first_byte_at = now;
--- a/source/core/gateway/request_task.h
+++ b/source/core/gateway/request_task.h
@@ -14,6 +14,7 @@
 #include "core/forward/types.h"
 #include "core/gateway/dispatcher.h"
 #include "core/gateway/peer_loads.h"
+#include "core/reuse/salt.h"
 #include "core/reuse/store_book.h"
 #include "core/runtime/http_server.h"
 
@@ -110,7 +111,6 @@
       const dispatch::Choice& choice) const;
   common::Duration Remaining(common::TimePoint now) const;
   uint64_t RequiredVersion(common::TimePoint now) const;
-  std::string Salt() const;
   // The salt of parts that this version of the weights makes.
   std::string SaltFor(uint64_t version) const;
   void AddReuse(const dispatch::Choice& choice, forward::SendOrder& order);
@@ -127,7 +127,9 @@
   dispatch::ServicePool* pool = nullptr;
   suspects::Fingerprint fingerprint = 0;
   bool isolate = false;
-  std::string salt;
+  // Without a version, and as the key of the books of engines.
+  reuse::Salt salt;
+  std::string cache_key;
   int urgency = 5;
   common::TimePoint received_at;
   common::TimePoint deadline;
--- a/source/core/reuse/retirement.h
+++ b/source/core/reuse/retirement.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -43,11 +44,14 @@
     common::TimePoint seen_at;
   };
 
-  uint64_t LeastVersion(common::TimePoint now) const;
+  // 0 when the version of an engine is not known.
+  uint64_t LeastVersion() const;
 
   std::map<std::string, Engine> engines;
   uint64_t least = 0;
   common::TimePoint least_since;
+  // Engines that were lost before this moment are not known here.
+  std::optional<common::TimePoint> began_at;
 };
 
 }  // namespace jujuberock::reuse
--- a/source/core/reuse/store_book.cc
+++ b/source/core/reuse/store_book.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "core/common/hash.h"
+#include "core/reuse/salt.h"
 
 namespace jujuberock::reuse {
 
@@ -88,6 +89,8 @@
     store.epoch_seen_at = now;
     store.epoch = events.epoch;
   }
+  if (!this->Readable(store, asked_at))
+    store.answers_since = now;
   store.answers = true;
   store.answered_at = asked_at;
   store.next = events.next;
@@ -308,10 +311,8 @@
     if (!is_last && this->BookSave(*store, key, part.tokens, terms, now, plan))
       plan.targets[i] = store->traits.address;
   }
-  if (this->clock_offset_ms)
-    plan.until_ms = static_cast<uint64_t>(
-        Milliseconds(now + std::min(terms.read_time, kReadTime)) +
-        *this->clock_offset_ms);
+  plan.until_ms =
+      this->EndpointClock(now + std::min(terms.read_time, kReadTime));
   return plan;
 }
 
@@ -330,6 +331,64 @@
   return offers;
 }
 
+std::vector<std::string> StoreBook::Addresses() const {
+  std::vector<std::string> addresses;
+  for (const auto& [address, store] : this->stores)
+    addresses.push_back(address);
+  return addresses;
+}
+
+std::vector<StoredPartName> StoreBook::OutdatedParts(
+    std::string_view address,
+    std::string_view model,
+    uint64_t oldest,
+    size_t limit,
+    common::Duration answered_for,
+    common::TimePoint now) const {
+  std::vector<StoredPartName> outdated;
+  const auto found = this->stores.find(address);
+  if (found == this->stores.end() || !this->Readable(found->second, now) ||
+      now - found->second.answers_since < answered_for)
+    return outdated;
+  for (const auto& [key, tokens] : found->second.parts) {
+    if (outdated.size() >= limit)
+      break;
+    // Ids of parts have no slash.
+    const size_t slash = key.rfind('/');
+    const std::string_view text = std::string_view(key).substr(0, slash);
+    const auto salt = ParseSalt(text);
+    if (salt && salt->model == model && salt->version < oldest)
+      outdated.push_back({std::string(text), key.substr(slash + 1)});
+  }
+  return outdated;
+}
+
+void StoreBook::OnFreed(std::string_view address,
+                        const std::vector<StoredPartName>& freed) {
+  const auto found = this->stores.find(address);
+  if (found == this->stores.end())
+    return;
+  Store& store = found->second;
+  for (const StoredPartName& name : freed) {
+    const auto known = store.parts.find(KeyOf(name.salt, name.part));
+    if (known == store.parts.end())
+      continue;
+    store.used_tokens -= known->second;
+    store.parts.erase(known);
+  }
+}
+
+uint64_t StoreBook::EpochOf(std::string_view address) const {
+  const auto found = this->stores.find(address);
+  return found == this->stores.end() ? 0 : found->second.epoch;
+}
+
+std::optional<uint64_t> StoreBook::EndpointClock(common::TimePoint time) const {
+  if (!this->clock_offset_ms)
+    return std::nullopt;
+  return static_cast<uint64_t>(Milliseconds(time) + *this->clock_offset_ms);
+}
+
 size_t StoreBook::known_parts() const {
   size_t count = 0;
   for (const auto& [address, store] : this->stores)
--- a/source/core/reuse/store_book.h
+++ b/source/core/reuse/store_book.h
@@ -24,6 +24,15 @@
   int64_t tokens = 0;
 };
 
+// A part as a store names it.
+struct StoredPartName {
+  std::string salt;
+  std::string part;
+
+  friend bool operator==(const StoredPartName&,
+                         const StoredPartName&) = default;
+};
+
 // The answer to a question for changes.
 struct StoreEvents {
   // Changes at each start of the store.
@@ -81,8 +90,8 @@
 // may read. Three rules keep every read whole: only parts that the store has
 // reported complete are read; a store that does not answer is not read from;
 // and after a restart nothing is saved to a store until all reads that were
-// begun with knowledge from before have ended. Nothing is ever freed. Not
-// thread-safe.
+// begun with knowledge from before have ended. Parts are freed
+// only when no host can read them (see Retirement). Not thread-safe.
 class StoreBook {
  public:
   // Most time that a read may take from the send on.
@@ -125,6 +134,22 @@
                                           common::TimePoint now);
   size_t known_parts() const;
 
+  std::vector<std::string> Addresses() const;
+  // Parts of this model that were made by versions below `oldest`, at most
+  // `limit`. None while the store does not answer, or has answered for less
+  // than `answered_for`.
+  std::vector<StoredPartName> OutdatedParts(std::string_view address,
+                                            std::string_view model,
+                                            uint64_t oldest,
+                                            size_t limit,
+                                            common::Duration answered_for,
+                                            common::TimePoint now) const;
+  void OnFreed(std::string_view address,
+               const std::vector<StoredPartName>& parts);
+  uint64_t EpochOf(std::string_view address) const;
+  // A moment on the endpoints' clock, in milliseconds.
+  std::optional<uint64_t> EndpointClock(common::TimePoint time) const;
+
  private:
   struct Saving {
     common::TimePoint since;
@@ -136,6 +161,8 @@
     uint64_t next = 0;
     bool answers = false;
     common::TimePoint answered_at;
+    // It has answered without a gap since then.
+    common::TimePoint answers_since;
     common::TimePoint epoch_seen_at;
     int64_t used_tokens = 0;
     // Mean lateness of the requests that read from it.
--- a/source/platform/endpoint_control.cc
+++ b/source/platform/endpoint_control.cc
@@ -13,6 +13,7 @@
 
 constexpr Duration kReportTimeout = std::chrono::milliseconds(400);
 constexpr Duration kOrderTimeout = std::chrono::milliseconds(500);
+constexpr Duration kFreeTimeout = std::chrono::milliseconds(500);
 constexpr Duration kEventsSlack = std::chrono::milliseconds(300);
 
 gateway::EngineReport DecodeReport(const Json& body) {
@@ -132,4 +133,21 @@
   }
 }
 
+bool PlatformEndpointControl::Free(const std::string& address,
+                                   const gateway::FreeOrder& order) {
+  runtime::HttpRequest request;
+  request.method = "POST";
+  request.target = std::string(wire::kCacheFreePath);
+  request.headers.Set("Content-Type", "application/json");
+  Json body;
+  body["epoch"] = order.epoch;
+  body["until_ms"] = order.until_ms;
+  body["parts"] = Json::array();
+  for (const reuse::StoredPartName& name : order.parts)
+    body["parts"].push_back({name.salt, name.part});
+  request.body = body.dump();
+  const auto response = this->Fetch(address, request, kFreeTimeout);
+  return response && response->status >= 200 && response->status < 300;
+}
+
 }  // namespace jujuberock::platform_adapter
--- a/source/platform/endpoint_control.h
+++ b/source/platform/endpoint_control.h
@@ -21,6 +21,8 @@
   std::optional<reuse::StoreEvents> CacheEvents(const std::string& address,
                                                 uint64_t next,
                                                 common::Duration wait) override;
+  bool Free(const std::string& address,
+            const gateway::FreeOrder& order) override;
 
  private:
   // Nothing when there was no answer.
--- a/source/platform/wire_names.h
+++ b/source/platform/wire_names.h
@@ -89,6 +89,7 @@
 inline constexpr std::string_view kReportPath = "/report";
 inline constexpr std::string_view kOrderPath = "/order";
 inline constexpr std::string_view kCacheEventsPath = "/kv-events";
+inline constexpr std::string_view kCacheFreePath = "/kv-free";
 // Longest time that a question for events is kept waiting, in milliseconds.
 inline constexpr std::string_view kWait = "Wait-Ms";
 inline constexpr std::string_view kObjectsPath = "/objects/";
--- /dev/null
+++ b/source/unit_tests/core/reuse/retirement_test.cc
@@ -0,0 +1,65 @@
+#include "core/reuse/retirement.h"
+
+#include <catch2/catch.hpp>
+
+namespace jujuberock::reuse {
+namespace {
+
+using common::TimePoint;
+
+constexpr common::Duration kStep = std::chrono::milliseconds(100);
+
+struct Observer {
+  Retirement retirement;
+  TimePoint now = TimePoint(std::chrono::seconds(100));
+
+  // Shows the same engines for a while.
+  void See(const std::vector<EngineVersion>& engines, common::Duration time) {
+    for (const TimePoint end = this->now + time; this->now < end;
+         this->now += kStep)
+      this->retirement.OnEngines(engines, this->now);
+  }
+  uint64_t Oldest() const { return this->retirement.OldestInUse(this->now); }
+};
+
+// Guards against parts that are freed while an engine may still read them.
+TEST_CASE("a version is in use until its last engine has left it") {
+  Observer observer;
+  observer.See({{"a", 1}, {"b", 1}}, std::chrono::seconds(30));
+  CHECK(observer.Oldest() == 1);
+  observer.See({{"a", 2}, {"b", 1}}, std::chrono::seconds(10));
+  CHECK(observer.Oldest() == 1);
+  SECTION("the last engine has changed, but its reads may go on") {
+    observer.See({{"a", 2}, {"b", 2}}, std::chrono::milliseconds(1500));
+    CHECK(observer.Oldest() == 0);
+    observer.See({{"a", 2}, {"b", 2}}, std::chrono::milliseconds(500));
+    CHECK(observer.Oldest() == 2);
+  }
+  SECTION("the last engine is gone, but may return as it was") {
+    observer.See({{"a", 2}}, std::chrono::seconds(15));
+    CHECK(observer.Oldest() == 1);
+    observer.See({{"a", 2}, {"b", 1}}, std::chrono::seconds(10));
+    CHECK(observer.Oldest() == 1);
+  }
+  SECTION("the last engine is gone for good") {
+    observer.See({{"a", 2}}, std::chrono::seconds(23));
+    CHECK(observer.Oldest() == 2);
+  }
+  SECTION("the version of an engine is not known") {
+    observer.See({{"a", 2}, {"b", 0}}, std::chrono::seconds(23));
+    CHECK(observer.Oldest() == 0);
+  }
+}
+
+// Guards against a host that has just started and does not know of engines
+// that were lost before.
+TEST_CASE("a new observer waits for engines that may return") {
+  Observer observer;
+  observer.See({{"a", 2}}, std::chrono::seconds(19));
+  CHECK(observer.Oldest() == 0);
+  observer.See({{"a", 2}}, std::chrono::seconds(2));
+  CHECK(observer.Oldest() == 2);
+}
+
+}  // namespace
+}  // namespace jujuberock::reuse
--- /dev/null
+++ b/source/unit_tests/core/reuse/salt_test.cc
@@ -0,0 +1,28 @@
+#include "core/reuse/salt.h"
+
+#include <catch2/catch.hpp>
+
+namespace jujuberock::reuse {
+namespace {
+
+// Guards against parts of two models, versions or teams under one text.
+TEST_CASE("each model, version and isolated team has a text of its own") {
+  const Salt shared{"m0", 3, ""};
+  const Salt team{"m0", 3, "pando"};
+  CHECK(RenderSalt(shared) == "v3/m0");
+  CHECK(RenderSalt(team) == "v3/m0/team=pando");
+  CHECK(RenderSalt({"m1", 3, ""}) != RenderSalt(shared));
+  CHECK(RenderSalt({"m0", 4, ""}) != RenderSalt(shared));
+  CHECK(ParseSalt(RenderSalt(shared)) == shared);
+  CHECK(ParseSalt(RenderSalt(team)) == team);
+}
+
+// Guards against freeing parts of another program.
+TEST_CASE("other texts are not parsed") {
+  for (const char* text :
+       {"", "v", "v/m", "v3", "vx/m", "v3x/m", "3/m", "v3/m/other", "w3/m"})
+    CHECK_FALSE(ParseSalt(text));
+}
+
+}  // namespace
+}  // namespace jujuberock::reuse
--- a/source/unit_tests/core/reuse/store_book_test.cc
+++ b/source/unit_tests/core/reuse/store_book_test.cc
@@ -136,6 +136,40 @@
   CHECK(fetched < 30);
 }
 
+// Guards against a store that is full of parts that nobody can read any more.
+TEST_CASE("parts of replaced weights are named until they are freed") {
+  StoreBook book = Answering(4000);
+  book.OnEvents(kStore,
+                Events(1, {{true, "v1/m", "a", 400},
+                           {true, "v2/m", "a", 400},
+                           {true, "v1/m/team=t", "b", 500},
+                           {true, "v1/other", "a", 400},
+                           {true, "text of another program", "a", 400}}),
+                At(4100), At(4100));
+  const auto none = common::Duration(0);
+  auto parts = book.OutdatedParts(kStore, "m", 2, 10, none, At(4200));
+  CHECK(parts.size() == 2);
+  CHECK(book.OutdatedParts(kStore, "m", 2, 1, none, At(4200)).size() == 1);
+  CHECK(book.OutdatedParts(kStore, "m", 1, 10, none, At(4200)).empty());
+  book.OnFreed(kStore, parts);
+  CHECK(book.OutdatedParts(kStore, "m", 2, 10, none, At(4200)).empty());
+  CHECK(book.known_parts() == 3);
+}
+
+// Guards against freeing what hosts and engines that were cut off together
+// with the store still read.
+TEST_CASE("a store that has just come back is left alone") {
+  StoreBook book = Answering(4000);
+  const auto parts = Events(1, {{true, "v1/m", "a", 400}});
+  book.OnEvents(kStore, parts, At(4100), At(4100));
+  book.OnNoAnswer(kStore);
+  for (int at = 9000; at <= 11000; at += 500)
+    book.OnEvents(kStore, parts, At(at), At(at));
+  const auto wait = std::chrono::seconds(2);
+  CHECK(book.OutdatedParts(kStore, "m", 2, 9, wait, At(10900)).empty());
+  CHECK(book.OutdatedParts(kStore, "m", 2, 9, wait, At(11100)).size() == 1);
+}
+
 // Load pattern: many hosts fetch from one store, each a few parts. Guards
 // against fetches that wait behind those of other hosts.
 TEST_CASE("transfers of other hosts count as this host's own") {
