--- a/source/core/dispatch/service_pool.cc
+++ b/source/core/dispatch/service_pool.cc
@@ -39,6 +39,9 @@
 constexpr double kMixedReadingWeight = 1.5;
 constexpr double kMixedReadingMs = 30;
 constexpr double kOutputWeight = 0.02;
+// What this host has heard from an endpoint within this time goes before what
+// other hosts say.
+constexpr common::Duration kOwnEvidence = std::chrono::milliseconds(500);
 constexpr double kMemoryOverflowMs = 400;
 constexpr double kFailureWeight = 0.02;
 constexpr double kPlainPriorLatencyMs = 20;
@@ -369,4 +372,13 @@
   return endpoint.health().OnOutcome(outcome, this->failure_share, now);
 }
 
+bool ServicePool::OnPeerLost(EndpointRecord& endpoint, common::TimePoint now) {
+  const bool good =
+      endpoint.health().StateAt(now) == EndpointHealth::State::kGood;
+  if (!good || now - endpoint.last_heard() < kOwnEvidence)
+    return false;
+  endpoint.health().Eject(now);
+  return true;
+}
+
 }  // namespace jujuberock::dispatch
--- a/source/core/dispatch/service_pool.h
+++ b/source/core/dispatch/service_pool.h
@@ -84,6 +84,10 @@
                  SendOutcome outcome,
                  common::TimePoint now);
 
+  // Another host could not reach the endpoint. Returns whether it
+  // was ejected: not if it has answered this host in the meantime.
+  static bool OnPeerLost(EndpointRecord& endpoint, common::TimePoint now);
+
   const std::map<std::string, std::shared_ptr<EndpointRecord>>& records()
       const {
     return this->endpoints;
--- a/source/core/gateway/dispatcher.cc
+++ b/source/core/gateway/dispatcher.cc
@@ -102,6 +102,19 @@
   found->second.pool->OnSent(prompt, now);
 }
 
+void Dispatcher::OnPeerLost(uint64_t endpoint_hash) {
+  const auto found = this->engines_by_hash.find(endpoint_hash);
+  if (found == this->engines_by_hash.end())
+    return;
+  const auto record = found->second.record.lock();
+  if (!record || !ServicePool::OnPeerLost(*record, runtime::BootNow()))
+    return;
+  this->ejections.Add();
+  Line(this->log, Event::kEndpointEjected)
+      .Add(Field::kEndpoint, record->endpoint().id)
+      .Add(Field::kReason, "told_by_peer");
+}
+
 ServicePool* Dispatcher::PoolOf(std::string_view service) {
   const auto found = this->pools.find(service);
   return found == this->pools.end() ? nullptr : found->second.get();
@@ -135,6 +148,9 @@
         .Add(Field::kEndpoint, endpoint.endpoint().id)
         .Add(Field::kReason, dispatch::kSendOutcomeNames.NameOf(outcome))
         .Add(Field::kFailureShare, endpoint.health().failure_share());
+    // Silence is not told: under overload it may be a long queue.
+    if (outcome == SendOutcome::kNoRoute && this->endpoint_lost)
+      this->endpoint_lost(endpoint.endpoint().id);
     return;
   }
   if (before == EndpointHealth::State::kProbation &&
--- a/source/core/gateway/dispatcher.h
+++ b/source/core/gateway/dispatcher.h
@@ -55,6 +55,13 @@
   // Another host gave an engine a prompt to read.
   void OnPeerPrompt(uint64_t endpoint_hash, const dispatch::PeerPrompt& prompt);
 
+  // Another host could not reach an engine.
+  void OnPeerLost(uint64_t endpoint_hash);
+  // Called with the endpoints that this host can not reach.
+  void OnLost(std::function<void(const std::string& id)> callback) {
+    this->endpoint_lost = std::move(callback);
+  }
+
   using SendHandle = uint64_t;
   SendHandle Register(ActiveSend send);
   void MarkStarted(SendHandle handle);
@@ -114,6 +121,7 @@
   SendHandle next_handle = 1;
   std::map<std::string, Broken> broken;
   std::function<void()> crash_marks_changed;
+  std::function<void(const std::string& id)> endpoint_lost;
   common::TimePoint last_check;
   // Silence before this moment says nothing: this host was suspended.
   common::TimePoint silence_floor;
--- a/source/core/gateway/gateway.cc
+++ b/source/core/gateway/gateway.cc
@@ -134,6 +134,8 @@
   this->hosts.OnPeers([this](std::vector<runtime::Address> peers) {
     this->peer_loads->SetPeers(std::move(peers));
   });
+  this->dispatcher.OnLost(
+      [this](const std::string& id) { this->peer_loads->OnLost(id); });
   this->parts.peer_loads = this->peer_loads.get();
   this->workers.Spawn(0, [this] { this->peer_loads->Start(); });
 }
--- a/source/core/gateway/peer_loads.cc
+++ b/source/core/gateway/peer_loads.cc
@@ -31,6 +31,7 @@
 constexpr size_t kMostPrompts = 40;
 constexpr size_t kMostStores = 20;
 constexpr size_t kMostExcesses = 4;
+constexpr size_t kMostLost = 16;
 constexpr size_t kDatagramBytes = 1472;
 constexpr common::Duration kErrorPause = std::chrono::milliseconds(50);
 
@@ -88,14 +89,16 @@
       item.push_back(excess);
     stores.push_back(std::move(item));
   }
-  return Json::to_msgpack(Json::array({std::move(prompts), std::move(stores)}));
+  return Json::to_msgpack(
+      Json::array({std::move(prompts), std::move(stores), Json(news.lost)}));
 }
 
 std::optional<PeerNews> DecodeNews(const uint8_t* bytes, size_t size) {
   const Json lists = Json::from_msgpack(bytes, bytes + size, true, false);
-  if (!lists.is_array() || lists.size() != 2 || !lists[0].is_array() ||
+  if (!lists.is_array() || lists.size() != 3 || !lists[0].is_array() ||
       !lists[1].is_array() || lists[0].size() > kMostPrompts ||
-      lists[1].size() > kMostStores)
+      lists[1].size() > kMostStores || lists[2].size() > kMostLost ||
+      !AreNumbers(lists[2], lists[2].size()))
     return std::nullopt;
   PeerNews news;
   for (const Json& item : lists[0]) {
@@ -110,6 +113,8 @@
       return std::nullopt;
     news.stores.push_back(std::move(*use));
   }
+  for (const Json& hash : lists[2])
+    news.lost.push_back(hash.get<uint64_t>());
   return news;
 }
 
@@ -175,6 +180,11 @@
     use.excess_ms.push_back(Milliseconds(excess));
 }
 
+void PeerLoads::OnLost(std::string_view endpoint) {
+  if (this->queued.lost.size() < kMostLost)
+    this->queued.lost.push_back(common::Hash64(endpoint));
+}
+
 void PeerLoads::Start() {
   runtime::SpawnHere([this] { this->Receive(); });
   runtime::SpawnHere([this] { this->SendLoop(); });
@@ -189,7 +199,7 @@
 void PeerLoads::SendLoop() {
   while (!this->stopping) {
     runtime::SleepFor(kGatherTime);
-    if (!this->queued.prompts.empty() || !this->queued.stores.empty())
+    if (!this->queued.IsEmpty())
       this->SendQueued();
   }
 }
@@ -230,6 +240,8 @@
   const common::TimePoint now = runtime::BootNow();
   for (const SentPrompt& sent : news.prompts)
     this->dispatcher.OnPeerPrompt(sent.endpoint, sent.prompt);
+  for (const uint64_t endpoint : news.lost)
+    this->dispatcher.OnPeerLost(endpoint);
   for (const StoreUse& use : news.stores) {
     this->stores.OnPeerTransfer(use.store, use.mbit, now);
     for (const uint32_t excess : use.excess_ms)
--- a/source/core/gateway/peer_loads.h
+++ b/source/core/gateway/peer_loads.h
@@ -43,6 +43,12 @@
 struct PeerNews {
   std::vector<SentPrompt> prompts;
   std::vector<StoreUse> stores;
+  // Hashes of the ids of endpoints that could not be reached.
+  std::vector<uint64_t> lost;
+
+  bool IsEmpty() const {
+    return this->prompts.empty() && this->stores.empty() && this->lost.empty();
+  }
 
   friend bool operator==(const PeerNews&, const PeerNews&) = default;
 };
@@ -72,6 +78,7 @@
   void OnSent(std::string_view endpoint, const dispatch::PeerPrompt& prompt);
   void OnTransfer(const reuse::StoreTransfer& transfer);
   void OnFetched(std::string_view store, common::Duration excess);
+  void OnLost(std::string_view endpoint);
   // Runs on two fibers until Stop().
   void Start();
   void Stop();
--- a/source/unit_tests/core/dispatch/service_pool_test.cc
+++ b/source/unit_tests/core/dispatch/service_pool_test.cc
@@ -231,6 +231,28 @@
     CHECK(pool.pool.Choose(needs, At(1))->endpoint->endpoint().id == "e1");
 }
 
+// Load pattern: engines fall silent and each host has a few sends there a
+// second. Guards against every host finding each of them by a lost request.
+TEST_CASE("an engine that another host has lost gets nothing") {
+  Pool pool(2);
+  const auto silent = pool.pool.Find("e0");
+  silent->OnSignOfLife(At(0));
+  SECTION("unless it has just answered this host") {
+    CHECK_FALSE(ServicePool::OnPeerLost(*silent, At(300)));
+    return;
+  }
+  CHECK(ServicePool::OnPeerLost(*silent, At(900)));
+  const Prompt prompt = MakePrompt("s", 400);
+  SendNeeds needs;
+  needs.prompt = &prompt;
+  for (int i = 0; i < 20; ++i)
+    CHECK(pool.pool.Choose(needs, At(1000))->endpoint != silent);
+  // What many hosts tell does not keep it out for longer.
+  CHECK_FALSE(ServicePool::OnPeerLost(*silent, At(1000)));
+  CHECK(silent->health().StateAt(At(1700)) ==
+        EndpointHealth::State::kProbation);
+}
+
 // Guards against a service without endpoints because all were ejected at once.
 TEST_CASE("an ejected endpoint is the last resort") {
   Pool pool(1);
--- a/source/unit_tests/core/gateway/peer_loads_test.cc
+++ b/source/unit_tests/core/gateway/peer_loads_test.cc
@@ -12,6 +12,7 @@
   news.prompts = {{1, {9000, 9400, std::chrono::milliseconds(420), false}},
                   {~uint64_t{0}, {0, 700, std::chrono::seconds(2), true}}};
   news.stores = {{7, 5200, {0, 310}}, {8, 0, {}}};
+  news.lost = {12, ~uint64_t{0}};
   return news;
 }
 
@@ -44,6 +45,10 @@
   news.stores = {{7, 1, {1, 2, 3, 4, 5}}};
   const auto excesses = EncodeNews(news);
   CHECK_FALSE(DecodeNews(excesses.data(), excesses.size()));
+  news.stores.clear();
+  news.lost.resize(17);
+  const auto lost = EncodeNews(news);
+  CHECK_FALSE(DecodeNews(lost.data(), lost.size()));
 }
 
 }  // namespace
