Bound the datagrams that a host sends by gathering news for longer on large sites

Cause: one datagram to each host every 12 ms would be 31,000 a second at 370 hosts. A host now sends at most 2,000 a second; with 24 hosts nothing changes.

--- a/source/core/gateway/peer_loads.cc
+++ b/source/core/gateway/peer_loads.cc
@@ -25,8 +25,10 @@
 using common::ResultCode;
 using Json = nlohmann::json;
 
-// News of this time share a datagram.
-constexpr common::Duration kGatherTime = std::chrono::milliseconds(12);
+// News of this time share a datagram; longer where there are many hosts, so
+// that the datagrams of a host do not grow with their number.
+constexpr common::Duration kLeastGatherTime = std::chrono::milliseconds(12);
+constexpr double kMostDatagramsPerSecond = 2000;
 // A full datagram is sent at once; together these fit into kDatagramBytes.
 constexpr size_t kMostPrompts = 40;
 constexpr size_t kMostStores = 20;
@@ -196,9 +198,14 @@
   this->socket->cancel(ignored);
 }
 
+common::Duration GatherTime(size_t peers) {
+  const double seconds = static_cast<double>(peers) / kMostDatagramsPerSecond;
+  return std::max(kLeastGatherTime, common::FromSeconds(seconds));
+}
+
 void PeerLoads::SendLoop() {
   while (!this->stopping) {
-    runtime::SleepFor(kGatherTime);
+    runtime::SleepFor(GatherTime(this->peers.size()));
     if (!this->queued.IsEmpty())
       this->SendQueued();
   }
--- a/source/core/gateway/peer_loads.h
+++ b/source/core/gateway/peer_loads.h
@@ -58,6 +58,9 @@
 // Nothing when the bytes are no such datagram.
 std::optional<PeerNews> DecodeNews(const uint8_t* bytes, size_t size);
 
+// Time between two datagrams to each of the other hosts.
+common::Duration GatherTime(size_t peers);
+
 // Tells the other hosts which engines this host gives prompts to and how it
 // uses the cache stores, and books what they tell. With many hosts each sees a
 // small part of an engine's load, and prompts meet on one engine, or fetches on
--- a/source/unit_tests/core/gateway/peer_loads_test.cc
+++ b/source/unit_tests/core/gateway/peer_loads_test.cc
@@ -22,6 +22,17 @@
   CHECK(DecodeNews(bytes.data(), bytes.size()) == news);
 }
 
+// Load pattern: hundreds of hosts, each with a few requests a second. Guards
+// against datagrams that grow with the square of the number of hosts.
+TEST_CASE("a host of a large site gathers its news for longer") {
+  for (const size_t peers : {1u, 3u, 23u, 99u, 369u, 999u}) {
+    const double per_second =
+        static_cast<double>(peers) / common::ToSeconds(GatherTime(peers));
+    CHECK(per_second <= 2000.5);
+  }
+  CHECK(GatherTime(3) == GatherTime(23));
+}
+
 // Guards against a datagram from anywhere that ends the process.
 TEST_CASE("other bytes are refused") {
   const auto valid = EncodeNews(MakeNews());
