Insist early on a version that a host learns of when it starts

It counted the time to insist from there and sent a request to an engine with old weights 7 s after the naming, which began 8.1 s after it. Ruled out: a long wait at the engine alone (1.1 s, within the margin of 1.6 s).

--- a/source/core/gateway/request_task.cc
+++ b/source/core/gateway/request_task.cc
@@ -41,8 +41,6 @@
 // An endpoint that is not the one meant, or runs other weights, is left alone
 // until the view has caught up.
 constexpr Duration kMismatchPause = std::chrono::milliseconds(400);
-// Part of the bound on old weights after which requests insist on new ones.
-constexpr double kInsistShare = 0.8;
 constexpr Duration kStaleViewRetryAfter = std::chrono::milliseconds(300);
 constexpr double kPlainMoveFactor = 5;
 constexpr double kPlainMoveShare = 0.8;
@@ -195,9 +193,7 @@
   const auto named = this->parts.view.VersionOf(this->request.prompt->model);
   if (!named)
     return 0;
-  const auto insist_after =
-      Scale(this->parts.settings.version_bound, kInsistShare);
-  return now - named->learnt_at > insist_after ? named->version : 0;
+  return now > named->insist_from ? named->version : 0;
 }
 
 dispatch::SendNeeds RequestTask::Needs() const {
--- a/source/core/gateway/view_keeper.cc
+++ b/source/core/gateway/view_keeper.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "core/common/error.h"
+#include "core/rollout/insistence.h"
 #include "core/runtime/boot_clock.h"
 #include "core/runtime/sleep.h"
 #include "core/runtime/worker_pool.h"
@@ -201,7 +202,9 @@
     NamedVersion& entry = this->named_versions[named.model];
     if (named.version <= entry.version)
       return;
-    entry = {named.version, runtime::BootNow()};
+    const rollout::VersionNotice notice{runtime::BootNow(), entry.version == 0};
+    entry = {named.version,
+             rollout::InsistFrom(notice, this->settings.version_bound)};
     Line(this->log, Event::kVersionNamed)
         .Add(Field::kModel, named.model)
         .Add(Field::kVersion, named.version);
--- a/source/core/gateway/view_keeper.h
+++ b/source/core/gateway/view_keeper.h
@@ -20,8 +20,8 @@
 // The version of a model's weights that is asked for.
 struct NamedVersion {
   uint64_t version = 0;
-  // When this host learnt of it.
-  common::TimePoint learnt_at;
+  // Requests must run on it from this moment on.
+  common::TimePoint insist_from;
 };
 
 // Follows the platform's store: lists each kind once, then watches it from
