--- a/source/core/gateway/request_task.cc
+++ b/source/core/gateway/request_task.cc
@@ -189,13 +189,6 @@
   return this->deadline - now;
 }
 
-uint64_t RequestTask::RequiredVersion(TimePoint now) const {
-  const auto named = this->parts.view.VersionOf(this->request.prompt->model);
-  if (!named)
-    return 0;
-  return now > named->insist_from ? named->version : 0;
-}
-
 dispatch::SendNeeds RequestTask::Needs() const {
   dispatch::SendNeeds needs;
   needs.urgency = this->urgency;
@@ -205,9 +198,10 @@
     return needs;
   needs.prompt = &*this->request.prompt;
   needs.salt = this->cache_key;
-  needs.required_version = this->RequiredVersion(runtime::BootNow());
-  const auto named = this->parts.view.VersionOf(needs.prompt->model);
-  needs.preferred_version = named ? named->version : 0;
+  const std::string& model = needs.prompt->model;
+  needs.required_version =
+      this->parts.view.RequiredVersion(model, runtime::BootNow());
+  needs.preferred_version = this->parts.view.NewestVersion(model);
   const reuse::FetchTerms terms = this->TermsFor(nullptr);
   needs.fetch_limits = terms.limits;
   needs.stored = [this, terms,
--- a/source/core/gateway/request_task.h
+++ b/source/core/gateway/request_task.h
@@ -110,7 +110,6 @@
   std::optional<common::Duration> MoveAfter(
       const dispatch::Choice& choice) const;
   common::Duration Remaining(common::TimePoint now) const;
-  uint64_t RequiredVersion(common::TimePoint now) const;
   // The salt of parts that this version of the weights makes.
   std::string SaltFor(uint64_t version) const;
   void AddReuse(const dispatch::Choice& choice, forward::SendOrder& order);
--- a/source/core/gateway/rollout_duty.cc
+++ b/source/core/gateway/rollout_duty.cc
@@ -136,7 +136,7 @@
   if (!config)
     return std::nullopt;
   for (const auto& [model, named] : this->view.versions()) {
-    Work work{model, named.version, {}, 0};
+    Work work{model, named.newest(), {}, 0};
     for (const catalog::Service& service : config->config().services) {
       dispatch::ServicePool* pool = this->dispatcher.PoolOf(service.name);
       if (!pool || !pool->is_engine())
@@ -146,7 +146,7 @@
         if (version == 0 || endpoint->endpoint().leaving)
           continue;
         work.endpoints.push_back(endpoint);
-        if (version < named.version)
+        if (version < named.newest())
           ++work.outdated;
       }
     }
--- a/source/core/gateway/view_keeper.cc
+++ b/source/core/gateway/view_keeper.cc
@@ -5,7 +5,6 @@
 #include <vector>
 
 #include "core/common/error.h"
-#include "core/rollout/insistence.h"
 #include "core/runtime/boot_clock.h"
 #include "core/runtime/sleep.h"
 #include "core/runtime/worker_pool.h"
@@ -199,12 +198,10 @@
     return;
   try {
     const catalog::ModelVersion named = this->decoder.Version(change.object);
-    NamedVersion& entry = this->named_versions[named.model];
-    if (named.version <= entry.version)
+    const bool is_newer = this->named_versions[named.model].OnNamed(
+        named.version, this->settings.version_bound, runtime::BootNow());
+    if (!is_newer)
       return;
-    const rollout::VersionNotice notice{runtime::BootNow(), entry.version == 0};
-    entry = {named.version,
-             rollout::InsistFrom(notice, this->settings.version_bound)};
     Line(this->log, Event::kVersionNamed)
         .Add(Field::kModel, named.model)
         .Add(Field::kVersion, named.version);
@@ -219,12 +216,16 @@
     this->host_changed(change);
 }
 
-std::optional<NamedVersion> ViewKeeper::VersionOf(
-    std::string_view model) const {
+uint64_t ViewKeeper::NewestVersion(std::string_view model) const {
   const auto found = this->named_versions.find(model);
-  if (found == this->named_versions.end())
-    return std::nullopt;
-  return found->second;
+  return found == this->named_versions.end() ? 0 : found->second.newest();
+}
+
+uint64_t ViewKeeper::RequiredVersion(std::string_view model,
+                                     common::TimePoint now) const {
+  const auto found = this->named_versions.find(model);
+  return found == this->named_versions.end() ? 0
+                                             : found->second.RequiredAt(now);
 }
 
 void ViewKeeper::Expire(common::TimePoint now) {
--- a/source/core/gateway/view_keeper.h
+++ b/source/core/gateway/view_keeper.h
@@ -14,16 +14,10 @@
 #include "core/events/event_log.h"
 #include "core/gateway/decoder.h"
 #include "core/gateway/settings.h"
+#include "core/rollout/insistence.h"
 
 namespace jujuberock::gateway {
 
-// The version of a model's weights that is asked for.
-struct NamedVersion {
-  uint64_t version = 0;
-  // Requests must run on it from this moment on.
-  common::TimePoint insist_from;
-};
-
 // Follows the platform's store: lists each kind once, then watches it from
 // there. Keeps the last good view while the store does not answer, and tells
 // how old it is. All calls and callbacks are made on one worker.
@@ -56,11 +50,15 @@
     return this->directory;
   }
   const catalog::ViewAge& age() const { return this->view_age; }
-  // The version named for the model, if any.
-  std::optional<NamedVersion> VersionOf(std::string_view model) const;
-  const std::map<std::string, NamedVersion, std::less<>>& versions() const {
-    return this->named_versions;
-  }
+  // By model.
+  using VersionsByModel =
+      std::map<std::string, rollout::NamedVersions, std::less<>>;
+
+  // The newest version named for the model; 0 when there is none.
+  uint64_t NewestVersion(std::string_view model) const;
+  // The oldest version that a request may begin on; 0 for any.
+  uint64_t RequiredVersion(std::string_view model, common::TimePoint now) const;
+  const VersionsByModel& versions() const { return this->named_versions; }
   // Whether requests can be routed.
   bool IsComplete() const {
     return this->view != nullptr && this->endpoints_known;
@@ -103,7 +101,7 @@
   std::shared_ptr<const catalog::ConfigView> view;
   catalog::ViewAge view_age;
   catalog::EndpointDirectory directory;
-  std::map<std::string, NamedVersion, std::less<>> named_versions;
+  VersionsByModel named_versions;
   bool endpoints_known = false;
   bool stopping = false;
 };
--- a/source/core/rollout/insistence.h
+++ b/source/core/rollout/insistence.h
@@ -1,23 +1,36 @@
 #ifndef CORE_ROLLOUT_INSISTENCE_H_
 #define CORE_ROLLOUT_INSISTENCE_H_
 
+#include <cstdint>
+#include <vector>
+
 #include "core/common/time.h"
 
 namespace jujuberock::rollout {
 
-// When a host learnt that a version of a model's weights is asked for.
-struct VersionNotice {
-  common::TimePoint learnt_at;
-  // It is the first version of the model that this host knows, so the host has
-  // just started and the version may have been named long before.
-  bool is_first = false;
-};
+// Versions of one model's weights that were named, and from when on requests
+// must run on each, so that none begins on an older one later than `bound`
+// after the naming. Before that, requests may go to engines with older weights.
+// A newer name does not lift what an earlier one requires. Not thread-safe.
+class NamedVersions {
+ public:
+  // This host has learnt that a version is asked for. Returns whether it is the
+  // newest.
+  bool OnNamed(uint64_t version, common::Duration bound, common::TimePoint now);
+  // 0 before any was named.
+  uint64_t newest() const;
+  // The oldest version that a request may begin on; 0 for any.
+  uint64_t RequiredAt(common::TimePoint now) const;
 
-// From when on requests must run on the version, so that none begins on an
-// older one later than `bound` after the version was named. Before that, they
-// may go to engines that still have older weights.
-common::TimePoint InsistFrom(const VersionNotice& notice,
-                             common::Duration bound);
+ private:
+  struct Named {
+    uint64_t version = 0;
+    common::TimePoint insist_from;
+  };
+
+  // Ascending; those before the one that is required are dropped.
+  std::vector<Named> named;
+};
 
 }  // namespace jujuberock::rollout
 
--- a/source/unit_tests/core/rollout/insistence_test.cc
+++ b/source/unit_tests/core/rollout/insistence_test.cc
@@ -10,17 +10,57 @@
 
 constexpr common::Duration kBound = std::chrono::seconds(8);
 
+TimePoint At(int ms) {
+  return TimePoint(milliseconds(100000 + ms));
+}
+
+// Version 1 since long, version 2 named at 0.
+NamedVersions TwoVersions() {
+  NamedVersions versions;
+  versions.OnNamed(1, kBound, At(-60000));
+  versions.OnNamed(2, kBound, At(0));
+  return versions;
+}
+
 TEST_CASE("a version that was just named may wait for its engines") {
-  const TimePoint learnt(std::chrono::seconds(100));
-  CHECK(InsistFrom({learnt, false}, kBound) == learnt + milliseconds(6400));
+  const NamedVersions versions = TwoVersions();
+  CHECK(versions.newest() == 2);
+  CHECK(versions.RequiredAt(At(6300)) == 1);
+  CHECK(versions.RequiredAt(At(6500)) == 2);
 }
 
 // Guards against requests on old weights from a host that was restarted while
 // engines were changing: it learnt of the version when it started, 0.9 s after
 // the version was named, and sent a request to an old engine 7 s after that.
 TEST_CASE("a host that has just started insists early") {
-  const TimePoint learnt(std::chrono::seconds(100));
-  CHECK(InsistFrom({learnt, true}, kBound) <= learnt + milliseconds(2000));
+  NamedVersions versions;
+  versions.OnNamed(2, kBound, At(900));
+  CHECK(versions.RequiredAt(At(900)) == 0);
+  CHECK(versions.RequiredAt(At(2900)) == 2);
+}
+
+// Guards against requests that may go to the oldest weights again because a
+// third version was named while engines were late with the second.
+TEST_CASE("a newer name does not lift what an earlier one requires") {
+  NamedVersions versions = TwoVersions();
+  SECTION("the earlier version is required already") {
+    versions.OnNamed(3, kBound, At(9000));
+    CHECK(versions.RequiredAt(At(9100)) == 2);
+    CHECK(versions.RequiredAt(At(15500)) == 3);
+  }
+  SECTION("the earlier version is required later") {
+    versions.OnNamed(3, kBound, At(4000));
+    CHECK(versions.RequiredAt(At(6300)) == 1);
+    CHECK(versions.RequiredAt(At(6500)) == 2);
+    CHECK(versions.RequiredAt(At(10500)) == 3);
+  }
+}
+
+TEST_CASE("an older name changes nothing") {
+  NamedVersions versions = TwoVersions();
+  CHECK_FALSE(versions.OnNamed(2, kBound, At(5000)));
+  CHECK_FALSE(versions.OnNamed(1, kBound, At(5000)));
+  CHECK(versions.RequiredAt(At(6500)) == 2);
 }
 
 }  // namespace
