Look up the plan of a rollout again after each call to an engine

Ruled out: the planned stop, memory over the limit, other fibers at the end of the process. Change: the plan is looked up after each call.

--- a/source/core/gateway/rollout_duty.cc
+++ b/source/core/gateway/rollout_duty.cc
@@ -229,6 +229,11 @@
   this->plans.clear();
 }
 
+rollout::RolloutPlan* RolloutDuty::FindPlan(const std::string& model) {
+  const auto found = this->plans.find(model);
+  return found == this->plans.end() ? nullptr : &found->second;
+}
+
 rollout::RolloutPlan& RolloutDuty::PlanOf(const Work& work) {
   const auto [entry, is_new] =
       this->plans.try_emplace(work.model, rollout::RolloutPlanOptions());
@@ -300,12 +305,14 @@
                             uint64_t version,
                             std::shared_ptr<EndpointRecord> endpoint) {
   const std::string id = endpoint->endpoint().id;
-  const auto plan = this->plans.find(model);
-  if (plan == this->plans.end())
-    return;
   const auto report = this->control.Report(endpoint->endpoint());
+  // Looked up after each call: the lease may be released meanwhile, and the
+  // plans with it.
+  rollout::RolloutPlan* plan = this->FindPlan(model);
+  if (!plan)
+    return;
   if (!report || report->busy) {
-    plan->second.OnOrderFailed(id, runtime::BootNow());
+    plan->OnOrderFailed(id, runtime::BootNow());
     return;
   }
   // Checked last: the report took time, and this host may have been suspended.
@@ -321,21 +328,21 @@
       .Add(Field::kToken, order.token)
       .Add(Field::kInFlight, endpoint->own_in_flight())
       .Add(Field::kStatus, static_cast<int>(reply));
-  const auto again = this->plans.find(model);
-  if (again == this->plans.end())
+  plan = this->FindPlan(model);
+  if (!plan)
     return;
   switch (reply) {
     case OrderReply::kAccepted:
     case OrderReply::kUnknown:
-      again->second.OnOrdered(id, runtime::BootNow());
+      plan->OnOrdered(id, runtime::BootNow());
       return;
     case OrderReply::kInForce:
       endpoint->SetVersion(model, version);
-      again->second.OnUpdated(id);
+      plan->OnUpdated(id);
       return;
     case OrderReply::kRefused:
     case OrderReply::kStale:
-      again->second.OnOrderFailed(id, runtime::BootNow());
+      plan->OnOrderFailed(id, runtime::BootNow());
       return;
   }
 }
--- a/source/core/gateway/rollout_duty.h
+++ b/source/core/gateway/rollout_duty.h
@@ -66,6 +66,8 @@
   void PollOrdered(const Work& work);
   void ApplyReservations();
   rollout::RolloutPlan& PlanOf(const Work& work);
+  // Null when this host has no plan for the model. Not to be kept over a call.
+  rollout::RolloutPlan* FindPlan(const std::string& model);
 
   const Settings& settings;
   const ViewKeeper& view;
