--- a/source/unit_tests/core/journal/service_test.cc
+++ b/source/unit_tests/core/journal/service_test.cc
@@ -90,12 +90,18 @@
     return order;
   }
 
+  // Called by workers, also while hosts start and end.
   std::optional<Address> Resolve(const std::string& name) const {
-    for (const auto& host : this->hosts) {
-      if (host && "host-" + std::to_string(&host - this->hosts.data()) == name)
-        return host->peers.address();
-    }
-    return std::nullopt;
+    const std::lock_guard lock(this->addresses_mutex);
+    const auto found = this->addresses.find(name);
+    if (found == this->addresses.end())
+      return std::nullopt;
+    return found->second;
+  }
+
+  void SetAddress(const std::string& name, const Address& address) {
+    const std::lock_guard lock(this->addresses_mutex);
+    this->addresses[name] = address;
   }
 
   // Sends one call to one host, like `serve` does. Runs on a worker.
@@ -156,8 +162,11 @@
   Served<standin::PlainServiceStandin, standin::PlainServiceOptions> plain{
       standin::PlainServiceOptions{}};
   const common::UnixTime issued = timers.WallNow();
-  std::vector<std::unique_ptr<ClusterHost>> hosts;
+  // Declared before the hosts, whose fibers use them until their end.
   std::set<size_t> live;
+  mutable std::mutex addresses_mutex;
+  std::map<std::string, Address> addresses;
+  std::vector<std::unique_ptr<ClusterHost>> hosts;
   // Told how long each call waited for its permit.
   std::function<void(common::Duration)> on_permit;
 };
@@ -197,6 +206,7 @@
     });
   }
   this->peers.Serve();
+  cluster.SetAddress(name, this->peers.address());
 }
 
 // Guards against a second execution when the same call reaches several hosts
