Require the first version of a model no earlier than later ones

Cause: VersionRequirements took the first version that a host hears of for one that was announced before the host started, and required it after a fifth of the bound.

Change: the platform view passes on when a change can have been made at the earliest: at any time for the first list after the start, since the last answer for a list or watch after an interruption, just now otherwise. A refusal's line says the configuration and weight version required, and how many endpoints were left and excluded for which reason. Removes the unused failure share accessor and a constant that no code used.

Measured: the new test of the running host fails with the former rule.

--- a/source/core/dispatch/service_pool.cc
+++ b/source/core/dispatch/service_pool.cc
@@ -23,9 +23,6 @@
 constexpr double kCrossZonePenaltyMs = 1.5;
 // Requests on old weights are worth less, and soon nothing.
 constexpr double kOldVersionPenaltyMs = 60;
-// Penalty for a long run on an engine whose weights are replaced next, because
-// the run delays the replacement. Not used so far.
-constexpr double kLongRunDelayPenaltyMs = 250;
 // Weight of the pending prefill on the engine of a long run. Prefill lengthens
 // the pauses in the stream, even for prompts that are less urgent.
 constexpr double kPendingPrefillWeight = 0.5;
@@ -101,19 +98,38 @@
   return found == this->endpoints.end() ? nullptr : found->second;
 }
 
-ServicePool::Eligibility ServicePool::EligibilityOf(
-    const EndpointRecord& record,
-    const SendRequirements& requirements,
-    common::TimePoint now) const {
+Exclusion ServicePool::ExclusionOf(const EndpointRecord& record,
+                                   const SendRequirements& requirements,
+                                   common::TimePoint now) {
   if (record.endpoint().leaving || record.removed)
-    return Eligibility::kNo;
+    return Exclusion::kLeaving;
   if (requirements.tried && requirements.tried->contains(record.endpoint().id))
-    return Eligibility::kNo;
+    return Exclusion::kTried;
   if (requirements.prompt && requirements.required_version != 0 &&
       record.VersionOf(requirements.prompt->model) <
           requirements.required_version)
-    return Eligibility::kNo;
+    return Exclusion::kOutdated;
   if (now < record.reserved_until)
+    return Exclusion::kPaused;
+  return Exclusion::kNone;
+}
+
+ExclusionCounts ServicePool::CountExclusions(
+    const SendRequirements& requirements,
+    common::TimePoint now) const {
+  ExclusionCounts counts{};
+  for (const auto& [id, record] : this->endpoints) {
+    const Exclusion exclusion = ExclusionOf(*record, requirements, now);
+    ++counts[static_cast<size_t>(exclusion)];
+  }
+  return counts;
+}
+
+ServicePool::Eligibility ServicePool::EligibilityOf(
+    const EndpointRecord& record,
+    const SendRequirements& requirements,
+    common::TimePoint now) {
+  if (ExclusionOf(record, requirements, now) != Exclusion::kNone)
     return Eligibility::kNo;
   switch (record.health().StateAt(now)) {
     case EndpointHealth::State::kHealthy:
@@ -146,8 +162,7 @@
                              is_long && this->long_run_share > 0)
           : Affinity();
   for (const auto& [id, record] : this->endpoints) {
-    const Eligibility eligibility =
-        this->EligibilityOf(*record, requirements, now);
+    const Eligibility eligibility = EligibilityOf(*record, requirements, now);
     if (eligibility == Eligibility::kNo || eligibility < best_eligibility)
       continue;
     EndpointChoice choice{record};
--- a/source/core/dispatch/service_pool.h
+++ b/source/core/dispatch/service_pool.h
@@ -1,6 +1,8 @@
 #ifndef CORE_DISPATCH_SERVICE_POOL_H_
 #define CORE_DISPATCH_SERVICE_POOL_H_
 
+#include <array>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -11,6 +13,7 @@
 #include <vector>
 
 #include "core/catalog/types.h"
+#include "core/common/name_table.h"
 #include "core/common/random.h"
 #include "core/dispatch/decaying_rate.h"
 #include "core/dispatch/endpoint_record.h"
@@ -20,6 +23,21 @@
 
 namespace jujuberock::dispatch {
 
+// Why an endpoint may not take a request.
+enum class Exclusion {
+  kNone,
+  kLeaving,   // it is draining or no longer registered
+  kTried,     // the request was already sent to it
+  kOutdated,  // its weights are older than the required version
+  kPaused,    // its weights are being replaced, or it is full
+};
+
+inline constexpr common::NameTable<Exclusion, 5> kExclusionNames(
+    {"none", "leaving", "tried", "outdated", "paused"});
+
+// Number of endpoints by exclusion; indexed by Exclusion.
+using ExclusionCounts = std::array<uint64_t, 5>;
+
 // Properties of a request that the choice of an endpoint depends on.
 struct SendRequirements {
   int urgency = 0;
@@ -78,6 +96,10 @@
   std::optional<EndpointChoice> Choose(const SendRequirements& requirements,
                                        common::TimePoint now);
 
+  // Counts the endpoints that may take the request and those that may not.
+  ExclusionCounts CountExclusions(const SendRequirements& requirements,
+                                  common::TimePoint now) const;
+
   // Records a send of this host or one that another host announced.
   void OnSent(const PeerPrompt& prompt, common::TimePoint now);
   void OnFirstToken(const SendTicket& ticket, common::TimePoint now);
@@ -103,14 +125,16 @@
     return this->properties;
   }
   bool is_engine() const { return this->properties.has_value(); }
-  double usual_failures() const { return this->failure_share; }
 
  private:
   enum class Eligibility { kNo, kLastResort, kYes };
 
-  Eligibility EligibilityOf(const EndpointRecord& record,
-                            const SendRequirements& requirements,
-                            common::TimePoint now) const;
+  static Exclusion ExclusionOf(const EndpointRecord& record,
+                               const SendRequirements& requirements,
+                               common::TimePoint now);
+  static Eligibility EligibilityOf(const EndpointRecord& record,
+                                   const SendRequirements& requirements,
+                                   common::TimePoint now);
   // The two highest-ranked endpoints of a session by rendezvous hashing.
   struct Affinity {
     const EndpointRecord* first = nullptr;
--- a/source/core/events/event_log.h
+++ b/source/core/events/event_log.h
@@ -98,6 +98,9 @@
   kFailureShare,
   kModel,
   kVersion,
+  kRequiredVersion,
+  kEndpointsLeft,
+  kExcludedEndpoints,
   kToken,
   kFingerprint,
   kCount,
@@ -105,17 +108,43 @@
   kDetail,
 };
 
-inline constexpr size_t kFieldCount = 31;
+inline constexpr size_t kFieldCount = 34;
 
 inline constexpr common::NameTable<Field, kFieldCount> kFieldNames(
-    {"request",        "route",          "service",         "endpoint",
-     "team",           "reason",         "status",          "attempt",
-     "config_version", "view_age_ms",    "remaining_ms",    "elapsed_ms",
-     "held_ms",        "predicted_ms",   "first_byte_ms",   "longest_pause_ms",
-     "took_ms",        "retry_after_ms", "uncached_tokens", "fetched_tokens",
-     "skipped_tokens", "absent_tokens",  "in_flight",       "failure_share",
-     "model",          "version",        "token",           "fingerprint",
-     "count",          "dependency",     "detail"});
+    {"request",
+     "route",
+     "service",
+     "endpoint",
+     "team",
+     "reason",
+     "status",
+     "attempt",
+     "config_version",
+     "view_age_ms",
+     "remaining_ms",
+     "elapsed_ms",
+     "held_ms",
+     "predicted_ms",
+     "first_byte_ms",
+     "longest_pause_ms",
+     "took_ms",
+     "retry_after_ms",
+     "uncached_tokens",
+     "fetched_tokens",
+     "skipped_tokens",
+     "absent_tokens",
+     "in_flight",
+     "failure_share",
+     "model",
+     "version",
+     "required_version",
+     "endpoints_left",
+     "excluded_endpoints",
+     "token",
+     "fingerprint",
+     "count",
+     "dependency",
+     "detail"});
 
 Level LevelOf(Event event);
 
--- a/source/core/gateway/platform_view.cc
+++ b/source/core/gateway/platform_view.cc
@@ -86,6 +86,8 @@
 void PlatformView::List(KindWatch& watch) {
   const common::TimePoint sent_at = runtime::BootNow();
   const catalog::ObjectSnapshot snapshot = this->store.List(watch.kind);
+  // Changes since the last answer are not listed one by one.
+  const ChangeTime changed_after = watch.answered_at;
   watch.revision = snapshot.revision;
   this->OnAnswer(watch, sent_at);
   if (watch.kind == ObjectKind::kEndpoints) {
@@ -93,7 +95,7 @@
     return;
   }
   for (const catalog::StoredObject& object : snapshot.objects)
-    (this->*watch.apply)({object, false});
+    (this->*watch.apply)({object, false}, changed_after);
 }
 
 void PlatformView::Watch(KindWatch& watch) {
@@ -110,11 +112,15 @@
       changes.changes.empty() &&
       received_at - sent_at >= watch.wait - kWatchTolerance;
   watch.revision = changes.revision;
+  // An uninterrupted watch reports a change at once; a resumed one reports all
+  // changes since the last answer.
+  const ChangeTime changed_after =
+      watch.failures > 0 ? watch.answered_at : received_at;
   this->OnAnswer(watch, wait_elapsed
                             ? std::min(received_at, sent_at + watch.wait)
                             : sent_at);
   for (const ObjectChange& change : changes.changes)
-    (this->*watch.apply)(change);
+    (this->*watch.apply)(change, changed_after);
   if (!changes.changes.empty() && watch.batch_delay > kNoBatchDelay)
     runtime::SleepFor(watch.batch_delay);
 }
@@ -126,6 +132,7 @@
         .Add(Field::kDependency, watch.name)
         .Add(Field::kCount, watch.failures);
   watch.failures = 0;
+  watch.answered_at = earliest_answer;
   if (watch.kind == ObjectKind::kConfig)
     this->view_age.OnConfirmed(earliest_answer);
   if (watch.kind == ObjectKind::kEndpoints)
@@ -141,7 +148,7 @@
     this->directory.OnStoreFailure(runtime::BootNow());
 }
 
-void PlatformView::ApplyConfig(const ObjectChange& change) {
+void PlatformView::ApplyConfig(const ObjectChange& change, const ChangeTime&) {
   if (change.deleted)
     return;
   try {
@@ -161,7 +168,8 @@
   }
 }
 
-void PlatformView::ApplyEndpoint(const ObjectChange& change) {
+void PlatformView::ApplyEndpoint(const ObjectChange& change,
+                                 const ChangeTime&) {
   const common::TimePoint now = runtime::BootNow();
   const auto endpoint =
       change.deleted ? std::nullopt : this->decoder.Endpoint(change.object);
@@ -199,7 +207,8 @@
   this->NotifyChanged();
 }
 
-void PlatformView::ApplyVersion(const ObjectChange& change) {
+void PlatformView::ApplyVersion(const ObjectChange& change,
+                                const ChangeTime& changed_after) {
   if (change.deleted)
     return;
   try {
@@ -207,7 +216,7 @@
         this->decoder.Version(change.object);
     const bool is_newer =
         this->version_requirements[announced.model].OnAnnounced(
-            announced.version, this->settings.version_bound,
+            announced.version, this->settings.version_bound, changed_after,
             runtime::BootNow());
     if (!is_newer)
       return;
@@ -221,7 +230,7 @@
   }
 }
 
-void PlatformView::ApplyHost(const ObjectChange& change) {
+void PlatformView::ApplyHost(const ObjectChange& change, const ChangeTime&) {
   if (this->on_host_object)
     this->on_host_object(change);
 }
--- a/source/core/gateway/platform_view.h
+++ b/source/core/gateway/platform_view.h
@@ -69,15 +69,22 @@
   void Expire(common::TimePoint now);
 
  private:
+  // Last time at which a change was certainly not made yet; nullopt if it may
+  // have been made at any time before the host started.
+  using ChangeTime = std::optional<common::TimePoint>;
+
   struct KindWatch {
     catalog::ObjectKind kind;
     const char* name;
     common::Duration wait;
     // Pause after changes, so that the next call returns several of them.
     common::Duration batch_delay;
-    void (PlatformView::*apply)(const catalog::ObjectChange&);
+    void (PlatformView::*apply)(const catalog::ObjectChange&,
+                                const ChangeTime&);
     std::optional<uint64_t> revision = std::nullopt;
     int failures = 0;
+    // Earliest time at which the last answer can have been produced.
+    std::optional<common::TimePoint> answered_at = std::nullopt;
   };
 
   void WatchKind(KindWatch watch);
@@ -87,10 +94,11 @@
   void OnAnswer(KindWatch& watch, common::TimePoint earliest_answer);
   void OnFailure(KindWatch& watch, const std::string& detail);
 
-  void ApplyConfig(const catalog::ObjectChange& change);
-  void ApplyEndpoint(const catalog::ObjectChange& change);
-  void ApplyVersion(const catalog::ObjectChange& change);
-  void ApplyHost(const catalog::ObjectChange& change);
+  void ApplyConfig(const catalog::ObjectChange& change, const ChangeTime&);
+  void ApplyEndpoint(const catalog::ObjectChange& change, const ChangeTime&);
+  void ApplyVersion(const catalog::ObjectChange& change,
+                    const ChangeTime& changed_after);
+  void ApplyHost(const catalog::ObjectChange& change, const ChangeTime&);
   void ReplaceEndpoints(const catalog::ObjectSnapshot& snapshot);
   void NotifyChanged();
 
--- a/source/core/gateway/request_task.cc
+++ b/source/core/gateway/request_task.cc
@@ -279,13 +279,38 @@
       .Add(Field::kHeldMs, now - this->received_at);
   if (this->route)
     line.Add(Field::kRoute, this->route->name);
+  if (this->config)
+    line.Add(Field::kConfigVersion, this->config->version());
   if (const auto age = this->deps.view.age().AgeAt(now))
     line.Add(Field::kViewAgeMs, *age);
+  if (this->pool)
+    this->AddExclusions(line, now);
   if (retry_after)
     line.Add(Field::kRetryAfterMs, *retry_after);
   throw RefusedError(code, reason, retry_after);
 }
 
+void RequestTask::AddExclusions(LogLine& line, TimePoint now) const {
+  const dispatch::SendRequirements requirements = this->Requirements();
+  const dispatch::ExclusionCounts counts =
+      this->pool->CountExclusions(requirements, now);
+  std::string excluded;
+  for (size_t i = 1; i < counts.size(); ++i) {
+    if (counts[i] == 0)
+      continue;
+    if (!excluded.empty())
+      excluded += ',';
+    const auto exclusion = static_cast<dispatch::Exclusion>(i);
+    excluded += dispatch::kExclusionNames.NameOf(exclusion);
+    excluded += ':' + std::to_string(counts[i]);
+  }
+  if (requirements.required_version != 0)
+    line.Add(Field::kRequiredVersion, requirements.required_version);
+  line.Add(Field::kEndpointsLeft, counts[0]);
+  if (!excluded.empty())
+    line.Add(Field::kExcludedEndpoints, excluded);
+}
+
 forward::SendParameters RequestTask::MakeSendParameters(
     const dispatch::EndpointChoice& choice) {
   const TimePoint now = runtime::BootNow();
--- a/source/core/gateway/request_task.h
+++ b/source/core/gateway/request_task.h
@@ -76,6 +76,9 @@
   // Waits until the request may be sent. Throws if it is refused.
   dispatch::EndpointChoice AwaitEndpoint();
   dispatch::SendRequirements Requirements() const;
+  // Adds the version that is required now and the numbers of endpoints that may
+  // and may not take the request.
+  void AddExclusions(events::LogLine& line, common::TimePoint now) const;
   [[noreturn]] void Refuse(common::ResultCode code,
                            const char* reason,
                            std::optional<common::Duration> retry_after);
--- a/source/core/rollout/version_requirements.cc
+++ b/source/core/rollout/version_requirements.cc
@@ -1,34 +1,42 @@
 #include "core/rollout/version_requirements.h"
 
+#include <algorithm>
+
 #include "core/common/scale.h"
 
 namespace jujuberock::rollout {
 
 namespace {
 
-// Share of the bound after which a version is required. The rest is left for
-// requests that are queued at their engine.
+// Share of the bound after which a version is required, counted from its
+// announcement. The rest is left for requests that are queued at their engine.
 constexpr double kRequiredAfterShare = 0.8;
-// The same share for the first version that a host learns of. It is smaller,
-// because that version may have been announced long before the host started.
-// Until then the host may use older versions, since the platform's bounds do
-// not apply to a host in the first seconds after its start.
-constexpr double kRequiredAfterShareAtStart = 0.2;
+// Share of the bound for which a host may use older versions after it learns of
+// a version that may have been announced long ago. The platform's bounds do not
+// apply to a host in the first seconds after its start or an outage.
+constexpr double kMinAdaptationShare = 0.2;
 
 }  // namespace
 
-bool VersionRequirements::OnAnnounced(uint64_t version,
-                                      common::Duration bound,
-                                      common::TimePoint now) {
+bool VersionRequirements::OnAnnounced(
+    uint64_t version,
+    common::Duration bound,
+    std::optional<common::TimePoint> announced_after,
+    common::TimePoint now) {
   if (version <= this->newest())
     return false;
-  const double share = this->announced.empty() ? kRequiredAfterShareAtStart
-                                               : kRequiredAfterShare;
+  common::TimePoint required_from =
+      now + common::Scale(bound, kMinAdaptationShare);
+  if (announced_after) {
+    required_from =
+        std::max(required_from,
+                 *announced_after + common::Scale(bound, kRequiredAfterShare));
+  }
   const uint64_t required = this->RequiredAt(now);
   std::erase_if(this->announced, [&](const Announced& entry) {
     return entry.version < required;
   });
-  this->announced.push_back({version, now + common::Scale(bound, share)});
+  this->announced.push_back({version, required_from});
   return true;
 }
 
--- a/source/core/rollout/version_requirements.h
+++ b/source/core/rollout/version_requirements.h
@@ -2,6 +2,7 @@
 #define CORE_ROLLOUT_VERSION_REQUIREMENTS_H_
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "core/common/time.h"
@@ -15,10 +16,13 @@
 // requirement of an earlier one. Not thread-safe.
 class VersionRequirements {
  public:
-  // Records that this host has learned of a target version. Returns whether it
-  // is newer than all known ones.
+  // Records that this host has learned of a target version. `announced_after`
+  // is the last time at which the version was certainly not announced yet;
+  // nullopt if the host has no such evidence, because it has just started.
+  // Returns whether the version is newer than all known ones.
   bool OnAnnounced(uint64_t version,
                    common::Duration bound,
+                   std::optional<common::TimePoint> announced_after,
                    common::TimePoint now);
   // The newest announced version; 0 if there is none.
   uint64_t newest() const;
@@ -37,4 +41,4 @@
 
 }  // namespace jujuberock::rollout
 
-#endif  // CORE_ROLLOUT_INSISTENCE_H_
+#endif  // CORE_ROLLOUT_VERSION_REQUIREMENTS_H_
--- a/source/unit_tests/core/dispatch/service_pool_test.cc
+++ b/source/unit_tests/core/dispatch/service_pool_test.cc
@@ -1,7 +1,9 @@
 #include "core/dispatch/service_pool.h"
 
-#include <catch2/catch.hpp>
 #include <map>
+#include <set>
+
+#include <catch2/catch.hpp>
 
 namespace jujuberock::dispatch {
 namespace {
@@ -278,5 +280,25 @@
   CHECK(before->removed);
 }
 
+// Guards against refusals whose log line does not say why no engine was left.
+TEST_CASE("engines that may not take a request are counted by reason") {
+  ServicePool pool("z", 1, kSeed);
+  auto endpoints = MakeEndpoints(6);
+  endpoints[0].leaving = true;
+  endpoints[5].models = {{"m", 2}};
+  pool.Update(EngineService(), endpoints);
+  pool.Find("e1")->reserved_until = At(1000);
+  const std::set<std::string> tried = {"e2"};
+  const Prompt prompt = MakePrompt("s", 1000);
+  SendRequirements requirements;
+  requirements.prompt = &prompt;
+  requirements.tried = &tried;
+  const auto any_version = pool.CountExclusions(requirements, At(0));
+  CHECK(any_version == ExclusionCounts{3, 1, 1, 0, 1});
+  requirements.required_version = 2;
+  const auto newest = pool.CountExclusions(requirements, At(0));
+  CHECK(newest == ExclusionCounts{1, 1, 1, 3, 0});
+}
+
 }  // namespace
 }  // namespace jujuberock::dispatch
--- a/source/unit_tests/core/rollout/version_requirements_test.cc
+++ b/source/unit_tests/core/rollout/version_requirements_test.cc
@@ -17,8 +17,8 @@
 // Version 1 was announced long ago, version 2 at time 0.
 VersionRequirements TwoVersions() {
   VersionRequirements versions;
-  versions.OnAnnounced(1, kBound, At(-60000));
-  versions.OnAnnounced(2, kBound, At(0));
+  versions.OnAnnounced(1, kBound, At(-60000), At(-60000));
+  versions.OnAnnounced(2, kBound, At(0), At(0));
   return versions;
 }
 
@@ -34,22 +34,47 @@
 // announcement, and sent a request to an outdated engine 7 s after that.
 TEST_CASE("a host that has just started requires a version early") {
   VersionRequirements versions;
-  versions.OnAnnounced(2, kBound, At(900));
+  versions.OnAnnounced(2, kBound, std::nullopt, At(900));
   CHECK(versions.RequiredAt(At(900)) == 0);
   CHECK(versions.RequiredAt(At(2900)) == 2);
 }
 
+// Guards against refusals from 1.6 s after the announcement on, while no engine
+// had an order yet: the first version of a model that was ever announced
+// reached hosts that had been running for 30 s.
+TEST_CASE(
+    "the first version is not required early by a host that was running") {
+  VersionRequirements versions;
+  versions.OnAnnounced(2, kBound, At(0), At(0));
+  CHECK(versions.RequiredAt(At(6300)) == 0);
+  CHECK(versions.RequiredAt(At(6500)) == 2);
+}
+
+TEST_CASE("a version announced during an outage counts from the last answer") {
+  VersionRequirements versions;
+  SECTION("the outage was short") {
+    versions.OnAnnounced(2, kBound, At(0), At(2000));
+    CHECK(versions.RequiredAt(At(6300)) == 0);
+    CHECK(versions.RequiredAt(At(6500)) == 2);
+  }
+  SECTION("the outage was longer than the bound") {
+    versions.OnAnnounced(2, kBound, At(0), At(20000));
+    CHECK(versions.RequiredAt(At(21500)) == 0);
+    CHECK(versions.RequiredAt(At(21700)) == 2);
+  }
+}
+
 // Guards against requests on the oldest weights after a third version was
 // announced while engines were still late with the second.
 TEST_CASE("a newer announcement does not cancel an earlier requirement") {
   VersionRequirements versions = TwoVersions();
   SECTION("the earlier version is required already") {
-    versions.OnAnnounced(3, kBound, At(9000));
+    versions.OnAnnounced(3, kBound, At(9000), At(9000));
     CHECK(versions.RequiredAt(At(9100)) == 2);
     CHECK(versions.RequiredAt(At(15500)) == 3);
   }
   SECTION("the earlier version is required later") {
-    versions.OnAnnounced(3, kBound, At(4000));
+    versions.OnAnnounced(3, kBound, At(4000), At(4000));
     CHECK(versions.RequiredAt(At(6300)) == 1);
     CHECK(versions.RequiredAt(At(6500)) == 2);
     CHECK(versions.RequiredAt(At(10500)) == 3);
@@ -58,8 +83,8 @@
 
 TEST_CASE("announcing an older version has no effect") {
   VersionRequirements versions = TwoVersions();
-  CHECK_FALSE(versions.OnAnnounced(2, kBound, At(5000)));
-  CHECK_FALSE(versions.OnAnnounced(1, kBound, At(5000)));
+  CHECK_FALSE(versions.OnAnnounced(2, kBound, At(5000), At(5000)));
+  CHECK_FALSE(versions.OnAnnounced(1, kBound, At(5000), At(5000)));
   CHECK(versions.RequiredAt(At(6500)) == 2);
 }
 
