Empty the next engines while the current ones load their weights

Cause: a batch of engines was reserved only after the batch before it had loaded, so nothing loaded during 900 ms of notice: nine engines, two at a time and 0.97 s a load, took 10 s. Reservations of dead engines were never released, and engines that a newer version found on the intermediate one were loaded as early as those that still had the oldest.

Change: at most a fifth of the engines load at once; the next ones are reserved early enough for their notice to end when these are done, by the learnt load time. The oldest weights come first. An engine that does not take its order four times makes room for others. The announcement of upcoming engines, which no choice used, is gone; records keep an empty list for hosts of former builds.

--- a/source/core/dispatch/endpoint_record.h
+++ b/source/core/dispatch/endpoint_record.h
@@ -109,9 +109,6 @@
   // The endpoint takes no new requests before this time, because its weights
   // are being replaced.
   common::TimePoint reserved_until;
-  // No long runs start on the endpoint before this time, because its weights
-  // are replaced next.
-  common::TimePoint short_runs_until;
   // Set when the endpoint is no longer registered. Sends in flight go on.
   bool removed = false;
 
--- a/source/core/gateway/rollout_controller.cc
+++ b/source/core/gateway/rollout_controller.cc
@@ -83,17 +83,12 @@
       if (const auto endpoint = pool->Find(id))
         endpoint->reserved_until = now + kReservationLifetime;
     }
-    for (const std::string& id : record.upcoming) {
-      if (const auto endpoint = pool->Find(id))
-        endpoint->short_runs_until = now + kReservationLifetime;
-    }
     for (const std::string& id : record.updated) {
       const auto endpoint = pool->Find(id);
       if (!endpoint || endpoint->VersionOf(record.model) >= record.version)
         continue;
       endpoint->SetVersion(record.model, record.version);
       endpoint->reserved_until = now;
-      endpoint->short_runs_until = now;
     }
   }
 }
@@ -251,13 +246,13 @@
 }
 
 void RolloutController::Advance(const PendingRollout& pending) {
+  const TimePoint now = runtime::BootNow();
   std::vector<rollout::PlannedEndpoint> endpoints;
   for (const auto& endpoint : pending.endpoints) {
     endpoints.push_back({endpoint->endpoint().id,
                          endpoint->VersionOf(pending.model),
-                         endpoint->own_in_flight()});
+                         endpoint->own_in_flight() + endpoint->PeerRuns(now)});
   }
-  const TimePoint now = runtime::BootNow();
   // Changes of reservations are rate-limited, because all hosts read every
   // write.
   bool changed = false;
@@ -283,7 +278,6 @@
   record.model = pending.model;
   record.version = pending.version;
   record.reserved = this->PlanFor(pending).Reserved();
-  record.upcoming = this->PlanFor(pending).Upcoming();
   record.updated.clear();
   for (const auto& endpoint : pending.endpoints) {
     if (endpoint->VersionOf(pending.model) >= pending.version)
@@ -345,7 +339,7 @@
       return;
     case OrderReply::kInForce:
       endpoint->SetVersion(model, version);
-      plan->OnUpdated(id);
+      plan->OnUpdated(id, runtime::BootNow());
       return;
     case OrderReply::kRefused:
     case OrderReply::kStale:
@@ -372,13 +366,12 @@
           if (plan == this->plans.end() ||
               endpoint->VersionOf(model) < plan->second.target())
             return;
-          plan->second.OnUpdated(id);
+          plan->second.OnUpdated(id, runtime::BootNow());
           LogLine(this->log, Event::kWeightsInForce)
               .Add(Field::kEndpoint, id)
               .Add(Field::kVersion, endpoint->VersionOf(model))
               .Add(Field::kInFlight, endpoint->own_in_flight());
           endpoint->reserved_until = runtime::BootNow();
-          endpoint->short_runs_until = runtime::BootNow();
         });
   }
 }
--- a/source/core/rollout/lease_record.cc
+++ b/source/core/rollout/lease_record.cc
@@ -15,7 +15,8 @@
   value["model"] = record.model;
   value["version"] = record.version;
   value["reserved"] = record.reserved;
-  value["upcoming"] = record.upcoming;
+  // Hosts of former builds do not accept a record without this list.
+  value["upcoming"] = Json::array();
   value["updated"] = record.updated;
   return value.dump();
 }
@@ -33,7 +34,6 @@
     record.model = value.at("model").get<std::string>();
     record.version = value.at("version").get<uint64_t>();
     record.reserved = value.at("reserved").get<std::vector<std::string>>();
-    record.upcoming = value.at("upcoming").get<std::vector<std::string>>();
     record.updated = value.at("updated").get<std::vector<std::string>>();
     return record;
   } catch (const Json::exception&) {
--- a/source/core/rollout/lease_record.h
+++ b/source/core/rollout/lease_record.h
@@ -26,8 +26,6 @@
   uint64_t version = 0;
   // Endpoints that are about to get an order or are executing one.
   std::vector<std::string> reserved;
-  // Endpoints that are reserved next; no long runs should start on them.
-  std::vector<std::string> upcoming;
   // Endpoints that already have the version.
   std::vector<std::string> updated;
 
--- a/source/core/rollout/rollout_plan.cc
+++ b/source/core/rollout/rollout_plan.cc
@@ -3,12 +3,18 @@
 #include <algorithm>
 #include <cmath>
 #include <set>
+#include <tuple>
+#include <utility>
 
 namespace jujuberock::rollout {
 
 namespace {
 
 constexpr common::Duration kOrderRetryDelay = std::chrono::milliseconds(300);
+// An endpoint whose order failed this often makes room for others, because it
+// may be dead.
+constexpr int kMaxOrderFailures = 4;
+constexpr common::Duration kFailureDeferral = std::chrono::milliseconds(1000);
 
 }  // namespace
 
@@ -23,55 +29,84 @@
   }
 }
 
+bool RolloutPlan::IsDeferred(const std::string& id,
+                             common::TimePoint now) const {
+  const auto deferral = this->deferred.find(id);
+  return deferral != this->deferred.end() && now < deferral->second;
+}
+
+bool RolloutPlan::IsLoading(const Reservation& reservation,
+                            common::TimePoint now) const {
+  return reservation.is_ordered &&
+         now - reservation.ordered_at < this->options.order_timeout;
+}
+
+size_t RolloutPlan::MaxLoading(size_t endpoint_count) const {
+  const double share =
+      this->options.max_loading_share * static_cast<double>(endpoint_count);
+  return static_cast<size_t>(std::max(1.0, std::round(share)));
+}
+
+size_t RolloutPlan::CountToReserve(common::TimePoint now) const {
+  // The first loads are assumed to be as short as the notice.
+  const common::Duration usual = this->load_time.value_or(this->options.notice);
+  size_t occupied = 0;
+  for (const auto& [id, reservation] : this->reservations) {
+    const bool ends_within_notice =
+        this->IsLoading(reservation, now) &&
+        now - reservation.ordered_at + this->options.notice >= usual;
+    occupied += ends_within_notice ? 0 : 1;
+  }
+  if (this->reservations.size() >= 2 * this->max_loading)
+    return 0;
+  return this->max_loading - std::min(occupied, this->max_loading);
+}
+
+std::vector<std::string> RolloutPlan::Candidates(
+    std::vector<PlannedEndpoint> endpoints,
+    common::TimePoint now) const {
+  std::erase_if(endpoints, [&](const PlannedEndpoint& endpoint) {
+    return endpoint.version >= this->version ||
+           this->reservations.contains(endpoint.id);
+  });
+  std::stable_sort(endpoints.begin(), endpoints.end(),
+                   [](const PlannedEndpoint& a, const PlannedEndpoint& b) {
+                     return std::tie(a.version, a.in_flight) <
+                            std::tie(b.version, b.in_flight);
+                   });
+  // Deferred endpoints come last, so that they are reserved only if none of the
+  // others is left.
+  std::stable_partition(endpoints.begin(), endpoints.end(),
+                        [&](const PlannedEndpoint& endpoint) {
+                          return !this->IsDeferred(endpoint.id, now);
+                        });
+  std::vector<std::string> ids;
+  for (const PlannedEndpoint& endpoint : endpoints)
+    ids.push_back(endpoint.id);
+  return ids;
+}
+
 bool RolloutPlan::Reserve(const std::vector<PlannedEndpoint>& endpoints,
                           common::TimePoint now) {
-  bool changed = false;
   std::set<std::string> outdated;
   for (const PlannedEndpoint& endpoint : endpoints) {
     if (endpoint.version < this->version)
       outdated.insert(endpoint.id);
   }
-  // Endpoints that are gone or up to date release their reservation.
   const size_t before = this->reservations.size();
   std::erase_if(this->reservations, [&](const auto& entry) {
     return !outdated.contains(entry.first);
   });
-  changed = before != this->reservations.size();
-  const auto max_reserved = static_cast<size_t>(
-      std::max(1.0, std::floor(this->options.max_updating_share *
-                               static_cast<double>(endpoints.size()))));
-  std::vector<PlannedEndpoint> by_load = endpoints;
-  std::stable_sort(by_load.begin(), by_load.end(),
-                   [](const PlannedEndpoint& a, const PlannedEndpoint& b) {
-                     return a.in_flight < b.in_flight;
-                   });
-  std::erase_if(this->upcoming, [&](const std::string& id) {
-    return !outdated.contains(id) || this->reservations.contains(id);
-  });
-  // Upcoming endpoints come first, in the order of their announcement, then the
-  // others by load.
-  std::vector<std::string> queue = this->upcoming;
-  for (const PlannedEndpoint& endpoint : by_load) {
-    if (outdated.contains(endpoint.id) &&
-        !this->reservations.contains(endpoint.id) &&
-        std::find(queue.begin(), queue.end(), endpoint.id) == queue.end())
-      queue.push_back(endpoint.id);
-  }
-  size_t next = 0;
-  // Deferred endpoints come last, so that they are reserved only if none of the
-  // others is left.
-  std::stable_partition(queue.begin(), queue.end(), [&](const std::string& id) {
-    const auto deferral = this->deferred.find(id);
-    return deferral == this->deferred.end() || now >= deferral->second;
-  });
-  for (; next < queue.size() && this->reservations.size() < max_reserved;
-       ++next) {
-    this->reservations[queue[next]].reserved_at = now;
+  std::erase_if(this->deferred,
+                [&](const auto& entry) { return now >= entry.second; });
+  bool changed = before != this->reservations.size();
+  this->max_loading = this->MaxLoading(endpoints.size());
+  const std::vector<std::string> candidates = this->Candidates(endpoints, now);
+  const size_t count = std::min(this->CountToReserve(now), candidates.size());
+  for (size_t i = 0; i < count; ++i) {
+    this->reservations[candidates[i]].reserved_at = now;
     changed = true;
   }
-  const size_t end = std::min(queue.size(), next + max_reserved);
-  this->upcoming.assign(queue.begin() + static_cast<ptrdiff_t>(next),
-                        queue.begin() + static_cast<ptrdiff_t>(end));
   return changed;
 }
 
@@ -82,20 +117,25 @@
 }
 
 std::vector<std::string> RolloutPlan::Due(common::TimePoint now) const {
-  std::vector<std::string> due;
+  using Waiting = std::pair<common::TimePoint, std::string>;
+  std::vector<Waiting> waiting;
+  size_t loading = 0;
   for (const auto& [id, reservation] : this->reservations) {
-    const bool timed_out =
-        reservation.is_ordered &&
-        now - reservation.ordered_at >= this->options.order_timeout;
+    if (this->IsLoading(reservation, now)) {
+      ++loading;
+      continue;
+    }
     const bool notice_passed =
         now - reservation.reserved_at >= this->options.notice;
-    const auto deferral = this->deferred.find(id);
-    if (deferral != this->deferred.end() && now < deferral->second)
-      continue;
     if (notice_passed && now >= reservation.retry_at &&
-        (!reservation.is_ordered || timed_out))
-      due.push_back(id);
+        !this->IsDeferred(id, now))
+      waiting.emplace_back(reservation.reserved_at, id);
   }
+  std::sort(waiting.begin(), waiting.end());
+  const size_t free = this->max_loading - std::min(loading, this->max_loading);
+  std::vector<std::string> due;
+  for (size_t i = 0; i < std::min(free, waiting.size()); ++i)
+    due.push_back(waiting[i].second);
   return due;
 }
 
@@ -122,10 +162,21 @@
     return;
   found->second.is_ordered = false;
   found->second.retry_at = now + kOrderRetryDelay;
+  if (++found->second.failures < kMaxOrderFailures)
+    return;
+  this->reservations.erase(found);
+  this->deferred[id] = now + kFailureDeferral;
 }
 
-void RolloutPlan::OnUpdated(const std::string& id) {
-  this->reservations.erase(id);
+void RolloutPlan::OnUpdated(const std::string& id, common::TimePoint now) {
+  const auto found = this->reservations.find(id);
+  if (found == this->reservations.end())
+    return;
+  if (found->second.is_ordered) {
+    const common::Duration took = now - found->second.ordered_at;
+    this->load_time = (this->load_time.value_or(took) + took) / 2;
+  }
+  this->reservations.erase(found);
 }
 
 std::vector<std::string> RolloutPlan::Reserved() const {
