Bound what an endpoint in trouble can cost a request and the host

Change: unused bodies are read for 50 ms and 64 KB at most, buffered input of a connection is limited to 64 KB, events to 256 KB. A stream stalls when no event with data arrives for the time after which callers give up. Silence limits follow the targets of the streams that an engine runs. An answer that is a success or comes on a used connection must name the request. The answer to the caller starts with the first event. Bodies above 64 KB are streamed instead of collected up to 16 MB. ResponseRelay takes this part out of RequestTask.

--- a/source/core/forward/connection_pool.h
+++ b/source/core/forward/connection_pool.h
@@ -24,10 +24,14 @@
       boost::beast::basic_stream<boost::asio::ip::tcp,
                                  boost::asio::io_context::executor_type>;
 
+  // Limit of buffered input, which bounds what an endpoint can make this host
+  // hold: a head, or the size line of a chunk.
+  static constexpr size_t kMaxBufferedBytes = 64 * 1024;
+
   explicit Connection(boost::asio::io_context& io) : stream(io) {}
 
   Stream stream;
-  boost::beast::flat_buffer buffer;
+  boost::beast::flat_buffer buffer{kMaxBufferedBytes};
   common::TimePoint opened_at;
   common::TimePoint idle_since;
   // Closed after being idle for this long.
--- a/source/core/forward/endpoint_send.cc
+++ b/source/core/forward/endpoint_send.cc
@@ -31,6 +31,11 @@
 constexpr size_t kReadChunkBytes = 4 * 1024;
 // Responses to earlier requests that are discarded before the send fails.
 constexpr int kMaxStaleResponses = 4;
+// Bytes of stale responses and unused bodies that one send reads in order to
+// keep its connection.
+constexpr size_t kMaxSkippedBytes = 64 * 1024;
+// An unused body is usually complete when its head arrives.
+constexpr common::Duration kDiscardTime = std::chrono::milliseconds(50);
 constexpr common::Duration kMinExpiry = std::chrono::milliseconds(1);
 
 using RequestMessage = http::request<http::string_body>;
@@ -75,8 +80,12 @@
   const std::string detail = std::string(step) + ": " + error.message();
   if (this->canceled)
     throw SendError(SendFailure::kCanceled, detail);
-  if (error == beast::error::timeout)
-    throw SendError(SendFailure::kTimeout, detail);
+  if (error == beast::error::timeout) {
+    const bool is_stalled =
+        this->progress_deadline && *this->progress_deadline < this->deadline;
+    throw SendError(is_stalled ? SendFailure::kStalled : SendFailure::kTimeout,
+                    detail);
+  }
   const bool parse_error =
       error.category() ==
       http::make_error_code(http::error::bad_version).category();
@@ -87,8 +96,14 @@
       detail);
 }
 
+void EndpointSend::ExpectProgressWithin(common::Duration limit) {
+  this->progress_deadline = runtime::BootNow() + limit;
+}
+
 void EndpointSend::SetExpiry() {
-  const auto left = this->deadline - runtime::BootNow();
+  const common::TimePoint expiry = std::min(
+      this->deadline, this->progress_deadline.value_or(this->deadline));
+  const auto left = expiry - runtime::BootNow();
   this->connection->stream.expires_after(std::max(left, kMinExpiry));
 }
 
@@ -121,13 +136,27 @@
     this->head = this->ReadHead();
     const bool is_stale =
         this->head.attempt_id && *this->head.attempt_id != this->attempt_id;
-    if (!is_stale && this->head.status >= 200)
+    if (!is_stale && this->head.status >= 200) {
+      this->CheckIdentified();
       return this->head;
-    this->DiscardBody();
+    }
+    if (!this->SkipBody())
+      break;
+    if (!this->parser->get().keep_alive())
+      throw SendError(SendFailure::kBroken,
+                      "connection closed after a stale response");
   }
   throw SendError(SendFailure::kMalformed, "received only stale responses");
 }
 
+void EndpointSend::CheckIdentified() const {
+  const bool is_success = this->head.status < 300;
+  // On a connection that was used before, a response without an id may be a
+  // late copy of an earlier one.
+  if (!this->head.attempt_id && (this->reused || is_success))
+    throw SendError(SendFailure::kMalformed, "the response names no request");
+}
+
 void EndpointSend::Write(const CallerRequest& request,
                          const SendParameters& parameters) {
   RequestMessage message = BuildMessage(
@@ -173,16 +202,35 @@
   runtime::HttpHeaders headers;
   for (const auto& field : this->parser->get())
     headers.Add(std::string(field.name_string()), std::string(field.value()));
+  this->is_unframed = this->parser->need_eof();
   const int status = static_cast<int>(this->parser->get().result_int());
   return this->codec.DecodeResponseHead(status, headers);
 }
 
-void EndpointSend::DiscardBody() {
-  while (this->ReadChunk()) {
+bool EndpointSend::SkipBody() {
+  while (const auto bytes = this->ReadChunk()) {
+    this->skipped_bytes += bytes->size();
+    if (this->skipped_bytes > kMaxSkippedBytes)
+      return false;
+  }
+  return true;
+}
+
+void EndpointSend::Discard() {
+  if (!this->connection)
+    return;
+  this->deadline = std::min(this->deadline, runtime::BootNow() + kDiscardTime);
+  try {
+    if (this->SkipBody()) {
+      this->Finish();
+      return;
+    }
+  } catch (const SendError&) {
+    // The body is of no use, so its end need not be known; the connection is
+    // closed below.
   }
-  if (!this->parser->get().keep_alive())
-    throw SendError(SendFailure::kBroken,
-                    "connection closed after a stale response");
+  this->connection->stream.close();
+  this->connection = nullptr;
 }
 
 std::optional<std::string> EndpointSend::ReadChunk() {
--- a/source/core/forward/endpoint_send.h
+++ b/source/core/forward/endpoint_send.h
@@ -23,10 +23,11 @@
   kTimeout,       // the deadline passed
   kMalformed,     // the endpoint sent no valid response to the request
   kCanceled,      // Cancel() was called
+  kStalled,       // bytes may arrive, but the response makes no progress
 };
 
-inline constexpr common::NameTable<SendFailure, 5> kSendFailureNames(
-    {"not_connected", "broken", "timeout", "malformed", "canceled"});
+inline constexpr common::NameTable<SendFailure, 6> kSendFailureNames(
+    {"not_connected", "broken", "timeout", "malformed", "canceled", "stalled"});
 
 class SendError : public std::runtime_error {
  public:
@@ -57,12 +58,19 @@
   // Returns the next bytes of the body, or nullopt at its end. Throws
   // SendError, also when the response was truncated.
   std::optional<std::string> Read();
+  // Makes Read() fail with kStalled from now + `limit` on, until the next call.
+  void ExpectProgressWithin(common::Duration limit);
+  // Reads the rest of a body that is of no use, so that the connection can be
+  // reused. Closes the connection instead if the rest is too long or too slow.
+  void Discard();
+  // Whether the end of the connection is the end of the body, because the
+  // response declares no length.
+  bool ends_with_connection() const { return this->is_unframed; }
   // Makes a pending Open() or Read() fail with kCanceled.
   void Cancel();
 
   // Whether bytes of the request may have reached the endpoint.
   bool sent() const { return this->was_sent; }
-  bool used_pooled_connection() const { return this->reused; }
 
  private:
   using Parser =
@@ -74,7 +82,11 @@
   void Write(const CallerRequest& request, const SendParameters& parameters);
   ResponseHead ReadHead();
   std::optional<std::string> ReadChunk();
-  void DiscardBody();
+  // Reads to the end of the body. Returns false once this send has read too
+  // many bytes that are of no use.
+  bool SkipBody();
+  // Throws if the response can't belong to the request.
+  void CheckIdentified() const;
   void ResetParser();
   void SetExpiry();
   void Finish();
@@ -90,7 +102,10 @@
   std::string attempt_id;
   ResponseHead head;
   common::TimePoint deadline;
+  std::optional<common::TimePoint> progress_deadline;
+  size_t skipped_bytes = 0;
   bool is_head_method = false;
+  bool is_unframed = false;
   bool was_sent = false;
   bool reused = false;
   bool canceled = false;
--- a/source/core/forward/event_splitter.cc
+++ b/source/core/forward/event_splitter.cc
@@ -23,15 +23,18 @@
   return std::string_view::npos;
 }
 
-std::optional<std::string_view> FindEventId(std::string_view event) {
+// Returns the value of the event's first line with this field name, which ends
+// with a colon.
+std::optional<std::string_view> FindField(std::string_view event,
+                                          std::string_view name) {
   size_t line = 0;
   while (line < event.size()) {
     size_t end = event.find('\n', line);
     if (end == std::string_view::npos)
       end = event.size();
     std::string_view text = event.substr(line, end - line);
-    if (text.substr(0, 3) == "id:") {
-      text.remove_prefix(3);
+    if (text.substr(0, name.size()) == name) {
+      text.remove_prefix(name.size());
       while (!text.empty() && text.front() == ' ')
         text.remove_prefix(1);
       while (!text.empty() && (text.back() == '\r' || text.back() == ' '))
@@ -55,7 +58,7 @@
 }  // namespace
 
 bool EventSplitter::AcceptEvent(std::string_view event) {
-  const auto id = FindEventId(event);
+  const auto id = FindField(event, "id:");
   if (!id)
     return true;
   const auto number = ParseNumber(*id);
@@ -69,6 +72,7 @@
 
 std::string EventSplitter::Push(std::string_view bytes) {
   this->partial_event += bytes;
+  this->progressed = false;
   std::string complete;
   size_t begin = 0;
   const std::string_view text = this->partial_event;
@@ -77,8 +81,10 @@
     if (length == std::string_view::npos)
       break;
     const std::string_view event = text.substr(begin, length);
-    if (this->AcceptEvent(event))
+    if (this->AcceptEvent(event)) {
       complete += event;
+      this->progressed |= FindField(event, "data:").has_value();
+    }
     begin += length;
   }
   this->partial_event.erase(0, begin);
--- a/source/core/forward/event_splitter.h
+++ b/source/core/forward/event_splitter.h
@@ -18,6 +18,9 @@
   // endpoint that resumes a stream may repeat events.
   std::string Push(std::string_view bytes);
 
+  // Whether the last Push() returned an event with data. Comments, which serve
+  // as keep-alives, and empty events are no progress of a stream.
+  bool has_progressed() const { return this->progressed; }
   // Id of the last returned event that had one.
   const std::optional<std::string>& last_id() const {
     return this->last_event_id;
@@ -34,6 +37,7 @@
   bool AcceptEvent(std::string_view event);
 
   std::string partial_event;
+  bool progressed = false;
   std::optional<std::string> last_event_id;
   std::optional<uint64_t> last_numeric_id;
 };
--- /dev/null
+++ b/source/core/forward/response_relay.cc
@@ -0,0 +1,104 @@
+#include "core/forward/response_relay.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/runtime/boot_clock.h"
+
+namespace jujuberock::forward {
+
+namespace {
+
+bool IsEventStream(const ResponseHead& head) {
+  const auto type = head.forwarded_headers.Find("Content-Type");
+  constexpr std::string_view kEventStream = "text/event-stream";
+  return type && type->substr(0, kEventStream.size()) == kEventStream;
+}
+
+}  // namespace
+
+void ResponseRelay::Start(const ResponseHead& head) {
+  if (this->has_started)
+    return;
+  this->has_started = true;
+  this->writer.StartStream(head.status, head.forwarded_headers);
+}
+
+void ResponseRelay::RelayWhole(EndpointSend& send,
+                               const ResponseHead& head,
+                               const ProgressCallback& on_progress) {
+  runtime::HttpResponse response;
+  response.status = head.status;
+  response.headers = head.forwarded_headers;
+  while (auto bytes = send.Read()) {
+    response.body += *bytes;
+    if (response.body.size() <= kMaxCollectedBytes)
+      continue;
+    on_progress();
+    this->Start(head);
+    this->writer.Write(response.body);
+    this->PassOn(send);
+    return;
+  }
+  on_progress();
+  this->has_started = true;
+  this->writer.Send(std::move(response));
+}
+
+void ResponseRelay::PassOn(EndpointSend& send) {
+  while (auto bytes = send.Read())
+    this->writer.Write(*bytes);
+  this->writer.FinishStream();
+}
+
+void ResponseRelay::RelayStream(EndpointSend& send,
+                                const ResponseHead& head,
+                                common::Duration stall_limit,
+                                const ProgressCallback& on_progress) {
+  const bool is_event_stream = IsEventStream(head);
+  this->splitter.DiscardPartial();
+  send.ExpectProgressWithin(stall_limit);
+  while (auto bytes = send.Read()) {
+    const std::string events =
+        is_event_stream ? this->splitter.Push(*bytes) : std::move(*bytes);
+    if (this->splitter.pending_bytes() > kMaxEventBytes)
+      throw SendError(SendFailure::kMalformed, "an event is too long");
+    if (events.empty())
+      continue;
+    if (!is_event_stream || this->splitter.has_progressed()) {
+      on_progress();
+      this->RecordEvent();
+      send.ExpectProgressWithin(stall_limit);
+    }
+    // The answer starts with the first event, so that another endpoint can
+    // begin it if this one sends none.
+    this->Start(head);
+    this->writer.Write(events);
+  }
+  this->FinishEvents(send, head);
+}
+
+void ResponseRelay::FinishEvents(const EndpointSend& send,
+                                 const ResponseHead& head) {
+  const std::string rest = this->splitter.TakePartial();
+  // Without a length, the end of the connection also ends the response, even
+  // if the endpoint has crashed.
+  if (!rest.empty() && send.ends_with_connection())
+    throw SendError(SendFailure::kBroken,
+                    "the stream ended in the middle of an event");
+  this->Start(head);
+  if (!rest.empty())
+    this->writer.Write(rest);
+  this->writer.FinishStream();
+}
+
+void ResponseRelay::RecordEvent() {
+  const common::TimePoint now = runtime::BootNow();
+  if (this->stats.last_event_at != common::TimePoint())
+    this->stats.longest_pause =
+        std::max(this->stats.longest_pause, now - this->stats.last_event_at);
+  this->stats.last_event_at = now;
+  ++this->stats.events;
+}
+
+}  // namespace jujuberock::forward
--- /dev/null
+++ b/source/core/forward/response_relay.h
@@ -0,0 +1,78 @@
+#ifndef CORE_FORWARD_RESPONSE_RELAY_H_
+#define CORE_FORWARD_RESPONSE_RELAY_H_
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "core/common/time.h"
+#include "core/forward/endpoint_send.h"
+#include "core/forward/event_splitter.h"
+#include "core/forward/types.h"
+#include "core/runtime/http_server.h"
+
+namespace jujuberock::forward {
+
+// Passes the responses of one or more sends on to a caller as one answer. Holds
+// a bounded number of bytes at any time, whatever the endpoint sends. Used on
+// one fiber.
+class ResponseRelay {
+ public:
+  // Largest body that is collected before the answer is started; a longer one
+  // is streamed. As long as nothing was passed on, a broken response leaves the
+  // request unanswered, so that another endpoint can answer it.
+  static constexpr size_t kMaxCollectedBytes = 64 * 1024;
+  // Largest event of a stream. Longer ones are taken for bytes that are no
+  // events.
+  static constexpr size_t kMaxEventBytes = 256 * 1024;
+
+  struct Statistics {
+    common::TimePoint last_event_at;
+    common::Duration longest_pause{0};
+    uint64_t events = 0;
+  };
+
+  explicit ResponseRelay(runtime::ResponseWriter& writer) : writer(writer) {}
+
+  // Called when the response has made progress.
+  using ProgressCallback = std::function<void()>;
+
+  // Relays a response that is not a stream. Throws SendError.
+  void RelayWhole(EndpointSend& send,
+                  const ResponseHead& head,
+                  const ProgressCallback& on_progress);
+  // Relays a stream, or the rest of one that another endpoint has begun. Throws
+  // SendError, also when no event arrives for `stall_limit` or the stream ends
+  // in the middle of an event.
+  void RelayStream(EndpointSend& send,
+                   const ResponseHead& head,
+                   common::Duration stall_limit,
+                   const ProgressCallback& on_progress);
+
+  // Whether a part of the answer was passed on.
+  bool started() const { return this->has_started; }
+  // Id of the last event that was passed on and had one.
+  const std::optional<std::string>& last_event_id() const {
+    return this->splitter.last_id();
+  }
+  const Statistics& statistics() const { return this->stats; }
+
+ private:
+  void Start(const ResponseHead& head);
+  // Passes the rest of the body on as it arrives.
+  void PassOn(EndpointSend& send);
+  void RecordEvent();
+  // Passes on what follows the last event at the regular end of the stream.
+  void FinishEvents(const EndpointSend& send, const ResponseHead& head);
+
+  runtime::ResponseWriter& writer;
+  EventSplitter splitter;
+  Statistics stats;
+  bool has_started = false;
+};
+
+}  // namespace jujuberock::forward
+
+#endif  // CORE_FORWARD_RESPONSE_RELAY_H_
--- a/source/core/gateway/dispatcher.cc
+++ b/source/core/gateway/dispatcher.cc
@@ -24,10 +24,6 @@
 using events::Field;
 using events::LogLine;
 
-// Limit for engines with running streams, which send events far more often.
-constexpr Duration kStreamSilenceLimit = std::chrono::milliseconds(700);
-// Limit for the first response of an engine that had nothing running.
-constexpr Duration kFirstTokenSilenceLimit = std::chrono::milliseconds(1500);
 constexpr Duration kMinPlainSilenceLimit = std::chrono::milliseconds(250);
 constexpr double kPlainSilenceLatencyFactor = 8;
 // If a periodic check comes later than this, the process was suspended.
@@ -210,15 +206,32 @@
   if (now - this->last_check > kHostStallThreshold)
     this->silence_floor = now;
   this->last_check = now;
+  const TargetsByEndpoint targets = this->TargetsInProgress();
   for (auto& [name, pool] : this->pools) {
-    for (const auto& [id, record] : pool->records())
-      this->CheckEndpointSilence(*pool, *record, now);
+    for (const auto& [id, record] : pool->records()) {
+      const auto found = targets.find(record.get());
+      if (found != targets.end())
+        this->CheckEndpointSilence(*pool, *record, found->second, now);
+    }
   }
   this->MoveSends(now);
 }
 
+Dispatcher::TargetsByEndpoint Dispatcher::TargetsInProgress() const {
+  TargetsByEndpoint targets;
+  for (const auto& [handle, send] : this->active) {
+    const auto [entry, is_new] =
+        targets.try_emplace(send.endpoint.get(), send.targets);
+    if (!is_new)
+      entry->second =
+          dispatch::StreamTargets::Stricter(entry->second, send.targets);
+  }
+  return targets;
+}
+
 void Dispatcher::CheckEndpointSilence(ServicePool& pool,
                                       EndpointRecord& record,
+                                      const dispatch::StreamTargets& targets,
                                       TimePoint now) {
   if (record.own_in_flight() == 0 ||
       record.health().StateAt(now) == EndpointHealth::State::kEjected)
@@ -233,7 +246,8 @@
     limit =
         std::max(kMinPlainSilenceLimit, common::FromSeconds(usual_ms / 1000));
   } else {
-    limit = has_running ? kStreamSilenceLimit : kFirstTokenSilenceLimit;
+    limit = has_running ? dispatch::StreamSilenceLimit(targets)
+                        : dispatch::FirstEventSilenceLimit(targets);
   }
   if (now - since < limit)
     return;
@@ -253,7 +267,7 @@
         send.endpoint->health().StateAt(now) ==
             EndpointHealth::State::kEjected &&
         now - std::max(send.endpoint->last_byte_time(), this->silence_floor) >
-            kStreamSilenceLimit / 2;
+            dispatch::StreamSilenceLimit(send.targets) / 2;
     const TimePoint since = std::max(send.sent_at, this->silence_floor);
     const bool hangs = !send.started && now - since > *send.move_timeout;
     if (hangs || is_unresponsive)
--- a/source/core/gateway/dispatcher.h
+++ b/source/core/gateway/dispatcher.h
@@ -12,6 +12,7 @@
 #include "core/common/random.h"
 #include "core/dispatch/retry_window.h"
 #include "core/dispatch/service_pool.h"
+#include "core/dispatch/silence_limit.h"
 #include "core/events/event_log.h"
 #include "core/forward/connection_pool.h"
 #include "core/gateway/platform_view.h"
@@ -28,6 +29,7 @@
   // Time without a response after which another endpoint is tried; nullopt when
   // the request must not be sent again.
   std::optional<common::Duration> move_timeout;
+  dispatch::StreamTargets targets;
   bool started = false;
   // Cancels the send, so that the request can be sent to another endpoint.
   std::function<void()> move = nullptr;
@@ -94,8 +96,13 @@
   };
 
   void IndexEndpoints();
+  // The strictest targets of the sends in progress, by endpoint.
+  using TargetsByEndpoint = std::unordered_map<const dispatch::EndpointRecord*,
+                                               dispatch::StreamTargets>;
+  TargetsByEndpoint TargetsInProgress() const;
   void CheckEndpointSilence(dispatch::ServicePool& pool,
                             dispatch::EndpointRecord& record,
+                            const dispatch::StreamTargets& targets,
                             common::TimePoint now);
   void MoveSends(common::TimePoint now);
   void CheckCrash(const std::string& id);
--- a/source/core/gateway/request_task.cc
+++ b/source/core/gateway/request_task.cc
@@ -4,8 +4,6 @@
 #include <map>
 #include <utility>
 
-#include <boost/beast/core/string.hpp>
-
 #include "core/common/scale.h"
 #include "core/gateway/refused_error.h"
 #include "core/runtime/boot_clock.h"
@@ -52,17 +50,13 @@
 constexpr double kFetchTimeShare = 0.75;
 // Share of the target latency that a fetch may wait for the store's link.
 constexpr double kFetchWaitShare = 0.45;
-// Size limit of responses that are buffered before they are sent to the caller.
-constexpr size_t kMaxBufferedResponseBytes = 16 * 1024 * 1024;
 
 bool IsSuccess(int status) {
   return status >= 200 && status < 300;
 }
 
-bool IsEventStream(const forward::ResponseHead& head) {
-  const auto type = head.forwarded_headers.Find("Content-Type");
-  constexpr std::string_view kEventStream = "text/event-stream";
-  return type && type->substr(0, kEventStream.size()) == kEventStream;
+dispatch::StreamTargets TargetsOf(const catalog::Route& route) {
+  return {route.target_latency, route.target_event_gap};
 }
 
 }  // namespace
@@ -75,7 +69,8 @@
       writer(writer),
       config(deps.view.config()),
       received_at(runtime::BootNow()),
-      callback_state(std::make_shared<CallbackState>()) {}
+      callback_state(std::make_shared<CallbackState>()),
+      relay(writer) {}
 
 RequestTask::~RequestTask() {
   this->callback_state->send = nullptr;
@@ -320,8 +315,8 @@
                                   this->Remaining(now) - kNetworkDelay);
   if (this->team)
     parameters.team = this->team->name;
-  if (this->splitter.last_id())
-    parameters.last_event_id = this->splitter.last_id();
+  if (this->relay.last_event_id())
+    parameters.last_event_id = this->relay.last_event_id();
   if (!this->request.prompt || !this->pool->is_engine())
     return parameters;
   parameters.urgency = this->urgency;
@@ -408,19 +403,17 @@
   forward::EndpointSend send(this->deps.connections, this->deps.codec,
                              record.endpoint().address);
   this->callback_state->send = &send;
-  this->callback_state->moved = false;
-  ActiveSend active{choice.endpoint, this->pool, now,
-                    this->MoveTimeout(choice)};
+  ActiveSend active{choice.endpoint, this->pool, now, this->MoveTimeout(choice),
+                    TargetsOf(*this->route)};
   active.move = [callback_state = this->callback_state] {
-    callback_state->moved = true;
     if (callback_state->send)
       callback_state->send->Cancel();
   };
   const auto handle = this->deps.dispatcher.Register(std::move(active));
   const forward::SendParameters parameters = this->MakeSendParameters(choice);
-  LogLine(this->deps.log, this->sends == 0       ? Event::kRequestSent
-                          : this->answer_started ? Event::kRequestResumed
-                                                 : Event::kRequestResent)
+  LogLine(this->deps.log, this->sends == 0        ? Event::kRequestSent
+                          : this->relay.started() ? Event::kRequestResumed
+                                                  : Event::kRequestResent)
       .Add(Field::kRequest, this->request.attempt_id)
       .Add(Field::kRoute, this->route->name)
       .Add(Field::kEndpoint, record.endpoint().id)
@@ -488,41 +481,29 @@
         head.status == 421 ? kMismatchPause : kFullEndpointPause;
     record.reserved_until =
         std::max(record.reserved_until, runtime::BootNow() + pause);
-    while (send.Read()) {
-    }
+    send.Discard();
     return AttemptResult::kNotRun;
   }
   const bool own_failure = head.status >= 500;
   if (own_failure)
     this->deps.dispatcher.OnOutcome(*this->pool, record, SendOutcome::kError);
-  if (own_failure && this->IsRepeatable() && !this->answer_started &&
+  if (own_failure && this->IsRepeatable() && !this->relay.started() &&
       this->sends + 1 < this->route->max_attempts &&
       this->Remaining(runtime::BootNow()) > this->route->target_latency / 2) {
-    while (send.Read()) {
-    }
+    send.Discard();
     return AttemptResult::kUnknown;
   }
   const bool is_stream =
       this->route->kind == RouteKind::kStream && IsSuccess(head.status);
-  if (this->answer_started && !is_stream)
+  if (this->relay.started() && !is_stream)
     return AttemptResult::kUnknown;
-  const AttemptResult result =
-      is_stream ? this->RelayStream(send, head, ticket)
-                : this->SendBufferedResponse(send, head, ticket);
-  if (result == AttemptResult::kAnswered && !own_failure) {
+  this->RelayResponse(send, head, ticket);
+  if (!own_failure) {
     this->deps.dispatcher.OnOutcome(*this->pool, record, SendOutcome::kGood);
     this->deps.dispatcher.suspects().OnSuccess(this->fingerprint,
                                                runtime::BootNow());
   }
-  return result;
-}
-
-void RequestTask::RecordEventGap() {
-  const TimePoint now = runtime::BootNow();
-  if (this->last_event_at != TimePoint())
-    this->longest_pause =
-        std::max(this->longest_pause, now - this->last_event_at);
-  this->last_event_at = now;
+  return AttemptResult::kAnswered;
 }
 
 void RequestTask::RecordFirstByte(dispatch::SendTicket& ticket) {
@@ -549,69 +530,42 @@
     this->deps.peer_loads->OnFetched(this->reuse.main_source, excess);
 }
 
-RequestTask::AttemptResult RequestTask::SendBufferedResponse(
-    forward::EndpointSend& send,
-    const forward::ResponseHead& head,
-    dispatch::SendTicket& ticket) {
-  runtime::HttpResponse response;
-  response.status = head.status;
-  response.headers = head.forwarded_headers;
-  while (auto bytes = send.Read()) {
-    response.body += *bytes;
-    if (response.body.size() > kMaxBufferedResponseBytes)
-      throw Error(ResultCode::kEndpointFailed, "the response is too large");
+void RequestTask::RelayResponse(forward::EndpointSend& send,
+                                const forward::ResponseHead& head,
+                                dispatch::SendTicket& ticket) {
+  const bool is_stream =
+      this->route->kind == RouteKind::kStream && IsSuccess(head.status);
+  if (is_stream) {
+    this->relay.RelayStream(
+        send, head, dispatch::StreamStallLimit(TargetsOf(*this->route)), [&] {
+          this->RecordFirstByte(ticket);
+          ticket.endpoint->OnBytesReceived(runtime::BootNow());
+        });
+    this->pool->OnFinished(ticket, runtime::BootNow());
+  } else {
+    this->relay.RelayWhole(send, head, [&] {
+      if (!this->pool->is_engine())
+        ticket.endpoint->OnLatency(runtime::BootNow() - ticket.sent_at);
+      this->RecordFirstByte(ticket);
+    });
   }
-  const TimePoint now = runtime::BootNow();
-  if (!this->pool->is_engine())
-    ticket.endpoint->OnLatency(now - ticket.sent_at);
-  this->RecordFirstByte(ticket);
-  LogLine(this->deps.log, Event::kRequestAnswered)
-      .Add(Field::kRequest, this->request.attempt_id)
-      .Add(Field::kStatus, head.status)
-      .Add(Field::kTookMs, now - this->received_at);
-  this->answer_started = true;
-  this->writer.Send(std::move(response));
-  return AttemptResult::kAnswered;
+  this->LogAnswered(head, *ticket.endpoint);
 }
 
-RequestTask::AttemptResult RequestTask::RelayStream(
-    forward::EndpointSend& send,
-    const forward::ResponseHead& head,
-    dispatch::SendTicket& ticket) {
-  const bool is_event_stream = IsEventStream(head);
-  this->splitter.DiscardPartial();
-  if (!this->answer_started) {
-    this->answer_started = true;
-    this->writer.StartStream(head.status, head.forwarded_headers);
-  }
-  while (auto bytes = send.Read()) {
-    this->RecordFirstByte(ticket);
-    ticket.endpoint->OnBytesReceived(runtime::BootNow());
-    const std::string chunk =
-        is_event_stream ? this->splitter.Push(*bytes) : std::move(*bytes);
-    if (chunk.empty())
-      continue;
-    ++this->events_sent;
-    this->RecordEventGap();
-    this->writer.Write(chunk);
-  }
-  const std::string rest = this->splitter.TakePartial();
-  if (!rest.empty())
-    this->writer.Write(rest);
-  this->writer.FinishStream();
-  const TimePoint now = runtime::BootNow();
-  this->pool->OnFinished(ticket, now);
-  LogLine(this->deps.log, Event::kRequestAnswered)
-      .Add(Field::kRequest, this->request.attempt_id)
+void RequestTask::LogAnswered(const forward::ResponseHead& head,
+                              const dispatch::EndpointRecord& endpoint) {
+  const forward::ResponseRelay::Statistics& stats = this->relay.statistics();
+  LogLine line(this->deps.log, Event::kRequestAnswered);
+  line.Add(Field::kRequest, this->request.attempt_id)
       .Add(Field::kStatus, head.status)
       .Add(Field::kRoute, this->route->name)
-      .Add(Field::kEndpoint, ticket.endpoint->endpoint().id)
-      .Add(Field::kPredictedMs, this->predicted)
-      .Add(Field::kFirstByteMs, this->first_byte_at - this->received_at)
-      .Add(Field::kLongestPauseMs, this->longest_pause)
-      .Add(Field::kCount, this->events_sent)
-      .Add(Field::kTookMs, now - this->received_at);
-  return AttemptResult::kAnswered;
+      .Add(Field::kEndpoint, endpoint.endpoint().id);
+  if (stats.events > 0)
+    line.Add(Field::kPredictedMs, this->predicted)
+        .Add(Field::kFirstByteMs, this->first_byte_at - this->received_at)
+        .Add(Field::kLongestPauseMs, stats.longest_pause)
+        .Add(Field::kCount, stats.events);
+  line.Add(Field::kTookMs, runtime::BootNow() - this->received_at);
 }
 
 RequestTask::AttemptResult RequestTask::OnSendError(
@@ -639,6 +593,7 @@
       this->deps.dispatcher.OnBroken(ticket.endpoint, this->fingerprint);
       break;
     case SendFailure::kMalformed:
+    case SendFailure::kStalled:
       this->deps.dispatcher.OnOutcome(*this->pool, record, SendOutcome::kError);
       break;
     case SendFailure::kTimeout:
@@ -669,7 +624,7 @@
       return false;
   }
   // A started response can only be resumed after an event that has an id.
-  if (this->answer_started && !this->splitter.last_id())
+  if (this->relay.started() && !this->relay.last_event_id())
     return false;
   if (this->sends >= this->route->max_attempts)
     return false;
@@ -686,13 +641,13 @@
 void RequestTask::FailRequest() {
   const TimePoint now = runtime::BootNow();
   this->deps.failed.Add();
-  if (!this->may_have_run && !this->answer_started)
+  if (!this->may_have_run && !this->relay.started())
     this->Refuse(ResultCode::kNoEndpoint, "no endpoint accepted the request",
                  this->route->target_latency / 3);
   const bool expired = this->timed_out || this->Remaining(now) <= kNetworkDelay;
   const auto code =
       expired ? ResultCode::kEndpointSilent : ResultCode::kEndpointFailed;
-  if (!this->answer_started)
+  if (!this->relay.started())
     LogLine(this->deps.log, Event::kRequestAnswered)
         .Add(Field::kRequest, this->request.attempt_id)
         .Add(Field::kStatus, common::InfoOf(code).http_status)
--- a/source/core/gateway/request_task.h
+++ b/source/core/gateway/request_task.h
@@ -10,7 +10,7 @@
 #include "core/dispatch/admission_policy.h"
 #include "core/events/event_log.h"
 #include "core/forward/endpoint_send.h"
-#include "core/forward/event_splitter.h"
+#include "core/forward/response_relay.h"
 #include "core/forward/types.h"
 #include "core/gateway/dispatcher.h"
 #include "core/gateway/peer_loads.h"
@@ -55,7 +55,6 @@
   // State shared with callbacks that may outlive the task.
   struct CallbackState {
     bool caller_gone = false;
-    bool moved = false;
     forward::EndpointSend* send = nullptr;
     // Whether the send is canceled when the caller disconnects.
     bool cancel_when_gone = false;
@@ -87,12 +86,12 @@
   AttemptResult HandleResponse(forward::EndpointSend& send,
                                const forward::ResponseHead& head,
                                dispatch::SendTicket& ticket);
-  AttemptResult SendBufferedResponse(forward::EndpointSend& send,
-                                     const forward::ResponseHead& head,
-                                     dispatch::SendTicket& ticket);
-  AttemptResult RelayStream(forward::EndpointSend& send,
-                            const forward::ResponseHead& head,
-                            dispatch::SendTicket& ticket);
+  // Passes the response on to the caller. Throws forward::SendError.
+  void RelayResponse(forward::EndpointSend& send,
+                     const forward::ResponseHead& head,
+                     dispatch::SendTicket& ticket);
+  void LogAnswered(const forward::ResponseHead& head,
+                   const dispatch::EndpointRecord& endpoint);
   AttemptResult OnSendError(const forward::SendError& error,
                             const forward::EndpointSend& send,
                             dispatch::SendTicket& ticket);
@@ -101,7 +100,6 @@
                     const dispatch::SendTicket& ticket);
   void RecordHead(const forward::ResponseHead& head,
                   dispatch::EndpointRecord& record);
-  void RecordEventGap();
   void RecordFirstByte(dispatch::SendTicket& ticket);
   // Records how much later than predicted the first token of a fetch arrived.
   void RecordFetch(common::Duration excess);
@@ -149,13 +147,9 @@
   reuse::ReusePlan reuse;
   common::Duration predicted{0};
   common::TimePoint first_byte_at;
-  common::TimePoint last_event_at;
-  common::Duration longest_pause{0};
-  uint64_t events_sent = 0;
   bool may_have_run = false;
   bool timed_out = false;
-  bool answer_started = false;
-  forward::EventSplitter splitter;
+  forward::ResponseRelay relay;
 };
 
 }  // namespace jujuberock::gateway
--- a/source/unit_tests/core/forward/event_splitter_test.cc
+++ b/source/unit_tests/core/forward/event_splitter_test.cc
@@ -45,5 +45,21 @@
   }
 }
 
+// Guards against a stalled stream that never ends, because an endpoint sends a
+// byte or a comment now and then.
+TEST_CASE("only events with data are progress") {
+  EventSplitter splitter;
+  splitter.Push("id: 1\ndata: a\n");
+  CHECK_FALSE(splitter.has_progressed());
+  splitter.Push("\n");
+  CHECK(splitter.has_progressed());
+  for (const char* text : {"x", "\n\n", ": wait\n\n", "id: 1\ndata: a\n\n"}) {
+    INFO(text);
+    EventSplitter next = splitter;
+    next.Push(text);
+    CHECK_FALSE(next.has_progressed());
+  }
+}
+
 }  // namespace
 }  // namespace jujuberock::forward
--- /dev/null
+++ b/tools/gateway_standins.py
@@ -0,0 +1,343 @@
+"""Stand-ins of the users' platform for tests of `jujuberock gateway`.
+
+PlatformStore is the metadata store; ScriptedEndpoint is a server that answers
+each request with the steps of a script, down to single bytes. Both run on the
+asyncio loop of the test. Everything listens on loopback.
+"""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import struct
+import subprocess
+import tempfile
+import time
+
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+# JUJUBEROCK_BUILD names another build folder, also for comparisons.
+GATEWAY = os.path.join(
+    os.environ.get("JUJUBEROCK_BUILD") or os.path.join(ROOT, "build"),
+    "source/jujuberock/jujuberock")
+# A script that sends without end stops by itself after this much, so that a
+# gateway that reads on fails its test instead of filling the machine.
+ENDLESS_BYTES = 64 << 20
+ENDLESS_S = 8
+
+
+async def read_message(reader):
+    """Reads an HTTP/1.1 message with a declared length, or None at the end."""
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return None
+    lines = head.decode("latin-1").split("\r\n")
+    headers = {}
+    for line in lines[1:]:
+        name, _, value = line.partition(":")
+        headers[name.lower()] = value.strip()
+    body = await reader.readexactly(int(headers.get("content-length", 0)))
+    return lines[0], headers, body
+
+
+class PlatformStore:
+    """The platform's store: lists, watches and conditional writes."""
+
+    def __init__(self):
+        self.revision = 1
+        self.kinds = {}
+        self.events = []
+        self.changed = asyncio.Event()
+        self.away = False
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.address = "127.0.0.1:%d" % self.server.sockets[0].getsockname()[1]
+
+    def put(self, kind, name, spec):
+        self.revision += 1
+        known = self.kinds.setdefault(kind, {})
+        created = known[name]["metadata"]["createRev"] if name in known \
+            else self.revision
+        known[name] = {"metadata": {"name": name, "rev": self.revision,
+                                    "createRev": created, "finalizers": [],
+                                    "deleting": False},
+                       "spec": spec, "status": {}}
+        self.publish(kind, known[name], False)
+        return known[name]
+
+    def delete(self, kind, name):
+        self.revision += 1
+        gone = self.kinds[kind].pop(name)
+        gone["metadata"]["rev"] = self.revision
+        self.publish(kind, gone, True)
+
+    def publish(self, kind, item, deleted):
+        self.events.append((self.revision, kind, item, deleted))
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def serve(self, reader, writer):
+        try:
+            while message := await read_message(reader):
+                if self.away:
+                    break
+                status, body = await self.answer(*message)
+                text = json.dumps(body).encode()
+                head = "HTTP/1.1 %d OK\r\nContent-Length: %d\r\n\r\n"
+                writer.write((head % (status, len(text))).encode() + text)
+                await writer.drain()
+        except (ConnectionError, asyncio.CancelledError):
+            pass  # The gateway has ended, or the test has.
+        writer.close()
+
+    async def answer(self, line, _headers, body):
+        method, target, _ = line.split(" ")
+        path, _, query = target.partition("?")
+        options = dict(item.split("=") for item in query.split("&") if item)
+        kind, _, name = path.removeprefix("/objects/").partition("/")
+        items = self.kinds.setdefault(kind, {})
+        if method == "GET" and "watch" in options:
+            return 200, await self.watch(kind, int(options["watch"]),
+                                         int(options["waitMs"]) / 1000)
+        if method == "GET" and name:
+            return (200, items[name]) if name in items else (404, {})
+        if method == "GET":
+            return 200, {"items": list(items.values()), "more": False,
+                         "storeRevision": self.revision}
+        sent = json.loads(body)
+        name = name or sent["metadata"]["name"]
+        expected = sent["metadata"].get("rev")
+        known = items.get(name)
+        if (method == "POST" and known) or (
+                expected and known and known["metadata"]["rev"] != expected):
+            return 409, known
+        return 200, self.put(kind, name, sent["spec"])
+
+    async def watch(self, kind, since, wait_s):
+        deadline = time.monotonic() + wait_s
+        while True:
+            found = [{"object": item, "deleted": deleted}
+                     for revision, of, item, deleted in self.events
+                     if of == kind and revision > since]
+            left = deadline - time.monotonic()
+            if found or left <= 0 or self.away:
+                return {"events": found, "storeRevision": self.revision}
+            try:
+                await asyncio.wait_for(self.changed.wait(), left)
+            except asyncio.TimeoutError:
+                pass
+
+
+class ScriptedEndpoint:
+    """Answers each request with the steps that `script(request)` returns.
+
+    A step is ("send", bytes), ("endless", bytes, pause_s), ("pause", s),
+    ("reset",), ("close",) or ("await_close", s). In bytes, `{id}` stands for
+    the id of the request's attempt.
+    """
+
+    def __init__(self, script):
+        self.script = script
+        self.requests = []
+        self.closed_by_peer = {}
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.address = "127.0.0.1:%d" % self.server.sockets[0].getsockname()[1]
+
+    async def serve(self, reader, writer):
+        try:
+            while message := await read_message(reader):
+                line, headers, body = message
+                request = {"path": line.split(" ")[1], "headers": headers,
+                           "id": headers.get("x-attempt-id", ""), "body": body,
+                           "at": time.monotonic()}
+                self.requests.append(request)
+                for step in self.script(request):
+                    await self.perform(step, request, reader, writer)
+        except (ConnectionError, asyncio.IncompleteReadError,
+                asyncio.CancelledError):
+            pass  # The gateway has ended, or the test has.
+        finally:
+            writer.close()
+
+    async def perform(self, step, request, reader, writer):
+        kind = step[0]
+        if kind == "send":
+            writer.write(step[1].replace(b"{id}", request["id"].encode()))
+            await writer.drain()
+        elif kind == "endless":
+            await self.send_endlessly(step[1], step[2], request, writer)
+        elif kind == "pause":
+            await asyncio.sleep(step[1])
+        elif kind == "await_close":
+            try:
+                await asyncio.wait_for(reader.read(1), step[1])
+                self.closed_by_peer[request["id"]] = time.monotonic()
+            except asyncio.TimeoutError:
+                pass
+        elif kind == "reset":
+            linger = struct.pack("ii", 1, 0)
+            writer.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            writer.transport.abort()
+            raise ConnectionError("reset by the script")
+        elif kind == "close":
+            raise ConnectionError("closed by the script")
+
+    async def send_endlessly(self, data, pause_s, request, writer):
+        sent = 0
+        end = time.monotonic() + ENDLESS_S
+        try:
+            while sent < ENDLESS_BYTES and time.monotonic() < end:
+                writer.write(data)
+                sent += len(data)
+                await asyncio.wait_for(writer.drain(),
+                                       max(0.01, end - time.monotonic()))
+                await asyncio.sleep(pause_s)
+        except asyncio.TimeoutError:
+            return
+        except ConnectionError:
+            self.closed_by_peer[request["id"]] = time.monotonic()
+            raise
+
+
+class GatewayProcess:
+    """One `jujuberock gateway` process on loopback."""
+
+    def __init__(self, store, name="host-1"):
+        self.store = store
+        self.name = name
+        self.folder = tempfile.mkdtemp(prefix="gateway-test-")
+        self.caller_port = free_port()
+        self.ready_port = free_port()
+        self.process = None
+
+    def start(self):
+        settings = {"host_name": self.name, "zone": "z",
+                    "caller_address": f"127.0.0.1:{self.caller_port}",
+                    "ready_address": f"127.0.0.1:{self.ready_port}",
+                    "platform_address": self.store.address,
+                    "retry_slack": 1000, "assumed_hosts": 1}
+        path = os.path.join(self.folder, "settings.json")
+        with open(path, "w") as out:
+            json.dump(settings, out)
+        self.log_path = os.path.join(self.folder, "log")
+        with open(self.log_path, "ab") as log:
+            self.process = subprocess.Popen(
+                [GATEWAY, "gateway", "--config", path],
+                stdout=log, stderr=log, stdin=subprocess.DEVNULL)
+
+    async def await_ready(self, limit_s=10):
+        end = time.monotonic() + limit_s
+        while time.monotonic() < end:
+            try:
+                reader, writer = await asyncio.open_connection(
+                    "127.0.0.1", self.ready_port)
+                writer.write(b"GET /readiness HTTP/1.1\r\nHost: r\r\n\r\n")
+                line = await reader.readline()
+                writer.close()
+                if b" 200 " in line:
+                    return
+            except ConnectionError:
+                pass
+            await asyncio.sleep(0.05)
+        raise AssertionError("the gateway did not become ready")
+
+    def terminate(self):
+        self.process.send_signal(signal.SIGTERM)
+
+    async def wait(self, limit_s):
+        end = time.monotonic() + limit_s
+        while self.process.poll() is None and time.monotonic() < end:
+            await asyncio.sleep(0.02)
+        return self.process.poll()
+
+    def kill(self):
+        if self.process and self.process.poll() is None:
+            self.process.kill()
+            self.process.wait()
+
+    def memory_kb(self):
+        with open(f"/proc/{self.process.pid}/status") as status:
+            for line in status:
+                if line.startswith("VmRSS:"):
+                    return int(line.split()[1])
+        return 0
+
+    def descriptors(self):
+        return len(os.listdir(f"/proc/{self.process.pid}/fd"))
+
+    def log_lines(self, request_id):
+        lines = []
+        with open(self.log_path, errors="replace") as log:
+            for text in log:
+                if f'"{request_id}"' in text:
+                    lines.append(json.loads(text[text.index("{"):]))
+        return lines
+
+
+def free_port():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class Answer:
+    """What a caller saw: a whole answer, a cut one, or none."""
+
+    def __init__(self):
+        self.status = None
+        self.headers = {}
+        self.body = b""
+        self.whole = False
+        self.took_s = 0.0
+
+
+async def ask(port, path, attempt_id, host="h", key=None, body=b"",
+              limit_s=12, method="POST", extra=(), connection=None):
+    """Sends one request and reads its answer to the end of its framing."""
+    answer = Answer()
+    began = time.monotonic()
+    writer = None
+    try:
+        reader, writer = connection or await asyncio.open_connection(
+            "127.0.0.1", port)
+        lines = [f"{method} {path} HTTP/1.1", f"Host: {host}",
+                 f"X-Attempt-Id: {attempt_id}",
+                 f"Content-Length: {len(body)}", *extra]
+        if key:
+            lines.append(f"X-Key: {key}")
+        writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+        await asyncio.wait_for(read_answer(reader, answer), limit_s)
+    except (ConnectionError, asyncio.TimeoutError,
+            asyncio.IncompleteReadError):
+        pass
+    finally:
+        if writer and not connection:
+            writer.close()
+    answer.took_s = time.monotonic() - began
+    return answer
+
+
+async def read_answer(reader, answer):
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    lines = head.split("\r\n")
+    answer.status = int(lines[0].split(" ")[1])
+    for line in lines[1:]:
+        name, _, value = line.partition(":")
+        answer.headers[name.lower()] = value.strip()
+    if "content-length" in answer.headers:
+        length = int(answer.headers["content-length"])
+        answer.body = await reader.readexactly(length)
+        answer.whole = True
+        return
+    while True:
+        size = int((await reader.readuntil(b"\r\n"))[:-2], 16)
+        answer.body += await reader.readexactly(size)
+        await reader.readexactly(2)
+        if size == 0:
+            answer.whole = True
+            return
