Keep shared prompt parts in the zone of the engine that read them

Most transfers crossed zones, which occupies the links twice as long, and 87 % of the parts went to the stores with 23 % of the link rate.

Change: a part is saved to a store of the engine's zone, in proportion to the link rates; when none there takes it (down, full, busy, save lost), to another zone. Parts are looked up in the reported contents of all stores. A part that only a slow store holds is saved a second time. The choice of an engine counts the link time of fetches, so engines in the zone of the store are preferred also when their queue hides the fetch. StoreLink takes the model of one link out of CacheStoreIndex.

--- a/source/core/dispatch/service_pool.cc
+++ b/source/core/dispatch/service_pool.cc
@@ -16,6 +16,9 @@
 // Weight of engine time taken from other requests, relative to the latency of
 // this request.
 constexpr double kEngineTimeWeight = 0.5;
+// The same for the time that fetches occupy the links, which is twice as long
+// between zones.
+constexpr double kLinkTimeWeight = 1;
 // Share of the prefill time that the first and second choice of rendezvous
 // hashing save on average, because other hosts send the same session there.
 constexpr double kFirstAffinitySaving = 0.35;
@@ -223,7 +226,7 @@
   const double prefill_ms =
       this->model.token_ms() * static_cast<double>(choice.uncached_tokens);
   double cost = common::ToMilliseconds(choice.predicted);
-  cost += kEngineTimeWeight * prefill_ms;
+  cost += kEngineTimeWeight * prefill_ms + kLinkTimeWeight * choice.link_ms;
   if (affinity.first == &record)
     cost -= prefill_ms * kFirstAffinitySaving;
   if (affinity.second == &record)
@@ -274,8 +277,10 @@
     // Fetches take link time rather than engine time.
     choice.uncached_tokens =
         std::max<int64_t>(0, choice.uncached_tokens - tokens);
-    choice.fetch_ms = std::max(choice.fetch_ms, stored[i].wait_ms) +
-                      TransferMs(stored[i], endpoint.zone);
+    const double transfer_ms = TransferMs(stored[i], endpoint.zone);
+    choice.fetch_ms =
+        std::max(choice.fetch_ms, stored[i].wait_ms) + transfer_ms;
+    choice.link_ms += transfer_ms;
   }
 }
 
--- a/source/core/dispatch/service_pool.h
+++ b/source/core/dispatch/service_pool.h
@@ -71,8 +71,10 @@
   int64_t uncached_tokens = 0;
   // Tokens that the engine is assumed to have cached.
   int64_t cached_tokens = 0;
-  // Time to fetch the tokens that are neither cached nor prefilled.
+  // Time to fetch the tokens that are neither cached nor prefilled, and the
+  // part of it during which the transfers occupy the links.
   double fetch_ms = 0;
+  double link_ms = 0;
   // Whether the run is expected to stream many events, so that pauses between
   // tokens are likely to affect it.
   bool is_long = false;
--- a/source/core/reuse/cache_store_index.cc
+++ b/source/core/reuse/cache_store_index.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <set>
 #include <utility>
 
@@ -18,25 +19,28 @@
 // Nothing is saved to a store that is filled beyond this share of its capacity,
 // because it would drop the saves.
 constexpr double kMaxFillShare = 0.97;
-constexpr double kExcessSmoothing = 0.06;
-// Number of samples that a store needs before other stores are compared with
-// it.
-constexpr int kMinSamples = 20;
-constexpr double kMaxExcessMs = 1500;
 // Share of the reads that are sent to a slow store anyway, to detect whether it
 // has recovered.
 constexpr double kProbeShare = 0.06;
-// A store whose requests are delayed by more than this is assumed to deliver
-// less than its nominal link rate.
-constexpr double kSlowExcessMs = 150;
-constexpr double kSlowFactor = 0.94;
-constexpr double kRecoveryFactor = 1.03;
-constexpr double kMinLinkShare = 0.05;
 // Fetches take precedence: nothing is saved if the link is busy for longer.
 constexpr double kMaxSaveWaitMs = 150;
 constexpr common::Duration kRestartMargin = std::chrono::milliseconds(400);
 // Shorter parts take less time to prefill than to fetch.
 constexpr int64_t kMinPartTokens = 64;
+// Saves that are not reported complete are forgotten after this time, once
+// there are many of them.
+constexpr common::Duration kSaveMemory = std::chrono::seconds(30);
+constexpr size_t kManySaves = 4096;
+
+// Score of a store in weighted rendezvous hashing: parts are distributed in
+// proportion to the link rates, because the links of the stores are busier than
+// their memory is full.
+double RendezvousScore(std::string_view part,
+                       const catalog::CacheStoreProperties& store) {
+  const uint64_t hash = common::Hash64(store.address, common::Hash64(part));
+  const double unit = (static_cast<double>(hash >> 11) + 0.5) * 0x1.0p-53;
+  return std::max(1.0, store.link_mbps) / -std::log(unit);
+}
 
 int64_t Milliseconds(common::TimePoint time) {
   return time.time_since_epoch().count() / 1000;
@@ -57,8 +61,13 @@
   std::set<std::string> present;
   for (const catalog::CacheStoreProperties& store : properties) {
     present.insert(store.address);
-    this->stores[store.address].properties = store;
+    Store& known = this->stores[store.address];
+    known.properties = store;
+    known.link.SetNominalRate(store.link_mbps);
   }
+  std::erase_if(this->pending_saves, [&](const auto& entry) {
+    return !present.contains(entry.second.store->properties.address);
+  });
   std::erase_if(this->stores, [&](const auto& entry) {
     return !present.contains(entry.first);
   });
@@ -89,7 +98,9 @@
     this->clock_offset_ms = *events.clock_ms - Milliseconds(now);
   if (store.epoch != events.epoch) {
     store.parts.clear();
-    store.pending_saves.clear();
+    std::erase_if(this->pending_saves, [&](const auto& entry) {
+      return entry.second.store == &store;
+    });
     store.used_tokens = 0;
     store.epoch_seen_at = now;
     store.epoch = events.epoch;
@@ -101,7 +112,7 @@
   store.next = events.next;
   for (const StoreEvent& event : events.events) {
     const std::string key = KeyOf(event.salt, event.part);
-    const auto known = store.parts.find(key);
+    const auto known = store.parts.find(std::string_view(key));
     if (known != store.parts.end()) {
       store.used_tokens -= known->second;
       store.parts.erase(known);
@@ -110,7 +121,7 @@
       continue;
     store.parts.emplace(key, event.tokens);
     store.used_tokens += event.tokens;
-    store.pending_saves.erase(key);
+    this->pending_saves.erase(key);
   }
 }
 
@@ -132,23 +143,13 @@
          now - store.epoch_seen_at >= this->SaveDelayAfterRestart();
 }
 
-double CacheStoreIndex::RelativeExcessMs(const Store& store) const {
-  double lowest = store.excess_ms;
-  for (const auto& [address, other] : this->stores) {
-    if (other.samples >= kMinSamples)
-      lowest = std::min(lowest, other.excess_ms);
+double CacheStoreIndex::LowestExcessMs() const {
+  double lowest = std::numeric_limits<double>::max();
+  for (const auto& [address, store] : this->stores) {
+    if (store.link.has_samples())
+      lowest = std::min(lowest, store.link.excess_ms());
   }
-  return store.excess_ms - lowest;
-}
-
-double CacheStoreIndex::LinkWaitMs(Store& store, common::TimePoint now) const {
-  const double rate = store.properties.link_mbps * store.link_share;
-  if (rate <= 0)
-    return 0;
-  const double passed = common::ToSeconds(now - store.queued_at);
-  store.queued_mbit = std::max(0.0, store.queued_mbit - rate * passed);
-  store.queued_at = now;
-  return 1000 * store.queued_mbit / rate;
+  return lowest;
 }
 
 dispatch::StoredPart CacheStoreIndex::StoredPartOf(
@@ -158,11 +159,11 @@
     common::TimePoint now) const {
   const double mbit = static_cast<double>(tokens) *
                       static_cast<double>(conditions.token_bytes) * 8 / 1e6;
-  const double store_mbps = store.properties.link_mbps * store.link_share;
+  const double store_mbps = store.link.rate_mbps();
   dispatch::StoredPart part;
   part.readable = this->IsReadable(store, now);
   part.zone = store.properties.zone;
-  part.wait_ms = this->LinkWaitMs(store, now);
+  part.wait_ms = store.link.WaitMs(now);
   if (conditions.engine_link_mbps > 0)
     part.transfer_ms = 1000 * mbit / conditions.engine_link_mbps;
   if (store_mbps > 0)
@@ -174,13 +175,12 @@
                                     int64_t tokens,
                                     const FetchConditions& conditions,
                                     common::TimePoint now,
-                                    ReusePlan& plan) const {
+                                    ReusePlan& plan) {
   double mbit = static_cast<double>(tokens) *
                 static_cast<double>(conditions.token_bytes) * 8 / 1e6;
   if (store.properties.zone != conditions.engine_zone)
     mbit *= dispatch::kCrossZoneTransferFactor;
-  this->LinkWaitMs(store, now);
-  store.queued_mbit += mbit;
+  store.link.Queue(mbit, now);
   plan.transfers.push_back({store.properties.address, mbit});
 }
 
@@ -196,84 +196,141 @@
                                      double mbit,
                                      common::TimePoint now) {
   Store* store = this->FindByHash(store_hash);
-  if (!store)
-    return;
-  this->LinkWaitMs(*store, now);
-  store->queued_mbit += mbit;
+  if (store)
+    store->link.Queue(mbit, now);
 }
 
 void CacheStoreIndex::OnPeerFetched(uint64_t store_hash,
                                     common::Duration excess) {
   Store* store = this->FindByHash(store_hash);
   if (store)
-    this->RecordExcess(*store, excess);
+    store->link.RecordExcess(excess, this->LowestExcessMs());
 }
 
 void CacheStoreIndex::OnFetched(std::string_view address,
                                 common::Duration excess) {
   const auto found = this->stores.find(address);
   if (found != this->stores.end())
-    this->RecordExcess(found->second, excess);
-}
-
-void CacheStoreIndex::RecordExcess(Store& store,
-                                   common::Duration excess) const {
-  const double ms =
-      std::clamp(common::ToMilliseconds(excess), 0.0, kMaxExcessMs);
-  ++store.samples;
-  store.excess_ms += kExcessSmoothing * (ms - store.excess_ms);
-  const bool is_slow =
-      this->RelativeExcessMs(store) > kSlowExcessMs && ms > store.excess_ms / 2;
-  store.link_share =
-      std::clamp(store.link_share * (is_slow ? kSlowFactor : kRecoveryFactor),
-                 kMinLinkShare, 1.0);
-}
-
-const CacheStoreIndex::Store* CacheStoreIndex::HomeOf(
-    std::string_view part) const {
-  const Store* best = nullptr;
-  double best_score = 0;
-  for (const auto& [address, store] : this->stores) {
-    // Weighted rendezvous hashing: parts are distributed in proportion to the
-    // capacity of the stores.
-    const uint64_t hash = common::Hash64(address, common::Hash64(part));
-    const double unit = (static_cast<double>(hash >> 11) + 0.5) * 0x1.0p-53;
-    const double weight = static_cast<double>(
-        std::max<int64_t>(1, store.properties.capacity_tokens));
-    const double score = weight / -std::log(unit);
-    if (best && score <= best_score)
+    found->second.link.RecordExcess(excess, this->LowestExcessMs());
+}
+
+CacheStoreIndex::HashedKey CacheStoreIndex::Hashed(std::string_view key) {
+  return {key, KeyHash()(key)};
+}
+
+CacheStoreIndex::Copy CacheStoreIndex::FindCopy(
+    const std::string& key,
+    int64_t tokens,
+    const FetchConditions& conditions,
+    common::TimePoint now) {
+  const HashedKey hashed = Hashed(key);
+  Copy best;
+  double lowest_ms = 0;
+  for (auto& [address, store] : this->stores) {
+    if (!this->IsReadable(store, now) || !store.parts.contains(hashed))
+      continue;
+    const dispatch::StoredPart part =
+        this->StoredPartOf(store, tokens, conditions, now);
+    const double ms =
+        part.wait_ms + dispatch::TransferMs(part, conditions.engine_zone);
+    if (best.store && ms >= lowest_ms)
+      continue;
+    best = {&store, part};
+    lowest_ms = ms;
+  }
+  return best;
+}
+
+bool CacheStoreIndex::HasRoom(const Store& store, int64_t tokens) const {
+  const double limit =
+      kMaxFillShare * static_cast<double>(store.properties.capacity_tokens);
+  return static_cast<double>(store.used_tokens + tokens) <= limit;
+}
+
+CacheStoreIndex::Store* CacheStoreIndex::ChooseTarget(
+    const std::string& key,
+    const dispatch::PromptPart& part,
+    std::string_view zone,
+    const Store* excluded,
+    common::TimePoint now) {
+  const HashedKey hashed = Hashed(key);
+  Store* best = nullptr;
+  std::pair<bool, double> best_rank;
+  for (auto& [address, store] : this->stores) {
+    if (&store == excluded || !this->AcceptsSaves(store, now) ||
+        !this->HasRoom(store, part.tokens) || store.parts.contains(hashed) ||
+        store.link.WaitMs(now) > kMaxSaveWaitMs)
+      continue;
+    const std::pair<bool, double> rank(
+        store.properties.zone == zone,
+        RendezvousScore(part.id, store.properties));
+    if (best && rank <= best_rank)
       continue;
     best = &store;
-    best_score = score;
+    best_rank = rank;
   }
   return best;
 }
 
-CacheStoreIndex::Store* CacheStoreIndex::HomeOf(std::string_view part) {
-  return const_cast<Store*>(std::as_const(*this).HomeOf(part));
+void CacheStoreIndex::ForgetOldSaves(common::TimePoint now) {
+  if (this->pending_saves.size() < kManySaves)
+    return;
+  std::erase_if(this->pending_saves, [&](const auto& entry) {
+    return now - entry.second.started_at >= kSaveMemory;
+  });
 }
 
-bool CacheStoreIndex::TryQueueSave(Store& store,
-                                   const std::string& key,
-                                   int64_t tokens,
-                                   const FetchConditions& conditions,
-                                   common::TimePoint now,
-                                   ReusePlan& plan) {
-  if (!this->AcceptsSaves(store, now) ||
-      this->LinkWaitMs(store, now) > kMaxSaveWaitMs)
-    return false;
-  const double limit =
-      kMaxFillShare * static_cast<double>(store.properties.capacity_tokens);
-  if (static_cast<double>(store.used_tokens + tokens) > limit)
-    return false;
-  PendingSave& save = store.pending_saves[key];
-  const bool in_progress =
-      save.attempts > 0 && now - save.started_at < kSaveTimeout;
-  if (in_progress || save.attempts >= kMaxSaveAttempts)
-    return false;
+void CacheStoreIndex::PlanSave(const std::string& key,
+                               const dispatch::PromptPart& part,
+                               size_t index,
+                               const FetchConditions& conditions,
+                               common::TimePoint now,
+                               ReusePlan& plan) {
+  const auto known = this->pending_saves.find(key);
+  const bool is_pending = known != this->pending_saves.end();
+  if (is_pending && (now - known->second.started_at < kSaveTimeout ||
+                     known->second.attempts >= kMaxSaveAttempts))
+    return;
+  const Store* failed = is_pending ? known->second.store : nullptr;
+  Store* target =
+      this->ChooseTarget(key, part, conditions.engine_zone, failed, now);
+  if (!target && failed)
+    target =
+        this->ChooseTarget(key, part, conditions.engine_zone, nullptr, now);
+  if (!target)
+    return;
+  this->ForgetOldSaves(now);
+  PendingSave& save = this->pending_saves[key];
   save.started_at = now;
+  save.store = target;
   ++save.attempts;
-  this->QueueTransfer(store, tokens, conditions, now, plan);
+  QueueTransfer(*target, part.tokens, conditions, now, plan);
+  plan.targets[index] = target->properties.address;
+}
+
+bool CacheStoreIndex::PlanFetch(const Copy& copy,
+                                size_t index,
+                                int64_t tokens,
+                                bool is_cached,
+                                const FetchConditions& conditions,
+                                common::TimePoint now,
+                                ReusePlan& plan) {
+  // The engine does not fetch a part again that it has cached, so naming the
+  // store as a source costs nothing.
+  const bool is_worth_it =
+      is_cached || conditions.chance < kProbeShare ||
+      dispatch::IsWorthFetching(copy.part, tokens, conditions.engine_zone,
+                                conditions.limits);
+  if (!is_worth_it) {
+    plan.skipped_tokens += tokens;
+    return false;
+  }
+  plan.sources[index] = copy.store->properties.address;
+  plan.source_tokens += tokens;
+  if (is_cached)
+    return true;
+  QueueTransfer(*copy.store, tokens, conditions, now, plan);
+  plan.fetched_tokens += tokens;
   return true;
 }
 
@@ -289,45 +346,28 @@
   for (size_t i = 0; i < prompt.parts.size(); ++i) {
     const dispatch::PromptPart& part = prompt.parts[i];
     end += part.tokens;
-    Store* store =
-        part.tokens >= kMinPartTokens ? this->HomeOf(part.id) : nullptr;
-    if (!store)
+    if (part.tokens < kMinPartTokens)
       continue;
+    const bool is_cached = end <= conditions.cached_tokens;
     const std::string key = KeyOf(salt, part.id);
-    const auto known = store->parts.find(key);
-    if (known != store->parts.end()) {
-      // The engine does not fetch a part again that it has cached, so naming
-      // the store as a source costs nothing.
-      const bool is_cached = end <= conditions.cached_tokens;
-      const bool is_skipped =
-          !this->IsReadable(*store, now) ||
-          (!is_cached && conditions.chance >= kProbeShare &&
-           !dispatch::IsWorthFetching(
-               this->StoredPartOf(*store, part.tokens, conditions, now),
-               part.tokens, conditions.engine_zone, conditions.limits));
-      if (is_skipped) {
-        plan.skipped_tokens += part.tokens;
-        continue;
-      }
-      if (!is_cached) {
-        this->QueueTransfer(*store, part.tokens, conditions, now, plan);
-        plan.fetched_tokens += part.tokens;
-      }
-      plan.sources[i] = store->properties.address;
-      plan.source_tokens += part.tokens;
-      if (!is_cached && part.tokens > main_tokens) {
-        main_tokens = part.tokens;
-        plan.main_source = store->properties.address;
-      }
-      continue;
+    const Copy copy = this->FindCopy(key, part.tokens, conditions, now);
+    const bool is_fetched =
+        copy.store &&
+        this->PlanFetch(copy, i, part.tokens, is_cached, conditions, now, plan);
+    if (is_fetched && !is_cached && part.tokens > main_tokens) {
+      main_tokens = part.tokens;
+      plan.main_source = copy.store->properties.address;
     }
     // The last part is used by this request only, so saving it is of no use.
     const bool is_last = i + 1 == prompt.parts.size();
-    if (!is_last)
+    if (is_fetched || is_last)
+      continue;
+    if (!copy.store)
       plan.absent_tokens += part.tokens;
-    if (!is_last &&
-        this->TryQueueSave(*store, key, part.tokens, conditions, now, plan))
-      plan.targets[i] = store->properties.address;
+    // A part that only a slow store holds is read again now; a second copy
+    // saves the next requests from it.
+    if (!copy.store || copy.store->link.is_slow())
+      this->PlanSave(key, part, i, conditions, now, plan);
   }
   plan.until_ms =
       this->ToEndpointClock(now + std::min(conditions.read_time, kMaxReadTime));
@@ -342,10 +382,10 @@
   std::vector<dispatch::StoredPart> stored_parts(prompt.parts.size());
   for (size_t i = 0; i < prompt.parts.size(); ++i) {
     const dispatch::PromptPart& part = prompt.parts[i];
-    Store* store = this->HomeOf(part.id);
-    if (store && store->parts.contains(KeyOf(salt, part.id)))
-      stored_parts[i] =
-          this->StoredPartOf(*store, part.tokens, conditions, now);
+    const Copy copy =
+        this->FindCopy(KeyOf(salt, part.id), part.tokens, conditions, now);
+    if (copy.store)
+      stored_parts[i] = copy.part;
   }
   return stored_parts;
 }
@@ -389,7 +429,8 @@
     return;
   Store& store = found->second;
   for (const StoredPartName& name : freed) {
-    const auto known = store.parts.find(KeyOf(name.salt, name.part));
+    const std::string key = KeyOf(name.salt, name.part);
+    const auto known = store.parts.find(std::string_view(key));
     if (known == store.parts.end())
       continue;
     store.used_tokens -= known->second;
--- a/source/core/reuse/cache_store_index.h
+++ b/source/core/reuse/cache_store_index.h
@@ -2,6 +2,7 @@
 #define CORE_REUSE_CACHE_STORE_INDEX_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -13,6 +14,7 @@
 #include "core/common/time.h"
 #include "core/dispatch/prompt.h"
 #include "core/dispatch/stored_part.h"
+#include "core/reuse/store_link.h"
 
 namespace jujuberock::reuse {
 
@@ -89,12 +91,13 @@
 };
 
 // Contents and state of the cache stores as this host knows them. Decides which
-// parts a request reads or saves. Three rules ensure that a read never returns
-// an incomplete part: only parts that the store has reported complete are read;
-// a store that does not answer is not read from; and after a store restarts,
-// nothing is saved to it until all reads that rely on its former contents have
-// ended. Parts are freed only when no host can read them any more (see
-// VersionRetirement). Not thread-safe.
+// parts a request reads or saves. A part is saved to a store in the zone of the
+// engine that read it, and fetched from wherever the stores report it. Three
+// rules ensure that a read never returns an incomplete part: only parts that
+// the store has reported complete are read; a store that does not answer is not
+// read from; and after a store restarts, nothing is saved to it until all reads
+// that rely on its former contents have ended. Parts are freed only when no
+// host can read them any more (see VersionRetirement). Not thread-safe.
 class CacheStoreIndex {
  public:
   // Maximum duration of a read, counted from the send of the request.
@@ -159,9 +162,29 @@
   std::optional<uint64_t> ToEndpointClock(common::TimePoint time) const;
 
  private:
-  struct PendingSave {
-    common::TimePoint started_at;
-    int attempts = 0;
+  // Name of a part together with its hash, which all stores' maps share.
+  struct HashedKey {
+    std::string_view text;
+    size_t hash = 0;
+  };
+  struct KeyHash {
+    using is_transparent = void;
+    size_t operator()(std::string_view text) const {
+      return std::hash<std::string_view>()(text);
+    }
+    size_t operator()(const HashedKey& key) const { return key.hash; }
+  };
+  struct KeyEqual {
+    using is_transparent = void;
+    bool operator()(std::string_view a, std::string_view b) const {
+      return a == b;
+    }
+    bool operator()(const HashedKey& a, std::string_view b) const {
+      return a.text == b;
+    }
+    bool operator()(std::string_view a, const HashedKey& b) const {
+      return a == b.text;
+    }
   };
   struct Store {
     catalog::CacheStoreProperties properties;
@@ -174,49 +197,68 @@
     common::TimePoint answering_since;
     common::TimePoint epoch_seen_at;
     int64_t used_tokens = 0;
-    // Moving average of the delays, beyond the predicted time to first token,
-    // of requests that read from the store.
-    double excess_ms = 0;
-    int samples = 0;
-    // Transfers of all hosts that were queued for the link at `queued_at`, in
-    // Mbit.
-    double queued_mbit = 0;
-    common::TimePoint queued_at;
-    // Estimated share of its nominal link rate that the store delivers.
-    double link_share = 1;
-    std::unordered_map<std::string, int64_t> parts;
-    std::unordered_map<std::string, PendingSave> pending_saves;
+    StoreLink link;
+    // Tokens of each part.
+    std::unordered_map<std::string, int64_t, KeyHash, KeyEqual> parts;
+  };
+  struct PendingSave {
+    common::TimePoint started_at;
+    int attempts = 0;
+    const Store* store = nullptr;
+  };
+  // The copy of a part that is the cheapest to fetch.
+  struct Copy {
+    Store* store = nullptr;
+    dispatch::StoredPart part;
   };
 
   static std::string KeyOf(std::string_view salt, std::string_view part);
+  static HashedKey Hashed(std::string_view key);
   bool IsReadable(const Store& store, common::TimePoint now) const;
-  // Delay beyond that of the best store. The difference excludes delays caused
-  // by the engines, which affect the requests of all stores.
-  double RelativeExcessMs(const Store& store) const;
-  // Updates the queue of the store's link and returns how long a transfer that
-  // starts now waits for the link.
-  double LinkWaitMs(Store& store, common::TimePoint now) const;
+  double LowestExcessMs() const;
   dispatch::StoredPart StoredPartOf(Store& store,
                                     int64_t tokens,
                                     const FetchConditions& conditions,
                                     common::TimePoint now) const;
-  void QueueTransfer(Store& store,
-                     int64_t tokens,
-                     const FetchConditions& conditions,
-                     common::TimePoint now,
-                     ReusePlan& plan) const;
+  // Returns the readable copy of the part that the engine gets first; its store
+  // is null if there is none.
+  Copy FindCopy(const std::string& key,
+                int64_t tokens,
+                const FetchConditions& conditions,
+                common::TimePoint now);
+  // Plans the fetch of a part from a known copy. Returns whether the part is
+  // fetched.
+  bool PlanFetch(const Copy& copy,
+                 size_t index,
+                 int64_t tokens,
+                 bool is_cached,
+                 const FetchConditions& conditions,
+                 common::TimePoint now,
+                 ReusePlan& plan);
+  // Plans to save the part to the store that suits the engine best, unless a
+  // save is in progress.
+  void PlanSave(const std::string& key,
+                const dispatch::PromptPart& part,
+                size_t index,
+                const FetchConditions& conditions,
+                common::TimePoint now,
+                ReusePlan& plan);
+  static void QueueTransfer(Store& store,
+                            int64_t tokens,
+                            const FetchConditions& conditions,
+                            common::TimePoint now,
+                            ReusePlan& plan);
   Store* FindByHash(uint64_t store_hash);
-  void RecordExcess(Store& store, common::Duration excess) const;
   bool AcceptsSaves(const Store& store, common::TimePoint now) const;
-  // The store that is responsible for a part; the same on every host.
-  Store* HomeOf(std::string_view part);
-  const Store* HomeOf(std::string_view part) const;
-  bool TryQueueSave(Store& store,
-                    const std::string& key,
-                    int64_t tokens,
-                    const FetchConditions& conditions,
-                    common::TimePoint now,
-                    ReusePlan& plan);
+  bool HasRoom(const Store& store, int64_t tokens) const;
+  // The store to save a part to from an engine in `zone`, preferably one in the
+  // same zone; null if none accepts it. All hosts prefer the same one.
+  Store* ChooseTarget(const std::string& key,
+                      const dispatch::PromptPart& part,
+                      std::string_view zone,
+                      const Store* excluded,
+                      common::TimePoint now);
+  void ForgetOldSaves(common::TimePoint now);
 
   // Time after a restart of a store was first seen during which nothing is
   // saved to it. By its end, all reads that rely on the former contents have
@@ -225,10 +267,12 @@
 
   common::Duration max_answer_age = kMaxAnswerAge;
   std::map<std::string, Store, std::less<>> stores;
+  // Saves that no store has reported complete, by name of the part.
+  std::unordered_map<std::string, PendingSave> pending_saves;
   // The endpoints' clock minus this host's, in milliseconds.
   std::optional<int64_t> clock_offset_ms;
 };
 
 }  // namespace jujuberock::reuse
 
-#endif  // CORE_REUSE_STORE_BOOK_H_
+#endif  // CORE_REUSE_CACHE_STORE_INDEX_H_
--- a/source/unit_tests/core/dispatch/service_pool_test.cc
+++ b/source/unit_tests/core/dispatch/service_pool_test.cc
@@ -174,6 +174,35 @@
   }
 }
 
+// Load pattern: every engine has prompts waiting, so that a fetch is hidden by
+// the wait. Guards against fetches across zones that delay no request by
+// themselves, but fill the links of the stores for all others.
+TEST_CASE("a busy engine in the zone of the store is preferred") {
+  Pool pool(0);
+  auto endpoints = MakeEndpoints(6);
+  for (size_t i = 0; i < endpoints.size(); ++i)
+    endpoints[i].zone = i < 3 ? "z" : "far";
+  pool.pool.Update(EngineService(), endpoints);
+  for (const auto& [id, record] : pool.pool.records()) {
+    SendTicket waiting;
+    waiting.endpoint = record;
+    waiting.uncached_tokens = 12000;
+    record->OnSent(waiting, At(0));
+  }
+  const Prompt prompt = MakePrompt("s", 9000);
+  std::vector<StoredPart> stored(2);
+  stored[0] = {true, "far", 0, 60};
+  SendRequirements requirements;
+  requirements.prompt = &prompt;
+  requirements.stored = [&](uint64_t) -> const std::vector<StoredPart>& {
+    return stored;
+  };
+  requirements.fetch_limits.max_wait_ms = 270;
+  for (int i = 0; i < 10; ++i)
+    CHECK(pool.pool.Choose(requirements, At(1))->endpoint->endpoint().zone ==
+          "far");
+}
+
 // Load pattern: repeated requests of one session at low load. Guards against
 // prefilling its prompt on a different engine each time.
 TEST_CASE("a session returns to the engine that cached its prompt") {
--- a/source/unit_tests/core/reuse/cache_store_index_test.cc
+++ b/source/unit_tests/core/reuse/cache_store_index_test.cc
@@ -264,5 +264,91 @@
   CHECK(fetched < home / 2);
 }
 
+constexpr const char* kFarStore = "10.0.1.1:80";
+
+// A store in the zone "near" and one in the zone "far"; both answer.
+CacheStoreIndex MakeTwoZoneIndex() {
+  catalog::CacheStoreProperties near_store = Properties();
+  near_store.zone = "near";
+  catalog::CacheStoreProperties far_store = Properties();
+  far_store.zone = "far";
+  far_store.address = kFarStore;
+  CacheStoreIndex index;
+  index.SetStores({near_store, far_store});
+  for (const char* address : {kStore, kFarStore}) {
+    index.OnEvents(address, Events(1, {}), At(0), At(0));
+    index.OnEvents(address, Events(1, {}), At(4000), At(4000));
+  }
+  return index;
+}
+
+std::string TargetIn(CacheStoreIndex& index,
+                     std::string_view zone,
+                     int at = 4000) {
+  FetchConditions conditions = Conditions();
+  conditions.engine_zone = zone;
+  return index.Plan("v1", MakePrompt(), conditions, At(at)).targets[0];
+}
+
+// Load pattern: long shared parts, engines and stores in several zones. Guards
+// against saves and fetches between zones, which occupy the links twice as
+// long: hashing over the stores of all zones made most transfers cross zones.
+TEST_CASE("a part is saved in the zone of the engine that read it") {
+  SECTION("near") {
+    CacheStoreIndex index = MakeTwoZoneIndex();
+    CHECK(TargetIn(index, "near") == kStore);
+  }
+  SECTION("far") {
+    CacheStoreIndex index = MakeTwoZoneIndex();
+    CHECK(TargetIn(index, "far") == kFarStore);
+  }
+}
+
+// Guards against parts that are read again by each engine while the store that
+// should hold them is down or full.
+TEST_CASE(
+    "a part is saved elsewhere when the store of the zone can't take it") {
+  CacheStoreIndex index = MakeTwoZoneIndex();
+  SECTION("down") {
+    index.OnPollFailed(kStore);
+  }
+  SECTION("full") {
+    index.OnEvents(kStore, Events(1, {{true, "v1", "x", 9600}}), At(4000),
+                   At(4000));
+  }
+  SECTION("busy") {
+    index.OnPeerTransfer(common::Hash64(kStore), 20000, At(4000));
+  }
+  CHECK(TargetIn(index, "near") == kFarStore);
+}
+
+// Guards against reading a part again that a store of another zone holds.
+TEST_CASE("a part is fetched from any store that holds it") {
+  CacheStoreIndex index = MakeTwoZoneIndex();
+  index.OnEvents(kFarStore, Events(1, {{true, "v1", "a", 400}}), At(4000),
+                 At(4000));
+  FetchConditions conditions = Conditions();
+  conditions.limits.prefill_token_ms = 1;
+  conditions.engine_zone = "near";
+  const ReusePlan from_far =
+      index.Plan("v1", MakePrompt(), conditions, At(4000));
+  CHECK(from_far.sources[0] == kFarStore);
+  CHECK(from_far.targets[0].empty());
+  index.OnEvents(kStore, Events(1, {{true, "v1", "a", 400}}), At(4000),
+                 At(4000));
+  CHECK(index.Plan("v1", MakePrompt(), conditions, At(4500)).sources[0] ==
+        kStore);
+}
+
+// Guards against a save that is lost at one store and always tried there again.
+TEST_CASE("a save that was lost is tried at another store") {
+  CacheStoreIndex index = MakeTwoZoneIndex();
+  CHECK(TargetIn(index, "near") == kStore);
+  CHECK(TargetIn(index, "near", 4500).empty());
+  for (const char* address : {kStore, kFarStore})
+    index.OnEvents(address, Events(1, {}), At(6600), At(6600));
+  CHECK(TargetIn(index, "near", 6600) == kFarStore);
+}
+
 }  // namespace
 }  // namespace jujuberock::reuse
