Tell the other hosts which prompt parts an engine was sent

Cause: each host modelled an engine's cache from its own sends only.

Change: the announcement of a prompt carries the keys and sizes of its parts (up to four, 12 bytes each), which the other hosts enter into their models; own prompts are entered when they are sent. Datagrams hold at most 12 prompts and 16 stores, so that they still fit. Hosts of former builds ignore the new entries.

--- a/source/core/dispatch/part_cache.cc
+++ b/source/core/dispatch/part_cache.cc
@@ -2,31 +2,34 @@
 
 #include <algorithm>
 
+#include "core/common/hash.h"
+
 namespace jujuberock::dispatch {
 
-std::string PartCache::KeyOf(std::string_view salt, const PromptPart& part) {
-  std::string key(salt);
-  key += '/';
-  key += part.id;
-  return key;
+std::vector<CachedPart> CachedPartsOf(std::string_view salt,
+                                      const Prompt& prompt) {
+  const uint64_t seed = common::Hash64(salt);
+  std::vector<CachedPart> parts;
+  for (const PromptPart& part : prompt.parts)
+    parts.push_back({common::Hash64(part.id, seed), part.tokens});
+  return parts;
 }
 
-int64_t PartCache::UncachedTokens(std::string_view salt,
-                                  const Prompt& prompt) const {
+int64_t PartCache::CachedTokens(const std::vector<CachedPart>& parts) const {
   int64_t cached = 0;
-  for (const PromptPart& part : prompt.parts) {
-    if (!this->entries.contains(KeyOf(salt, part)))
+  for (const CachedPart& part : parts) {
+    if (!this->entries.contains(part.key))
       break;
     cached += part.tokens;
   }
-  return std::max<int64_t>(0, prompt.prompt_tokens - cached);
+  return cached;
 }
 
-void PartCache::Insert(std::string_view salt, const Prompt& prompt) {
+void PartCache::Insert(const std::vector<CachedPart>& parts) {
   // The last part is touched first, because engines evict the ends of prompts
   // before the prefixes that other prompts share.
-  for (auto part = prompt.parts.rbegin(); part != prompt.parts.rend(); ++part)
-    this->Touch(KeyOf(salt, *part), part->tokens);
+  for (auto part = parts.rbegin(); part != parts.rend(); ++part)
+    this->Touch(*part);
   while (this->used_tokens > this->capacity_tokens && !this->lru.empty()) {
     this->used_tokens -= this->lru.back().tokens;
     this->entries.erase(this->lru.back().key);
@@ -34,15 +37,15 @@
   }
 }
 
-void PartCache::Touch(const std::string& key, int64_t tokens) {
-  const auto found = this->entries.find(key);
+void PartCache::Touch(const CachedPart& part) {
+  const auto found = this->entries.find(part.key);
   if (found != this->entries.end()) {
     this->lru.splice(this->lru.begin(), this->lru, found->second);
     return;
   }
-  this->lru.push_front({key, tokens});
-  this->entries.emplace(key, this->lru.begin());
-  this->used_tokens += tokens;
+  this->lru.push_front(part);
+  this->entries.emplace(part.key, this->lru.begin());
+  this->used_tokens += part.tokens;
 }
 
 void PartCache::Clear() {
--- a/source/core/dispatch/part_cache.h
+++ b/source/core/dispatch/part_cache.h
@@ -3,44 +3,52 @@
 
 #include <cstdint>
 #include <list>
-#include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 #include "core/dispatch/prompt.h"
 
 namespace jujuberock::dispatch {
 
+// A prompt part as all hosts identify it in their models of an engine's cache.
+struct CachedPart {
+  // Hash of the part's id and of the salt.
+  uint64_t key = 0;
+  int64_t tokens = 0;
+
+  friend bool operator==(const CachedPart&, const CachedPart&) = default;
+};
+
+// Returns the parts of the prompt in order.
+std::vector<CachedPart> CachedPartsOf(std::string_view salt,
+                                      const Prompt& prompt);
+
 // Model of the prompt parts in the KV cache of one engine, with LRU eviction.
-// It contains only what this host sent there. Other hosts fill the cache as
-// well, so `capacity_tokens` should be this host's share. Not thread-safe.
+// It contains what this host sent there and what other hosts announced. Not
+// thread-safe.
 class PartCache {
  public:
   explicit PartCache(int64_t capacity_tokens)
       : capacity_tokens(capacity_tokens) {}
 
-  // Tokens of the prompt that the engine must prefill. A part counts as cached
-  // only if all parts before it are cached.
-  int64_t UncachedTokens(std::string_view salt, const Prompt& prompt) const;
-  // Adds the parts of a prompt that the engine has prefilled.
-  void Insert(std::string_view salt, const Prompt& prompt);
+  // Tokens of a prompt that the engine has cached. A part counts as cached only
+  // if all parts before it are cached.
+  int64_t CachedTokens(const std::vector<CachedPart>& parts) const;
+  // Adds the parts of a prompt that was sent to the engine.
+  void Insert(const std::vector<CachedPart>& parts);
   void Clear();
 
  private:
-  struct Entry {
-    std::string key;
-    int64_t tokens = 0;
-  };
-  using LruList = std::list<Entry>;
+  using LruList = std::list<CachedPart>;
 
-  static std::string KeyOf(std::string_view salt, const PromptPart& part);
-  void Touch(const std::string& key, int64_t tokens);
+  void Touch(const CachedPart& part);
 
   int64_t capacity_tokens;
   int64_t used_tokens = 0;
   // Ordered from the most to the least recently used.
   LruList lru;
-  std::unordered_map<std::string, LruList::iterator> entries;
+  std::unordered_map<uint64_t, LruList::iterator> entries;
 };
 
 }  // namespace jujuberock::dispatch
--- a/source/core/dispatch/service_pool.cc
+++ b/source/core/dispatch/service_pool.cc
@@ -161,11 +161,13 @@
   this->UpdateLongRunShare(now);
   const bool is_long =
       requirements.prompt && this->IsLong(*requirements.prompt);
-  const Affinity affinity =
+  Affinity affinity =
       requirements.prompt
           ? this->AffinityOf(*requirements.prompt,
                              is_long && this->long_run_share > 0)
           : Affinity();
+  if (requirements.prompt)
+    affinity.parts = CachedPartsOf(requirements.salt, *requirements.prompt);
   for (const auto& [id, record] : this->endpoints) {
     const Eligibility eligibility = EligibilityOf(*record, requirements, now);
     if (eligibility == Eligibility::kNo || eligibility < best_eligibility)
@@ -208,9 +210,9 @@
                                common::TimePoint now) {
   const EndpointRecord& record = *choice.endpoint;
   const Prompt& prompt = *requirements.prompt;
-  choice.uncached_tokens =
-      record.part_cache().UncachedTokens(requirements.salt, prompt);
-  choice.cached_tokens = prompt.prompt_tokens - choice.uncached_tokens;
+  choice.cached_tokens = std::min(
+      prompt.prompt_tokens, record.part_cache().CachedTokens(affinity.parts));
+  choice.uncached_tokens = prompt.prompt_tokens - choice.cached_tokens;
   this->ApplyStoredParts(choice, requirements);
   const double peer_tokens = record.PeerTokens(this->model.token_ms(), now);
   const double peer_pending =
--- a/source/core/dispatch/service_pool.h
+++ b/source/core/dispatch/service_pool.h
@@ -138,10 +138,13 @@
   static Eligibility EligibilityOf(const EndpointRecord& record,
                                    const SendRequirements& requirements,
                                    common::TimePoint now);
-  // The two highest-ranked endpoints of a session by rendezvous hashing.
+  // What makes some engines cheaper for a prompt than others: the two
+  // highest-ranked endpoints of its session by rendezvous hashing, and the
+  // parts that an engine may have cached.
   struct Affinity {
     const EndpointRecord* first = nullptr;
     const EndpointRecord* second = nullptr;
+    std::vector<CachedPart> parts = {};
   };
 
   // Chooses among the engines for long runs if `is_long` is set, otherwise
--- a/source/core/gateway/peer_loads.cc
+++ b/source/core/gateway/peer_loads.cc
@@ -31,8 +31,8 @@
 constexpr double kMaxDatagramsPerSecond = 2000;
 // An update with the maximum number of prompts or stores is sent immediately.
 // With these limits an update fits into kMaxDatagramBytes.
-constexpr size_t kMaxPrompts = 40;
-constexpr size_t kMaxStores = 20;
+constexpr size_t kMaxPrompts = 12;
+constexpr size_t kMaxStores = 16;
 constexpr size_t kMaxExcessesPerStore = 4;
 constexpr size_t kMaxUnreachable = 16;
 constexpr size_t kMaxDatagramBytes = 1472;
@@ -53,9 +53,13 @@
   return true;
 }
 
-// [endpoint, uncached tokens, memory tokens, run time in ms, is long]
+// [endpoint, uncached tokens, memory tokens, run time in ms, is long,
+//  (key, tokens) of each part...]
 std::optional<SentPrompt> DecodePrompt(const Json& item) {
-  if (!StartsWithUnsignedNumbers(item, 5))
+  constexpr size_t kPartsBegin = 5;
+  if (!StartsWithUnsignedNumbers(item, kPartsBegin) ||
+      !StartsWithUnsignedNumbers(item, item.size()) ||
+      item.size() > kPartsBegin + 2 * dispatch::kMaxAnnouncedParts)
     return std::nullopt;
   SentPrompt sent;
   sent.endpoint = item[0].get<uint64_t>();
@@ -63,6 +67,9 @@
   sent.prompt.memory_tokens = item[2].get<uint32_t>();
   sent.prompt.run_time = std::chrono::milliseconds(item[3].get<uint32_t>());
   sent.prompt.is_long = item[4].get<uint32_t>() != 0;
+  for (size_t i = kPartsBegin; i + 1 < item.size(); i += 2)
+    sent.prompt.parts.push_back(
+        {item[i].get<uint64_t>(), item[i + 1].get<uint32_t>()});
   return sent;
 }
 
@@ -82,11 +89,17 @@
 
 std::vector<uint8_t> EncodePeerUpdate(const PeerUpdate& update) {
   Json prompts = Json::array();
-  for (const SentPrompt& sent : update.prompts)
-    prompts.push_back({sent.endpoint, sent.prompt.uncached_tokens,
-                       sent.prompt.memory_tokens,
-                       ToClampedMilliseconds(sent.prompt.run_time),
-                       sent.prompt.is_long ? 1 : 0});
+  for (const SentPrompt& sent : update.prompts) {
+    Json item = {sent.endpoint, sent.prompt.uncached_tokens,
+                 sent.prompt.memory_tokens,
+                 ToClampedMilliseconds(sent.prompt.run_time),
+                 sent.prompt.is_long ? 1 : 0};
+    for (const dispatch::CachedPart& part : sent.prompt.parts) {
+      item.push_back(part.key);
+      item.push_back(part.tokens);
+    }
+    prompts.push_back(std::move(item));
+  }
   Json stores = Json::array();
   for (const CacheStoreUsage& usage : update.stores) {
     Json item = {usage.store, usage.mbit};
--- a/source/unit_tests/core/dispatch/part_cache_test.cc
+++ b/source/unit_tests/core/dispatch/part_cache_test.cc
@@ -15,27 +15,31 @@
 
 TEST_CASE("a part counts as cached only after cached parts") {
   PartCache cache(1000);
-  cache.Insert("s", MakePrompt({{"b", 100}}));
-  CHECK(cache.UncachedTokens("s", MakePrompt({{"a", 50}, {"b", 100}})) == 150);
-  cache.Insert("s", MakePrompt({{"a", 50}}));
-  CHECK(cache.UncachedTokens("s", MakePrompt({{"a", 50}, {"b", 100}})) == 0);
+  cache.Insert(CachedPartsOf("s", MakePrompt({{"b", 100}})));
+  CHECK(cache.CachedTokens(
+            CachedPartsOf("s", MakePrompt({{"a", 50}, {"b", 100}}))) == 0);
+  cache.Insert(CachedPartsOf("s", MakePrompt({{"a", 50}})));
+  CHECK(cache.CachedTokens(
+            CachedPartsOf("s", MakePrompt({{"a", 50}, {"b", 100}}))) == 150);
 }
 
 // Guards against counting the cached parts of one team for another team.
 TEST_CASE("parts with another salt do not count as cached") {
   PartCache cache(1000);
-  cache.Insert("team/a", MakePrompt({{"p", 100}}));
-  CHECK(cache.UncachedTokens("team/b", MakePrompt({{"p", 100}})) == 100);
+  cache.Insert(CachedPartsOf("team/a", MakePrompt({{"p", 100}})));
+  CHECK(cache.CachedTokens(CachedPartsOf("team/b", MakePrompt({{"p", 100}}))) ==
+        0);
 }
 
 TEST_CASE("the least recently used part is evicted first") {
   PartCache cache(200);
-  cache.Insert("s", MakePrompt({{"a", 100}}));
-  cache.Insert("s", MakePrompt({{"b", 100}}));
-  cache.Insert("s", MakePrompt({{"a", 100}}));
-  cache.Insert("s", MakePrompt({{"c", 100}}));
-  CHECK(cache.UncachedTokens("s", MakePrompt({{"a", 100}})) == 0);
-  CHECK(cache.UncachedTokens("s", MakePrompt({{"b", 100}})) == 100);
+  cache.Insert(CachedPartsOf("s", MakePrompt({{"a", 100}})));
+  cache.Insert(CachedPartsOf("s", MakePrompt({{"b", 100}})));
+  cache.Insert(CachedPartsOf("s", MakePrompt({{"a", 100}})));
+  cache.Insert(CachedPartsOf("s", MakePrompt({{"c", 100}})));
+  CHECK(cache.CachedTokens(CachedPartsOf("s", MakePrompt({{"a", 100}}))) ==
+        100);
+  CHECK(cache.CachedTokens(CachedPartsOf("s", MakePrompt({{"b", 100}}))) == 0);
 }
 
 }  // namespace
--- a/source/unit_tests/core/dispatch/service_pool_test.cc
+++ b/source/unit_tests/core/dispatch/service_pool_test.cc
@@ -210,7 +210,7 @@
   const Prompt prompt = MakePrompt("session", 9000);
   SendTicket first = pool.Send(prompt, 1, At(0));
   first.endpoint->OnStarted(first, At(100));
-  first.endpoint->part_cache().Insert("", prompt);
+  first.endpoint->part_cache().Insert(CachedPartsOf("", prompt));
   first.endpoint->OnEnded(first, At(200));
   for (int i = 1; i < 5; ++i) {
     SendTicket again = pool.Send(prompt, 1, At(1000 * i));
@@ -220,6 +220,24 @@
   }
 }
 
+// Load pattern: a session's next prompt reaches another host before any store
+// holds what the first one read. Guards against reading it again on another
+// engine: with many hosts, each knows few of the prompts on an engine.
+TEST_CASE("a session follows the engine that another host has chosen") {
+  Pool pool(6);
+  const Prompt prompt = MakePrompt("session", 9000);
+  for (const auto& [id, record] : pool.pool.records()) {
+    PeerPrompt announced{9000, 9100, milliseconds(400), false,
+                         CachedPartsOf("", MakePrompt("of-" + id, 9000))};
+    if (id == "e3")
+      announced.parts = CachedPartsOf("", prompt);
+    record->OnPeerPrompt(announced, At(0));
+  }
+  SendTicket next = pool.Send(prompt, 1, At(10));
+  CHECK(next.endpoint->endpoint().id == "e3");
+  CHECK(next.uncached_tokens == 0);
+}
+
 // Guards against predicting a late answer for an urgent request because of
 // prompts that the engine prefills after it.
 TEST_CASE("less urgent prompts do not delay an urgent request") {
--- a/source/unit_tests/core/gateway/peer_loads_test.cc
+++ b/source/unit_tests/core/gateway/peer_loads_test.cc
@@ -9,8 +9,14 @@
 
 PeerUpdate MakeUpdate() {
   PeerUpdate update;
-  update.prompts = {{1, {9000, 9400, std::chrono::milliseconds(420), false}},
-                    {~uint64_t{0}, {0, 700, std::chrono::seconds(2), true}}};
+  update.prompts = {
+      {1,
+       {9000,
+        9400,
+        std::chrono::milliseconds(420),
+        false,
+        {{5, 2500}, {~uint64_t{0}, 6500}}}},
+      {~uint64_t{0}, {0, 700, std::chrono::seconds(2), true, {}}}};
   update.stores = {{7, 5200, {0, 310}}, {8, 0, {}}};
   update.unreachable = {12, ~uint64_t{0}};
   return update;
