Announce prompt parts after the engine has read them

Change: parts are entered at the first token, in the own model and, by a list of their own in the datagram, in those of the other hosts.

--- a/source/core/dispatch/endpoint_record.cc
+++ b/source/core/dispatch/endpoint_record.cc
@@ -129,7 +129,6 @@
   if (this->peer_tokens <= 0)
     this->peer_tokens_at = now;
   this->peer_tokens += static_cast<double>(prompt.uncached_tokens);
-  this->cache.Insert(prompt.parts);
   // Announcements of other hosts are not trusted without a limit.
   if (this->peer_runs.size() >= kMaxPeerRuns)
     return;
--- a/source/core/dispatch/peer_prompt.h
+++ b/source/core/dispatch/peer_prompt.h
@@ -1,18 +1,12 @@
 #ifndef CORE_DISPATCH_PEER_PROMPT_H_
 #define CORE_DISPATCH_PEER_PROMPT_H_
 
-#include <cstddef>
 #include <cstdint>
-#include <vector>
 
 #include "core/common/time.h"
-#include "core/dispatch/part_cache.h"
 
 namespace jujuberock::dispatch {
 
-// Longer prompts are announced by their first parts, which other prompts share.
-inline constexpr size_t kMaxAnnouncedParts = 4;
-
 // A prompt that another host has sent to an engine.
 struct PeerPrompt {
   // Tokens that the engine must prefill.
@@ -23,8 +17,6 @@
   common::Duration run_time{0};
   // Whether the run is expected to stream many events.
   bool is_long = false;
-  // Parts of the prompt, at most kMaxAnnouncedParts.
-  std::vector<CachedPart> parts = {};
 
   friend bool operator==(const PeerPrompt&, const PeerPrompt&) = default;
 };
--- a/source/core/gateway/request_task.cc
+++ b/source/core/gateway/request_task.cc
@@ -453,15 +453,9 @@
                                const dispatch::SendTicket& ticket) {
   if (!this->request.prompt || !this->pool->is_engine())
     return;
-  dispatch::PeerPrompt prompt{
-      ticket.uncached_tokens, ticket.memory_tokens, choice.run_time,
-      choice.is_long,
-      dispatch::CachedPartsOf(this->cache_key, *this->request.prompt)};
-  // Recorded when it is sent: another prompt with the same parts that follows
-  // on the same engine does not read them again.
-  choice.endpoint->part_cache().Insert(prompt.parts);
-  if (prompt.parts.size() > dispatch::kMaxAnnouncedParts)
-    prompt.parts.resize(dispatch::kMaxAnnouncedParts);
+  const dispatch::PeerPrompt prompt{ticket.uncached_tokens,
+                                    ticket.memory_tokens, choice.run_time,
+                                    choice.is_long};
   this->pool->OnSent(prompt, ticket.sent_at);
   if (this->deps.peer_loads)
     this->deps.peer_loads->OnSent(choice.endpoint->endpoint().id, prompt);
@@ -521,12 +515,21 @@
   if (this->request.prompt && this->pool->is_engine()) {
     this->pool->OnFirstToken(ticket, now);
     this->RecordFetch(now - ticket.sent_at - this->predicted);
+    this->RecordRead(record);
   }
   if (this->first_byte_at == TimePoint())
     this->first_byte_at = now;
   this->deps.first_byte.Observe(now - this->received_at);
 }
 
+void RequestTask::RecordRead(dispatch::EndpointRecord& record) {
+  const auto parts =
+      dispatch::CachedPartsOf(this->cache_key, *this->request.prompt);
+  record.part_cache().Insert(parts);
+  if (this->deps.peer_loads)
+    this->deps.peer_loads->OnRead(record.endpoint().id, parts);
+}
+
 void RequestTask::RecordFetch(Duration excess) {
   if (this->reuse.main_source.empty())
     return;
--- a/source/unit_tests/core/dispatch/service_pool_test.cc
+++ b/source/unit_tests/core/dispatch/service_pool_test.cc
@@ -227,11 +227,8 @@
   Pool pool(6);
   const Prompt prompt = MakePrompt("session", 9000);
   for (const auto& [id, record] : pool.pool.records()) {
-    PeerPrompt announced{9000, 9100, milliseconds(400), false,
-                         CachedPartsOf("", MakePrompt("of-" + id, 9000))};
-    if (id == "e3")
-      announced.parts = CachedPartsOf("", prompt);
-    record->OnPeerPrompt(announced, At(0));
+    const Prompt read = id == "e3" ? prompt : MakePrompt("of-" + id, 9000);
+    record->part_cache().Insert(CachedPartsOf("", read));
   }
   SendTicket next = pool.Send(prompt, 1, At(10));
   CHECK(next.endpoint->endpoint().id == "e3");
