Give up the announcement of prompt parts between hosts

Sessions follow each other to engines that are already loaded.

Change: the models of engine caches hold this host's own prompts again.

--- a/source/core/dispatch/part_cache.h
+++ b/source/core/dispatch/part_cache.h
@@ -11,7 +11,7 @@
 
 namespace jujuberock::dispatch {
 
-// A prompt part as all hosts identify it in their models of an engine's cache.
+// A prompt part in the model of an engine's cache.
 struct CachedPart {
   // Hash of the part's id and of the salt.
   uint64_t key = 0;
@@ -25,8 +25,7 @@
                                       const Prompt& prompt);
 
 // Model of the prompt parts in the KV cache of one engine, with LRU eviction.
-// It contains what this host sent there and what other hosts announced. Not
-// thread-safe.
+// It contains only what this host sent there. Not thread-safe.
 class PartCache {
  public:
   explicit PartCache(int64_t capacity_tokens)
--- a/source/core/gateway/dispatcher.cc
+++ b/source/core/gateway/dispatcher.cc
@@ -99,15 +99,6 @@
   found->second.pool->OnSent(prompt, now);
 }
 
-void Dispatcher::OnPeerRead(uint64_t endpoint_hash,
-                            const std::vector<dispatch::CachedPart>& parts) {
-  const auto found = this->engines_by_hash.find(endpoint_hash);
-  if (found == this->engines_by_hash.end())
-    return;
-  if (const auto record = found->second.record.lock())
-    record->part_cache().Insert(parts);
-}
-
 void Dispatcher::OnPeerUnreachable(uint64_t endpoint_hash) {
   const auto found = this->engines_by_hash.find(endpoint_hash);
   if (found == this->engines_by_hash.end())
--- a/source/core/gateway/dispatcher.h
+++ b/source/core/gateway/dispatcher.h
@@ -57,10 +57,6 @@
   // Called when another host has sent a prompt to an engine.
   void OnPeerPrompt(uint64_t endpoint_hash, const dispatch::PeerPrompt& prompt);
 
-  // Called when an engine has read a prompt of another host.
-  void OnPeerRead(uint64_t endpoint_hash,
-                  const std::vector<dispatch::CachedPart>& parts);
-
   // Called when another host could not reach an engine.
   void OnPeerUnreachable(uint64_t endpoint_hash);
   // Sets the callback for endpoints that this host cannot reach.
--- a/source/core/gateway/peer_loads.cc
+++ b/source/core/gateway/peer_loads.cc
@@ -31,10 +31,8 @@
 constexpr double kMaxDatagramsPerSecond = 2000;
 // An update with the maximum number of prompts or stores is sent immediately.
 // With these limits an update fits into kMaxDatagramBytes.
-constexpr size_t kMaxPrompts = 16;
-constexpr size_t kMaxStores = 12;
-constexpr size_t kMaxReads = 8;
-constexpr size_t kMaxPartsPerRead = 4;
+constexpr size_t kMaxPrompts = 32;
+constexpr size_t kMaxStores = 14;
 constexpr size_t kMaxExcessesPerStore = 4;
 constexpr size_t kMaxUnreachable = 16;
 constexpr size_t kMaxDatagramBytes = 1472;
@@ -68,19 +66,6 @@
   return sent;
 }
 
-// [endpoint, (key, tokens) of each part...]
-std::optional<ReadParts> DecodeRead(const Json& item) {
-  if (!StartsWithUnsignedNumbers(item, 1) ||
-      !StartsWithUnsignedNumbers(item, item.size()) || item.size() % 2 == 0 ||
-      item.size() > 1 + 2 * kMaxPartsPerRead)
-    return std::nullopt;
-  ReadParts read{item[0].get<uint64_t>(), {}};
-  for (size_t i = 1; i < item.size(); i += 2)
-    read.parts.push_back(
-        {item[i].get<uint64_t>(), item[i + 1].get<uint32_t>()});
-  return read;
-}
-
 // [store, Mbit, excess in ms...]
 std::optional<CacheStoreUsage> DecodeStoreUsage(const Json& item) {
   if (!StartsWithUnsignedNumbers(item, 2) ||
@@ -109,31 +94,17 @@
       item.push_back(excess);
     stores.push_back(std::move(item));
   }
-  Json reads = Json::array();
-  for (const ReadParts& read : update.read_parts) {
-    Json item = Json::array({read.endpoint});
-    for (const dispatch::CachedPart& part : read.parts) {
-      item.push_back(part.key);
-      item.push_back(part.tokens);
-    }
-    reads.push_back(std::move(item));
-  }
-  return Json::to_msgpack(
-      Json::array({std::move(prompts), std::move(stores),
-                   Json(update.unreachable), std::move(reads)}));
+  return Json::to_msgpack(Json::array(
+      {std::move(prompts), std::move(stores), Json(update.unreachable)}));
 }
 
 std::optional<PeerUpdate> DecodePeerUpdate(const uint8_t* bytes, size_t size) {
   const Json lists = Json::from_msgpack(bytes, bytes + size, true, false);
-  if (!lists.is_array() || lists.size() < 3 || !lists[0].is_array() ||
+  if (!lists.is_array() || lists.size() != 3 || !lists[0].is_array() ||
       !lists[1].is_array() || lists[0].size() > kMaxPrompts ||
       lists[1].size() > kMaxStores || lists[2].size() > kMaxUnreachable ||
       !StartsWithUnsignedNumbers(lists[2], lists[2].size()))
     return std::nullopt;
-  // Hosts of former builds send no list of read parts.
-  const Json reads = lists.size() > 3 ? lists[3] : Json::array();
-  if (!reads.is_array() || reads.size() > kMaxReads)
-    return std::nullopt;
   PeerUpdate update;
   for (const Json& item : lists[0]) {
     const auto sent = DecodePrompt(item);
@@ -149,12 +120,6 @@
   }
   for (const Json& hash : lists[2])
     update.unreachable.push_back(hash.get<uint64_t>());
-  for (const Json& item : reads) {
-    auto read = DecodeRead(item);
-    if (!read)
-      return std::nullopt;
-    update.read_parts.push_back(std::move(*read));
-  }
   return update;
 }
 
@@ -198,16 +163,6 @@
     this->SendPending();
 }
 
-void PeerLoads::OnRead(std::string_view endpoint,
-                       std::vector<dispatch::CachedPart> parts) {
-  if (parts.size() > kMaxPartsPerRead)
-    parts.resize(kMaxPartsPerRead);
-  this->pending_update.read_parts.push_back(
-      {common::Hash64(endpoint), std::move(parts)});
-  if (this->pending_update.read_parts.size() >= kMaxReads)
-    this->SendPending();
-}
-
 CacheStoreUsage& PeerLoads::UsageOf(std::string_view store) {
   const uint64_t hash = common::Hash64(store);
   for (CacheStoreUsage& usage : this->pending_update.stores) {
@@ -295,8 +250,6 @@
   const common::TimePoint now = runtime::BootNow();
   for (const SentPrompt& sent : update.prompts)
     this->dispatcher.OnPeerPrompt(sent.endpoint, sent.prompt);
-  for (const ReadParts& read : update.read_parts)
-    this->dispatcher.OnPeerRead(read.endpoint, read.parts);
   for (const uint64_t endpoint : update.unreachable)
     this->dispatcher.OnPeerUnreachable(endpoint);
   for (const CacheStoreUsage& usage : update.stores) {
--- a/source/core/gateway/peer_loads.h
+++ b/source/core/gateway/peer_loads.h
@@ -27,15 +27,6 @@
   friend bool operator==(const SentPrompt&, const SentPrompt&) = default;
 };
 
-// Prompt parts that an engine has read for a host, in order.
-struct ReadParts {
-  // Hash of the endpoint's id.
-  uint64_t endpoint = 0;
-  std::vector<dispatch::CachedPart> parts;
-
-  friend bool operator==(const ReadParts&, const ReadParts&) = default;
-};
-
 // A host's use of the link of a cache store.
 struct CacheStoreUsage {
   // Hash of the store's address.
@@ -56,11 +47,10 @@
   std::vector<CacheStoreUsage> stores;
   // Hashes of the ids of unreachable endpoints.
   std::vector<uint64_t> unreachable;
-  std::vector<ReadParts> read_parts;
 
   bool IsEmpty() const {
     return this->prompts.empty() && this->stores.empty() &&
-           this->unreachable.empty() && this->read_parts.empty();
+           this->unreachable.empty();
   }
 
   friend bool operator==(const PeerUpdate&, const PeerUpdate&) = default;
@@ -92,10 +82,6 @@
   void SetPeers(std::vector<runtime::Address> peers);
   // These add an entry to the next datagram.
   void OnSent(std::string_view endpoint, const dispatch::PeerPrompt& prompt);
-  // The engine has read the prompt. Of long prompts, only the first parts are
-  // announced, which other prompts share.
-  void OnRead(std::string_view endpoint,
-              std::vector<dispatch::CachedPart> parts);
   void OnTransfer(const reuse::StoreTransfer& transfer);
   void OnFetched(std::string_view store, common::Duration excess);
   void OnUnreachable(std::string_view endpoint);
--- a/source/core/gateway/request_task.cc
+++ b/source/core/gateway/request_task.cc
@@ -515,21 +515,14 @@
   if (this->request.prompt && this->pool->is_engine()) {
     this->pool->OnFirstToken(ticket, now);
     this->RecordFetch(now - ticket.sent_at - this->predicted);
-    this->RecordRead(record);
+    record.part_cache().Insert(
+        dispatch::CachedPartsOf(this->cache_key, *this->request.prompt));
   }
   if (this->first_byte_at == TimePoint())
     this->first_byte_at = now;
   this->deps.first_byte.Observe(now - this->received_at);
 }
 
-void RequestTask::RecordRead(dispatch::EndpointRecord& record) {
-  const auto parts =
-      dispatch::CachedPartsOf(this->cache_key, *this->request.prompt);
-  record.part_cache().Insert(parts);
-  if (this->deps.peer_loads)
-    this->deps.peer_loads->OnRead(record.endpoint().id, parts);
-}
-
 void RequestTask::RecordFetch(Duration excess) {
   if (this->reuse.main_source.empty())
     return;
--- a/source/core/gateway/request_task.h
+++ b/source/core/gateway/request_task.h
@@ -101,8 +101,6 @@
   void RecordHead(const forward::ResponseHead& head,
                   dispatch::EndpointRecord& record);
   void RecordFirstByte(dispatch::SendTicket& ticket);
-  // Records that the engine has read the prompt and tells the other hosts.
-  void RecordRead(dispatch::EndpointRecord& record);
   // Records how much later than predicted the first token of a fetch arrived.
   void RecordFetch(common::Duration excess);
 
