--- a/source/core/reuse/cache_store_index.cc
+++ b/source/core/reuse/cache_store_index.cc
@@ -19,8 +19,6 @@
 // Nothing is saved to a store that is filled beyond this share of its capacity,
 // because it would drop the saves.
 constexpr double kMaxFillShare = 0.97;
-// Usual time from the plan of a save until the store reports the part.
-constexpr common::Duration kSaveReportDelay = std::chrono::milliseconds(300);
 // Share of the reads that are sent to a slow store anyway, to detect whether it
 // has recovered.
 constexpr double kProbeShare = 0.06;
@@ -77,7 +75,6 @@
 
 void CacheStoreIndex::SetPollPeriod(common::Duration period) {
   this->max_answer_age = std::max(kMaxAnswerAge, period * 5 / 2);
-  this->poll_period = period;
 }
 
 common::Duration CacheStoreIndex::SaveDelayAfterRestart() const {
@@ -124,7 +121,6 @@
       continue;
     store.parts.emplace(key, event.tokens);
     store.used_tokens += event.tokens;
-    store.growth.Add(static_cast<double>(event.tokens), now);
     this->pending_saves.erase(key);
   }
 }
@@ -245,16 +241,10 @@
   return best;
 }
 
-bool CacheStoreIndex::HasRoom(const Store& store,
-                              int64_t tokens,
-                              common::TimePoint now) const {
+bool CacheStoreIndex::HasRoom(const Store& store, int64_t tokens) const {
   const double limit =
       kMaxFillShare * static_cast<double>(store.properties.capacity_tokens);
-  const double unknown_tokens =
-      store.growth.At(now) *
-      common::ToSeconds(this->poll_period + kSaveReportDelay);
-  return static_cast<double>(store.used_tokens + tokens) + unknown_tokens <=
-         limit;
+  return static_cast<double>(store.used_tokens + tokens) <= limit;
 }
 
 CacheStoreIndex::Store* CacheStoreIndex::ChooseTarget(
@@ -268,8 +258,8 @@
   std::pair<bool, double> best_rank;
   for (auto& [address, store] : this->stores) {
     if (&store == excluded || !this->AcceptsSaves(store, now) ||
-        !this->HasRoom(store, part.tokens, now) ||
-        store.parts.contains(hashed) || store.link.WaitMs(now) > kMaxSaveWaitMs)
+        !this->HasRoom(store, part.tokens) || store.parts.contains(hashed) ||
+        store.link.WaitMs(now) > kMaxSaveWaitMs)
       continue;
     const std::pair<bool, double> rank(
         store.properties.zone == zone,
--- a/source/core/reuse/cache_store_index.h
+++ b/source/core/reuse/cache_store_index.h
@@ -12,7 +12,6 @@
 
 #include "core/catalog/types.h"
 #include "core/common/time.h"
-#include "core/dispatch/decaying_rate.h"
 #include "core/dispatch/prompt.h"
 #include "core/dispatch/stored_part.h"
 #include "core/reuse/store_link.h"
@@ -198,8 +197,6 @@
     common::TimePoint answering_since;
     common::TimePoint epoch_seen_at;
     int64_t used_tokens = 0;
-    // Tokens that were added to the store, per second.
-    dispatch::DecayingRate growth;
     StoreLink link;
     // Tokens of each part.
     std::unordered_map<std::string, int64_t, KeyHash, KeyEqual> parts;
@@ -253,9 +250,7 @@
                             ReusePlan& plan);
   Store* FindByHash(uint64_t store_hash);
   bool AcceptsSaves(const Store& store, common::TimePoint now) const;
-  // Whether the part fits, together with the parts that other hosts are likely
-  // to have saved without this host knowing yet.
-  bool HasRoom(const Store& store, int64_t tokens, common::TimePoint now) const;
+  bool HasRoom(const Store& store, int64_t tokens) const;
   // The store to save a part to from an engine in `zone`, preferably one in the
   // same zone; null if none accepts it. All hosts prefer the same one.
   Store* ChooseTarget(const std::string& key,
@@ -271,7 +266,6 @@
   common::Duration SaveDelayAfterRestart() const;
 
   common::Duration max_answer_age = kMaxAnswerAge;
-  common::Duration poll_period{0};
   std::map<std::string, Store, std::less<>> stores;
   // Saves that no store has reported complete, by name of the part.
   std::unordered_map<std::string, PendingSave> pending_saves;
