Mend faults that a reading of the platform side showed

- A list that continues after a page without new objects is an error; it was read again without end, with a call to the store each time.
A Connection field that names other options beside close is understood.
- Numbers above the largest int64_t make an entry forged instead of negative.
- A host whose own object was deleted creates it again; a deleted host loses its peer address also when its last content had no marks.
- The follower of a cache store no longer enters a removed store again.
- The loop of the periodic checks has no condition that is always true, peer loads stop with the gateway, and an unused wire name is gone.

The cases of the codec, the store client and the decoder have tests that fail with the former code; the others were mended by reading.

--- a/source/core/gateway/cache_store_watcher.cc
+++ b/source/core/gateway/cache_store_watcher.cc
@@ -81,8 +81,13 @@
 
 void CacheStoreWatcher::PollStore(const std::string& address) {
   bool is_reachable = false;
-  while (!this->stopping && this->configured.contains(address)) {
-    if (!this->PollPeriod(this->configured[address])) {
+  while (!this->stopping) {
+    // Looked up again after each call: the configuration may have changed.
+    const auto configured_store = this->configured.find(address);
+    if (configured_store == this->configured.end())
+      break;
+    const int64_t max_calls = configured_store->second;
+    if (!this->PollPeriod(max_calls)) {
       this->cache_store_index.OnPollFailed(address);
       runtime::SleepFor(kLongestPeriod);
       continue;
@@ -102,7 +107,7 @@
     }
     this->cache_store_index.OnEvents(address, *events, polled_at,
                                      runtime::BootNow());
-    const auto period = this->PollPeriod(this->configured[address]);
+    const auto period = this->PollPeriod(max_calls);
     runtime::SleepFor(period.value_or(kLongestPeriod) - kEventWait);
   }
   this->followed.erase(address);
--- a/source/core/gateway/gateway.cc
+++ b/source/core/gateway/gateway.cc
@@ -122,7 +122,8 @@
     runtime::SpawnLocal([this] { this->rollout_controller.Run(); });
     runtime::SpawnLocal([this] { this->host_registry.Run(); });
     runtime::SpawnLocal([this] { this->cache_store_cleaner.Run(); });
-    while (!this->stopping || this->caller_server) {
+    // Goes on during a planned stop, until the process exits.
+    while (true) {
       runtime::SleepFor(Dispatcher::kCheckPeriod);
       this->Tick();
     }
@@ -151,6 +152,8 @@
   this->rollout_controller.Stop();
   this->host_registry.Stop();
   this->cache_store_cleaner.Stop();
+  if (this->peer_loads)
+    this->peer_loads->Stop();
 }
 
 void Gateway::Reload(const Settings& changed) {
--- a/source/core/gateway/host_registry.cc
+++ b/source/core/gateway/host_registry.cc
@@ -63,15 +63,18 @@
     this->host_names.insert(name);
   this->OnHostCountChanged();
   if (name == this->own_name) {
-    this->own_revision = change.object.revision;
+    this->OnOwnObject(change);
+    return;
+  }
+  if (change.deleted) {
+    this->OnPeerAddress(name, "");
     return;
   }
   const Json value = Json::parse(change.object.content, nullptr, false);
   if (!value.is_object() || !value.contains("marks"))
     return;
   try {
-    this->OnPeerAddress(name,
-                        change.deleted ? "" : value.value("peer_address", ""));
+    this->OnPeerAddress(name, value.value("peer_address", ""));
     const auto marks = DecodeMarks(value["marks"]);
     this->dispatcher.suspects().Merge(marks, runtime::BootNow());
   } catch (const Json::exception&) {
@@ -80,6 +83,16 @@
   }
 }
 
+void HostRegistry::OnOwnObject(const catalog::ObjectChange& change) {
+  if (!change.deleted) {
+    this->own_revision = change.object.revision;
+    return;
+  }
+  // A deleted object can't be replaced; it is created again.
+  this->own_revision.reset();
+  this->write_pending = true;
+}
+
 void HostRegistry::OnPeerAddress(const std::string& name,
                                  const std::string& address) {
   const auto parsed = runtime::Address::Parse(address);
--- a/source/core/gateway/host_registry.h
+++ b/source/core/gateway/host_registry.h
@@ -42,6 +42,7 @@
 
  private:
   void OnHostCountChanged();
+  void OnOwnObject(const catalog::ObjectChange& change);
   void OnPeerAddress(const std::string& name, const std::string& address);
   bool WriteOwnObject();
   std::string EncodeOwnObject() const;
--- a/source/platform/codec.cc
+++ b/source/platform/codec.cc
@@ -60,12 +60,15 @@
   return number;
 }
 
+// Longer times are cut to this, so that they can be computed with.
+constexpr int64_t kMaxMs = 24 * 60 * 60 * 1000;
+
 std::optional<Duration> ParseMilliseconds(std::string_view text) {
   // Truncates fractions, because a shorter deadline is always safe.
   const auto number = ParseUnsigned(text.substr(0, text.find('.')));
   if (!number)
     return std::nullopt;
-  return Duration(std::chrono::milliseconds(*number));
+  return Duration(std::chrono::milliseconds(std::min(*number, kMaxMs)));
 }
 
 // Returns the connection options (RFC 9110, section 7.6.1): the fields that the
@@ -146,7 +149,8 @@
     // The endpoint closes the idle connection after this time. Only 70% of it
     // is used, so that no request is sent while the endpoint closes.
     if (seconds && *seconds > 0)
-      return Duration(std::chrono::milliseconds(*seconds * 1000 * 7 / 10));
+      return Duration(std::chrono::milliseconds(
+          std::min(*seconds, kMaxMs / 1000) * 1000 * 7 / 10));
   }
   return std::nullopt;
 }
@@ -236,7 +240,8 @@
   if (const auto keep_alive = headers.Find(wire::kKeepAlive))
     head.keep_alive = DecodeKeepAlive(*keep_alive);
   if (const auto connection = headers.Find(wire::kConnection))
-    head.closes_connection = EqualsIgnoreCase(Trim(*connection), "close");
+    head.closes_connection =
+        EqualsAnyIgnoreCase("close", SplitList(*connection));
   const auto connection_options = ConnectionOptions(headers);
   for (const runtime::HttpHeader& field : headers.all()) {
     const bool is_stripped =
--- a/source/platform/decode.cc
+++ b/source/platform/decode.cc
@@ -1,5 +1,6 @@
 #include "platform/decode.h"
 
+#include <limits>
 #include <string>
 #include <utility>
 
@@ -118,12 +119,18 @@
   return models;
 }
 
-// Accepts only non-negative integers: a fraction or a string indicates a forged
-// entry.
+// Accepts only non-negative integers that fit into int64_t: anything else
+// indicates a forged entry.
 uint64_t GetUnsigned(const Json& value) {
-  if (!value.is_number_integer() || value < 0)
+  const bool is_negative = value.is_number_integer() &&
+                           !value.is_number_unsigned() &&
+                           value.get<int64_t>() < 0;
+  if (!value.is_number_integer() || is_negative)
     throw Error(ResultCode::kProtocolError, "expected a non-negative integer");
-  return value.get<uint64_t>();
+  const auto number = value.get<uint64_t>();
+  if (number > static_cast<uint64_t>(std::numeric_limits<int64_t>::max()))
+    throw Error(ResultCode::kProtocolError, "the number is too large");
+  return number;
 }
 
 catalog::Endpoint DecodeValidEndpoint(const catalog::StoredObject& object) {
--- a/source/platform/store_client.cc
+++ b/source/platform/store_client.cc
@@ -115,14 +115,19 @@
       ThrowForStatus(response);
     try {
       const Json page = ParseBody(response);
+      const size_t before = snapshot.objects.size();
       for (const Json& item : page.at("items"))
         snapshot.objects.push_back(DecodeObject(item));
       // The first page has the oldest revision. A watch that starts there also
       // sees the changes made while later pages were read.
       if (last_name.empty())
         snapshot.revision = page.at("storeRevision").get<uint64_t>();
-      if (!page.value("more", false) || snapshot.objects.empty())
+      if (!page.value("more", false))
         return snapshot;
+      if (snapshot.objects.size() == before ||
+          snapshot.objects.back().name == last_name)
+        throw Error(ResultCode::kProtocolError,
+                    "the list continues after a page without new objects");
       last_name = snapshot.objects.back().name;
     } catch (const Json::exception& error) {
       throw Error(ResultCode::kProtocolError, error.what());
--- a/source/platform/wire_names.h
+++ b/source/platform/wire_names.h
@@ -87,7 +87,6 @@
     std::string_view("X-Length-Hint"),
 };
 
-inline constexpr std::string_view kReadyPath = "/readiness";
 inline constexpr std::string_view kReportPath = "/report";
 inline constexpr std::string_view kOrderPath = "/order";
 inline constexpr std::string_view kCacheEventsPath = "/kv-events";
--- a/source/unit_tests/platform/codec_test.cc
+++ b/source/unit_tests/platform/codec_test.cc
@@ -169,5 +169,30 @@
   }
 }
 
+// Guards against overflows that turn a long time into a negative one: such a
+// request would be refused as late.
+TEST_CASE("very long times are cut to a day") {
+  const PlatformCodec codec;
+  const auto request = codec.DecodeRequest(
+      CallerRequest({{"X-Deadline-Remaining", "9223372036854775807"}}));
+  CHECK(*request.remaining == std::chrono::hours(24));
+  const auto head = codec.DecodeResponseHead(
+      200, {{"Keep-Alive", "timeout=9223372036854775807"}});
+  CHECK(*head.keep_alive > std::chrono::hours(16));
+  CHECK(*head.keep_alive <= std::chrono::hours(24));
+}
+
+// Guards against sending on a connection that the endpoint is about to close.
+TEST_CASE("an endpoint that closes its connection may name other options too") {
+  const PlatformCodec codec;
+  for (const char* value : {"close", "Close", "keep-alive, close", "x,close"}) {
+    INFO(value);
+    CHECK(codec.DecodeResponseHead(200, {{"Connection", value}})
+              .closes_connection);
+  }
+  CHECK_FALSE(codec.DecodeResponseHead(200, {{"Connection", "keep-alive"}})
+                  .closes_connection);
+}
+
 }  // namespace
 }  // namespace jujuberock::platform_adapter
--- a/source/unit_tests/platform/decode_test.cc
+++ b/source/unit_tests/platform/decode_test.cc
@@ -93,6 +93,7 @@
       {"48", "\"48\""},
       {"48", "-48"},
       {"48", "48.5"},
+      {"48", "9223372036854775808"},
       {"\"ready\"", "\"unknown\""},
       {"\"ready\"", "true"},
       {"1700000000123", "1700000000123.5"},
--- a/source/unit_tests/platform/store_client_test.cc
+++ b/source/unit_tests/platform/store_client_test.cc
@@ -152,5 +152,22 @@
   }
 }
 
+// Guards against calling the store without end when it says that a list
+// continues, but sends nothing new.
+TEST_CASE("a list that does not advance is an error") {
+  const char* pages[] = {
+      R"({"items":[],"more":true,"storeRevision":9})",
+      R"({"items":[{"metadata":{"name":"a","rev":3},"spec":{}}],)"
+      R"("more":true,"storeRevision":9})"};
+  for (const char* page : pages) {
+    INFO(page);
+    FakeStore store([&](const auto&) { return MakeResponse(200, page); });
+    store.Run([](StoreClient& client) {
+      CHECK_THROWS_AS(client.List(ObjectKind::kEndpoints), common::Error);
+    });
+    CHECK(store.targets.size() <= 2);
+  }
+}
+
 }  // namespace
 }  // namespace jujuberock::platform_adapter
