Predict the wait for engine memory

An engine whose memory is full had a higher cost than others, but the prediction, by which requests are held or refused, did not include the wait for memory.

Change: a prompt that does not fit waits for the share of a run's time by which memory is exceeded.

--- a/source/core/dispatch/service_pool.cc
+++ b/source/core/dispatch/service_pool.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "core/common/hash.h"
+#include "core/common/scale.h"
 
 namespace jujuberock::dispatch {
 
@@ -247,8 +248,13 @@
   const double memory = static_cast<double>(
       record.memory_tokens() + record.PeerMemory(now) + prompt.MemoryTokens());
   const bool fits = capacity <= 0 || memory <= capacity;
-  if (!fits)
+  if (!fits) {
     cost += kMemoryOverflowPenaltyMs * (memory / capacity);
+    // The prompt waits until runs have freed the missing memory, or preempts
+    // one that is then prefilled again.
+    choice.predicted +=
+        common::Scale(choice.run_time, (memory - capacity) / capacity);
+  }
   const double in_flight = static_cast<double>(record.own_in_flight()) +
                            std::max(record.OthersInFlight(now),
                                     static_cast<double>(record.PeerRuns(now)));
--- a/source/unit_tests/core/dispatch/service_pool_test.cc
+++ b/source/unit_tests/core/dispatch/service_pool_test.cc
@@ -220,6 +220,30 @@
   }
 }
 
+// Load pattern: long prompts beyond the engines' memory, while a part of the
+// engines is lost. Guards against sending more prompts than fit: the engine
+// preempts runs, whose prompts it prefills again.
+TEST_CASE("the prediction includes the wait for memory") {
+  Pool pool(1);
+  const Prompt prompt = MakePrompt("s", 12000);
+  const auto engine = pool.pool.Find("e0");
+  const auto predict = [&](int64_t tokens_in_use) {
+    SendTicket running;
+    running.endpoint = engine;
+    running.memory_tokens = tokens_in_use;
+    engine->OnSent(running, At(0));
+    engine->OnStarted(running, At(0));
+    SendRequirements requirements;
+    requirements.prompt = &prompt;
+    const auto choice = pool.pool.Choose(requirements, At(1));
+    engine->OnEnded(running, At(1));
+    return choice->predicted;
+  };
+  CHECK(predict(30000) == predict(0));
+  CHECK(predict(60000) > predict(30000));
+  CHECK(predict(90000) > predict(60000));
+}
+
 // Guards against predicting a late answer for an urgent request because of
 // prompts that the engine prefills after it.
 TEST_CASE("less urgent prompts do not delay an urgent request") {
