--- a/source/core/events/event_log.h
+++ b/source/core/events/event_log.h
@@ -99,6 +99,7 @@
   kModel,
   kVersion,
   kRequiredVersion,
+  kVersionAgeMs,
   kEndpointsLeft,
   kExcludedEndpoints,
   kToken,
@@ -108,7 +109,7 @@
   kDetail,
 };
 
-inline constexpr size_t kFieldCount = 34;
+inline constexpr size_t kFieldCount = 35;
 
 inline constexpr common::NameTable<Field, kFieldCount> kFieldNames(
     {"request",
@@ -138,6 +139,7 @@
      "model",
      "version",
      "required_version",
+     "version_age_ms",
      "endpoints_left",
      "excluded_endpoints",
      "token",
--- a/source/core/gateway/platform_view.cc
+++ b/source/core/gateway/platform_view.cc
@@ -248,6 +248,14 @@
              : found->second.RequiredAt(now);
 }
 
+common::Duration PlatformView::AnnouncementAge(std::string_view model,
+                                               common::TimePoint now) const {
+  const auto found = this->version_requirements.find(model);
+  return found == this->version_requirements.end()
+             ? common::Duration(0)
+             : found->second.AnnouncementAge(now);
+}
+
 void PlatformView::Expire(common::TimePoint now) {
   const uint64_t before = this->directory.generation();
   this->directory.Expire(now);
--- a/source/core/gateway/platform_view.h
+++ b/source/core/gateway/platform_view.h
@@ -60,6 +60,9 @@
   uint64_t NewestVersion(std::string_view model) const;
   // Returns the oldest version that a request may start on; 0 for any.
   uint64_t RequiredVersion(std::string_view model, common::TimePoint now) const;
+  // Returns the maximum age of the newest announcement; 0 if there is none.
+  common::Duration AnnouncementAge(std::string_view model,
+                                   common::TimePoint now) const;
   const VersionsByModel& versions() const { return this->version_requirements; }
   // Whether the view suffices to route requests.
   bool IsComplete() const {
--- a/source/core/gateway/request_task.cc
+++ b/source/core/gateway/request_task.cc
@@ -411,21 +411,7 @@
   };
   const auto handle = this->deps.dispatcher.Register(std::move(active));
   const forward::SendParameters parameters = this->MakeSendParameters(choice);
-  LogLine(this->deps.log, this->sends == 0        ? Event::kRequestSent
-                          : this->relay.started() ? Event::kRequestResumed
-                                                  : Event::kRequestResent)
-      .Add(Field::kRequest, this->request.attempt_id)
-      .Add(Field::kRoute, this->route->name)
-      .Add(Field::kEndpoint, record.endpoint().id)
-      .Add(Field::kConfigVersion, this->config->version())
-      .Add(Field::kHeldMs, this->held)
-      .Add(Field::kPredictedMs, choice.predicted)
-      .Add(Field::kUncachedTokens, choice.uncached_tokens)
-      .Add(Field::kFetchedTokens, this->reuse.fetched_tokens)
-      .Add(Field::kSkippedTokens, this->reuse.skipped_tokens)
-      .Add(Field::kAbsentTokens, this->reuse.absent_tokens)
-      .Add(Field::kInFlight, record.own_in_flight())
-      .Add(Field::kRemainingMs, this->Remaining(now));
+  this->LogSent(choice, now);
   AttemptResult result = AttemptResult::kUnknown;
   std::optional<Error> failure;
   try {
@@ -449,6 +435,40 @@
   return result;
 }
 
+void RequestTask::LogSent(const dispatch::EndpointChoice& choice,
+                          TimePoint now) {
+  const dispatch::EndpointRecord& record = *choice.endpoint;
+  LogLine line(this->deps.log, this->sends == 0        ? Event::kRequestSent
+                               : this->relay.started() ? Event::kRequestResumed
+                                                       : Event::kRequestResent);
+  line.Add(Field::kRequest, this->request.attempt_id)
+      .Add(Field::kRoute, this->route->name)
+      .Add(Field::kEndpoint, record.endpoint().id)
+      .Add(Field::kConfigVersion, this->config->version())
+      .Add(Field::kHeldMs, this->held)
+      .Add(Field::kPredictedMs, choice.predicted)
+      .Add(Field::kUncachedTokens, choice.uncached_tokens)
+      .Add(Field::kFetchedTokens, this->reuse.fetched_tokens)
+      .Add(Field::kSkippedTokens, this->reuse.skipped_tokens)
+      .Add(Field::kAbsentTokens, this->reuse.absent_tokens)
+      .Add(Field::kInFlight, record.own_in_flight())
+      .Add(Field::kRemainingMs, this->Remaining(now));
+  if (this->request.prompt && this->pool->is_engine())
+    this->AddVersions(line, record, now);
+}
+
+void RequestTask::AddVersions(LogLine& line,
+                              const dispatch::EndpointRecord& engine,
+                              TimePoint now) const {
+  const std::string& model = this->request.prompt->model;
+  const uint64_t version = engine.VersionOf(model);
+  line.Add(Field::kVersion, version);
+  if (version >= this->deps.view.NewestVersion(model))
+    return;
+  line.Add(Field::kRequiredVersion, this->deps.view.RequiredVersion(model, now))
+      .Add(Field::kVersionAgeMs, this->deps.view.AnnouncementAge(model, now));
+}
+
 void RequestTask::RecordPrompt(const dispatch::EndpointChoice& choice,
                                const dispatch::SendTicket& ticket) {
   if (!this->request.prompt || !this->pool->is_engine())
--- a/source/core/gateway/request_task.h
+++ b/source/core/gateway/request_task.h
@@ -83,6 +83,12 @@
                            std::optional<common::Duration> retry_after);
 
   AttemptResult Attempt(const dispatch::EndpointChoice& choice);
+  void LogSent(const dispatch::EndpointChoice& choice, common::TimePoint now);
+  // Adds the weight version of the engine and, while a newer one is announced,
+  // what the host knows about that announcement.
+  void AddVersions(events::LogLine& line,
+                   const dispatch::EndpointRecord& engine,
+                   common::TimePoint now) const;
   AttemptResult HandleResponse(forward::EndpointSend& send,
                                const forward::ResponseHead& head,
                                dispatch::SendTicket& ticket);
--- a/source/core/rollout/version_requirements.cc
+++ b/source/core/rollout/version_requirements.cc
@@ -36,7 +36,8 @@
   std::erase_if(this->announced, [&](const Announced& entry) {
     return entry.version < required;
   });
-  this->announced.push_back({version, required_from});
+  this->announced.push_back(
+      {version, required_from, announced_after.value_or(now)});
   return true;
 }
 
@@ -44,6 +45,12 @@
   return this->announced.empty() ? 0 : this->announced.back().version;
 }
 
+common::Duration VersionRequirements::AnnouncementAge(
+    common::TimePoint now) const {
+  return this->announced.empty() ? common::Duration(0)
+                                 : now - this->announced.back().announced_after;
+}
+
 uint64_t VersionRequirements::RequiredAt(common::TimePoint now) const {
   uint64_t required = 0;
   for (const Announced& entry : this->announced) {
--- a/source/core/rollout/version_requirements.h
+++ b/source/core/rollout/version_requirements.h
@@ -28,11 +28,15 @@
   uint64_t newest() const;
   // The oldest version that a request may start on; 0 for any.
   uint64_t RequiredAt(common::TimePoint now) const;
+  // Maximum age that the newest announcement can have: the time since it was
+  // certainly not made yet, or else since this host learned of it.
+  common::Duration AnnouncementAge(common::TimePoint now) const;
 
  private:
   struct Announced {
     uint64_t version = 0;
     common::TimePoint required_from;
+    common::TimePoint announced_after;
   };
 
   // Sorted by version. Entries older than the required version are removed.
