Close idle connections to an address on which a call timed out

What callers saw: when all open connections to the platform's store fall silent at one moment while new ones work, a host can learn of a new weight version 9 to 10 s late, and sends requests to older weights after the bound of 8 s.

Cause: HttpClient takes the next call's connection from its pool, also right after a timeout. The pooled connections have died at the same moment, so each retry waits for one more timeout. A watch of weight versions waits 4.7 s for each.

Change: a call that times out in writing or reading closes all idle connections to that address, on all workers. Connections last used after the call began are closed too: they can have died since, and a watch that began 4 s before says nothing about them. The cost of a wrong guess is one connect per connection. Calls in progress are not touched.

--- a/source/core/runtime/http_client.cc
+++ b/source/core/runtime/http_client.cc
@@ -66,7 +66,7 @@
 
 struct HttpClient::State {
   State(WorkerPool& pool, HttpClientOptions options)
-      : options(options), idle(pool.size()) {}
+      : pool(pool), options(options), idle(pool.size()) {}
 
   ConnectionPtr TakeIdle(const Address& address) {
     auto& idle_list = this->idle[*WorkerPool::CurrentWorker()][address];
@@ -90,6 +90,21 @@
     idle_list.push_back(std::move(connection));
   }
 
+  // Closes the idle connections to the address on all workers; on the calling
+  // one before it returns.
+  static void DropIdle(const std::shared_ptr<State>& state,
+                       const Address& address) {
+    const size_t current = *WorkerPool::CurrentWorker();
+    state->idle[current].erase(address);
+    for (size_t worker = 0; worker < state->idle.size(); ++worker) {
+      if (worker == current)
+        continue;
+      state->pool.Spawn(worker, [state, worker, address] {
+        state->idle[worker].erase(address);
+      });
+    }
+  }
+
   ConnectionPtr Connect(const Address& address) {
     auto connection = std::make_unique<Connection>(CurrentIoContext());
     error_code error;
@@ -109,6 +124,7 @@
     return connection;
   }
 
+  WorkerPool& pool;
   HttpClientOptions options;
   // Indexed by worker; each element is accessed only on its own worker.
   std::vector<std::map<Address, std::vector<ConnectionPtr>>> idle;
@@ -130,16 +146,15 @@
 // Sends a request, then reads the response header and the body incrementally.
 class BeastStream : public HttpStream {
  public:
-  using ReturnConnection = std::function<void(ConnectionPtr)>;
-
   BeastStream(ConnectionPtr connection,
-              size_t body_limit_bytes,
-              common::Duration read_timeout,
-              ReturnConnection return_connection)
+              std::shared_ptr<HttpClient::State> client,
+              Address address,
+              common::Duration read_timeout)
       : connection(std::move(connection)),
-        read_timeout(read_timeout),
-        return_connection(std::move(return_connection)) {
-    this->parser.body_limit(body_limit_bytes);
+        client(std::move(client)),
+        address(std::move(address)),
+        read_timeout(read_timeout) {
+    this->parser.body_limit(this->client->options.body_limit_bytes);
   }
 
   void SendRequest(http::request<http::string_body>& message,
@@ -148,7 +163,7 @@
     this->connection->stream.expires_after(write_timeout);
     http::async_write(this->connection->stream, message, Await(error));
     if (error)
-      throw HttpError(ResultCodeOf(error), "write: " + error.message(), true);
+      this->Fail(error, "write");
   }
 
   void ReadHeader(common::Duration timeout) {
@@ -157,7 +172,7 @@
     http::async_read_header(this->connection->stream, this->connection->buffer,
                             this->parser, Await(error));
     if (error)
-      throw HttpError(ResultCodeOf(error), "read: " + error.message(), true);
+      this->Fail(error, "read");
     for (const auto& field : this->parser.get())
       this->fields.Add(std::string(field.name_string()),
                        std::string(field.value()));
@@ -185,7 +200,7 @@
       http::async_read_some(this->connection->stream, this->connection->buffer,
                             this->parser, Await(error));
       if (error && error != http::error::need_buffer)
-        throw HttpError(ResultCodeOf(error), "read: " + error.message(), true);
+        this->Fail(error, "read");
       if (body.size == 0)
         this->read_bytes = std::min(2 * this->read_bytes, kMaxReadBytes);
       bytes.resize(bytes.size() - body.size);
@@ -200,13 +215,23 @@
  private:
   void Release() {
     if (this->connection && this->parser.get().keep_alive())
-      this->return_connection(std::move(this->connection));
+      this->client->ReturnIdle(this->address, std::move(this->connection));
+  }
+
+  // When one connection has fallen silent, idle ones may have died at the same
+  // time. The next call must not wait for a timeout on each of them.
+  [[noreturn]] void Fail(const error_code& error, const char* step) {
+    if (error == beast::error::timeout)
+      HttpClient::State::DropIdle(this->client, this->address);
+    throw HttpError(ResultCodeOf(error),
+                    std::string(step) + ": " + error.message(), true);
   }
 
   ConnectionPtr connection;
+  std::shared_ptr<HttpClient::State> client;
+  Address address;
   size_t read_bytes = kInitialReadBytes;
   common::Duration read_timeout;
-  ReturnConnection return_connection;
   http::response_parser<http::buffer_body> parser;
   HttpHeaders fields;
 };
@@ -238,12 +263,8 @@
     connection = this->state->TakeIdle(address);
   if (!connection)
     connection = this->state->Connect(address);
-  auto return_connection = [state = this->state, address](ConnectionPtr done) {
-    state->ReturnIdle(address, std::move(done));
-  };
   auto stream = std::make_unique<BeastStream>(
-      std::move(connection), this->state->options.body_limit_bytes,
-      options.read_timeout, std::move(return_connection));
+      std::move(connection), this->state, address, options.read_timeout);
   http::request<http::string_body> message = ToBeast(address, request);
   if (options.before_first_byte && !options.before_first_byte())
     throw HttpError(ResultCode::kCanceled,
--- a/source/core/runtime/http_client.h
+++ b/source/core/runtime/http_client.h
@@ -72,7 +72,8 @@
 };
 
 // HTTP/1.1 client with a connection pool per worker. Must be called from
-// fibers.
+// fibers. A call that times out after its connection was ready closes the idle
+// connections to the same address.
 class HttpClient {
  public:
   HttpClient(WorkerPool& pool, HttpClientOptions options);
@@ -80,6 +81,9 @@
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
 
+  // Connection pools of all workers.
+  struct State;
+
   // Sends the request and reads the whole response. Throws HttpError:
   // kPeerUnavailable when connecting fails, kEndpointFailed when the connection
   // breaks, kEndpointSilent on a timeout, including the connect timeout.
@@ -94,7 +98,6 @@
                                    const HttpCallOptions& options = {});
 
  private:
-  struct State;
   std::shared_ptr<State> state;
 };
 
--- a/source/unit_tests/core/runtime/http_test.cc
+++ b/source/unit_tests/core/runtime/http_test.cc
@@ -2,6 +2,7 @@
 #include <chrono>
 #include <istream>
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -18,6 +19,7 @@
 #include "core/runtime/http_server.h"
 #include "core/runtime/sleep.h"
 #include "core/runtime/wall_timer_service.h"
+#include "unit_tests/core/runtime/connection_silence.h"
 
 namespace jujuberock::runtime {
 namespace {
@@ -198,6 +200,119 @@
   CHECK(handled == answered);
 }
 
+// An echo server whose open connections can fall silent, and a client.
+class SilentServer {
+ public:
+  explicit SilentServer(size_t workers)
+      : pool(workers),
+        server(
+            pool,
+            kAnyPort,
+            {},
+            [this](const auto& request, auto& writer) {
+              this->Handle(request, writer);
+            },
+            RenderPlainError),
+        client(pool, {}) {}
+  ~SilentServer() { this->silence.Release(); }
+
+  // Makes simultaneous calls on the calling worker, one connection each.
+  void OpenIdleConnections(int count) {
+    std::vector<std::unique_ptr<HttpStream>> streams;
+    for (int i = 0; i < count; ++i)
+      streams.push_back(this->client.Open(this->server.address(),
+                                          {"GET", "/stream", {}, ""}));
+    for (auto& stream : streams) {
+      while (stream->Read()) {
+      }
+    }
+  }
+
+  bool CallTimesOut(const std::string& target) {
+    HttpCallOptions options;
+    options.header_timeout = std::chrono::milliseconds(200);
+    try {
+      this->client.Fetch(this->server.address(), {"GET", target, {}, ""},
+                         options);
+      return false;
+    } catch (const HttpError& error) {
+      return error.code() == common::ResultCode::kEndpointSilent;
+    }
+  }
+
+  WorkerPool pool;
+  ConnectionSilence silence;
+
+ private:
+  void Handle(const HttpRequest& request, ResponseWriter& writer) {
+    this->silence.OnRequest();
+    while (request.target == "/until-silent" && !this->silence.IsSilent())
+      SleepFor(std::chrono::milliseconds(5));
+    this->silence.WaitWhileSilent();
+    EchoHandler(request, writer);
+  }
+
+  HttpServer server;
+  HttpClient client;
+};
+
+// Guards against a caller that waits for one timeout per pooled connection when
+// all of them have fallen silent, e.g. after a fault of the network.
+TEST_CASE("a timeout closes the idle connections to the same address") {
+  SilentServer server(2);
+  server.pool.Run([&] {
+    server.OpenIdleConnections(4);
+    server.silence.SilenceOpenConnections();
+    CHECK(server.CallTimesOut("/"));
+    CHECK_FALSE(server.CallTimesOut("/"));
+  });
+}
+
+// The call that timed out began before the other connection was last used, but
+// both can have died since.
+TEST_CASE("a timeout closes idle connections that were used during the call") {
+  SilentServer server(1);
+  server.pool.Run([&] {
+    server.OpenIdleConnections(2);
+    std::optional<bool> timed_out;
+    SpawnLocal([&] { timed_out = server.CallTimesOut("/until-silent"); });
+    SleepFor(std::chrono::milliseconds(20));
+    CHECK_FALSE(server.CallTimesOut("/"));
+    server.silence.SilenceOpenConnections();
+    while (!timed_out)
+      SleepFor(std::chrono::milliseconds(1));
+    CHECK(*timed_out);
+    CHECK_FALSE(server.CallTimesOut("/"));
+  });
+}
+
+TEST_CASE("a timeout on one worker closes the idle connections of others") {
+  SilentServer server(2);
+  std::atomic<int> step{0};
+  const auto wait_for_step = [&](int expected) {
+    while (step < expected)
+      SleepFor(std::chrono::milliseconds(1));
+  };
+  bool other_timed_out = true;
+  server.pool.Spawn(1, [&] {
+    server.OpenIdleConnections(3);
+    step = 1;
+    wait_for_step(2);
+    other_timed_out = server.CallTimesOut("/");
+    step = 3;
+  });
+  server.pool.Run([&] {
+    server.OpenIdleConnections(3);
+    wait_for_step(1);
+    server.silence.SilenceOpenConnections();
+    CHECK(server.CallTimesOut("/"));
+    SleepFor(std::chrono::milliseconds(20));
+    step = 2;
+    wait_for_step(3);
+  });
+  CHECK_FALSE(other_timed_out);
+}
+
 TEST_CASE("a timer fires on a fiber that may suspend") {
   WorkerPool pool(1);
   WallTimerService timers(pool, 0);
