Cancel sends that have not begun when old weights must not be used any more

Callers' requests began on old weights later than the bound after the new ones were named.

Cause: a version is required from 0.8 of the bound on; the last fifth is a fixed allowance for the wait in the engine's queue. A run begins with its first token; under load the wait is longer, and nothing ended such a send.

Change: VersionRequirements also states until when a run on an older version may begin. The choice leaves out engines that are predicted to begin later, and the dispatcher cancels sends without a first event at that time; they are sent again where the route allows it. request_cut names the reason.

It is not shown that the report of the users has this cause.

--- a/source/core/dispatch/service_pool.cc
+++ b/source/core/dispatch/service_pool.cc
@@ -52,6 +52,9 @@
 constexpr double kFailureSmoothing = 0.02;
 constexpr double kPlainPriorLatencyMs = 20;
 constexpr double kFailurePenaltyMs = 200;
+// Margin for errors of the predicted first token where a late one is not
+// acceptable.
+constexpr double kStartPredictionFactor = 2;
 
 uint64_t RendezvousWeight(std::string_view key, std::string_view endpoint) {
   return common::Hash64(endpoint, common::Hash64(key));
@@ -176,6 +179,8 @@
     EndpointChoice choice{record};
     choice.is_long = is_long;
     const double cost = this->Cost(choice, requirements, affinity, now);
+    if (!BeginsInTime(choice, requirements, now))
+      continue;
     if (best && eligibility == best_eligibility && cost >= lowest_cost)
       continue;
     best = choice;
@@ -185,6 +190,18 @@
   return best;
 }
 
+bool ServicePool::BeginsInTime(const EndpointChoice& choice,
+                               const SendRequirements& requirements,
+                               common::TimePoint now) {
+  if (!requirements.prompt || !requirements.start_deadline)
+    return true;
+  const auto deadline = requirements.start_deadline(
+      choice.endpoint->VersionOf(requirements.prompt->model));
+  return !deadline ||
+         now + common::Scale(choice.predicted, kStartPredictionFactor) <
+             *deadline;
+}
+
 double ServicePool::Cost(EndpointChoice& choice,
                          const SendRequirements& requirements,
                          const Affinity& affinity,
--- a/source/core/dispatch/service_pool.h
+++ b/source/core/dispatch/service_pool.h
@@ -49,6 +49,10 @@
   // any.
   uint64_t required_version = 0;
   uint64_t preferred_version = 0;
+  // Returns the latest time at which a run on a version may begin, if there is
+  // one. May be empty.
+  std::function<std::optional<common::TimePoint>(uint64_t version)>
+      start_deadline;
   // Endpoints that this request was already sent to.
   const std::set<std::string>* tried = nullptr;
   // Returns, for each part of the prompt, the stored copy that an engine of
@@ -161,6 +165,10 @@
   void UpdateLongRunShare(common::TimePoint now);
   double MisplacementCost(const EndpointChoice& choice,
                           double prefill_ms) const;
+  // Whether a run on the chosen engine is likely to begin in time.
+  static bool BeginsInTime(const EndpointChoice& choice,
+                           const SendRequirements& requirements,
+                           common::TimePoint now);
   // Returns the estimated cost in milliseconds and fills in the other fields of
   // the choice.
   double Cost(EndpointChoice& choice,
--- a/source/core/gateway/dispatcher.cc
+++ b/source/core/gateway/dispatcher.cc
@@ -129,6 +129,12 @@
     found->second.started = true;
 }
 
+void Dispatcher::MarkBegun(SendHandle handle) {
+  const auto found = this->active.find(handle);
+  if (found != this->active.end())
+    found->second.has_begun = true;
+}
+
 void Dispatcher::Unregister(SendHandle handle) {
   this->active.erase(handle);
 }
@@ -258,29 +264,43 @@
   this->connections.DropUsedBefore(since);
 }
 
+bool ActiveSend::MustNotBegin(const PlatformView& view, TimePoint now) const {
+  if (this->has_begun || this->model.empty())
+    return false;
+  const auto deadline = view.StartDeadline(this->model, this->version);
+  return deadline && now >= *deadline;
+}
+
+const char* Dispatcher::ReasonToMove(const ActiveSend& send,
+                                     TimePoint now) const {
+  if (send.MustNotBegin(this->view, now))
+    return "not begun before newer weights are required";
+  if (!send.move_timeout)
+    return nullptr;
+  const bool is_unresponsive =
+      send.endpoint->health().StateAt(now) == EndpointHealth::State::kEjected &&
+      now - std::max(send.endpoint->last_byte_time(), this->silence_floor) >
+          dispatch::StreamSilenceLimit(send.targets) / 2;
+  const TimePoint since = std::max(send.sent_at, this->silence_floor);
+  if (!send.started && now - since > *send.move_timeout)
+    return "no response in the usual time";
+  return is_unresponsive ? "the endpoint is silent" : nullptr;
+}
+
 void Dispatcher::MoveSends(TimePoint now) {
-  std::vector<SendHandle> due;
+  std::vector<std::pair<SendHandle, const char*>> due;
   for (const auto& [handle, send] : this->active) {
-    if (!send.move_timeout)
-      continue;
-    const bool is_unresponsive =
-        send.endpoint->health().StateAt(now) ==
-            EndpointHealth::State::kEjected &&
-        now - std::max(send.endpoint->last_byte_time(), this->silence_floor) >
-            dispatch::StreamSilenceLimit(send.targets) / 2;
-    const TimePoint since = std::max(send.sent_at, this->silence_floor);
-    const bool hangs = !send.started && now - since > *send.move_timeout;
-    if (hangs || is_unresponsive)
-      due.push_back(handle);
+    if (const char* reason = this->ReasonToMove(send, now))
+      due.emplace_back(handle, reason);
   }
-  for (const SendHandle handle : due) {
+  for (const auto& [handle, reason] : due) {
     const auto found = this->active.find(handle);
     if (found == this->active.end())
       continue;
     auto move = std::move(found->second.move);
     this->active.erase(found);
     this->moved_sends.Add();
-    move();
+    move(reason);
   }
 }
 
--- a/source/core/gateway/dispatcher.h
+++ b/source/core/gateway/dispatcher.h
@@ -30,9 +30,20 @@
   // the request must not be sent again.
   std::optional<common::Duration> move_timeout;
   dispatch::StreamTargets targets;
+  // The model and the version of its weights on the engine; empty for plain
+  // services.
+  std::string model = {};
+  uint64_t version = 0;
+  // Whether the response has started, and whether its first event has arrived,
+  // so that the run has certainly begun.
   bool started = false;
+  bool has_begun = false;
   // Cancels the send, so that the request can be sent to another endpoint.
-  std::function<void()> move = nullptr;
+  std::function<void(const char* reason)> move = nullptr;
+
+  // Whether the run must not begin any more, because a newer version of the
+  // weights was announced too long ago.
+  bool MustNotBegin(const PlatformView& view, common::TimePoint now) const;
 };
 
 // Owns the state of all endpoints: service pools, retry budget, crash marks and
@@ -67,6 +78,8 @@
   using SendHandle = uint64_t;
   SendHandle Register(ActiveSend send);
   void MarkStarted(SendHandle handle);
+  // The first event of the response has arrived.
+  void MarkBegun(SendHandle handle);
   void Unregister(SendHandle handle);
 
   // Records the outcome of a send and logs changes of the endpoint's health.
@@ -105,6 +118,8 @@
                             const dispatch::StreamTargets& targets,
                             common::TimePoint now);
   void MoveSends(common::TimePoint now);
+  // Returns why the send must be canceled, or null if it goes on.
+  const char* ReasonToMove(const ActiveSend& send, common::TimePoint now) const;
   void CheckCrash(const std::string& id);
 
   const Settings& settings;
--- a/source/core/gateway/platform_view.cc
+++ b/source/core/gateway/platform_view.cc
@@ -248,6 +248,15 @@
              : found->second.RequiredAt(now);
 }
 
+std::optional<common::TimePoint> PlatformView::StartDeadline(
+    std::string_view model,
+    uint64_t version) const {
+  const auto found = this->version_requirements.find(model);
+  if (found == this->version_requirements.end())
+    return std::nullopt;
+  return found->second.StartDeadline(version);
+}
+
 common::Duration PlatformView::AnnouncementAge(std::string_view model,
                                                common::TimePoint now) const {
   const auto found = this->version_requirements.find(model);
--- a/source/core/gateway/platform_view.h
+++ b/source/core/gateway/platform_view.h
@@ -60,6 +60,10 @@
   uint64_t NewestVersion(std::string_view model) const;
   // Returns the oldest version that a request may start on; 0 for any.
   uint64_t RequiredVersion(std::string_view model, common::TimePoint now) const;
+  // Returns the latest time at which a run on this version may begin; nullopt
+  // if no newer version is announced.
+  std::optional<common::TimePoint> StartDeadline(std::string_view model,
+                                                 uint64_t version) const;
   // Returns the maximum age of the newest announcement; 0 if there is none.
   common::Duration AnnouncementAge(std::string_view model,
                                    common::TimePoint now) const;
--- a/source/core/gateway/request_task.cc
+++ b/source/core/gateway/request_task.cc
@@ -202,6 +202,9 @@
   requirements.required_version =
       this->deps.view.RequiredVersion(model, runtime::BootNow());
   requirements.preferred_version = this->deps.view.NewestVersion(model);
+  requirements.start_deadline = [this, &model](uint64_t version) {
+    return this->deps.view.StartDeadline(model, version);
+  };
   const reuse::FetchConditions conditions = this->FetchConditionsFor(nullptr);
   requirements.fetch_limits = conditions.limits;
   requirements.stored =
@@ -405,11 +408,18 @@
   this->callback_state->send = &send;
   ActiveSend active{choice.endpoint, this->pool, now, this->MoveTimeout(choice),
                     TargetsOf(*this->route)};
-  active.move = [callback_state = this->callback_state] {
-    if (callback_state->send)
-      callback_state->send->Cancel();
+  this->callback_state->cancel_reason = nullptr;
+  active.move = [callback_state = this->callback_state](const char* reason) {
+    if (!callback_state->send)
+      return;
+    callback_state->cancel_reason = reason;
+    callback_state->send->Cancel();
   };
-  const auto handle = this->deps.dispatcher.Register(std::move(active));
+  if (this->request.prompt && this->pool->is_engine()) {
+    active.model = this->request.prompt->model;
+    active.version = record.VersionOf(active.model);
+  }
+  this->send_handle = this->deps.dispatcher.Register(std::move(active));
   const forward::SendParameters parameters = this->MakeSendParameters(choice);
   this->LogSent(choice, now);
   AttemptResult result = AttemptResult::kUnknown;
@@ -417,7 +427,7 @@
   try {
     const forward::ResponseHead head =
         send.Open(this->request, parameters, this->deadline);
-    this->deps.dispatcher.MarkStarted(handle);
+    this->deps.dispatcher.MarkStarted(this->send_handle);
     this->RecordHead(head, record);
     result = this->HandleResponse(send, head, ticket);
   } catch (const forward::SendError& error) {
@@ -428,7 +438,7 @@
   if (send.sent())
     ++this->sends;
   this->callback_state->send = nullptr;
-  this->deps.dispatcher.Unregister(handle);
+  this->deps.dispatcher.Unregister(this->send_handle);
   record.OnEnded(ticket, runtime::BootNow());
   if (failure)
     throw *failure;
@@ -532,6 +542,7 @@
   const TimePoint now = runtime::BootNow();
   auto& record = *ticket.endpoint;
   record.OnStarted(ticket, now);
+  this->deps.dispatcher.MarkBegun(this->send_handle);
   if (this->request.prompt && this->pool->is_engine()) {
     this->pool->OnFirstToken(ticket, now);
     this->RecordFetch(now - ticket.sent_at - this->predicted);
@@ -594,11 +605,14 @@
     const forward::EndpointSend& send,
     dispatch::SendTicket& ticket) {
   auto& record = *ticket.endpoint;
+  const char* detail = this->callback_state->cancel_reason
+                           ? this->callback_state->cancel_reason
+                           : error.what();
   LogLine(this->deps.log, Event::kRequestCut)
       .Add(Field::kRequest, this->request.attempt_id)
       .Add(Field::kEndpoint, record.endpoint().id)
       .Add(Field::kReason, forward::kSendFailureNames.NameOf(error.failure()))
-      .Add(Field::kDetail, error.what())
+      .Add(Field::kDetail, detail)
       .Add(Field::kElapsedMs, runtime::BootNow() - this->received_at);
   if (!send.sent()) {
     ++this->failed_connects;
--- a/source/core/gateway/request_task.h
+++ b/source/core/gateway/request_task.h
@@ -58,6 +58,8 @@
     forward::EndpointSend* send = nullptr;
     // Whether the send is canceled when the caller disconnects.
     bool cancel_when_gone = false;
+    // Why the dispatcher has canceled the send; null if it has not.
+    const char* cancel_reason = nullptr;
   };
 
   enum class AttemptResult {
@@ -146,6 +148,8 @@
   common::Duration held{0};
   std::shared_ptr<CallbackState> callback_state;
   std::set<std::string> tried;
+  // The send in progress, or the last one.
+  Dispatcher::SendHandle send_handle = 0;
   int64_t sends = 0;
   int64_t failed_connects = 0;
   // The parts that this send reads from and saves to cache stores, and the
--- a/source/core/rollout/version_requirements.cc
+++ b/source/core/rollout/version_requirements.cc
@@ -9,8 +9,12 @@
 namespace {
 
 // Share of the bound after which a version is required, counted from its
-// announcement. The rest is left for requests that are queued at their engine.
+// announcement.
 constexpr double kRequiredAfterShare = 0.8;
+// Share of the bound, and the least time before its end, that is left to cancel
+// requests that are still queued at an engine with older weights.
+constexpr double kCancelShare = 0.05;
+constexpr common::Duration kMinCancelTime = std::chrono::milliseconds(300);
 // Share of the bound for which a host may use older versions after it learns of
 // a version that may have been announced long ago. The platform's bounds do not
 // apply to a host in the first seconds after its start or an outage.
@@ -36,8 +40,15 @@
   std::erase_if(this->announced, [&](const Announced& entry) {
     return entry.version < required;
   });
+  const common::Duration cancel_time =
+      std::max(common::Scale(bound, kCancelShare), kMinCancelTime);
+  // Without evidence, the bound may already have passed.
+  const common::TimePoint start_deadline =
+      announced_after
+          ? std::max(required_from, *announced_after + bound - cancel_time)
+          : required_from;
   this->announced.push_back(
-      {version, required_from, announced_after.value_or(now)});
+      {version, required_from, start_deadline, announced_after.value_or(now)});
   return true;
 }
 
@@ -45,6 +56,17 @@
   return this->announced.empty() ? 0 : this->announced.back().version;
 }
 
+std::optional<common::TimePoint> VersionRequirements::StartDeadline(
+    uint64_t version) const {
+  std::optional<common::TimePoint> earliest;
+  for (const Announced& entry : this->announced) {
+    if (entry.version > version)
+      earliest = std::min(earliest.value_or(entry.start_deadline),
+                          entry.start_deadline);
+  }
+  return earliest;
+}
+
 common::Duration VersionRequirements::AnnouncementAge(
     common::TimePoint now) const {
   return this->announced.empty() ? common::Duration(0)
--- a/source/core/rollout/version_requirements.h
+++ b/source/core/rollout/version_requirements.h
@@ -12,8 +12,9 @@
 // Weight versions of one model that were announced as targets, and the time
 // from which requests must run on each. No request starts on an older version
 // later than `bound` after the announcement; before that, requests may still go
-// to engines with older weights. Announcing a newer version does not cancel the
-// requirement of an earlier one. Not thread-safe.
+// to engines with older weights if they begin to run in time. Announcing a
+// newer version does not cancel the requirement of an earlier one. Not
+// thread-safe.
 class VersionRequirements {
  public:
   // Records that this host has learned of a target version. `announced_after`
@@ -28,6 +29,9 @@
   uint64_t newest() const;
   // The oldest version that a request may start on; 0 for any.
   uint64_t RequiredAt(common::TimePoint now) const;
+  // Latest time at which a run on this version may begin; nullopt if no newer
+  // version is announced.
+  std::optional<common::TimePoint> StartDeadline(uint64_t version) const;
   // Maximum age that the newest announcement can have: the time since it was
   // certainly not made yet, or else since this host learned of it.
   common::Duration AnnouncementAge(common::TimePoint now) const;
@@ -36,6 +40,8 @@
   struct Announced {
     uint64_t version = 0;
     common::TimePoint required_from;
+    // Runs on older versions that have not begun by then must be canceled.
+    common::TimePoint start_deadline;
     common::TimePoint announced_after;
   };
 
--- a/source/unit_tests/core/dispatch/service_pool_test.cc
+++ b/source/unit_tests/core/dispatch/service_pool_test.cc
@@ -370,5 +370,28 @@
   CHECK_FALSE(engine->IsReserved(At(1800)));
 }
 
+// Load pattern: the engine with old weights has a long queue. Guards against
+// runs that begin there after the time at which these weights must no longer be
+// used.
+TEST_CASE("a run that can not begin in time on old weights is not sent there") {
+  Pool pool(1);
+  const Prompt queued = MakePrompt("s0", 8000);
+  for (int i = 0; i < 20; ++i)
+    pool.Send(queued, 0, At(0));
+  const Prompt prompt = MakePrompt("s1", 8000);
+  SendRequirements requirements;
+  requirements.prompt = &prompt;
+  const auto choice = pool.pool.Choose(requirements, At(0));
+  REQUIRE(choice);
+  requirements.start_deadline = [&](uint64_t) {
+    return At(0) + choice->predicted;
+  };
+  CHECK_FALSE(pool.pool.Choose(requirements, At(0)));
+  requirements.start_deadline = [&](uint64_t) {
+    return At(0) + 3 * choice->predicted;
+  };
+  CHECK(pool.pool.Choose(requirements, At(0)));
+}
+
 }  // namespace
 }  // namespace jujuberock::dispatch
--- a/source/unit_tests/core/rollout/version_requirements_test.cc
+++ b/source/unit_tests/core/rollout/version_requirements_test.cc
@@ -39,6 +39,26 @@
   CHECK(versions.RequiredAt(At(2900)) == 2);
 }
 
+// Guards against runs on old weights that were sent in time but waited in the
+// queue of a busy engine until after the bound.
+TEST_CASE("a run on an older version must begin before the bound") {
+  const VersionRequirements versions = TwoVersions();
+  CHECK_FALSE(versions.StartDeadline(2));
+  const auto deadline = versions.StartDeadline(1);
+  REQUIRE(deadline);
+  CHECK(*deadline > At(6400));
+  CHECK(*deadline < At(0) + kBound);
+}
+
+TEST_CASE("the oldest outstanding version limits the start of a run") {
+  VersionRequirements versions = TwoVersions();
+  versions.OnAnnounced(3, kBound, At(4000), At(4000));
+  REQUIRE(versions.StartDeadline(1));
+  CHECK(*versions.StartDeadline(1) < At(0) + kBound);
+  REQUIRE(versions.StartDeadline(2));
+  CHECK(*versions.StartDeadline(2) > At(0) + kBound);
+}
+
 // Guards against refusals from 1.6 s after the announcement on, while no engine
 // had an order yet: the first version of a model that was ever announced
 // reached hosts that had been running for 30 s.
--- a/tools/gateway_standins.py
+++ b/tools/gateway_standins.py
@@ -207,9 +207,10 @@
 class GatewayProcess:
     """One `jujuberock gateway` process on loopback."""
 
-    def __init__(self, store, name="host-1"):
+    def __init__(self, store, name="host-1", **settings):
         self.store = store
         self.name = name
+        self.settings = settings
         self.folder = tempfile.mkdtemp(prefix="gateway-test-")
         self.caller_port = free_port()
         self.ready_port = free_port()
@@ -220,7 +221,7 @@
                     "caller_address": f"127.0.0.1:{self.caller_port}",
                     "ready_address": f"127.0.0.1:{self.ready_port}",
                     "platform_address": self.store.address,
-                    "retry_slack": 1000, "assumed_hosts": 1}
+                    "retry_slack": 1000, "assumed_hosts": 1, **self.settings}
         path = os.path.join(self.folder, "settings.json")
         with open(path, "w") as out:
             json.dump(settings, out)
