Count the age of a version from before a stall of the host

Callers' requests were sent to old weights up to 0.95 of the bound after the host had read the announcement, however late it had read it.

Cause: the answer of an uninterrupted watch was taken as sent when it was read. A host that was suspended or had no processor reads it later, and is in touch again long before the bound has passed by its own count.

Change: common::StallDetector, which both the silence check (before, with members of its own) and PlatformView use, states the earliest time at which a message that is read now can have arrived. The version counts from then.

--- a/source/core/gateway/dispatcher.cc
+++ b/source/core/gateway/dispatcher.cc
@@ -26,8 +26,6 @@
 
 constexpr Duration kMinPlainSilenceLimit = std::chrono::milliseconds(250);
 constexpr double kPlainSilenceLatencyFactor = 8;
-// If a periodic check comes later than this, the process was suspended.
-constexpr Duration kHostStallThreshold = std::chrono::milliseconds(450);
 // Time until all requests to a crashed endpoint have failed.
 constexpr Duration kCrashBatchTime = std::chrono::milliseconds(60);
 
@@ -47,7 +45,8 @@
       retry_window(
           {settings.retry_ratio, settings.retry_slack, settings.retry_window}),
       random_source(common::EntropySeed()),
-      host_count(static_cast<size_t>(settings.assumed_hosts)) {
+      host_count(static_cast<size_t>(settings.assumed_hosts)),
+      stall_detector(kHostStallThreshold) {
   this->retry_window.SetHostCount(this->host_count);
 }
 
@@ -209,9 +208,7 @@
 
 void Dispatcher::CheckSilence() {
   const TimePoint now = runtime::BootNow();
-  if (now - this->last_check > kHostStallThreshold)
-    this->silence_floor = now;
-  this->last_check = now;
+  this->stall_detector.OnTick(now);
   const TargetsByEndpoint targets = this->TargetsInProgress();
   for (auto& [name, pool] : this->pools) {
     for (const auto& [id, record] : pool->records()) {
@@ -243,8 +240,9 @@
       record.health().StateAt(now) == EndpointHealth::State::kEjected)
     return;
   const bool has_running = record.own_in_flight() > record.own_waiting();
-  const TimePoint since = std::max(
-      {record.last_byte_time(), record.waiting_since(), this->silence_floor});
+  const TimePoint since =
+      std::max({record.last_byte_time(), record.waiting_since(),
+                this->stall_detector.resumed_at()});
   Duration limit;
   if (!pool.is_engine()) {
     const double usual_ms =
@@ -279,9 +277,11 @@
     return nullptr;
   const bool is_unresponsive =
       send.endpoint->health().StateAt(now) == EndpointHealth::State::kEjected &&
-      now - std::max(send.endpoint->last_byte_time(), this->silence_floor) >
+      now - std::max(send.endpoint->last_byte_time(),
+                     this->stall_detector.resumed_at()) >
           dispatch::StreamSilenceLimit(send.targets) / 2;
-  const TimePoint since = std::max(send.sent_at, this->silence_floor);
+  const TimePoint since =
+      std::max(send.sent_at, this->stall_detector.resumed_at());
   if (!send.started && now - since > *send.move_timeout)
     return "no response in the usual time";
   return is_unresponsive ? "the endpoint is silent" : nullptr;
--- a/source/core/gateway/dispatcher.h
+++ b/source/core/gateway/dispatcher.h
@@ -10,6 +10,7 @@
 
 #include "core/common/metrics.h"
 #include "core/common/random.h"
+#include "core/common/stall_detector.h"
 #include "core/dispatch/retry_window.h"
 #include "core/dispatch/service_pool.h"
 #include "core/dispatch/silence_limit.h"
@@ -146,9 +147,8 @@
   std::map<std::string, BrokenRequests> broken_by_endpoint;
   std::function<void()> on_crash_marks_changed;
   std::function<void(const std::string& id)> on_endpoint_unreachable;
-  common::TimePoint last_check;
-  // Silence before this time is ignored, because this host was suspended.
-  common::TimePoint silence_floor;
+  // Silence before the end of a stall of this host is ignored.
+  common::StallDetector stall_detector;
 };
 
 }  // namespace jujuberock::gateway
--- a/source/core/gateway/gateway.cc
+++ b/source/core/gateway/gateway.cc
@@ -183,7 +183,7 @@
 
 void Gateway::Tick() {
   const common::TimePoint now = runtime::BootNow();
-  this->view.Expire(now);
+  this->view.OnTick(now);
   this->dispatcher.CheckSilence();
   this->connections.Expire(now);
   this->LogViewFreshness(now);
--- a/source/core/gateway/platform_view.cc
+++ b/source/core/gateway/platform_view.cc
@@ -45,9 +45,10 @@
       store(store),
       decoder(decoder),
       log(log),
-      view_age(catalog::ViewAgeOptions{
-          settings.revocation_bound,
-          catalog::ViewAgeOptions().confirmation_lag}) {}
+      view_age(
+          catalog::ViewAgeOptions{settings.revocation_bound,
+                                  catalog::ViewAgeOptions().confirmation_lag}),
+      stall_detector(kHostStallThreshold) {}
 
 void PlatformView::Start() {
   const std::vector<KindWatch> watches = {
@@ -112,10 +113,11 @@
       changes.changes.empty() &&
       received_at - sent_at >= watch.wait - kWatchTolerance;
   watch.revision = changes.revision;
-  // An uninterrupted watch reports a change at once; a resumed one reports all
-  // changes since the last answer.
+  // An uninterrupted watch reports a change at once, unless this process could
+  // not read it; a resumed one reports all changes since the last answer.
   const ChangeTime changed_after =
-      watch.failures > 0 ? watch.answered_at : received_at;
+      watch.failures > 0 ? watch.answered_at
+                         : this->stall_detector.EarliestArrival(received_at);
   this->OnAnswer(watch, wait_elapsed
                             ? std::min(received_at, sent_at + watch.wait)
                             : sent_at);
@@ -265,7 +267,8 @@
              : found->second.AnnouncementAge(now);
 }
 
-void PlatformView::Expire(common::TimePoint now) {
+void PlatformView::OnTick(common::TimePoint now) {
+  this->stall_detector.OnTick(now);
   const uint64_t before = this->directory.generation();
   this->directory.Expire(now);
   if (this->directory.generation() != before)
--- a/source/core/gateway/platform_view.h
+++ b/source/core/gateway/platform_view.h
@@ -11,6 +11,7 @@
 #include "core/catalog/endpoint_directory.h"
 #include "core/catalog/object_store.h"
 #include "core/catalog/view_age.h"
+#include "core/common/stall_detector.h"
 #include "core/events/event_log.h"
 #include "core/gateway/decoder.h"
 #include "core/gateway/settings.h"
@@ -72,8 +73,9 @@
   bool IsComplete() const {
     return this->current_config != nullptr && this->endpoints_known;
   }
-  // Applies deferred removals of endpoints that are due; called periodically.
-  void Expire(common::TimePoint now);
+  // Applies deferred removals of endpoints that are due and detects that the
+  // process was suspended; called periodically.
+  void OnTick(common::TimePoint now);
 
  private:
   // Last time at which a change was certainly not made yet; nullopt if it may
@@ -119,6 +121,7 @@
   catalog::ViewAge view_age;
   catalog::EndpointDirectory directory;
   VersionsByModel version_requirements;
+  common::StallDetector stall_detector;
   bool endpoints_known = false;
   bool stopping = false;
 };
--- a/source/core/gateway/settings.h
+++ b/source/core/gateway/settings.h
@@ -10,6 +10,11 @@
 
 namespace jujuberock::gateway {
 
+// If a check that is made every 100 ms comes later than this, the process was
+// suspended.
+inline constexpr common::Duration kHostStallThreshold =
+    std::chrono::milliseconds(450);
+
 // Settings of one gateway host.
 struct Settings {
   std::string host_name;
--- a/tools/gateway_standins.py
+++ b/tools/gateway_standins.py
@@ -247,6 +247,12 @@
             await asyncio.sleep(0.05)
         raise AssertionError("the gateway did not become ready")
 
+    def suspend(self):
+        self.process.send_signal(signal.SIGSTOP)
+
+    def resume(self):
+        self.process.send_signal(signal.SIGCONT)
+
     def terminate(self):
         self.process.send_signal(signal.SIGTERM)
 
