Judge streams of plain services by the pauses that their route allows

What callers saw: a slow but sound stream of a plain service was cut and resumed at another endpoint.

Cause: the silence check used the limit of whole answers (250 ms, or 8 times the usual latency) for each endpoint of a plain service, also when it had only streams in progress. Once the endpoint was ejected, a stream was moved after half of its own silence limit, 875 ms, which is less than the pause that the route allows.

The same cause in three further places, fixed here because it is the same decision: a stream of a plain service that waits for its first event was judged by whole answers; running streams were judged by the event gap of other routes' requests that only wait on the same engine; and an endpoint that is ejected for other requests lost its streams in the middle of an allowed pause.

Change: core/dispatch/silence_limit decides, without network. Each send in progress has a limit of its own kind and state, and the strictest one applies to the endpoint. Whole answers keep their limit. EjectedSilenceLimit is never shorter than the allowed gap. StreamTargets::Stricter, which mixed targets of different sends, is gone; its test now checks the combined limit with the same targets.

--- a/source/core/dispatch/silence_limit.cc
+++ b/source/core/dispatch/silence_limit.cc
@@ -20,12 +20,43 @@
 constexpr Duration kMinStreamStall = std::chrono::seconds(2);
 constexpr double kStreamStallLatencyFactor = 4;
 constexpr double kStreamStallGapFactor = 8;
+constexpr Duration kMinPlainSilence = std::chrono::milliseconds(250);
+constexpr double kPlainSilenceLatencyFactor = 8;
+constexpr double kEjectedSilenceShare = 0.5;
+
+Duration PlainSilenceLimit(const SendProgress& send) {
+  return std::max(kMinPlainSilence,
+                  Scale(send.usual_latency, kPlainSilenceLatencyFactor));
+}
+
+// A plain service has no queue whose length explains a late first event.
+Duration PlainFirstEventSilenceLimit(const SendProgress& send) {
+  return std::max(PlainSilenceLimit(send),
+                  Scale(send.targets.latency, kFirstEventSilenceFactor));
+}
+
+Duration SendSilenceLimit(const SendProgress& send) {
+  if (send.kind == AnswerKind::kWhole)
+    return PlainSilenceLimit(send);
+  if (send.has_first_event)
+    return StreamSilenceLimit(send.targets);
+  return send.kind == AnswerKind::kStream
+             ? PlainFirstEventSilenceLimit(send)
+             : FirstEventSilenceLimit(send.targets);
+}
 
 }  // namespace
 
-StreamTargets StreamTargets::Stricter(const StreamTargets& a,
-                                      const StreamTargets& b) {
-  return {std::min(a.latency, b.latency), std::min(a.event_gap, b.event_gap)};
+Duration EndpointSilenceLimit(const std::vector<SendProgress>& sends) {
+  Duration limit = Duration::max();
+  for (const SendProgress& send : sends)
+    limit = std::min(limit, SendSilenceLimit(send));
+  return limit;
+}
+
+Duration EjectedSilenceLimit(const StreamTargets& targets) {
+  return std::max(Scale(StreamSilenceLimit(targets), kEjectedSilenceShare),
+                  targets.event_gap);
 }
 
 Duration StreamSilenceLimit(const StreamTargets& targets) {
--- a/source/core/dispatch/silence_limit.h
+++ b/source/core/dispatch/silence_limit.h
@@ -1,24 +1,49 @@
 #ifndef CORE_DISPATCH_SILENCE_LIMIT_H_
 #define CORE_DISPATCH_SILENCE_LIMIT_H_
 
+#include <vector>
+
 #include "core/common/time.h"
 
 namespace jujuberock::dispatch {
 
-// Targets of a route that requests with prompts use.
+// Targets of a route.
 struct StreamTargets {
-  // Time to the first event.
+  // Time to the first event, or to a whole answer.
   common::Duration latency{0};
   // Longest gap between two events.
   common::Duration event_gap{0};
+};
 
-  // The stricter of each target.
-  static StreamTargets Stricter(const StreamTargets& a, const StreamTargets& b);
+enum class AnswerKind {
+  kWhole,         // an answer of a plain service
+  kStream,        // a stream of a plain service
+  kEngineStream,  // a stream of an engine
 };
 
-// Time without events after which an engine counts as silent, given the
-// strictest targets of the streams that it runs for this host. Streams of
-// routes that allow long gaps are not cut for gaps that their callers accept.
+// A send in progress, as far as it determines when its endpoint counts as
+// silent.
+struct SendProgress {
+  AnswerKind kind = AnswerKind::kWhole;
+  StreamTargets targets;
+  // Whether the first event of a stream has arrived.
+  bool has_first_event = false;
+  // Usual time of whole answers of the endpoint.
+  common::Duration usual_latency{0};
+};
+
+// Time without bytes after which an endpoint counts as silent, given all sends
+// of this host that it is working on: the limit of the strictest of them. Must
+// not be called without sends.
+common::Duration EndpointSilenceLimit(const std::vector<SendProgress>& sends);
+// Time without bytes after which a send that may be repeated leaves an endpoint
+// that is ejected. Shorter than the limit above, but no pause that the route
+// allows, since an endpoint may be ejected for other requests.
+common::Duration EjectedSilenceLimit(const StreamTargets& targets);
+
+// Time without events after which an endpoint that streams them counts as
+// silent. Streams of routes that allow long gaps are not cut for gaps that
+// their callers accept.
 common::Duration StreamSilenceLimit(const StreamTargets& targets);
 // The same for an engine that has sent no event yet.
 common::Duration FirstEventSilenceLimit(const StreamTargets& targets);
--- a/source/core/gateway/dispatcher.cc
+++ b/source/core/gateway/dispatcher.cc
@@ -24,8 +24,6 @@
 using events::Field;
 using events::LogLine;
 
-constexpr Duration kMinPlainSilenceLimit = std::chrono::milliseconds(250);
-constexpr double kPlainSilenceLatencyFactor = 8;
 // Time until all requests to a crashed endpoint have failed.
 constexpr Duration kCrashBatchTime = std::chrono::milliseconds(60);
 
@@ -128,10 +126,10 @@
     found->second.started = true;
 }
 
-void Dispatcher::MarkBegun(SendHandle handle) {
+void Dispatcher::MarkFirstEvent(SendHandle handle) {
   const auto found = this->active.find(handle);
   if (found != this->active.end())
-    found->second.has_begun = true;
+    found->second.has_first_event = true;
 }
 
 void Dispatcher::Unregister(SendHandle handle) {
@@ -209,51 +207,40 @@
 void Dispatcher::CheckSilence() {
   const TimePoint now = runtime::BootNow();
   this->stall_detector.OnTick(now);
-  const TargetsByEndpoint targets = this->TargetsInProgress();
+  const SendsByEndpoint sends = this->SendsInProgress();
   for (auto& [name, pool] : this->pools) {
     for (const auto& [id, record] : pool->records()) {
-      const auto found = targets.find(record.get());
-      if (found != targets.end())
+      const auto found = sends.find(record.get());
+      if (found != sends.end())
         this->CheckEndpointSilence(*pool, *record, found->second, now);
     }
   }
   this->MoveSends(now);
 }
 
-Dispatcher::TargetsByEndpoint Dispatcher::TargetsInProgress() const {
-  TargetsByEndpoint targets;
+Dispatcher::SendsByEndpoint Dispatcher::SendsInProgress() const {
+  SendsByEndpoint sends;
   for (const auto& [handle, send] : this->active) {
-    const auto [entry, is_new] =
-        targets.try_emplace(send.endpoint.get(), send.targets);
-    if (!is_new)
-      entry->second =
-          dispatch::StreamTargets::Stricter(entry->second, send.targets);
+    const double usual_ms = send.endpoint->mean_latency_ms();
+    sends[send.endpoint.get()].push_back(
+        {send.answer_kind, send.targets, send.has_first_event,
+         common::FromSeconds(usual_ms / 1000)});
   }
-  return targets;
+  return sends;
 }
 
-void Dispatcher::CheckEndpointSilence(ServicePool& pool,
-                                      EndpointRecord& record,
-                                      const dispatch::StreamTargets& targets,
-                                      TimePoint now) {
+void Dispatcher::CheckEndpointSilence(
+    ServicePool& pool,
+    EndpointRecord& record,
+    const std::vector<dispatch::SendProgress>& sends,
+    TimePoint now) {
   if (record.own_in_flight() == 0 ||
       record.health().StateAt(now) == EndpointHealth::State::kEjected)
     return;
-  const bool has_running = record.own_in_flight() > record.own_waiting();
   const TimePoint since =
       std::max({record.last_byte_time(), record.waiting_since(),
                 this->stall_detector.resumed_at()});
-  Duration limit;
-  if (!pool.is_engine()) {
-    const double usual_ms =
-        record.mean_latency_ms() * kPlainSilenceLatencyFactor;
-    limit =
-        std::max(kMinPlainSilenceLimit, common::FromSeconds(usual_ms / 1000));
-  } else {
-    limit = has_running ? dispatch::StreamSilenceLimit(targets)
-                        : dispatch::FirstEventSilenceLimit(targets);
-  }
-  if (now - since < limit)
+  if (now - since < dispatch::EndpointSilenceLimit(sends))
     return;
   this->OnOutcome(pool, record, SendOutcome::kSilent);
   this->connections.Drop(record.endpoint().address);
@@ -263,7 +250,7 @@
 }
 
 bool ActiveSend::MustNotBegin(const PlatformView& view, TimePoint now) const {
-  if (this->has_begun || this->model.empty())
+  if (this->has_first_event || this->model.empty())
     return false;
   const auto deadline = view.StartDeadline(this->model, this->version);
   return deadline && now >= *deadline;
@@ -279,7 +266,7 @@
       send.endpoint->health().StateAt(now) == EndpointHealth::State::kEjected &&
       now - std::max(send.endpoint->last_byte_time(),
                      this->stall_detector.resumed_at()) >
-          dispatch::StreamSilenceLimit(send.targets) / 2;
+          dispatch::EjectedSilenceLimit(send.targets);
   const TimePoint since =
       std::max(send.sent_at, this->stall_detector.resumed_at());
   if (!send.started && now - since > *send.move_timeout)
--- a/source/core/gateway/dispatcher.h
+++ b/source/core/gateway/dispatcher.h
@@ -31,14 +31,15 @@
   // the request must not be sent again.
   std::optional<common::Duration> move_timeout;
   dispatch::StreamTargets targets;
+  dispatch::AnswerKind answer_kind = dispatch::AnswerKind::kWhole;
   // The model and the version of its weights on the engine; empty for plain
   // services.
   std::string model = {};
   uint64_t version = 0;
-  // Whether the response has started, and whether its first event has arrived,
-  // so that the run has certainly begun.
+  // The head of the response has arrived.
   bool started = false;
-  bool has_begun = false;
+  // The first event of a stream has arrived, so its run has begun.
+  bool has_first_event = false;
   // Cancels the send, so that the request can be sent to another endpoint.
   std::function<void(const char* reason)> move = nullptr;
 
@@ -79,8 +80,7 @@
   using SendHandle = uint64_t;
   SendHandle Register(ActiveSend send);
   void MarkStarted(SendHandle handle);
-  // The first event of the response has arrived.
-  void MarkBegun(SendHandle handle);
+  void MarkFirstEvent(SendHandle handle);
   void Unregister(SendHandle handle);
 
   // Records the outcome of a send and logs changes of the endpoint's health.
@@ -110,13 +110,13 @@
   };
 
   void IndexEndpoints();
-  // The strictest targets of the sends in progress, by endpoint.
-  using TargetsByEndpoint = std::unordered_map<const dispatch::EndpointRecord*,
-                                               dispatch::StreamTargets>;
-  TargetsByEndpoint TargetsInProgress() const;
+  using SendsByEndpoint =
+      std::unordered_map<const dispatch::EndpointRecord*,
+                         std::vector<dispatch::SendProgress>>;
+  SendsByEndpoint SendsInProgress() const;
   void CheckEndpointSilence(dispatch::ServicePool& pool,
                             dispatch::EndpointRecord& record,
-                            const dispatch::StreamTargets& targets,
+                            const std::vector<dispatch::SendProgress>& sends,
                             common::TimePoint now);
   void MoveSends(common::TimePoint now);
   // Returns why the send must be canceled, or null if it goes on.
--- a/source/core/gateway/request_task.cc
+++ b/source/core/gateway/request_task.cc
@@ -406,8 +406,12 @@
   forward::EndpointSend send(this->deps.connections, this->deps.codec,
                              record.endpoint().address);
   this->callback_state->send = &send;
-  ActiveSend active{choice.endpoint, this->pool, now, this->MoveTimeout(choice),
-                    TargetsOf(*this->route)};
+  ActiveSend active{choice.endpoint,
+                    this->pool,
+                    now,
+                    this->MoveTimeout(choice),
+                    TargetsOf(*this->route),
+                    this->ExpectedAnswer()};
   this->callback_state->cancel_reason = nullptr;
   active.move = [callback_state = this->callback_state](const char* reason) {
     if (!callback_state->send)
@@ -419,7 +423,7 @@
     active.model = this->request.prompt->model;
     active.version = record.VersionOf(active.model);
   }
-  this->send_handle = this->deps.dispatcher.Register(std::move(active));
+  this->active_send = this->deps.dispatcher.Register(std::move(active));
   const forward::SendParameters parameters = this->MakeSendParameters(choice);
   this->LogSent(choice, now);
   AttemptResult result = AttemptResult::kUnknown;
@@ -427,7 +431,7 @@
   try {
     const forward::ResponseHead head =
         send.Open(this->request, parameters, this->deadline);
-    this->deps.dispatcher.MarkStarted(this->send_handle);
+    this->deps.dispatcher.MarkStarted(this->active_send);
     this->RecordHead(head, record);
     result = this->HandleResponse(send, head, ticket);
   } catch (const forward::SendError& error) {
@@ -438,7 +442,7 @@
   if (send.sent())
     ++this->sends;
   this->callback_state->send = nullptr;
-  this->deps.dispatcher.Unregister(this->send_handle);
+  this->deps.dispatcher.Unregister(this->active_send);
   record.OnEnded(ticket, runtime::BootNow());
   if (failure)
     throw *failure;
@@ -536,13 +540,20 @@
   return AttemptResult::kAnswered;
 }
 
+dispatch::AnswerKind RequestTask::ExpectedAnswer() const {
+  if (this->pool->is_engine())
+    return dispatch::AnswerKind::kEngineStream;
+  return this->route->kind == RouteKind::kStream ? dispatch::AnswerKind::kStream
+                                                 : dispatch::AnswerKind::kWhole;
+}
+
 void RequestTask::RecordFirstByte(dispatch::SendTicket& ticket) {
   if (ticket.started)
     return;
   const TimePoint now = runtime::BootNow();
   auto& record = *ticket.endpoint;
   record.OnStarted(ticket, now);
-  this->deps.dispatcher.MarkBegun(this->send_handle);
+  this->deps.dispatcher.MarkFirstEvent(this->active_send);
   if (this->request.prompt && this->pool->is_engine()) {
     this->pool->OnFirstToken(ticket, now);
     this->RecordFetch(now - ticket.sent_at - this->predicted);
--- a/source/core/gateway/request_task.h
+++ b/source/core/gateway/request_task.h
@@ -108,6 +108,7 @@
                     const dispatch::SendTicket& ticket);
   void RecordHead(const forward::ResponseHead& head,
                   dispatch::EndpointRecord& record);
+  dispatch::AnswerKind ExpectedAnswer() const;
   void RecordFirstByte(dispatch::SendTicket& ticket);
   // Records how much later than predicted the first token of a fetch arrived.
   void RecordFetch(common::Duration excess);
@@ -148,8 +149,8 @@
   common::Duration held{0};
   std::shared_ptr<CallbackState> callback_state;
   std::set<std::string> tried;
-  // The send in progress, or the last one.
-  Dispatcher::SendHandle send_handle = 0;
+  // The send in progress, if there is one.
+  Dispatcher::SendHandle active_send = 0;
   int64_t sends = 0;
   int64_t failed_connects = 0;
   // The parts that this send reads from and saves to cache stores, and the
--- a/source/unit_tests/core/dispatch/silence_limit_test.cc
+++ b/source/unit_tests/core/dispatch/silence_limit_test.cc
@@ -37,12 +37,64 @@
         milliseconds(3200));
 }
 
+SendProgress StreamOf(AnswerKind kind, int gap_ms, bool has_first_event) {
+  return {kind,
+          {milliseconds(400), milliseconds(gap_ms)},
+          has_first_event,
+          milliseconds(1)};
+}
+
+const SendProgress kCall{AnswerKind::kWhole,
+                         {milliseconds(300), {}},
+                         false,
+                         milliseconds(10)};
+
 TEST_CASE("an engine is judged by the strictest of its streams") {
-  const auto targets =
-      StreamTargets::Stricter({milliseconds(400), milliseconds(1000)},
-                              {milliseconds(600), milliseconds(250)});
-  CHECK(targets.latency == milliseconds(400));
-  CHECK(targets.event_gap == milliseconds(250));
+  SendProgress slow{
+      AnswerKind::kEngineStream, {milliseconds(400), milliseconds(1000)}, true};
+  SendProgress fast{
+      AnswerKind::kEngineStream, {milliseconds(600), milliseconds(250)}, true};
+  CHECK(EndpointSilenceLimit({slow, fast}) == StreamSilenceLimit(fast.targets));
+  CHECK(EndpointSilenceLimit({fast, slow}) == StreamSilenceLimit(fast.targets));
+  slow.has_first_event = fast.has_first_event = false;
+  CHECK(EndpointSilenceLimit({slow, fast}) ==
+        FirstEventSilenceLimit(slow.targets));
+}
+
+// Guards against judging a sound slow stream by a route that has only waiting
+// requests on the engine.
+TEST_CASE("a waiting send does not shorten the pauses of running streams") {
+  const auto slow = StreamOf(AnswerKind::kEngineStream, 1000, true);
+  const auto waiting = StreamOf(AnswerKind::kEngineStream, 250, false);
+  CHECK(EndpointSilenceLimit({slow, waiting}) > milliseconds(1000));
+}
+
+// Guards against cutting slow but sound streams: streams of plain services were
+// judged by the time of whole answers, and moved after 875 ms without an event
+// on a route that allows gaps of 1 s.
+TEST_CASE("a stream of a plain service may pause as its route allows") {
+  const auto stream = StreamOf(AnswerKind::kStream, 1000, true);
+  CHECK(EndpointSilenceLimit({stream}) == StreamSilenceLimit(stream.targets));
+  const auto waiting = StreamOf(AnswerKind::kStream, 1000, false);
+  CHECK(EndpointSilenceLimit({waiting}) == milliseconds(1000));
+}
+
+TEST_CASE("a silent plain endpoint is found by its usual latency") {
+  CHECK(EndpointSilenceLimit({kCall}) == milliseconds(250));
+  const auto stream = StreamOf(AnswerKind::kStream, 1000, true);
+  CHECK(EndpointSilenceLimit({stream, kCall}) == milliseconds(250));
+  SendProgress slow_call = kCall;
+  slow_call.usual_latency = milliseconds(100);
+  CHECK(EndpointSilenceLimit({slow_call}) == milliseconds(800));
+}
+
+// An endpoint may be ejected for other requests than the paused stream.
+TEST_CASE("an allowed pause does not move a stream off an ejected endpoint") {
+  CHECK(EjectedSilenceLimit({milliseconds(400), milliseconds(250)}) ==
+        milliseconds(350));
+  CHECK(EjectedSilenceLimit({milliseconds(400), milliseconds(1000)}) ==
+        milliseconds(1000));
+  CHECK(EjectedSilenceLimit({milliseconds(400), {}}) == milliseconds(350));
 }
 
 }  // namespace
