Send unanswered weight orders again at once

Cause: the plan treated an order that got no answer like an accepted one. It occupied one of four concurrent loads until it was sent again 4.5 s after the time-out of the call (0.5 s). With half of the orders unanswered, all four were soon occupied by engines that loaded nothing. A change of target had the opposite fault: engines that were still loading the former version no longer counted, and other loads started beside them.

Change: a reservation is without order, uncertain or executing. Uncertain ones keep their place among the concurrent loads and are sent their order again at once; the sequence number that every order expects lets the engine execute one of the copies. Each report now updates the plan: a busy engine counts as loading for as long as it says so, also for a former target, and is no failed order any more; an idle one with older weights is free for its order.

--- a/source/core/gateway/rollout_controller.cc
+++ b/source/core/gateway/rollout_controller.cc
@@ -304,6 +304,27 @@
   }
 }
 
+bool RolloutController::OnReport(const std::string& model,
+                                 EndpointRecord& endpoint,
+                                 const EngineReport& report) {
+  for (const catalog::ModelVersion& entry : report.models)
+    endpoint.SetVersion(entry.model, entry.version);
+  rollout::RolloutPlan* plan = this->FindPlan(model);
+  if (!plan)
+    return false;
+  const std::string& id = endpoint.endpoint().id;
+  if (endpoint.VersionOf(model) < plan->target()) {
+    plan->OnReport(id, report.busy, runtime::BootNow());
+    return !report.busy;
+  }
+  plan->OnUpdated(id, runtime::BootNow());
+  LogLine(this->log, Event::kWeightsInForce)
+      .Add(Field::kEndpoint, id)
+      .Add(Field::kVersion, endpoint.VersionOf(model))
+      .Add(Field::kInFlight, endpoint.own_in_flight());
+  return false;
+}
+
 void RolloutController::SendOrderTo(const std::string& model,
                                     uint64_t version,
                                     std::shared_ptr<EndpointRecord> endpoint) {
@@ -314,10 +335,12 @@
   rollout::RolloutPlan* plan = this->FindPlan(model);
   if (!plan)
     return;
-  if (!report || report->busy) {
+  if (!report) {
     plan->OnOrderFailed(id, runtime::BootNow());
     return;
   }
+  if (!this->OnReport(model, *endpoint, *report) || plan->target() != version)
+    return;
   // Checked immediately before the order is sent: the report took time, and
   // this host may have been suspended.
   if (!this->lease.Holds(runtime::BootNow()))
@@ -337,12 +360,15 @@
     return;
   switch (reply) {
     case OrderReply::kAccepted:
-    case OrderReply::kUnknown:
       plan->OnOrdered(id, runtime::BootNow());
       return;
+    case OrderReply::kUnknown:
+      plan->OnOrderUnanswered(id, runtime::BootNow());
+      return;
     case OrderReply::kInForce:
       endpoint->SetVersion(model, version);
-      plan->OnUpdated(id, runtime::BootNow());
+      if (plan->target() == version)
+        plan->OnUpdated(id, runtime::BootNow());
       return;
     case OrderReply::kRefused:
     case OrderReply::kStale:
@@ -361,19 +387,8 @@
           const std::string id = endpoint->endpoint().id;
           const auto report = this->control.Report(endpoint->endpoint());
           this->calls_in_progress.erase(id);
-          if (!report)
-            return;
-          for (const catalog::ModelVersion& entry : report->models)
-            endpoint->SetVersion(entry.model, entry.version);
-          const auto plan = this->plans.find(model);
-          if (plan == this->plans.end() ||
-              endpoint->VersionOf(model) < plan->second.target())
-            return;
-          plan->second.OnUpdated(id, runtime::BootNow());
-          LogLine(this->log, Event::kWeightsInForce)
-              .Add(Field::kEndpoint, id)
-              .Add(Field::kVersion, endpoint->VersionOf(model))
-              .Add(Field::kInFlight, endpoint->own_in_flight());
+          if (report)
+            this->OnReport(model, *endpoint, *report);
         });
   }
 }
--- a/source/core/gateway/rollout_controller.h
+++ b/source/core/gateway/rollout_controller.h
@@ -65,6 +65,11 @@
   void SendOrderTo(const std::string& model,
                    uint64_t version,
                    std::shared_ptr<dispatch::EndpointRecord> endpoint);
+  // Applies an engine's report. Returns whether the engine needs an order and
+  // can execute it now.
+  bool OnReport(const std::string& model,
+                dispatch::EndpointRecord& endpoint,
+                const EngineReport& report);
   void PollOrdered(const PendingRollout& pending);
   void ApplyReservations();
   rollout::RolloutPlan& PlanFor(const PendingRollout& pending);
--- a/source/core/rollout/rollout_plan.cc
+++ b/source/core/rollout/rollout_plan.cc
@@ -23,9 +23,12 @@
     return;
   this->version = target;
   for (auto& [id, reservation] : this->reservations) {
-    // An engine that is still loading refuses the new order, which is then soon
-    // sent again.
-    reservation.is_ordered = false;
+    if (reservation.state == OrderState::kNone)
+      continue;
+    // An engine that is still loading the former target reports that it is
+    // busy, and gets the new order when it has finished.
+    reservation.state = OrderState::kUncertain;
+    reservation.retry_at = common::TimePoint();
   }
 }
 
@@ -37,8 +40,15 @@
 
 bool RolloutPlan::IsLoading(const Reservation& reservation,
                             common::TimePoint now) const {
-  return reservation.is_ordered &&
-         now - reservation.ordered_at < this->options.order_timeout;
+  switch (reservation.state) {
+    case OrderState::kNone:
+      return false;
+    case OrderState::kUncertain:
+      return true;
+    case OrderState::kExecuting:
+      return now - reservation.active_at < this->options.order_timeout;
+  }
+  return false;
 }
 
 size_t RolloutPlan::MaxLoading(size_t endpoint_count) const {
@@ -47,6 +57,12 @@
   return static_cast<size_t>(std::max(1.0, std::round(share)));
 }
 
+common::TimePoint RolloutPlan::LoadStart(const Reservation& reservation,
+                                         common::TimePoint now) {
+  return reservation.state == OrderState::kExecuting ? reservation.ordered_at
+                                                     : now;
+}
+
 size_t RolloutPlan::CountToReserve(common::TimePoint now) const {
   // The first loads are assumed to be as short as the notice.
   const common::Duration usual = this->load_time.value_or(this->options.notice);
@@ -54,7 +70,7 @@
   for (const auto& [id, reservation] : this->reservations) {
     const bool ends_within_notice =
         this->IsLoading(reservation, now) &&
-        now - reservation.ordered_at + this->options.notice >= usual;
+        LoadStart(reservation, now) + usual <= now + this->options.notice;
     occupied += ends_within_notice ? 0 : 1;
   }
   if (this->reservations.size() >= 2 * this->max_loading)
@@ -119,21 +135,25 @@
 std::vector<std::string> RolloutPlan::Due(common::TimePoint now) const {
   using Waiting = std::pair<common::TimePoint, std::string>;
   std::vector<Waiting> waiting;
+  std::vector<std::string> due;
   size_t loading = 0;
   for (const auto& [id, reservation] : this->reservations) {
+    const bool may_retry =
+        now >= reservation.retry_at && !this->IsDeferred(id, now);
     if (this->IsLoading(reservation, now)) {
       ++loading;
+      // A repeated order needs no further load.
+      if (reservation.state == OrderState::kUncertain && may_retry)
+        due.push_back(id);
       continue;
     }
     const bool notice_passed =
         now - reservation.reserved_at >= this->options.notice;
-    if (notice_passed && now >= reservation.retry_at &&
-        !this->IsDeferred(id, now))
+    if (notice_passed && may_retry)
       waiting.emplace_back(reservation.reserved_at, id);
   }
   std::sort(waiting.begin(), waiting.end());
   const size_t free = this->max_loading - std::min(loading, this->max_loading);
-  std::vector<std::string> due;
   for (size_t i = 0; i < std::min(free, waiting.size()); ++i)
     due.push_back(waiting[i].second);
   return due;
@@ -142,7 +162,7 @@
 std::vector<std::string> RolloutPlan::Ordered() const {
   std::vector<std::string> ordered;
   for (const auto& [id, reservation] : this->reservations) {
-    if (reservation.is_ordered)
+    if (reservation.state != OrderState::kNone)
       ordered.push_back(id);
   }
   return ordered;
@@ -152,27 +172,65 @@
   const auto found = this->reservations.find(id);
   if (found == this->reservations.end())
     return;
-  found->second.is_ordered = true;
-  found->second.ordered_at = now;
+  Reservation& reservation = found->second;
+  reservation.state = OrderState::kExecuting;
+  reservation.ordered_at = now;
+  reservation.active_at = now;
+  reservation.idle_valid_from = now + this->options.max_report_age;
+  reservation.failures = 0;
+}
+
+void RolloutPlan::OnOrderUnanswered(const std::string& id,
+                                    common::TimePoint now) {
+  const auto found = this->reservations.find(id);
+  if (found == this->reservations.end())
+    return;
+  found->second.state = OrderState::kUncertain;
+  found->second.retry_at = now;
 }
 
 void RolloutPlan::OnOrderFailed(const std::string& id, common::TimePoint now) {
   const auto found = this->reservations.find(id);
   if (found == this->reservations.end())
     return;
-  found->second.is_ordered = false;
-  found->second.retry_at = now + kOrderRetryDelay;
-  if (++found->second.failures < kMaxOrderFailures)
+  Reservation& reservation = found->second;
+  reservation.retry_at = now + kOrderRetryDelay;
+  if (reservation.state == OrderState::kExecuting)
+    reservation.state = OrderState::kNone;
+  if (++reservation.failures < kMaxOrderFailures)
     return;
   this->reservations.erase(found);
   this->deferred[id] = now + kFailureDeferral;
 }
 
+void RolloutPlan::OnReport(const std::string& id,
+                           bool busy,
+                           common::TimePoint now) {
+  const auto found = this->reservations.find(id);
+  if (found == this->reservations.end())
+    return;
+  Reservation& reservation = found->second;
+  if (busy) {
+    if (reservation.state != OrderState::kExecuting)
+      reservation.ordered_at = now;
+    reservation.state = OrderState::kExecuting;
+    reservation.active_at = now;
+    reservation.idle_valid_from = now;
+    reservation.failures = 0;
+    return;
+  }
+  // The order had no effect, for example because the endpoint restarted, or it
+  // loaded a former target.
+  if (reservation.state == OrderState::kExecuting &&
+      now >= reservation.idle_valid_from)
+    reservation.state = OrderState::kNone;
+}
+
 void RolloutPlan::OnUpdated(const std::string& id, common::TimePoint now) {
   const auto found = this->reservations.find(id);
   if (found == this->reservations.end())
     return;
-  if (found->second.is_ordered) {
+  if (found->second.state == OrderState::kExecuting) {
     const common::Duration took = now - found->second.ordered_at;
     this->load_time = (this->load_time.value_or(took) + took) / 2;
   }
--- a/source/core/rollout/rollout_plan.h
+++ b/source/core/rollout/rollout_plan.h
@@ -27,8 +27,11 @@
   // Time between the reservation, which the other hosts must learn of, and the
   // order. Most runs on the endpoint end within it.
   common::Duration notice = std::chrono::milliseconds(900);
-  // An order without effect is sent again after this time.
+  // Without any report, an accepted order counts as executing for this time.
   common::Duration order_timeout = std::chrono::milliseconds(4500);
+  // Maximum age of an endpoint's report. A report within this time after an
+  // accepted order may not show it yet.
+  common::Duration max_report_age = std::chrono::milliseconds(1000);
 };
 
 // Rolling update of the endpoints of one model to a target version, a few at a
@@ -50,15 +53,24 @@
   // reservations changed.
   bool Reserve(const std::vector<PlannedEndpoint>& endpoints,
                common::TimePoint now);
-  // Reserved endpoints whose order is due and may be sent now, the longest
-  // reserved first.
+  // Reserved endpoints whose order is due and may be sent now: those whose
+  // order was not answered, then the longest reserved.
   std::vector<std::string> Due(common::TimePoint now) const;
-  // Endpoints that are executing an order.
+  // Endpoints that are or may be executing an order.
   std::vector<std::string> Ordered() const;
+  // The endpoint accepted the order.
   void OnOrdered(const std::string& id, common::TimePoint now);
-  // The order was refused or not answered. It is sent again later; after
-  // several failures other endpoints come first.
+  // The order was not answered: it may be executed now, later or never. It is
+  // sent again at once, because each order is valid only for the sequence
+  // number that it expects, so that the endpoint executes at most one of the
+  // copies.
+  void OnOrderUnanswered(const std::string& id, common::TimePoint now);
+  // The order was refused, or the endpoint did not report. It is sent again
+  // later; after several failures other endpoints come first.
   void OnOrderFailed(const std::string& id, common::TimePoint now);
+  // The endpoint reported an older version than the target, and whether it is
+  // executing an order.
+  void OnReport(const std::string& id, bool busy, common::TimePoint now);
   void OnUpdated(const std::string& id, common::TimePoint now);
 
   // Sends no order to these endpoints before `until`, because they may be
@@ -68,16 +80,31 @@
   std::vector<std::string> Reserved() const;
 
  private:
+  enum class OrderState {
+    kNone,       // no order, or one that had no effect
+    kUncertain,  // an order may be executed at any time
+    kExecuting,  // the endpoint accepted an order or reported that it is busy
+  };
+
   struct Reservation {
     common::TimePoint reserved_at;
-    // Zero if no order was sent yet.
+    OrderState state = OrderState::kNone;
+    // Time of the first order that may have taken effect.
     common::TimePoint ordered_at;
-    bool is_ordered = false;
+    // Last evidence that the endpoint is executing an order.
+    common::TimePoint active_at;
+    // From this time on, a report without a running order means that none is
+    // running.
+    common::TimePoint idle_valid_from;
     common::TimePoint retry_at;
     int failures = 0;
   };
 
+  // Whether the endpoint counts towards the limit of concurrent loads.
   bool IsLoading(const Reservation& reservation, common::TimePoint now) const;
+  // Start of the load, or the earliest start if the order was not accepted yet.
+  static common::TimePoint LoadStart(const Reservation& reservation,
+                                     common::TimePoint now);
   // Number of endpoints that may load at the same time.
   size_t MaxLoading(size_t endpoint_count) const;
   // Number of endpoints to reserve now.
