Treat a framed stream that ends inside an event as broken off

What callers saw: when an endpoint stopped in the middle of an event but ended its response properly, with the last chunk or the announced length, the gateway passed the half event on and reported the stream as complete. A stream that may be resumed was not resumed.

Change: EventSplitter::IsInsideEvent tells a part of an event from a comment, and ResponseRelay fails with kBroken for each framing. A comment after the last event is still passed on. The fake endpoint of the forward tests is shared in a header.

Measured: response_relay_test.cc checks each combination of framing (none, length, chunks) and end (clean, reset; inside the head, inside an event, between events) for streams and whole answers. Before, "a stream that ends inside an event has been broken off" failed for the complete length and the last chunk. The other combinations were right before.

--- a/source/core/forward/event_splitter.cc
+++ b/source/core/forward/event_splitter.cc
@@ -1,5 +1,6 @@
 #include "core/forward/event_splitter.h"
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -91,6 +92,17 @@
   return complete;
 }
 
+bool EventSplitter::IsInsideEvent() const {
+  std::string_view rest = this->partial_event;
+  while (!rest.empty()) {
+    const std::string_view line = rest.substr(0, rest.find('\n'));
+    if (line.substr(0, 1) != ":" && line != "\r")
+      return true;
+    rest.remove_prefix(std::min(rest.size(), line.size() + 1));
+  }
+  return false;
+}
+
 std::string EventSplitter::TakePartial() {
   return std::exchange(this->partial_event, {});
 }
--- a/source/core/forward/event_splitter.h
+++ b/source/core/forward/event_splitter.h
@@ -30,7 +30,11 @@
   void DiscardPartial() { this->partial_event.clear(); }
   // Size of the incomplete event.
   size_t pending_bytes() const { return this->partial_event.size(); }
-  // Returns the incomplete event as is, for the regular end of the stream.
+  // Whether the bytes after the last complete event contain a part of another
+  // one, not only comments.
+  bool IsInsideEvent() const;
+  // Returns the bytes after the last complete event as they are, for the
+  // regular end of the stream.
   std::string TakePartial();
 
  private:
--- a/source/core/forward/response_relay.cc
+++ b/source/core/forward/response_relay.cc
@@ -75,17 +75,16 @@
     this->Start(head);
     this->writer.Write(events);
   }
-  this->FinishEvents(send, head);
+  this->FinishEvents(head);
 }
 
-void ResponseRelay::FinishEvents(const EndpointSend& send,
-                                 const ResponseHead& head) {
-  const std::string rest = this->splitter.TakePartial();
-  // Without a length, the end of the connection also ends the response, even
-  // if the endpoint has crashed.
-  if (!rest.empty() && send.ends_with_connection())
+void ResponseRelay::FinishEvents(const ResponseHead& head) {
+  // The framing does not show that the stream is complete: an endpoint may stop
+  // in the middle of an event and still end its response.
+  if (this->splitter.IsInsideEvent())
     throw SendError(SendFailure::kBroken,
                     "the stream ended in the middle of an event");
+  const std::string rest = this->splitter.TakePartial();
   this->Start(head);
   if (!rest.empty())
     this->writer.Write(rest);
--- a/source/core/forward/response_relay.h
+++ b/source/core/forward/response_relay.h
@@ -65,7 +65,7 @@
   void PassOn(EndpointSend& send);
   void RecordEvent();
   // Passes on what follows the last event at the regular end of the stream.
-  void FinishEvents(const EndpointSend& send, const ResponseHead& head);
+  void FinishEvents(const ResponseHead& head);
 
   runtime::ResponseWriter& writer;
   EventSplitter splitter;
--- a/source/unit_tests/core/forward/endpoint_send_test.cc
+++ b/source/unit_tests/core/forward/endpoint_send_test.cc
@@ -1,88 +1,14 @@
 #include "core/forward/endpoint_send.h"
 
 #include <catch2/catch.hpp>
-#include <thread>
-
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/streambuf.hpp>
-#include <boost/asio/write.hpp>
 
 #include "core/runtime/boot_clock.h"
 #include "core/runtime/worker_pool.h"
+#include "unit_tests/core/forward/fake_endpoint.h"
 
 namespace jujuberock::forward {
 namespace {
 
-using boost::asio::ip::tcp;
-
-// Carries the attempt id in a plain `Id` header.
-class TestCodec : public Codec {
- public:
-  CallerRequest DecodeRequest(const runtime::HttpRequest&) const override {
-    return {};
-  }
-  runtime::HttpHeaders EncodeRequestHeaders(
-      const CallerRequest& request,
-      const SendParameters&) const override {
-    return {{"Host", "h"}, {"Id", request.attempt_id}};
-  }
-  ResponseHead DecodeResponseHead(
-      int status,
-      const runtime::HttpHeaders& headers) const override {
-    ResponseHead head;
-    head.status = status;
-    if (const auto id = headers.Find("Id"))
-      head.attempt_id = std::string(*id);
-    return head;
-  }
-  void AddRetryAfter(runtime::HttpHeaders&, common::Duration) const override {}
-};
-
-// Accepts one connection, answers each request on it with the next of
-// `answers`, and then closes the connection, with a TCP reset if `reset` is
-// set.
-class FakeEndpoint {
- public:
-  FakeEndpoint(std::vector<std::string> answers, bool reset)
-      : answers(std::move(answers)), reset(reset) {
-    this->thread = std::thread([this] { this->Serve(); });
-  }
-  ~FakeEndpoint() { this->thread.join(); }
-
-  std::string address() const {
-    return "127.0.0.1:" +
-           std::to_string(this->acceptor.local_endpoint().port());
-  }
-
- private:
-  void Serve() {
-    tcp::socket socket(this->io);
-    this->acceptor.accept(socket);
-    boost::system::error_code error;
-    boost::asio::streambuf buffer;
-    for (const std::string& answer : this->answers) {
-      const size_t size =
-          boost::asio::read_until(socket, buffer, "\r\n\r\n", error);
-      if (error)
-        return;
-      buffer.consume(size);
-      boost::asio::write(socket, boost::asio::buffer(answer), error);
-    }
-    if (this->reset)
-      socket.set_option(boost::asio::socket_base::linger(true, 0), error);
-    socket.close(error);
-  }
-
-  std::vector<std::string> answers;
-  bool reset;
-  boost::asio::io_context io;
-  tcp::acceptor acceptor{
-      io, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0)};
-  std::thread thread;
-};
-
 struct Result {
   int status = 0;
   std::string body;
--- a/source/unit_tests/core/forward/event_splitter_test.cc
+++ b/source/unit_tests/core/forward/event_splitter_test.cc
@@ -45,6 +45,25 @@
   }
 }
 
+// Guards against passing a stream on as complete that ends inside an event.
+TEST_CASE("a part of an event is told from a comment") {
+  for (const char* text :
+       {"i", "id: 1", "id: 1\n", "data: a\r\n", "\n\nid: 1\n", ": wait\nid: 1",
+        "id: 1\ndata: a\n\nid: 2\n"}) {
+    INFO(text);
+    EventSplitter splitter;
+    splitter.Push(text);
+    CHECK(splitter.IsInsideEvent());
+  }
+  for (const char* text : {"", "\n", "\r", ":", ": end", ": end\n: of it\n",
+                           "id: 1\n\n", "id: 1\ndata: a\n\n: end\n"}) {
+    INFO(text);
+    EventSplitter splitter;
+    splitter.Push(text);
+    CHECK_FALSE(splitter.IsInsideEvent());
+  }
+}
+
 // Guards against a stalled stream that never ends, because an endpoint sends a
 // byte or a comment now and then.
 TEST_CASE("only events with data are progress") {
--- /dev/null
+++ b/source/unit_tests/core/forward/response_relay_test.cc
@@ -0,0 +1,199 @@
+#include "core/forward/response_relay.h"
+
+#include <catch2/catch.hpp>
+
+#include "core/runtime/boot_clock.h"
+#include "core/runtime/worker_pool.h"
+#include "unit_tests/core/forward/fake_endpoint.h"
+
+namespace jujuberock::forward {
+namespace {
+
+// Records what reaches the caller.
+class RecordingWriter : public runtime::ResponseWriter {
+ public:
+  void Send(runtime::HttpResponse response) override {
+    this->body = std::move(response.body);
+    this->finished = true;
+  }
+  void StartStream(int, runtime::HttpHeaders) override {
+    this->has_started = true;
+  }
+  void Write(std::string_view bytes) override { this->body += bytes; }
+  void FinishStream() override { this->finished = true; }
+  bool started() const override { return this->has_started || this->finished; }
+  void OnCallerDisconnect(std::function<void()>) override {}
+
+  std::string body;
+  bool has_started = false;
+  bool finished = false;
+};
+
+class EventStreamCodec : public TestCodec {
+ public:
+  ResponseHead DecodeResponseHead(
+      int status,
+      const runtime::HttpHeaders& headers) const override {
+    ResponseHead head = TestCodec::DecodeResponseHead(status, headers);
+    if (const auto type = headers.Find("Content-Type"))
+      head.forwarded_headers.Add("Content-Type", std::string(*type));
+    return head;
+  }
+};
+
+enum class Relay { kStream, kWhole };
+
+struct Relayed {
+  std::string body;
+  bool finished = false;
+  std::optional<SendFailure> failure;
+};
+
+Relayed RelayAnswer(Relay relay, const std::string& answer, bool reset) {
+  runtime::WorkerPool workers(1);
+  common::MetricRegistry counters;
+  FakeEndpoint peer({answer}, reset);
+  RecordingWriter writer;
+  Relayed result;
+  workers.Run([&] {
+    ConnectionPool pool({}, counters);
+    const EventStreamCodec codec;
+    CallerRequest request;
+    request.method = "GET";
+    request.target = "/";
+    request.attempt_id = "a";
+    EndpointSend send(pool, codec, peer.address());
+    ResponseRelay response(writer);
+    try {
+      const auto head =
+          send.Open(request, {}, runtime::BootNow() + std::chrono::seconds(5));
+      if (relay == Relay::kStream)
+        response.RelayStream(send, head, std::chrono::seconds(5), [] {});
+      else
+        response.RelayWhole(send, head, [] {});
+    } catch (const SendError& error) {
+      result.failure = error.failure();
+    }
+  });
+  result.body = writer.body;
+  result.finished = writer.finished;
+  return result;
+}
+
+const std::string kHead =
+    "HTTP/1.1 200 OK\r\nId: a\r\nContent-Type: text/event-stream\r\n";
+const std::string kEvent = "id: 1\ndata: x\n\n";
+const std::string kPartialEvent = "id: 2\ndata: y\n";
+
+std::string Unframed(const std::string& body) {
+  return kHead + "\r\n" + body;
+}
+std::string WithLength(const std::string& body, size_t missing = 0) {
+  return kHead + "Content-Length: " + std::to_string(body.size() + missing) +
+         "\r\n\r\n" + body;
+}
+std::string Chunked(const std::string& body, bool ends = true) {
+  std::string answer = kHead + "Transfer-Encoding: chunked\r\n\r\n";
+  for (const char c : body)
+    answer += std::string("1\r\n") + c + "\r\n";
+  return answer + (ends ? "0\r\n\r\n" : "");
+}
+
+// Guards against passing a broken stream on as complete, which a caller cannot
+// notice: the end of the framing, or of the connection, says nothing about an
+// event that has not ended.
+TEST_CASE("a stream that ends inside an event has been broken off") {
+  for (const std::string& before : {std::string(), kEvent}) {
+    for (const std::string& rest : {kPartialEvent, std::string("i")}) {
+      const std::string body = before + rest;
+      for (const std::string& answer :
+           {Unframed(body), WithLength(body), WithLength(body, 5),
+            Chunked(body), Chunked(body, false)}) {
+        for (const bool reset : {false, true}) {
+          INFO(answer << " reset: " << reset);
+          const Relayed relayed = RelayAnswer(Relay::kStream, answer, reset);
+          CHECK(relayed.failure);
+          CHECK_FALSE(relayed.finished);
+          CHECK((relayed.body.empty() || relayed.body == before));
+        }
+      }
+    }
+  }
+}
+
+TEST_CASE("a stream that ends between events is complete by its framing") {
+  const std::string body = kEvent + "id: 2\ndata: y\n\n";
+  for (const std::string& answer :
+       {Unframed(body), WithLength(body), Chunked(body)}) {
+    INFO(answer);
+    const Relayed relayed = RelayAnswer(Relay::kStream, answer, false);
+    CHECK_FALSE(relayed.failure);
+    CHECK(relayed.finished);
+    CHECK(relayed.body == body);
+  }
+  for (const std::string& answer :
+       {WithLength(body, 5), Chunked(body, false)}) {
+    INFO(answer);
+    CHECK(RelayAnswer(Relay::kStream, answer, false).failure);
+  }
+  for (const std::string& answer :
+       {Unframed(body), WithLength(body, 5), Chunked(body, false)}) {
+    INFO(answer);
+    CHECK(RelayAnswer(Relay::kStream, answer, true).failure);
+  }
+}
+
+// Comments are no events, so a stream may end in one.
+TEST_CASE("a stream that ends in a comment is complete") {
+  const std::string body = kEvent + ": end\n";
+  for (const std::string& answer :
+       {Unframed(body), WithLength(body), Chunked(body)}) {
+    INFO(answer);
+    const Relayed relayed = RelayAnswer(Relay::kStream, answer, false);
+    CHECK(relayed.finished);
+    CHECK(relayed.body == body);
+  }
+}
+
+TEST_CASE("an answer that ends inside its head has been broken off") {
+  for (const Relay relay : {Relay::kStream, Relay::kWhole}) {
+    for (const bool reset : {false, true}) {
+      CHECK(RelayAnswer(relay, kHead, reset).failure == SendFailure::kBroken);
+    }
+  }
+}
+
+TEST_CASE("a whole answer is complete by its framing") {
+  const std::string body = "ok";
+  for (const std::string& answer :
+       {Unframed(body), WithLength(body), Chunked(body), Unframed("")}) {
+    INFO(answer);
+    const Relayed relayed = RelayAnswer(Relay::kWhole, answer, false);
+    CHECK_FALSE(relayed.failure);
+    CHECK(relayed.finished);
+  }
+  for (const std::string& answer :
+       {WithLength(body, 5), Chunked(body, false)}) {
+    INFO(answer);
+    CHECK(RelayAnswer(Relay::kWhole, answer, false).failure);
+  }
+  for (const std::string& answer :
+       {Unframed(body), WithLength(body, 5), Chunked(body, false)}) {
+    INFO(answer);
+    CHECK(RelayAnswer(Relay::kWhole, answer, true).failure);
+  }
+}
+
+// A body above the limit of collected bytes is passed on as it arrives.
+TEST_CASE("a long unframed answer is complete unless it is reset") {
+  const std::string body(2 * ResponseRelay::kMaxCollectedBytes, 'x');
+  const Relayed complete = RelayAnswer(Relay::kWhole, Unframed(body), false);
+  CHECK(complete.finished);
+  CHECK(complete.body.size() == body.size());
+  const Relayed broken = RelayAnswer(Relay::kWhole, Unframed(body), true);
+  CHECK(broken.failure == SendFailure::kBroken);
+  CHECK_FALSE(broken.finished);
+}
+
+}  // namespace
+}  // namespace jujuberock::forward
