Treat an unframed stream without events as broken off

What callers saw: when an endpoint failed between the head of an unframed stream and its first event, and its connection was closed rather than reset, the gateway reported an empty stream as a complete success and sent the request to no other endpoint.

Change: ResponseRelay fails with kBroken if an unframed event stream ends before it has received an event with data. Events that are dropped because an earlier endpoint sent them count: they show that the endpoint has worked. A framed stream may still have no events, and an unframed whole answer that ends with a clean close is complete, also an empty one.

Limit: when a stream is resumed after its last event, and the second endpoint answers without framing and without any event, the stream counts as broken off. Without framing this cannot be told from a failure.

Measured: "an unframed stream without events has been broken off" failed before for a clean close (empty body, comment, blank line) and passes now.

--- a/source/core/forward/event_splitter.cc
+++ b/source/core/forward/event_splitter.cc
@@ -71,6 +71,11 @@
   return true;
 }
 
+void EventSplitter::BeginResponse() {
+  this->partial_event.clear();
+  this->received_event = false;
+}
+
 std::string EventSplitter::Push(std::string_view bytes) {
   this->partial_event += bytes;
   this->progressed = false;
@@ -82,9 +87,11 @@
     if (length == std::string_view::npos)
       break;
     const std::string_view event = text.substr(begin, length);
+    const bool has_data = FindField(event, "data:").has_value();
+    this->received_event |= has_data;
     if (this->AcceptEvent(event)) {
       complete += event;
-      this->progressed |= FindField(event, "data:").has_value();
+      this->progressed |= has_data;
     }
     begin += length;
   }
--- a/source/core/forward/event_splitter.h
+++ b/source/core/forward/event_splitter.h
@@ -25,9 +25,12 @@
   const std::optional<std::string>& last_id() const {
     return this->last_event_id;
   }
-  // Discards the incomplete event. Called before the stream continues on
-  // another endpoint.
-  void DiscardPartial() { this->partial_event.clear(); }
+  // Whether an event with data has arrived since the last BeginResponse(),
+  // including dropped ones.
+  bool has_received_event() const { return this->received_event; }
+  // Discards the incomplete event. Called before the stream begins or continues
+  // on another endpoint.
+  void BeginResponse();
   // Size of the incomplete event.
   size_t pending_bytes() const { return this->partial_event.size(); }
   // Whether the bytes after the last complete event contain a part of another
@@ -42,6 +45,7 @@
 
   std::string partial_event;
   bool progressed = false;
+  bool received_event = false;
   std::optional<std::string> last_event_id;
   std::optional<uint64_t> last_numeric_id;
 };
--- a/source/core/forward/response_relay.cc
+++ b/source/core/forward/response_relay.cc
@@ -56,7 +56,7 @@
                                 common::Duration stall_limit,
                                 const ProgressCallback& on_progress) {
   const bool is_event_stream = IsEventStream(head);
-  this->splitter.DiscardPartial();
+  this->splitter.BeginResponse();
   send.ExpectProgressWithin(stall_limit);
   while (auto bytes = send.Read()) {
     const std::string events =
@@ -75,15 +75,24 @@
     this->Start(head);
     this->writer.Write(events);
   }
+  if (is_event_stream)
+    this->CheckComplete(send);
   this->FinishEvents(head);
 }
 
-void ResponseRelay::FinishEvents(const ResponseHead& head) {
+void ResponseRelay::CheckComplete(const EndpointSend& send) const {
   // The framing does not show that the stream is complete: an endpoint may stop
   // in the middle of an event and still end its response.
   if (this->splitter.IsInsideEvent())
     throw SendError(SendFailure::kBroken,
                     "the stream ended in the middle of an event");
+  // An endpoint that has failed before the first event ends its connection too.
+  if (send.ends_with_connection() && !this->splitter.has_received_event())
+    throw SendError(SendFailure::kBroken,
+                    "the connection ended before the first event");
+}
+
+void ResponseRelay::FinishEvents(const ResponseHead& head) {
   const std::string rest = this->splitter.TakePartial();
   this->Start(head);
   if (!rest.empty())
--- a/source/core/forward/response_relay.h
+++ b/source/core/forward/response_relay.h
@@ -64,6 +64,9 @@
   // Passes the rest of the body on as it arrives.
   void PassOn(EndpointSend& send);
   void RecordEvent();
+  // Throws SendError if the event stream has been broken off although the
+  // response has ended.
+  void CheckComplete(const EndpointSend& send) const;
   // Passes on what follows the last event at the regular end of the stream.
   void FinishEvents(const ResponseHead& head);
 
--- a/source/unit_tests/core/forward/event_splitter_test.cc
+++ b/source/unit_tests/core/forward/event_splitter_test.cc
@@ -17,8 +17,10 @@
 TEST_CASE("a resumed stream drops the incomplete event and repeated events") {
   EventSplitter splitter;
   splitter.Push("id: 1\ndata: a\n\nid: 2\ndata: half");
-  splitter.DiscardPartial();
+  splitter.BeginResponse();
+  CHECK_FALSE(splitter.has_received_event());
   CHECK(splitter.Push("id: 1\ndata: a\n\n").empty());
+  CHECK(splitter.has_received_event());
   CHECK(splitter.Push("id: 2\ndata: b\n\n") == "id: 2\ndata: b\n\n");
   CHECK(*splitter.last_id() == "2");
 }
--- a/source/unit_tests/core/forward/response_relay_test.cc
+++ b/source/unit_tests/core/forward/response_relay_test.cc
@@ -143,6 +143,24 @@
   }
 }
 
+// Guards against an empty success from an endpoint that has failed between the
+// head and the first event. Only framing can say that a stream has no events.
+TEST_CASE("an unframed stream without events has been broken off") {
+  for (const char* body : {"", ": wait\n\n", "\n"}) {
+    for (const bool reset : {false, true}) {
+      INFO(body << " reset: " << reset);
+      const Relayed relayed =
+          RelayAnswer(Relay::kStream, Unframed(body), reset);
+      CHECK(relayed.failure == SendFailure::kBroken);
+      CHECK_FALSE(relayed.finished);
+    }
+  }
+  for (const std::string& answer : {WithLength(""), Chunked("")}) {
+    INFO(answer);
+    CHECK(RelayAnswer(Relay::kStream, answer, false).finished);
+  }
+}
+
 // Comments are no events, so a stream may end in one.
 TEST_CASE("a stream that ends in a comment is complete") {
   const std::string body = kEvent + ": end\n";
