--- /dev/null
+++ b/source/core/suspects/part_suspects.cc
@@ -0,0 +1,323 @@
+#include "core/suspects/part_suspects.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+#include "core/common/hash.h"
+
+namespace jujuberock::suspects {
+
+namespace {
+
+// Crashes remembered of one part. Further ones do not change a verdict.
+constexpr size_t kMaxCrashes = 16;
+// The block time is doubled at most this often.
+constexpr int kMaxBlockTimeDoublings = 6;
+constexpr int kExpirationsPerLifetime = 16;
+constexpr common::Duration kAfterCrash{1};
+
+}  // namespace
+
+Fingerprint PartFingerprintOf(std::string_view service, std::string_view part) {
+  return common::Hash64(part, common::Hash64(service));
+}
+
+PartSuspects::PartSuspects(PartSuspectOptions options) : options(options) {}
+
+void PartSuspects::OnEndpointCrash(std::string_view endpoint,
+                                   std::span<const PartInFlight> in_flight,
+                                   common::TimePoint now) {
+  this->Expire(now);
+  for (const PartInFlight& entry : in_flight)
+    this->AddCrash(entry.part,
+                   {std::string(endpoint), now, entry.sent_at, true}, now);
+  this->is_changed |= !in_flight.empty();
+  this->Evaluate(now);
+}
+
+void PartSuspects::OnSound(std::span<const Fingerprint> sound_parts,
+                           common::TimePoint started_at,
+                           common::TimePoint now) {
+  if (this->last_crash_at < now - this->options.evidence_lifetime)
+    return;
+  this->Expire(now);
+  for (const Fingerprint fingerprint : sound_parts)
+    this->ApplySound(this->PartOf(fingerprint, now), started_at, now);
+}
+
+bool PartSuspects::IsBlocked(std::span<const Fingerprint> requested,
+                             common::TimePoint now) const {
+  return std::any_of(
+      requested.begin(), requested.end(), [&](Fingerprint fingerprint) {
+        const auto found = this->parts.find(fingerprint);
+        return found != this->parts.end() && IsBlockedAt(found->second, now);
+      });
+}
+
+void PartSuspects::Tick(common::TimePoint now) {
+  this->Expire(now);
+  this->Evaluate(now);
+}
+
+std::vector<PartMark> PartSuspects::Marks(common::TimePoint now) {
+  this->Expire(now);
+  std::vector<PartMark> marks;
+  for (const auto& [fingerprint, part] : this->parts) {
+    if (IsBlockedAt(part, now))
+      marks.push_back({PartEvidence::kBlocked,
+                       fingerprint,
+                       {},
+                       now - part.first_crash_at,
+                       {}});
+    if (part.sound_published_at &&
+        now - *part.sound_published_at <= this->options.evidence_lifetime)
+      marks.push_back(
+          {PartEvidence::kSound, fingerprint, {}, now - part.sound_at, {}});
+    for (const Crash& crash : part.crashes) {
+      if (crash.is_own)
+        marks.push_back({PartEvidence::kCrash, fingerprint, crash.endpoint,
+                         now - crash.at, now - crash.sent_at});
+    }
+  }
+  return marks;
+}
+
+void PartSuspects::Merge(std::span<const PartMark> marks,
+                         common::TimePoint now) {
+  this->Expire(now);
+  for (const PartMark& mark : marks) {
+    const common::Duration lifetime = mark.evidence == PartEvidence::kBlocked
+                                          ? this->options.block_time
+                                          : this->options.evidence_lifetime;
+    if (mark.age < common::Duration::zero() || mark.age > lifetime)
+      continue;
+    const common::TimePoint at = now - mark.age;
+    switch (mark.evidence) {
+      case PartEvidence::kCrash:
+        this->AddCrash(mark.part,
+                       {mark.endpoint, at, now - mark.sent_age, false}, now);
+        break;
+      case PartEvidence::kSound:
+        this->ApplySound(this->PartOf(mark.part, now), at, now);
+        break;
+      case PartEvidence::kBlocked:
+        this->ApplyVerdict(this->PartOf(mark.part, now), at, now);
+        break;
+    }
+  }
+  this->Evaluate(now);
+}
+
+bool PartSuspects::TakeChanged() {
+  return std::exchange(this->is_changed, false);
+}
+
+size_t PartSuspects::CountBlocked(common::TimePoint now) const {
+  return static_cast<size_t>(std::count_if(
+      this->parts.begin(), this->parts.end(),
+      [&](const auto& entry) { return IsBlockedAt(entry.second, now); }));
+}
+
+PartSuspects::Part& PartSuspects::PartOf(Fingerprint fingerprint,
+                                         common::TimePoint now) {
+  const auto found = this->parts.find(fingerprint);
+  if (found == this->parts.end() &&
+      this->parts.size() >= this->options.max_parts) {
+    // Verdicts are kept longest, then parts with many crashes.
+    const auto evicted = std::min_element(
+        this->parts.begin(), this->parts.end(),
+        [](const auto& a, const auto& b) {
+          return std::tuple(a.second.blocked_until, a.second.crashes.size(),
+                            a.second.changed_at) <
+                 std::tuple(b.second.blocked_until, b.second.crashes.size(),
+                            b.second.changed_at);
+        });
+    this->parts.erase(evicted);
+  }
+  Part& part = this->parts[fingerprint];
+  part.changed_at = now;
+  return part;
+}
+
+void PartSuspects::AddCrash(Fingerprint fingerprint,
+                            const Crash& crash,
+                            common::TimePoint now) {
+  this->last_crash_at = std::max(this->last_crash_at, crash.at);
+  Part& part = this->PartOf(fingerprint, now);
+  if (crash.at <= part.sound_at)
+    return;
+  if (IsBlockedAt(part, now))
+    this->explained.insert(crash.endpoint);
+  for (Crash& known : part.crashes) {
+    if (known.endpoint != crash.endpoint)
+      continue;
+    known.sent_at = std::max(known.sent_at, crash.sent_at);
+    known.is_own |= crash.is_own;
+    return;
+  }
+  if (part.crashes.size() >= kMaxCrashes)
+    return;
+  const auto position = std::upper_bound(
+      part.crashes.begin(), part.crashes.end(), crash.at,
+      [](common::TimePoint at, const Crash& other) { return at < other.at; });
+  part.crashes.insert(position, crash);
+}
+
+void PartSuspects::ApplySound(Part& part,
+                              common::TimePoint started_at,
+                              common::TimePoint now) {
+  if (started_at <= part.sound_at)
+    return;
+  const bool lifts_verdict =
+      IsBlockedAt(part, now) && started_at > part.first_crash_at;
+  // Other hosts learn of sound runs only where these decide something.
+  const bool is_in_danger =
+      this->CountCrashes(part) + 1 >= this->options.blocking_crashes;
+  part.sound_at = started_at;
+  std::erase_if(part.crashes,
+                [&](const Crash& crash) { return crash.at <= part.sound_at; });
+  if (lifts_verdict) {
+    Lift(part);
+    this->CollectExplained(now);
+  }
+  if (lifts_verdict || is_in_danger) {
+    part.sound_published_at = now;
+    this->is_changed = true;
+  }
+}
+
+void PartSuspects::ApplyVerdict(Part& part,
+                                common::TimePoint first_crash_at,
+                                common::TimePoint now) {
+  if (IsBlockedAt(part, now) || part.sound_at > first_crash_at)
+    return;
+  part.first_crash_at = first_crash_at;
+  this->Block(part, now);
+}
+
+size_t PartSuspects::CountCrashes(const Part& part) const {
+  size_t count = 0;
+  common::TimePoint last = common::TimePoint::min();
+  for (const Crash& crash : part.crashes) {
+    if (crash.sent_at < last || this->explained.contains(crash.endpoint))
+      continue;
+    ++count;
+    last = crash.at;
+  }
+  return count;
+}
+
+bool PartSuspects::HasEnoughCrashes(const Part& part, size_t count) const {
+  if (part.times_blocked == 0)
+    return count >= this->options.blocking_crashes;
+  return count > 0 && part.crashes.back().at >= part.blocked_until;
+}
+
+void PartSuspects::Evaluate(common::TimePoint now) {
+  size_t most_crashes = 0;
+  std::vector<std::pair<Part*, size_t>> due;
+  for (auto& [fingerprint, part] : this->parts) {
+    if (part.crashes.empty() || IsBlockedAt(part, now))
+      continue;
+    const size_t count = this->CountCrashes(part);
+    if (!this->HasEnoughCrashes(part, count)) {
+      part.verdict_at.reset();
+      continue;
+    }
+    if (!part.verdict_at)
+      part.verdict_at = now + this->options.verdict_delay;
+    most_crashes = std::max(most_crashes, count);
+    if (now >= *part.verdict_at)
+      due.emplace_back(&part, count);
+  }
+  for (const auto& [part, count] : due) {
+    if (count < most_crashes)
+      continue;
+    part->first_crash_at = part->crashes.front().at;
+    this->Block(*part, now);
+  }
+  this->LiftExplainedVerdicts(now);
+}
+
+void PartSuspects::Block(Part& part, common::TimePoint now) {
+  const int doublings = std::min(part.times_blocked, kMaxBlockTimeDoublings);
+  part.blocked_until = now + this->options.block_time * (1 << doublings);
+  ++part.times_blocked;
+  part.verdict_at.reset();
+  for (const Crash& crash : part.crashes)
+    this->explained.insert(crash.endpoint);
+  this->is_changed = true;
+}
+
+void PartSuspects::Lift(Part& part) {
+  part.blocked_until = common::TimePoint::min();
+  part.times_blocked = 0;
+  part.verdict_at.reset();
+}
+
+void PartSuspects::LiftExplainedVerdicts(common::TimePoint now) {
+  const auto explains = [](const Part& cause, const Part& other) {
+    return cause.crashes.size() > other.crashes.size() &&
+           std::all_of(other.crashes.begin(), other.crashes.end(),
+                       [&](const Crash& crash) {
+                         return std::any_of(
+                             cause.crashes.begin(), cause.crashes.end(),
+                             [&](const Crash& known) {
+                               return known.endpoint == crash.endpoint;
+                             });
+                       });
+  };
+  std::vector<Part*> blocked;
+  for (auto& [fingerprint, part] : this->parts) {
+    if (IsBlockedAt(part, now) && !part.crashes.empty())
+      blocked.push_back(&part);
+  }
+  for (Part* part : blocked) {
+    const bool is_explained =
+        std::any_of(blocked.begin(), blocked.end(), [&](const Part* other) {
+          return IsBlockedAt(*other, now) && explains(*other, *part);
+        });
+    if (!is_explained)
+      continue;
+    Lift(*part);
+    // For the other hosts, the part is as good as answered.
+    part->sound_at = part->crashes.back().at + kAfterCrash;
+    part->sound_published_at = now;
+    part->crashes.clear();
+    this->is_changed = true;
+  }
+  this->CollectExplained(now);
+}
+
+void PartSuspects::CollectExplained(common::TimePoint now) {
+  this->explained.clear();
+  for (const auto& [fingerprint, part] : this->parts) {
+    if (!IsBlockedAt(part, now))
+      continue;
+    for (const Crash& crash : part.crashes)
+      this->explained.insert(crash.endpoint);
+  }
+}
+
+void PartSuspects::Expire(common::TimePoint now) {
+  if (now - this->expired_at <
+      this->options.evidence_lifetime / kExpirationsPerLifetime)
+    return;
+  this->expired_at = now;
+  const common::TimePoint oldest = now - this->options.evidence_lifetime;
+  for (auto& [fingerprint, part] : this->parts) {
+    if (IsBlockedAt(part, now))
+      continue;
+    std::erase_if(part.crashes,
+                  [&](const Crash& crash) { return crash.at < oldest; });
+  }
+  std::erase_if(this->parts, [&](const auto& entry) {
+    const Part& part = entry.second;
+    return part.times_blocked == 0 && part.crashes.empty() &&
+           part.changed_at < oldest;
+  });
+  this->CollectExplained(now);
+}
+
+}  // namespace jujuberock::suspects
--- /dev/null
+++ b/source/core/suspects/part_suspects.h
@@ -0,0 +1,175 @@
+#ifndef CORE_SUSPECTS_PART_SUSPECTS_H_
+#define CORE_SUSPECTS_PART_SUSPECTS_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "core/common/time.h"
+#include "core/suspects/suspect_list.h"
+
+namespace jujuberock::suspects {
+
+// Hash of a service and of the id of a prompt part; the same on every host.
+Fingerprint PartFingerprintOf(std::string_view service, std::string_view part);
+
+// A prompt part of a request that was in flight on an endpoint when it crashed.
+struct PartInFlight {
+  Fingerprint part = 0;
+  common::TimePoint sent_at;
+};
+
+enum class PartEvidence {
+  kCrash,    // a request with the part was in flight at a crash
+  kSound,    // a run with the part began and was answered completely
+  kBlocked,  // the part is blocked
+};
+
+// What one host knows about a part, as it is sent to the other hosts. Ages
+// instead of times make it independent of synchronized clocks.
+struct PartMark {
+  PartEvidence evidence = PartEvidence::kCrash;
+  Fingerprint part = 0;
+  // Crashes only: the instance of the endpoint.
+  std::string endpoint;
+  // Time since the crash, the start of the sound run, or the first crash that
+  // the verdict is based on.
+  common::Duration age{0};
+  // Crashes only: time since the latest of the requests was sent.
+  common::Duration sent_age{0};
+
+  friend bool operator==(const PartMark&, const PartMark&) = default;
+};
+
+struct PartSuspectOptions {
+  // A part is blocked after this many crashes, each with a request that was
+  // sent after the crash before, and without a sound run since the first.
+  size_t blocking_crashes = 3;
+  // Time between the last of these crashes and the verdict, in which other
+  // hosts can report sound runs.
+  common::Duration verdict_delay = std::chrono::milliseconds(500);
+  // How long a part stays blocked. After that, its next crash blocks it again,
+  // for twice the time.
+  common::Duration block_time = std::chrono::minutes(30);
+  // How long crashes and sound runs are remembered.
+  common::Duration evidence_lifetime = std::chrono::minutes(1);
+  size_t max_parts = 2048;
+};
+
+// Detects prompt parts that crash each endpoint that begins to answer them, in
+// whatever request they occur. Requests with a blocked part are refused.
+//
+// A crash affects many requests, and most parts of these are sound. A sound
+// part is told from the cause by its answers, and by the crashes without it:
+// among the parts that reach the number of crashes, those with the most are
+// blocked, and the crashes in which they were in flight no longer count for
+// other parts. Crashes at the same time count once, because a request that was
+// sent before a crash tells nothing new after it; so the loss of many endpoints
+// at once blocks nothing.
+//
+// A wrong verdict ends without a test on an endpoint: a sound run with the part
+// that began after the first of its crashes lifts it, and so does another part
+// that was in flight at all of its crashes and at others.
+//
+// Evidence is merged from all hosts. Not thread-safe.
+class PartSuspects {
+ public:
+  explicit PartSuspects(PartSuspectOptions options = {});
+
+  // The instance of an endpoint crashed with these parts in flight.
+  void OnEndpointCrash(std::string_view endpoint,
+                       std::span<const PartInFlight> parts,
+                       common::TimePoint now);
+  // A run with these parts, which began at `started_at`, was answered
+  // completely.
+  void OnSound(std::span<const Fingerprint> parts,
+               common::TimePoint started_at,
+               common::TimePoint now);
+  // Whether a request with these parts must be refused.
+  bool IsBlocked(std::span<const Fingerprint> parts,
+                 common::TimePoint now) const;
+  // Decides on the parts whose verdict is due; called periodically.
+  void Tick(common::TimePoint now);
+
+  // The evidence of this host and all verdicts, to be sent to the other hosts.
+  std::vector<PartMark> Marks(common::TimePoint now);
+  // Adds the evidence of another host. Known marks have no effect.
+  void Merge(std::span<const PartMark> marks, common::TimePoint now);
+  // Returns whether Marks() has changed in a way that other hosts must learn
+  // of, and resets this state.
+  bool TakeChanged();
+  // Parts that are blocked now.
+  size_t CountBlocked(common::TimePoint now) const;
+
+ private:
+  struct Crash {
+    std::string endpoint;
+    common::TimePoint at;
+    common::TimePoint sent_at;
+    // Seen by this host, so it must be sent to the others.
+    bool is_own = false;
+  };
+  struct Part {
+    // Sorted by time.
+    std::vector<Crash> crashes;
+    // Start of the latest sound run, and when it last became of interest to
+    // other hosts.
+    common::TimePoint sound_at = common::TimePoint::min();
+    std::optional<common::TimePoint> sound_published_at;
+    // When the verdict becomes due; nullopt while there are too few crashes.
+    std::optional<common::TimePoint> verdict_at;
+    common::TimePoint first_crash_at = common::TimePoint::min();
+    common::TimePoint blocked_until = common::TimePoint::min();
+    int times_blocked = 0;
+    common::TimePoint changed_at;
+  };
+  using PartMap = std::unordered_map<Fingerprint, Part>;
+
+  static bool IsBlockedAt(const Part& part, common::TimePoint now) {
+    return now < part.blocked_until;
+  }
+  Part& PartOf(Fingerprint fingerprint, common::TimePoint now);
+  void AddCrash(Fingerprint fingerprint,
+                const Crash& crash,
+                common::TimePoint now);
+  // Records the start of a sound run. Removes the crashes before it and, if it
+  // shows that the verdict is wrong, the verdict.
+  void ApplySound(Part& part,
+                  common::TimePoint started_at,
+                  common::TimePoint now);
+  void ApplyVerdict(Part& part,
+                    common::TimePoint first_crash_at,
+                    common::TimePoint now);
+  // Crashes that count: none that a blocked part explains, and each with a
+  // request sent after the one before.
+  size_t CountCrashes(const Part& part) const;
+  // Whether this number of crashes that count suffices for a verdict. After a
+  // former verdict has expired, the first crash does.
+  bool HasEnoughCrashes(const Part& part, size_t count) const;
+  void Evaluate(common::TimePoint now);
+  void Block(Part& part, common::TimePoint now);
+  static void Lift(Part& part);
+  // Lifts the verdicts that another verdict explains better.
+  void LiftExplainedVerdicts(common::TimePoint now);
+  void CollectExplained(common::TimePoint now);
+  void Expire(common::TimePoint now);
+
+  PartSuspectOptions options;
+  PartMap parts;
+  // Instances that crashed while a blocked part was in flight.
+  std::set<std::string, std::less<>> explained;
+  bool is_changed = false;
+  // Sound runs are recorded only for some time after a crash.
+  common::TimePoint last_crash_at = common::TimePoint::min();
+  common::TimePoint expired_at;
+};
+
+}  // namespace jujuberock::suspects
+
+#endif  // CORE_SUSPECTS_PART_SUSPECTS_H_
--- /dev/null
+++ b/source/unit_tests/core/suspects/part_suspects_test.cc
@@ -0,0 +1,224 @@
+#include "core/suspects/part_suspects.h"
+
+#include <catch2/catch.hpp>
+
+namespace jujuberock::suspects {
+namespace {
+
+using common::Duration;
+using common::TimePoint;
+using std::chrono::milliseconds;
+
+constexpr Fingerprint kCause = 1;
+constexpr Fingerprint kShared = 2;
+constexpr Fingerprint kOther = 3;
+
+TimePoint At(int ms) {
+  return TimePoint(std::chrono::hours(1) + milliseconds(ms));
+}
+
+// The instance crashes with these parts in flight, sent 100 ms before.
+void Crash(PartSuspects& list,
+           const std::string& endpoint,
+           const std::vector<Fingerprint>& parts,
+           int ms) {
+  std::vector<PartInFlight> in_flight;
+  for (const Fingerprint part : parts)
+    in_flight.push_back({part, At(ms - 100)});
+  list.OnEndpointCrash(endpoint, in_flight, At(ms));
+}
+
+void Sound(PartSuspects& list, Fingerprint part, int started_ms, int ms) {
+  list.OnSound(std::vector<Fingerprint>{part}, At(started_ms), At(ms));
+}
+
+bool IsBlocked(const PartSuspects& list, Fingerprint part, int ms) {
+  return list.IsBlocked(std::vector<Fingerprint>{part}, At(ms));
+}
+
+// Three crashes that have kCause in common, and the verdict on it.
+void BlockCause(PartSuspects& list) {
+  for (int i = 0; i < 3; ++i)
+    Crash(list, "e" + std::to_string(i), {kCause}, 1000 * i);
+  list.Tick(At(2600));
+}
+
+// Guards against the rule on requests alone: it never sees a request twice when
+// no two requests with the cause are alike, so every one crashes an endpoint.
+TEST_CASE("a part in flight at three crashes is blocked") {
+  PartSuspects list;
+  Crash(list, "e1", {kCause}, 0);
+  Crash(list, "e2", {kCause}, 1000);
+  list.Tick(At(1900));
+  CHECK_FALSE(IsBlocked(list, kCause, 1900));
+  Crash(list, "e3", {kCause}, 2000);
+  list.Tick(At(2400));
+  CHECK_FALSE(IsBlocked(list, kCause, 2400));
+  list.Tick(At(2500));
+  CHECK(IsBlocked(list, kCause, 2500));
+  CHECK_FALSE(IsBlocked(list, kOther, 2500));
+}
+
+// Guards against refusing sound requests that share a part with the cause.
+TEST_CASE("a part that is answered between the crashes is not blocked") {
+  PartSuspects list;
+  for (int i = 0; i < 8; ++i) {
+    Crash(list, "e" + std::to_string(i), {kShared, kCause}, 1000 * i);
+    Sound(list, kShared, 1000 * i + 200, 1000 * i + 500);
+    list.Tick(At(1000 * i + 600));
+  }
+  CHECK(IsBlocked(list, kCause, 8000));
+  CHECK_FALSE(IsBlocked(list, kShared, 8000));
+}
+
+// Guards against a run that began before the part became deadly: that it ended
+// well says nothing about the crashes after its start.
+TEST_CASE("a run that began before the crashes proves nothing") {
+  PartSuspects list;
+  Crash(list, "e0", {kCause}, 0);
+  Crash(list, "e1", {kCause}, 1000);
+  Sound(list, kCause, -500, 1500);
+  Crash(list, "e2", {kCause}, 2000);
+  list.Tick(At(2600));
+  CHECK(IsBlocked(list, kCause, 2600));
+}
+
+// Guards against refusing whole classes of requests after the loss of many
+// endpoints at the same time.
+TEST_CASE("simultaneous crashes block nothing") {
+  PartSuspects list;
+  for (int i = 0; i < 10; ++i)
+    Crash(list, "e" + std::to_string(i), {kShared, kOther}, 5 * i);
+  list.Tick(At(3000));
+  CHECK_FALSE(IsBlocked(list, kShared, 3000));
+  CHECK_FALSE(IsBlocked(list, kOther, 3000));
+}
+
+// Guards against blocking rare sound parts one after the other: each is in
+// flight at some crashes of the cause and has no answer in between.
+TEST_CASE("crashes of a blocked part do not count for other parts") {
+  PartSuspects list;
+  BlockCause(list);
+  for (int i = 3; i < 9; ++i) {
+    Crash(list, "e" + std::to_string(i), {kCause, kOther}, 1000 * i);
+    list.Tick(At(1000 * i + 900));
+  }
+  CHECK(IsBlocked(list, kCause, 9000));
+  CHECK_FALSE(IsBlocked(list, kOther, 9000));
+}
+
+TEST_CASE("of the parts with enough crashes, those with the most are blocked") {
+  PartSuspects list;
+  Crash(list, "e0", {kCause}, 0);
+  Crash(list, "e1", {kCause, kOther}, 200);
+  Crash(list, "e2", {kCause, kOther}, 400);
+  Crash(list, "e3", {kCause, kOther}, 600);
+  list.Tick(At(2000));
+  CHECK(IsBlocked(list, kCause, 2000));
+  CHECK_FALSE(IsBlocked(list, kOther, 2000));
+}
+
+// Guards against a verdict that only a test on an endpoint could lift.
+TEST_CASE("a sound run that began after the first crash lifts the verdict") {
+  PartSuspects list;
+  BlockCause(list);
+  Sound(list, kCause, 1500, 2700);
+  CHECK_FALSE(IsBlocked(list, kCause, 2700));
+}
+
+TEST_CASE("a part that explains all crashes of another lifts its verdict") {
+  PartSuspects list;
+  Crash(list, "e0", {kOther, kCause}, 0);
+  Crash(list, "e1", {kOther, kCause}, 1000);
+  Crash(list, "e2", {kOther, kCause}, 2000);
+  list.Tick(At(2600));
+  REQUIRE(IsBlocked(list, kOther, 2600));
+  REQUIRE(IsBlocked(list, kCause, 2600));
+  Crash(list, "e3", {kCause}, 3000);
+  list.Tick(At(3600));
+  CHECK(IsBlocked(list, kCause, 3600));
+  CHECK_FALSE(IsBlocked(list, kOther, 3600));
+}
+
+// Guards against three crashes for each host before all of them know.
+TEST_CASE("crashes that different hosts see add up") {
+  std::vector<PartSuspects> hosts(3);
+  for (int i = 0; i < 3; ++i) {
+    PartSuspects& host = hosts[static_cast<size_t>(i)];
+    Crash(host, "e" + std::to_string(i), {kCause}, 1000 * i);
+    CHECK(host.TakeChanged());
+    for (PartSuspects& other : hosts)
+      other.Merge(host.Marks(At(1000 * i + 200)), At(1000 * i + 200));
+  }
+  for (PartSuspects& host : hosts) {
+    host.Tick(At(3000));
+    CHECK(IsBlocked(host, kCause, 3000));
+  }
+}
+
+TEST_CASE("an answer at one host protects the part on all hosts") {
+  PartSuspects one;
+  PartSuspects two;
+  for (int i = 0; i < 3; ++i)
+    Crash(one, "e" + std::to_string(i), {kShared}, 1000 * i);
+  two.Merge(one.Marks(At(2100)), At(2100));
+  Sound(two, kShared, 2050, 2300);
+  REQUIRE(two.TakeChanged());
+  one.Merge(two.Marks(At(2400)), At(2400));
+  one.Tick(At(3000));
+  two.Tick(At(3000));
+  CHECK_FALSE(IsBlocked(one, kShared, 3000));
+  CHECK_FALSE(IsBlocked(two, kShared, 3000));
+}
+
+// Guards against a verdict that is lost when the host that reached it ends.
+TEST_CASE("each host passes on the verdicts that it has received") {
+  PartSuspects first;
+  BlockCause(first);
+  PartSuspects second;
+  second.Merge(first.Marks(At(3000)), At(3000));
+  CHECK(second.TakeChanged());
+  PartSuspects third;
+  third.Merge(second.Marks(At(60000)), At(60000));
+  CHECK(IsBlocked(third, kCause, 60000));
+  CHECK(third.CountBlocked(At(60000)) == 1);
+}
+
+TEST_CASE("a lifted verdict does not come back from other hosts") {
+  PartSuspects first;
+  BlockCause(first);
+  PartSuspects second;
+  second.Merge(first.Marks(At(3000)), At(3000));
+  Sound(first, kCause, 2100, 3100);
+  const auto old_marks = second.Marks(At(3200));
+  first.Merge(old_marks, At(3300));
+  CHECK_FALSE(IsBlocked(first, kCause, 3300));
+  second.Merge(first.Marks(At(3400)), At(3400));
+  CHECK_FALSE(IsBlocked(second, kCause, 3400));
+}
+
+TEST_CASE("after the block time the next crash blocks again") {
+  PartSuspectOptions options;
+  options.block_time = std::chrono::seconds(30);
+  PartSuspects list(options);
+  BlockCause(list);
+  CHECK(IsBlocked(list, kCause, 32000));
+  CHECK_FALSE(IsBlocked(list, kCause, 33000));
+  Crash(list, "e9", {kCause}, 34000);
+  list.Tick(At(34600));
+  CHECK(IsBlocked(list, kCause, 90000));
+}
+
+TEST_CASE("the number of remembered parts is bounded") {
+  PartSuspectOptions options;
+  options.max_parts = 10;
+  PartSuspects list(options);
+  BlockCause(list);
+  for (Fingerprint part = 100; part < 200; ++part)
+    Crash(list, "f" + std::to_string(part), {part}, 3000);
+  CHECK(IsBlocked(list, kCause, 4000));
+  CHECK(list.Marks(At(4000)).size() <= 10 + 3);
+}
+
+}  // namespace
+}  // namespace jujuberock::suspects
