Count each crash of an endpoint that restarts under its name

PartSuspects told crashes apart by the name of the endpoint alone. Hosts of `serve` know an engine by its name in the table, and it keeps the name when it restarts. So all crashes of one engine counted as one, and once a part was blocked, every later crash of these engines counted as explained by it, so that no second part could be blocked.

Two crashes are now the same if the times from the send to the crash overlap: a request can't be in flight during two crashes of its endpoint. The reports that several hosts make of one crash still count once, which a second test covers.

--- a/source/core/suspects/part_suspects.cc
+++ b/source/core/suspects/part_suspects.cc
@@ -16,6 +16,9 @@
 constexpr int kMaxBlockTimeDoublings = 6;
 constexpr int kExpirationsPerLifetime = 16;
 constexpr common::Duration kAfterCrash{1};
+// Hosts see the crash of an endpoint at times that differ by less than this,
+// and an endpoint does not restart and crash again within it.
+constexpr common::Duration kCrashTimeTolerance = std::chrono::milliseconds(500);
 
 }  // namespace
 
@@ -119,6 +122,13 @@
       [&](const auto& entry) { return IsBlockedAt(entry.second, now); }));
 }
 
+// A request can't be in flight during two crashes of its endpoint, so crashes
+// are the same if the time from the send to the crash overlaps.
+bool PartSuspects::IsSameCrash(const Crash& a, const Crash& b) {
+  return a.endpoint == b.endpoint && a.sent_at <= b.at + kCrashTimeTolerance &&
+         b.sent_at <= a.at + kCrashTimeTolerance;
+}
+
 PartSuspects::Part& PartSuspects::PartOf(Fingerprint fingerprint,
                                          common::TimePoint now) {
   const auto found = this->parts.find(fingerprint);
@@ -148,9 +158,9 @@
   if (crash.at <= part.sound_at)
     return;
   if (IsBlockedAt(part, now))
-    this->explained.insert(crash.endpoint);
+    this->AddExplained(crash);
   for (Crash& known : part.crashes) {
-    if (known.endpoint != crash.endpoint)
+    if (!IsSameCrash(known, crash))
       continue;
     known.sent_at = std::max(known.sent_at, crash.sent_at);
     known.is_own |= crash.is_own;
@@ -200,7 +210,7 @@
   size_t count = 0;
   common::TimePoint last = common::TimePoint::min();
   for (const Crash& crash : part.crashes) {
-    if (crash.sent_at < last || this->explained.contains(crash.endpoint))
+    if (crash.sent_at < last || this->IsExplained(crash))
       continue;
     ++count;
     last = crash.at;
@@ -214,6 +224,18 @@
   return count > 0 && part.crashes.back().at >= part.blocked_until;
 }
 
+bool PartSuspects::IsExplained(const Crash& crash) const {
+  const auto [begin, end] = this->explained.equal_range(crash.endpoint);
+  return std::any_of(begin, end, [&](const auto& entry) {
+    return IsSameCrash(entry.second, crash);
+  });
+}
+
+void PartSuspects::AddExplained(const Crash& crash) {
+  if (!this->IsExplained(crash))
+    this->explained.emplace(crash.endpoint, crash);
+}
+
 void PartSuspects::Evaluate(common::TimePoint now) {
   size_t most_crashes = 0;
   std::vector<std::pair<Part*, size_t>> due;
@@ -246,7 +268,7 @@
   ++part.times_blocked;
   part.verdict_at.reset();
   for (const Crash& crash : part.crashes)
-    this->explained.insert(crash.endpoint);
+    this->AddExplained(crash);
   this->is_changed = true;
 }
 
@@ -261,11 +283,11 @@
     return cause.crashes.size() > other.crashes.size() &&
            std::all_of(other.crashes.begin(), other.crashes.end(),
                        [&](const Crash& crash) {
-                         return std::any_of(
-                             cause.crashes.begin(), cause.crashes.end(),
-                             [&](const Crash& known) {
-                               return known.endpoint == crash.endpoint;
-                             });
+                         return std::any_of(cause.crashes.begin(),
+                                            cause.crashes.end(),
+                                            [&](const Crash& known) {
+                                              return IsSameCrash(known, crash);
+                                            });
                        });
   };
   std::vector<Part*> blocked;
@@ -296,7 +318,7 @@
     if (!IsBlockedAt(part, now))
       continue;
     for (const Crash& crash : part.crashes)
-      this->explained.insert(crash.endpoint);
+      this->AddExplained(crash);
   }
 }
 
--- a/source/core/suspects/part_suspects.h
+++ b/source/core/suspects/part_suspects.h
@@ -3,8 +3,8 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
-#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -36,7 +36,7 @@
 struct PartMark {
   PartEvidence evidence = PartEvidence::kCrash;
   Fingerprint part = 0;
-  // Crashes only: the instance of the endpoint.
+  // Crashes only: the endpoint that crashed.
   std::string endpoint;
   // Time since the crash, the start of the sound run, or the first crash that
   // the verdict is based on.
@@ -82,7 +82,8 @@
  public:
   explicit PartSuspects(PartSuspectOptions options = {});
 
-  // The instance of an endpoint crashed with these parts in flight.
+  // The endpoint crashed with these parts in flight. An endpoint that restarts
+  // under the same name may crash again.
   void OnEndpointCrash(std::string_view endpoint,
                        std::span<const PartInFlight> parts,
                        common::TimePoint now);
@@ -131,6 +132,7 @@
   };
   using PartMap = std::unordered_map<Fingerprint, Part>;
 
+  static bool IsSameCrash(const Crash& a, const Crash& b);
   static bool IsBlockedAt(const Part& part, common::TimePoint now) {
     return now < part.blocked_until;
   }
@@ -152,6 +154,9 @@
   // Whether this number of crashes that count suffices for a verdict. After a
   // former verdict has expired, the first crash does.
   bool HasEnoughCrashes(const Part& part, size_t count) const;
+  // Whether a blocked part was in flight at the crash.
+  bool IsExplained(const Crash& crash) const;
+  void AddExplained(const Crash& crash);
   void Evaluate(common::TimePoint now);
   void Block(Part& part, common::TimePoint now);
   static void Lift(Part& part);
@@ -162,8 +167,8 @@
 
   PartSuspectOptions options;
   PartMap parts;
-  // Instances that crashed while a blocked part was in flight.
-  std::set<std::string, std::less<>> explained;
+  // Crashes at which a blocked part was in flight, by endpoint.
+  std::multimap<std::string, Crash, std::less<>> explained;
   bool is_changed = false;
   // Sound runs are recorded only for some time after a crash.
   common::TimePoint last_crash_at = common::TimePoint::min();
--- a/source/unit_tests/core/suspects/part_suspects_test.cc
+++ b/source/unit_tests/core/suspects/part_suspects_test.cc
@@ -83,6 +83,34 @@
   CHECK(IsBlocked(list, kCause, 2600));
 }
 
+// Guards against counting only one crash of each endpoint: one that restarts
+// under its name may be the only one that the requests with the part reach.
+TEST_CASE("an endpoint that restarts and crashes again counts again") {
+  PartSuspects list;
+  for (int i = 0; i < 3; ++i)
+    Crash(list, "e0", {kCause}, 2000 * i);
+  list.Tick(At(4600));
+  CHECK(IsBlocked(list, kCause, 4600));
+  // Later crashes of the same endpoint are not explained by the verdict.
+  for (int i = 3; i < 6; ++i)
+    Crash(list, "e0", {kOther}, 2000 * i);
+  list.Tick(At(10600));
+  CHECK(IsBlocked(list, kOther, 10600));
+}
+
+// Guards against counting a crash once for each host that sees it.
+TEST_CASE("a crash that several hosts see counts once") {
+  std::vector<PartSuspects> hosts(4);
+  for (int i = 0; i < 4; ++i)
+    Crash(hosts[static_cast<size_t>(i)], "e0", {kCause}, 100 * i);
+  for (PartSuspects& host : hosts) {
+    for (PartSuspects& other : hosts)
+      other.Merge(host.Marks(At(400)), At(400));
+  }
+  hosts[0].Tick(At(2000));
+  CHECK_FALSE(IsBlocked(hosts[0], kCause, 2000));
+}
+
 // Guards against refusing whole classes of requests after the loss of many
 // endpoints at the same time.
 TEST_CASE("simultaneous crashes block nothing") {
