Publish the sound run that contradicts another host's verdict

A host that knew a sound run of a part ignored the verdict of another host on that part, but did not tell it: sound runs are only published while the part has nearly enough crashes on the own list. So the part stayed blocked for 30 minutes on the hosts that missed the sound run, although it was answered elsewhere all the while. The sound run is now published when such a verdict arrives. The exchange ends there: the other host lifts the verdict and sends it no longer.

--- a/source/core/suspects/part_suspects.cc
+++ b/source/core/suspects/part_suspects.cc
@@ -200,8 +200,14 @@
 void PartSuspects::ApplyVerdict(Part& part,
                                 common::TimePoint first_crash_at,
                                 common::TimePoint now) {
-  if (IsBlockedAt(part, now) || part.sound_at > first_crash_at)
+  if (IsBlockedAt(part, now))
     return;
+  if (part.sound_at > first_crash_at) {
+    // The host that has the verdict does not know of the sound run.
+    part.sound_published_at = now;
+    this->is_changed = true;
+    return;
+  }
   part.first_crash_at = first_crash_at;
   this->Block(part, now);
 }
--- a/source/unit_tests/core/suspects/part_suspects_test.cc
+++ b/source/unit_tests/core/suspects/part_suspects_test.cc
@@ -168,6 +168,22 @@
   CHECK_FALSE(IsBlocked(list, kOther, 3600));
 }
 
+// Guards against a wrong verdict that stays for its whole time on one host,
+// while another that has answered the part goes on serving it.
+TEST_CASE("a host that knows a verdict to be wrong tells the others") {
+  PartSuspects wrong;
+  BlockCause(wrong);
+  PartSuspects right;
+  Crash(right, "f0", {kOther}, 0);
+  Sound(right, kCause, 1500, 2000);
+  right.TakeChanged();
+  right.Merge(wrong.Marks(At(2600)), At(2600));
+  CHECK_FALSE(IsBlocked(right, kCause, 2600));
+  CHECK(right.TakeChanged());
+  wrong.Merge(right.Marks(At(2600)), At(2600));
+  CHECK_FALSE(IsBlocked(wrong, kCause, 2600));
+}
+
 // Guards against three crashes for each host before all of them know.
 TEST_CASE("crashes that different hosts see add up") {
   std::vector<PartSuspects> hosts(3);
