Add a way to remove the marks of explained crashes

Requests that were in flight beside a prompt part that crashes endpoints get marks of these crashes in SuspectList, which refuses them after two. The part is the cause, so PartSuspects now names the crashes at which a blocked part was in flight, and SuspectList removes the marks of given crashes. Endpoints have the same names in both. Crashes of the same endpoint at another time keep their marks.

--- a/source/core/suspects/part_suspects.cc
+++ b/source/core/suspects/part_suspects.cc
@@ -63,6 +63,13 @@
   this->Evaluate(now);
 }
 
+std::vector<EndpointCrash> PartSuspects::ExplainedCrashes() const {
+  std::vector<EndpointCrash> crashes;
+  for (const auto& [endpoint, crash] : this->explained)
+    crashes.push_back({endpoint, crash.at});
+  return crashes;
+}
+
 std::vector<PartMark> PartSuspects::Marks(common::TimePoint now) {
   this->Expire(now);
   std::vector<PartMark> marks;
--- a/source/core/suspects/part_suspects.h
+++ b/source/core/suspects/part_suspects.h
@@ -98,6 +98,9 @@
   // Decides on the parts whose verdict is due; called periodically.
   void Tick(common::TimePoint now);
 
+  // Crashes at which a blocked part was in flight.
+  std::vector<EndpointCrash> ExplainedCrashes() const;
+
   // The evidence of this host and all verdicts, to be sent to the other hosts.
   std::vector<PartMark> Marks(common::TimePoint now);
   // Adds the evidence of another host. Known marks have no effect.
--- a/source/core/suspects/suspect_list.cc
+++ b/source/core/suspects/suspect_list.cc
@@ -65,6 +65,17 @@
     this->Clear(fingerprint, now, now);
 }
 
+void SuspectList::RemoveCrashes(std::span<const EndpointCrash> crashes) {
+  for (auto& [fingerprint, suspect] : this->suspects) {
+    std::erase_if(suspect.crashes, [&](const Crash& crash) {
+      return std::any_of(crashes.begin(), crashes.end(),
+                         [&](const EndpointCrash& known) {
+                           return IsSameCrash(known, crash);
+                         });
+    });
+  }
+}
+
 std::vector<CrashMark> SuspectList::Marks(common::TimePoint now) {
   this->Expire(now);
   std::vector<CrashMark> marks;
--- a/source/core/suspects/suspect_list.h
+++ b/source/core/suspects/suspect_list.h
@@ -23,6 +23,11 @@
 
 enum class SuspectAction { kNormal, kIsolate, kRefuse };
 
+struct EndpointCrash {
+  std::string endpoint;
+  common::TimePoint at;
+};
+
 // States that a request was in flight on an endpoint when it crashed. A mark
 // without an endpoint states that a success cleared all earlier marks of the
 // request. Sent as message `suspect_marks`; it carries an age instead of a time
@@ -65,6 +70,10 @@
   SuspectAction Check(Fingerprint fingerprint, common::TimePoint now);
   void OnSuccess(Fingerprint fingerprint, common::TimePoint now);
 
+  // Removes the marks of crashes whose cause is known not to be one of the
+  // requests as a whole.
+  void RemoveCrashes(std::span<const EndpointCrash> crashes);
+
   // All current marks, to be sent to other hosts.
   std::vector<CrashMark> Marks(common::TimePoint now);
   // Adds the marks of another host. Marks that are already known have no
@@ -74,10 +83,7 @@
   size_t size() const { return this->suspects.size(); }
 
  private:
-  struct Crash {
-    std::string endpoint;
-    common::TimePoint at;
-  };
+  using Crash = EndpointCrash;
   struct Suspect {
     // The latest crash of each endpoint.
     std::vector<Crash> crashes;
--- a/source/unit_tests/core/suspects/part_suspects_test.cc
+++ b/source/unit_tests/core/suspects/part_suspects_test.cc
@@ -184,6 +184,18 @@
   CHECK_FALSE(IsBlocked(wrong, kCause, 2600));
 }
 
+TEST_CASE("the crashes of a blocked part are explained, others are not") {
+  PartSuspects list;
+  Crash(list, "f0", {kOther}, 0);
+  CHECK(list.ExplainedCrashes().empty());
+  BlockCause(list);
+  Crash(list, "e3", {kCause, kOther}, 3000);
+  std::vector<std::string> endpoints;
+  for (const EndpointCrash& crash : list.ExplainedCrashes())
+    endpoints.push_back(crash.endpoint);
+  CHECK(endpoints == std::vector<std::string>{"e0", "e1", "e2", "e3"});
+}
+
 // Guards against three crashes for each host before all of them know.
 TEST_CASE("crashes that different hosts see add up") {
   std::vector<PartSuspects> hosts(3);
--- a/source/unit_tests/core/suspects/suspect_list_test.cc
+++ b/source/unit_tests/core/suspects/suspect_list_test.cc
@@ -49,6 +49,19 @@
   CHECK(list.Check(kOther, At(11)) == SuspectAction::kNormal);
 }
 
+// Guards against refusing sound requests that were in flight beside a prompt
+// part that crashes endpoints.
+TEST_CASE("removed crashes leave no marks, other crashes keep theirs") {
+  SuspectList list;
+  Crash(list, "e1", {kOther}, 1);
+  Crash(list, "e2", {kOther}, 9);
+  REQUIRE(list.Check(kOther, At(10)) == SuspectAction::kRefuse);
+  list.RemoveCrashes(std::vector<EndpointCrash>{{"e1", At(2)}, {"e2", At(20)}});
+  CHECK(list.Check(kOther, At(10)) == SuspectAction::kIsolate);
+  list.RemoveCrashes(std::vector<EndpointCrash>{{"e2", At(9)}});
+  CHECK(list.Check(kOther, At(10)) == SuspectAction::kNormal);
+}
+
 TEST_CASE(
     "an innocent request in flight at both crashes is refused only once") {
   SuspectList list;
