Count overlapping requests and let hosts disprove each other's evidence

Crashes half a second apart are independent now. - A host that knew sound runs of a part did not tell a host that had none, which then blocked the part alone for 30 minutes. - A lifted verdict came back with an old mark of a host that was gone. - Evidence is kept for ten minutes instead of one, marks begin with the verdicts, and the fingerprint of a part does not depend on the service.

--- a/source/core/suspects/part_suspects.cc
+++ b/source/core/suspects/part_suspects.cc
@@ -10,20 +10,25 @@
 
 namespace {
 
-// Crashes remembered of one part. Further ones do not change a verdict.
-constexpr size_t kMaxCrashes = 16;
+// Crashes remembered of one part, the first ones.
+constexpr size_t kMaxCrashes = 32;
+// Crashes that are further apart than this are independent, also if all
+// requests were sent before the first one.
+constexpr common::Duration kIndependentGap = std::chrono::milliseconds(500);
+// Other hosts are told of sound runs of a part at most this often.
+constexpr common::Duration kMinPublishInterval = std::chrono::milliseconds(500);
 // The block time is doubled at most this often.
 constexpr int kMaxBlockTimeDoublings = 6;
 constexpr int kExpirationsPerLifetime = 16;
-constexpr common::Duration kAfterCrash{1};
+constexpr common::Duration kAfterCrash = std::chrono::microseconds(1);
 // Hosts see the crash of an endpoint at times that differ by less than this,
 // and an endpoint does not restart and crash again within it.
 constexpr common::Duration kCrashTimeTolerance = std::chrono::milliseconds(500);
 
 }  // namespace
 
-Fingerprint PartFingerprintOf(std::string_view service, std::string_view part) {
-  return common::Hash64(part, common::Hash64(service));
+Fingerprint PartFingerprintOf(std::string_view part) {
+  return common::Hash64(part);
 }
 
 PartSuspects::PartSuspects(PartSuspectOptions options) : options(options) {}
@@ -80,8 +85,7 @@
                        {},
                        now - part.first_crash_at,
                        {}});
-    if (part.sound_published_at &&
-        now - *part.sound_published_at <= this->options.evidence_lifetime)
+    if (this->IsSoundPublished(part, now))
       marks.push_back(
           {PartEvidence::kSound, fingerprint, {}, now - part.sound_at, {}});
     for (const Crash& crash : part.crashes) {
@@ -90,6 +94,9 @@
                          now - crash.at, now - crash.sent_at});
     }
   }
+  std::sort(marks.begin(), marks.end(), [](const auto& a, const auto& b) {
+    return std::tie(a.evidence, a.age) < std::tie(b.evidence, b.age);
+  });
   return marks;
 }
 
@@ -97,9 +104,9 @@
                          common::TimePoint now) {
   this->Expire(now);
   for (const PartMark& mark : marks) {
-    const common::Duration lifetime = mark.evidence == PartEvidence::kBlocked
-                                          ? this->options.block_time
-                                          : this->options.evidence_lifetime;
+    const common::Duration lifetime = mark.evidence == PartEvidence::kCrash
+                                          ? this->options.evidence_lifetime
+                                          : this->options.block_time;
     if (mark.age < common::Duration::zero() || mark.age > lifetime)
       continue;
     const common::TimePoint at = now - mark.age;
@@ -162,8 +169,14 @@
                             common::TimePoint now) {
   this->last_crash_at = std::max(this->last_crash_at, crash.at);
   Part& part = this->PartOf(fingerprint, now);
-  if (crash.at <= part.sound_at)
+  if (crash.at <= part.sound_at) {
+    const bool is_in_danger =
+        !crash.is_own &&
+        ++part.disproved_crashes + 1 >= this->options.blocking_crashes;
+    if (is_in_danger)
+      this->PublishSound(part, now);
     return;
+  }
   if (IsBlockedAt(part, now))
     this->AddExplained(crash);
   for (Crash& known : part.crashes) {
@@ -195,13 +208,29 @@
   std::erase_if(part.crashes,
                 [&](const Crash& crash) { return crash.at <= part.sound_at; });
   if (lifts_verdict) {
-    Lift(part);
+    Lift(part, now);
     this->CollectExplained(now);
   }
-  if (lifts_verdict || is_in_danger) {
-    part.sound_published_at = now;
-    this->is_changed = true;
-  }
+  if (lifts_verdict || is_in_danger)
+    this->PublishSound(part, now);
+}
+
+void PartSuspects::PublishSound(Part& part, common::TimePoint now) {
+  if (part.sound_published_at &&
+      now - *part.sound_published_at < kMinPublishInterval)
+    return;
+  part.sound_published_at = now;
+  part.disproved_crashes = 0;
+  this->is_changed = true;
+}
+
+bool PartSuspects::IsSoundPublished(const Part& part,
+                                    common::TimePoint now) const {
+  // Hosts that have not heard of a lifted verdict may still pass it on.
+  if (part.lifted_at && now - *part.lifted_at <= this->options.block_time)
+    return true;
+  return part.sound_published_at &&
+         now - *part.sound_published_at <= this->options.evidence_lifetime;
 }
 
 void PartSuspects::ApplyVerdict(Part& part,
@@ -211,8 +240,7 @@
     return;
   if (part.sound_at > first_crash_at) {
     // The host that has the verdict does not know of the sound run.
-    part.sound_published_at = now;
-    this->is_changed = true;
+    this->PublishSound(part, now);
     return;
   }
   part.first_crash_at = first_crash_at;
@@ -221,9 +249,11 @@
 
 size_t PartSuspects::CountCrashes(const Part& part) const {
   size_t count = 0;
-  common::TimePoint last = common::TimePoint::min();
+  common::TimePoint last;
   for (const Crash& crash : part.crashes) {
-    if (crash.sent_at < last || this->IsExplained(crash))
+    const bool is_independent = count == 0 || crash.sent_at >= last ||
+                                crash.at - last >= kIndependentGap;
+    if (!is_independent || this->IsExplained(crash))
       continue;
     ++count;
     last = crash.at;
@@ -285,7 +315,8 @@
   this->is_changed = true;
 }
 
-void PartSuspects::Lift(Part& part) {
+void PartSuspects::Lift(Part& part, common::TimePoint now) {
+  part.lifted_at = now;
   part.blocked_until = common::TimePoint::min();
   part.times_blocked = 0;
   part.verdict_at.reset();
@@ -308,6 +339,7 @@
     if (IsBlockedAt(part, now) && !part.crashes.empty())
       blocked.push_back(&part);
   }
+  bool is_any_lifted = false;
   for (Part* part : blocked) {
     const bool is_explained =
         std::any_of(blocked.begin(), blocked.end(), [&](const Part* other) {
@@ -315,14 +347,15 @@
         });
     if (!is_explained)
       continue;
-    Lift(*part);
-    // For the other hosts, the part is as good as answered.
+    // To the other hosts this is the same as a sound run after the crashes.
     part->sound_at = part->crashes.back().at + kAfterCrash;
-    part->sound_published_at = now;
     part->crashes.clear();
-    this->is_changed = true;
+    Lift(*part, now);
+    this->PublishSound(*part, now);
+    is_any_lifted = true;
   }
-  this->CollectExplained(now);
+  if (is_any_lifted)
+    this->CollectExplained(now);
 }
 
 void PartSuspects::CollectExplained(common::TimePoint now) {
@@ -350,7 +383,7 @@
   std::erase_if(this->parts, [&](const auto& entry) {
     const Part& part = entry.second;
     return part.times_blocked == 0 && part.crashes.empty() &&
-           part.changed_at < oldest;
+           part.changed_at < oldest && !this->IsSoundPublished(part, now);
   });
   this->CollectExplained(now);
 }
--- a/source/core/suspects/part_suspects.h
+++ b/source/core/suspects/part_suspects.h
@@ -16,8 +16,8 @@
 
 namespace jujuberock::suspects {
 
-// Hash of a service and of the id of a prompt part; the same on every host.
-Fingerprint PartFingerprintOf(std::string_view service, std::string_view part);
+// Hash of the id of a prompt part; the same on every host.
+Fingerprint PartFingerprintOf(std::string_view part);
 
 // A prompt part of a request that was in flight on an endpoint when it crashed.
 struct PartInFlight {
@@ -25,10 +25,11 @@
   common::TimePoint sent_at;
 };
 
+// The most important first.
 enum class PartEvidence {
-  kCrash,    // a request with the part was in flight at a crash
-  kSound,    // a run with the part began and was answered completely
   kBlocked,  // the part is blocked
+  kSound,    // a run with the part was answered without a crash
+  kCrash,    // a request with the part was in flight at a crash
 };
 
 // What one host knows about a part, as it is sent to the other hosts. Ages
@@ -48,8 +49,8 @@
 };
 
 struct PartSuspectOptions {
-  // A part is blocked after this many crashes, each with a request that was
-  // sent after the crash before, and without a sound run since the first.
+  // A part is blocked after this many independent crashes without a sound run
+  // since the first.
   size_t blocking_crashes = 3;
   // Time between the last of these crashes and the verdict, in which other
   // hosts can report sound runs.
@@ -58,7 +59,7 @@
   // for twice the time.
   common::Duration block_time = std::chrono::minutes(30);
   // How long crashes and sound runs are remembered.
-  common::Duration evidence_lifetime = std::chrono::minutes(1);
+  common::Duration evidence_lifetime = std::chrono::minutes(10);
   size_t max_parts = 2048;
 };
 
@@ -69,9 +70,9 @@
 // part is told from the cause by its answers, and by the crashes without it:
 // among the parts that reach the number of crashes, those with the most are
 // blocked, and the crashes in which they were in flight no longer count for
-// other parts. Crashes at the same time count once, because a request that was
-// sent before a crash tells nothing new after it; so the loss of many endpoints
-// at once blocks nothing.
+// other parts. Crashes at the same time count once, so that the loss of many
+// endpoints at once blocks nothing: two crashes are independent if a request
+// was sent between them, or after some time.
 //
 // A wrong verdict ends without a test on an endpoint: a sound run with the part
 // that began after the first of its crashes lifts it, and so does another part
@@ -101,7 +102,8 @@
   // Crashes at which a blocked part was in flight.
   std::vector<EndpointCrash> ExplainedCrashes() const;
 
-  // The evidence of this host and all verdicts, to be sent to the other hosts.
+  // The evidence of this host and all verdicts, to be sent to the other hosts;
+  // the most important first.
   std::vector<PartMark> Marks(common::TimePoint now);
   // Adds the evidence of another host. Known marks have no effect.
   void Merge(std::span<const PartMark> marks, common::TimePoint now);
@@ -122,10 +124,13 @@
   struct Part {
     // Sorted by time.
     std::vector<Crash> crashes;
-    // Start of the latest sound run, and when it last became of interest to
-    // other hosts.
+    // Start of the latest sound run, when other hosts were last told of it, and
+    // the crashes reported by others that it has disproved since.
     common::TimePoint sound_at = common::TimePoint::min();
     std::optional<common::TimePoint> sound_published_at;
+    size_t disproved_crashes = 0;
+    // When a verdict was last lifted.
+    std::optional<common::TimePoint> lifted_at;
     // When the verdict becomes due; nullopt while there are too few crashes.
     std::optional<common::TimePoint> verdict_at;
     common::TimePoint first_crash_at = common::TimePoint::min();
@@ -151,8 +156,7 @@
   void ApplyVerdict(Part& part,
                     common::TimePoint first_crash_at,
                     common::TimePoint now);
-  // Crashes that count: none that a blocked part explains, and each with a
-  // request sent after the one before.
+  // Independent crashes that no blocked part explains.
   size_t CountCrashes(const Part& part) const;
   // Whether this number of crashes that count suffices for a verdict. After a
   // former verdict has expired, the first crash does.
@@ -162,7 +166,10 @@
   void AddExplained(const Crash& crash);
   void Evaluate(common::TimePoint now);
   void Block(Part& part, common::TimePoint now);
-  static void Lift(Part& part);
+  static void Lift(Part& part, common::TimePoint now);
+  // Lets the other hosts know of the sound run.
+  void PublishSound(Part& part, common::TimePoint now);
+  bool IsSoundPublished(const Part& part, common::TimePoint now) const;
   // Lifts the verdicts that another verdict explains better.
   void LiftExplainedVerdicts(common::TimePoint now);
   void CollectExplained(common::TimePoint now);
--- a/source/unit_tests/core/suspects/part_suspects_test.cc
+++ b/source/unit_tests/core/suspects/part_suspects_test.cc
@@ -276,5 +276,64 @@
   CHECK(list.Marks(At(4000)).size() <= 10 + 3);
 }
 
+// Load pattern: many requests with the cause, each in flight for long before it
+// crashes its endpoint. Guards against a list that fills with crashes of
+// requests that were all sent before the first one.
+TEST_CASE("a part is blocked although its requests overlap") {
+  PartSuspects list;
+  for (int ms = 0; ms < 3000; ms += 100) {
+    list.OnEndpointCrash("e" + std::to_string(ms),
+                         std::vector<PartInFlight>{{kCause, At(ms - 2500)}},
+                         At(ms));
+    list.Tick(At(ms));
+  }
+  CHECK(IsBlocked(list, kCause, 3000));
+}
+
+// Guards against a verdict of a host that has no answers of its own with the
+// part: the others know of sound runs, but did not tell it.
+TEST_CASE("a host that can disprove crashes tells the others") {
+  PartSuspects few;
+  PartSuspects many;
+  Crash(many, "f", {kOther}, -500);
+  for (int i = 0; i < 3; ++i) {
+    Crash(few, "e" + std::to_string(i), {kShared, kCause}, 1000 * i);
+    const int heard = 1000 * i + 150;
+    Sound(many, kShared, 1000 * i + 100, heard);
+    many.Merge(few.Marks(At(heard)), At(heard));
+    if (many.TakeChanged())
+      few.Merge(many.Marks(At(heard + 150)), At(heard + 150));
+  }
+  few.Tick(At(2600));
+  many.Tick(At(2700));
+  CHECK(IsBlocked(few, kCause, 2700));
+  CHECK_FALSE(IsBlocked(few, kShared, 2700));
+  CHECK_FALSE(IsBlocked(many, kShared, 2700));
+}
+
+// Guards against a lifted verdict that a host which is gone has left behind.
+TEST_CASE("a lifted verdict does not come back later") {
+  PartSuspects list;
+  BlockCause(list);
+  const auto verdict = list.Marks(At(2700));
+  Sound(list, kCause, 2100, 3000);
+  REQUIRE_FALSE(IsBlocked(list, kCause, 3000));
+  const int later = 20 * 60 * 1000;
+  list.Tick(At(later));
+  std::vector<PartMark> aged = verdict;
+  for (PartMark& mark : aged)
+    mark.age += milliseconds(later - 2700);
+  list.Merge(aged, At(later));
+  CHECK_FALSE(IsBlocked(list, kCause, later));
+}
+
+TEST_CASE("marks begin with the verdicts") {
+  PartSuspects list;
+  BlockCause(list);
+  for (Fingerprint part = 100; part < 300; ++part)
+    Crash(list, "f", {part}, 3000);
+  CHECK(list.Marks(At(4000)).front().evidence == PartEvidence::kBlocked);
+}
+
 }  // namespace
 }  // namespace jujuberock::suspects
