--- a/tools/gateway_standins.py
+++ b/tools/gateway_standins.py
@@ -286,8 +286,8 @@
         return lines
 
 
-def free_port():
-    with socket.socket() as probe:
+def free_port(kind=socket.SOCK_STREAM):
+    with socket.socket(type=kind) as probe:
         probe.bind(("127.0.0.1", 0))
         return probe.getsockname()[1]
 
