Refuse prompts with a part that crashes engines (gateway)

What callers saw: requests with one part in their prompts crashed engine after engine, no two of them alike; beside them streams of other callers broke off, and sound requests were refused for lack of engines.

Cause: the list of suspects knows a request only as a whole (team, service, path and body), so nothing accumulates.

Change: hosts record which shared parts of prompts were in flight at each crash and which were answered soundly (suspects::PartSuspects), exchange both through their objects in the platform's store, and refuse requests with a part that is blocked, with 503 and before each send. A run that has been answered for 500 ms is no longer suspected of a crash and shows that its parts are sound. When a part is blocked, the marks that its crashes left on whole requests are removed. HostObject is a module of its own; the age of its marks counts from when it was written. Log: parts_blocked, and the part in the line of a refusal.

--- a/source/core/events/event_log.cc
+++ b/source/core/events/event_log.cc
@@ -37,7 +37,7 @@
 Level LevelOf(Event event) {
   if (event <= Event::kLinesDropped)
     return Level::kLifecycle;
-  if (event <= Event::kCrashMarked)
+  if (event <= Event::kPartsBlocked)
     return Level::kClusterState;
   return Level::kRequests;
 }
--- a/source/core/events/event_log.h
+++ b/source/core/events/event_log.h
@@ -47,6 +47,7 @@
   kWeightsInForce,
   kPartsFreed,
   kCrashMarked,
+  kPartsBlocked,
   kRequestRefused,
   kRequestQueued,
   kRequestSent,
@@ -56,7 +57,7 @@
   kRequestAnswered,
 };
 
-inline constexpr size_t kEventCount = 29;
+inline constexpr size_t kEventCount = 30;
 
 inline constexpr common::NameTable<Event, kEventCount> kEventNames(
     {"started",         "stopping",         "stopped",
@@ -66,9 +67,9 @@
      "endpoint_left",   "endpoint_ejected", "endpoint_readmitted",
      "version_named",   "holder_gained",    "holder_lost",
      "weights_ordered", "weights_in_force", "parts_freed",
-     "crash_marked",    "request_refused",  "request_queued",
-     "request_sent",    "request_resent",   "request_resumed",
-     "request_cut",     "request_answered"});
+     "crash_marked",    "parts_blocked",    "request_refused",
+     "request_queued",  "request_sent",     "request_resent",
+     "request_resumed", "request_cut",      "request_answered"});
 
 // Fields that a line may have.
 enum class Field {
@@ -104,12 +105,13 @@
   kExcludedEndpoints,
   kToken,
   kFingerprint,
+  kPart,
   kCount,
   kDependency,
   kDetail,
 };
 
-inline constexpr size_t kFieldCount = 35;
+inline constexpr size_t kFieldCount = 36;
 
 inline constexpr common::NameTable<Field, kFieldCount> kFieldNames(
     {"request",
@@ -144,6 +146,7 @@
      "excluded_endpoints",
      "token",
      "fingerprint",
+     "part",
      "count",
      "dependency",
      "detail"});
--- a/source/core/gateway/dispatcher.cc
+++ b/source/core/gateway/dispatcher.cc
@@ -161,13 +161,17 @@
 }
 
 void Dispatcher::OnBroken(const std::shared_ptr<EndpointRecord>& endpoint,
-                          suspects::Fingerprint fingerprint) {
+                          const BrokenRun& run) {
   const std::string& id = endpoint->endpoint().id;
   const auto [entry, is_first] = this->broken_by_endpoint.try_emplace(id);
   entry->second.endpoint = endpoint;
-  entry->second.fingerprints.push_back(fingerprint);
-  if (is_first)
-    runtime::SpawnLocal([this, id] { this->CheckCrash(id); });
+  entry->second.fingerprints.push_back(run.request);
+  entry->second.parts.insert(entry->second.parts.end(), run.parts.begin(),
+                             run.parts.end());
+  if (!is_first)
+    return;
+  entry->second.broken_at = runtime::BootNow();
+  runtime::SpawnLocal([this, id] { this->CheckCrash(id); });
 }
 
 void Dispatcher::CheckCrash(const std::string& id) {
@@ -197,6 +201,9 @@
   const std::string instance =
       id + "/" + std::to_string(requests.endpoint->endpoint().started_at_ms);
   this->suspect_list.OnEndpointCrash(instance, requests.fingerprints, now);
+  // Repeated requests may have been sent since the connections broke.
+  this->part_suspect_list.OnEndpointCrash(instance, requests.parts,
+                                          requests.broken_at);
   LogLine(this->log, Event::kCrashMarked)
       .Add(Field::kEndpoint, id)
       .Add(Field::kCount, static_cast<uint64_t>(requests.fingerprints.size()));
@@ -204,6 +211,28 @@
     this->on_crash_marks_changed();
 }
 
+void Dispatcher::MergeMarks(const std::vector<suspects::CrashMark>& marks,
+                            const std::vector<suspects::PartMark>& part_marks) {
+  const TimePoint now = runtime::BootNow();
+  this->suspect_list.Merge(marks, now);
+  this->part_suspect_list.Merge(part_marks, now);
+}
+
+void Dispatcher::CheckSuspects() {
+  const TimePoint now = runtime::BootNow();
+  this->part_suspect_list.Tick(now);
+  const size_t blocked = this->part_suspect_list.CountBlocked(now);
+  // Other requests were only affected by the crashes that a part has caused.
+  if (blocked > 0)
+    this->suspect_list.RemoveCrashes(
+        this->part_suspect_list.ExplainedCrashes());
+  if (blocked == this->blocked_parts)
+    return;
+  this->blocked_parts = blocked;
+  LogLine(this->log, Event::kPartsBlocked)
+      .Add(Field::kCount, static_cast<uint64_t>(blocked));
+}
+
 void Dispatcher::CheckSilence() {
   const TimePoint now = runtime::BootNow();
   this->stall_detector.OnTick(now);
--- a/source/core/gateway/dispatcher.h
+++ b/source/core/gateway/dispatcher.h
@@ -18,6 +18,7 @@
 #include "core/forward/connection_pool.h"
 #include "core/gateway/platform_view.h"
 #include "core/gateway/settings.h"
+#include "core/suspects/part_suspects.h"
 #include "core/suspects/suspect_list.h"
 
 namespace jujuberock::gateway {
@@ -48,6 +49,13 @@
   bool MustNotBegin(const PlatformView& view, common::TimePoint now) const;
 };
 
+// A request that an endpoint was running when it broke its connection.
+struct BrokenRun {
+  suspects::Fingerprint request = 0;
+  // Parts of its prompt that can have caused a crash.
+  std::vector<suspects::PartInFlight> parts;
+};
+
 // Owns the state of all endpoints: service pools, retry budget, crash marks and
 // sends in progress. Not thread-safe: all calls are made on one worker.
 class Dispatcher {
@@ -64,6 +72,10 @@
   dispatch::ServicePool* FindPool(std::string_view service);
   dispatch::RetryWindow& retries() { return this->retry_window; }
   suspects::SuspectList& suspects() { return this->suspect_list; }
+  suspects::PartSuspects& part_suspects() { return this->part_suspect_list; }
+  // Adds the marks of another host.
+  void MergeMarks(const std::vector<suspects::CrashMark>& marks,
+                  const std::vector<suspects::PartMark>& part_marks);
   common::Random& random() { return this->random_source; }
   void SetHostCount(size_t count);
 
@@ -91,12 +103,14 @@
   // whether the endpoint crashed and, if so, marks the requests that it was
   // running.
   void OnBroken(const std::shared_ptr<dispatch::EndpointRecord>& endpoint,
-                suspects::Fingerprint fingerprint);
+                const BrokenRun& run);
   // Sets the callback for new crash marks of this host.
   void OnCrashMarksChanged(std::function<void()> callback) {
     this->on_crash_marks_changed = std::move(callback);
   }
 
+  // Decides on prompt parts that crash endpoints; called every kCheckPeriod.
+  void CheckSuspects();
   // Detects silent endpoints and moves hanging sends; called every
   // kCheckPeriod.
   void CheckSilence();
@@ -107,6 +121,9 @@
   struct BrokenRequests {
     std::shared_ptr<dispatch::EndpointRecord> endpoint;
     std::vector<suspects::Fingerprint> fingerprints;
+    std::vector<suspects::PartInFlight> parts;
+    // When the first connection broke.
+    common::TimePoint broken_at;
   };
 
   void IndexEndpoints();
@@ -140,6 +157,8 @@
   std::unordered_map<uint64_t, Engine> engines_by_hash;
   dispatch::RetryWindow retry_window;
   suspects::SuspectList suspect_list;
+  suspects::PartSuspects part_suspect_list;
+  size_t blocked_parts = 0;
   common::Random random_source;
   size_t host_count;
   std::map<SendHandle, ActiveSend> active;
--- a/source/core/gateway/gateway.cc
+++ b/source/core/gateway/gateway.cc
@@ -44,7 +44,8 @@
                  runtime::WorkerPool& workers,
                  PlatformInterfaces platform,
                  events::EventLog& log,
-                 common::MetricRegistry& counters)
+                 common::MetricRegistry& counters,
+                 std::function<common::UnixTime()> wall_now)
     : settings(std::move(settings)),
       workers(workers),
       platform(platform),
@@ -63,7 +64,8 @@
       host_registry(this->settings,
                     this->dispatcher,
                     this->cache_store_watcher,
-                    platform.store),
+                    platform.store,
+                    std::move(wall_now)),
       cache_store_cleaner(this->view,
                           this->dispatcher,
                           this->host_registry,
@@ -185,6 +187,7 @@
   const common::TimePoint now = runtime::BootNow();
   this->view.OnTick(now);
   this->dispatcher.CheckSilence();
+  this->dispatcher.CheckSuspects();
   this->connections.Expire(now);
   this->LogViewFreshness(now);
   this->log.Flush();
--- a/source/core/gateway/gateway.h
+++ b/source/core/gateway/gateway.h
@@ -42,7 +42,8 @@
           runtime::WorkerPool& workers,
           PlatformInterfaces platform,
           events::EventLog& log,
-          common::MetricRegistry& counters);
+          common::MetricRegistry& counters,
+          std::function<common::UnixTime()> wall_now);
   ~Gateway();
   Gateway(const Gateway&) = delete;
   Gateway& operator=(const Gateway&) = delete;
--- a/source/core/gateway/host_registry.cc
+++ b/source/core/gateway/host_registry.cc
@@ -4,10 +4,9 @@
 #include <iterator>
 #include <vector>
 
-#include <nlohmann/json.hpp>
-
 #include "core/common/error.h"
 #include "core/common/hash.h"
+#include "core/gateway/host_object.h"
 #include "core/runtime/boot_clock.h"
 #include "core/runtime/sleep.h"
 
@@ -18,37 +17,26 @@
 using catalog::ObjectKind;
 using catalog::WriteState;
 using common::Duration;
-using Json = nlohmann::json;
 
 constexpr std::string_view kNamePrefix = "host.";
 // Crash marks that arise within this period are written together.
 constexpr Duration kWritePeriod = std::chrono::milliseconds(150);
 constexpr Duration kRetryDelay = std::chrono::milliseconds(700);
-// Maximum number of crash marks in one host's object.
+// Maximum number of marks of each kind in one host's object.
 constexpr size_t kMaxMarks = 200;
 
-std::vector<suspects::CrashMark> DecodeMarks(const Json& value) {
-  std::vector<suspects::CrashMark> marks;
-  for (const Json& item : value) {
-    suspects::CrashMark mark;
-    mark.fingerprint = item.at("fingerprint").get<uint64_t>();
-    mark.endpoint = item.at("endpoint").get<std::string>();
-    mark.age = std::chrono::milliseconds(item.at("age_ms").get<int64_t>());
-    marks.push_back(std::move(mark));
-  }
-  return marks;
-}
-
 }  // namespace
 
 HostRegistry::HostRegistry(const Settings& settings,
                            Dispatcher& dispatcher,
                            CacheStoreWatcher& cache_store_watcher,
-                           catalog::ObjectStore& store)
+                           catalog::ObjectStore& store,
+                           std::function<common::UnixTime()> wall_now)
     : settings(settings),
       dispatcher(dispatcher),
       cache_store_watcher(cache_store_watcher),
       store(store),
+      wall_now(std::move(wall_now)),
       own_name(std::string(kNamePrefix) + settings.host_name) {
   this->dispatcher.OnCrashMarksChanged([this] { this->write_pending = true; });
 }
@@ -70,17 +58,13 @@
     this->OnPeerAddress(name, "");
     return;
   }
-  const Json value = Json::parse(change.object.content, nullptr, false);
-  if (!value.is_object() || !value.contains("marks"))
+  const auto object = DecodeHostObject(change.object.content, this->wall_now());
+  // An unreadable object was written by another version of the program. Only
+  // its marks are lost.
+  if (!object)
     return;
-  try {
-    this->OnPeerAddress(name, value.value("peer_address", ""));
-    const auto marks = DecodeMarks(value["marks"]);
-    this->dispatcher.suspects().Merge(marks, runtime::BootNow());
-  } catch (const Json::exception&) {
-    // Written by another version of the program. Only its marks are lost.
-    return;
-  }
+  this->OnPeerAddress(name, object->peer_address);
+  this->dispatcher.MergeMarks(object->marks, object->part_marks);
 }
 
 void HostRegistry::OnOwnObject(const catalog::ObjectChange& change) {
@@ -127,39 +111,32 @@
 }
 
 std::string HostRegistry::EncodeOwnObject() const {
-  Json value;
-  value["zone"] = this->settings.zone;
-  value["address"] = this->settings.caller_address;
+  const common::TimePoint now = runtime::BootNow();
+  HostObject object;
+  object.zone = this->settings.zone;
+  object.caller_address = this->settings.caller_address;
   if (this->settings.peer_port != 0) {
     auto peer = *runtime::Address::Parse(this->settings.caller_address);
     peer.port = static_cast<uint16_t>(this->settings.peer_port);
-    value["peer_address"] = peer.ToString();
+    object.peer_address = peer.ToString();
   }
-  value["marks"] = Json::array();
-  auto marks = this->dispatcher.suspects().Marks(runtime::BootNow());
-  if (marks.size() > kMaxMarks)
-    marks.resize(kMaxMarks);
-  for (const suspects::CrashMark& mark : marks) {
-    Json item;
-    item["fingerprint"] = mark.fingerprint;
-    item["endpoint"] = mark.endpoint;
-    item["age_ms"] = mark.age.count() / 1000;
-    value["marks"].push_back(std::move(item));
-  }
-  return value.dump();
+  object.written_at = this->wall_now();
+  object.marks = this->dispatcher.suspects().Marks(now);
+  object.part_marks = this->dispatcher.part_suspects().Marks(now);
+  if (object.marks.size() > kMaxMarks)
+    object.marks.resize(kMaxMarks);
+  if (object.part_marks.size() > kMaxMarks)
+    object.part_marks.resize(kMaxMarks);
+  return EncodeHostObject(object);
 }
 
 bool HostRegistry::WriteOwnObject() {
-  if (!this->own_revision) {
-    const auto reply = this->store.Create(ObjectKind::kHosts, this->own_name,
-                                          this->EncodeOwnObject());
-    if (reply.current)
-      this->own_revision = reply.current->revision;
-    return reply.state == WriteState::kWritten;
-  }
+  const std::string content = this->EncodeOwnObject();
   const auto reply =
-      this->store.Replace(ObjectKind::kHosts, this->own_name,
-                          *this->own_revision, this->EncodeOwnObject());
+      this->own_revision
+          ? this->store.Replace(ObjectKind::kHosts, this->own_name,
+                                *this->own_revision, content)
+          : this->store.Create(ObjectKind::kHosts, this->own_name, content);
   if (reply.current)
     this->own_revision = reply.current->revision;
   return reply.state == WriteState::kWritten;
@@ -168,6 +145,7 @@
 void HostRegistry::Run() {
   while (!this->stopping) {
     runtime::SleepFor(kWritePeriod);
+    this->write_pending |= this->dispatcher.part_suspects().TakeChanged();
     if (!this->write_pending)
       continue;
     this->write_pending = false;
--- a/source/core/gateway/host_registry.h
+++ b/source/core/gateway/host_registry.h
@@ -25,7 +25,8 @@
   HostRegistry(const Settings& settings,
                Dispatcher& dispatcher,
                CacheStoreWatcher& cache_store_watcher,
-               catalog::ObjectStore& store);
+               catalog::ObjectStore& store,
+               std::function<common::UnixTime()> wall_now);
 
   // Called for each change of a host's object.
   void OnObject(const catalog::ObjectChange& change);
@@ -51,6 +52,7 @@
   Dispatcher& dispatcher;
   CacheStoreWatcher& cache_store_watcher;
   catalog::ObjectStore& store;
+  std::function<common::UnixTime()> wall_now;
   std::string own_name;
   std::optional<uint64_t> own_revision;
   std::set<std::string> host_names;
--- a/source/core/gateway/request_task.cc
+++ b/source/core/gateway/request_task.cc
@@ -40,6 +40,9 @@
 // An endpoint that is not the intended one, or that runs other weights, is not
 // used for this long, so that the view can be updated.
 constexpr Duration kMismatchPause = std::chrono::milliseconds(400);
+// A prompt part that crashes endpoints does so when they begin to answer. Runs
+// that have been answered for longer are not the cause of a crash.
+constexpr Duration kMaxCrashDelay = std::chrono::milliseconds(500);
 constexpr Duration kStaleViewRetryAfter = std::chrono::milliseconds(300);
 constexpr double kPlainMoveLatencyFactor = 5;
 constexpr double kPlainMoveTargetShare = 0.8;
@@ -80,10 +83,12 @@
   this->Route();
   this->PickService();
   this->CheckCrashMarks();
+  this->CheckParts();
   this->WatchCaller();
   this->deps.dispatcher.retries().OnRequest(this->service, this->received_at);
   while (true) {
     const dispatch::EndpointChoice choice = this->AwaitEndpoint();
+    this->CheckParts();
     const AttemptResult result = this->Attempt(choice);
     if (result == AttemptResult::kAnswered)
       break;
@@ -147,6 +152,18 @@
   this->isolate = action == suspects::SuspectAction::kIsolate;
 }
 
+void RequestTask::CheckParts() {
+  const auto blocked = this->deps.dispatcher.part_suspects().FindBlocked(
+      this->shared_parts, runtime::BootNow());
+  if (!blocked)
+    return;
+  this->blocked_part = this->request.prompt->parts[*blocked].id;
+  if (this->sends > 0)
+    this->FailRequest();
+  this->Refuse(ResultCode::kSuspectRefused,
+               "a part of the prompt crashes endpoints", std::nullopt);
+}
+
 void RequestTask::PickService() {
   double total = 0;
   for (const catalog::WeightedService& part : this->route->services)
@@ -165,6 +182,12 @@
     this->Refuse(ResultCode::kNoEndpoint,
                  "the service of the route does not exist",
                  kStaleViewRetryAfter);
+  if (!this->request.prompt)
+    return;
+  const auto& parts = this->request.prompt->parts;
+  // The last part belongs to this request alone.
+  for (size_t i = 0; i + 1 < parts.size(); ++i)
+    this->shared_parts.push_back(suspects::PartFingerprintOf(parts[i].id));
 }
 
 void RequestTask::WatchCaller() {
@@ -283,6 +306,8 @@
     line.Add(Field::kViewAgeMs, *age);
   if (this->pool)
     this->AddExclusions(line, now);
+  if (!this->blocked_part.empty())
+    line.Add(Field::kPart, this->blocked_part);
   if (retry_after)
     line.Add(Field::kRetryAfterMs, *retry_after);
   throw RefusedError(code, reason, retry_after);
@@ -390,6 +415,7 @@
   const TimePoint now = runtime::BootNow();
   this->predicted = choice.predicted;
   this->reuse = {};
+  this->are_parts_recorded = false;
   dispatch::SendTicket ticket;
   ticket.endpoint = choice.endpoint;
   ticket.urgency = this->urgency;
@@ -536,6 +562,9 @@
     this->deps.dispatcher.OnOutcome(*this->pool, record, SendOutcome::kGood);
     this->deps.dispatcher.suspects().OnSuccess(this->fingerprint,
                                                runtime::BootNow());
+    // Without framing, the end of the connection may also be a crash.
+    if (IsSuccess(head.status) && !send.ends_with_connection())
+      this->RecordSoundParts(ticket);
   }
   return AttemptResult::kAnswered;
 }
@@ -547,6 +576,28 @@
                                                  : dispatch::AnswerKind::kWhole;
 }
 
+void RequestTask::RecordSoundParts(const dispatch::SendTicket& ticket) {
+  if (this->are_parts_recorded || !ticket.started)
+    return;
+  this->are_parts_recorded = true;
+  this->deps.dispatcher.part_suspects().OnSound(
+      this->shared_parts, ticket.started_at, runtime::BootNow());
+}
+
+bool RequestTask::IsPastCrashDelay(const dispatch::SendTicket& ticket) {
+  return ticket.started &&
+         runtime::BootNow() - ticket.started_at > kMaxCrashDelay;
+}
+
+BrokenRun RequestTask::MakeBrokenRun(const dispatch::SendTicket& ticket) const {
+  BrokenRun run{this->fingerprint, {}};
+  if (IsPastCrashDelay(ticket))
+    return run;
+  for (const suspects::Fingerprint part : this->shared_parts)
+    run.parts.push_back({part, ticket.sent_at});
+  return run;
+}
+
 void RequestTask::RecordFirstByte(dispatch::SendTicket& ticket) {
   if (ticket.started)
     return;
@@ -583,6 +634,8 @@
         send, head, dispatch::StreamStallLimit(TargetsOf(*this->route)), [&] {
           this->RecordFirstByte(ticket);
           ticket.endpoint->OnBytesReceived(runtime::BootNow());
+          if (IsPastCrashDelay(ticket))
+            this->RecordSoundParts(ticket);
         });
     this->pool->OnFinished(ticket, runtime::BootNow());
   } else {
@@ -636,7 +689,8 @@
     case SendFailure::kBroken:
       this->deps.dispatcher.OnOutcome(*this->pool, record,
                                       SendOutcome::kBroken);
-      this->deps.dispatcher.OnBroken(ticket.endpoint, this->fingerprint);
+      this->deps.dispatcher.OnBroken(ticket.endpoint,
+                                     this->MakeBrokenRun(ticket));
       break;
     case SendFailure::kMalformed:
     case SendFailure::kStalled:
--- a/source/core/gateway/request_task.h
+++ b/source/core/gateway/request_task.h
@@ -71,6 +71,9 @@
   void Route();
   void CheckKey(const catalog::ConfigView& config);
   void CheckCrashMarks();
+  // Throws if a part of the prompt crashes endpoints. Checked before each send,
+  // because other hosts may have found out in the meantime.
+  void CheckParts();
   void PickService();
   void WatchCaller();
 
@@ -109,6 +112,12 @@
   void RecordHead(const forward::ResponseHead& head,
                   dispatch::EndpointRecord& record);
   dispatch::AnswerKind ExpectedAnswer() const;
+  // Records, once per send, that the parts of the prompt do not crash the
+  // endpoint.
+  void RecordSoundParts(const dispatch::SendTicket& ticket);
+  // Whether the parts of the prompt would have crashed the endpoint by now.
+  static bool IsPastCrashDelay(const dispatch::SendTicket& ticket);
+  BrokenRun MakeBrokenRun(const dispatch::SendTicket& ticket) const;
   void RecordFirstByte(dispatch::SendTicket& ticket);
   // Records how much later than predicted the first token of a fetch arrived.
   void RecordFetch(common::Duration excess);
@@ -139,6 +148,11 @@
   dispatch::ServicePool* pool = nullptr;
   suspects::Fingerprint fingerprint = 0;
   bool isolate = false;
+  // The parts of the prompt that other requests may share.
+  std::vector<suspects::Fingerprint> shared_parts;
+  bool are_parts_recorded = false;
+  // The part for which the request is refused, if any.
+  std::string blocked_part;
   // The salt without a weight version, and its rendered form, which is the key
   // of the engines' part caches.
   reuse::Salt salt;
--- a/source/core/suspects/part_suspects.cc
+++ b/source/core/suspects/part_suspects.cc
@@ -54,13 +54,15 @@
     this->ApplySound(this->PartOf(fingerprint, now), started_at, now);
 }
 
-bool PartSuspects::IsBlocked(std::span<const Fingerprint> requested,
-                             common::TimePoint now) const {
-  return std::any_of(
-      requested.begin(), requested.end(), [&](Fingerprint fingerprint) {
-        const auto found = this->parts.find(fingerprint);
-        return found != this->parts.end() && IsBlockedAt(found->second, now);
-      });
+std::optional<size_t> PartSuspects::FindBlocked(
+    std::span<const Fingerprint> requested,
+    common::TimePoint now) const {
+  for (size_t i = 0; i < requested.size(); ++i) {
+    const auto found = this->parts.find(requested[i]);
+    if (found != this->parts.end() && IsBlockedAt(found->second, now))
+      return i;
+  }
+  return std::nullopt;
 }
 
 void PartSuspects::Tick(common::TimePoint now) {
--- a/source/core/suspects/part_suspects.h
+++ b/source/core/suspects/part_suspects.h
@@ -93,9 +93,10 @@
   void OnSound(std::span<const Fingerprint> parts,
                common::TimePoint started_at,
                common::TimePoint now);
-  // Whether a request with these parts must be refused.
-  bool IsBlocked(std::span<const Fingerprint> parts,
-                 common::TimePoint now) const;
+  // Returns the index of the first part for which a request with these parts
+  // must be refused; nullopt if it may be sent.
+  std::optional<size_t> FindBlocked(std::span<const Fingerprint> parts,
+                                    common::TimePoint now) const;
   // Decides on the parts whose verdict is due; called periodically.
   void Tick(common::TimePoint now);
 
--- a/source/jujuberock/gateway_command.cc
+++ b/source/jujuberock/gateway_command.cc
@@ -126,8 +126,9 @@
     const platform_adapter::PlatformDecoder decoder;
     const platform_adapter::PlatformCodec codec;
     platform_adapter::PlatformEndpointControl control(http);
-    gateway::Gateway gateway_host(
-        *settings, workers, {store, decoder, codec, control}, log, counters);
+    gateway::Gateway gateway_host(*settings, workers,
+                                  {store, decoder, codec, control}, log,
+                                  counters, WallNow);
     SignalLoop(gateway_host, workers, line).Run();
     gateway_host.Stop();
     // Exits without destructors, since fibers that still run would delay the
--- /dev/null
+++ b/source/unit_tests/core/gateway/host_object_test.cc
@@ -0,0 +1,78 @@
+#include "core/gateway/host_object.h"
+
+#include <catch2/catch.hpp>
+
+namespace jujuberock::gateway {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using suspects::PartEvidence;
+using suspects::PartMark;
+
+const common::UnixTime kWrittenAt{milliseconds(1'700'000'000'000)};
+
+HostObject MakeObject() {
+  HostObject object;
+  object.zone = "z";
+  object.caller_address = "127.0.0.1:8080";
+  object.peer_address = "127.0.0.1:8090";
+  object.written_at = kWrittenAt;
+  object.marks = {{7, "e1/1000", milliseconds(20)}};
+  object.part_marks = {
+      {PartEvidence::kCrash, 1, "e1/1000", milliseconds(30), milliseconds(90)},
+      {PartEvidence::kSound, 2, {}, milliseconds(40), {}},
+      {PartEvidence::kBlocked, ~uint64_t{0}, {}, milliseconds(50), {}}};
+  return object;
+}
+
+TEST_CASE("a host object is decoded as it was encoded") {
+  const HostObject object = MakeObject();
+  const auto decoded =
+      DecodeHostObject(EncodeHostObject(object), kWrittenAt + milliseconds(9));
+  REQUIRE(decoded);
+  CHECK(decoded->zone == object.zone);
+  CHECK(decoded->caller_address == object.caller_address);
+  CHECK(decoded->peer_address == object.peer_address);
+  CHECK(decoded->marks == object.marks);
+  CHECK(decoded->part_marks == object.part_marks);
+}
+
+// Guards against verdicts of a host that ended long ago, which a new host would
+// take for new ones.
+TEST_CASE("marks of an old object are as old as the object") {
+  const auto decoded = DecodeHostObject(EncodeHostObject(MakeObject()),
+                                        kWrittenAt + minutes(20));
+  REQUIRE(decoded);
+  CHECK(decoded->marks[0].age == minutes(20) + milliseconds(20));
+  CHECK(decoded->part_marks[0].sent_age == minutes(20) + milliseconds(90));
+  CHECK(decoded->part_marks[2].age == minutes(20) + milliseconds(50));
+}
+
+TEST_CASE("a difference of the clocks does not change the ages") {
+  for (const int difference_ms : {-5000, 5000}) {
+    const auto decoded =
+        DecodeHostObject(EncodeHostObject(MakeObject()),
+                         kWrittenAt + milliseconds(difference_ms));
+    REQUIRE(decoded);
+    CHECK(decoded->marks[0].age == milliseconds(20));
+  }
+}
+
+TEST_CASE("malformed host objects are rejected") {
+  for (const char* text :
+       {"", "[]", "{}", R"({"marks":[{}]})", R"({"marks":[],"part_marks":1})",
+        R"({"marks":[],"part_marks":[{"evidence":"crash","part":1}]})"})
+    CHECK_FALSE(DecodeHostObject(text, kWrittenAt));
+}
+
+TEST_CASE("unknown evidence is skipped") {
+  const auto decoded = DecodeHostObject(
+      R"({"marks":[],"part_marks":[{"evidence":"new","part":1,"age_ms":2}]})",
+      kWrittenAt);
+  REQUIRE(decoded);
+  CHECK(decoded->part_marks.empty());
+}
+
+}  // namespace
+}  // namespace jujuberock::gateway
--- a/source/unit_tests/core/suspects/part_suspects_test.cc
+++ b/source/unit_tests/core/suspects/part_suspects_test.cc
@@ -33,7 +33,7 @@
 }
 
 bool IsBlocked(const PartSuspects& list, Fingerprint part, int ms) {
-  return list.IsBlocked(std::vector<Fingerprint>{part}, At(ms));
+  return list.FindBlocked(std::vector<Fingerprint>{part}, At(ms)).has_value();
 }
 
 // Three crashes that have kCause in common, and the verdict on it.
