Keep crash marks over a restart of the host

What callers saw: after a restart of the hosts, prompts with a part that was known to crash engines crashed them again.

Cause: a host that starts replaces its object in the platform's store with one that has no marks, and never reads what its former process has left there. The other hosts' marks are read, but a host could take requests before it had listed them.

Change: the marks of the own object are merged before the first write, also if the write finds it (a conflict returns it). A host is complete, and so ready, only when the hosts' objects have been listed.

--- a/source/core/gateway/host_registry.cc
+++ b/source/core/gateway/host_registry.cc
@@ -67,9 +67,18 @@
   this->dispatcher.MergeMarks(object->marks, object->part_marks);
 }
 
+void HostRegistry::MergeFormerMarks(const catalog::StoredObject& stored) {
+  if (this->has_written)
+    return;
+  const auto object = DecodeHostObject(stored.content, this->wall_now());
+  if (object)
+    this->dispatcher.MergeMarks(object->marks, object->part_marks);
+}
+
 void HostRegistry::OnOwnObject(const catalog::ObjectChange& change) {
   if (!change.deleted) {
     this->own_revision = change.object.revision;
+    this->MergeFormerMarks(change.object);
     return;
   }
   // A deleted object can't be replaced; it is created again.
@@ -137,8 +146,13 @@
           ? this->store.Replace(ObjectKind::kHosts, this->own_name,
                                 *this->own_revision, content)
           : this->store.Create(ObjectKind::kHosts, this->own_name, content);
-  if (reply.current)
+  if (reply.current) {
     this->own_revision = reply.current->revision;
+    // After a conflict this is the object that the former process of this host
+    // has left.
+    this->MergeFormerMarks(*reply.current);
+  }
+  this->has_written |= reply.state == WriteState::kWritten;
   return reply.state == WriteState::kWritten;
 }
 
--- a/source/core/gateway/host_registry.h
+++ b/source/core/gateway/host_registry.h
@@ -45,6 +45,9 @@
   void OnHostCountChanged();
   void OnOwnObject(const catalog::ObjectChange& change);
   void OnPeerAddress(const std::string& name, const std::string& address);
+  // Adds the marks that the former process of this host has published. Done
+  // before the first write, which replaces them.
+  void MergeFormerMarks(const catalog::StoredObject& stored);
   bool WriteOwnObject();
   std::string EncodeOwnObject() const;
 
@@ -59,6 +62,7 @@
   std::map<std::string, runtime::Address> peers;
   std::function<void(std::vector<runtime::Address>)> on_peers_changed;
   bool write_pending = true;
+  bool has_written = false;
   bool stopping = false;
 };
 
--- a/source/core/gateway/platform_view.cc
+++ b/source/core/gateway/platform_view.cc
@@ -97,6 +97,7 @@
   }
   for (const catalog::StoredObject& object : snapshot.objects)
     (this->*watch.apply)({object, false}, changed_after);
+  this->hosts_known |= watch.kind == ObjectKind::kHosts;
 }
 
 void PlatformView::Watch(KindWatch& watch) {
--- a/source/core/gateway/platform_view.h
+++ b/source/core/gateway/platform_view.h
@@ -69,9 +69,11 @@
   common::Duration AnnouncementAge(std::string_view model,
                                    common::TimePoint now) const;
   const VersionsByModel& versions() const { return this->version_requirements; }
-  // Whether the view suffices to route requests.
+  // Whether the view suffices to route requests. The objects of the other hosts
+  // state which prompts must be refused.
   bool IsComplete() const {
-    return this->current_config != nullptr && this->endpoints_known;
+    return this->current_config != nullptr && this->endpoints_known &&
+           this->hosts_known;
   }
   // Applies deferred removals of endpoints that are due and detects that the
   // process was suspended; called periodically.
@@ -123,6 +125,7 @@
   VersionsByModel version_requirements;
   common::StallDetector stall_detector;
   bool endpoints_known = false;
+  bool hosts_known = false;
   bool stopping = false;
 };
 
