Refuse prompts with a part that crashes engines

Cause: suspects were whole requests (team, service, path, body). When one block of the prompt crashes each engine that runs it, and no two requests with it are alike, no request is ever marked twice. Callers saw engine after engine crash, and sound requests fail or be refused, because they were in flight at two crashes.

Change: each block of a prompt but the last is a part, fingerprinted by service and text. Hosts keep the parts and the time of each send, pass them to PartSuspects on a crash, and report the parts of completely answered runs with the time of the first token. A request with a blocked part is refused before each send with suspect_refused, also after it waited for an endpoint. Hosts exchange the evidence with a message of its own, `part_marks`, on each change and every 10 s. The crashes of a blocked part leave no marks on the requests beside it.

--- a/source/core/gateway/host_object.cc
+++ b/source/core/gateway/host_object.cc
@@ -2,8 +2,6 @@
 
 #include <nlohmann/json.hpp>
 
-#include "core/common/name_table.h"
-
 namespace jujuberock::gateway {
 
 namespace {
@@ -18,9 +16,6 @@
 // taken for the age of an object.
 constexpr Duration kMaxClockDifference = std::chrono::seconds(10);
 
-constexpr common::NameTable<PartEvidence, 3> kEvidenceNames({"blocked", "sound",
-                                                             "crash"});
-
 int64_t ToMilliseconds(Duration duration) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
       .count();
@@ -48,7 +43,7 @@
 
 Json EncodePartMark(const PartMark& mark) {
   Json item;
-  item["evidence"] = kEvidenceNames.NameOf(mark.evidence);
+  item["evidence"] = suspects::kPartEvidenceNames.NameOf(mark.evidence);
   item["part"] = mark.part;
   item["age_ms"] = ToMilliseconds(mark.age);
   if (mark.evidence == PartEvidence::kCrash) {
@@ -60,8 +55,8 @@
 
 // Returns nullopt for evidence that a newer version of the program has added.
 std::optional<PartMark> DecodePartMark(const Json& item) {
-  const auto evidence =
-      kEvidenceNames.ValueOf(item.at("evidence").get<std::string>());
+  const auto evidence = suspects::kPartEvidenceNames.ValueOf(
+      item.at("evidence").get<std::string>());
   if (!evidence)
     return std::nullopt;
   PartMark mark;
--- a/source/core/serve/completion_run.cc
+++ b/source/core/serve/completion_run.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "core/common/error.h"
+#include "core/serve/prompt_parts.h"
 
 namespace jujuberock::serve {
 
@@ -80,6 +81,9 @@
 
 void CompletionRun::Execute() {
   this->steps.SetDeadline(this->call.headers);
+  this->steps.SetPromptParts(
+      PromptPartsOf(this->steps.service(), this->call.request.prompt));
+  this->steps.CheckPromptParts();
   this->PrepareRoute();
   this->conversation_owner = this->deps.peer_sync.QueryOwner(
       this->call.headers.conversation, this->route);
@@ -87,6 +91,8 @@
   this->route.isolate = this->steps.CheckSuspect();
   this->RunWithRetry();
   this->steps.ReportSuccess();
+  if (this->first_token_at)
+    this->steps.ReportSoundRun(*this->first_token_at);
 }
 
 void CompletionRun::PrepareRoute() {
@@ -126,6 +132,8 @@
   if (!address)
     throw Error(ResultCode::kNoEndpoint,
                 "the endpoint was removed from the table");
+  this->steps.CheckPromptParts();
+  this->first_token_at.reset();
   Attempt attempt(this->deps, this->steps, this->route, decision);
   this->dispatched = true;
   this->dispatched_at = this->deps.timers.Now();
@@ -172,6 +180,7 @@
     throw Error(ResultCode::kWrongVersion,
                 "the engine answered with a different weight version");
   const common::TimePoint now = this->deps.timers.Now();
+  this->first_token_at = now;
   this->first_token_in_time = now <= this->steps.deadline();
   this->deps.gate.OnFirstToken(this->steps.service(), now - this->dispatched_at,
                                this->steps.deadline() - this->steps.start());
--- a/source/core/serve/completion_run.h
+++ b/source/core/serve/completion_run.h
@@ -2,6 +2,7 @@
 #define CORE_SERVE_COMPLETION_RUN_H_
 
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "core/caller/handler.h"
@@ -61,6 +62,8 @@
   bool engine_cancel_sent = false;
   bool first_token_in_time = false;
   common::TimePoint dispatched_at;
+  // Time of the first token of the last attempt.
+  std::optional<common::TimePoint> first_token_at;
 };
 
 // Continues a stream that the caller has received in part.
--- a/source/core/serve/dependencies.h
+++ b/source/core/serve/dependencies.h
@@ -30,6 +30,7 @@
   GuardedRouter& router;
   GuardedBudget& budget;
   GuardedSuspects& suspects;
+  GuardedPartSuspects& part_suspects;
   AdmissionGate& gate;
   InFlightRequests& in_flight;
   DetachedStreams& detached_streams;
--- a/source/core/serve/guarded.h
+++ b/source/core/serve/guarded.h
@@ -8,6 +8,7 @@
 #include "core/admission/retry_budget.h"
 #include "core/common/ranked_mutex.h"
 #include "core/routing/router.h"
+#include "core/suspects/part_suspects.h"
 #include "core/suspects/suspect_list.h"
 
 namespace jujuberock::serve {
@@ -36,6 +37,8 @@
     Guarded<admission::RetryBudget, common::LockRank::kAdmission>;
 using GuardedSuspects =
     Guarded<suspects::SuspectList, common::LockRank::kSuspects>;
+using GuardedPartSuspects =
+    Guarded<suspects::PartSuspects, common::LockRank::kSuspects>;
 
 }  // namespace jujuberock::serve
 
--- a/source/core/serve/host.cc
+++ b/source/core/serve/host.cc
@@ -180,6 +180,7 @@
   GuardedRouter router;
   GuardedBudget budget;
   GuardedSuspects suspects;
+  GuardedPartSuspects part_suspects;
   AdmissionGate gate;
   InFlightRequests in_flight;
   std::string id_prefix;
@@ -252,6 +253,7 @@
                 peers,
                 gate,
                 suspects,
+                part_suspects,
                 router,
                 endpoint_monitor,
                 detached_streams,
@@ -288,12 +290,11 @@
           counters,
           settings.host_name,
           orders::RolloutOptions()),
-      deps{settings,    timers,           counters,
-           view,        endpoint_monitor, router,
-           budget,      suspects,         gate,
-           in_flight,   detached_streams, burn_recorder,
-           request_ids, engine_client,    plain_client,
-           peer_sync,   journal},
+      deps{settings,         timers,      counters,      view,
+           endpoint_monitor, router,      budget,        suspects,
+           part_suspects,    gate,        in_flight,     detached_streams,
+           burn_recorder,    request_ids, engine_client, plain_client,
+           peer_sync,        journal},
       sealer(settings.deployment_key),
       handler(deps),
       periodic_tasks(pool),
--- a/source/core/serve/in_flight_requests.h
+++ b/source/core/serve/in_flight_requests.h
@@ -6,24 +6,31 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "core/common/ranked_mutex.h"
-#include "core/suspects/suspect_list.h"
+#include "core/common/time.h"
+#include "core/suspects/part_suspects.h"
 
 namespace jujuberock::serve {
 
+struct InFlightRequest {
+  suspects::Fingerprint fingerprint = 0;
+  // Fingerprints of the prompt's parts.
+  std::vector<suspects::Fingerprint> parts;
+  common::TimePoint sent_at;
+};
+
 // Tracks which requests of this host run at which endpoint, so that all of them
-// are marked as suspects when it crashes. Thread-safe.
+// and their parts are marked as suspects when it crashes. Thread-safe.
 class InFlightRequests {
  public:
   using Id = uint64_t;
 
-  void Add(std::string_view endpoint,
-           Id id,
-           suspects::Fingerprint fingerprint) {
+  void Add(std::string_view endpoint, Id id, InFlightRequest request) {
     common::RankedLock lock(this->mutex);
-    this->running[std::string(endpoint)][id] = fingerprint;
+    this->running[std::string(endpoint)][id] = std::move(request);
   }
 
   void Remove(std::string_view endpoint, Id id) {
@@ -38,20 +45,20 @@
 
   // Removes and returns the requests at an endpoint that crashed, so that the
   // crash is reported once even if several requests notice it.
-  std::vector<suspects::Fingerprint> TakeCrashed(std::string_view endpoint) {
+  std::vector<InFlightRequest> TakeCrashed(std::string_view endpoint) {
     common::RankedLock lock(this->mutex);
-    std::vector<suspects::Fingerprint> fingerprints;
+    std::vector<InFlightRequest> requests;
     const auto found = this->running.find(endpoint);
     if (found == this->running.end())
-      return fingerprints;
-    for (const auto& [id, fingerprint] : found->second)
-      fingerprints.push_back(fingerprint);
+      return requests;
+    for (auto& [id, request] : found->second)
+      requests.push_back(std::move(request));
     this->running.erase(found);
-    return fingerprints;
+    return requests;
   }
 
  private:
-  using Requests = std::unordered_map<Id, suspects::Fingerprint>;
+  using Requests = std::unordered_map<Id, InFlightRequest>;
 
   common::RankedMutex mutex{common::LockRank::kServe};
   std::map<std::string, Requests, std::less<>> running;
--- a/source/core/serve/peer_messages.cc
+++ b/source/core/serve/peer_messages.cc
@@ -17,12 +17,22 @@
 using DemandFields = std::tuple<std::string, uint32_t, uint32_t>;
 using GrantFields = std::tuple<std::string, uint32_t, int64_t, bool>;
 using MarkFields = std::tuple<uint64_t, std::string, int64_t>;
+using PartMarkFields =
+    std::tuple<std::string, uint64_t, std::string, int64_t, int64_t>;
 using ReservationFields = std::tuple<std::string, int64_t>;
 using KeyFields = std::tuple<uint64_t, uint64_t>;
 using HolderFields = std::tuple<std::string, uint32_t, bool>;
 using StoredFields = std::tuple<std::string, std::vector<uint32_t>>;
 using EventFields = std::tuple<bool, uint64_t, uint64_t>;
 
+suspects::PartEvidence ParseEvidence(std::string_view name) {
+  const auto evidence = suspects::kPartEvidenceNames.ValueOf(name);
+  if (!evidence)
+    throw common::Error(common::ResultCode::kProtocolError,
+                        "unknown evidence in a part_marks message");
+  return *evidence;
+}
+
 template <typename... Fields>
 std::string Pack(const Fields&... fields) {
   msgpack::sbuffer buffer;
@@ -112,6 +122,25 @@
   return marks;
 }
 
+std::string EncodePartMarks(const std::vector<suspects::PartMark>& marks) {
+  std::vector<PartMarkFields> fields;
+  for (const suspects::PartMark& mark : marks)
+    fields.emplace_back(
+        std::string(suspects::kPartEvidenceNames.NameOf(mark.evidence)),
+        mark.part, mark.endpoint, mark.age.count(), mark.sent_age.count());
+  return Pack(fields);
+}
+
+std::vector<suspects::PartMark> DecodePartMarks(std::string_view bytes) {
+  const auto [fields] =
+      Unpack<std::vector<PartMarkFields>>(bytes, kPartMarksMessage);
+  std::vector<suspects::PartMark> marks;
+  for (const auto& [evidence, part, endpoint, age, sent_age] : fields)
+    marks.push_back({ParseEvidence(evidence), part, endpoint,
+                     common::Duration(age), common::Duration(sent_age)});
+  return marks;
+}
+
 std::string EncodeReservations(
     const std::vector<routing::Reservation>& reservations) {
   std::vector<ReservationFields> fields;
--- a/source/core/serve/peer_messages.h
+++ b/source/core/serve/peer_messages.h
@@ -7,6 +7,7 @@
 
 #include "core/admission/limit_grants.h"
 #include "core/routing/types.h"
+#include "core/suspects/part_suspects.h"
 #include "core/suspects/suspect_list.h"
 
 namespace jujuberock::serve {
@@ -16,6 +17,7 @@
 inline constexpr std::string_view kLoadReportsMessage = "load_reports";
 inline constexpr std::string_view kLimitGrantMessage = "limit_grant";
 inline constexpr std::string_view kSuspectMarksMessage = "suspect_marks";
+inline constexpr std::string_view kPartMarksMessage = "part_marks";
 inline constexpr std::string_view kReservationsMessage = "reservations";
 inline constexpr std::string_view kIndexQueryMessage = "index_query";
 inline constexpr std::string_view kIndexUpdateMessage = "index_update";
@@ -28,6 +30,9 @@
 std::string EncodeLimitGrants(const std::vector<admission::LimitGrant>& grants);
 // suspect_marks: [1, [[fingerprint, endpoint, age_us], ...]].
 std::string EncodeSuspectMarks(const std::vector<suspects::CrashMark>& marks);
+// part_marks: [1, [[evidence, part, endpoint, age_us, sent_age_us], ...]],
+// where the evidence is "crash", "sound" or "blocked".
+std::string EncodePartMarks(const std::vector<suspects::PartMark>& marks);
 // reservations: [1, [[endpoint, remaining_us], ...]].
 std::string EncodeReservations(
     const std::vector<routing::Reservation>& reservations);
@@ -44,6 +49,7 @@
 std::vector<admission::LimitDemand> DecodeLimitDemands(std::string_view bytes);
 std::vector<admission::LimitGrant> DecodeLimitGrants(std::string_view bytes);
 std::vector<suspects::CrashMark> DecodeSuspectMarks(std::string_view bytes);
+std::vector<suspects::PartMark> DecodePartMarks(std::string_view bytes);
 std::vector<routing::Reservation> DecodeReservations(std::string_view bytes);
 routing::IndexQuery DecodeIndexQuery(std::string_view bytes);
 routing::IndexReply DecodeIndexReply(std::string_view bytes);
--- a/source/core/serve/peer_sync.cc
+++ b/source/core/serve/peer_sync.cc
@@ -19,6 +19,8 @@
 // Marks are sent on every crash and repeated at this period for hosts that have
 // started since.
 constexpr common::Duration kMarksPeriod = std::chrono::seconds(10);
+// Verdicts on prompt parts are due at a time, and crashes come at any.
+constexpr common::Duration kPartMarksPeriod = std::chrono::milliseconds(100);
 // A reserved endpoint must drain first, which takes longer than this period.
 constexpr common::Duration kReservationsPeriod = std::chrono::milliseconds(100);
 constexpr common::Duration kMessageTimeout = std::chrono::milliseconds(500);
@@ -30,6 +32,7 @@
                    host::PeerTransport& peers,
                    AdmissionGate& gate,
                    GuardedSuspects& suspects,
+                   GuardedPartSuspects& part_suspects,
                    GuardedRouter& router,
                    EndpointMonitor& endpoint_monitor,
                    DetachedStreams& detached_streams,
@@ -39,6 +42,7 @@
       peers(peers),
       gate(gate),
       suspects(suspects),
+      part_suspects(part_suspects),
       router(router),
       endpoint_monitor(endpoint_monitor),
       detached_streams(detached_streams),
@@ -66,6 +70,15 @@
     this->suspects.With([&](suspects::SuspectList& list) {
       list.Merge(marks, this->timers.Now());
     });
+    this->RemoveExplainedMarks();
+    return "";
+  });
+  handle(kPartMarksMessage, [this](std::string_view body) -> std::string {
+    const std::vector<suspects::PartMark> marks = DecodePartMarks(body);
+    this->part_suspects.With([&](suspects::PartSuspects& list) {
+      list.Merge(marks, this->timers.Now());
+    });
+    this->RemoveExplainedMarks();
     return "";
   });
   handle(kReservationsMessage, [this](std::string_view body) -> std::string {
@@ -103,8 +116,14 @@
                      [this](TimePoint) { this->RequestLimits(); });
   this->fibers.Every(this->timers, kReservationsPeriod,
                      [this](TimePoint) { this->BroadcastReservations(); });
-  this->fibers.Every(this->timers, kMarksPeriod,
-                     [this](TimePoint) { this->BroadcastMarks(); });
+  this->fibers.Every(this->timers, kMarksPeriod, [this](TimePoint) {
+    this->BroadcastMarks();
+    this->BroadcastPartMarks();
+  });
+  this->fibers.Every(this->timers, kPartMarksPeriod, [this](TimePoint now) {
+    this->DecideOnParts(now);
+    this->ExchangePartMarks();
+  });
 }
 
 void PeerSync::SetHosts(const std::vector<std::string>& hosts,
@@ -165,6 +184,12 @@
     this->Send(host, message, body);
 }
 
+void PeerSync::SendToAllZones(std::string_view message,
+                              const std::string& body) {
+  for (const std::string& host : this->OtherHosts(true))
+    this->Send(host, message, body);
+}
+
 void PeerSync::BroadcastMarks() {
   const std::vector<suspects::CrashMark> marks =
       this->suspects.With([&](suspects::SuspectList& list) {
@@ -172,9 +197,40 @@
       });
   if (marks.empty())
     return;
-  const std::string body = EncodeSuspectMarks(marks);
-  for (const std::string& host : this->OtherHosts(true))
-    this->Send(host, kSuspectMarksMessage, body);
+  this->SendToAllZones(kSuspectMarksMessage, EncodeSuspectMarks(marks));
+}
+
+void PeerSync::DecideOnParts(TimePoint now) {
+  this->part_suspects.With(
+      [&](suspects::PartSuspects& list) { list.Tick(now); });
+}
+
+void PeerSync::ExchangePartMarks() {
+  const bool is_changed = this->part_suspects.With(
+      [](suspects::PartSuspects& list) { return list.TakeChanged(); });
+  if (!is_changed)
+    return;
+  this->RemoveExplainedMarks();
+  this->BroadcastPartMarks();
+}
+
+void PeerSync::RemoveExplainedMarks() {
+  const std::vector<suspects::EndpointCrash> explained =
+      this->part_suspects.With(
+          [](suspects::PartSuspects& list) { return list.ExplainedCrashes(); });
+  if (explained.empty())
+    return;
+  this->suspects.With(
+      [&](suspects::SuspectList& list) { list.RemoveCrashes(explained); });
+}
+
+void PeerSync::BroadcastPartMarks() {
+  const std::vector<suspects::PartMark> marks =
+      this->part_suspects.With([&](suspects::PartSuspects& list) {
+        return list.Marks(this->timers.Now());
+      });
+  if (!marks.empty())
+    this->SendToAllZones(kPartMarksMessage, EncodePartMarks(marks));
 }
 
 void PeerSync::BroadcastReservations() {
--- a/source/core/serve/peer_sync.h
+++ b/source/core/serve/peer_sync.h
@@ -29,6 +29,7 @@
            host::PeerTransport& peers,
            AdmissionGate& gate,
            GuardedSuspects& suspects,
+           GuardedPartSuspects& part_suspects,
            GuardedRouter& router,
            EndpointMonitor& endpoint_monitor,
            DetachedStreams& detached_streams,
@@ -54,6 +55,9 @@
   // a crash, since the caller may resend the request to any host, and one
   // request may crash at most two endpoints in total.
   void BroadcastMarks();
+  // Sends the marks of prompt parts to the hosts of all zones if they have
+  // changed. Called after a crash and periodically.
+  void ExchangePartMarks();
   // Sends the endpoints that this host has reserved for suspects, if any.
   void BroadcastReservations();
   void SendLoadReports(const std::string& bytes);
@@ -80,6 +84,11 @@
                       const routing::RouteRequest& request);
   std::vector<std::string> OtherHosts(bool in_all_zones = false);
   void SendToZone(std::string_view message, const std::string& body);
+  void SendToAllZones(std::string_view message, const std::string& body);
+  void DecideOnParts(common::TimePoint now);
+  void BroadcastPartMarks();
+  // Removes the marks of requests that were in flight beside a blocked part.
+  void RemoveExplainedMarks();
   void Send(const std::string& host,
             std::string_view message,
             const std::string& body);
@@ -94,6 +103,7 @@
   host::PeerTransport& peers;
   AdmissionGate& gate;
   GuardedSuspects& suspects;
+  GuardedPartSuspects& part_suspects;
   GuardedRouter& router;
   EndpointMonitor& endpoint_monitor;
   DetachedStreams& detached_streams;
--- a/source/core/serve/request_steps.cc
+++ b/source/core/serve/request_steps.cc
@@ -79,6 +79,7 @@
 }
 
 bool RequestSteps::CheckSuspect() {
+  this->CheckPromptParts();
   const suspects::SuspectAction action =
       this->deps.suspects.With([&](suspects::SuspectList& list) {
         return list.Check(this->request_fingerprint, this->deps.timers.Now());
@@ -89,6 +90,22 @@
   return action == suspects::SuspectAction::kIsolate;
 }
 
+void RequestSteps::CheckPromptParts() {
+  if (this->parts.empty())
+    return;
+  const bool is_blocked =
+      this->deps.part_suspects.With([&](suspects::PartSuspects& list) {
+        return list.FindBlocked(this->parts, this->deps.timers.Now())
+            .has_value();
+      });
+  if (!is_blocked)
+    return;
+  this->deps.counters.GetCounter("prompt_part_refusals_total").Add();
+  throw Error(ResultCode::kSuspectRefused,
+              "endpoints crashed while running requests with a part of this "
+              "prompt");
+}
+
 // Live endpoints that can not be chosen are loading the weight version in force
 // or are reserved for a suspect. Both usually end within the request's
 // patience.
@@ -126,14 +143,26 @@
 }
 
 void RequestSteps::OnCrash(const std::string& endpoint) {
-  std::vector<suspects::Fingerprint> marked =
+  const std::vector<InFlightRequest> in_flight =
       this->deps.in_flight.TakeCrashed(endpoint);
-  if (marked.empty())
+  if (in_flight.empty())
     return;
+  const TimePoint now = this->deps.timers.Now();
+  std::vector<suspects::Fingerprint> marked;
+  std::vector<suspects::PartInFlight> marked_parts;
+  for (const InFlightRequest& request : in_flight) {
+    marked.push_back(request.fingerprint);
+    for (const suspects::Fingerprint part : request.parts)
+      marked_parts.push_back({part, request.sent_at});
+  }
   this->deps.counters.GetCounter("endpoint_crashes_total").Add();
   this->deps.suspects.With([&](suspects::SuspectList& list) {
-    list.OnEndpointCrash(endpoint, marked, this->deps.timers.Now());
+    list.OnEndpointCrash(endpoint, marked, now);
+  });
+  this->deps.part_suspects.With([&](suspects::PartSuspects& list) {
+    list.OnEndpointCrash(endpoint, marked_parts, now);
   });
+  this->deps.peer_sync.ExchangePartMarks();
   this->deps.peer_sync.BroadcastMarks();
 }
 
@@ -176,12 +205,22 @@
   });
 }
 
+void RequestSteps::ReportSoundRun(TimePoint first_token_at) {
+  if (this->parts.empty())
+    return;
+  this->deps.part_suspects.With([&](suspects::PartSuspects& list) {
+    list.OnSound(this->parts, first_token_at, this->deps.timers.Now());
+  });
+}
+
 Attempt::Attempt(Dependencies& deps,
                  const RequestSteps& steps,
                  const RouteRequest& route,
                  const RouteDecision& decision)
     : deps(deps), endpoint(decision.endpoint), id(route.id) {
-  this->deps.in_flight.Add(this->endpoint, this->id, steps.fingerprint());
+  this->deps.in_flight.Add(
+      this->endpoint, this->id,
+      {steps.fingerprint(), steps.prompt_parts(), deps.timers.Now()});
   this->deps.router.With([&](routing::Router& router) {
     router.OnDispatched(route, decision, deps.timers.Now());
   });
--- a/source/core/serve/request_steps.h
+++ b/source/core/serve/request_steps.h
@@ -3,6 +3,7 @@
 
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "core/caller/completion_request.h"
@@ -27,9 +28,17 @@
   // Waits for admission. `route` is used to predict the first token and to
   // compute the cost.
   void Admit(const routing::RouteRequest& route);
-  // Refuses a request that crashed two endpoints. Returns whether the request
-  // must run isolated because it crashed one.
+  // Refuses a request that crashed two endpoints or has a part that crashes
+  // endpoints. Returns whether the request must run isolated because it crashed
+  // one.
   bool CheckSuspect();
+  // Sets the parts of the request's prompt. Without them, it has none.
+  void SetPromptParts(std::vector<suspects::Fingerprint> parts) {
+    this->parts = std::move(parts);
+  }
+  // Refuses a request with a part that crashes endpoints. Called right before
+  // each send, because the request may have waited since an earlier check.
+  void CheckPromptParts();
   // Chooses an endpoint. If none can take the request now, waits at most until
   // the deadline for one that may become free.
   routing::RouteDecision Route(routing::RouteRequest& route);
@@ -48,6 +57,9 @@
   // retryable but the budget is used up.
   bool TryConsumeRetry(const common::Error& error);
   void ReportSuccess();
+  // Reports that the run whose first token came at this time was answered
+  // completely.
+  void ReportSoundRun(common::TimePoint first_token_at);
 
   common::TimePoint deadline() const { return this->effective_deadline; }
   const table::Snapshot& rows() const { return *this->snapshot; }
@@ -56,6 +68,9 @@
   suspects::Fingerprint fingerprint() const {
     return this->request_fingerprint;
   }
+  const std::vector<suspects::Fingerprint>& prompt_parts() const {
+    return this->parts;
+  }
   common::TimePoint start() const { return this->arrived; }
 
  private:
@@ -65,6 +80,7 @@
   std::string team_name;
   std::string service_name;
   suspects::Fingerprint request_fingerprint;
+  std::vector<suspects::Fingerprint> parts;
   table::SnapshotPtr snapshot;
   common::TimePoint arrived;
   common::TimePoint effective_deadline;
--- a/source/core/suspects/part_suspects.h
+++ b/source/core/suspects/part_suspects.h
@@ -11,6 +11,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "core/common/name_table.h"
 #include "core/common/time.h"
 #include "core/suspects/suspect_list.h"
 
@@ -32,6 +33,10 @@
   kCrash,    // a request with the part was in flight at a crash
 };
 
+// Names of the evidence in messages between hosts.
+inline constexpr common::NameTable<PartEvidence, 3> kPartEvidenceNames(
+    {"blocked", "sound", "crash"});
+
 // What one host knows about a part, as it is sent to the other hosts. Ages
 // instead of times make it independent of synchronized clocks.
 struct PartMark {
