Let reservations settle before a suspect is sent

Both hosts isolated theirs at once, reserved the same idle engine and sent both there within 12 microseconds, because a host learned of the reservations of others only with the next periodic message, and only from its own zone. The engine crashed with both in flight, so neither could be told from the other: each was refused once and then run alone, and the prompt crashed a third engine.

Change: a reservation is sent to the hosts of all zones at once, and its suspect runs 100 ms later. Of two hosts that reserve the same endpoint in this time, the first by name keeps it and the other releases its own. A release is announced too; before, other hosts avoided an endpoint for up to 30 s after its suspect had ended. A reservation also ends when its request ends without being sent. Until now, it lasted for 30 s.

--- a/source/core/routing/router.cc
+++ b/source/core/routing/router.cc
@@ -1,6 +1,7 @@
 #include "core/routing/router.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace jujuberock::routing {
 
@@ -247,11 +248,7 @@
 }
 
 void Router::OnFinished(RequestId id, bool succeeded, common::TimePoint now) {
-  auto reservation = this->reserved.find(id);
-  if (reservation != this->reserved.end()) {
-    reservation->second->reserved_by.reset();
-    this->reserved.erase(reservation);
-  }
+  this->ReleaseReservation(id);
   auto found = this->in_flight.find(id);
   if (found == this->in_flight.end())
     return;
@@ -320,16 +317,73 @@
   return reservations;
 }
 
-void Router::OnReservations(std::span<const Reservation> reservations,
+std::vector<Reservation> Router::TakeReservationChanges(common::TimePoint now) {
+  std::vector<Reservation> changes;
+  for (const std::string& name :
+       std::exchange(this->changed_reservations, {})) {
+    const Endpoint* endpoint = this->FindEndpoint(name);
+    const bool is_reserved =
+        endpoint && endpoint->reserved_by && endpoint->reserved_until > now;
+    changes.push_back({name, is_reserved ? endpoint->reserved_until - now
+                                         : common::Duration::zero()});
+  }
+  return changes;
+}
+
+void Router::OnReservations(std::string_view host,
+                            std::span<const Reservation> reservations,
                             common::TimePoint now) {
   for (const Reservation& reservation : reservations) {
-    if (Endpoint* endpoint = this->FindEndpoint(reservation.endpoint)) {
-      endpoint->peer_reserved_until =
-          now + std::min(reservation.remaining, this->settings.isolation_limit);
+    Endpoint* endpoint = this->FindEndpoint(reservation.endpoint);
+    if (!endpoint)
+      continue;
+    if (reservation.remaining <= common::Duration::zero()) {
+      if (endpoint->peer_reserved_by == host)
+        endpoint->peer_reserved_until = now;
+      continue;
     }
+    const bool is_held_by_first = endpoint->peer_reserved_until > now &&
+                                  endpoint->peer_reserved_by < host;
+    if (is_held_by_first || this->KeepsReservation(*endpoint, host, now))
+      continue;
+    if (endpoint->reserved_by)
+      this->ReleaseReservation(*endpoint->reserved_by);
+    endpoint->peer_reserved_by = host;
+    endpoint->peer_reserved_until =
+        now + std::min(reservation.remaining, this->settings.isolation_limit);
   }
 }
 
+void Router::Reserve(Endpoint& endpoint, RequestId id, common::TimePoint now) {
+  this->ReleaseReservation(id);
+  if (endpoint.reserved_by)
+    this->reserved.erase(*endpoint.reserved_by);
+  this->reserved[id] = &endpoint;
+  endpoint.reserved_by = id;
+  endpoint.reserved_at = now;
+  endpoint.reserved_until = now + this->settings.isolation_limit;
+  this->changed_reservations.push_back(endpoint.info.name);
+}
+
+void Router::ReleaseReservation(RequestId id) {
+  const auto found = this->reserved.find(id);
+  if (found == this->reserved.end())
+    return;
+  found->second->reserved_by.reset();
+  this->changed_reservations.push_back(found->second->info.name);
+  this->reserved.erase(found);
+}
+
+// A suspect that already runs keeps its endpoint.
+bool Router::KeepsReservation(const Endpoint& endpoint,
+                              std::string_view host,
+                              common::TimePoint now) const {
+  if (!endpoint.reserved_by || endpoint.reserved_until <= now)
+    return false;
+  return this->settings.host < host ||
+         this->in_flight.contains(*endpoint.reserved_by);
+}
+
 size_t Router::index_blocks() const {
   return this->index.blocks();
 }
--- a/source/core/routing/router.h
+++ b/source/core/routing/router.h
@@ -101,11 +101,17 @@
   IndexUpdate MakeUpdate(const RouteRequest& request,
                          const RouteDecision& decision) const;
 
-  // Endpoints that this host keeps free for suspects, and those reserved by
-  // other hosts.
+  // Endpoints that this host keeps free for suspects.
   std::vector<Reservation> Reservations(common::TimePoint now) const;
-  void OnReservations(std::span<const Reservation> reservations,
+  // Endpoints that this host has reserved or released since the last call. They
+  // must be sent to the other hosts at once.
+  std::vector<Reservation> TakeReservationChanges(common::TimePoint now);
+  // Handles the reservations of another host.
+  void OnReservations(std::string_view host,
+                      std::span<const Reservation> reservations,
                       common::TimePoint now);
+  // Releases the endpoint that was reserved for a request, if any.
+  void ReleaseReservation(RequestId id);
 
   size_t index_blocks() const;
   // Approximate heap use of the index.
@@ -121,8 +127,11 @@
     // endpoint actually reused: [0] for fresh entries, [1] for stale ones.
     std::array<double, 2> confidence{1, 1};
     std::optional<RequestId> reserved_by;
+    common::TimePoint reserved_at;
     common::TimePoint reserved_until;
-    // Until when another host keeps the endpoint free for a suspect.
+    // The other host that keeps the endpoint free for a suspect, and until
+    // when.
+    std::string peer_reserved_by;
     common::TimePoint peer_reserved_until;
   };
   struct Store {
@@ -176,6 +185,12 @@
 
   HolderId RegisterHolder(const std::string& name, bool is_store);
   HolderRecord* FindHolder(std::string_view name);
+  void Reserve(Endpoint& endpoint, RequestId id, common::TimePoint now);
+  // Whether this host's reservation of the endpoint goes before that of another
+  // host.
+  bool KeepsReservation(const Endpoint& endpoint,
+                        std::string_view host,
+                        common::TimePoint now) const;
   Endpoint* FindEndpoint(std::string_view name);
   Store* FindStore(std::string_view name);
 
@@ -234,6 +249,8 @@
   // Endpoints reserved for suspects. An expired entry stays until its suspect
   // has finished or the endpoint is reserved for another one.
   std::unordered_map<RequestId, Endpoint*> reserved;
+  // Names of the endpoints for TakeReservationChanges().
+  std::vector<std::string> changed_reservations;
   std::deque<PendingExport> pending_exports;
   std::unordered_map<BlockKey, SentExport, BlockKeyHash> sent_exports;
 
--- a/source/core/routing/router_choice.cc
+++ b/source/core/routing/router_choice.cc
@@ -232,16 +232,13 @@
     return nullptr;
   if (selected->reserved_by != request.id && reserved >= max_reserved)
     return nullptr;
-  if (selected->reserved_by != request.id) {
-    if (selected->reserved_by)
-      this->reserved.erase(*selected->reserved_by);
-    selected->reserved_by = request.id;
-    this->reserved[request.id] = selected;
-    selected->reserved_until = now + this->settings.isolation_limit;
-  }
-  const bool idle = selected->load.own_in_flight() == 0 &&
-                    !selected->load.has_other_requests();
-  return idle ? selected : nullptr;
+  if (selected->reserved_by != request.id)
+    this->Reserve(*selected, request.id, now);
+  const bool is_settled =
+      now - selected->reserved_at >= this->settings.reservation_settle_time;
+  const bool is_idle = selected->load.own_in_flight() == 0 &&
+                       !selected->load.has_other_requests();
+  return is_settled && is_idle ? selected : nullptr;
 }
 
 }  // namespace jujuberock::routing
--- a/source/core/routing/settings.h
+++ b/source/core/routing/settings.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <string>
 
 #include "core/common/time.h"
 
@@ -54,6 +55,12 @@
   double stale_confidence = 0.95;
   // Maximum age of a load report whose queue length is still used.
   common::Duration report_lifetime = std::chrono::seconds(5);
+  // Name of this host. Of two hosts that reserve the same endpoint at once, the
+  // first by name keeps it.
+  std::string host;
+  // Time from the reservation of an endpoint until its suspect is sent, in
+  // which reservations that other hosts made at the same time arrive.
+  common::Duration reservation_settle_time = std::chrono::milliseconds(100);
   // How long an endpoint reserved for a suspect accepts no other work.
   common::Duration isolation_limit = std::chrono::seconds(30);
   // Maximum share of a service's endpoints reserved for suspects, but at least
--- a/source/core/routing/types.h
+++ b/source/core/routing/types.h
@@ -139,10 +139,10 @@
   std::vector<Restore> restores;
 };
 
-// An endpoint that a host keeps free for a suspect. Sent to the hosts of the
-// zone together with suspect marks.
+// An endpoint that a host keeps free for a suspect.
 struct Reservation {
   std::string endpoint;
+  // Zero when the host has released the endpoint.
   common::Duration remaining{0};
 };
 
--- a/source/core/serve/completion_run.cc
+++ b/source/core/serve/completion_run.cc
@@ -132,7 +132,6 @@
   if (!address)
     throw Error(ResultCode::kNoEndpoint,
                 "the endpoint was removed from the table");
-  this->steps.CheckPromptParts();
   this->first_token_at.reset();
   Attempt attempt(this->deps, this->steps, this->route, decision);
   this->dispatched = true;
--- a/source/core/serve/host.cc
+++ b/source/core/serve/host.cc
@@ -106,6 +106,7 @@
 
 routing::RouterSettings RouterSettingsOf(const Settings& settings) {
   routing::RouterSettings options;
+  options.host = settings.host_name;
   options.block_bytes = static_cast<uint64_t>(settings.block_bytes);
   options.max_index_blocks = static_cast<size_t>(settings.index_blocks);
   return options;
--- a/source/core/serve/peer_sync.cc
+++ b/source/core/serve/peer_sync.cc
@@ -81,14 +81,16 @@
     this->RemoveExplainedMarks();
     return "";
   });
-  handle(kReservationsMessage, [this](std::string_view body) -> std::string {
-    const std::vector<routing::Reservation> reservations =
-        DecodeReservations(body);
-    this->router.With([&](routing::Router& router) {
-      router.OnReservations(reservations, this->timers.Now());
-    });
-    return "";
-  });
+  this->peers.RegisterHandler(
+      std::string(kReservationsMessage),
+      [this](const std::string& from, std::string_view body) -> std::string {
+        const std::vector<routing::Reservation> reservations =
+            DecodeReservations(body);
+        this->router.With([&](routing::Router& router) {
+          router.OnReservations(from, reservations, this->timers.Now());
+        });
+        return "";
+      });
   handle(kLoadReportsMessage, [this](std::string_view body) -> std::string {
     this->endpoint_monitor.OnLoadReports(body);
     return "";
@@ -114,8 +116,10 @@
 void PeerSync::Start() {
   this->fibers.Every(this->timers, kLimitsPeriod,
                      [this](TimePoint) { this->RequestLimits(); });
-  this->fibers.Every(this->timers, kReservationsPeriod,
-                     [this](TimePoint) { this->BroadcastReservations(); });
+  this->fibers.Every(this->timers, kReservationsPeriod, [this](TimePoint) {
+    this->SendReservationChanges();
+    this->BroadcastReservations();
+  });
   this->fibers.Every(this->timers, kMarksPeriod, [this](TimePoint) {
     this->BroadcastMarks();
     this->BroadcastPartMarks();
@@ -242,6 +246,15 @@
     this->SendToZone(kReservationsMessage, EncodeReservations(reservations));
 }
 
+void PeerSync::SendReservationChanges() {
+  const std::vector<routing::Reservation> changes =
+      this->router.With([&](routing::Router& router) {
+        return router.TakeReservationChanges(this->timers.Now());
+      });
+  if (!changes.empty())
+    this->SendToAllZones(kReservationsMessage, EncodeReservations(changes));
+}
+
 void PeerSync::SendLoadReports(const std::string& bytes) {
   this->SendToZone(kLoadReportsMessage, bytes);
 }
--- a/source/core/serve/peer_sync.h
+++ b/source/core/serve/peer_sync.h
@@ -58,8 +58,12 @@
   // Sends the marks of prompt parts to the hosts of all zones if they have
   // changed. Called after a crash and periodically.
   void ExchangePartMarks();
-  // Sends the endpoints that this host has reserved for suspects, if any.
+  // Sends the endpoints that this host has reserved for suspects to the hosts
+  // of the zone, if any.
   void BroadcastReservations();
+  // Sends the endpoints that this host has just reserved or released to the
+  // hosts of all zones, since these may choose the same endpoints.
+  void SendReservationChanges();
   void SendLoadReports(const std::string& bytes);
   // Notifies the host that had the stream, so that it does not cancel it.
   void NotifyTakenOver(const std::string& host, const std::string& stream);
--- a/source/core/serve/request_steps.cc
+++ b/source/core/serve/request_steps.cc
@@ -120,6 +120,16 @@
   if (auto choice = std::exchange(this->early_decision, std::nullopt);
       choice && !route.isolate)
     return *std::move(choice);
+  try {
+    return this->WaitForEndpoint(route);
+  } catch (const Error&) {
+    this->deps.router.With(
+        [&](routing::Router& router) { router.ReleaseReservation(route.id); });
+    throw;
+  }
+}
+
+RouteDecision RequestSteps::WaitForEndpoint(const RouteRequest& route) {
   while (true) {
     const TimePoint now = this->deps.timers.Now();
     if (now >= this->effective_deadline)
@@ -128,8 +138,13 @@
                   common::Outcome::kNotRun);
     std::optional<RouteDecision> decision = this->deps.router.With(
         [&](routing::Router& router) { return router.Choose(route, now); });
-    if (decision)
+    if (decision) {
+      // The request may have waited since the last check.
+      this->CheckPromptParts();
       return *std::move(decision);
+    }
+    if (route.isolate)
+      this->deps.peer_sync.SendReservationChanges();
     if (!route.isolate && !this->EndpointMayBecomeFree(route))
       throw Error(ResultCode::kNoEndpoint,
                   "no endpoint of service " + this->service_name);
--- a/source/core/serve/request_steps.h
+++ b/source/core/serve/request_steps.h
@@ -36,8 +36,8 @@
   void SetPromptParts(std::vector<suspects::Fingerprint> parts) {
     this->parts = std::move(parts);
   }
-  // Refuses a request with a part that crashes endpoints. Called right before
-  // each send, because the request may have waited since an earlier check.
+  // Refuses a request with a part that crashes endpoints. CheckSuspect() and
+  // Route() do this too, so that each send is checked.
   void CheckPromptParts();
   // Chooses an endpoint. If none can take the request now, waits at most until
   // the deadline for one that may become free.
@@ -74,6 +74,7 @@
   common::TimePoint start() const { return this->arrived; }
 
  private:
+  routing::RouteDecision WaitForEndpoint(const routing::RouteRequest& route);
   bool EndpointMayBecomeFree(const routing::RouteRequest& route) const;
 
   Dependencies& deps;
--- a/source/unit_tests/core/routing/router_test.cc
+++ b/source/unit_tests/core/routing/router_test.cc
@@ -347,13 +347,47 @@
   REQUIRE(f.router.Reservations(At(2)).size() == 1);
   Fixture other;
   other.Endpoint("far", "z2", EndpointState::kGone);
-  other.router.OnReservations(f.router.Reservations(At(2)), At(2));
+  other.router.OnReservations("h2", f.router.Reservations(At(2)), At(2));
   CHECK(other.Choose(other.Request(), 2).endpoint == "e1");
   f.router.OnFinished(suspect.id, true, At(3));
   f.router.OnLoadReport("e1", Load(3, 90'000, 8), At(3));
   CHECK(f.Choose(f.Request(), 3).endpoint == "e2");
 }
 
+// Guards against two suspects of different hosts on one endpoint. If it
+// crashes, neither can be told to be the cause, so the cause reaches a third
+// endpoint.
+TEST_CASE("of two hosts that reserve an endpoint at once, one gets it") {
+  RouterSettings settings;
+  settings.host = "h1";
+  Fixture first(settings);
+  settings.host = "h2";
+  Fixture second(settings);
+  RouteRequest suspect = first.Request();
+  suspect.isolate = true;
+  for (Fixture* f : {&first, &second}) {
+    f->Endpoint("e2", "z1", EndpointState::kGone);
+    f->Endpoint("far", "z2", EndpointState::kGone);
+    CHECK_FALSE(f->router.Choose(suspect, At(1)));
+  }
+  const auto of_first = first.router.TakeReservationChanges(At(1));
+  const auto of_second = second.router.TakeReservationChanges(At(1));
+  REQUIRE(of_first.size() == 1);
+  first.router.OnReservations("h2", of_second, At(1.05));
+  second.router.OnReservations("h1", of_first, At(1.05));
+  CHECK_FALSE(first.router.Choose(suspect, At(1.09)));
+  const auto decision = first.router.Choose(suspect, At(1.1));
+  REQUIRE(decision);
+  first.router.OnDispatched(suspect, *decision, At(1.1));
+  CHECK_FALSE(second.router.Choose(suspect, At(1.3)));
+  // The second host gets the endpoint when the first has released it.
+  first.router.OnFinished(suspect.id, true, At(2));
+  const auto released = first.router.TakeReservationChanges(At(2));
+  second.router.OnReservations("h1", released, At(2));
+  CHECK_FALSE(second.router.Choose(suspect, At(2)));
+  CHECK(second.router.Choose(suspect, At(2.1)));
+}
+
 TEST_CASE("suspects can not reserve a whole service") {
   Fixture f;
   for (int i = 0; i < 10; ++i) {
