Keep idle connections after a timeout below 100 ms

EngineStream waits only 20 ms for the end of a body after the last event, so a busy engine would have cost `jujuberock serve` its idle connections to that engine, and a new connection for each next call.

Change: only timeouts of 100 ms or more count as silence.

--- a/source/core/runtime/http_client.cc
+++ b/source/core/runtime/http_client.cc
@@ -29,6 +29,9 @@
 // with a small buffer, while large bodies need few reads.
 constexpr size_t kInitialReadBytes = 1024;
 constexpr size_t kMaxReadBytes = 64 * 1024;
+// Shorter timeouts do not show that a connection has fallen silent: a busy peer
+// may need as long.
+constexpr common::Duration kMinSilence = std::chrono::milliseconds(100);
 
 // beast::tcp_stream uses a type-erased executor, which costs virtual calls.
 using Stream = beast::basic_stream<tcp, boost::asio::io_context::executor_type>;
@@ -160,7 +163,7 @@
   void SendRequest(http::request<http::string_body>& message,
                    common::Duration write_timeout) {
     error_code error;
-    this->connection->stream.expires_after(write_timeout);
+    this->SetExpiry(write_timeout);
     http::async_write(this->connection->stream, message, Await(error));
     if (error)
       this->Fail(error, "write");
@@ -168,7 +171,7 @@
 
   void ReadHeader(common::Duration timeout) {
     error_code error;
-    this->connection->stream.expires_after(timeout);
+    this->SetExpiry(timeout);
     http::async_read_header(this->connection->stream, this->connection->buffer,
                             this->parser, Await(error));
     if (error)
@@ -196,7 +199,7 @@
       body.size = bytes.size();
       body.more = true;
       error_code error;
-      this->connection->stream.expires_after(this->read_timeout);
+      this->SetExpiry(this->read_timeout);
       http::async_read_some(this->connection->stream, this->connection->buffer,
                             this->parser, Await(error));
       if (error && error != http::error::need_buffer)
@@ -218,10 +221,15 @@
       this->client->ReturnIdle(this->address, std::move(this->connection));
   }
 
+  void SetExpiry(common::Duration timeout) {
+    this->current_timeout = timeout;
+    this->connection->stream.expires_after(timeout);
+  }
+
   // When one connection has fallen silent, idle ones may have died at the same
   // time. The next call must not wait for a timeout on each of them.
   [[noreturn]] void Fail(const error_code& error, const char* step) {
-    if (error == beast::error::timeout)
+    if (error == beast::error::timeout && this->current_timeout >= kMinSilence)
       HttpClient::State::DropIdle(this->client, this->address);
     throw HttpError(ResultCodeOf(error),
                     std::string(step) + ": " + error.message(), true);
@@ -232,6 +240,8 @@
   Address address;
   size_t read_bytes = kInitialReadBytes;
   common::Duration read_timeout;
+  // Timeout of the operation in progress.
+  common::Duration current_timeout{0};
   http::response_parser<http::buffer_body> parser;
   HttpHeaders fields;
 };
--- a/source/core/runtime/http_client.h
+++ b/source/core/runtime/http_client.h
@@ -73,7 +73,7 @@
 
 // HTTP/1.1 client with a connection pool per worker. Must be called from
 // fibers. A call that times out after its connection was ready closes the idle
-// connections to the same address.
+// connections to the same address, unless its timeout is very short.
 class HttpClient {
  public:
   HttpClient(WorkerPool& pool, HttpClientOptions options);
--- a/source/unit_tests/core/runtime/connection_silence.h
+++ b/source/unit_tests/core/runtime/connection_silence.h
@@ -24,16 +24,20 @@
     if (!this->opened_epoch.get())
       this->opened_epoch.reset(new int(this->epoch));
   }
-  bool IsSilent() const {
-    return !this->released && *this->opened_epoch != this->epoch;
-  }
   // Called by the handler before each response.
   void WaitWhileSilent() const {
-    while (this->IsSilent())
+    while (!this->released && this->IsSilent())
+      SleepFor(std::chrono::milliseconds(5));
+  }
+  // Called by a handler that has no response until its connection is silent.
+  void WaitUntilSilent() const {
+    while (!this->released && !this->IsSilent())
       SleepFor(std::chrono::milliseconds(5));
   }
 
  private:
+  bool IsSilent() const { return *this->opened_epoch != this->epoch; }
+
   std::atomic<int> epoch{0};
   std::atomic<bool> released{false};
   boost::fibers::fiber_specific_ptr<int> opened_epoch;
--- a/source/unit_tests/core/runtime/http_test.cc
+++ b/source/unit_tests/core/runtime/http_test.cc
@@ -228,9 +228,10 @@
     }
   }
 
-  bool CallTimesOut(const std::string& target) {
+  bool CallTimesOut(const std::string& target,
+                    common::Duration timeout = std::chrono::milliseconds(200)) {
     HttpCallOptions options;
-    options.header_timeout = std::chrono::milliseconds(200);
+    options.header_timeout = timeout;
     try {
       this->client.Fetch(this->server.address(), {"GET", target, {}, ""},
                          options);
@@ -240,14 +241,16 @@
     }
   }
 
+  size_t OpenConnections() const { return this->server.OpenConnections(); }
+
   WorkerPool pool;
   ConnectionSilence silence;
 
  private:
   void Handle(const HttpRequest& request, ResponseWriter& writer) {
     this->silence.OnRequest();
-    while (request.target == "/until-silent" && !this->silence.IsSilent())
-      SleepFor(std::chrono::milliseconds(5));
+    if (request.target == "/until-silent")
+      this->silence.WaitUntilSilent();
     this->silence.WaitWhileSilent();
     EchoHandler(request, writer);
   }
@@ -286,6 +289,18 @@
   });
 }
 
+// Guards against new connections after each wait that is shorter than a peer
+// with much work may need, e.g. for the end of a body.
+TEST_CASE("a short timeout closes no other connections") {
+  SilentServer server(1);
+  server.pool.Run([&] {
+    server.OpenIdleConnections(3);
+    CHECK(server.CallTimesOut("/until-silent", std::chrono::milliseconds(20)));
+    SleepFor(std::chrono::milliseconds(50));
+    CHECK(server.OpenConnections() >= 2);
+  });
+}
+
 TEST_CASE("a timeout on one worker closes the idle connections of others") {
   SilentServer server(2);
   std::atomic<int> step{0};
