Prefer the part with the fewest requests at each crash

The part that all requests of the route share was in flight at every crash, the cause at all but one. So both were blocked, and the verdict on the cause was lifted, because the shared part explained its crashes and one more; a sound answer then lifted the verdict on the shared part, and no part was blocked.

Change: marks of a crash carry the number of requests with the part, by host. One request with the cause suffices for a crash, while a shared part is in flight several times; the part with the best ratio is blocked, and a verdict is lifted only by a part with a better one.

--- a/source/core/gateway/dispatcher.cc
+++ b/source/core/gateway/dispatcher.cc
@@ -42,6 +42,7 @@
       moved_sends(counters.GetCounter("sends_moved_total")),
       retry_window(
           {settings.retry_ratio, settings.retry_slack, settings.retry_window}),
+      part_suspect_list({.reporter = common::Hash64(settings.host_name)}),
       random_source(common::EntropySeed()),
       host_count(static_cast<size_t>(settings.assumed_hosts)),
       stall_detector(kHostStallThreshold) {
--- a/source/core/gateway/host_object.cc
+++ b/source/core/gateway/host_object.cc
@@ -49,6 +49,8 @@
   if (mark.evidence == PartEvidence::kCrash) {
     item["endpoint"] = mark.endpoint;
     item["sent_age_ms"] = ToMilliseconds(mark.sent_age);
+    item["requests"] = mark.requests;
+    item["reporter"] = mark.reporter;
   }
   return item;
 }
@@ -66,6 +68,8 @@
   if (mark.evidence == PartEvidence::kCrash) {
     mark.endpoint = item.at("endpoint").get<std::string>();
     mark.sent_age = GetMilliseconds(item.at("sent_age_ms"));
+    mark.requests = item.at("requests").get<uint32_t>();
+    mark.reporter = item.at("reporter").get<uint64_t>();
   }
   return mark;
 }
--- a/source/core/serve/host.cc
+++ b/source/core/serve/host.cc
@@ -231,6 +231,8 @@
       router(settings.zone,
              RouterSettingsOf(settings),
              ChoicePolicyOf(settings)),
+      part_suspects(suspects::PartSuspectOptions{
+          .reporter = common::Hash64(host_settings.host_name)}),
       gate(timers, counters),
       id_prefix(IdPrefix(settings)),
       request_ids(id_prefix),
--- a/source/core/serve/peer_messages.cc
+++ b/source/core/serve/peer_messages.cc
@@ -17,8 +17,13 @@
 using DemandFields = std::tuple<std::string, uint32_t, uint32_t>;
 using GrantFields = std::tuple<std::string, uint32_t, int64_t, bool>;
 using MarkFields = std::tuple<uint64_t, std::string, int64_t>;
-using PartMarkFields =
-    std::tuple<std::string, uint64_t, std::string, int64_t, int64_t>;
+using PartMarkFields = std::tuple<std::string,
+                                  uint64_t,
+                                  std::string,
+                                  int64_t,
+                                  int64_t,
+                                  uint32_t,
+                                  uint64_t>;
 using ReservationFields = std::tuple<std::string, int64_t>;
 using KeyFields = std::tuple<uint64_t, uint64_t>;
 using HolderFields = std::tuple<std::string, uint32_t, bool>;
@@ -127,7 +132,8 @@
   for (const suspects::PartMark& mark : marks)
     fields.emplace_back(
         std::string(suspects::kPartEvidenceNames.NameOf(mark.evidence)),
-        mark.part, mark.endpoint, mark.age.count(), mark.sent_age.count());
+        mark.part, mark.endpoint, mark.age.count(), mark.sent_age.count(),
+        mark.requests, mark.reporter);
   return Pack(fields);
 }
 
@@ -135,9 +141,11 @@
   const auto [fields] =
       Unpack<std::vector<PartMarkFields>>(bytes, kPartMarksMessage);
   std::vector<suspects::PartMark> marks;
-  for (const auto& [evidence, part, endpoint, age, sent_age] : fields)
+  for (const auto& [evidence, part, endpoint, age, sent_age, requests,
+                    reporter] : fields)
     marks.push_back({ParseEvidence(evidence), part, endpoint,
-                     common::Duration(age), common::Duration(sent_age)});
+                     common::Duration(age), common::Duration(sent_age),
+                     requests, reporter});
   return marks;
 }
 
--- a/source/core/serve/peer_messages.h
+++ b/source/core/serve/peer_messages.h
@@ -30,8 +30,8 @@
 std::string EncodeLimitGrants(const std::vector<admission::LimitGrant>& grants);
 // suspect_marks: [1, [[fingerprint, endpoint, age_us], ...]].
 std::string EncodeSuspectMarks(const std::vector<suspects::CrashMark>& marks);
-// part_marks: [1, [[evidence, part, endpoint, age_us, sent_age_us], ...]],
-// where the evidence is "crash", "sound" or "blocked".
+// part_marks: [1, [[evidence, part, endpoint, age_us, sent_age_us, requests,
+// reporter], ...]], where the evidence is "crash", "sound" or "blocked".
 std::string EncodePartMarks(const std::vector<suspects::PartMark>& marks);
 // reservations: [1, [[endpoint, remaining_us], ...]].
 std::string EncodeReservations(
--- a/source/core/suspects/part_suspects.cc
+++ b/source/core/suspects/part_suspects.cc
@@ -1,6 +1,7 @@
 #include "core/suspects/part_suspects.h"
 
 #include <algorithm>
+#include <map>
 #include <tuple>
 #include <utility>
 
@@ -37,9 +38,16 @@
                                    std::span<const PartInFlight> in_flight,
                                    common::TimePoint now) {
   this->Expire(now);
-  for (const PartInFlight& entry : in_flight)
-    this->AddCrash(entry.part,
-                   {std::string(endpoint), now, entry.sent_at, true}, now);
+  std::map<Fingerprint, Crash> crashes;
+  for (const PartInFlight& entry : in_flight) {
+    Crash& crash = crashes[entry.part];
+    crash.endpoint = endpoint;
+    crash.at = now;
+    crash.sent_at = std::max(crash.sent_at, entry.sent_at);
+    ++crash.requests[this->options.reporter];
+  }
+  for (const auto& [fingerprint, crash] : crashes)
+    this->AddCrash(fingerprint, crash, now);
   this->is_changed |= !in_flight.empty();
   this->Evaluate(now);
 }
@@ -91,9 +99,11 @@
       marks.push_back(
           {PartEvidence::kSound, fingerprint, {}, now - part.sound_at, {}});
     for (const Crash& crash : part.crashes) {
-      if (crash.is_own)
+      if (this->IsOwn(crash))
         marks.push_back({PartEvidence::kCrash, fingerprint, crash.endpoint,
-                         now - crash.at, now - crash.sent_at});
+                         now - crash.at, now - crash.sent_at,
+                         crash.requests.at(this->options.reporter),
+                         this->options.reporter});
     }
   }
   std::sort(marks.begin(), marks.end(), [](const auto& a, const auto& b) {
@@ -115,7 +125,11 @@
     switch (mark.evidence) {
       case PartEvidence::kCrash:
         this->AddCrash(mark.part,
-                       {mark.endpoint, at, now - mark.sent_age, false}, now);
+                       {mark.endpoint,
+                        at,
+                        now - mark.sent_age,
+                        {{mark.reporter, mark.requests}}},
+                       now);
         break;
       case PartEvidence::kSound:
         this->ApplySound(this->PartOf(mark.part, now), at, now);
@@ -173,7 +187,7 @@
   Part& part = this->PartOf(fingerprint, now);
   if (crash.at <= part.sound_at) {
     const bool is_in_danger =
-        !crash.is_own &&
+        !this->IsOwn(crash) &&
         ++part.disproved_crashes + 1 >= this->options.blocking_crashes;
     if (is_in_danger)
       this->PublishSound(part, now);
@@ -185,7 +199,8 @@
     if (!IsSameCrash(known, crash))
       continue;
     known.sent_at = std::max(known.sent_at, crash.sent_at);
-    known.is_own |= crash.is_own;
+    for (const auto& [reporter, requests] : crash.requests)
+      known.requests[reporter] = std::max(known.requests[reporter], requests);
     return;
   }
   if (part.crashes.size() >= kMaxCrashes)
@@ -281,9 +296,20 @@
     this->explained.emplace(crash.endpoint, crash);
 }
 
+double PartSuspects::ScoreOf(const Part& part) const {
+  double crashes = 0;
+  double requests = 0;
+  for (const Crash& crash : part.crashes) {
+    crashes += 1;
+    for (const auto& [reporter, count] : crash.requests)
+      requests += std::max<uint32_t>(1, count);
+  }
+  return requests > 0 ? crashes * crashes / requests : 0;
+}
+
 void PartSuspects::Evaluate(common::TimePoint now) {
-  size_t most_crashes = 0;
-  std::vector<std::pair<Part*, size_t>> due;
+  double best = 0;
+  std::vector<std::pair<Part*, double>> due;
   for (auto& [fingerprint, part] : this->parts) {
     if (part.crashes.empty() || IsBlockedAt(part, now))
       continue;
@@ -294,12 +320,13 @@
     }
     if (!part.verdict_at)
       part.verdict_at = now + this->options.verdict_delay;
-    most_crashes = std::max(most_crashes, count);
+    const double score = this->ScoreOf(part);
+    best = std::max(best, score);
     if (now >= *part.verdict_at)
-      due.emplace_back(&part, count);
+      due.emplace_back(&part, score);
   }
-  for (const auto& [part, count] : due) {
-    if (count < most_crashes)
+  for (const auto& [part, score] : due) {
+    if (score < best)
       continue;
     part->first_crash_at = part->crashes.front().at;
     this->Block(*part, now);
@@ -325,8 +352,9 @@
 }
 
 void PartSuspects::LiftExplainedVerdicts(common::TimePoint now) {
-  const auto explains = [](const Part& cause, const Part& other) {
+  const auto explains = [this](const Part& cause, const Part& other) {
     return cause.crashes.size() > other.crashes.size() &&
+           this->ScoreOf(cause) > this->ScoreOf(other) &&
            std::all_of(other.crashes.begin(), other.crashes.end(),
                        [&](const Crash& crash) {
                          return std::any_of(cause.crashes.begin(),
--- a/source/core/suspects/part_suspects.h
+++ b/source/core/suspects/part_suspects.h
@@ -47,13 +47,18 @@
   // Time since the crash, the start of the sound run, or the first crash that
   // the verdict is based on.
   common::Duration age{0};
-  // Crashes only: time since the latest of the requests was sent.
+  // Crashes only: time since the latest of the requests was sent, their number,
+  // and the host that counted them.
   common::Duration sent_age{0};
+  uint32_t requests = 0;
+  uint64_t reporter = 0;
 
   friend bool operator==(const PartMark&, const PartMark&) = default;
 };
 
 struct PartSuspectOptions {
+  // Identifies this host in the marks of its crashes.
+  uint64_t reporter = 0;
   // A part is blocked after this many independent crashes without a sound run
   // since the first.
   size_t blocking_crashes = 3;
@@ -72,16 +77,17 @@
 // whatever request they occur. Requests with a blocked part are refused.
 //
 // A crash affects many requests, and most parts of these are sound. A sound
-// part is told from the cause by its answers, and by the crashes without it:
-// among the parts that reach the number of crashes, those with the most are
-// blocked, and the crashes in which they were in flight no longer count for
+// part is told from the cause by its answers, by the crashes without it, and by
+// the number of its requests: among the parts that reach the number of crashes,
+// the one with the most crashes and the fewest requests for each is blocked,
+// and the crashes in which it was in flight no longer count for
 // other parts. Crashes at the same time count once, so that the loss of many
 // endpoints at once blocks nothing: two crashes are independent if a request
 // was sent between them, or after some time.
 //
 // A wrong verdict ends without a test on an endpoint: a sound run with the part
 // that began after the first of its crashes lifts it, and so does another part
-// that was in flight at all of its crashes and at others.
+// that was in flight at all of its crashes and explains them better.
 //
 // Evidence is merged from all hosts. Not thread-safe.
 class PartSuspects {
@@ -124,8 +130,8 @@
     std::string endpoint;
     common::TimePoint at;
     common::TimePoint sent_at;
-    // Seen by this host, so it must be sent to the others.
-    bool is_own = false;
+    // Number of requests in flight, by the host that counted them.
+    std::map<uint64_t, uint32_t> requests;
   };
   struct Part {
     // Sorted by time.
@@ -162,6 +168,13 @@
   void ApplyVerdict(Part& part,
                     common::TimePoint first_crash_at,
                     common::TimePoint now);
+  bool IsOwn(const Crash& crash) const {
+    return crash.requests.contains(this->options.reporter);
+  }
+  // How well the part explains its crashes. One request with the cause suffices
+  // for each crash, while a part that many requests share is in flight several
+  // times.
+  double ScoreOf(const Part& part) const;
   // Independent crashes that no blocked part explains.
   size_t CountCrashes(const Part& part) const;
   // Whether this number of crashes that count suffices for a verdict. After a
--- a/source/unit_tests/core/gateway/host_object_test.cc
+++ b/source/unit_tests/core/gateway/host_object_test.cc
@@ -20,7 +20,8 @@
   object.written_at = kWrittenAt;
   object.marks = {{7, "e1/1000", milliseconds(20)}};
   object.part_marks = {
-      {PartEvidence::kCrash, 1, "e1/1000", milliseconds(30), milliseconds(90)},
+      {PartEvidence::kCrash, 1, "e1/1000", milliseconds(30), milliseconds(90),
+       2, 77},
       {PartEvidence::kSound, 2, {}, milliseconds(40), {}},
       {PartEvidence::kBlocked, ~uint64_t{0}, {}, milliseconds(50), {}}};
   return object;
--- a/source/unit_tests/core/suspects/part_suspects_test.cc
+++ b/source/unit_tests/core/suspects/part_suspects_test.cc
@@ -17,6 +17,13 @@
   return TimePoint(std::chrono::hours(1) + milliseconds(ms));
 }
 
+// A host of several.
+PartSuspects MakeHost(uint64_t reporter) {
+  PartSuspectOptions options;
+  options.reporter = reporter;
+  return PartSuspects(options);
+}
+
 // The instance crashes with these parts in flight, sent 100 ms before.
 void Crash(PartSuspects& list,
            const std::string& endpoint,
@@ -198,7 +205,7 @@
 
 // Guards against three crashes for each host before all of them know.
 TEST_CASE("crashes that different hosts see add up") {
-  std::vector<PartSuspects> hosts(3);
+  std::vector<PartSuspects> hosts = {MakeHost(1), MakeHost(2), MakeHost(3)};
   for (int i = 0; i < 3; ++i) {
     PartSuspects& host = hosts[static_cast<size_t>(i)];
     Crash(host, "e" + std::to_string(i), {kCause}, 1000 * i);
@@ -213,8 +220,8 @@
 }
 
 TEST_CASE("an answer at one host protects the part on all hosts") {
-  PartSuspects one;
-  PartSuspects two;
+  PartSuspects one = MakeHost(1);
+  PartSuspects two = MakeHost(2);
   for (int i = 0; i < 3; ++i)
     Crash(one, "e" + std::to_string(i), {kShared}, 1000 * i);
   two.Merge(one.Marks(At(2100)), At(2100));
@@ -229,21 +236,21 @@
 
 // Guards against a verdict that is lost when the host that reached it ends.
 TEST_CASE("each host passes on the verdicts that it has received") {
-  PartSuspects first;
+  PartSuspects first = MakeHost(1);
   BlockCause(first);
-  PartSuspects second;
+  PartSuspects second = MakeHost(2);
   second.Merge(first.Marks(At(3000)), At(3000));
   CHECK(second.TakeChanged());
-  PartSuspects third;
+  PartSuspects third = MakeHost(3);
   third.Merge(second.Marks(At(60000)), At(60000));
   CHECK(IsBlocked(third, kCause, 60000));
   CHECK(third.CountBlocked(At(60000)) == 1);
 }
 
 TEST_CASE("a lifted verdict does not come back from other hosts") {
-  PartSuspects first;
+  PartSuspects first = MakeHost(1);
   BlockCause(first);
-  PartSuspects second;
+  PartSuspects second = MakeHost(2);
   second.Merge(first.Marks(At(3000)), At(3000));
   Sound(first, kCause, 2100, 3100);
   const auto old_marks = second.Marks(At(3200));
@@ -293,8 +300,8 @@
 // Guards against a verdict of a host that has no answers of its own with the
 // part: the others know of sound runs, but did not tell it.
 TEST_CASE("a host that can disprove crashes tells the others") {
-  PartSuspects few;
-  PartSuspects many;
+  PartSuspects few = MakeHost(1);
+  PartSuspects many = MakeHost(2);
   Crash(many, "f", {kOther}, -500);
   for (int i = 0; i < 3; ++i) {
     Crash(few, "e" + std::to_string(i), {kShared, kCause}, 1000 * i);
@@ -335,5 +342,33 @@
   CHECK(list.Marks(At(4000)).front().evidence == PartEvidence::kBlocked);
 }
 
+// Load pattern: the cause crashes all endpoints within a second, so that
+// nothing is answered any more. Guards against blocking the part that all
+// requests share, which is in flight at every crash, and lifting the verdict on
+// the cause for it.
+TEST_CASE("without answers, the part with the fewest requests is blocked") {
+  std::vector<PartSuspects> hosts = {MakeHost(1), MakeHost(2)};
+  for (int i = 0; i < 8; ++i) {
+    const std::string endpoint = "e" + std::to_string(i);
+    const std::vector<Fingerprint> beside = {kShared, kShared};
+    std::vector<Fingerprint> with_cause = beside;
+    if (i > 0)
+      with_cause.push_back(kCause);
+    Crash(hosts[i % 2], endpoint, with_cause, 120 * i);
+    Crash(hosts[(i + 1) % 2], endpoint, beside, 120 * i);
+    const auto marks = hosts[0].Marks(At(120 * i + 50));
+    hosts[0].Merge(hosts[1].Marks(At(120 * i + 50)), At(120 * i + 50));
+    hosts[1].Merge(marks, At(120 * i + 50));
+  }
+  for (PartSuspects& host : hosts) {
+    host.Tick(At(1500));
+    CHECK(IsBlocked(host, kCause, 1500));
+    CHECK_FALSE(IsBlocked(host, kShared, 1500));
+    host.Tick(At(4000));
+    CHECK(IsBlocked(host, kCause, 4000));
+    CHECK_FALSE(IsBlocked(host, kShared, 4000));
+  }
+}
+
 }  // namespace
 }  // namespace jujuberock::suspects
