Deliver an engine's event only after its blank line

EngineStream took each complete data line for an event, so a stream that broke off between that line and the blank line behind it still delivered the event. If it was the end event, the run counted as complete.

Change: EngineStream collects the data lines of an event and delivers them at its blank line. At the end of a response the incomplete event is discarded and ResumingStream reconnects, as for any stream without its end event. Data in several lines is now read as well.

--- a/source/core/endpoint/engine_client.cc
+++ b/source/core/endpoint/engine_client.cc
@@ -121,20 +121,31 @@
 
 }  // namespace
 
-std::optional<std::string> EngineStream::NextDataLine() {
-  size_t end;
-  while ((end = this->buffer.find('\n', this->line_start)) !=
-         std::string::npos) {
-    std::string line =
-        this->buffer.substr(this->line_start, end - this->line_start);
-    this->line_start = end + 1;
-    if (!line.empty() && line.back() == '\r')
-      line.pop_back();
-    if (line.rfind("data:", 0) == 0)
-      return line.substr(5);
+std::optional<std::string> EngineStream::NextLine() {
+  const size_t end = this->buffer.find('\n', this->line_start);
+  if (end == std::string::npos) {
+    this->buffer.erase(0, this->line_start);
+    this->line_start = 0;
+    return std::nullopt;
+  }
+  std::string line =
+      this->buffer.substr(this->line_start, end - this->line_start);
+  this->line_start = end + 1;
+  if (!line.empty() && line.back() == '\r')
+    line.pop_back();
+  return line;
+}
+
+std::optional<std::string> EngineStream::NextEventData() {
+  constexpr std::string_view kDataField = "data:";
+  while (auto line = this->NextLine()) {
+    if (line->rfind(kDataField, 0) == 0) {
+      this->event_data += line->substr(kDataField.size());
+      this->event_data += '\n';
+    }
+    if (line->empty() && !this->event_data.empty())
+      return std::exchange(this->event_data, {});
   }
-  this->buffer.erase(0, this->line_start);
-  this->line_start = 0;
   return std::nullopt;
 }
 
@@ -155,7 +166,7 @@
 std::optional<EngineEvent> EngineStream::Next(common::Duration timeout) {
   this->stream->set_read_timeout(timeout);
   while (true) {
-    if (auto data = this->NextDataLine()) {
+    if (auto data = this->NextEventData()) {
       const EngineEvent event = ParseJson(*data, EventFromJson);
       if (std::holds_alternative<StreamEnd>(event))
         this->DrainBody();
--- a/source/core/endpoint/engine_client.h
+++ b/source/core/endpoint/engine_client.h
@@ -62,9 +62,11 @@
   std::optional<EngineEvent> Next(common::Duration timeout);
 
  private:
-  // Returns the content of the next buffered "data:" line, if a whole one has
-  // arrived.
-  std::optional<std::string> NextDataLine();
+  // Returns the next buffered line, if a whole one has arrived.
+  std::optional<std::string> NextLine();
+  // Returns the data of the next buffered event, if a whole one has arrived: an
+  // event ends with a blank line.
+  std::optional<std::string> NextEventData();
   // Reads the rest of the response body, so that the connection can be reused.
   void DrainBody();
 
@@ -72,6 +74,8 @@
   std::string buffer;
   // Start of the next unread line in `buffer`.
   size_t line_start = 0;
+  // Data of the incomplete event.
+  std::string event_data;
 };
 
 // Load report of an engine. Section 5.2 of the design describes the fields.
