--- a/source/core/gateway/dispatcher.cc
+++ b/source/core/gateway/dispatcher.cc
@@ -286,12 +286,12 @@
   return deadline && now >= *deadline;
 }
 
-const char* Dispatcher::ReasonToMove(const ActiveSend& send,
-                                     TimePoint now) const {
+std::optional<MoveReason> Dispatcher::ReasonToMove(const ActiveSend& send,
+                                                   TimePoint now) const {
   if (send.MustNotBegin(this->view, now))
-    return "not begun before newer weights are required";
+    return MoveReason::kOutdatedWeights;
   if (!send.move_timeout)
-    return nullptr;
+    return std::nullopt;
   const bool is_unresponsive =
       send.endpoint->health().StateAt(now) == EndpointHealth::State::kEjected &&
       now - std::max(send.endpoint->last_byte_time(),
@@ -300,15 +300,17 @@
   const TimePoint since =
       std::max(send.sent_at, this->stall_detector.resumed_at());
   if (!send.started && now - since > *send.move_timeout)
-    return "no response in the usual time";
-  return is_unresponsive ? "the endpoint is silent" : nullptr;
+    return MoveReason::kNoResponse;
+  if (is_unresponsive)
+    return MoveReason::kSilentEndpoint;
+  return std::nullopt;
 }
 
 void Dispatcher::MoveSends(TimePoint now) {
-  std::vector<std::pair<SendHandle, const char*>> due;
+  std::vector<std::pair<SendHandle, MoveReason>> due;
   for (const auto& [handle, send] : this->active) {
-    if (const char* reason = this->ReasonToMove(send, now))
-      due.emplace_back(handle, reason);
+    if (const auto reason = this->ReasonToMove(send, now))
+      due.emplace_back(handle, *reason);
   }
   for (const auto& [handle, reason] : due) {
     const auto found = this->active.find(handle);
--- a/source/core/gateway/dispatcher.h
+++ b/source/core/gateway/dispatcher.h
@@ -9,6 +9,7 @@
 #include <unordered_map>
 
 #include "core/common/metrics.h"
+#include "core/common/name_table.h"
 #include "core/common/random.h"
 #include "core/common/stall_detector.h"
 #include "core/dispatch/retry_window.h"
@@ -23,6 +24,16 @@
 
 namespace jujuberock::gateway {
 
+// Why a send in progress is canceled, so that another endpoint can be tried.
+enum class MoveReason {
+  kOutdatedWeights,  // it has not begun, and newer weights are required now
+  kNoResponse,       // it takes longer than usual
+  kSilentEndpoint,   // the endpoint is ejected and sends nothing
+};
+
+inline constexpr common::NameTable<MoveReason, 3> kMoveReasonNames(
+    {"outdated_weights", "no_response", "silent_endpoint"});
+
 // A send in progress, as tracked by the silence check.
 struct ActiveSend {
   std::shared_ptr<dispatch::EndpointRecord> endpoint;
@@ -42,7 +53,7 @@
   // The first event of a stream has arrived, so its run has begun.
   bool has_first_event = false;
   // Cancels the send, so that the request can be sent to another endpoint.
-  std::function<void(const char* reason)> move = nullptr;
+  std::function<void(MoveReason reason)> move = nullptr;
 
   // Whether the run must not begin any more, because a newer version of the
   // weights was announced too long ago.
@@ -136,8 +147,9 @@
                             const std::vector<dispatch::SendProgress>& sends,
                             common::TimePoint now);
   void MoveSends(common::TimePoint now);
-  // Returns why the send must be canceled, or null if it goes on.
-  const char* ReasonToMove(const ActiveSend& send, common::TimePoint now) const;
+  // Returns nullopt if the send goes on.
+  std::optional<MoveReason> ReasonToMove(const ActiveSend& send,
+                                         common::TimePoint now) const;
   void CheckCrash(const std::string& id);
 
   const Settings& settings;
--- a/source/core/gateway/request_task.cc
+++ b/source/core/gateway/request_task.cc
@@ -40,9 +40,6 @@
 // An endpoint that is not the intended one, or that runs other weights, is not
 // used for this long, so that the view can be updated.
 constexpr Duration kMismatchPause = std::chrono::milliseconds(400);
-// A prompt part that crashes endpoints does so when they begin to answer. Runs
-// that have been answered for longer are not the cause of a crash.
-constexpr Duration kMaxCrashDelay = std::chrono::milliseconds(500);
 constexpr Duration kStaleViewRetryAfter = std::chrono::milliseconds(300);
 constexpr double kPlainMoveLatencyFactor = 5;
 constexpr double kPlainMoveTargetShare = 0.8;
@@ -71,6 +68,8 @@
       request(std::move(request)),
       writer(writer),
       config(deps.view.config()),
+      part_monitor(deps.dispatcher.part_suspects(),
+                   this->request.prompt ? &*this->request.prompt : nullptr),
       received_at(runtime::BootNow()),
       callback_state(std::make_shared<CallbackState>()),
       relay(writer) {}
@@ -153,11 +152,9 @@
 }
 
 void RequestTask::CheckParts() {
-  const auto blocked = this->deps.dispatcher.part_suspects().FindBlocked(
-      this->shared_parts, runtime::BootNow());
-  if (!blocked)
+  this->blocked_part = this->part_monitor.FindBlocked(runtime::BootNow());
+  if (!this->blocked_part)
     return;
-  this->blocked_part = this->request.prompt->parts[*blocked].id;
   if (this->sends > 0)
     this->FailRequest();
   this->Refuse(ResultCode::kSuspectRefused,
@@ -182,12 +179,6 @@
     this->Refuse(ResultCode::kNoEndpoint,
                  "the service of the route does not exist",
                  kStaleViewRetryAfter);
-  if (!this->request.prompt)
-    return;
-  const auto& parts = this->request.prompt->parts;
-  // The last part belongs to this request alone.
-  for (size_t i = 0; i + 1 < parts.size(); ++i)
-    this->shared_parts.push_back(suspects::PartFingerprintOf(parts[i].id));
 }
 
 void RequestTask::WatchCaller() {
@@ -306,8 +297,8 @@
     line.Add(Field::kViewAgeMs, *age);
   if (this->pool)
     this->AddExclusions(line, now);
-  if (!this->blocked_part.empty())
-    line.Add(Field::kPart, this->blocked_part);
+  if (this->blocked_part)
+    line.Add(Field::kPart, *this->blocked_part);
   if (retry_after)
     line.Add(Field::kRetryAfterMs, *retry_after);
   throw RefusedError(code, reason, retry_after);
@@ -415,7 +406,7 @@
   const TimePoint now = runtime::BootNow();
   this->predicted = choice.predicted;
   this->reuse = {};
-  this->are_parts_recorded = false;
+  this->part_monitor.OnSent();
   dispatch::SendTicket ticket;
   ticket.endpoint = choice.endpoint;
   ticket.urgency = this->urgency;
@@ -438,11 +429,11 @@
                     this->MoveTimeout(choice),
                     TargetsOf(*this->route),
                     this->ExpectedAnswer()};
-  this->callback_state->cancel_reason = nullptr;
-  active.move = [callback_state = this->callback_state](const char* reason) {
+  this->callback_state->move_reason.reset();
+  active.move = [callback_state = this->callback_state](MoveReason reason) {
     if (!callback_state->send)
       return;
-    callback_state->cancel_reason = reason;
+    callback_state->move_reason = reason;
     callback_state->send->Cancel();
   };
   if (this->request.prompt && this->pool->is_engine()) {
@@ -564,7 +555,7 @@
                                                runtime::BootNow());
     // Without framing, the end of the connection may also be a crash.
     if (IsSuccess(head.status) && !send.ends_with_connection())
-      this->RecordSoundParts(ticket);
+      this->part_monitor.OnAnswered(ticket, runtime::BootNow());
   }
   return AttemptResult::kAnswered;
 }
@@ -576,28 +567,6 @@
                                                  : dispatch::AnswerKind::kWhole;
 }
 
-void RequestTask::RecordSoundParts(const dispatch::SendTicket& ticket) {
-  if (this->are_parts_recorded || !ticket.started)
-    return;
-  this->are_parts_recorded = true;
-  this->deps.dispatcher.part_suspects().OnSound(
-      this->shared_parts, ticket.started_at, runtime::BootNow());
-}
-
-bool RequestTask::IsPastCrashDelay(const dispatch::SendTicket& ticket) {
-  return ticket.started &&
-         runtime::BootNow() - ticket.started_at > kMaxCrashDelay;
-}
-
-BrokenRun RequestTask::MakeBrokenRun(const dispatch::SendTicket& ticket) const {
-  BrokenRun run{this->fingerprint, {}};
-  if (IsPastCrashDelay(ticket))
-    return run;
-  for (const suspects::Fingerprint part : this->shared_parts)
-    run.parts.push_back({part, ticket.sent_at});
-  return run;
-}
-
 void RequestTask::RecordFirstByte(dispatch::SendTicket& ticket) {
   if (ticket.started)
     return;
@@ -633,9 +602,9 @@
     this->relay.RelayStream(
         send, head, dispatch::StreamStallLimit(TargetsOf(*this->route)), [&] {
           this->RecordFirstByte(ticket);
-          ticket.endpoint->OnBytesReceived(runtime::BootNow());
-          if (IsPastCrashDelay(ticket))
-            this->RecordSoundParts(ticket);
+          const TimePoint now = runtime::BootNow();
+          ticket.endpoint->OnBytesReceived(now);
+          this->part_monitor.OnEvent(ticket, now);
         });
     this->pool->OnFinished(ticket, runtime::BootNow());
   } else {
@@ -669,9 +638,9 @@
     const forward::EndpointSend& send,
     dispatch::SendTicket& ticket) {
   auto& record = *ticket.endpoint;
-  const char* detail = this->callback_state->cancel_reason
-                           ? this->callback_state->cancel_reason
-                           : error.what();
+  const auto& move_reason = this->callback_state->move_reason;
+  const std::string_view detail =
+      move_reason ? kMoveReasonNames.NameOf(*move_reason) : error.what();
   LogLine(this->deps.log, Event::kRequestCut)
       .Add(Field::kRequest, this->request.attempt_id)
       .Add(Field::kEndpoint, record.endpoint().id)
@@ -689,8 +658,10 @@
     case SendFailure::kBroken:
       this->deps.dispatcher.OnOutcome(*this->pool, record,
                                       SendOutcome::kBroken);
-      this->deps.dispatcher.OnBroken(ticket.endpoint,
-                                     this->MakeBrokenRun(ticket));
+      this->deps.dispatcher.OnBroken(
+          ticket.endpoint,
+          {this->fingerprint,
+           this->part_monitor.PossibleCauses(ticket, runtime::BootNow())});
       break;
     case SendFailure::kMalformed:
     case SendFailure::kStalled:
@@ -703,7 +674,7 @@
                                         SendOutcome::kSilent);
       break;
     case SendFailure::kCanceled:
-      // When the silence check moves a send, it records the reason itself.
+      // When the dispatcher cancels a send, it records the reason itself.
       break;
     case SendFailure::kNotConnected:
       break;
--- a/source/core/gateway/request_task.h
+++ b/source/core/gateway/request_task.h
@@ -13,6 +13,7 @@
 #include "core/forward/response_relay.h"
 #include "core/forward/types.h"
 #include "core/gateway/dispatcher.h"
+#include "core/gateway/part_monitor.h"
 #include "core/gateway/peer_loads.h"
 #include "core/reuse/cache_store_index.h"
 #include "core/reuse/salt.h"
@@ -58,8 +59,8 @@
     forward::EndpointSend* send = nullptr;
     // Whether the send is canceled when the caller disconnects.
     bool cancel_when_gone = false;
-    // Why the dispatcher has canceled the send; null if it has not.
-    const char* cancel_reason = nullptr;
+    // Why the dispatcher has canceled the send, if it has.
+    std::optional<MoveReason> move_reason;
   };
 
   enum class AttemptResult {
@@ -112,12 +113,6 @@
   void RecordHead(const forward::ResponseHead& head,
                   dispatch::EndpointRecord& record);
   dispatch::AnswerKind ExpectedAnswer() const;
-  // Records, once per send, that the parts of the prompt do not crash the
-  // endpoint.
-  void RecordSoundParts(const dispatch::SendTicket& ticket);
-  // Whether the parts of the prompt would have crashed the endpoint by now.
-  static bool IsPastCrashDelay(const dispatch::SendTicket& ticket);
-  BrokenRun MakeBrokenRun(const dispatch::SendTicket& ticket) const;
   void RecordFirstByte(dispatch::SendTicket& ticket);
   // Records how much later than predicted the first token of a fetch arrived.
   void RecordFetch(common::Duration excess);
@@ -148,11 +143,9 @@
   dispatch::ServicePool* pool = nullptr;
   suspects::Fingerprint fingerprint = 0;
   bool isolate = false;
-  // The parts of the prompt that other requests may share.
-  std::vector<suspects::Fingerprint> shared_parts;
-  bool are_parts_recorded = false;
+  PartMonitor part_monitor;
   // The part for which the request is refused, if any.
-  std::string blocked_part;
+  std::optional<std::string> blocked_part;
   // The salt without a weight version, and its rendered form, which is the key
   // of the engines' part caches.
   reuse::Salt salt;
