Find a plain endpoint silent that answers no stream

A stream that may be repeated leaves the endpoint after 0.8 of the target, and is then no longer in progress. A dead endpoint with streams only was never ejected, and each new stream on it waited for its move.

Change: until the head arrives, the limit is the move time (never below 250 ms, the limit of whole answers). The longer limit applies between head and first event, where nothing moves the stream. The share of the target latency is one constant for both decisions.

--- a/source/core/dispatch/silence_limit.cc
+++ b/source/core/dispatch/silence_limit.cc
@@ -35,14 +35,22 @@
                   Scale(send.targets.latency, kFirstEventSilenceFactor));
 }
 
+// Not above the time after which the stream is moved: a moved stream is no
+// longer in progress, so its endpoint would never be found silent.
+Duration PlainHeadSilenceLimit(const SendProgress& send) {
+  return std::max(kMinPlainSilence,
+                  Scale(send.targets.latency, kPlainMoveTargetShare));
+}
+
 Duration SendSilenceLimit(const SendProgress& send) {
   if (send.kind == AnswerKind::kWhole)
     return PlainSilenceLimit(send);
   if (send.has_first_event)
     return StreamSilenceLimit(send.targets);
-  return send.kind == AnswerKind::kStream
-             ? PlainFirstEventSilenceLimit(send)
-             : FirstEventSilenceLimit(send.targets);
+  if (send.kind == AnswerKind::kEngineStream)
+    return FirstEventSilenceLimit(send.targets);
+  return send.has_head ? PlainFirstEventSilenceLimit(send)
+                       : PlainHeadSilenceLimit(send);
 }
 
 }  // namespace
--- a/source/core/dispatch/silence_limit.h
+++ b/source/core/dispatch/silence_limit.h
@@ -26,12 +26,18 @@
 struct SendProgress {
   AnswerKind kind = AnswerKind::kWhole;
   StreamTargets targets;
+  // Whether the head of the response has arrived.
+  bool has_head = false;
   // Whether the first event of a stream has arrived.
   bool has_first_event = false;
   // Usual time of whole answers of the endpoint.
   common::Duration usual_latency{0};
 };
 
+// Share of the target latency after which a request to a plain service that may
+// be repeated is sent to another endpoint if no head has arrived.
+inline constexpr double kPlainMoveTargetShare = 0.8;
+
 // Time without bytes after which an endpoint counts as silent, given all sends
 // of this host that it is working on: the limit of the strictest of them. Must
 // not be called without sends.
--- a/source/core/gateway/dispatcher.cc
+++ b/source/core/gateway/dispatcher.cc
@@ -253,7 +253,7 @@
   for (const auto& [handle, send] : this->active) {
     const double usual_ms = send.endpoint->mean_latency_ms();
     sends[send.endpoint.get()].push_back(
-        {send.answer_kind, send.targets, send.has_first_event,
+        {send.answer_kind, send.targets, send.started, send.has_first_event,
          common::FromSeconds(usual_ms / 1000)});
   }
   return sends;
--- a/source/core/gateway/request_task.cc
+++ b/source/core/gateway/request_task.cc
@@ -42,7 +42,6 @@
 constexpr Duration kMismatchPause = std::chrono::milliseconds(400);
 constexpr Duration kStaleViewRetryAfter = std::chrono::milliseconds(300);
 constexpr double kPlainMoveLatencyFactor = 5;
-constexpr double kPlainMoveTargetShare = 0.8;
 constexpr double kStreamMovePredictionFactor = 2.5;
 constexpr Duration kStreamMoveExtra = std::chrono::milliseconds(150);
 // Share of the target latency within which stored prompt parts must have been
@@ -392,8 +391,9 @@
   if (!this->pool->is_engine()) {
     const double usual_ms =
         choice.endpoint->mean_latency_ms() * kPlainMoveLatencyFactor;
-    return std::max(common::FromSeconds(usual_ms / 1000),
-                    Scale(this->route->target_latency, kPlainMoveTargetShare));
+    return std::max(
+        common::FromSeconds(usual_ms / 1000),
+        Scale(this->route->target_latency, dispatch::kPlainMoveTargetShare));
   }
   return std::max(
       this->route->target_latency,
--- a/source/unit_tests/core/dispatch/silence_limit_test.cc
+++ b/source/unit_tests/core/dispatch/silence_limit_test.cc
@@ -40,6 +40,7 @@
 SendProgress StreamOf(AnswerKind kind, int gap_ms, bool has_first_event) {
   return {kind,
           {milliseconds(400), milliseconds(gap_ms)},
+          true,
           has_first_event,
           milliseconds(1)};
 }
@@ -47,13 +48,18 @@
 const SendProgress kCall{AnswerKind::kWhole,
                          {milliseconds(300), {}},
                          false,
+                         false,
                          milliseconds(10)};
 
 TEST_CASE("an engine is judged by the strictest of its streams") {
-  SendProgress slow{
-      AnswerKind::kEngineStream, {milliseconds(400), milliseconds(1000)}, true};
-  SendProgress fast{
-      AnswerKind::kEngineStream, {milliseconds(600), milliseconds(250)}, true};
+  SendProgress slow{AnswerKind::kEngineStream,
+                    {milliseconds(400), milliseconds(1000)},
+                    true,
+                    true};
+  SendProgress fast{AnswerKind::kEngineStream,
+                    {milliseconds(600), milliseconds(250)},
+                    true,
+                    true};
   CHECK(EndpointSilenceLimit({slow, fast}) == StreamSilenceLimit(fast.targets));
   CHECK(EndpointSilenceLimit({fast, slow}) == StreamSilenceLimit(fast.targets));
   slow.has_first_event = fast.has_first_event = false;
@@ -88,6 +94,16 @@
   CHECK(EndpointSilenceLimit({slow_call}) == milliseconds(800));
 }
 
+// Guards against an endpoint that never counts as silent, because each stream
+// leaves it before its limit.
+TEST_CASE("an endpoint is silent when streams without a head are moved") {
+  auto waiting = StreamOf(AnswerKind::kStream, 1000, false);
+  waiting.has_head = false;
+  CHECK(EndpointSilenceLimit({waiting}) == milliseconds(320));
+  waiting.targets.latency = milliseconds(100);
+  CHECK(EndpointSilenceLimit({waiting}) == milliseconds(250));
+}
+
 // An endpoint may be ejected for other requests than the paused stream.
 TEST_CASE("an allowed pause does not move a stream off an ejected endpoint") {
   CHECK(EjectedSilenceLimit({milliseconds(400), milliseconds(250)}) ==
