--- /dev/null
+++ b/source/unit_tests/core/endpoint/plain_client_test.cc
@@ -0,0 +1,61 @@
+#include "core/endpoint/plain_client.h"
+
+#include <optional>
+#include <string>
+
+#include <catch2/catch.hpp>
+
+#include "core/runtime/http_client.h"
+#include "core/runtime/worker_pool.h"
+#include "unit_tests/core/forward/fake_endpoint.h"
+
+namespace jujuberock::endpoint {
+namespace {
+
+// Returns the body of the answer, or nullopt if the call failed.
+std::optional<std::string> Forward(const std::string& answer, bool reset) {
+  runtime::WorkerPool workers(1);
+  forward::FakeEndpoint peer({answer}, reset);
+  std::optional<std::string> body;
+  workers.Run([&] {
+    runtime::HttpClient http(workers, {});
+    PlainClient client(http);
+    try {
+      body = client
+                 .Forward(*runtime::Address::Parse(peer.address()), {},
+                          std::chrono::seconds(5))
+                 .body;
+    } catch (const runtime::HttpError& error) {
+      CHECK(error.code() == common::ResultCode::kEndpointFailed);
+      CHECK(error.sent());
+    }
+  });
+  return body;
+}
+
+const std::string kUnframed = "HTTP/1.1 200 OK\r\n\r\n";
+const std::string kWithLength = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n";
+const std::string kChunked =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+// Guards against refusing an answer that ends with its connection.
+TEST_CASE("an answer is complete in each framing") {
+  CHECK(Forward(kUnframed + "ok", false) == "ok");
+  CHECK(Forward(kUnframed, false) == "");
+  CHECK(Forward(kWithLength + "ok", false) == "ok");
+  CHECK(Forward(kChunked + "2\r\nok\r\n0\r\n\r\n", false) == "ok");
+}
+
+// Guards against passing a part of an answer on as complete.
+TEST_CASE("an answer that breaks off fails") {
+  CHECK_FALSE(Forward("HTTP/1.1 200 OK\r\n", false));
+  CHECK_FALSE(Forward(kWithLength + "o", false));
+  CHECK_FALSE(Forward(kChunked + "2\r\nok\r\n", false));
+  CHECK_FALSE(Forward("HTTP/1.1 200 OK\r\n", true));
+  CHECK_FALSE(Forward(kUnframed + "ok", true));
+  CHECK_FALSE(Forward(kWithLength + "o", true));
+  CHECK_FALSE(Forward(kChunked + "2\r\nok\r\n", true));
+}
+
+}  // namespace
+}  // namespace jujuberock::endpoint
