Test the refusal of prompt parts in a deployment of two hosts

A test of test_serve now kills the engines during three streams, at two hosts, whose prompts share one block and are otherwise different, and expects that both hosts refuse the block at another position and go on answering prompts that share the first block. The engines of the test can be restarted.

The gauge prompt_parts_blocked shows when the verdict is reached. The test waits for it, because a prompt with the part that is answered before shows that the part is sound; operators see from it that parts are refused.

--- a/source/core/serve/peer_sync.cc
+++ b/source/core/serve/peer_sync.cc
@@ -47,6 +47,7 @@
       endpoint_monitor(endpoint_monitor),
       detached_streams(detached_streams),
       late_replies(counters.GetCounter("index_queries_late_total")),
+      blocked_parts(counters.GetGauge("prompt_parts_blocked")),
       self(self),
       hosts({self}),
       limit_share(self),
@@ -205,8 +206,12 @@
 }
 
 void PeerSync::DecideOnParts(TimePoint now) {
-  this->part_suspects.With(
-      [&](suspects::PartSuspects& list) { list.Tick(now); });
+  const size_t blocked =
+      this->part_suspects.With([&](suspects::PartSuspects& list) {
+        list.Tick(now);
+        return list.CountBlocked(now);
+      });
+  this->blocked_parts.Set(static_cast<int64_t>(blocked));
 }
 
 void PeerSync::ExchangePartMarks() {
--- a/source/core/serve/peer_sync.h
+++ b/source/core/serve/peer_sync.h
@@ -112,6 +112,7 @@
   EndpointMonitor& endpoint_monitor;
   DetachedStreams& detached_streams;
   common::Counter& late_replies;
+  common::Gauge& blocked_parts;
   std::string self;
   common::RankedMutex mutex{common::LockRank::kServe};
   std::vector<std::string> hosts;
--- a/source/unit_tests/core/serve/deployment.cc
+++ b/source/unit_tests/core/serve/deployment.cc
@@ -59,8 +59,12 @@
 StandinServer::StandinServer(const Factory& factory)
     : standin(factory(this->client)) {
   this->pool.Run([this] { this->standin->Start(); });
+  this->Listen(kAnyPort);
+}
+
+void StandinServer::Listen(const runtime::Address& address) {
   this->server = std::make_unique<runtime::HttpServer>(
-      this->pool, kAnyPort, runtime::HttpServerOptions(),
+      this->pool, address, runtime::HttpServerOptions(),
       [this](const HttpRequest& request, runtime::ResponseWriter& writer) {
         this->standin->Handle(request, writer);
       },
--- a/source/unit_tests/core/serve/deployment.h
+++ b/source/unit_tests/core/serve/deployment.h
@@ -30,9 +30,13 @@
   std::string address() const { return this->bound.ToString(); }
   // Stops listening and breaks the open connections.
   void Kill();
+  // Listens again on the same address after Kill().
+  void Restart() { this->Listen(this->bound); }
   void SetFaults(const std::string& json);
 
  private:
+  void Listen(const runtime::Address& address);
+
   runtime::WorkerPool pool{1};
   runtime::HttpClient client{pool, {}};
   std::unique_ptr<standin::Standin> standin;
--- a/source/unit_tests/core/serve/host_test.cc
+++ b/source/unit_tests/core/serve/host_test.cc
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "core/routing/block_key.h"
 #include "unit_tests/core/caller/raw_client.h"
 #include "unit_tests/core/serve/deployment.h"
 
@@ -95,6 +96,49 @@
   REQUIRE(Metric(deployment, 0, "endpoint_crashes_total") == 1);
 }
 
+// Guards against crashing one engine after the other because no two requests
+// with the part that crashes them are alike, and against refusing requests that
+// share only other parts with them.
+TEST_CASE("prompts with a part that crashed engines are refused at each host") {
+  Deployment deployment(2);
+  const std::string shared(routing::kBlockBytes, 'a');
+  const std::string deadly(routing::kBlockBytes, 'x');
+  const auto send_sound = [&](size_t host, const std::string& tail) {
+    return deployment
+        .Post(host, kCompletionsPath,
+              Deployment::CompletionBody(shared + tail, 2))
+        .status;
+  };
+  for (size_t round = 0; round < 3; ++round) {
+    const std::string tail = "request " + std::to_string(round);
+    RawClient client(deployment.host(round % 2).caller_address());
+    client.Send(RawRequest(
+        Deployment::CompletionBody(shared + deadly + tail, 1000, true),
+        "Connection: close\r\n"));
+    client.ReadUntil("\nid: ");
+    for (const auto& engine : deployment.engines)
+      engine->Kill();
+    REQUIRE_FALSE(Deployment::ParseEvents(client.ReadAll()).done);
+    // No endpoint is back at once; hosts tell its crashes apart by the time.
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    for (const auto& engine : deployment.engines)
+      engine->Restart();
+    for (size_t host = 0; host < 2; ++host)
+      REQUIRE(Eventually([&] { return send_sound(host, tail) == 200; }));
+  }
+  for (size_t host = 0; host < 2; ++host) {
+    // A prompt of another kind, with the part at another position.
+    // An answer before the verdict would show that the part is sound.
+    REQUIRE(Eventually(
+        [&] { return Metric(deployment, host, "prompt_parts_blocked") == 1; }));
+    CHECK(deployment
+              .Post(host, kCompletionsPath,
+                    Deployment::CompletionBody(deadly + "another", 2))
+              .status == 422);
+    CHECK(send_sound(host, "after the verdict") == 200);
+  }
+}
+
 TEST_CASE("a stream goes on when the engine's connections fall silent") {
   Deployment deployment(1);
   RawClient client(deployment.host(0).caller_address());
