Tell crashes apart by the instance where names are unique

The gateway names the instance of an endpoint, which crashes once. Its marks travel through the platform's store and can be under way for longer than a request was in flight, so that one crash seen by two hosts counted as two, and a part could be blocked after two crashes. Names of `serve` recur when an endpoint restarts; there the times tell crashes apart, as before. The new test fails without the option.

--- a/source/core/gateway/dispatcher.cc
+++ b/source/core/gateway/dispatcher.cc
@@ -42,7 +42,8 @@
       moved_sends(counters.GetCounter("sends_moved_total")),
       retry_window(
           {settings.retry_ratio, settings.retry_slack, settings.retry_window}),
-      part_suspect_list({.reporter = common::Hash64(settings.host_name)}),
+      part_suspect_list({.reporter = common::Hash64(settings.host_name),
+                         .endpoint_names_recur = false}),
       random_source(common::EntropySeed()),
       host_count(static_cast<size_t>(settings.assumed_hosts)),
       stall_detector(kHostStallThreshold) {
--- a/source/core/suspects/part_suspects.cc
+++ b/source/core/suspects/part_suspects.cc
@@ -154,8 +154,10 @@
 
 // A request can't be in flight during two crashes of its endpoint, so crashes
 // are the same if the time from the send to the crash overlaps.
-bool PartSuspects::IsSameCrash(const Crash& a, const Crash& b) {
-  return a.endpoint == b.endpoint && a.sent_at <= b.at + kCrashTimeTolerance &&
+bool PartSuspects::IsSameCrash(const Crash& a, const Crash& b) const {
+  if (a.endpoint != b.endpoint || !this->options.endpoint_names_recur)
+    return a.endpoint == b.endpoint;
+  return a.sent_at <= b.at + kCrashTimeTolerance &&
          b.sent_at <= a.at + kCrashTimeTolerance;
 }
 
--- a/source/core/suspects/part_suspects.h
+++ b/source/core/suspects/part_suspects.h
@@ -59,6 +59,9 @@
 struct PartSuspectOptions {
   // Identifies this host in the marks of its crashes.
   uint64_t reporter = 0;
+  // Whether an endpoint keeps its name when it restarts, so that crashes of one
+  // name are told apart by their times.
+  bool endpoint_names_recur = true;
   // A part is blocked after this many independent crashes without a sound run
   // since the first.
   size_t blocking_crashes = 3;
@@ -152,7 +155,7 @@
   };
   using PartMap = std::unordered_map<Fingerprint, Part>;
 
-  static bool IsSameCrash(const Crash& a, const Crash& b);
+  bool IsSameCrash(const Crash& a, const Crash& b) const;
   static bool IsBlockedAt(const Part& part, common::TimePoint now) {
     return now < part.blocked_until;
   }
--- a/source/unit_tests/core/suspects/part_suspects_test.cc
+++ b/source/unit_tests/core/suspects/part_suspects_test.cc
@@ -379,5 +379,22 @@
   }
 }
 
+// Guards against counting one crash twice because the report of another host
+// was under way for longer than a request was in flight.
+TEST_CASE("a late report of a crash with a unique name counts once") {
+  PartSuspectOptions options;
+  options.endpoint_names_recur = false;
+  PartSuspects list(options);
+  for (int i = 0; i < 2; ++i) {
+    const std::string endpoint = "e" + std::to_string(i) + "/1";
+    Crash(list, endpoint, {kCause}, 1000 * i);
+    const PartMark late{PartEvidence::kCrash, kCause, endpoint, milliseconds(0),
+                        milliseconds(20),     1,      7};
+    list.Merge(std::vector{late}, At(1000 * i + 400));
+  }
+  list.Tick(At(3000));
+  CHECK_FALSE(IsBlocked(list, kCause, 3000));
+}
+
 }  // namespace
 }  // namespace jujuberock::suspects
