Suspend a superseded verdict instead of lifting it

Cause of the harm: lifting a verdict told all hosts of an answer that nobody had given, and removed the evidence, so that three new crashes were needed.

Change: a verdict whose crashes another blocked part explains better stays, has no effect while that holds, and is in force again with the next crash without the other part. No evidence is removed and nothing is published.

Evidence: the new test 'a superseded verdict comes into force with the next crash' fails on the commit before.

--- a/source/core/suspects/part_suspects.cc
+++ b/source/core/suspects/part_suspects.cc
@@ -21,7 +21,6 @@
 // The block time is doubled at most this often.
 constexpr int kMaxBlockTimeDoublings = 6;
 constexpr int kExpirationsPerLifetime = 16;
-constexpr common::Duration kAfterCrash = std::chrono::microseconds(1);
 // Error of the times of a crash that other hosts report, which includes the
 // transit time of the message. An endpoint takes longer to restart.
 constexpr common::Duration kCrashTimeTolerance = std::chrono::milliseconds(100);
@@ -67,7 +66,7 @@
     common::TimePoint now) const {
   for (size_t i = 0; i < requested.size(); ++i) {
     const auto found = this->parts.find(requested[i]);
-    if (found != this->parts.end() && IsBlockedAt(found->second, now))
+    if (found != this->parts.end() && IsRefusedAt(found->second, now))
       return i;
   }
   return std::nullopt;
@@ -149,7 +148,7 @@
 size_t PartSuspects::CountBlocked(common::TimePoint now) const {
   return static_cast<size_t>(std::count_if(
       this->parts.begin(), this->parts.end(),
-      [&](const auto& entry) { return IsBlockedAt(entry.second, now); }));
+      [&](const auto& entry) { return IsRefusedAt(entry.second, now); }));
 }
 
 // A request can't be in flight during two crashes of its endpoint, so crashes
@@ -333,7 +332,7 @@
     part->first_crash_at = part->crashes.front().at;
     this->Block(*part, now);
   }
-  this->LiftExplainedVerdicts(now);
+  this->UpdateSuperseded(now);
 }
 
 void PartSuspects::Block(Part& part, common::TimePoint now) {
@@ -353,41 +352,30 @@
   part.verdict_at.reset();
 }
 
-void PartSuspects::LiftExplainedVerdicts(common::TimePoint now) {
-  const auto explains = [this](const Part& cause, const Part& other) {
-    return cause.crashes.size() > other.crashes.size() &&
-           this->ScoreOf(cause) > this->ScoreOf(other) &&
-           std::all_of(other.crashes.begin(), other.crashes.end(),
-                       [&](const Crash& crash) {
-                         return std::any_of(cause.crashes.begin(),
-                                            cause.crashes.end(),
-                                            [&](const Crash& known) {
-                                              return IsSameCrash(known, crash);
-                                            });
-                       });
+bool PartSuspects::Supersedes(const Part& cause, const Part& other) const {
+  if (cause.crashes.size() <= other.crashes.size() ||
+      this->ScoreOf(cause) <= this->ScoreOf(other))
+    return false;
+  const auto explains = [&](const Crash& crash) {
+    return std::any_of(
+        cause.crashes.begin(), cause.crashes.end(),
+        [&](const Crash& known) { return this->IsSameCrash(known, crash); });
   };
+  return std::all_of(other.crashes.begin(), other.crashes.end(), explains);
+}
+
+void PartSuspects::UpdateSuperseded(common::TimePoint now) {
   std::vector<Part*> blocked;
   for (auto& [fingerprint, part] : this->parts) {
+    part.is_superseded = false;
     if (IsBlockedAt(part, now) && !part.crashes.empty())
       blocked.push_back(&part);
   }
-  bool is_any_lifted = false;
   for (Part* part : blocked) {
-    const bool is_explained =
-        std::any_of(blocked.begin(), blocked.end(), [&](const Part* other) {
-          return IsBlockedAt(*other, now) && explains(*other, *part);
-        });
-    if (!is_explained)
-      continue;
-    // To the other hosts this is the same as a sound run after the crashes.
-    part->sound_at = part->crashes.back().at + kAfterCrash;
-    part->crashes.clear();
-    Lift(*part, now);
-    this->PublishSound(*part, now);
-    is_any_lifted = true;
+    part->is_superseded = std::any_of(
+        blocked.begin(), blocked.end(),
+        [&](const Part* other) { return this->Supersedes(*other, *part); });
   }
-  if (is_any_lifted)
-    this->CollectExplained(now);
 }
 
 void PartSuspects::CollectExplained(common::TimePoint now) {
--- a/source/core/suspects/part_suspects.h
+++ b/source/core/suspects/part_suspects.h
@@ -89,8 +89,9 @@
 // was sent between them, or after some time.
 //
 // A wrong verdict ends without a test on an endpoint: a sound run with the part
-// that began after the first of its crashes lifts it, and so does another part
-// that was in flight at all of its crashes and explains them better.
+// that began after the first of its crashes lifts it. It has no effect while
+// another blocked part was in flight at all of its crashes and explains them
+// better; the next crash without that part puts it into force again.
 //
 // Evidence is merged from all hosts. Not thread-safe.
 class PartSuspects {
@@ -125,7 +126,7 @@
   // Returns whether Marks() has changed in a way that other hosts must learn
   // of, and resets this state.
   bool TakeChanged();
-  // Parts that are blocked now.
+  // Parts for which requests are refused now.
   size_t CountBlocked(common::TimePoint now) const;
 
  private:
@@ -151,6 +152,9 @@
     common::TimePoint first_crash_at = common::TimePoint::min();
     common::TimePoint blocked_until = common::TimePoint::min();
     int times_blocked = 0;
+    // Another blocked part is the better explanation, so requests with this one
+    // are not refused.
+    bool is_superseded = false;
     common::TimePoint changed_at;
   };
   using PartMap = std::unordered_map<Fingerprint, Part>;
@@ -159,6 +163,9 @@
   static bool IsBlockedAt(const Part& part, common::TimePoint now) {
     return now < part.blocked_until;
   }
+  static bool IsRefusedAt(const Part& part, common::TimePoint now) {
+    return IsBlockedAt(part, now) && !part.is_superseded;
+  }
   Part& PartOf(Fingerprint fingerprint, common::TimePoint now);
   void AddCrash(Fingerprint fingerprint,
                 const Crash& crash,
@@ -192,8 +199,10 @@
   // Lets the other hosts know of the sound run.
   void PublishSound(Part& part, common::TimePoint now);
   bool IsSoundPublished(const Part& part, common::TimePoint now) const;
-  // Lifts the verdicts that another verdict explains better.
-  void LiftExplainedVerdicts(common::TimePoint now);
+  // Whether `cause` was in flight at all crashes of `other`, and explains them
+  // better.
+  bool Supersedes(const Part& cause, const Part& other) const;
+  void UpdateSuperseded(common::TimePoint now);
   void CollectExplained(common::TimePoint now);
   void Expire(common::TimePoint now);
 
--- a/source/unit_tests/core/suspects/part_suspects_test.cc
+++ b/source/unit_tests/core/suspects/part_suspects_test.cc
@@ -170,7 +170,8 @@
   CHECK_FALSE(IsBlocked(list, kCause, 2700));
 }
 
-TEST_CASE("a part that explains all crashes of another lifts its verdict") {
+TEST_CASE(
+    "a part that explains all crashes of another supersedes its verdict") {
   PartSuspects list;
   Crash(list, "e0", {kOther, kCause}, 0);
   Crash(list, "e1", {kOther, kCause}, 1000);
@@ -396,5 +397,25 @@
   CHECK_FALSE(IsBlocked(list, kCause, 3000));
 }
 
+// Guards against losing the verdict on the cause to a part that came with it by
+// chance: both are blocked, and the other one was in flight once more.
+TEST_CASE("a superseded verdict comes into force with the next crash") {
+  PartSuspects list;
+  for (int i = 0; i < 3; ++i)
+    Crash(list, "e" + std::to_string(i), {kOther, kCause}, 1000 * i);
+  list.Tick(At(2600));
+  Crash(list, "e3", {kOther}, 2700);
+  list.Tick(At(2800));
+  REQUIRE(IsBlocked(list, kOther, 2800));
+  REQUIRE_FALSE(IsBlocked(list, kCause, 2800));
+  Crash(list, "e4", {kCause}, 3500);
+  list.Tick(At(3600));
+  CHECK(IsBlocked(list, kCause, 3600));
+  PartSuspects other = MakeHost(2);
+  other.Merge(list.Marks(At(3700)), At(3700));
+  other.Tick(At(3800));
+  CHECK(IsBlocked(other, kCause, 3800));
+}
+
 }  // namespace
 }  // namespace jujuberock::suspects
