Hold the ports that gateway tests hand out

Cause, from the settings of the three hosts: free_port() had returned port 51595 twice, as the caller port of host-zone-a and the readiness port of host-zone-c. Listeners bind with SO_REUSEPORT, so both took connections of both, and half of the requests at host-zone-a were answered by the readiness probe of the other.

Change: the probe socket of a stream port stays bound until the test ends, so the kernel gives the port to nobody else. No check changes.

--- a/tools/gateway_standins.py
+++ b/tools/gateway_standins.py
@@ -286,10 +286,28 @@
         return lines
 
 
+# Sockets that keep the ports of free_port() until this process ends.
+_port_holders = []
+
+
 def free_port(kind=socket.SOCK_STREAM):
-    with socket.socket(type=kind) as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Returns a port that the kernel gives to nobody else.
+
+    Gateways bind their ports with SO_REUSEPORT, so two listeners that get the
+    same port would share its connections without an error. The holder of a
+    stream port stays bound without listening, which takes no connections. A
+    datagram port can't be held, since its holder would take datagrams.
+    """
+    holder = socket.socket(type=kind)
+    if kind == socket.SOCK_STREAM:
+        holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+    holder.bind(("127.0.0.1", 0))
+    port = holder.getsockname()[1]
+    if kind == socket.SOCK_STREAM:
+        _port_holders.append(holder)
+    else:
+        holder.close()
+    return port
 
 
 class Answer:
