--- a/source/core/events/event_log.h
+++ b/source/core/events/event_log.h
@@ -109,9 +109,13 @@
   kCount,
   kDependency,
   kDetail,
+  kFraming,
+  kBodyBytes,
+  kInsideEvent,
+  kConnectionEnd,
 };
 
-inline constexpr size_t kFieldCount = 36;
+inline constexpr size_t kFieldCount = 40;
 
 inline constexpr common::NameTable<Field, kFieldCount> kFieldNames(
     {"request",
@@ -149,7 +153,11 @@
      "part",
      "count",
      "dependency",
-     "detail"});
+     "detail",
+     "framing",
+     "body_bytes",
+     "inside_event",
+     "connection_end"});
 
 Level LevelOf(Event event);
 
--- a/source/core/forward/endpoint_send.cc
+++ b/source/core/forward/endpoint_send.cc
@@ -40,6 +40,13 @@
 
 using RequestMessage = http::request<http::string_body>;
 
+template <typename Parser>
+Framing FramingOf(const Parser& parser) {
+  if (parser.need_eof())
+    return Framing::kConnection;
+  return parser.chunked() ? Framing::kChunks : Framing::kLength;
+}
+
 RequestMessage BuildMessage(const CallerRequest& request,
                             const runtime::HttpHeaders& headers) {
   RequestMessage message;
@@ -76,8 +83,13 @@
     this->connection->stream.close();
 }
 
-void EndpointSend::Fail(const error_code& error, const char* step) const {
+void EndpointSend::Fail(const error_code& error, const char* step) {
   const std::string detail = std::string(step) + ": " + error.message();
+  const bool ended = error == http::error::end_of_stream ||
+                     error == http::error::partial_message;
+  this->end = this->canceled ? ConnectionEnd::kHost
+              : ended        ? ConnectionEnd::kPeer
+                             : ConnectionEnd::kBroken;
   if (this->canceled)
     throw SendError(SendFailure::kCanceled, detail);
   if (error == beast::error::timeout) {
@@ -89,8 +101,6 @@
   const bool parse_error =
       error.category() ==
       http::make_error_code(http::error::bad_version).category();
-  const bool ended = error == http::error::end_of_stream ||
-                     error == http::error::partial_message;
   throw SendError(
       parse_error && !ended ? SendFailure::kMalformed : SendFailure::kBroken,
       detail);
@@ -202,7 +212,8 @@
   runtime::HttpHeaders headers;
   for (const auto& field : this->parser->get())
     headers.Add(std::string(field.name_string()), std::string(field.value()));
-  this->is_unframed = this->parser->need_eof();
+  this->body_framing = FramingOf(*this->parser);
+  this->read_bytes = 0;
   const int status = static_cast<int>(this->parser->get().result_int());
   return this->codec.DecodeResponseHead(status, headers);
 }
@@ -231,6 +242,7 @@
   }
   this->connection->stream.close();
   this->connection = nullptr;
+  this->end = ConnectionEnd::kHost;
 }
 
 std::optional<std::string> EndpointSend::ReadChunk() {
@@ -247,6 +259,7 @@
     if (error && error != http::error::need_buffer)
       this->Fail(error, "read body");
     bytes.resize(bytes.size() - body.size);
+    this->read_bytes += bytes.size();
     if (!bytes.empty())
       return bytes;
   }
@@ -271,6 +284,8 @@
   this->connection = nullptr;
   if (!is_body_written || !is_buffer_empty || !is_reusable || this->canceled) {
     done->stream.close();
+    this->end = this->ends_with_connection() ? ConnectionEnd::kPeer
+                                             : ConnectionEnd::kHost;
     return;
   }
   if (this->head.keep_alive)
--- a/source/core/forward/endpoint_send.h
+++ b/source/core/forward/endpoint_send.h
@@ -1,6 +1,7 @@
 #ifndef CORE_FORWARD_ENDPOINT_SEND_H_
 #define CORE_FORWARD_ENDPOINT_SEND_H_
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <stdexcept>
@@ -29,6 +30,24 @@
 inline constexpr common::NameTable<SendFailure, 6> kSendFailureNames(
     {"not_connected", "broken", "timeout", "malformed", "canceled", "stalled"});
 
+// What marks the end of a response's body.
+enum class Framing { kNone, kLength, kChunks, kConnection };
+
+inline constexpr common::NameTable<Framing, 4> kFramingNames({"none", "length",
+                                                              "chunks",
+                                                              "connection"});
+
+// What became of the connection of a send.
+enum class ConnectionEnd {
+  kOpen,    // in use, or kept for the next send
+  kPeer,    // the endpoint closed it in order
+  kBroken,  // it was reset, fell silent or carried a malformed response
+  kHost,    // this host closed it
+};
+
+inline constexpr common::NameTable<ConnectionEnd, 4> kConnectionEndNames(
+    {"open", "peer", "broken", "host"});
+
 class SendError : public std::runtime_error {
  public:
   SendError(SendFailure failure, const std::string& detail)
@@ -63,9 +82,15 @@
   // Reads the rest of a body that is of no use, so that the connection can be
   // reused. Closes the connection instead if the rest is too long or too slow.
   void Discard();
+  Framing framing() const { return this->body_framing; }
+  // Bytes of the body that were read so far, without chunk headers.
+  uint64_t body_bytes() const { return this->read_bytes; }
+  ConnectionEnd connection_end() const { return this->end; }
   // Whether the end of the connection is the end of the body, because the
   // response declares no length.
-  bool ends_with_connection() const { return this->is_unframed; }
+  bool ends_with_connection() const {
+    return this->body_framing == Framing::kConnection;
+  }
   // Makes a pending Open() or Read() fail with kCanceled.
   void Cancel();
 
@@ -91,7 +116,7 @@
   void SetExpiry();
   void Finish();
   [[noreturn]] void Fail(const boost::system::error_code& error,
-                         const char* step) const;
+                         const char* step);
 
   ConnectionPool& pool;
   const Codec& codec;
@@ -104,8 +129,10 @@
   common::TimePoint deadline;
   std::optional<common::TimePoint> progress_deadline;
   size_t skipped_bytes = 0;
+  Framing body_framing = Framing::kNone;
+  uint64_t read_bytes = 0;
+  ConnectionEnd end = ConnectionEnd::kOpen;
   bool is_head_method = false;
-  bool is_unframed = false;
   bool was_sent = false;
   bool reused = false;
   bool canceled = false;
--- a/source/core/forward/response_relay.h
+++ b/source/core/forward/response_relay.h
@@ -58,6 +58,8 @@
     return this->splitter.last_id();
   }
   const Statistics& statistics() const { return this->stats; }
+  // Whether the last bytes of the stream that arrived are a part of an event.
+  bool is_inside_event() const { return this->splitter.IsInsideEvent(); }
 
  private:
   void Start(const ResponseHead& head);
--- a/source/core/gateway/request_task.cc
+++ b/source/core/gateway/request_task.cc
@@ -1,7 +1,6 @@
 #include "core/gateway/request_task.h"
 
 #include <algorithm>
-#include <map>
 #include <utility>
 
 #include "core/common/scale.h"
@@ -31,9 +30,6 @@
 // Maximum failed connection attempts of one request. Each unreachable endpoint
 // can cost the connect timeout.
 constexpr int64_t kMaxFailedConnects = 3;
-// Endpoints get a deadline this much earlier than the caller's, so that the
-// response can still reach the caller.
-constexpr Duration kNetworkDelay = std::chrono::milliseconds(5);
 // An endpoint that rejected a request because it is full is not used for this
 // long.
 constexpr Duration kFullEndpointPause = std::chrono::milliseconds(60);
@@ -41,14 +37,6 @@
 // used for this long, so that the view can be updated.
 constexpr Duration kMismatchPause = std::chrono::milliseconds(400);
 constexpr Duration kStaleViewRetryAfter = std::chrono::milliseconds(300);
-constexpr double kPlainMoveLatencyFactor = 5;
-constexpr double kStreamMovePredictionFactor = 2.5;
-constexpr Duration kStreamMoveExtra = std::chrono::milliseconds(150);
-// Share of the target latency within which stored prompt parts must have been
-// fetched. The rest is left to read them.
-constexpr double kFetchTimeShare = 0.75;
-// Share of the target latency that a fetch may wait for the store's link.
-constexpr double kFetchWaitShare = 0.45;
 
 bool IsSuccess(int status) {
   return status >= 200 && status < 300;
@@ -192,50 +180,10 @@
   });
 }
 
-std::string RequestTask::SaltFor(uint64_t version) const {
-  reuse::Salt versioned = this->salt;
-  versioned.version = version;
-  return reuse::RenderSalt(versioned);
-}
-
 Duration RequestTask::Remaining(TimePoint now) const {
   return this->deadline - now;
 }
 
-dispatch::SendRequirements RequestTask::Requirements() const {
-  dispatch::SendRequirements requirements;
-  requirements.urgency = this->urgency;
-  requirements.tried = &this->tried;
-  requirements.isolate = this->isolate;
-  if (!this->request.prompt || !this->pool->is_engine())
-    return requirements;
-  requirements.prompt = &*this->request.prompt;
-  requirements.salt = this->cache_key;
-  const std::string& model = requirements.prompt->model;
-  requirements.required_version =
-      this->deps.view.RequiredVersion(model, runtime::BootNow());
-  requirements.preferred_version = this->deps.view.NewestVersion(model);
-  requirements.start_deadline = [this, &model](uint64_t version) {
-    return this->deps.view.StartDeadline(model, version);
-  };
-  const reuse::FetchConditions conditions = this->FetchConditionsFor(nullptr);
-  requirements.fetch_limits = conditions.limits;
-  requirements.stored =
-      [this, conditions,
-       stored_parts_by_version =
-           std::map<uint64_t, std::vector<dispatch::StoredPart>>()](
-          uint64_t version) mutable
-      -> const std::vector<dispatch::StoredPart>& {
-    const auto [entry, is_new] = stored_parts_by_version.try_emplace(version);
-    if (is_new)
-      entry->second = this->deps.cache_store_index.FindStoredParts(
-          this->SaltFor(version), *this->request.prompt, conditions,
-          runtime::BootNow());
-    return entry->second;
-  };
-  return requirements;
-}
-
 dispatch::EndpointChoice RequestTask::AwaitEndpoint() {
   const TimePoint began = runtime::BootNow();
   bool queued = false;
@@ -303,103 +251,6 @@
   throw RefusedError(code, reason, retry_after);
 }
 
-void RequestTask::AddExclusions(LogLine& line, TimePoint now) const {
-  const dispatch::SendRequirements requirements = this->Requirements();
-  const dispatch::ExclusionCounts counts =
-      this->pool->CountExclusions(requirements, now);
-  std::string excluded;
-  for (size_t i = 1; i < counts.size(); ++i) {
-    if (counts[i] == 0)
-      continue;
-    if (!excluded.empty())
-      excluded += ',';
-    const auto exclusion = static_cast<dispatch::Exclusion>(i);
-    excluded += dispatch::kExclusionNames.NameOf(exclusion);
-    excluded += ':' + std::to_string(counts[i]);
-  }
-  if (requirements.required_version != 0)
-    line.Add(Field::kRequiredVersion, requirements.required_version);
-  line.Add(Field::kEndpointsLeft, counts[0]);
-  if (!excluded.empty())
-    line.Add(Field::kExcludedEndpoints, excluded);
-}
-
-forward::SendParameters RequestTask::MakeSendParameters(
-    const dispatch::EndpointChoice& choice) {
-  const TimePoint now = runtime::BootNow();
-  forward::SendParameters parameters;
-  parameters.endpoint_id = choice.endpoint->endpoint().id;
-  parameters.remaining = std::max(Duration(std::chrono::milliseconds(1)),
-                                  this->Remaining(now) - kNetworkDelay);
-  if (this->team)
-    parameters.team = this->team->name;
-  if (this->relay.last_event_id())
-    parameters.last_event_id = this->relay.last_event_id();
-  if (!this->request.prompt || !this->pool->is_engine())
-    return parameters;
-  parameters.urgency = this->urgency;
-  const uint64_t version =
-      choice.endpoint->VersionOf(this->request.prompt->model);
-  parameters.cache_salt = this->SaltFor(version);
-  // Cached parts are looked up by salt, so they must be computed with the
-  // weight version that is part of the salt.
-  parameters.expected_version = version;
-  this->AddReuse(choice, parameters);
-  return parameters;
-}
-
-reuse::FetchConditions RequestTask::FetchConditionsFor(
-    const dispatch::EndpointChoice* choice) const {
-  reuse::FetchConditions conditions;
-  conditions.limits.prefill_token_ms = this->pool->first_token().token_ms();
-  conditions.limits.max_wait_ms = common::ToMilliseconds(
-      Scale(this->route->target_latency, kFetchWaitShare));
-  const auto& properties = this->pool->engine_properties();
-  if (properties) {
-    conditions.token_bytes = properties->kv_token_bytes;
-    conditions.engine_link_mbps = properties->link_mbps;
-  }
-  if (choice) {
-    conditions.cached_tokens = choice->cached_tokens;
-    conditions.engine_zone = choice->endpoint->endpoint().zone;
-  }
-  conditions.read_time = Scale(this->route->target_latency, kFetchTimeShare);
-  conditions.chance = this->deps.dispatcher.random().NextDouble();
-  return conditions;
-}
-
-void RequestTask::AddReuse(const dispatch::EndpointChoice& choice,
-                           forward::SendParameters& parameters) {
-  this->reuse = this->deps.cache_store_index.Plan(
-      *parameters.cache_salt, *this->request.prompt,
-      this->FetchConditionsFor(&choice), runtime::BootNow());
-  parameters.cache_sources = this->reuse.sources;
-  parameters.cache_targets = this->reuse.targets;
-  if (this->deps.peer_loads) {
-    for (const reuse::StoreTransfer& transfer : this->reuse.transfers)
-      this->deps.peer_loads->OnTransfer(transfer);
-  }
-  if (this->reuse.source_tokens > 0)
-    parameters.cache_until_ms = this->reuse.until_ms;
-}
-
-std::optional<Duration> RequestTask::MoveTimeout(
-    const dispatch::EndpointChoice& choice) const {
-  const bool is_last = this->sends + 1 >= this->route->max_attempts;
-  if (!this->IsRepeatable() || is_last)
-    return std::nullopt;
-  if (!this->pool->is_engine()) {
-    const double usual_ms =
-        choice.endpoint->mean_latency_ms() * kPlainMoveLatencyFactor;
-    return std::max(
-        common::FromSeconds(usual_ms / 1000),
-        Scale(this->route->target_latency, dispatch::kPlainMoveTargetShare));
-  }
-  return std::max(
-      this->route->target_latency,
-      Scale(choice.predicted, kStreamMovePredictionFactor) + kStreamMoveExtra);
-}
-
 RequestTask::AttemptResult RequestTask::Attempt(
     const dispatch::EndpointChoice& choice) {
   auto& record = *choice.endpoint;
@@ -466,40 +317,6 @@
   return result;
 }
 
-void RequestTask::LogSent(const dispatch::EndpointChoice& choice,
-                          TimePoint now) {
-  const dispatch::EndpointRecord& record = *choice.endpoint;
-  LogLine line(this->deps.log, this->sends == 0        ? Event::kRequestSent
-                               : this->relay.started() ? Event::kRequestResumed
-                                                       : Event::kRequestResent);
-  line.Add(Field::kRequest, this->request.attempt_id)
-      .Add(Field::kRoute, this->route->name)
-      .Add(Field::kEndpoint, record.endpoint().id)
-      .Add(Field::kConfigVersion, this->config->version())
-      .Add(Field::kHeldMs, this->held)
-      .Add(Field::kPredictedMs, choice.predicted)
-      .Add(Field::kUncachedTokens, choice.uncached_tokens)
-      .Add(Field::kFetchedTokens, this->reuse.fetched_tokens)
-      .Add(Field::kSkippedTokens, this->reuse.skipped_tokens)
-      .Add(Field::kAbsentTokens, this->reuse.absent_tokens)
-      .Add(Field::kInFlight, record.own_in_flight())
-      .Add(Field::kRemainingMs, this->Remaining(now));
-  if (this->request.prompt && this->pool->is_engine())
-    this->AddVersions(line, record, now);
-}
-
-void RequestTask::AddVersions(LogLine& line,
-                              const dispatch::EndpointRecord& engine,
-                              TimePoint now) const {
-  const std::string& model = this->request.prompt->model;
-  const uint64_t version = engine.VersionOf(model);
-  line.Add(Field::kVersion, version);
-  if (version >= this->deps.view.NewestVersion(model))
-    return;
-  line.Add(Field::kRequiredVersion, this->deps.view.RequiredVersion(model, now))
-      .Add(Field::kVersionAgeMs, this->deps.view.AnnouncementAge(model, now));
-}
-
 void RequestTask::RecordPrompt(const dispatch::EndpointChoice& choice,
                                const dispatch::SendTicket& ticket) {
   if (!this->request.prompt || !this->pool->is_engine())
@@ -614,23 +431,7 @@
       this->RecordFirstByte(ticket);
     });
   }
-  this->LogAnswered(head, *ticket.endpoint);
-}
-
-void RequestTask::LogAnswered(const forward::ResponseHead& head,
-                              const dispatch::EndpointRecord& endpoint) {
-  const forward::ResponseRelay::Statistics& stats = this->relay.statistics();
-  LogLine line(this->deps.log, Event::kRequestAnswered);
-  line.Add(Field::kRequest, this->request.attempt_id)
-      .Add(Field::kStatus, head.status)
-      .Add(Field::kRoute, this->route->name)
-      .Add(Field::kEndpoint, endpoint.endpoint().id);
-  if (stats.events > 0)
-    line.Add(Field::kPredictedMs, this->predicted)
-        .Add(Field::kFirstByteMs, this->first_byte_at - this->received_at)
-        .Add(Field::kLongestPauseMs, stats.longest_pause)
-        .Add(Field::kCount, stats.events);
-  line.Add(Field::kTookMs, runtime::BootNow() - this->received_at);
+  this->LogAnswered(send, head, *ticket.endpoint);
 }
 
 RequestTask::AttemptResult RequestTask::OnSendError(
@@ -638,15 +439,7 @@
     const forward::EndpointSend& send,
     dispatch::SendTicket& ticket) {
   auto& record = *ticket.endpoint;
-  const auto& move_reason = this->callback_state->move_reason;
-  const std::string_view detail =
-      move_reason ? kMoveReasonNames.NameOf(*move_reason) : error.what();
-  LogLine(this->deps.log, Event::kRequestCut)
-      .Add(Field::kRequest, this->request.attempt_id)
-      .Add(Field::kEndpoint, record.endpoint().id)
-      .Add(Field::kReason, forward::kSendFailureNames.NameOf(error.failure()))
-      .Add(Field::kDetail, detail)
-      .Add(Field::kElapsedMs, runtime::BootNow() - this->received_at);
+  this->LogCut(error, send, record);
   if (!send.sent()) {
     ++this->failed_connects;
     if (error.failure() == SendFailure::kNotConnected)
--- a/source/core/gateway/request_task.h
+++ b/source/core/gateway/request_task.h
@@ -53,6 +53,11 @@
   void Run();
 
  private:
+  // Endpoints get a deadline this much earlier than the caller's, so that the
+  // response can still reach the caller.
+  static constexpr common::Duration kNetworkDelay =
+      std::chrono::milliseconds(5);
+
   // State shared with callbacks that may outlive the task.
   struct CallbackState {
     bool caller_gone = false;
@@ -102,8 +107,15 @@
   void RelayResponse(forward::EndpointSend& send,
                      const forward::ResponseHead& head,
                      dispatch::SendTicket& ticket);
-  void LogAnswered(const forward::ResponseHead& head,
+  void LogAnswered(const forward::EndpointSend& send,
+                   const forward::ResponseHead& head,
                    const dispatch::EndpointRecord& endpoint);
+  void LogCut(const forward::SendError& error,
+              const forward::EndpointSend& send,
+              const dispatch::EndpointRecord& endpoint);
+  // Adds how the response of the send was framed and where it ended.
+  void AddTransfer(events::LogLine& line,
+                   const forward::EndpointSend& send) const;
   AttemptResult OnSendError(const forward::SendError& error,
                             const forward::EndpointSend& send,
                             dispatch::SendTicket& ticket);
--- /dev/null
+++ b/source/core/gateway/request_task_log.cc
@@ -0,0 +1,110 @@
+// The log lines of a request: the values that decided each step.
+#include "core/gateway/request_task.h"
+
+#include "core/runtime/boot_clock.h"
+
+namespace jujuberock::gateway {
+
+using common::TimePoint;
+using events::Event;
+using events::Field;
+using events::LogLine;
+
+void RequestTask::AddExclusions(LogLine& line, TimePoint now) const {
+  const dispatch::SendRequirements requirements = this->Requirements();
+  const dispatch::ExclusionCounts counts =
+      this->pool->CountExclusions(requirements, now);
+  std::string excluded;
+  for (size_t i = 1; i < counts.size(); ++i) {
+    if (counts[i] == 0)
+      continue;
+    if (!excluded.empty())
+      excluded += ',';
+    const auto exclusion = static_cast<dispatch::Exclusion>(i);
+    excluded += dispatch::kExclusionNames.NameOf(exclusion);
+    excluded += ':' + std::to_string(counts[i]);
+  }
+  if (requirements.required_version != 0)
+    line.Add(Field::kRequiredVersion, requirements.required_version);
+  line.Add(Field::kEndpointsLeft, counts[0]);
+  if (!excluded.empty())
+    line.Add(Field::kExcludedEndpoints, excluded);
+}
+
+void RequestTask::LogSent(const dispatch::EndpointChoice& choice,
+                          TimePoint now) {
+  const dispatch::EndpointRecord& record = *choice.endpoint;
+  LogLine line(this->deps.log, this->sends == 0        ? Event::kRequestSent
+                               : this->relay.started() ? Event::kRequestResumed
+                                                       : Event::kRequestResent);
+  line.Add(Field::kRequest, this->request.attempt_id)
+      .Add(Field::kRoute, this->route->name)
+      .Add(Field::kEndpoint, record.endpoint().id)
+      .Add(Field::kConfigVersion, this->config->version())
+      .Add(Field::kHeldMs, this->held)
+      .Add(Field::kPredictedMs, choice.predicted)
+      .Add(Field::kUncachedTokens, choice.uncached_tokens)
+      .Add(Field::kFetchedTokens, this->reuse.fetched_tokens)
+      .Add(Field::kSkippedTokens, this->reuse.skipped_tokens)
+      .Add(Field::kAbsentTokens, this->reuse.absent_tokens)
+      .Add(Field::kInFlight, record.own_in_flight())
+      .Add(Field::kRemainingMs, this->Remaining(now));
+  if (this->request.prompt && this->pool->is_engine())
+    this->AddVersions(line, record, now);
+}
+
+void RequestTask::AddVersions(LogLine& line,
+                              const dispatch::EndpointRecord& engine,
+                              TimePoint now) const {
+  const std::string& model = this->request.prompt->model;
+  const uint64_t version = engine.VersionOf(model);
+  line.Add(Field::kVersion, version);
+  if (version >= this->deps.view.NewestVersion(model))
+    return;
+  line.Add(Field::kRequiredVersion, this->deps.view.RequiredVersion(model, now))
+      .Add(Field::kVersionAgeMs, this->deps.view.AnnouncementAge(model, now));
+}
+
+void RequestTask::LogAnswered(const forward::EndpointSend& send,
+                              const forward::ResponseHead& head,
+                              const dispatch::EndpointRecord& endpoint) {
+  const forward::ResponseRelay::Statistics& stats = this->relay.statistics();
+  LogLine line(this->deps.log, Event::kRequestAnswered);
+  line.Add(Field::kRequest, this->request.attempt_id)
+      .Add(Field::kStatus, head.status)
+      .Add(Field::kRoute, this->route->name)
+      .Add(Field::kEndpoint, endpoint.endpoint().id);
+  if (stats.events > 0)
+    line.Add(Field::kPredictedMs, this->predicted)
+        .Add(Field::kFirstByteMs, this->first_byte_at - this->received_at)
+        .Add(Field::kLongestPauseMs, stats.longest_pause)
+        .Add(Field::kCount, stats.events);
+  this->AddTransfer(line, send);
+  line.Add(Field::kTookMs, runtime::BootNow() - this->received_at);
+}
+
+void RequestTask::LogCut(const forward::SendError& error,
+                         const forward::EndpointSend& send,
+                         const dispatch::EndpointRecord& endpoint) {
+  const auto& move_reason = this->callback_state->move_reason;
+  const std::string_view detail =
+      move_reason ? kMoveReasonNames.NameOf(*move_reason) : error.what();
+  LogLine line(this->deps.log, Event::kRequestCut);
+  line.Add(Field::kRequest, this->request.attempt_id)
+      .Add(Field::kEndpoint, endpoint.endpoint().id)
+      .Add(Field::kReason, forward::kSendFailureNames.NameOf(error.failure()))
+      .Add(Field::kDetail, detail);
+  this->AddTransfer(line, send);
+  line.Add(Field::kElapsedMs, runtime::BootNow() - this->received_at);
+}
+
+void RequestTask::AddTransfer(LogLine& line,
+                              const forward::EndpointSend& send) const {
+  line.Add(Field::kFraming, forward::kFramingNames.NameOf(send.framing()))
+      .Add(Field::kBodyBytes, send.body_bytes())
+      .Add(Field::kInsideEvent, this->relay.is_inside_event() ? 1 : 0)
+      .Add(Field::kConnectionEnd,
+           forward::kConnectionEndNames.NameOf(send.connection_end()));
+}
+
+}  // namespace jujuberock::gateway
