Close the connection of an answer that ends with it

An answer without framing ends with its connection, but the connection was put back into the pool, where the next send found it closed and dropped it; its log line called it open. Whether a connection can be kept is now asked of the parser, which knows the framing, instead of the header fields alone.

test_forward has a case for it that fails with the former code.

--- a/source/core/forward/endpoint_send.cc
+++ b/source/core/forward/endpoint_send.cc
@@ -152,7 +152,7 @@
     }
     if (!this->SkipBody())
       break;
-    if (!this->parser->get().keep_alive())
+    if (!this->parser->keep_alive())
       throw SendError(SendFailure::kBroken,
                       "connection closed after a stale response");
   }
@@ -279,7 +279,7 @@
   const bool is_body_written = !this->background || this->background->done;
   const bool is_buffer_empty = this->connection->buffer.size() == 0;
   const bool is_reusable =
-      this->parser->get().keep_alive() && !this->head.closes_connection;
+      this->parser->keep_alive() && !this->head.closes_connection;
   ConnectionPtr done = std::move(this->connection);
   this->connection = nullptr;
   if (!is_body_written || !is_buffer_empty || !is_reusable || this->canceled) {
--- a/source/unit_tests/core/forward/response_relay_test.cc
+++ b/source/unit_tests/core/forward/response_relay_test.cc
@@ -47,6 +47,7 @@
   std::string body;
   bool finished = false;
   std::optional<SendFailure> failure;
+  ConnectionEnd connection_end = ConnectionEnd::kOpen;
 };
 
 Relayed RelayAnswer(Relay relay, const std::string& answer, bool reset) {
@@ -74,6 +75,7 @@
     } catch (const SendError& error) {
       result.failure = error.failure();
     }
+    result.connection_end = send.connection_end();
   });
   result.body = writer.body;
   result.finished = writer.finished;
@@ -202,6 +204,18 @@
   }
 }
 
+// Guards against keeping a connection whose end was the end of the answer, and
+// against a log that calls it open.
+TEST_CASE("the connection of an unframed answer ends with it") {
+  const std::string body = "ok";
+  CHECK(RelayAnswer(Relay::kWhole, Unframed(body), false).connection_end ==
+        ConnectionEnd::kPeer);
+  CHECK(RelayAnswer(Relay::kWhole, Unframed(body), true).connection_end ==
+        ConnectionEnd::kBroken);
+  CHECK(RelayAnswer(Relay::kWhole, WithLength(body), false).connection_end ==
+        ConnectionEnd::kOpen);
+}
+
 // A body above the limit of collected bytes is passed on as it arrives.
 TEST_CASE("a long unframed answer is complete unless it is reset") {
   const std::string body(2 * ResponseRelay::kMaxCollectedBytes, 'x');
