--- a/tools/gateway_standins.py
+++ b/tools/gateway_standins.py
@@ -135,7 +135,8 @@
 
     A step is ("send", bytes), ("endless", bytes, pause_s), ("pause", s),
     ("reset",), ("close",) or ("await_close", s). In bytes, `{id}` stands for
-    the id of the request's attempt.
+    the id of the request's attempt and `{former}` for that of the request
+    before it on the connection.
     """
 
     def __init__(self, script):
@@ -148,13 +149,16 @@
         self.address = "127.0.0.1:%d" % self.server.sockets[0].getsockname()[1]
 
     async def serve(self, reader, writer):
+        former = ""
         try:
             while message := await read_message(reader):
                 line, headers, body = message
-                request = {"path": line.split(" ")[1], "headers": headers,
+                request = {"former": former,
+                           "path": line.split(" ")[1], "headers": headers,
                            "id": headers.get("x-attempt-id", ""), "body": body,
                            "at": time.monotonic()}
                 self.requests.append(request)
+                former = request["id"]
                 for step in self.script(request):
                     await self.perform(step, request, reader, writer)
         except (ConnectionError, asyncio.IncompleteReadError,
@@ -166,7 +170,9 @@
     async def perform(self, step, request, reader, writer):
         kind = step[0]
         if kind == "send":
-            writer.write(step[1].replace(b"{id}", request["id"].encode()))
+            writer.write(step[1]
+                         .replace(b"{id}", request["id"].encode())
+                         .replace(b"{former}", request["former"].encode()))
             await writer.drain()
         elif kind == "endless":
             await self.send_endlessly(step[1], step[2], request, writer)
