Resume a stream only with an answer that continues it

Cause: once a stream had started, any 2xx was relayed into it. Its bytes were passed on unparsed if the type was not an event stream, and a 204, 205 or 206 ended the stream.

An answer now continues a stream only if it is a 200 of the media type that the answer which started the stream has, without a range or a coding; any other is malformed, so that another endpoint is asked or the answer is cut off.

--- a/source/core/forward/response_relay.cc
+++ b/source/core/forward/response_relay.cc
@@ -1,29 +1,57 @@
 #include "core/forward/response_relay.h"
 
 #include <algorithm>
+#include <locale>
 #include <utility>
 
+#include <boost/algorithm/string/case_conv.hpp>
+
 #include "core/runtime/boot_clock.h"
 
 namespace jujuberock::forward {
 
 namespace {
 
+constexpr int kStatusOk = 200;
+
 bool IsEventStream(const ResponseHead& head) {
   const auto type = head.forwarded_headers.Find("Content-Type");
   constexpr std::string_view kEventStream = "text/event-stream";
   return type && type->substr(0, kEventStream.size()) == kEventStream;
 }
 
+// Returns the media type in lower case, without parameters; empty if there is
+// none.
+std::string MediaTypeOf(const ResponseHead& head) {
+  std::string_view type =
+      head.forwarded_headers.Find("Content-Type").value_or("");
+  type = type.substr(0, type.find(';'));
+  while (!type.empty() && (type.back() == ' ' || type.back() == '\t'))
+    type.remove_suffix(1);
+  return boost::algorithm::to_lower_copy(std::string(type),
+                                         std::locale::classic());
+}
+
 }  // namespace
 
 void ResponseRelay::Start(const ResponseHead& head) {
   if (this->has_started)
     return;
   this->has_started = true;
+  this->media_type = MediaTypeOf(head);
   this->writer.StartStream(head.status, head.forwarded_headers);
 }
 
+void ResponseRelay::CheckContinues(const ResponseHead& head) const {
+  const bool continues = head.status == kStatusOk &&
+                         MediaTypeOf(head) == this->media_type &&
+                         !head.forwarded_headers.Find("Content-Range") &&
+                         !head.forwarded_headers.Find("Content-Encoding");
+  if (!continues)
+    throw SendError(SendFailure::kMalformed,
+                    "the response does not continue the stream");
+}
+
 void ResponseRelay::RelayWhole(EndpointSend& send,
                                const ResponseHead& head,
                                const ProgressCallback& on_progress) {
@@ -55,6 +83,8 @@
                                 const ResponseHead& head,
                                 common::Duration stall_limit,
                                 const ProgressCallback& on_progress) {
+  if (this->has_started)
+    this->CheckContinues(head);
   const bool is_event_stream = IsEventStream(head);
   this->splitter.BeginResponse();
   send.ExpectProgressWithin(stall_limit);
--- a/source/core/forward/response_relay.h
+++ b/source/core/forward/response_relay.h
@@ -63,6 +63,9 @@
 
  private:
   void Start(const ResponseHead& head);
+  // Throws SendError if this response can't be the rest of the stream that was
+  // started.
+  void CheckContinues(const ResponseHead& head) const;
   // Passes the rest of the body on as it arrives.
   void PassOn(EndpointSend& send);
   void RecordEvent();
@@ -76,6 +79,8 @@
   EventSplitter splitter;
   Statistics stats;
   bool has_started = false;
+  // Of the response that started the answer.
+  std::string media_type;
 };
 
 }  // namespace jujuberock::forward
