Read the body of a stream route as events whatever its type says

Callers saw: a stream that broke off in the middle of an event ended as complete, with a part of an event at its end.

Cause: the check for an incomplete event ran only for answers whose type began with text/event-stream, compared by letter case. A type spelled otherwise, or none, made the end of an unframed answer its regular end, although the route says that its answers are series of events.

The body of a 200 on a stream route is now always split into events, so that only whole events are passed on and the check always runs. Other successes on such a route are relayed as whole answers. An event stream may resume any stream.

--- a/source/core/forward/response_relay.cc
+++ b/source/core/forward/response_relay.cc
@@ -13,12 +13,7 @@
 namespace {
 
 constexpr int kStatusOk = 200;
-
-bool IsEventStream(const ResponseHead& head) {
-  const auto type = head.forwarded_headers.Find("Content-Type");
-  constexpr std::string_view kEventStream = "text/event-stream";
-  return type && type->substr(0, kEventStream.size()) == kEventStream;
-}
+constexpr std::string_view kEventStream = "text/event-stream";
 
 // Returns the media type in lower case, without parameters; empty if there is
 // none.
@@ -43,8 +38,9 @@
 }
 
 void ResponseRelay::CheckContinues(const ResponseHead& head) const {
-  const bool continues = head.status == kStatusOk &&
-                         MediaTypeOf(head) == this->media_type &&
+  const std::string type = MediaTypeOf(head);
+  const bool has_type = type == kEventStream || type == this->media_type;
+  const bool continues = head.status == kStatusOk && has_type &&
                          !head.forwarded_headers.Find("Content-Range") &&
                          !head.forwarded_headers.Find("Content-Encoding");
   if (!continues)
@@ -85,17 +81,15 @@
                                 const ProgressCallback& on_progress) {
   if (this->has_started)
     this->CheckContinues(head);
-  const bool is_event_stream = IsEventStream(head);
   this->splitter.BeginResponse();
   send.ExpectProgressWithin(stall_limit);
   while (auto bytes = send.Read()) {
-    const std::string events =
-        is_event_stream ? this->splitter.Push(*bytes) : std::move(*bytes);
+    const std::string events = this->splitter.Push(*bytes);
     if (this->splitter.pending_bytes() > kMaxEventBytes)
       throw SendError(SendFailure::kMalformed, "an event is too long");
     if (events.empty())
       continue;
-    if (!is_event_stream || this->splitter.has_progressed()) {
+    if (this->splitter.has_progressed()) {
       on_progress();
       this->RecordEvent();
       send.ExpectProgressWithin(stall_limit);
@@ -105,8 +99,7 @@
     this->Start(head);
     this->writer.Write(events);
   }
-  if (is_event_stream)
-    this->CheckComplete(send);
+  this->CheckComplete(send);
   this->FinishEvents(head);
 }
 
--- a/source/core/forward/response_relay.h
+++ b/source/core/forward/response_relay.h
@@ -43,9 +43,10 @@
   void RelayWhole(EndpointSend& send,
                   const ResponseHead& head,
                   const ProgressCallback& on_progress);
-  // Relays a stream, or the rest of one that another endpoint has begun. Throws
-  // SendError, also when no event arrives for `stall_limit` or the stream ends
-  // in the middle of an event.
+  // Relays a stream, or the rest of one that another endpoint has begun. The
+  // body is read as events whatever type the response declares, because the
+  // route says that it is a stream. Throws SendError, also when no event
+  // arrives for `stall_limit` or the stream ends in the middle of an event.
   void RelayStream(EndpointSend& send,
                    const ResponseHead& head,
                    common::Duration stall_limit,
--- a/source/core/gateway/request_task.cc
+++ b/source/core/gateway/request_task.cc
@@ -38,6 +38,8 @@
 constexpr Duration kMismatchPause = std::chrono::milliseconds(400);
 constexpr Duration kStaleViewRetryAfter = std::chrono::milliseconds(300);
 
+constexpr int kStatusOk = 200;
+
 bool IsSuccess(int status) {
   return status >= 200 && status < 300;
 }
@@ -361,9 +363,7 @@
     send.Discard();
     return AttemptResult::kUnknown;
   }
-  const bool is_stream =
-      this->route->kind == RouteKind::kStream && IsSuccess(head.status);
-  if (this->relay.started() && !is_stream)
+  if (this->relay.started() && !this->IsStream(head))
     return AttemptResult::kUnknown;
   this->RelayResponse(send, head, ticket);
   if (!own_failure) {
@@ -377,6 +377,10 @@
   return AttemptResult::kAnswered;
 }
 
+bool RequestTask::IsStream(const forward::ResponseHead& head) const {
+  return this->route->kind == RouteKind::kStream && head.status == kStatusOk;
+}
+
 dispatch::AnswerKind RequestTask::ExpectedAnswer() const {
   if (this->pool->is_engine())
     return dispatch::AnswerKind::kEngineStream;
@@ -413,9 +417,7 @@
 void RequestTask::RelayResponse(forward::EndpointSend& send,
                                 const forward::ResponseHead& head,
                                 dispatch::SendTicket& ticket) {
-  const bool is_stream =
-      this->route->kind == RouteKind::kStream && IsSuccess(head.status);
-  if (is_stream) {
+  if (this->IsStream(head)) {
     this->relay.RelayStream(
         send, head, dispatch::StreamStallLimit(TargetsOf(*this->route)), [&] {
           this->RecordFirstByte(ticket);
--- a/source/core/gateway/request_task.h
+++ b/source/core/gateway/request_task.h
@@ -103,6 +103,8 @@
   AttemptResult HandleResponse(forward::EndpointSend& send,
                                const forward::ResponseHead& head,
                                dispatch::SendTicket& ticket);
+  // Whether the body of the response is a series of events.
+  bool IsStream(const forward::ResponseHead& head) const;
   // Passes the response on to the caller. Throws forward::SendError.
   void RelayResponse(forward::EndpointSend& send,
                      const forward::ResponseHead& head,
