Log the era of the platform's store

Its header Store-Era is now read from all answers: an answer of a former era is an error, a new era is logged as store_restored, and config_in_force and version_named say in which era and at which revision they were read. Nothing else depends on it yet.

The stand-in of the store can be brought back from a copy.

--- a/source/core/catalog/object_store.h
+++ b/source/core/catalog/object_store.h
@@ -54,13 +54,19 @@
   std::optional<StoredObject> current;
 };
 
-// Client of the platform's object store. Every method suspends the calling
-// fiber. Reads throw common::Error kPlatformUnavailable,
+// Client of the platform's object store. Every method but era() suspends the
+// calling fiber. Reads throw common::Error kPlatformUnavailable,
 // kPlatformRateLimited or kProtocolError.
 class ObjectStore {
  public:
   virtual ~ObjectStore() = default;
 
+  // Era of the newest answer: it rises when the store comes back from an older
+  // copy, which lacks the last changes and gives out their revisions again. 0
+  // before the first answer, or if the store states none. Answers of former
+  // eras that arrive later are errors.
+  virtual uint64_t era() const = 0;
+
   virtual ObjectSnapshot List(ObjectKind kind) = 0;
   // Returns the changes after `revision`; blocks up to `wait` for the first.
   virtual ObjectChanges Watch(ObjectKind kind,
--- a/source/core/events/event_log.h
+++ b/source/core/events/event_log.h
@@ -32,6 +32,7 @@
   kDependencyLost,
   kDependencyRegained,
   kLinesDropped,
+  kStoreRestored,
   kConfigInForce,
   kConfigRejected,
   kViewStale,
@@ -57,19 +58,25 @@
   kRequestAnswered,
 };
 
-inline constexpr size_t kEventCount = 30;
+inline constexpr size_t kEventCount = 31;
 
 inline constexpr common::NameTable<Event, kEventCount> kEventNames(
-    {"started",         "stopping",         "stopped",
-     "reloaded",        "dependency_lost",  "dependency_regained",
-     "lines_dropped",   "config_in_force",  "config_rejected",
-     "view_stale",      "view_renewed",     "endpoint_added",
-     "endpoint_left",   "endpoint_ejected", "endpoint_readmitted",
-     "version_named",   "holder_gained",    "holder_lost",
-     "weights_ordered", "weights_in_force", "parts_freed",
-     "crash_marked",    "parts_blocked",    "request_refused",
-     "request_queued",  "request_sent",     "request_resent",
-     "request_resumed", "request_cut",      "request_answered"});
+    {"started",          "stopping",
+     "stopped",          "reloaded",
+     "dependency_lost",  "dependency_regained",
+     "lines_dropped",    "store_restored",
+     "config_in_force",  "config_rejected",
+     "view_stale",       "view_renewed",
+     "endpoint_added",   "endpoint_left",
+     "endpoint_ejected", "endpoint_readmitted",
+     "version_named",    "holder_gained",
+     "holder_lost",      "weights_ordered",
+     "weights_in_force", "parts_freed",
+     "crash_marked",     "parts_blocked",
+     "request_refused",  "request_queued",
+     "request_sent",     "request_resent",
+     "request_resumed",  "request_cut",
+     "request_answered"});
 
 // Fields that a line may have.
 enum class Field {
@@ -113,9 +120,11 @@
   kBodyBytes,
   kInsideEvent,
   kConnectionEnd,
+  kStoreEra,
+  kRevision,
 };
 
-inline constexpr size_t kFieldCount = 40;
+inline constexpr size_t kFieldCount = 42;
 
 inline constexpr common::NameTable<Field, kFieldCount> kFieldNames(
     {"request",
@@ -157,7 +166,9 @@
      "framing",
      "body_bytes",
      "inside_event",
-     "connection_end"});
+     "connection_end",
+     "store_era",
+     "revision"});
 
 Level LevelOf(Event event);
 
--- a/source/core/gateway/platform_view.cc
+++ b/source/core/gateway/platform_view.cc
@@ -87,6 +87,7 @@
 void PlatformView::List(KindWatch& watch) {
   const common::TimePoint sent_at = runtime::BootNow();
   const catalog::ObjectSnapshot snapshot = this->store.List(watch.kind);
+  this->CheckEra();
   // Changes since the last answer are not listed one by one.
   const ChangeTime changed_after = watch.answered_at;
   watch.revision = snapshot.revision;
@@ -104,6 +105,7 @@
   const common::TimePoint sent_at = runtime::BootNow();
   const catalog::ObjectChanges changes =
       this->store.Watch(watch.kind, *watch.revision, watch.wait);
+  this->CheckEra();
   if (changes.history_gone) {
     watch.revision.reset();
     return;
@@ -128,6 +130,20 @@
     runtime::SleepFor(watch.batch_delay);
 }
 
+void PlatformView::CheckEra() {
+  const uint64_t era = this->store.era();
+  if (era == this->known_era)
+    return;
+  const bool is_restored = this->known_era != 0;
+  this->known_era = era;
+  if (!is_restored)
+    return;
+  LogLine line(this->log, Event::kStoreRestored);
+  line.Add(Field::kStoreEra, era);
+  if (this->current_config)
+    line.Add(Field::kConfigVersion, this->current_config->version());
+}
+
 void PlatformView::OnAnswer(KindWatch& watch,
                             common::TimePoint earliest_answer) {
   if (watch.failures > 0)
@@ -163,7 +179,9 @@
     this->current_config =
         std::make_shared<const catalog::ConfigView>(std::move(config));
     LogLine(this->log, Event::kConfigInForce)
-        .Add(Field::kConfigVersion, this->current_config->version());
+        .Add(Field::kConfigVersion, this->current_config->version())
+        .Add(Field::kStoreEra, this->known_era)
+        .Add(Field::kRevision, change.object.revision);
     this->NotifyChanged();
   } catch (const common::Error& error) {
     LogLine(this->log, Event::kConfigRejected)
@@ -225,7 +243,9 @@
       return;
     LogLine(this->log, Event::kVersionNamed)
         .Add(Field::kModel, announced.model)
-        .Add(Field::kVersion, announced.version);
+        .Add(Field::kVersion, announced.version)
+        .Add(Field::kStoreEra, this->known_era)
+        .Add(Field::kRevision, change.object.revision);
     this->NotifyChanged();
   } catch (const common::Error& error) {
     LogLine(this->log, Event::kConfigRejected)
@@ -270,6 +290,7 @@
 
 void PlatformView::OnTick(common::TimePoint now) {
   this->stall_detector.OnTick(now);
+  this->CheckEra();
   const uint64_t before = this->directory.generation();
   this->directory.Expire(now);
   if (this->directory.generation() != before)
--- a/source/core/gateway/platform_view.h
+++ b/source/core/gateway/platform_view.h
@@ -112,6 +112,8 @@
   void ApplyHost(const catalog::ObjectChange& change, const ChangeTime&);
   void ReplaceEndpoints(const catalog::ObjectSnapshot& snapshot);
   void NotifyChanged();
+  // Notices that the store has come back from an older copy.
+  void CheckEra();
 
   const Settings& settings;
   catalog::ObjectStore& store;
@@ -124,6 +126,8 @@
   catalog::EndpointDirectory directory;
   VersionsByModel version_requirements;
   common::StallDetector stall_detector;
+  // The newest era of the store that was noticed; 0 before its first answer.
+  uint64_t known_era = 0;
   bool endpoints_known = false;
   bool hosts_known = false;
   bool stopping = false;
--- a/source/platform/store_client.cc
+++ b/source/platform/store_client.cc
@@ -1,6 +1,7 @@
 #include "platform/store_client.h"
 
 #include <array>
+#include <charconv>
 #include <utility>
 
 #include <nlohmann/json.hpp>
@@ -47,6 +48,15 @@
   return value;
 }
 
+std::optional<uint64_t> ParseEra(std::string_view text) {
+  uint64_t era = 0;
+  const char* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, era);
+  if (parsed.ec != std::errc() || parsed.ptr != end)
+    return std::nullopt;
+  return era;
+}
+
 catalog::StoredObject DecodeObject(const Json& value) {
   catalog::StoredObject object;
   const Json& metadata = value.at("metadata");
@@ -94,7 +104,9 @@
   options.header_timeout = timeout;
   options.read_timeout = kReadTimeout;
   try {
-    return this->http.Fetch(this->address, request, options);
+    auto response = this->http.Fetch(this->address, request, options);
+    this->CheckEra(response);
+    return response;
   } catch (const runtime::HttpError& error) {
     throw Error(
         ResultCode::kPlatformUnavailable, error.what(),
@@ -102,6 +114,18 @@
   }
 }
 
+void StoreClient::CheckEra(const runtime::HttpResponse& response) {
+  const auto text = response.headers.Find(wire::kStoreEra);
+  const auto era = text ? ParseEra(*text) : std::nullopt;
+  if (!era)
+    return;
+  if (*era < this->newest_era)
+    throw Error(ResultCode::kPlatformUnavailable,
+                "the store's answer is of a former era",
+                common::Outcome::kUnknown);
+  this->newest_era = *era;
+}
+
 catalog::ObjectSnapshot StoreClient::List(catalog::ObjectKind kind) {
   catalog::ObjectSnapshot snapshot;
   std::string last_name;
--- a/source/platform/store_client.h
+++ b/source/platform/store_client.h
@@ -19,6 +19,7 @@
               runtime::Address address,
               common::MetricRegistry& counters);
 
+  uint64_t era() const override { return this->newest_era; }
   catalog::ObjectSnapshot List(catalog::ObjectKind kind) override;
   catalog::ObjectChanges Watch(catalog::ObjectKind kind,
                                uint64_t revision,
@@ -37,9 +38,12 @@
   runtime::HttpResponse Fetch(const runtime::HttpRequest& request,
                               common::Duration timeout);
   catalog::WriteReply Write(runtime::HttpRequest request);
+  // Throws if the answer is of a former era.
+  void CheckEra(const runtime::HttpResponse& response);
 
   runtime::HttpClient& http;
   runtime::Address address;
+  uint64_t newest_era = 0;
   common::Counter& lists;
   common::Counter& watches;
   common::Counter& reads;
--- a/source/platform/wire_names.h
+++ b/source/platform/wire_names.h
@@ -93,6 +93,9 @@
 inline constexpr std::string_view kCacheFreePath = "/kv-free";
 // Header field of a long poll for events: its maximum wait in milliseconds.
 inline constexpr std::string_view kWaitMs = "Wait-Ms";
+// In all answers of the store: rises by one each time that it comes back from
+// an older copy of itself.
+inline constexpr std::string_view kStoreEra = "Store-Era";
 inline constexpr std::string_view kObjectsPath = "/objects/";
 
 inline constexpr std::string_view kConfigKind = "config";
--- a/source/unit_tests/platform/store_client_test.cc
+++ b/source/unit_tests/platform/store_client_test.cc
@@ -169,5 +169,34 @@
   }
 }
 
+// Guards against mixing answers of two eras: the revisions of a store that came
+// back from a copy are given out again with other contents.
+TEST_CASE("an answer of a former era of the store is an error") {
+  const char* era = "4";
+  FakeStore store([&](const auto&) {
+    auto response = MakeResponse(200, R"({"items":[],"storeRevision":9})");
+    response.headers.Add("Store-Era", era);
+    return response;
+  });
+  store.Run([&](StoreClient& client) {
+    CHECK(client.era() == 0);
+    client.List(ObjectKind::kConfig);
+    CHECK(client.era() == 4);
+    era = "5";
+    client.List(ObjectKind::kConfig);
+    CHECK(client.era() == 5);
+    era = "4";
+    CHECK_THROWS_AS(client.List(ObjectKind::kConfig), common::Error);
+    CHECK(client.Create(ObjectKind::kHosts, "h", "{}").state ==
+          WriteState::kUnknown);
+    CHECK(client.era() == 5);
+    for (const char* unreadable : {"", "x", "5x", "-1"}) {
+      era = unreadable;
+      CHECK_NOTHROW(client.List(ObjectKind::kConfig));
+      CHECK(client.era() == 5);
+    }
+  });
+}
+
 }  // namespace
 }  // namespace jujuberock::platform_adapter
--- a/tools/gateway_standins.py
+++ b/tools/gateway_standins.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import copy
 import json
 import os
 import signal
@@ -42,9 +43,15 @@
 
 
 class PlatformStore:
-    """The platform's store: lists, watches and conditional writes."""
+    """The platform's store: lists, watches and conditional writes.
+
+    restore() brings it back from a copy(): revisions are given out again, and
+    the era, which all answers state, rises.
+    """
 
     def __init__(self):
+        self.era = 1
+        self.watching = set()
         self.revision = 1
         self.kinds = {}
         self.events = []
@@ -73,6 +80,19 @@
         gone["metadata"]["rev"] = self.revision
         self.publish(kind, gone, True)
 
+    def copy(self):
+        return copy.deepcopy((self.revision, self.kinds, self.events))
+
+    def restore(self, saved):
+        self.revision, self.kinds, self.events = copy.deepcopy(saved)
+        self.era += 1
+
+    def leave(self):
+        """Is away until `away` is reset; waiting watches are cut off."""
+        self.away = True
+        for writer in self.watching:
+            writer.transport.abort()
+
     def publish(self, kind, item, deleted):
         self.events.append((self.revision, kind, item, deleted))
         self.changed.set()
@@ -83,13 +103,18 @@
             while message := await read_message(reader):
                 if self.away:
                     break
+                self.watching.add(writer)
                 status, body = await self.answer(*message)
+                self.watching.discard(writer)
                 text = json.dumps(body).encode()
-                head = "HTTP/1.1 %d OK\r\nContent-Length: %d\r\n\r\n"
-                writer.write((head % (status, len(text))).encode() + text)
+                head = ("HTTP/1.1 %d OK\r\nContent-Length: %d\r\n"
+                        "Store-Era: %d\r\n\r\n")
+                writer.write((head % (status, len(text), self.era)).encode()
+                             + text)
                 await writer.drain()
         except (ConnectionError, asyncio.CancelledError):
             pass  # The gateway has ended, or the test has.
+        self.watching.discard(writer)
         writer.close()
 
     async def answer(self, line, _headers, body):
@@ -99,6 +124,8 @@
         kind, _, name = path.removeprefix("/objects/").partition("/")
         items = self.kinds.setdefault(kind, {})
         if method == "GET" and "watch" in options:
+            if int(options["watch"]) > self.revision:
+                return 410, {}
             return 200, await self.watch(kind, int(options["watch"]),
                                          int(options["waitMs"]) / 1000)
         if method == "GET" and name:
@@ -110,6 +137,8 @@
         name = name or sent["metadata"]["name"]
         expected = sent["metadata"].get("rev")
         known = items.get(name)
+        if method == "PUT" and not known:
+            return 404, {}
         if (method == "POST" and known) or (
                 expected and known and known["metadata"]["rev"] != expected):
             return 409, known
