Reserve engines also while a short lease is renewed

Weights were never replaced with a lease below 1.8 s: reservations may change at most every 200 ms, but that was counted from the last write of the lease record, which a short lease renews more often. It is counted from the last change of the reservations now.

The sites' lease of 3 s is renewed every 330 ms and was not affected.

--- a/source/core/gateway/rollout_controller.cc
+++ b/source/core/gateway/rollout_controller.cc
@@ -188,7 +188,6 @@
 
 bool RolloutController::WriteRecord(const LeaseRecord& record) {
   const TimePoint sent_at = runtime::BootNow();
-  this->written_at = sent_at;
   const std::string content = rollout::RenderLeaseRecord(record);
   const auto expected = this->lease.expected_revision();
   const catalog::WriteReply reply =
@@ -259,8 +258,10 @@
   // Changes of reservations are rate-limited, because all hosts read every
   // write.
   bool changed = false;
-  if (now - this->written_at >= kWritePeriod)
+  if (now - this->reserved_at >= kWritePeriod)
     changed = this->PlanFor(pending).Reserve(endpoints, now);
+  if (changed)
+    this->reserved_at = now;
   if (changed || this->lease.MustRenew(now))
     this->UpdateRecord(pending, changed);
   if (!this->lease.Holds(runtime::BootNow()))
--- a/source/core/gateway/rollout_controller.h
+++ b/source/core/gateway/rollout_controller.h
@@ -88,7 +88,8 @@
   // Endpoints with a control call in progress.
   std::set<std::string> calls_in_progress;
   common::TimePoint polled_at;
-  common::TimePoint written_at;
+  // When the reservations changed last.
+  common::TimePoint reserved_at;
   common::TimePoint next_acquire_at;
   common::TimePoint acquired_at;
   // Endpoints that the previous holder had reserved when it lost the lease.
