--- a/tools/gateway_standins.py
+++ b/tools/gateway_standins.py
@@ -27,6 +27,13 @@
 ENDLESS_S = 8
 
 
+def known_red(command):
+    """The texts after `command` in KNOWN-RED.txt, which select known failures."""
+    with open(os.path.join(ROOT, "KNOWN-RED.txt")) as entries:
+        return [line.split("|")[0].removeprefix(command).strip()
+                for line in entries if line.startswith(command)]
+
+
 async def read_message(reader):
     """Reads an HTTP/1.1 message with a declared length, or None at the end."""
     try:
