List everything anew when the store came back from a copy

Callers saw: a withdrawn API key accepted and its successor refused, for as long as nothing else changed.

Cause: a watch went on from its revision of the former era. The store accepts it once new changes have passed that revision, and what was given out again below it is never reported. The same held for endpoints, versions and hosts.

Each watch now remembers the era of its revision; in a new era every kind is listed, also beside a watch that still waits for its answer, and an answer to a watch of the former era is dropped.

--- a/source/core/gateway/platform_view.cc
+++ b/source/core/gateway/platform_view.cc
@@ -51,7 +51,7 @@
       stall_detector(kHostStallThreshold) {}
 
 void PlatformView::Start() {
-  const std::vector<KindWatch> watches = {
+  const std::vector<KindWatch> kinds = {
       {ObjectKind::kConfig, "store:config", this->settings.config_watch_wait,
        kNoBatchDelay, &PlatformView::ApplyConfig},
       {ObjectKind::kEndpoints, "store:endpoints",
@@ -62,23 +62,34 @@
       {ObjectKind::kHosts, "store:hosts", this->settings.other_watch_wait,
        kHostsBatchDelay, &PlatformView::ApplyHost},
   };
-  for (const KindWatch& watch : watches)
+  for (const KindWatch& kind : kinds) {
+    auto watch = std::make_shared<KindWatch>(kind);
+    this->watches.push_back(watch);
     runtime::SpawnLocal([this, watch] { this->WatchKind(watch); });
+  }
 }
 
-void PlatformView::WatchKind(KindWatch watch) {
+void PlatformView::WatchKind(KindWatchPtr watch) {
   while (!this->stopping) {
     try {
-      this->ReadNext(watch);
+      this->ReadNext(*watch);
     } catch (const common::Error& error) {
-      this->OnFailure(watch, error.what());
-      runtime::SleepFor(BackoffFor(watch.failures));
+      this->OnFailure(*watch, error.what());
+      runtime::SleepFor(BackoffFor(watch->failures));
     }
   }
 }
 
+void PlatformView::ListBesideWatch(KindWatchPtr watch) {
+  try {
+    this->List(*watch);
+  } catch (const common::Error&) {
+    // The watch lists the kind before it goes on.
+  }
+}
+
 void PlatformView::ReadNext(KindWatch& watch) {
-  if (watch.revision)
+  if (watch.revision && watch.era == this->store.era())
     this->Watch(watch);
   else
     this->List(watch);
@@ -87,6 +98,7 @@
 void PlatformView::List(KindWatch& watch) {
   const common::TimePoint sent_at = runtime::BootNow();
   const catalog::ObjectSnapshot snapshot = this->store.List(watch.kind);
+  watch.era = this->store.era();
   this->CheckEra();
   // Changes since the last answer are not listed one by one.
   const ChangeTime changed_after = watch.answered_at;
@@ -103,9 +115,14 @@
 
 void PlatformView::Watch(KindWatch& watch) {
   const common::TimePoint sent_at = runtime::BootNow();
+  const uint64_t since = *watch.revision;
   const catalog::ObjectChanges changes =
-      this->store.Watch(watch.kind, *watch.revision, watch.wait);
+      this->store.Watch(watch.kind, since, watch.wait);
   this->CheckEra();
+  const bool is_superseded =
+      watch.era != this->store.era() || watch.revision != since;
+  if (is_superseded)
+    return;
   if (changes.history_gone) {
     watch.revision.reset();
     return;
@@ -142,6 +159,10 @@
   line.Add(Field::kStoreEra, era);
   if (this->current_config)
     line.Add(Field::kConfigVersion, this->current_config->version());
+  for (const KindWatchPtr& watch : this->watches) {
+    if (watch->era != era)
+      runtime::SpawnLocal([this, watch] { this->ListBesideWatch(watch); });
+  }
 }
 
 void PlatformView::OnAnswer(KindWatch& watch,
--- a/source/core/gateway/platform_view.h
+++ b/source/core/gateway/platform_view.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "core/catalog/config_view.h"
 #include "core/catalog/endpoint_directory.h"
@@ -93,14 +94,20 @@
     void (PlatformView::*apply)(const catalog::ObjectChange&,
                                 const ChangeTime&);
     std::optional<uint64_t> revision = std::nullopt;
+    // Era of the store in which `revision` was given out.
+    uint64_t era = 0;
     int failures = 0;
     // Earliest time at which the last answer can have been produced.
     std::optional<common::TimePoint> answered_at = std::nullopt;
   };
 
-  void WatchKind(KindWatch watch);
+  using KindWatchPtr = std::shared_ptr<KindWatch>;
+
+  void WatchKind(KindWatchPtr watch);
   void ReadNext(KindWatch& watch);
   void List(KindWatch& watch);
+  // Lists the kind while its watch may still be waiting for an answer.
+  void ListBesideWatch(KindWatchPtr watch);
   void Watch(KindWatch& watch);
   void OnAnswer(KindWatch& watch, common::TimePoint earliest_answer);
   void OnFailure(KindWatch& watch, const std::string& detail);
@@ -112,7 +119,9 @@
   void ApplyHost(const catalog::ObjectChange& change, const ChangeTime&);
   void ReplaceEndpoints(const catalog::ObjectSnapshot& snapshot);
   void NotifyChanged();
-  // Notices that the store has come back from an older copy.
+  // Notices that the store has come back from an older copy. All kinds are then
+  // listed anew: revisions of the former era mean nothing any more, even if the
+  // store accepts them.
   void CheckEra();
 
   const Settings& settings;
@@ -126,6 +135,7 @@
   catalog::EndpointDirectory directory;
   VersionsByModel version_requirements;
   common::StallDetector stall_detector;
+  std::vector<KindWatchPtr> watches;
   // The newest era of the store that was noticed; 0 before its first answer.
   uint64_t known_era = 0;
   bool endpoints_known = false;
--- a/source/platform/store_client.cc
+++ b/source/platform/store_client.cc
@@ -129,6 +129,7 @@
 catalog::ObjectSnapshot StoreClient::List(catalog::ObjectKind kind) {
   catalog::ObjectSnapshot snapshot;
   std::string last_name;
+  uint64_t first_page_era = 0;
   while (true) {
     this->lists.Add();
     std::string target = KindPath(kind);
@@ -137,6 +138,11 @@
     const auto response = this->Fetch(MakeRequest("GET", target), kReadTimeout);
     if (response.status != 200)
       ThrowForStatus(response);
+    if (last_name.empty())
+      first_page_era = this->newest_era;
+    else if (first_page_era != this->newest_era)
+      throw Error(ResultCode::kPlatformUnavailable,
+                  "the store came back from a copy between two pages");
     try {
       const Json page = ParseBody(response);
       const size_t before = snapshot.objects.size();
