Write a host's own object again when the store came back from a copy

Other hosts lost sight of a host: its crash marks and its address for load information stayed unwritten until it was restarted.

Cause: the object was replaced at its former revision for ever. A 404 was taken for an outage, and nothing told that the store had gone back.

A replace of an object that is gone is a result of its own now, after which the object is created; and a host writes its object once in each era of the store.

--- a/source/core/catalog/object_store.h
+++ b/source/core/catalog/object_store.h
@@ -45,6 +45,7 @@
   kWritten,
   kConflict,  // the revision did not match; nothing was changed
   kRefused,   // rate limit or outage; nothing was changed
+  kMissing,   // there is no object to replace; nothing was changed
   kUnknown,   // no response: the write may take effect now, later or never
 };
 
--- a/source/core/gateway/host_registry.cc
+++ b/source/core/gateway/host_registry.cc
@@ -139,35 +139,52 @@
   return EncodeHostObject(object);
 }
 
-bool HostRegistry::WriteOwnObject() {
+WriteState HostRegistry::WriteOwnObject() {
+  const uint64_t era = this->store.era();
   const std::string content = this->EncodeOwnObject();
   const auto reply =
       this->own_revision
           ? this->store.Replace(ObjectKind::kHosts, this->own_name,
                                 *this->own_revision, content)
           : this->store.Create(ObjectKind::kHosts, this->own_name, content);
+  if (reply.state == WriteState::kMissing)
+    this->own_revision.reset();
   if (reply.current) {
     this->own_revision = reply.current->revision;
     // After a conflict this is the object that the former process of this host
     // has left.
     this->MergeFormerMarks(*reply.current);
   }
-  this->has_written |= reply.state == WriteState::kWritten;
-  return reply.state == WriteState::kWritten;
+  if (reply.state != WriteState::kWritten)
+    return reply.state;
+  this->has_written = true;
+  this->written_era = era;
+  return reply.state;
+}
+
+void HostRegistry::CheckEra() {
+  if (!this->has_written || this->store.era() == this->written_era)
+    return;
+  // The copy that the store came back from has an older object or none.
+  this->own_revision.reset();
+  this->write_pending = true;
 }
 
 void HostRegistry::Run() {
   while (!this->stopping) {
     runtime::SleepFor(kWritePeriod);
     this->write_pending |= this->dispatcher.part_suspects().TakeChanged();
+    this->CheckEra();
     if (!this->write_pending)
       continue;
     this->write_pending = false;
-    if (this->WriteOwnObject())
+    const WriteState state = this->WriteOwnObject();
+    if (state == WriteState::kWritten)
       continue;
-    // Retried after a conflict too, which returned the current revision.
     this->write_pending = true;
-    runtime::SleepFor(kRetryDelay);
+    // A conflict, or an object that is gone, tells what to write to.
+    if (state != WriteState::kConflict && state != WriteState::kMissing)
+      runtime::SleepFor(kRetryDelay);
   }
 }
 
--- a/source/core/gateway/host_registry.h
+++ b/source/core/gateway/host_registry.h
@@ -48,7 +48,9 @@
   // Adds the marks that the former process of this host has published. Done
   // before the first write, which replaces them.
   void MergeFormerMarks(const catalog::StoredObject& stored);
-  bool WriteOwnObject();
+  catalog::WriteState WriteOwnObject();
+  // Makes this host write its object again if the store came back from a copy.
+  void CheckEra();
   std::string EncodeOwnObject() const;
 
   const Settings& settings;
@@ -63,6 +65,8 @@
   std::function<void(std::vector<runtime::Address>)> on_peers_changed;
   bool write_pending = true;
   bool has_written = false;
+  // Era of the store in which the object was written last.
+  uint64_t written_era = 0;
   bool stopping = false;
 };
 
--- a/source/platform/store_client.cc
+++ b/source/platform/store_client.cc
@@ -218,11 +218,14 @@
   catalog::WriteReply reply;
   try {
     const auto response = this->Fetch(request, kWriteTimeout);
-    if (response.status == 429 || response.status == 503 ||
-        response.status == 404) {
+    if (response.status == 429 || response.status == 503) {
       reply.state = catalog::WriteState::kRefused;
       return reply;
     }
+    if (response.status == 404) {
+      reply.state = catalog::WriteState::kMissing;
+      return reply;
+    }
     const bool written = response.status >= 200 && response.status < 300;
     if (!written && response.status != 409)
       return reply;
--- a/source/unit_tests/platform/store_client_test.cc
+++ b/source/unit_tests/platform/store_client_test.cc
@@ -134,7 +134,8 @@
   const Case cases[] = {
       {200, WriteState::kWritten},  {201, WriteState::kWritten},
       {409, WriteState::kConflict}, {429, WriteState::kRefused},
-      {503, WriteState::kRefused},  {500, WriteState::kUnknown}};
+      {503, WriteState::kRefused},  {404, WriteState::kMissing},
+      {500, WriteState::kUnknown}};
   for (const Case& c : cases) {
     INFO(c.status);
     FakeStore store([&](const auto&) {
