Confirm no keys on a configuration that is known to be older

Callers saw: a withdrawn key accepted by a host that started on the copy of the store, and keys accepted on and on while the store held an older configuration than the one in force, which can't confirm that no newer one withdraws them.

Cause: any answer of the store counted as a confirmation of the configuration in force, whatever the answer contained.

catalog::ConfigFloor knows the newest version that was in force, here or, from the hosts' objects, at other hosts. A store that has an older one confirms nothing until it is written again. Each host states the era and its version in its object; a host that has just started and lists only objects of a former era waits for one of the present era, at most the revocation bound.

--- a/source/core/catalog/config_floor.h
+++ b/source/core/catalog/config_floor.h
@@ -36,8 +36,10 @@
     return this->stored_version && *this->stored_version >= this->floor &&
            !this->AwaitsPeers(now);
   }
-  // The newest version that is known to have been in force.
-  uint64_t version() const { return this->floor; }
+  // Whether a host may serve with this version of the configuration in force.
+  bool Allows(uint64_t version, common::TimePoint now) const {
+    return version >= this->floor && !this->AwaitsPeers(now);
+  }
 
  private:
   bool AwaitsPeers(common::TimePoint now) const {
--- a/source/core/gateway/gateway.cc
+++ b/source/core/gateway/gateway.cc
@@ -62,6 +62,7 @@
                          platform.control,
                          log),
       host_registry(this->settings,
+                    this->view,
                     this->dispatcher,
                     this->cache_store_watcher,
                     platform.store,
@@ -194,7 +195,7 @@
 }
 
 void Gateway::LogViewFreshness(common::TimePoint now) {
-  const bool fresh = this->view.age().IsFresh(now);
+  const bool fresh = this->view.IsFresh(now);
   if (fresh == this->was_view_fresh)
     return;
   this->was_view_fresh = fresh;
@@ -204,8 +205,7 @@
 }
 
 void Gateway::ServeReadiness(runtime::ResponseWriter& writer) {
-  const bool ready = !this->stopping && this->view.IsComplete() &&
-                     this->view.age().IsFresh(runtime::BootNow());
+  const bool ready = !this->stopping && this->view.IsFresh(runtime::BootNow());
   runtime::HttpResponse response;
   response.status = ready ? 200 : 503;
   writer.Send(std::move(response));
--- a/source/core/gateway/host_object.cc
+++ b/source/core/gateway/host_object.cc
@@ -92,6 +92,8 @@
   if (!object.peer_address.empty())
     value["peer_address"] = object.peer_address;
   value["written_ms"] = object.written_at.time_since_epoch().count();
+  value["store_era"] = object.store_era;
+  value["config_version"] = object.config_version;
   value["marks"] = Json::array();
   for (const CrashMark& mark : object.marks)
     value["marks"].push_back(EncodeMark(mark));
@@ -111,6 +113,8 @@
     object.zone = value.value("zone", "");
     object.caller_address = value.value("address", "");
     object.peer_address = value.value("peer_address", "");
+    object.store_era = value.value("store_era", uint64_t{0});
+    object.config_version = value.value("config_version", uint64_t{0});
     const Duration age = AgeOf(value, wall_now);
     for (const Json& item : value["marks"]) {
       object.marks.push_back(DecodeMark(item));
--- a/source/core/gateway/host_object.h
+++ b/source/core/gateway/host_object.h
@@ -1,6 +1,7 @@
 #ifndef CORE_GATEWAY_HOST_OBJECT_H_
 #define CORE_GATEWAY_HOST_OBJECT_H_
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -21,6 +22,10 @@
   // When the object was written, by the clock of the writer. The ages of the
   // marks count from then.
   common::UnixTime written_at;
+  // Era of the store in which the object was written, and the version of the
+  // configuration that was in force then; 0 if unknown.
+  uint64_t store_era = 0;
+  uint64_t config_version = 0;
   std::vector<suspects::CrashMark> marks;
   std::vector<suspects::PartMark> part_marks;
 };
--- a/source/core/gateway/host_registry.cc
+++ b/source/core/gateway/host_registry.cc
@@ -28,11 +28,13 @@
 }  // namespace
 
 HostRegistry::HostRegistry(const Settings& settings,
+                           PlatformView& view,
                            Dispatcher& dispatcher,
                            CacheStoreWatcher& cache_store_watcher,
                            catalog::ObjectStore& store,
                            std::function<common::UnixTime()> wall_now)
     : settings(settings),
+      view(view),
       dispatcher(dispatcher),
       cache_store_watcher(cache_store_watcher),
       store(store),
@@ -64,21 +66,24 @@
   if (!object)
     return;
   this->OnPeerAddress(name, object->peer_address);
+  this->view.OnPeerConfig(object->store_era, object->config_version);
   this->dispatcher.MergeMarks(object->marks, object->part_marks);
 }
 
-void HostRegistry::MergeFormerMarks(const catalog::StoredObject& stored) {
+void HostRegistry::ReadFormerObject(const catalog::StoredObject& stored) {
   if (this->has_written)
     return;
   const auto object = DecodeHostObject(stored.content, this->wall_now());
-  if (object)
-    this->dispatcher.MergeMarks(object->marks, object->part_marks);
+  if (!object)
+    return;
+  this->dispatcher.MergeMarks(object->marks, object->part_marks);
+  this->view.OnPeerConfig(object->store_era, object->config_version);
 }
 
 void HostRegistry::OnOwnObject(const catalog::ObjectChange& change) {
   if (!change.deleted) {
     this->own_revision = change.object.revision;
-    this->MergeFormerMarks(change.object);
+    this->ReadFormerObject(change.object);
     return;
   }
   // A deleted object can't be replaced; it is created again.
@@ -130,6 +135,9 @@
     object.peer_address = peer.ToString();
   }
   object.written_at = this->wall_now();
+  object.store_era = this->view.store_era();
+  if (const auto config = this->view.config())
+    object.config_version = config->version();
   object.marks = this->dispatcher.suspects().Marks(now);
   object.part_marks = this->dispatcher.part_suspects().Marks(now);
   if (object.marks.size() > kMaxMarks)
@@ -151,9 +159,9 @@
     this->own_revision.reset();
   if (reply.current) {
     this->own_revision = reply.current->revision;
-    // After a conflict this is the object that the former process of this host
-    // has left.
-    this->MergeFormerMarks(*reply.current);
+    // This is the object that the former process of this host has left.
+    if (reply.state == WriteState::kConflict)
+      this->ReadFormerObject(*reply.current);
   }
   if (reply.state != WriteState::kWritten)
     return reply.state;
--- a/source/core/gateway/host_registry.h
+++ b/source/core/gateway/host_registry.h
@@ -11,6 +11,8 @@
 #include "core/common/time.h"
 #include "core/gateway/cache_store_watcher.h"
 #include "core/gateway/dispatcher.h"
+#include "core/gateway/host_object.h"
+#include "core/gateway/platform_view.h"
 #include "core/gateway/settings.h"
 #include "core/runtime/http_types.h"
 
@@ -23,6 +25,7 @@
 class HostRegistry {
  public:
   HostRegistry(const Settings& settings,
+               PlatformView& view,
                Dispatcher& dispatcher,
                CacheStoreWatcher& cache_store_watcher,
                catalog::ObjectStore& store,
@@ -45,15 +48,17 @@
   void OnHostCountChanged();
   void OnOwnObject(const catalog::ObjectChange& change);
   void OnPeerAddress(const std::string& name, const std::string& address);
-  // Adds the marks that the former process of this host has published. Done
-  // before the first write, which replaces them.
-  void MergeFormerMarks(const catalog::StoredObject& stored);
+  // Takes over what the former process of this host has published: its marks,
+  // and which configuration it had. Done before the first write, which replaces
+  // them.
+  void ReadFormerObject(const catalog::StoredObject& stored);
   catalog::WriteState WriteOwnObject();
   // Makes this host write its object again if the store came back from a copy.
   void CheckEra();
   std::string EncodeOwnObject() const;
 
   const Settings& settings;
+  PlatformView& view;
   Dispatcher& dispatcher;
   CacheStoreWatcher& cache_store_watcher;
   catalog::ObjectStore& store;
--- a/source/core/gateway/platform_view.cc
+++ b/source/core/gateway/platform_view.cc
@@ -48,6 +48,7 @@
       view_age(
           catalog::ViewAgeOptions{settings.revocation_bound,
                                   catalog::ViewAgeOptions().confirmation_lag}),
+      config_floor(settings.revocation_bound),
       stall_detector(kHostStallThreshold) {}
 
 void PlatformView::Start() {
@@ -110,6 +111,7 @@
   }
   for (const catalog::StoredObject& object : snapshot.objects)
     (this->*watch.apply)({object, false}, changed_after);
+  this->ConfirmConfig(watch);
   this->hosts_known |= watch.kind == ObjectKind::kHosts;
 }
 
@@ -143,6 +145,7 @@
                             : sent_at);
   for (const ObjectChange& change : changes.changes)
     (this->*watch.apply)(change, changed_after);
+  this->ConfirmConfig(watch);
   if (!changes.changes.empty() && watch.batch_delay > kNoBatchDelay)
     runtime::SleepFor(watch.batch_delay);
 }
@@ -153,6 +156,7 @@
     return;
   const bool is_restored = this->known_era != 0;
   this->known_era = era;
+  this->config_floor.OnEra(era, runtime::BootNow());
   if (!is_restored)
     return;
   LogLine line(this->log, Event::kStoreRestored);
@@ -173,12 +177,16 @@
         .Add(Field::kCount, watch.failures);
   watch.failures = 0;
   watch.answered_at = earliest_answer;
-  if (watch.kind == ObjectKind::kConfig)
-    this->view_age.OnConfirmed(earliest_answer);
   if (watch.kind == ObjectKind::kEndpoints)
     this->directory.OnStoreAnswer(runtime::BootNow());
 }
 
+void PlatformView::ConfirmConfig(const KindWatch& watch) {
+  if (watch.kind == ObjectKind::kConfig &&
+      this->config_floor.IsMet(runtime::BootNow()))
+    this->view_age.OnConfirmed(*watch.answered_at);
+}
+
 void PlatformView::OnFailure(KindWatch& watch, const std::string& detail) {
   if (++watch.failures == 1)
     LogLine(this->log, Event::kDependencyLost)
@@ -193,12 +201,14 @@
     return;
   try {
     catalog::Config config = this->decoder.Config(change.object);
+    this->config_floor.OnStored(config.version);
     // An older version can be read late and must not replace a newer one.
     if (this->current_config &&
         config.version <= this->current_config->version())
       return;
     this->current_config =
         std::make_shared<const catalog::ConfigView>(std::move(config));
+    this->config_floor.OnInForce(this->current_config->version());
     LogLine(this->log, Event::kConfigInForce)
         .Add(Field::kConfigVersion, this->current_config->version())
         .Add(Field::kStoreEra, this->known_era)
--- a/source/core/gateway/platform_view.h
+++ b/source/core/gateway/platform_view.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "core/catalog/config_floor.h"
 #include "core/catalog/config_view.h"
 #include "core/catalog/endpoint_directory.h"
 #include "core/catalog/object_store.h"
@@ -54,6 +55,14 @@
     return this->directory;
   }
   const catalog::ViewAge& age() const { return this->view_age; }
+  // Whether API keys may be checked against the configuration in force.
+  bool KeysUsable(common::TimePoint now) const {
+    return this->IsComplete(now) && this->view_age.KeysUsable(now);
+  }
+  // Whether the host may take new callers.
+  bool IsFresh(common::TimePoint now) const {
+    return this->IsComplete(now) && this->view_age.IsFresh(now);
+  }
   // Requirements on weight versions, by model.
   using VersionsByModel =
       std::map<std::string, rollout::VersionRequirements, std::less<>>;
@@ -71,11 +80,19 @@
                                    common::TimePoint now) const;
   const VersionsByModel& versions() const { return this->version_requirements; }
   // Whether the view suffices to route requests. The objects of the other hosts
-  // state which prompts must be refused.
-  bool IsComplete() const {
+  // state which prompts must be refused, and whether a newer configuration was
+  // in force there than the store has.
+  bool IsComplete(common::TimePoint now) const {
     return this->current_config != nullptr && this->endpoints_known &&
-           this->hosts_known;
+           this->hosts_known &&
+           this->config_floor.Allows(this->current_config->version(), now);
+  }
+  // Another host had this version of the configuration in force when it wrote
+  // its object, in this era of the store.
+  void OnPeerConfig(uint64_t era, uint64_t version) {
+    this->config_floor.OnPeer(era, version);
   }
+  uint64_t store_era() const { return this->known_era; }
   // Applies deferred removals of endpoints that are due and detects that the
   // process was suspended; called periodically.
   void OnTick(common::TimePoint now);
@@ -111,6 +128,9 @@
   void Watch(KindWatch& watch);
   void OnAnswer(KindWatch& watch, common::TimePoint earliest_answer);
   void OnFailure(KindWatch& watch, const std::string& detail);
+  // Records that the store confirmed the configuration in force, unless what it
+  // has is known to be older.
+  void ConfirmConfig(const KindWatch& watch);
 
   void ApplyConfig(const catalog::ObjectChange& change, const ChangeTime&);
   void ApplyEndpoint(const catalog::ObjectChange& change, const ChangeTime&);
@@ -132,6 +152,7 @@
   HostObjectCallback on_host_object;
   std::shared_ptr<const catalog::ConfigView> current_config;
   catalog::ViewAge view_age;
+  catalog::ConfigFloor config_floor;
   catalog::EndpointDirectory directory;
   VersionsByModel version_requirements;
   common::StallDetector stall_detector;
--- a/source/core/gateway/request_task.cc
+++ b/source/core/gateway/request_task.cc
@@ -90,7 +90,7 @@
 }
 
 void RequestTask::Route() {
-  if (!this->config || !this->deps.view.IsComplete())
+  if (!this->config || !this->deps.view.IsComplete(this->received_at))
     this->Refuse(ResultCode::kNotReady, "no configuration yet",
                  kStaleViewRetryAfter);
   this->route =
@@ -115,7 +115,7 @@
 }
 
 void RequestTask::CheckKey(const catalog::ConfigView& config) {
-  if (!this->deps.view.age().KeysUsable(this->received_at))
+  if (!this->deps.view.KeysUsable(this->received_at))
     this->Refuse(ResultCode::kNotReady,
                  "the configuration is too old to check API keys",
                  kStaleViewRetryAfter);
--- a/source/unit_tests/core/gateway/host_object_test.cc
+++ b/source/unit_tests/core/gateway/host_object_test.cc
@@ -18,6 +18,8 @@
   object.caller_address = "127.0.0.1:8080";
   object.peer_address = "127.0.0.1:8090";
   object.written_at = kWrittenAt;
+  object.store_era = 3;
+  object.config_version = 12;
   object.marks = {{7, "e1/1000", milliseconds(20)}};
   object.part_marks = {
       {PartEvidence::kCrash, 1, "e1/1000", milliseconds(30), milliseconds(90),
@@ -35,6 +37,8 @@
   CHECK(decoded->zone == object.zone);
   CHECK(decoded->caller_address == object.caller_address);
   CHECK(decoded->peer_address == object.peer_address);
+  CHECK(decoded->store_era == object.store_era);
+  CHECK(decoded->config_version == object.config_version);
   CHECK(decoded->marks == object.marks);
   CHECK(decoded->part_marks == object.part_marks);
 }
