Keep what endpoints have said when the store came back from a copy

Callers saw requests at endpoints that were leaving or gone (DRAIN), and endpoints dropped that had registered after the copy was made.

Cause: whatever the store lists replaced what was known, so an older entry won over a newer one: leaving became ready, removed became registered.

An instance, the id with its start time, that is leaving stays so until it ends. An instance that was removed before is held back when a copy has it, until it writes again or the store has kept it for four heartbeat intervals (endpoint_heartbeat_ms). Removals are deferred as after an outage, and a copy never replaces an instance by an earlier one. endpoints_held_back counts them in the log.

--- a/source/core/catalog/endpoint_directory.cc
+++ b/source/core/catalog/endpoint_directory.cc
@@ -1,7 +1,7 @@
 #include "core/catalog/endpoint_directory.h"
 
-#include <set>
 #include <utility>
+#include <vector>
 
 namespace jujuberock::catalog {
 
@@ -28,8 +28,42 @@
   std::set<std::string> present;
   for (Endpoint& endpoint : endpoints) {
     present.insert(endpoint.id);
-    this->Upsert(std::move(endpoint));
+    const auto held_back = this->held.find(endpoint.id);
+    const bool is_held =
+        held_back != this->held.end() &&
+        held_back->second.endpoint.started_at_ms == endpoint.started_at_ms;
+    if (!is_held)
+      this->Upsert(std::move(endpoint));
+  }
+  this->RemoveMissing(present, now);
+}
+
+void EndpointDirectory::ReplaceWithCopy(std::vector<Endpoint> endpoints,
+                                        common::TimePoint now) {
+  // Endpoints that registered after the copy was made register again.
+  this->recovered_at = now;
+  this->failing_since.reset();
+  for (Endpoint& endpoint : endpoints) {
+    if (!this->IsOutdated(endpoint))
+      continue;
+    const common::TimePoint due = now + kHeldIntervals * this->heartbeat;
+    std::string id = endpoint.id;
+    this->held.insert_or_assign(std::move(id), HeldEndpoint{endpoint, due});
   }
+  this->ReplaceAll(std::move(endpoints), now);
+}
+
+bool EndpointDirectory::IsOutdated(const Endpoint& endpoint) const {
+  const auto known = this->entries.find(endpoint.id);
+  if (known != this->entries.end())
+    return endpoint.started_at_ms < known->second.started_at_ms;
+  const auto departure = this->departures.find(endpoint.id);
+  return departure != this->departures.end() &&
+         endpoint.started_at_ms <= departure->second.started_at_ms;
+}
+
+void EndpointDirectory::RemoveMissing(const std::set<std::string>& present,
+                                      common::TimePoint now) {
   std::vector<std::string> missing;
   for (const auto& [id, endpoint] : this->entries) {
     if (!present.contains(id))
@@ -37,18 +71,56 @@
   }
   for (const std::string& id : missing)
     this->Remove(id, now);
+  std::erase_if(this->held, [&](const auto& entry) {
+    return !present.contains(entry.first);
+  });
 }
 
 void EndpointDirectory::Upsert(Endpoint endpoint) {
   ++this->change_count;
-  const auto pending_removal = this->removal_due.find(endpoint.id);
-  if (pending_removal != this->removal_due.end())
-    this->removal_due.erase(pending_removal);
+  this->removal_due.erase(endpoint.id);
+  this->held.erase(endpoint.id);
+  const auto departure = this->departures.find(endpoint.id);
+  if (departure != this->departures.end() &&
+      departure->second.started_at_ms == endpoint.started_at_ms)
+    endpoint.leaving |= departure->second.is_leaving;
+  if (endpoint.leaving)
+    this->RecordDeparture(endpoint);
   std::string id = endpoint.id;
   this->entries.insert_or_assign(std::move(id), std::move(endpoint));
 }
 
+void EndpointDirectory::MarkLeaving(std::string_view id,
+                                    uint64_t started_at_ms) {
+  const auto found = this->entries.find(id);
+  const bool is_known = found != this->entries.end() &&
+                        found->second.started_at_ms == started_at_ms;
+  if (!is_known || found->second.leaving)
+    return;
+  ++this->change_count;
+  found->second.leaving = true;
+  this->RecordDeparture(found->second);
+}
+
+void EndpointDirectory::RecordDeparture(const Endpoint& endpoint) {
+  const auto [entry, is_new] = this->departures.try_emplace(endpoint.id);
+  Departure& departure = entry->second;
+  const bool is_same = departure.started_at_ms == endpoint.started_at_ms;
+  departure.is_leaving = endpoint.leaving || (is_same && departure.is_leaving);
+  departure.started_at_ms = endpoint.started_at_ms;
+  if (!is_new)
+    return;
+  this->departure_order.push_back(endpoint.id);
+  if (this->departure_order.size() <= kMaxDepartures)
+    return;
+  this->departures.erase(this->departure_order.front());
+  this->departure_order.pop_front();
+}
+
 void EndpointDirectory::Remove(std::string_view id, common::TimePoint now) {
+  const auto held_back = this->held.find(id);
+  if (held_back != this->held.end())
+    this->held.erase(held_back);
   const auto found = this->entries.find(id);
   if (found == this->entries.end())
     return;
@@ -58,7 +130,15 @@
                               *this->recovered_at + kReregistrationWindow);
     return;
   }
+  this->Erase(id);
+}
+
+void EndpointDirectory::Erase(std::string_view id) {
+  const auto found = this->entries.find(id);
+  if (found == this->entries.end())
+    return;
   ++this->change_count;
+  this->RecordDeparture(found->second);
   this->entries.erase(found);
 }
 
@@ -68,10 +148,16 @@
       ++it;
       continue;
     }
-    ++this->change_count;
-    this->entries.erase(it->first);
+    this->Erase(it->first);
     it = this->removal_due.erase(it);
   }
+  std::vector<Endpoint> admitted;
+  for (const auto& [id, held_back] : this->held) {
+    if (now >= held_back.due)
+      admitted.push_back(held_back.endpoint);
+  }
+  for (Endpoint& endpoint : admitted)
+    this->Upsert(std::move(endpoint));
 }
 
 }  // namespace jujuberock::catalog
--- a/source/core/gateway/platform_view.cc
+++ b/source/core/gateway/platform_view.cc
@@ -49,6 +49,7 @@
           catalog::ViewAgeOptions{settings.revocation_bound,
                                   catalog::ViewAgeOptions().confirmation_lag}),
       config_floor(settings.revocation_bound),
+      directory(settings.endpoint_heartbeat),
       stall_detector(kHostStallThreshold) {}
 
 void PlatformView::Start() {
@@ -99,14 +100,15 @@
 void PlatformView::List(KindWatch& watch) {
   const common::TimePoint sent_at = runtime::BootNow();
   const catalog::ObjectSnapshot snapshot = this->store.List(watch.kind);
-  watch.era = this->store.era();
+  const uint64_t former_era = std::exchange(watch.era, this->store.era());
   this->CheckEra();
   // Changes since the last answer are not listed one by one.
   const ChangeTime changed_after = watch.answered_at;
   watch.revision = snapshot.revision;
   this->OnAnswer(watch, sent_at);
   if (watch.kind == ObjectKind::kEndpoints) {
-    this->ReplaceEndpoints(snapshot);
+    this->ReplaceEndpoints(snapshot,
+                           former_era != 0 && former_era != watch.era);
     return;
   }
   for (const catalog::StoredObject& object : snapshot.objects)
@@ -248,13 +250,22 @@
   this->NotifyChanged();
 }
 
-void PlatformView::ReplaceEndpoints(const catalog::ObjectSnapshot& snapshot) {
+void PlatformView::ReplaceEndpoints(const catalog::ObjectSnapshot& snapshot,
+                                    bool is_copy) {
   std::vector<catalog::Endpoint> endpoints;
   for (const catalog::StoredObject& object : snapshot.objects) {
     if (auto endpoint = this->decoder.Endpoint(object))
       endpoints.push_back(std::move(*endpoint));
   }
-  this->directory.ReplaceAll(std::move(endpoints), runtime::BootNow());
+  const common::TimePoint now = runtime::BootNow();
+  if (is_copy) {
+    this->directory.ReplaceWithCopy(std::move(endpoints), now);
+    LogLine(this->log, Event::kEndpointsHeldBack)
+        .Add(Field::kStoreEra, this->known_era)
+        .Add(Field::kCount, static_cast<uint64_t>(this->directory.held_back()));
+  } else {
+    this->directory.ReplaceAll(std::move(endpoints), now);
+  }
   this->endpoints_known = true;
   this->NotifyChanged();
 }
--- a/source/core/gateway/platform_view.h
+++ b/source/core/gateway/platform_view.h
@@ -137,7 +137,8 @@
   void ApplyVersion(const catalog::ObjectChange& change,
                     const ChangeTime& changed_after);
   void ApplyHost(const catalog::ObjectChange& change, const ChangeTime&);
-  void ReplaceEndpoints(const catalog::ObjectSnapshot& snapshot);
+  // `is_copy` is set for the first list after the store came back from a copy.
+  void ReplaceEndpoints(const catalog::ObjectSnapshot& snapshot, bool is_copy);
   void NotifyChanged();
   // Notices that the store has come back from an older copy. All kinds are then
   // listed anew: revisions of the former era mean nothing any more, even if the
--- a/source/core/gateway/settings.cc
+++ b/source/core/gateway/settings.cc
@@ -67,6 +67,8 @@
        "Additional retries allowed in the window, over all hosts"},
       {"assumed_hosts", &S::assumed_hosts, "hosts", 1, 10000,
        "Number of hosts assumed until they have been counted"},
+      {"endpoint_heartbeat_ms", &S::endpoint_heartbeat, "ms", 10, 600000,
+       "Interval at which endpoints report to the platform's store"},
       {"config_watch_wait_ms", &S::config_watch_wait, "ms", 100, 30000,
        "Maximum wait of one watch of the configuration"},
       {"endpoints_watch_wait_ms", &S::endpoints_watch_wait, "ms", 100, 30000,
--- a/source/unit_tests/core/catalog/endpoint_directory_test.cc
+++ b/source/unit_tests/core/catalog/endpoint_directory_test.cc
@@ -74,5 +74,91 @@
   CHECK(directory.endpoints().empty());
 }
 
+Endpoint MakeInstance(const char* id,
+                      uint64_t started_at_ms,
+                      bool leaving = false) {
+  Endpoint endpoint = MakeEndpoint(id);
+  endpoint.started_at_ms = started_at_ms;
+  endpoint.leaving = leaving;
+  return endpoint;
+}
+
+// Guards against requests to an endpoint that has said that it is leaving: a
+// store that came back from a copy lists it as ready.
+TEST_CASE("an instance that is leaving stays so") {
+  EndpointDirectory directory;
+  SECTION("by its registration") {
+    directory.Upsert(MakeInstance("e1", 10, true));
+  }
+  SECTION("by one of its answers") {
+    directory.Upsert(MakeInstance("e1", 10));
+    directory.MarkLeaving("e1", 9);
+    CHECK_FALSE(directory.endpoints().at("e1").leaving);
+    directory.MarkLeaving("e1", 10);
+  }
+  REQUIRE(directory.endpoints().at("e1").leaving);
+  directory.Upsert(MakeInstance("e1", 10));
+  CHECK(directory.endpoints().at("e1").leaving);
+  directory.ReplaceWithCopy({MakeInstance("e1", 10)}, At(100));
+  CHECK(directory.endpoints().at("e1").leaving);
+  directory.Remove("e1", At(200));
+  directory.Upsert(MakeInstance("e1", 10));
+  CHECK(directory.endpoints().at("e1").leaving);
+  directory.Upsert(MakeInstance("e1", 11));
+  CHECK_FALSE(directory.endpoints().at("e1").leaving);
+}
+
+// Guards against requests to an endpoint that is gone, whose address may belong
+// to another by now.
+TEST_CASE("an instance that was removed is held back when a copy has it") {
+  EndpointDirectory directory{milliseconds(100)};
+  directory.Upsert(MakeInstance("e1", 10));
+  directory.Remove("e1", At(0));
+  directory.ReplaceWithCopy({MakeInstance("e1", 10)}, At(1000));
+  CHECK(directory.endpoints().empty());
+  CHECK(directory.held_back() == 1);
+  // A list for another reason changes nothing.
+  directory.ReplaceAll({MakeInstance("e1", 10)}, At(1100));
+  directory.Expire(At(1399));
+  CHECK(directory.endpoints().empty());
+  SECTION("the store finds that it is gone") {
+    directory.Remove("e1", At(1399));
+    directory.Expire(At(2000));
+    CHECK(directory.endpoints().empty());
+    CHECK(directory.held_back() == 0);
+  }
+  SECTION("it writes again") {
+    directory.Upsert(MakeInstance("e1", 10));
+    CHECK(directory.endpoints().size() == 1);
+  }
+  SECTION("the store keeps it, so it sends heartbeats") {
+    directory.Expire(At(1400));
+    CHECK(directory.endpoints().size() == 1);
+  }
+  SECTION("a new instance registers") {
+    directory.ReplaceAll({MakeInstance("e1", 20)}, At(1150));
+    CHECK(directory.endpoints().at("e1").started_at_ms == 20);
+    CHECK(directory.held_back() == 0);
+  }
+}
+
+TEST_CASE("a copy replaces no instance by an earlier one") {
+  EndpointDirectory directory;
+  directory.Upsert(MakeInstance("e1", 20));
+  directory.ReplaceWithCopy({MakeInstance("e1", 10)}, At(0));
+  REQUIRE(directory.endpoints().size() == 1);
+  CHECK(directory.endpoints().at("e1").started_at_ms == 20);
+}
+
+// Guards against dropping endpoints that registered after the copy was made.
+TEST_CASE("removals are deferred when the store came back from a copy") {
+  EndpointDirectory directory;
+  directory.Upsert(MakeInstance("e1", 10));
+  directory.ReplaceWithCopy({}, At(100));
+  CHECK(directory.endpoints().size() == 1);
+  directory.Expire(At(2100));
+  CHECK(directory.endpoints().empty());
+}
+
 }  // namespace
 }  // namespace jujuberock::catalog
