Keep fencing tokens and the order lease apart between eras of the store

Cause: what the lease says was taken from a record that the store had lost. The token of the record plus one was given out again; renewals at a revision that was gone got 404, which was taken for an outage, for ever; and a record with a lower revision than the known one was ignored.

A token now begins with the era of the store in which it was given out, so tokens of a later era are above all earlier ones, whoever has forgotten what. In a new era the holder stops at once and may take the lease again; the other hosts wait for 1.36 lease times unless the record was written in this era. A write across a change of era counts for nothing, since its revision may have been given out again. A record that is gone is created again.

--- a/source/core/gateway/rollout_controller.cc
+++ b/source/core/gateway/rollout_controller.cc
@@ -58,6 +58,7 @@
       lease(settings.host_name, {settings.lease_time}) {}
 
 void RolloutController::OnLeaseObject(const catalog::StoredObject& object) {
+  this->CheckEra();
   const auto record = rollout::ParseLeaseRecord(object.content);
   if (!record)
     return;
@@ -105,7 +106,24 @@
     this->Release();
 }
 
+void RolloutController::CheckEra() {
+  const uint64_t era = this->store.era();
+  if (era == this->lease.era())
+    return;
+  const TimePoint now = runtime::BootNow();
+  const bool held = this->lease.Holds(now);
+  this->lease.OnEra(era, now);
+  this->lease_known = false;
+  if (!held)
+    return;
+  this->next_acquire_at = now;
+  LogLine(this->log, Event::kHolderLost)
+      .Add(Field::kReason, "store_restored")
+      .Add(Field::kStoreEra, era);
+}
+
 void RolloutController::Step() {
+  this->CheckEra();
   const TimePoint now = runtime::BootNow();
   const auto pending = this->FindPendingRollout();
   if (!pending) {
@@ -158,6 +176,7 @@
 void RolloutController::ReadLease() {
   try {
     const auto object = this->store.Read(ObjectKind::kHosts, kObjectName);
+    this->CheckEra();
     this->lease_known = true;
     if (object)
       this->OnLeaseObject(*object);
@@ -197,6 +216,16 @@
   std::optional<catalog::StoredObject> current = reply.current;
   if (reply.state == WriteState::kRefused)
     return false;
+  // A revision of the former era may have been given out again, so the record
+  // that was replaced may be another one.
+  if (this->store.era() != this->lease.era()) {
+    this->CheckEra();
+    return false;
+  }
+  if (reply.state == WriteState::kMissing) {
+    this->lease.OnNoRecord(runtime::BootNow());
+    return false;
+  }
   if (!current) {
     try {
       current = this->store.Read(ObjectKind::kHosts, kObjectName);
@@ -204,6 +233,10 @@
       // It is unknown whether the write took effect. The next write will show.
       return false;
     }
+    if (this->store.era() != this->lease.era()) {
+      this->CheckEra();
+      return false;
+    }
   }
   if (!current)
     return false;
--- a/source/core/gateway/rollout_controller.h
+++ b/source/core/gateway/rollout_controller.h
@@ -59,6 +59,8 @@
   // took effect.
   bool WriteRecord(const rollout::LeaseRecord& record);
   void ReadLease();
+  // Drops what is known of the lease if the store came back from a copy.
+  void CheckEra();
   void Advance(const PendingRollout& pending);
   void UpdateRecord(const PendingRollout& pending, bool reservations_changed);
   void SendOrders(const PendingRollout& pending);
--- a/source/core/rollout/order_lease.cc
+++ b/source/core/rollout/order_lease.cc
@@ -1,5 +1,7 @@
 #include "core/rollout/order_lease.h"
 
+#include <algorithm>
+
 #include "core/common/scale.h"
 
 namespace jujuberock::rollout {
@@ -17,15 +19,37 @@
 // suspended has stopped, and still small, so that the loss of a holder uses up
 // little of the time in which the weights must be replaced.
 constexpr double kTakeoverShare = 0.62;
+// Share of the lease time after which no holder of a former era sends orders
+// and the last ones are a lease time old.
+constexpr double kSettleShare = 1 + kHoldShare;
+// The low bits of a token count the holders of an era; the era is above them.
+constexpr int kTokenBits = 32;
 
 }  // namespace
 
+void OrderLease::OnEra(uint64_t era, common::TimePoint now) {
+  if (era == this->current_era)
+    return;
+  // Nobody can have taken the lease over from a host that still holds it.
+  const bool holds = this->Holds(now);
+  this->current_era = era;
+  this->settled_at =
+      holds ? now : now + Scale(this->options.lease, kSettleShare);
+  this->OnNoRecord(now);
+}
+
+bool OrderLease::IsRecordOfEra() const {
+  return this->revision &&
+         this->current.token >> kTokenBits >= this->current_era;
+}
+
 void OrderLease::OnRecord(const LeaseRecord& record,
                           uint64_t new_revision,
                           common::TimePoint now) {
   if (this->revision && new_revision <= *this->revision)
     return;
   this->current = record;
+  this->highest_token = std::max(this->highest_token, record.token);
   this->revision = new_revision;
   this->changed_at = now;
   if (record.holder != this->host)
@@ -42,6 +66,9 @@
 bool OrderLease::MayAcquire(common::TimePoint now) const {
   if (this->Holds(now))
     return false;
+  if (this->current_era != 0 && !this->IsRecordOfEra() &&
+      now < this->settled_at)
+    return false;
   // A restarted host is still the same holder.
   if (!this->revision || this->current.holder == this->host)
     return true;
@@ -53,7 +80,8 @@
 LeaseRecord OrderLease::RecordToAcquire() const {
   LeaseRecord record;
   record.holder = this->host;
-  record.token = this->current.token + 1;
+  record.token =
+      std::max(this->highest_token, this->current_era << kTokenBits) + 1;
   record.renewals = this->current.renewals + 1;
   return record;
 }
@@ -63,6 +91,7 @@
                            common::TimePoint sent_at,
                            common::TimePoint now) {
   this->current = record;
+  this->highest_token = std::max(this->highest_token, record.token);
   this->revision = new_revision;
   this->changed_at = now;
   this->renewed_at = sent_at;
--- a/source/core/rollout/order_lease.h
+++ b/source/core/rollout/order_lease.h
@@ -19,13 +19,21 @@
 // Decides when this host may acquire, must renew and must stop using the lease
 // that permits sending orders. The holder stops using it well before other
 // hosts may take over. These measure from the time when they saw the last
-// change, so clocks of different hosts are never compared. Pure state machine,
-// not thread-safe.
+// change, so clocks of different hosts are never compared.
+//
+// A store that comes back from an older copy, in a new era, may lack the record
+// of a holder that still sends orders, and the tokens that were given out. So a
+// token begins with the era in which it was given out, the holder stops at
+// once, and other hosts wait until it must have stopped and its orders are a
+// lease time old. Pure state machine, not thread-safe.
 class OrderLease {
  public:
   OrderLease(std::string host, OrderLeaseOptions options)
       : host(std::move(host)), options(options) {}
 
+  // The store answers in this era; called before anything that was read in it.
+  void OnEra(uint64_t era, common::TimePoint now);
+  uint64_t era() const { return this->current_era; }
   // The record was read from the store; `revision` is that of its last change.
   void OnRecord(const LeaseRecord& record,
                 uint64_t revision,
@@ -58,8 +66,18 @@
   uint64_t token() const { return this->current.token; }
 
  private:
+  // Whether the record was written since the store came back from a copy.
+  bool IsRecordOfEra() const;
+
   std::string host;
   OrderLeaseOptions options;
+  // 0 if the store states none.
+  uint64_t current_era = 0;
+  // A record that was not written in this era says nothing about the holder
+  // before this time.
+  common::TimePoint settled_at;
+  // Highest token that this host knows of.
+  uint64_t highest_token = 0;
   LeaseRecord current;
   std::optional<uint64_t> revision;
   common::TimePoint changed_at;
--- a/source/unit_tests/core/rollout/order_lease_test.cc
+++ b/source/unit_tests/core/rollout/order_lease_test.cc
@@ -88,5 +88,85 @@
   }
 }
 
+// Time in which no holder of a former era can still send orders, and its last
+// ones are a lease time old.
+constexpr int kSettledMs = 4080;
+
+// Guards against a fencing token that is given out twice: the store has lost
+// the record that held it, and the host that creates it anew never saw it.
+TEST_CASE("tokens of a later era are above all tokens of an earlier one") {
+  OrderLease before("a", kOptions);
+  before.OnEra(1, At(0));
+  uint64_t highest = 0;
+  for (int i = 0; i < 3; ++i) {
+    const LeaseRecord record = before.RecordToAcquire();
+    CHECK(record.token > highest);
+    highest = record.token;
+    before.OnWritten(record, 5, At(0), At(1));
+  }
+  OrderLease after("b", kOptions);
+  after.OnEra(2, At(0));
+  after.OnNoRecord(At(1));
+  CHECK(after.RecordToAcquire().token > highest);
+  // The copy has an older record.
+  after.OnRecord(HeldBy("a", 1), 3, At(2));
+  CHECK(after.RecordToAcquire().token > highest);
+}
+
+// Guards against two hosts that send orders within one lease time: the record
+// of the holder is lost, or the copy has an older one.
+TEST_CASE("after a restore other hosts wait until the holder has stopped") {
+  OrderLease other("b", kOptions);
+  other.OnEra(1, At(0));
+  other.OnRecord(HeldBy("a", (uint64_t{1} << 32) + 1), 50, At(0));
+  other.OnEra(2, At(10000));
+  SECTION("no record") {
+    other.OnNoRecord(At(10001));
+  }
+  SECTION("an older record that was released") {
+    LeaseRecord released = HeldBy("", (uint64_t{1} << 32) + 1);
+    released.ordered = false;
+    other.OnRecord(released, 40, At(10001));
+  }
+  SECTION("an older record of this host") {
+    other.OnRecord(HeldBy("b", (uint64_t{1} << 32) + 1), 40, At(10001));
+  }
+  CHECK_FALSE(other.MayAcquire(At(10000 + kSettledMs - 1)));
+  CHECK(other.MayAcquire(At(10000 + kSettledMs)));
+}
+
+// Guards against seconds without a rollout: nobody else can have the lease.
+TEST_CASE("the holder stops in a new era and may take the lease again") {
+  OrderLease holder("a", kOptions);
+  holder.OnEra(1, At(0));
+  holder.OnWritten(holder.RecordToAcquire(), 50, At(5000), At(5001));
+  REQUIRE(holder.Holds(At(5100)));
+  holder.OnEra(2, At(5100));
+  CHECK_FALSE(holder.Holds(At(5100)));
+  CHECK_FALSE(holder.expected_revision());
+  holder.OnNoRecord(At(5101));
+  CHECK(holder.MayAcquire(At(5101)));
+  // Another host may have taken the lease over from one that had lost it.
+  OrderLease former("a", kOptions);
+  former.OnEra(1, At(0));
+  former.OnWritten(former.RecordToAcquire(), 50, At(0), At(1));
+  former.OnEra(2, At(5000));
+  former.OnNoRecord(At(5001));
+  CHECK_FALSE(former.MayAcquire(At(5002)));
+}
+
+// Guards against a lease of another host that stays unseen, because its
+// revision was given out before.
+TEST_CASE("a record of a new era is taken whatever its revision") {
+  OrderLease lease("a", kOptions);
+  lease.OnEra(1, At(0));
+  lease.OnRecord(HeldBy("b", (uint64_t{1} << 32) + 1), 50, At(0));
+  lease.OnEra(2, At(1000));
+  lease.OnRecord(HeldBy("c", (uint64_t{2} << 32) + 1), 40, At(1001));
+  CHECK(lease.record().holder == "c");
+  CHECK(lease.expected_revision() == 40);
+  CHECK_FALSE(lease.MayAcquire(At(1002)));
+}
+
 }  // namespace
 }  // namespace jujuberock::rollout
