Serve what endpoints say about themselves in their answers

Leaving is a fact of the instance, in the endpoint directory, as if its entry said so; a pause is one of the endpoint's record: it is not chosen, gets no orders and is asked for no reports until the end, also if its entry expires meanwhile. A 421 says nothing, since another endpoint has sent it.

--- a/source/core/dispatch/endpoint_record.h
+++ b/source/core/dispatch/endpoint_record.h
@@ -114,9 +114,14 @@
   void ReleaseReservation() { this->reservation.reset(); }
   bool IsReserved(common::TimePoint now) const;
 
+  // The endpoint says that it is leaving; its registration may follow later.
+  void MarkLeaving() { this->description.leaving = true; }
+
   // The endpoint takes no new requests before this time, because it is full or
   // not the one that was expected.
   common::TimePoint paused_until;
+  // The endpoint has asked this host to send nothing before this time.
+  common::TimePoint backoff_until;
   // Set when the endpoint is no longer registered. Sends in flight go on.
   bool removed = false;
 
--- a/source/core/dispatch/service_pool.cc
+++ b/source/core/dispatch/service_pool.cc
@@ -84,6 +84,10 @@
       next.emplace(endpoint.id, known->second);
       continue;
     }
+    if (auto resting = this->TakeResting(endpoint)) {
+      next.emplace(endpoint.id, std::move(resting));
+      continue;
+    }
     const double capacity =
         this->properties
             ? kCacheShare *
@@ -94,12 +98,31 @@
   }
   for (const auto& [id, record] : this->endpoints) {
     const auto kept = next.find(id);
-    if (kept == next.end() || kept->second != record)
-      record->removed = true;
+    if (kept != next.end() && kept->second == record)
+      continue;
+    record->removed = true;
+    if (record->backoff_until != common::TimePoint() &&
+        this->resting.size() < kMaxResting)
+      this->resting.insert_or_assign(id, record);
   }
   this->endpoints = std::move(next);
 }
 
+std::shared_ptr<EndpointRecord> ServicePool::TakeResting(
+    const catalog::Endpoint& endpoint) {
+  const auto found = this->resting.find(endpoint.id);
+  if (found == this->resting.end())
+    return nullptr;
+  const std::shared_ptr<EndpointRecord> record = found->second;
+  this->resting.erase(found);
+  if (record->endpoint().started_at_ms != endpoint.started_at_ms ||
+      record->endpoint().address != endpoint.address)
+    return nullptr;
+  record->Update(endpoint);
+  record->removed = false;
+  return record;
+}
+
 std::shared_ptr<EndpointRecord> ServicePool::Find(std::string_view id) const {
   const auto found = this->endpoints.find(std::string(id));
   return found == this->endpoints.end() ? nullptr : found->second;
@@ -118,7 +141,7 @@
     return Exclusion::kOutdated;
   if (record.IsReserved(now))
     return Exclusion::kReserved;
-  if (now < record.paused_until)
+  if (now < record.paused_until || now < record.backoff_until)
     return Exclusion::kPaused;
   return Exclusion::kNone;
 }
--- a/source/core/dispatch/service_pool.h
+++ b/source/core/dispatch/service_pool.h
@@ -136,6 +136,14 @@
  private:
   enum class Eligibility { kNo, kLastResort, kYes };
 
+  // Removed endpoints that are remembered because they asked for a pause.
+  static constexpr size_t kMaxResting = 256;
+
+  // Returns the record of an instance that is registered again, if it is
+  // remembered.
+  std::shared_ptr<EndpointRecord> TakeResting(
+      const catalog::Endpoint& endpoint);
+
   static Exclusion ExclusionOf(const EndpointRecord& record,
                                const SendRequirements& requirements,
                                common::TimePoint now);
@@ -190,6 +198,7 @@
   common::Random random;
   std::optional<catalog::EngineProperties> properties;
   std::map<std::string, std::shared_ptr<EndpointRecord>> endpoints;
+  std::map<std::string, std::shared_ptr<EndpointRecord>> resting;
   FirstTokenModel model;
   double failure_share = 0;
   double mean_uncached = 0;
--- a/source/core/events/event_log.h
+++ b/source/core/events/event_log.h
@@ -42,6 +42,7 @@
   kEndpointsHeldBack,
   kEndpointEjected,
   kEndpointReadmitted,
+  kEndpointBackoff,
   kVersionNamed,
   kHolderGained,
   kHolderLost,
@@ -59,7 +60,7 @@
   kRequestAnswered,
 };
 
-inline constexpr size_t kEventCount = 32;
+inline constexpr size_t kEventCount = 33;
 
 inline constexpr common::NameTable<Event, kEventCount> kEventNames(
     {"started",
@@ -79,6 +80,7 @@
      "endpoints_held_back",
      "endpoint_ejected",
      "endpoint_readmitted",
+     "endpoint_backoff",
      "version_named",
      "holder_gained",
      "holder_lost",
--- a/source/core/forward/types.h
+++ b/source/core/forward/types.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 
+#include "core/catalog/endpoint_notice.h"
 #include "core/common/time.h"
 #include "core/dispatch/endpoint_record.h"
 #include "core/dispatch/prompt.h"
@@ -62,6 +63,7 @@
   bool not_run = false;
   // The response carries the endpoint's signature.
   bool is_signed = false;
+  catalog::EndpointNotice notice;
   std::optional<dispatch::LoadReport> load;
   std::optional<uint64_t> weight_version;
   // How long the endpoint keeps idle connections open.
--- a/source/core/gateway/dispatcher.cc
+++ b/source/core/gateway/dispatcher.cc
@@ -111,6 +111,31 @@
       .Add(Field::kReason, "told_by_peer");
 }
 
+void Dispatcher::OnNotice(EndpointRecord& endpoint,
+                          const catalog::EndpointNotice& notice) {
+  const TimePoint now = runtime::BootNow();
+  if (notice.retry_after) {
+    endpoint.backoff_until =
+        std::max(endpoint.backoff_until, now + *notice.retry_after);
+    LogLine(this->log, Event::kEndpointBackoff)
+        .Add(Field::kEndpoint, endpoint.endpoint().id)
+        .Add(Field::kRetryAfterMs, *notice.retry_after);
+  }
+  if (!notice.is_leaving || endpoint.endpoint().leaving)
+    return;
+  endpoint.MarkLeaving();
+  if (this->on_endpoint_leaving)
+    this->on_endpoint_leaving(endpoint.endpoint());
+}
+
+void Dispatcher::OnNotice(const catalog::Endpoint& endpoint,
+                          const catalog::EndpointNotice& notice) {
+  const ServicePool* pool = this->FindPool(endpoint.service);
+  const auto record = pool ? pool->Find(endpoint.id) : nullptr;
+  if (record && record->endpoint().started_at_ms == endpoint.started_at_ms)
+    this->OnNotice(*record, notice);
+}
+
 ServicePool* Dispatcher::FindPool(std::string_view service) {
   const auto found = this->pools.find(service);
   return found == this->pools.end() ? nullptr : found->second.get();
--- a/source/core/gateway/dispatcher.h
+++ b/source/core/gateway/dispatcher.h
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <unordered_map>
 
+#include "core/catalog/endpoint_notice.h"
 #include "core/common/metrics.h"
 #include "core/common/name_table.h"
 #include "core/common/random.h"
@@ -100,6 +101,16 @@
     this->on_endpoint_unreachable = std::move(callback);
   }
 
+  // Called with what an endpoint says about itself in a response.
+  void OnNotice(dispatch::EndpointRecord& endpoint,
+                const catalog::EndpointNotice& notice);
+  void OnNotice(const catalog::Endpoint& endpoint,
+                const catalog::EndpointNotice& notice);
+  // Sets the callback for endpoints that say that they are leaving.
+  void OnLeaving(std::function<void(const catalog::Endpoint&)> callback) {
+    this->on_endpoint_leaving = std::move(callback);
+  }
+
   using SendHandle = uint64_t;
   SendHandle Register(ActiveSend send);
   void MarkStarted(SendHandle handle);
@@ -176,6 +187,7 @@
   std::map<SendHandle, ActiveSend> active;
   SendHandle next_handle = 1;
   std::map<std::string, BrokenRequests> broken_by_endpoint;
+  std::function<void(const catalog::Endpoint&)> on_endpoint_leaving;
   std::function<void()> on_crash_marks_changed;
   std::function<void(const std::string& id)> on_endpoint_unreachable;
   // Silence before the end of a stall of this host is ignored.
--- a/source/core/gateway/endpoint_control.h
+++ b/source/core/gateway/endpoint_control.h
@@ -2,11 +2,13 @@
 #define CORE_GATEWAY_ENDPOINT_CONTROL_H_
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "core/catalog/endpoint_notice.h"
 #include "core/catalog/types.h"
 #include "core/common/time.h"
 #include "core/reuse/cache_store_index.h"
@@ -53,8 +55,15 @@
 // fiber. Failures are returned, not thrown.
 class EndpointControl {
  public:
+  using NoticeCallback = std::function<void(const catalog::Endpoint&,
+                                            const catalog::EndpointNotice&)>;
+
   virtual ~EndpointControl() = default;
 
+  // Sets the callback for what engines say about themselves in responses to
+  // Report() and Order().
+  virtual void OnNotice(NoticeCallback callback) = 0;
+
   virtual std::optional<EngineReport> Report(
       const catalog::Endpoint& endpoint) = 0;
   virtual OrderReply Order(const catalog::Endpoint& endpoint,
--- a/source/core/gateway/gateway.cc
+++ b/source/core/gateway/gateway.cc
@@ -89,6 +89,12 @@
   this->view.OnChange([this] { this->OnViewChanged(); });
   this->view.OnHostObject(
       [this](const auto& change) { this->OnHostObject(change); });
+  platform.control.OnNotice([this](const auto& endpoint, const auto& notice) {
+    this->dispatcher.OnNotice(endpoint, notice);
+  });
+  this->dispatcher.OnLeaving([this](const catalog::Endpoint& endpoint) {
+    this->view.OnEndpointLeaving(endpoint);
+  });
   const auto address = [](const std::string& text) {
     return *runtime::Address::Parse(text);
   };
--- a/source/core/gateway/platform_view.cc
+++ b/source/core/gateway/platform_view.cc
@@ -250,6 +250,13 @@
   this->NotifyChanged();
 }
 
+void PlatformView::OnEndpointLeaving(const catalog::Endpoint& endpoint) {
+  LogLine(this->log, Event::kEndpointLeft)
+      .Add(Field::kEndpoint, endpoint.id)
+      .Add(Field::kReason, "leaving_response");
+  this->directory.MarkLeaving(endpoint.id, endpoint.started_at_ms);
+}
+
 void PlatformView::ReplaceEndpoints(const catalog::ObjectSnapshot& snapshot,
                                     bool is_copy) {
   std::vector<catalog::Endpoint> endpoints;
--- a/source/core/gateway/platform_view.h
+++ b/source/core/gateway/platform_view.h
@@ -92,6 +92,8 @@
   void OnPeerConfig(uint64_t era, uint64_t version) {
     this->config_floor.OnPeer(era, version);
   }
+  // The endpoint said in a response that it is leaving.
+  void OnEndpointLeaving(const catalog::Endpoint& endpoint);
   uint64_t store_era() const { return this->known_era; }
   // Applies deferred removals of endpoints that are due and detects that the
   // process was suspended; called periodically.
--- a/source/core/gateway/request_task.cc
+++ b/source/core/gateway/request_task.cc
@@ -335,6 +335,7 @@
                              dispatch::EndpointRecord& record) {
   const TimePoint now = runtime::BootNow();
   record.OnBytesReceived(now);
+  this->deps.dispatcher.OnNotice(record, head.notice);
   if (head.load)
     record.OnLoadReport(*head.load, now);
   if (head.weight_version && this->request.prompt)
--- a/source/core/gateway/rollout_controller.cc
+++ b/source/core/gateway/rollout_controller.cc
@@ -327,7 +327,8 @@
 void RolloutController::SendOrders(const PendingRollout& pending) {
   for (const std::string& id : this->PlanFor(pending).Due(runtime::BootNow())) {
     auto endpoint = FindEndpoint(pending.endpoints, id);
-    if (!endpoint || !this->calls_in_progress.insert(id).second)
+    if (!endpoint || runtime::BootNow() < endpoint->backoff_until ||
+        !this->calls_in_progress.insert(id).second)
       continue;
     runtime::SpawnLocal([this, model = pending.model, version = pending.version,
                          endpoint = std::move(endpoint)] {
@@ -377,7 +378,8 @@
     return;
   // Checked immediately before the order is sent: the report took time, and
   // this host may have been suspended.
-  if (!this->lease.Holds(runtime::BootNow()))
+  const TimePoint now = runtime::BootNow();
+  if (!this->lease.Holds(now) || now < endpoint->backoff_until)
     return;
   VersionOrder order{model, version, this->settings.host_name,
                      this->lease.token(), report->sequence};
@@ -414,7 +416,8 @@
 void RolloutController::PollOrdered(const PendingRollout& pending) {
   for (const std::string& id : this->PlanFor(pending).Ordered()) {
     auto endpoint = FindEndpoint(pending.endpoints, id);
-    if (!endpoint || !this->calls_in_progress.insert(id).second)
+    if (!endpoint || runtime::BootNow() < endpoint->backoff_until ||
+        !this->calls_in_progress.insert(id).second)
       continue;
     runtime::SpawnLocal(
         [this, model = pending.model, endpoint = std::move(endpoint)] {
--- a/source/platform/codec.cc
+++ b/source/platform/codec.cc
@@ -10,6 +10,7 @@
 
 #include <boost/beast/core/string.hpp>
 
+#include "platform/notice.h"
 #include "platform/wire_names.h"
 
 namespace jujuberock::platform_adapter {
@@ -230,6 +231,7 @@
   // 421 (Misdirected Request) always means that the request was addressed to
   // another endpoint.
   head.not_run = headers.Find(wire::kNotExecuted).has_value() || status == 421;
+  head.notice = DecodeNotice(status, headers);
   head.is_signed = headers.Find(wire::kServerStamp).has_value();
   if (const auto load = headers.Find(wire::kServerLoad))
     head.load = DecodeLoad(*load);
--- a/source/platform/endpoint_control.cc
+++ b/source/platform/endpoint_control.cc
@@ -1,7 +1,10 @@
 #include "platform/endpoint_control.h"
 
+#include <utility>
+
 #include <nlohmann/json.hpp>
 
+#include "platform/notice.h"
 #include "platform/wire_names.h"
 
 namespace jujuberock::platform_adapter {
@@ -70,12 +73,26 @@
   }
 }
 
+std::optional<runtime::HttpResponse> PlatformEndpointControl::Call(
+    const catalog::Endpoint& endpoint,
+    runtime::HttpRequest request,
+    Duration timeout) {
+  request.headers.Set(wire::kExpectInstance, endpoint.id);
+  auto response = this->Fetch(endpoint.address, request, timeout);
+  if (!response || !this->on_notice)
+    return response;
+  const auto notice = DecodeNotice(response->status, response->headers);
+  if (!notice.IsEmpty())
+    this->on_notice(endpoint, notice);
+  return response;
+}
+
 std::optional<gateway::EngineReport> PlatformEndpointControl::Report(
     const catalog::Endpoint& endpoint) {
   runtime::HttpRequest request;
   request.target = std::string(wire::kReportPath);
-  request.headers.Set(wire::kExpectInstance, endpoint.id);
-  const auto response = this->Fetch(endpoint.address, request, kReportTimeout);
+  const auto response =
+      this->Call(endpoint, std::move(request), kReportTimeout);
   if (!response || response->status != 200)
     return std::nullopt;
   try {
@@ -91,7 +108,6 @@
   runtime::HttpRequest request;
   request.method = "POST";
   request.target = std::string(wire::kOrderPath);
-  request.headers.Set(wire::kExpectInstance, endpoint.id);
   request.headers.Set("Content-Type", "application/json");
   Json body;
   body["opcode"] = "version";
@@ -102,7 +118,7 @@
   body["fencingToken"] = order.token;
   body["expected"] = order.expected_sequence;
   request.body = body.dump();
-  const auto response = this->Fetch(endpoint.address, request, kOrderTimeout);
+  const auto response = this->Call(endpoint, std::move(request), kOrderTimeout);
   if (!response)
     return gateway::OrderReply::kUnknown;
   switch (response->status) {
--- a/source/platform/endpoint_control.h
+++ b/source/platform/endpoint_control.h
@@ -3,6 +3,7 @@
 
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "core/gateway/endpoint_control.h"
 #include "core/runtime/http_client.h"
@@ -15,6 +16,9 @@
  public:
   explicit PlatformEndpointControl(runtime::HttpClient& http) : http(http) {}
 
+  void OnNotice(NoticeCallback callback) override {
+    this->on_notice = std::move(callback);
+  }
   std::optional<gateway::EngineReport> Report(
       const catalog::Endpoint& endpoint) override;
   gateway::OrderReply Order(const catalog::Endpoint& endpoint,
@@ -32,7 +36,13 @@
       const runtime::HttpRequest& request,
       common::Duration timeout);
 
+  // The same for a call to an engine; reports what the response says about it.
+  std::optional<runtime::HttpResponse> Call(const catalog::Endpoint& endpoint,
+                                            runtime::HttpRequest request,
+                                            common::Duration timeout);
+
   runtime::HttpClient& http;
+  NoticeCallback on_notice;
 };
 
 }  // namespace jujuberock::platform_adapter
--- a/source/platform/wire_names.h
+++ b/source/platform/wire_names.h
@@ -33,7 +33,10 @@
 // Format: "running,waiting,slots".
 inline constexpr std::string_view kServerLoad = "X-Server-Load";
 inline constexpr std::string_view kWeightVersions = "X-Weight-Versions";
+// In seconds. Endpoints send it with a 503, this host with its refusals.
 inline constexpr std::string_view kRetryAfter = "Retry-After";
+// "1" in all responses of an endpoint that is draining.
+inline constexpr std::string_view kServerLeaving = "Server-Leaving";
 inline constexpr std::string_view kKeepAlive = "Keep-Alive";
 inline constexpr std::string_view kConnection = "Connection";
 
--- a/source/unit_tests/core/dispatch/service_pool_test.cc
+++ b/source/unit_tests/core/dispatch/service_pool_test.cc
@@ -393,5 +393,32 @@
   CHECK(pool.pool.Choose(requirements, At(0)));
 }
 
+// Guards against requests to an endpoint that has asked for a pause, which ends
+// neither with its registration nor because no other endpoint is left.
+TEST_CASE("an endpoint that asked for a pause is not chosen until its end") {
+  Pool p(1);
+  const auto record = p.pool.Find("e0");
+  record->backoff_until = At(1000);
+  const Prompt prompt = MakePrompt("s", 100);
+  SendRequirements requirements;
+  requirements.prompt = &prompt;
+  const auto is_chosen = [&](int ms) {
+    return p.pool.Choose(requirements, At(ms)).has_value();
+  };
+  CHECK_FALSE(is_chosen(0));
+  CHECK_FALSE(is_chosen(999));
+  p.pool.Update(EngineService(), {});
+  p.pool.Update(EngineService(), MakeEndpoints(1));
+  CHECK(p.pool.Find("e0") == record);
+  CHECK_FALSE(is_chosen(999));
+  CHECK(is_chosen(1000));
+  SECTION("a new instance has not asked") {
+    auto restarted = MakeEndpoints(1);
+    restarted[0].started_at_ms = 77;
+    p.pool.Update(EngineService(), restarted);
+    CHECK(is_chosen(0));
+  }
+}
+
 }  // namespace
 }  // namespace jujuberock::dispatch
--- /dev/null
+++ b/source/unit_tests/platform/notice_test.cc
@@ -0,0 +1,42 @@
+#include "platform/notice.h"
+
+#include <catch2/catch.hpp>
+
+namespace jujuberock::platform_adapter {
+namespace {
+
+using std::chrono::milliseconds;
+
+TEST_CASE("any response can say that its endpoint is leaving") {
+  for (const int status : {200, 404, 500, 503}) {
+    INFO(status);
+    CHECK(DecodeNotice(status, {{"Server-Leaving", "1"}}).is_leaving);
+    CHECK_FALSE(DecodeNotice(status, {{"Server-Leaving", "0"}}).is_leaving);
+    CHECK(DecodeNotice(status, {}).IsEmpty());
+  }
+}
+
+// Guards against giving up an endpoint whose address another one has taken
+// over.
+TEST_CASE("a response of another endpoint says nothing") {
+  CHECK(DecodeNotice(421, {{"Server-Leaving", "1"}, {"Retry-After", "2"}})
+            .IsEmpty());
+}
+
+TEST_CASE("a pause is read from a 503 only, and only from seconds") {
+  CHECK(*DecodeNotice(503, {{"Retry-After", "2"}}).retry_after ==
+        milliseconds(2000));
+  CHECK(*DecodeNotice(503, {{"Retry-After", "0.25"}}).retry_after ==
+        milliseconds(250));
+  CHECK(*DecodeNotice(503, {{"Retry-After", "1e300"}}).retry_after ==
+        std::chrono::hours(24));
+  CHECK_FALSE(DecodeNotice(200, {{"Retry-After", "2"}}).retry_after);
+  for (const char* text : {"", "-1", "nan", "inf", "2s", "soon",
+                           "Fri, 04 Dec 2026 10:00:00 GMT"}) {
+    INFO(text);
+    CHECK_FALSE(DecodeNotice(503, {{"Retry-After", text}}).retry_after);
+  }
+}
+
+}  // namespace
+}  // namespace jujuberock::platform_adapter
