Take the order lease once the other hosts have noticed the new era

What the wait is for can be known: that no other host holds the lease of a former era, and when the last order was sent. Each host states its era and the age of its last order in its object, which it writes in each era. Once all known hosts have done so, a host waits only until the last order is a lease time old; otherwise the bound holds as before.

--- a/source/core/gateway/gateway.h
+++ b/source/core/gateway/gateway.h
@@ -78,8 +78,9 @@
   Dispatcher dispatcher;
   reuse::CacheStoreIndex cache_store_index;
   CacheStoreWatcher cache_store_watcher;
-  RolloutController rollout_controller;
+  rollout::OrderHistory order_history;
   HostRegistry host_registry;
+  RolloutController rollout_controller;
   CacheStoreCleaner cache_store_cleaner;
   std::unique_ptr<PeerLoads> peer_loads;
   RequestDependencies request_deps;
--- a/source/core/gateway/host_object.cc
+++ b/source/core/gateway/host_object.cc
@@ -94,6 +94,8 @@
   value["written_ms"] = object.written_at.time_since_epoch().count();
   value["store_era"] = object.store_era;
   value["config_version"] = object.config_version;
+  if (object.last_order_age)
+    value["last_order_age_ms"] = ToMilliseconds(*object.last_order_age);
   value["marks"] = Json::array();
   for (const CrashMark& mark : object.marks)
     value["marks"].push_back(EncodeMark(mark));
@@ -115,6 +117,8 @@
     object.peer_address = value.value("peer_address", "");
     object.store_era = value.value("store_era", uint64_t{0});
     object.config_version = value.value("config_version", uint64_t{0});
+    if (value.contains("last_order_age_ms"))
+      object.last_order_age = GetMilliseconds(value["last_order_age_ms"]);
     const Duration age = AgeOf(value, wall_now);
     for (const Json& item : value["marks"]) {
       object.marks.push_back(DecodeMark(item));
--- a/source/core/gateway/host_object.h
+++ b/source/core/gateway/host_object.h
@@ -26,6 +26,9 @@
   // configuration that was in force then; 0 if unknown.
   uint64_t store_era = 0;
   uint64_t config_version = 0;
+  // Time since the host sent its last order to an engine; nothing if it sent
+  // none since it started.
+  std::optional<common::Duration> last_order_age;
   std::vector<suspects::CrashMark> marks;
   std::vector<suspects::PartMark> part_marks;
 };
--- a/source/core/gateway/host_registry.cc
+++ b/source/core/gateway/host_registry.cc
@@ -29,12 +29,14 @@
 
 HostRegistry::HostRegistry(const Settings& settings,
                            PlatformView& view,
+                           const rollout::OrderHistory& own_orders,
                            Dispatcher& dispatcher,
                            CacheStoreWatcher& cache_store_watcher,
                            catalog::ObjectStore& store,
                            std::function<common::UnixTime()> wall_now)
     : settings(settings),
       view(view),
+      own_orders(own_orders),
       dispatcher(dispatcher),
       cache_store_watcher(cache_store_watcher),
       store(store),
@@ -58,6 +60,7 @@
   }
   if (change.deleted) {
     this->OnPeerAddress(name, "");
+    this->peer_orders.erase(name);
     return;
   }
   const auto object = DecodeHostObject(change.object.content, this->wall_now());
@@ -67,9 +70,30 @@
     return;
   this->OnPeerAddress(name, object->peer_address);
   this->view.OnPeerConfig(object->store_era, object->config_version);
+  PeerOrders& orders = this->peer_orders[name];
+  orders.store_era = object->store_era;
+  if (object->last_order_age)
+    orders.last_order_at = runtime::BootNow() - *object->last_order_age;
   this->dispatcher.MergeMarks(object->marks, object->part_marks);
 }
 
+std::optional<common::TimePoint> HostRegistry::LastFormerOrder() const {
+  common::TimePoint last;
+  size_t confirmed = 0;
+  for (const auto& [name, orders] : this->peer_orders) {
+    if (orders.store_era != this->store.era())
+      return std::nullopt;
+    last = std::max(last, orders.last_order_at);
+    ++confirmed;
+  }
+  // The copy may lack all hosts. Unreadable objects confirm nothing.
+  const size_t others =
+      this->host_names.size() - this->host_names.count(this->own_name);
+  if (confirmed == 0 || confirmed < others)
+    return std::nullopt;
+  return last;
+}
+
 void HostRegistry::ReadFormerObject(const catalog::StoredObject& stored) {
   if (this->has_written)
     return;
@@ -138,6 +162,8 @@
   object.store_era = this->view.store_era();
   if (const auto config = this->view.config())
     object.config_version = config->version();
+  if (this->own_orders.last_order_at)
+    object.last_order_age = now - *this->own_orders.last_order_at;
   object.marks = this->dispatcher.suspects().Marks(now);
   object.part_marks = this->dispatcher.part_suspects().Marks(now);
   if (object.marks.size() > kMaxMarks)
--- a/source/core/gateway/host_registry.h
+++ b/source/core/gateway/host_registry.h
@@ -14,6 +14,7 @@
 #include "core/gateway/host_object.h"
 #include "core/gateway/platform_view.h"
 #include "core/gateway/settings.h"
+#include "core/rollout/order_history.h"
 #include "core/runtime/http_types.h"
 
 namespace jujuberock::gateway {
@@ -26,6 +27,7 @@
  public:
   HostRegistry(const Settings& settings,
                PlatformView& view,
+               const rollout::OrderHistory& own_orders,
                Dispatcher& dispatcher,
                CacheStoreWatcher& cache_store_watcher,
                catalog::ObjectStore& store,
@@ -39,12 +41,21 @@
   // Returns this host's position in the rendezvous hashing order for `key`; 0
   // is the first.
   size_t RankFor(std::string_view key) const;
+  // Returns when another host sent the last order of a former era of the store;
+  // nothing unless all known hosts have written their objects in this era.
+  std::optional<common::TimePoint> LastFormerOrder() const;
   // Sets the callback for changes of the other hosts' addresses.
   void OnPeers(std::function<void(std::vector<runtime::Address>)> callback) {
     this->on_peers_changed = std::move(callback);
   }
 
  private:
+  // What another host has published about its orders.
+  struct PeerOrders {
+    uint64_t store_era = 0;
+    common::TimePoint last_order_at;
+  };
+
   void OnHostCountChanged();
   void OnOwnObject(const catalog::ObjectChange& change);
   void OnPeerAddress(const std::string& name, const std::string& address);
@@ -59,6 +70,7 @@
 
   const Settings& settings;
   PlatformView& view;
+  const rollout::OrderHistory& own_orders;
   Dispatcher& dispatcher;
   CacheStoreWatcher& cache_store_watcher;
   catalog::ObjectStore& store;
@@ -67,6 +79,7 @@
   std::optional<uint64_t> own_revision;
   std::set<std::string> host_names;
   std::map<std::string, runtime::Address> peers;
+  std::map<std::string, PeerOrders> peer_orders;
   std::function<void(std::vector<runtime::Address>)> on_peers_changed;
   bool write_pending = true;
   bool has_written = false;
--- a/source/core/gateway/platform_view.h
+++ b/source/core/gateway/platform_view.h
@@ -94,6 +94,7 @@
   }
   // The endpoint said in a response that it is leaving.
   void OnEndpointLeaving(const catalog::Endpoint& endpoint);
+  bool are_hosts_known() const { return this->hosts_known; }
   uint64_t store_era() const { return this->known_era; }
   // Applies deferred removals of endpoints that are due and detects that the
   // process was suspended; called periodically.
--- a/source/core/gateway/rollout_controller.cc
+++ b/source/core/gateway/rollout_controller.cc
@@ -48,12 +48,16 @@
                                      Dispatcher& dispatcher,
                                      catalog::ObjectStore& store,
                                      EndpointControl& control,
+                                     const HostRegistry& hosts,
+                                     rollout::OrderHistory& own_orders,
                                      events::EventLog& log)
     : settings(settings),
       view(view),
       dispatcher(dispatcher),
       store(store),
       control(control),
+      hosts(hosts),
+      own_orders(own_orders),
       log(log),
       lease(settings.host_name, {settings.lease_time}) {}
 
@@ -141,6 +145,10 @@
     this->next_acquire_at =
         now + common::FromSeconds(share * common::ToSeconds(kMaxAcquireDelay));
   }
+  if (this->view.are_hosts_known()) {
+    if (const auto last_order = this->hosts.LastFormerOrder())
+      this->lease.OnFormerHoldersStopped(*last_order);
+  }
   if (now < this->next_acquire_at || !this->lease.MayAcquire(now))
     return;
   this->next_acquire_at = now + kAcquireRetryDelay;
@@ -378,11 +386,13 @@
     return;
   // Checked immediately before the order is sent: the report took time, and
   // this host may have been suspended.
+  this->CheckEra();
   const TimePoint now = runtime::BootNow();
   if (!this->lease.Holds(now) || now < endpoint->backoff_until)
     return;
   VersionOrder order{model, version, this->settings.host_name,
                      this->lease.token(), report->sequence};
+  this->own_orders.last_order_at = now;
   const OrderReply reply = this->control.Order(endpoint->endpoint(), order);
   LogLine(this->log, Event::kWeightsOrdered)
       .Add(Field::kEndpoint, id)
--- a/source/core/gateway/rollout_controller.h
+++ b/source/core/gateway/rollout_controller.h
@@ -10,9 +10,11 @@
 #include "core/events/event_log.h"
 #include "core/gateway/dispatcher.h"
 #include "core/gateway/endpoint_control.h"
+#include "core/gateway/host_registry.h"
 #include "core/gateway/platform_view.h"
 #include "core/gateway/settings.h"
 #include "core/rollout/lease_record.h"
+#include "core/rollout/order_history.h"
 #include "core/rollout/order_lease.h"
 #include "core/rollout/rollout_plan.h"
 
@@ -28,6 +30,8 @@
                     Dispatcher& dispatcher,
                     catalog::ObjectStore& store,
                     EndpointControl& control,
+                    const HostRegistry& hosts,
+                    rollout::OrderHistory& own_orders,
                     events::EventLog& log);
 
   // Name of the lease object, of kind ObjectKind::kHosts.
@@ -84,6 +88,8 @@
   Dispatcher& dispatcher;
   catalog::ObjectStore& store;
   EndpointControl& control;
+  const HostRegistry& hosts;
+  rollout::OrderHistory& own_orders;
   events::EventLog& log;
   rollout::OrderLease lease;
   std::map<std::string, rollout::RolloutPlan> plans;
--- a/source/core/rollout/order_lease.cc
+++ b/source/core/rollout/order_lease.cc
@@ -38,6 +38,11 @@
   this->OnNoRecord(now);
 }
 
+void OrderLease::OnFormerHoldersStopped(common::TimePoint last_order_at) {
+  this->settled_at =
+      std::min(this->settled_at, last_order_at + this->options.lease);
+}
+
 bool OrderLease::IsRecordOfEra() const {
   return this->revision &&
          this->current.token >> kTokenBits >= this->current_era;
--- a/source/core/rollout/order_lease.h
+++ b/source/core/rollout/order_lease.h
@@ -34,6 +34,9 @@
   // The store answers in this era; called before anything that was read in it.
   void OnEra(uint64_t era, common::TimePoint now);
   uint64_t era() const { return this->current_era; }
+  // All other hosts have noticed the era, so none holds the lease of a former
+  // one. The last order that one of them sent was sent at `last_order_at`.
+  void OnFormerHoldersStopped(common::TimePoint last_order_at);
   // The record was read from the store; `revision` is that of its last change.
   void OnRecord(const LeaseRecord& record,
                 uint64_t revision,
--- a/source/unit_tests/core/gateway/host_object_test.cc
+++ b/source/unit_tests/core/gateway/host_object_test.cc
@@ -20,6 +20,7 @@
   object.written_at = kWrittenAt;
   object.store_era = 3;
   object.config_version = 12;
+  object.last_order_age = milliseconds(70);
   object.marks = {{7, "e1/1000", milliseconds(20)}};
   object.part_marks = {
       {PartEvidence::kCrash, 1, "e1/1000", milliseconds(30), milliseconds(90),
@@ -39,6 +40,7 @@
   CHECK(decoded->peer_address == object.peer_address);
   CHECK(decoded->store_era == object.store_era);
   CHECK(decoded->config_version == object.config_version);
+  CHECK(decoded->last_order_age == object.last_order_age);
   CHECK(decoded->marks == object.marks);
   CHECK(decoded->part_marks == object.part_marks);
 }
--- a/source/unit_tests/core/rollout/order_lease_test.cc
+++ b/source/unit_tests/core/rollout/order_lease_test.cc
@@ -135,6 +135,21 @@
   CHECK(other.MayAcquire(At(10000 + kSettledMs)));
 }
 
+// Guards against seconds without a rollout: nobody that held the lease before
+// sends orders any more.
+TEST_CASE("after a restore hosts wait only for the last order of the others") {
+  OrderLease lease("b", kOptions);
+  lease.OnEra(2, At(10000));
+  lease.OnNoRecord(At(10001));
+  CHECK_FALSE(lease.MayAcquire(At(10500)));
+  lease.OnFormerHoldersStopped(At(8000));
+  CHECK_FALSE(lease.MayAcquire(At(10999)));
+  CHECK(lease.MayAcquire(At(11000)));
+  // What is learnt later takes nothing back.
+  lease.OnFormerHoldersStopped(At(9000));
+  CHECK(lease.MayAcquire(At(11000)));
+}
+
 // Guards against seconds without a rollout: nobody else can have the lease.
 TEST_CASE("the holder stops in a new era and may take the lease again") {
   OrderLease holder("a", kOptions);
