--- a/source/unit_tests/core/forward/response_relay_test.cc
+++ b/source/unit_tests/core/forward/response_relay_test.cc
@@ -35,8 +35,11 @@
       int status,
       const runtime::HttpHeaders& headers) const override {
     ResponseHead head = TestCodec::DecodeResponseHead(status, headers);
-    if (const auto type = headers.Find("Content-Type"))
-      head.forwarded_headers.Add("Content-Type", std::string(*type));
+    for (const char* name :
+         {"Content-Type", "Content-Range", "Content-Encoding"}) {
+      if (const auto value = headers.Find(name))
+        head.forwarded_headers.Add(name, std::string(*value));
+    }
     return head;
   }
 };
@@ -227,5 +230,90 @@
   CHECK_FALSE(broken.finished);
 }
 
+// Relays `first`, which breaks off, and then `second` as its rest.
+Relayed RelayResumed(const std::string& first, const std::string& second) {
+  runtime::WorkerPool workers(1);
+  common::MetricRegistry counters;
+  FakeEndpoint first_peer({first}, false);
+  FakeEndpoint second_peer({second}, false);
+  RecordingWriter writer;
+  Relayed result;
+  workers.Run([&] {
+    ConnectionPool pool({}, counters);
+    const EventStreamCodec codec;
+    CallerRequest request;
+    request.method = "GET";
+    request.target = "/";
+    request.attempt_id = "a";
+    ResponseRelay response(writer);
+    for (const FakeEndpoint* peer : {&first_peer, &second_peer}) {
+      EndpointSend send(pool, codec, peer->address());
+      result.failure.reset();
+      try {
+        const auto head = send.Open(
+            request, {}, runtime::BootNow() + std::chrono::seconds(5));
+        response.RelayStream(send, head, std::chrono::seconds(5), [] {});
+      } catch (const SendError& error) {
+        result.failure = error.failure();
+      }
+    }
+  });
+  result.body = writer.body;
+  result.finished = writer.finished;
+  return result;
+}
+
+// Guards against bytes of an answer that continues no stream in the middle of
+// one, and against taking its end for the end of the stream.
+TEST_CASE("only an answer that continues a stream resumes it") {
+  const std::string first = Chunked(kEvent + kPartialEvent);
+  const std::string rest = "id: 2\ndata: y\n\n";
+  const auto answer = [&](const std::string& head) {
+    return head + "Content-Length: " + std::to_string(rest.size()) +
+           "\r\n\r\n" + rest;
+  };
+  const std::string id = "Id: a\r\n";
+  const std::string type = "Content-Type: text/event-stream\r\n";
+  for (const std::string& foreign :
+       {"HTTP/1.1 200 OK\r\n" + id + "Content-Type: text/plain\r\n",
+        "HTTP/1.1 200 OK\r\n" + id, "HTTP/1.1 206 Part\r\n" + id + type,
+        "HTTP/1.1 500 Error\r\n" + id + type,
+        "HTTP/1.1 200 OK\r\n" + id + type + "Content-Range: bytes 0-9/30\r\n",
+        "HTTP/1.1 200 OK\r\n" + id + type + "Content-Encoding: gzip\r\n"}) {
+    INFO(foreign);
+    const Relayed relayed = RelayResumed(first, answer(foreign));
+    CHECK(relayed.failure == SendFailure::kMalformed);
+    CHECK_FALSE(relayed.finished);
+    CHECK(relayed.body == kEvent);
+  }
+  for (const char* spelling : {"text/event-stream", "Text/Event-Stream",
+                               "text/event-stream;charset=utf-8"}) {
+    INFO(spelling);
+    const Relayed relayed =
+        RelayResumed(first, answer("HTTP/1.1 200 OK\r\n" + id +
+                                   "Content-Type: " + spelling + "\r\n"));
+    CHECK(relayed.finished);
+    CHECK(relayed.body == kEvent + rest);
+  }
+}
+
+// Guards against a check for broken events that hangs on the spelling of a
+// type.
+TEST_CASE(
+    "a stream of any type that ends inside an event has been broken off") {
+  for (const char* type : {"Content-Type: text/plain\r\n",
+                           "Content-Type: Text/Event-Stream\r\n", ""}) {
+    INFO(type);
+    const std::string head = "HTTP/1.1 200 OK\r\nId: a\r\n";
+    const Relayed cut = RelayAnswer(
+        Relay::kStream, head + type + "\r\n" + kEvent + kPartialEvent, false);
+    CHECK(cut.failure == SendFailure::kBroken);
+    CHECK_FALSE(cut.finished);
+    CHECK(cut.body == kEvent);
+    CHECK(RelayAnswer(Relay::kStream, head + type + "\r\n" + kEvent, false)
+              .finished);
+  }
+}
+
 }  // namespace
 }  // namespace jujuberock::forward
