Write the own object also where the copy has an older one

A host did not write its object in a new era if the copy held an older one: it forgot the revision, tried to create the object, learnt the revision from the conflict and forgot it again. The others waited for it with the order lease until the bound.

The revision is forgotten only if it was given out in a former era. A host that never ordered counts as such, and not as one that ordered when the clock began, which made a host wait whose clock had just started.

--- a/source/core/gateway/host_registry.cc
+++ b/source/core/gateway/host_registry.cc
@@ -71,26 +71,28 @@
   this->OnPeerAddress(name, object->peer_address);
   this->view.OnPeerConfig(object->store_era, object->config_version);
   PeerOrders& orders = this->peer_orders[name];
-  orders.store_era = object->store_era;
+  orders = {object->store_era, std::nullopt};
   if (object->last_order_age)
     orders.last_order_at = runtime::BootNow() - *object->last_order_age;
   this->dispatcher.MergeMarks(object->marks, object->part_marks);
 }
 
-std::optional<common::TimePoint> HostRegistry::LastFormerOrder() const {
-  common::TimePoint last;
-  size_t confirmed = 0;
-  for (const auto& [name, orders] : this->peer_orders) {
-    if (orders.store_era != this->store.era())
-      return std::nullopt;
-    last = std::max(last, orders.last_order_at);
-    ++confirmed;
-  }
-  // The copy may lack all hosts. Unreadable objects confirm nothing.
+bool HostRegistry::HaveAllNoticedEra() const {
+  const auto has_noticed = [this](const auto& entry) {
+    return entry.second.store_era == this->store.era();
+  };
+  // The copy may lack all hosts. Unreadable objects say nothing.
   const size_t others =
       this->host_names.size() - this->host_names.count(this->own_name);
-  if (confirmed == 0 || confirmed < others)
-    return std::nullopt;
+  return !this->peer_orders.empty() && this->peer_orders.size() >= others &&
+         std::all_of(this->peer_orders.begin(), this->peer_orders.end(),
+                     has_noticed);
+}
+
+std::optional<common::TimePoint> HostRegistry::LastPeerOrder() const {
+  std::optional<common::TimePoint> last;
+  for (const auto& [name, orders] : this->peer_orders)
+    last = std::max(last, orders.last_order_at);
   return last;
 }
 
@@ -106,7 +108,7 @@
 
 void HostRegistry::OnOwnObject(const catalog::ObjectChange& change) {
   if (!change.deleted) {
-    this->own_revision = change.object.revision;
+    this->SetRevision(change.object.revision);
     this->ReadFormerObject(change.object);
     return;
   }
@@ -184,7 +186,7 @@
   if (reply.state == WriteState::kMissing)
     this->own_revision.reset();
   if (reply.current) {
-    this->own_revision = reply.current->revision;
+    this->SetRevision(reply.current->revision);
     // This is the object that the former process of this host has left.
     if (reply.state == WriteState::kConflict)
       this->ReadFormerObject(*reply.current);
@@ -196,12 +198,18 @@
   return reply.state;
 }
 
+void HostRegistry::SetRevision(uint64_t revision) {
+  this->own_revision = revision;
+  this->revision_era = this->store.era();
+}
+
 void HostRegistry::CheckEra() {
   if (!this->has_written || this->store.era() == this->written_era)
     return;
   // The copy that the store came back from has an older object or none.
-  this->own_revision.reset();
   this->write_pending = true;
+  if (this->revision_era != this->store.era())
+    this->own_revision.reset();
 }
 
 void HostRegistry::Run() {
--- a/source/core/gateway/host_registry.h
+++ b/source/core/gateway/host_registry.h
@@ -41,9 +41,12 @@
   // Returns this host's position in the rendezvous hashing order for `key`; 0
   // is the first.
   size_t RankFor(std::string_view key) const;
-  // Returns when another host sent the last order of a former era of the store;
-  // nothing unless all known hosts have written their objects in this era.
-  std::optional<common::TimePoint> LastFormerOrder() const;
+  // Whether all known hosts have written their objects in this era of the
+  // store.
+  bool HaveAllNoticedEra() const;
+  // Returns when another host sent its last order, as far as it has published;
+  // nothing if none has sent any.
+  std::optional<common::TimePoint> LastPeerOrder() const;
   // Sets the callback for changes of the other hosts' addresses.
   void OnPeers(std::function<void(std::vector<runtime::Address>)> callback) {
     this->on_peers_changed = std::move(callback);
@@ -53,7 +56,7 @@
   // What another host has published about its orders.
   struct PeerOrders {
     uint64_t store_era = 0;
-    common::TimePoint last_order_at;
+    std::optional<common::TimePoint> last_order_at;
   };
 
   void OnHostCountChanged();
@@ -64,6 +67,7 @@
   // them.
   void ReadFormerObject(const catalog::StoredObject& stored);
   catalog::WriteState WriteOwnObject();
+  void SetRevision(uint64_t revision);
   // Makes this host write its object again if the store came back from a copy.
   void CheckEra();
   std::string EncodeOwnObject() const;
@@ -76,7 +80,9 @@
   catalog::ObjectStore& store;
   std::function<common::UnixTime()> wall_now;
   std::string own_name;
+  // Revision of this host's object, and the era in which it was given out.
   std::optional<uint64_t> own_revision;
+  uint64_t revision_era = 0;
   std::set<std::string> host_names;
   std::map<std::string, runtime::Address> peers;
   std::map<std::string, PeerOrders> peer_orders;
--- a/source/core/gateway/rollout_controller.cc
+++ b/source/core/gateway/rollout_controller.cc
@@ -145,10 +145,8 @@
     this->next_acquire_at =
         now + common::FromSeconds(share * common::ToSeconds(kMaxAcquireDelay));
   }
-  if (this->view.are_hosts_known()) {
-    if (const auto last_order = this->hosts.LastFormerOrder())
-      this->lease.OnFormerHoldersStopped(*last_order);
-  }
+  if (this->view.are_hosts_known() && this->hosts.HaveAllNoticedEra())
+    this->lease.OnFormerHoldersStopped(this->hosts.LastPeerOrder(), now);
   if (now < this->next_acquire_at || !this->lease.MayAcquire(now))
     return;
   this->next_acquire_at = now + kAcquireRetryDelay;
--- a/source/core/rollout/order_lease.cc
+++ b/source/core/rollout/order_lease.cc
@@ -38,9 +38,12 @@
   this->OnNoRecord(now);
 }
 
-void OrderLease::OnFormerHoldersStopped(common::TimePoint last_order_at) {
-  this->settled_at =
-      std::min(this->settled_at, last_order_at + this->options.lease);
+void OrderLease::OnFormerHoldersStopped(
+    std::optional<common::TimePoint> last_order_at,
+    common::TimePoint now) {
+  const common::TimePoint settled =
+      last_order_at ? *last_order_at + this->options.lease : now;
+  this->settled_at = std::min(this->settled_at, settled);
 }
 
 bool OrderLease::IsRecordOfEra() const {
--- a/source/core/rollout/order_lease.h
+++ b/source/core/rollout/order_lease.h
@@ -35,8 +35,10 @@
   void OnEra(uint64_t era, common::TimePoint now);
   uint64_t era() const { return this->current_era; }
   // All other hosts have noticed the era, so none holds the lease of a former
-  // one. The last order that one of them sent was sent at `last_order_at`.
-  void OnFormerHoldersStopped(common::TimePoint last_order_at);
+  // one. The last order that one of them sent, if any, was sent at
+  // `last_order_at`.
+  void OnFormerHoldersStopped(std::optional<common::TimePoint> last_order_at,
+                              common::TimePoint now);
   // The record was read from the store; `revision` is that of its last change.
   void OnRecord(const LeaseRecord& record,
                 uint64_t revision,
--- a/source/unit_tests/core/rollout/order_lease_test.cc
+++ b/source/unit_tests/core/rollout/order_lease_test.cc
@@ -142,12 +142,18 @@
   lease.OnEra(2, At(10000));
   lease.OnNoRecord(At(10001));
   CHECK_FALSE(lease.MayAcquire(At(10500)));
-  lease.OnFormerHoldersStopped(At(8000));
+  lease.OnFormerHoldersStopped(At(8000), At(10500));
   CHECK_FALSE(lease.MayAcquire(At(10999)));
   CHECK(lease.MayAcquire(At(11000)));
   // What is learnt later takes nothing back.
-  lease.OnFormerHoldersStopped(At(9000));
+  lease.OnFormerHoldersStopped(At(9000), At(11000));
   CHECK(lease.MayAcquire(At(11000)));
+  // A host whose clock has just started.
+  OrderLease started("b", kOptions);
+  started.OnEra(2, TimePoint(milliseconds(5)));
+  started.OnNoRecord(TimePoint(milliseconds(6)));
+  started.OnFormerHoldersStopped(std::nullopt, TimePoint(milliseconds(7)));
+  CHECK(started.MayAcquire(TimePoint(milliseconds(8))));
 }
 
 // Guards against seconds without a rollout: nobody else can have the lease.
