Take the end of a crashed endpoint for no end of a stream

Callers could see: a stream without framing whose endpoint crashed between two events ended as complete, if its connection was closed in order.

Cause: without framing the end of the connection is the end of the stream, and the stream itself does not tell. But the endpoint does: after 20 ms it has an idle connection that it keeps open, or accepts a new one, or it has ended. An endpoint that is leaving is not asked, since it may end after its last answer.

--- a/source/core/forward/connection_pool.cc
+++ b/source/core/forward/connection_pool.cc
@@ -91,6 +91,19 @@
   return connection;
 }
 
+bool ConnectionPool::IsReachable(const std::string& address) {
+  ConnectionPtr connection = this->TakeIdle(address, runtime::BootNow());
+  if (!connection) {
+    try {
+      connection = this->Connect(address);
+    } catch (const Error&) {
+      return false;
+    }
+  }
+  this->PutIdle(address, std::move(connection), runtime::BootNow());
+  return true;
+}
+
 void ConnectionPool::PutIdle(const std::string& address,
                              ConnectionPtr connection,
                              common::TimePoint now) {
--- a/source/core/forward/connection_pool.h
+++ b/source/core/forward/connection_pool.h
@@ -65,6 +65,9 @@
   // Opens a new connection; suspends the calling fiber. Throws common::Error
   // kPeerUnavailable, in which case nothing was sent.
   ConnectionPtr Connect(const std::string& address);
+  // Whether the endpoint has an idle connection that it keeps open, or accepts
+  // a new one, which is then kept.
+  bool IsReachable(const std::string& address);
   // Returns a connection to the pool, or closes it if there are enough.
   void PutIdle(const std::string& address,
                ConnectionPtr connection,
--- a/source/core/forward/response_relay.cc
+++ b/source/core/forward/response_relay.cc
@@ -78,7 +78,8 @@
 void ResponseRelay::RelayStream(EndpointSend& send,
                                 const ResponseHead& head,
                                 common::Duration stall_limit,
-                                const ProgressCallback& on_progress) {
+                                const ProgressCallback& on_progress,
+                                const RunningCheck& is_running) {
   if (this->has_started)
     this->CheckContinues(head);
   this->splitter.BeginResponse();
@@ -99,11 +100,12 @@
     this->Start(head);
     this->writer.Write(events);
   }
-  this->CheckComplete(send);
+  this->CheckComplete(send, is_running);
   this->FinishEvents(head);
 }
 
-void ResponseRelay::CheckComplete(const EndpointSend& send) const {
+void ResponseRelay::CheckComplete(const EndpointSend& send,
+                                  const RunningCheck& is_running) const {
   // The framing does not show that the stream is complete: an endpoint may stop
   // in the middle of an event and still end its response.
   if (this->splitter.IsInsideEvent())
@@ -113,6 +115,8 @@
   if (send.ends_with_connection() && !this->splitter.has_received_event())
     throw SendError(SendFailure::kBroken,
                     "the connection ended before the first event");
+  if (send.ends_with_connection() && !is_running())
+    throw SendError(SendFailure::kBroken, "the endpoint ended its process");
 }
 
 void ResponseRelay::FinishEvents(const ResponseHead& head) {
--- a/source/core/forward/response_relay.h
+++ b/source/core/forward/response_relay.h
@@ -38,6 +38,9 @@
 
   // Called when the response has made progress.
   using ProgressCallback = std::function<void()>;
+  // Whether the endpoint still runs. Asked when a stream has ended with its
+  // connection, which may also be the end of the endpoint.
+  using RunningCheck = std::function<bool()>;
 
   // Relays a response that is not a stream. Throws SendError.
   void RelayWhole(EndpointSend& send,
@@ -50,7 +53,8 @@
   void RelayStream(EndpointSend& send,
                    const ResponseHead& head,
                    common::Duration stall_limit,
-                   const ProgressCallback& on_progress);
+                   const ProgressCallback& on_progress,
+                   const RunningCheck& is_running);
 
   // Whether a part of the answer was passed on.
   bool started() const { return this->has_started; }
@@ -72,7 +76,8 @@
   void RecordEvent();
   // Throws SendError if the event stream has been broken off although the
   // response has ended.
-  void CheckComplete(const EndpointSend& send) const;
+  void CheckComplete(const EndpointSend& send,
+                     const RunningCheck& is_running) const;
   // Passes on what follows the last event at the regular end of the stream.
   void FinishEvents(const ResponseHead& head);
 
--- a/source/core/gateway/dispatcher.cc
+++ b/source/core/gateway/dispatcher.cc
@@ -26,6 +26,9 @@
 
 // Time until all requests to a crashed endpoint have failed.
 constexpr Duration kCrashBatchTime = std::chrono::milliseconds(60);
+// Time in which the ends of all connections to an endpoint that has ended
+// arrive.
+constexpr Duration kCloseBatchTime = std::chrono::milliseconds(20);
 
 }  // namespace
 
@@ -187,6 +190,15 @@
         .Add(Field::kEndpoint, endpoint.endpoint().id);
 }
 
+bool Dispatcher::IsStillRunning(const EndpointRecord& endpoint) {
+  // One that is leaving may have ended after its last response.
+  if (endpoint.endpoint().leaving || endpoint.removed)
+    return true;
+  const std::string address = endpoint.endpoint().address;
+  runtime::SleepFor(kCloseBatchTime);
+  return this->connections.IsReachable(address);
+}
+
 void Dispatcher::OnBroken(const std::shared_ptr<EndpointRecord>& endpoint,
                           const BrokenRun& run) {
   const std::string& id = endpoint->endpoint().id;
@@ -209,15 +221,9 @@
   const BrokenRequests requests = std::move(found->second);
   this->broken_by_endpoint.erase(found);
   const std::string& address = requests.endpoint->endpoint().address;
-  try {
-    auto connection = this->connections.Connect(address);
-    // It accepts connections, so it has lost a response but not crashed.
-    this->connections.PutIdle(address, std::move(connection),
-                              runtime::BootNow());
+  // If it can be reached, it has lost a response but not crashed.
+  if (this->connections.IsReachable(address))
     return;
-  } catch (const common::Error&) {
-    // Unreachable: treated as a crash below.
-  }
   const TimePoint now = runtime::BootNow();
   this->connections.Drop(address);
   if (requests.endpoint->health().StateAt(now) !=
--- a/source/core/gateway/request_task.cc
+++ b/source/core/gateway/request_task.cc
@@ -420,12 +420,14 @@
                                 dispatch::SendTicket& ticket) {
   if (this->IsStream(head)) {
     this->relay.RelayStream(
-        send, head, dispatch::StreamStallLimit(TargetsOf(*this->route)), [&] {
+        send, head, dispatch::StreamStallLimit(TargetsOf(*this->route)),
+        [&] {
           this->RecordFirstByte(ticket);
           const TimePoint now = runtime::BootNow();
           ticket.endpoint->OnBytesReceived(now);
           this->part_monitor.OnEvent(ticket, now);
-        });
+        },
+        [&] { return this->deps.dispatcher.IsStillRunning(*ticket.endpoint); });
     this->pool->OnFinished(ticket, runtime::BootNow());
   } else {
     this->relay.RelayWhole(send, head, [&] {
--- a/source/unit_tests/core/forward/response_relay_test.cc
+++ b/source/unit_tests/core/forward/response_relay_test.cc
@@ -53,7 +53,10 @@
   ConnectionEnd connection_end = ConnectionEnd::kOpen;
 };
 
-Relayed RelayAnswer(Relay relay, const std::string& answer, bool reset) {
+Relayed RelayAnswer(Relay relay,
+                    const std::string& answer,
+                    bool reset,
+                    bool is_running = true) {
   runtime::WorkerPool workers(1);
   common::MetricRegistry counters;
   FakeEndpoint peer({answer}, reset);
@@ -72,7 +75,9 @@
       const auto head =
           send.Open(request, {}, runtime::BootNow() + std::chrono::seconds(5));
       if (relay == Relay::kStream)
-        response.RelayStream(send, head, std::chrono::seconds(5), [] {});
+        response.RelayStream(
+            send, head, std::chrono::seconds(5), [] {},
+            [&] { return is_running; });
       else
         response.RelayWhole(send, head, [] {});
     } catch (const SendError& error) {
@@ -148,6 +153,20 @@
   }
 }
 
+// Guards against a stream that looks complete because its endpoint crashed
+// between two events: without framing, only the end of the endpoint shows it.
+TEST_CASE("an unframed stream whose endpoint has ended has been broken off") {
+  const Relayed crashed =
+      RelayAnswer(Relay::kStream, Unframed(kEvent), false, false);
+  CHECK(crashed.failure == SendFailure::kBroken);
+  CHECK_FALSE(crashed.finished);
+  CHECK(crashed.body == kEvent);
+  for (const std::string& answer : {WithLength(kEvent), Chunked(kEvent)}) {
+    INFO(answer);
+    CHECK(RelayAnswer(Relay::kStream, answer, false, false).finished);
+  }
+}
+
 // Guards against an empty success from an endpoint that has failed between the
 // head and the first event. Only framing can say that a stream has no events.
 TEST_CASE("an unframed stream without events has been broken off") {
@@ -232,6 +251,7 @@
 
 // Relays `first`, which breaks off, and then `second` as its rest.
 Relayed RelayResumed(const std::string& first, const std::string& second) {
+  const bool is_running = true;
   runtime::WorkerPool workers(1);
   common::MetricRegistry counters;
   FakeEndpoint first_peer({first}, false);
@@ -252,7 +272,9 @@
       try {
         const auto head = send.Open(
             request, {}, runtime::BootNow() + std::chrono::seconds(5));
-        response.RelayStream(send, head, std::chrono::seconds(5), [] {});
+        response.RelayStream(
+            send, head, std::chrono::seconds(5), [] {},
+            [&] { return is_running; });
       } catch (const SendError& error) {
         result.failure = error.failure();
       }
--- a/tools/gateway_standins.py
+++ b/tools/gateway_standins.py
@@ -170,7 +170,8 @@
     """Answers each request with the steps that `script(request)` returns.
 
     A step is ("send", bytes), ("endless", bytes, pause_s), ("pause", s),
-    ("reset",), ("close",) or ("await_close", s). In bytes, `{id}` stands for
+    ("reset",), ("close",), ("end",) or ("await_close", s). "end" closes all
+    connections in order and the port until start() is called again. In bytes, `{id}` stands for
     the id of the request's attempt and `{former}` for that of the request
     before it on the connection.
     """
@@ -179,13 +180,18 @@
         self.script = script
         self.requests = []
         self.closed_by_peer = {}
+        self.writers = set()
+        self.port = 0
 
     async def start(self):
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        self.address = "127.0.0.1:%d" % self.server.sockets[0].getsockname()[1]
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1",
+                                                 self.port)
+        self.port = self.server.sockets[0].getsockname()[1]
+        self.address = "127.0.0.1:%d" % self.port
 
     async def serve(self, reader, writer):
         former = ""
+        self.writers.add(writer)
         try:
             while message := await read_message(reader):
                 line, headers, body = message
@@ -201,6 +207,7 @@
                 asyncio.CancelledError):
             pass  # The gateway has ended, or the test has.
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     async def perform(self, step, request, reader, writer):
@@ -226,6 +233,11 @@
                 socket.SOL_SOCKET, socket.SO_LINGER, linger)
             writer.transport.abort()
             raise ConnectionError("reset by the script")
+        elif kind == "end":
+            self.server.close()
+            for other in list(self.writers):
+                other.close()
+            raise ConnectionError("ended by the script")
         elif kind == "close":
             raise ConnectionError("closed by the script")
 
