Refuse at once while all endpoints of a service pause

A request that no endpoint takes was held for half of its target latency, also when all of them had said that they take nothing for longer. It is refused at once now, with the time until the first pause ends.

test_dispatch names the load pattern; a process test of a whole service that pauses was not written.

--- a/source/core/dispatch/admission_policy.cc
+++ b/source/core/dispatch/admission_policy.cc
@@ -30,6 +30,11 @@
     const auto max_hold =
         std::min(Scale(request.target_latency, kMaxHoldShareWithoutEndpoint),
                  request.remaining / 2);
+    const bool is_hopeless =
+        request.pause_left && request.held + *request.pause_left > max_hold;
+    if (is_hopeless)
+      return {AdmissionStep::kRefuse,
+              std::max(kMinRetryAfter, *request.pause_left)};
     if (request.held < max_hold)
       return {AdmissionStep::kWait};
     return {AdmissionStep::kRefuse,
--- a/source/core/dispatch/admission_policy.h
+++ b/source/core/dispatch/admission_policy.h
@@ -20,6 +20,8 @@
   common::Duration held{0};
   // Time until the deadline of the request.
   common::Duration remaining{0};
+  // Set if all endpoints have asked for a pause: time until the first one ends.
+  std::optional<common::Duration> pause_left;
 };
 
 struct AdmissionDecision {
--- a/source/core/dispatch/service_pool.cc
+++ b/source/core/dispatch/service_pool.cc
@@ -146,6 +146,22 @@
   return Exclusion::kNone;
 }
 
+std::optional<common::Duration> ServicePool::PauseLeft(
+    const SendRequirements& requirements,
+    common::TimePoint now) const {
+  std::optional<common::Duration> left;
+  for (const auto& [id, record] : this->endpoints) {
+    const Exclusion exclusion = ExclusionOf(*record, requirements, now);
+    if (exclusion == Exclusion::kLeaving || exclusion == Exclusion::kTried)
+      continue;
+    if (now >= record->backoff_until)
+      return std::nullopt;
+    const common::Duration own = record->backoff_until - now;
+    left = std::min(left.value_or(own), own);
+  }
+  return left;
+}
+
 ExclusionCounts ServicePool::CountExclusions(
     const SendRequirements& requirements,
     common::TimePoint now) const {
--- a/source/core/dispatch/service_pool.h
+++ b/source/core/dispatch/service_pool.h
@@ -103,6 +103,11 @@
   std::optional<EndpointChoice> Choose(const SendRequirements& requirements,
                                        common::TimePoint now);
 
+  // Returns the time until the first endpoint takes the request again; nothing
+  // unless all that may take it have asked for a pause.
+  std::optional<common::Duration> PauseLeft(
+      const SendRequirements& requirements,
+      common::TimePoint now) const;
   // Counts the endpoints that may take the request and those that may not.
   ExclusionCounts CountExclusions(const SendRequirements& requirements,
                                   common::TimePoint now) const;
--- a/source/core/gateway/request_task.cc
+++ b/source/core/gateway/request_task.cc
@@ -199,6 +199,8 @@
     admission.elapsed = now - this->received_at;
     admission.held = now - began;
     admission.remaining = this->Remaining(now);
+    if (!choice)
+      admission.pause_left = this->pool->PauseLeft(this->Requirements(), now);
     const auto decision = dispatch::DecideAdmission(admission, choice);
     const bool out_of_time = admission.remaining <= 2 * kNetworkDelay;
     if (decision.step == AdmissionStep::kSend && !out_of_time) {
--- a/source/unit_tests/core/dispatch/admission_policy_test.cc
+++ b/source/unit_tests/core/dispatch/admission_policy_test.cc
@@ -52,5 +52,18 @@
         AdmissionStep::kRefuse);
 }
 
+// Load pattern: a service is overloaded as a whole, and all of its endpoints
+// ask for a pause. Guards against holding a request that is known to be
+// unservable.
+TEST_CASE("a request is refused at once while all endpoints pause for longer") {
+  AdmissionRequest request = Request(0);
+  request.pause_left = milliseconds(1500);
+  const auto decision = DecideAdmission(request, std::nullopt);
+  CHECK(decision.step == AdmissionStep::kRefuse);
+  CHECK(decision.retry_after == milliseconds(1500));
+  request.pause_left = milliseconds(200);
+  CHECK(DecideAdmission(request, std::nullopt).step == AdmissionStep::kWait);
+}
+
 }  // namespace
 }  // namespace jujuberock::dispatch
--- a/source/unit_tests/core/dispatch/service_pool_test.cc
+++ b/source/unit_tests/core/dispatch/service_pool_test.cc
@@ -407,6 +407,9 @@
   };
   CHECK_FALSE(is_chosen(0));
   CHECK_FALSE(is_chosen(999));
+  CHECK(p.pool.PauseLeft(requirements, At(400)) == milliseconds(600));
+  p.pool.Update(EngineService(), MakeEndpoints(2));
+  CHECK_FALSE(p.pool.PauseLeft(requirements, At(400)));
   p.pool.Update(EngineService(), {});
   p.pool.Update(EngineService(), MakeEndpoints(1));
   CHECK(p.pool.Find("e0") == record);
