--- a/source/unit_tests/core/forward/response_relay_test.cc
+++ b/source/unit_tests/core/forward/response_relay_test.cc
@@ -1,5 +1,8 @@
 #include "core/forward/response_relay.h"
 
+#include <memory>
+#include <vector>
+
 #include <catch2/catch.hpp>
 
 #include "core/runtime/boot_clock.h"
@@ -53,13 +56,17 @@
   ConnectionEnd connection_end = ConnectionEnd::kOpen;
 };
 
-Relayed RelayAnswer(Relay relay,
-                    const std::string& answer,
-                    bool reset,
-                    bool is_running = true) {
+// Relays the answers of several endpoints as one, each to its end.
+Relayed RelayAnswers(Relay relay,
+                     const std::vector<std::string>& answers,
+                     bool reset,
+                     bool is_running) {
   runtime::WorkerPool workers(1);
   common::MetricRegistry counters;
-  FakeEndpoint peer({answer}, reset);
+  std::vector<std::unique_ptr<FakeEndpoint>> peers;
+  for (const std::string& answer : answers)
+    peers.push_back(std::make_unique<FakeEndpoint>(
+        std::vector<std::string>{answer}, reset));
   RecordingWriter writer;
   Relayed result;
   workers.Run([&] {
@@ -69,27 +76,42 @@
     request.method = "GET";
     request.target = "/";
     request.attempt_id = "a";
-    EndpointSend send(pool, codec, peer.address());
     ResponseRelay response(writer);
-    try {
-      const auto head =
-          send.Open(request, {}, runtime::BootNow() + std::chrono::seconds(5));
-      if (relay == Relay::kStream)
-        response.RelayStream(
-            send, head, std::chrono::seconds(5), [] {},
-            [&] { return is_running; });
-      else
-        response.RelayWhole(send, head, [] {});
-    } catch (const SendError& error) {
-      result.failure = error.failure();
+    for (const auto& peer : peers) {
+      EndpointSend send(pool, codec, peer->address());
+      result.failure.reset();
+      try {
+        const auto head = send.Open(
+            request, {}, runtime::BootNow() + std::chrono::seconds(5));
+        if (relay == Relay::kStream)
+          response.RelayStream(
+              send, head, std::chrono::seconds(5), [] {},
+              [&] { return is_running; });
+        else
+          response.RelayWhole(send, head, [] {});
+      } catch (const SendError& error) {
+        result.failure = error.failure();
+      }
+      result.connection_end = send.connection_end();
     }
-    result.connection_end = send.connection_end();
   });
   result.body = writer.body;
   result.finished = writer.finished;
   return result;
 }
 
+Relayed RelayAnswer(Relay relay,
+                    const std::string& answer,
+                    bool reset,
+                    bool is_running = true) {
+  return RelayAnswers(relay, {answer}, reset, is_running);
+}
+
+// Relays `first`, which breaks off, and then `second` as its rest.
+Relayed RelayResumed(const std::string& first, const std::string& second) {
+  return RelayAnswers(Relay::kStream, {first, second}, false, true);
+}
+
 const std::string kHead =
     "HTTP/1.1 200 OK\r\nId: a\r\nContent-Type: text/event-stream\r\n";
 const std::string kEvent = "id: 1\ndata: x\n\n";
@@ -249,42 +271,6 @@
   CHECK_FALSE(broken.finished);
 }
 
-// Relays `first`, which breaks off, and then `second` as its rest.
-Relayed RelayResumed(const std::string& first, const std::string& second) {
-  const bool is_running = true;
-  runtime::WorkerPool workers(1);
-  common::MetricRegistry counters;
-  FakeEndpoint first_peer({first}, false);
-  FakeEndpoint second_peer({second}, false);
-  RecordingWriter writer;
-  Relayed result;
-  workers.Run([&] {
-    ConnectionPool pool({}, counters);
-    const EventStreamCodec codec;
-    CallerRequest request;
-    request.method = "GET";
-    request.target = "/";
-    request.attempt_id = "a";
-    ResponseRelay response(writer);
-    for (const FakeEndpoint* peer : {&first_peer, &second_peer}) {
-      EndpointSend send(pool, codec, peer->address());
-      result.failure.reset();
-      try {
-        const auto head = send.Open(
-            request, {}, runtime::BootNow() + std::chrono::seconds(5));
-        response.RelayStream(
-            send, head, std::chrono::seconds(5), [] {},
-            [&] { return is_running; });
-      } catch (const SendError& error) {
-        result.failure = error.failure();
-      }
-    }
-  });
-  result.body = writer.body;
-  result.finished = writer.finished;
-  return result;
-}
-
 // Guards against bytes of an answer that continues no stream in the middle of
 // one, and against taking its end for the end of the stream.
 TEST_CASE("only an answer that continues a stream resumes it") {
