Name what the service pool remembers of endpoints that asked for a pause

A removed endpoint is remembered because it asked for a pause, so the names say that; a request that no endpoint can serve in time is unservable. No behaviour changes.

--- a/source/core/dispatch/admission_policy.cc
+++ b/source/core/dispatch/admission_policy.cc
@@ -30,9 +30,9 @@
     const auto max_hold =
         std::min(Scale(request.target_latency, kMaxHoldShareWithoutEndpoint),
                  request.remaining / 2);
-    const bool is_hopeless =
+    const bool is_unservable =
         request.pause_left && request.held + *request.pause_left > max_hold;
-    if (is_hopeless)
+    if (is_unservable)
       return {AdmissionStep::kRefuse,
               std::max(kMinRetryAfter, *request.pause_left)};
     if (request.held < max_hold)
--- a/source/core/dispatch/service_pool.cc
+++ b/source/core/dispatch/service_pool.cc
@@ -84,8 +84,8 @@
       next.emplace(endpoint.id, known->second);
       continue;
     }
-    if (auto resting = this->TakeResting(endpoint)) {
-      next.emplace(endpoint.id, std::move(resting));
+    if (auto record = this->TakeRemembered(endpoint)) {
+      next.emplace(endpoint.id, std::move(record));
       continue;
     }
     const double capacity =
@@ -102,19 +102,19 @@
       continue;
     record->removed = true;
     if (record->backoff_until != common::TimePoint() &&
-        this->resting.size() < kMaxResting)
-      this->resting.insert_or_assign(id, record);
+        this->remembered.size() < kMaxRemembered)
+      this->remembered.insert_or_assign(id, record);
   }
   this->endpoints = std::move(next);
 }
 
-std::shared_ptr<EndpointRecord> ServicePool::TakeResting(
+std::shared_ptr<EndpointRecord> ServicePool::TakeRemembered(
     const catalog::Endpoint& endpoint) {
-  const auto found = this->resting.find(endpoint.id);
-  if (found == this->resting.end())
+  const auto found = this->remembered.find(endpoint.id);
+  if (found == this->remembered.end())
     return nullptr;
   const std::shared_ptr<EndpointRecord> record = found->second;
-  this->resting.erase(found);
+  this->remembered.erase(found);
   if (record->endpoint().started_at_ms != endpoint.started_at_ms ||
       record->endpoint().address != endpoint.address)
     return nullptr;
--- a/source/core/dispatch/service_pool.h
+++ b/source/core/dispatch/service_pool.h
@@ -142,11 +142,11 @@
   enum class Eligibility { kNo, kLastResort, kYes };
 
   // Removed endpoints that are remembered because they asked for a pause.
-  static constexpr size_t kMaxResting = 256;
+  static constexpr size_t kMaxRemembered = 256;
 
   // Returns the record of an instance that is registered again, if it is
   // remembered.
-  std::shared_ptr<EndpointRecord> TakeResting(
+  std::shared_ptr<EndpointRecord> TakeRemembered(
       const catalog::Endpoint& endpoint);
 
   static Exclusion ExclusionOf(const EndpointRecord& record,
@@ -203,7 +203,7 @@
   common::Random random;
   std::optional<catalog::EngineProperties> properties;
   std::map<std::string, std::shared_ptr<EndpointRecord>> endpoints;
-  std::map<std::string, std::shared_ptr<EndpointRecord>> resting;
+  std::map<std::string, std::shared_ptr<EndpointRecord>> remembered;
   FirstTokenModel model;
   double failure_share = 0;
   double mean_uncached = 0;
