Take the end of a crashed endpoint for no end of a plain answer

Callers saw: a plain answer without framing whose endpoint crashed within it was passed on as a whole 200 with a short body, if the connection was closed in order. A payment's answer was cut and looked whole.

Cause: the check that a connection has not ended with its endpoint was made for streams only.

The endpoint counts as ended only if it refuses a connection: a cut link is silent and says nothing about it, and took a sound stream for broken before.

--- a/source/core/forward/connection_pool.cc
+++ b/source/core/forward/connection_pool.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <utility>
 
+#include <boost/asio/error.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/error.hpp>
 
@@ -69,39 +70,49 @@
 }
 
 ConnectionPtr ConnectionPool::Connect(const std::string& address) {
+  auto connection = std::make_shared<Connection>(runtime::CurrentIoContext());
+  if (const error_code error = this->Open(*connection, address))
+    throw Error(ResultCode::kPeerUnavailable,
+                "connect to " + address + ": " + error.message());
+  return connection;
+}
+
+error_code ConnectionPool::Open(Connection& connection,
+                                const std::string& address) {
   const auto parsed = runtime::Address::Parse(address);
   if (!parsed)
     throw Error(ResultCode::kPeerUnavailable,
                 "invalid endpoint address: " + address);
-  auto connection = std::make_shared<Connection>(runtime::CurrentIoContext());
   error_code error;
   const auto ip = boost::asio::ip::make_address(parsed->ip, error);
   if (error)
     throw Error(ResultCode::kPeerUnavailable, "invalid IP address: " + address);
   this->opened.Add();
-  connection->stream.expires_after(this->options.connect_timeout);
-  connection->stream.async_connect(tcp::endpoint(ip, parsed->port),
-                                   runtime::Await(error));
+  connection.stream.expires_after(this->options.connect_timeout);
+  connection.stream.async_connect(tcp::endpoint(ip, parsed->port),
+                                  runtime::Await(error));
   if (error)
-    throw Error(ResultCode::kPeerUnavailable,
-                "connect to " + address + ": " + error.message());
-  connection->stream.socket().set_option(tcp::no_delay(true), error);
-  SetUserTimeout(*connection, this->options.unacknowledged_timeout);
-  connection->opened_at = runtime::BootNow();
-  return connection;
+    return error;
+  error_code ignored;
+  connection.stream.socket().set_option(tcp::no_delay(true), ignored);
+  SetUserTimeout(connection, this->options.unacknowledged_timeout);
+  connection.opened_at = runtime::BootNow();
+  return {};
 }
 
-bool ConnectionPool::IsReachable(const std::string& address) {
+Reachability ConnectionPool::Probe(const std::string& address) {
   ConnectionPtr connection = this->TakeIdle(address, runtime::BootNow());
   if (!connection) {
-    try {
-      connection = this->Connect(address);
-    } catch (const Error&) {
-      return false;
-    }
+    connection = std::make_shared<Connection>(runtime::CurrentIoContext());
+    const error_code error = this->Open(*connection, address);
+    if (error == boost::asio::error::connection_refused ||
+        error == boost::asio::error::connection_reset)
+      return Reachability::kRefused;
+    if (error)
+      return Reachability::kSilent;
   }
   this->PutIdle(address, std::move(connection), runtime::BootNow());
-  return true;
+  return Reachability::kReachable;
 }
 
 void ConnectionPool::PutIdle(const std::string& address,
--- a/source/core/forward/connection_pool.h
+++ b/source/core/forward/connection_pool.h
@@ -42,6 +42,13 @@
 
 using ConnectionPtr = std::shared_ptr<Connection>;
 
+// What an endpoint's address says to a new connection.
+enum class Reachability {
+  kReachable,  // it accepts it, or keeps an idle one open
+  kRefused,    // nothing listens there any more
+  kSilent,     // no answer in time: the endpoint or the way to it may be down
+};
+
 struct ConnectionPoolOptions {
   common::Duration connect_timeout = std::chrono::milliseconds(400);
   // Idle limit for endpoints that announce none.
@@ -65,9 +72,9 @@
   // Opens a new connection; suspends the calling fiber. Throws common::Error
   // kPeerUnavailable, in which case nothing was sent.
   ConnectionPtr Connect(const std::string& address);
-  // Whether the endpoint has an idle connection that it keeps open, or accepts
-  // a new one, which is then kept.
-  bool IsReachable(const std::string& address);
+  // Checks the idle connections to the endpoint, or opens a new one, which is
+  // then kept. Suspends the calling fiber.
+  Reachability Probe(const std::string& address);
   // Returns a connection to the pool, or closes it if there are enough.
   void PutIdle(const std::string& address,
                ConnectionPtr connection,
@@ -81,6 +88,11 @@
   void Expire(common::TimePoint now);
 
  private:
+  // Opens `connection` to the address; suspends the calling fiber. Throws
+  // common::Error if the address is invalid.
+  boost::system::error_code Open(Connection& connection,
+                                 const std::string& address);
+
   ConnectionPoolOptions options;
   common::Counter& opened;
   std::map<std::string, std::vector<ConnectionPtr>> idle;
--- a/source/core/forward/response_relay.cc
+++ b/source/core/forward/response_relay.cc
@@ -50,7 +50,8 @@
 
 void ResponseRelay::RelayWhole(EndpointSend& send,
                                const ResponseHead& head,
-                               const ProgressCallback& on_progress) {
+                               const ProgressCallback& on_progress,
+                               const RunningCheck& is_running) {
   runtime::HttpResponse response;
   response.status = head.status;
   response.headers = head.forwarded_headers;
@@ -61,17 +62,19 @@
     on_progress();
     this->Start(head);
     this->writer.Write(response.body);
-    this->PassOn(send);
+    this->PassOn(send, is_running);
     return;
   }
   on_progress();
+  CheckRunning(send, is_running);
   this->has_started = true;
   this->writer.Send(std::move(response));
 }
 
-void ResponseRelay::PassOn(EndpointSend& send) {
+void ResponseRelay::PassOn(EndpointSend& send, const RunningCheck& is_running) {
   while (auto bytes = send.Read())
     this->writer.Write(*bytes);
+  CheckRunning(send, is_running);
   this->writer.FinishStream();
 }
 
@@ -115,6 +118,11 @@
   if (send.ends_with_connection() && !this->splitter.has_received_event())
     throw SendError(SendFailure::kBroken,
                     "the connection ended before the first event");
+  CheckRunning(send, is_running);
+}
+
+void ResponseRelay::CheckRunning(const EndpointSend& send,
+                                 const RunningCheck& is_running) {
   if (send.ends_with_connection() && !is_running())
     throw SendError(SendFailure::kBroken, "the endpoint ended its process");
 }
--- a/source/core/forward/response_relay.h
+++ b/source/core/forward/response_relay.h
@@ -38,14 +38,15 @@
 
   // Called when the response has made progress.
   using ProgressCallback = std::function<void()>;
-  // Whether the endpoint still runs. Asked when a stream has ended with its
+  // Whether the endpoint still runs. Asked when a response has ended with its
   // connection, which may also be the end of the endpoint.
   using RunningCheck = std::function<bool()>;
 
   // Relays a response that is not a stream. Throws SendError.
   void RelayWhole(EndpointSend& send,
                   const ResponseHead& head,
-                  const ProgressCallback& on_progress);
+                  const ProgressCallback& on_progress,
+                  const RunningCheck& is_running);
   // Relays a stream, or the rest of one that another endpoint has begun. The
   // body is read as events whatever type the response declares, because the
   // route says that it is a stream. Throws SendError, also when no event
@@ -72,8 +73,11 @@
   // started.
   void CheckContinues(const ResponseHead& head) const;
   // Passes the rest of the body on as it arrives.
-  void PassOn(EndpointSend& send);
+  void PassOn(EndpointSend& send, const RunningCheck& is_running);
   void RecordEvent();
+  // Throws SendError if the end of the response was the end of the endpoint.
+  static void CheckRunning(const EndpointSend& send,
+                           const RunningCheck& is_running);
   // Throws SendError if the event stream has been broken off although the
   // response has ended.
   void CheckComplete(const EndpointSend& send,
--- a/source/core/gateway/dispatcher.cc
+++ b/source/core/gateway/dispatcher.cc
@@ -196,7 +196,8 @@
     return true;
   const std::string address = endpoint.endpoint().address;
   runtime::SleepFor(kCloseBatchTime);
-  return this->connections.IsReachable(address);
+  // A cut link is silent and says nothing about the endpoint.
+  return this->connections.Probe(address) != forward::Reachability::kRefused;
 }
 
 void Dispatcher::OnBroken(const std::shared_ptr<EndpointRecord>& endpoint,
@@ -222,7 +223,7 @@
   this->broken_by_endpoint.erase(found);
   const std::string& address = requests.endpoint->endpoint().address;
   // If it can be reached, it has lost a response but not crashed.
-  if (this->connections.IsReachable(address))
+  if (this->connections.Probe(address) == forward::Reachability::kReachable)
     return;
   const TimePoint now = runtime::BootNow();
   this->connections.Drop(address);
--- a/source/core/gateway/request_task.cc
+++ b/source/core/gateway/request_task.cc
@@ -420,6 +420,9 @@
 void RequestTask::RelayResponse(forward::EndpointSend& send,
                                 const forward::ResponseHead& head,
                                 dispatch::SendTicket& ticket) {
+  const auto is_running = [&] {
+    return this->deps.dispatcher.IsStillRunning(*ticket.endpoint);
+  };
   if (this->IsStream(head)) {
     this->relay.RelayStream(
         send, head, dispatch::StreamStallLimit(TargetsOf(*this->route)),
@@ -429,14 +432,17 @@
           ticket.endpoint->OnBytesReceived(now);
           this->part_monitor.OnEvent(ticket, now);
         },
-        [&] { return this->deps.dispatcher.IsStillRunning(*ticket.endpoint); });
+        is_running);
     this->pool->OnFinished(ticket, runtime::BootNow());
   } else {
-    this->relay.RelayWhole(send, head, [&] {
-      if (!this->pool->is_engine())
-        ticket.endpoint->OnLatency(runtime::BootNow() - ticket.sent_at);
-      this->RecordFirstByte(ticket);
-    });
+    this->relay.RelayWhole(
+        send, head,
+        [&] {
+          if (!this->pool->is_engine())
+            ticket.endpoint->OnLatency(runtime::BootNow() - ticket.sent_at);
+          this->RecordFirstByte(ticket);
+        },
+        is_running);
   }
   this->LogAnswered(send, head, *ticket.endpoint);
 }
--- a/source/unit_tests/core/forward/response_relay_test.cc
+++ b/source/unit_tests/core/forward/response_relay_test.cc
@@ -88,7 +88,8 @@
               send, head, std::chrono::seconds(5), [] {},
               [&] { return is_running; });
         else
-          response.RelayWhole(send, head, [] {});
+          response.RelayWhole(
+              send, head, [] {}, [&] { return is_running; });
       } catch (const SendError& error) {
         result.failure = error.failure();
       }
@@ -248,6 +249,22 @@
   }
 }
 
+// Guards against a short body of a plain answer that looks whole because its
+// endpoint crashed: without framing, only the end of the endpoint shows it.
+TEST_CASE("an unframed answer whose endpoint has ended has been broken off") {
+  const std::string long_body(2 * ResponseRelay::kMaxCollectedBytes, 'x');
+  for (const std::string& body : {std::string("o"), std::string(), long_body}) {
+    INFO(body.size());
+    const Relayed crashed =
+        RelayAnswer(Relay::kWhole, Unframed(body), false, false);
+    CHECK(crashed.failure == SendFailure::kBroken);
+    CHECK_FALSE(crashed.finished);
+    for (const std::string& answer : {WithLength(body), Chunked(body)}) {
+      CHECK(RelayAnswer(Relay::kWhole, answer, false, false).finished);
+    }
+  }
+}
+
 // Guards against keeping a connection whose end was the end of the answer, and
 // against a log that calls it open.
 TEST_CASE("the connection of an unframed answer ends with it") {
