Move the writer of responses out of http_server.cc

http_server.cc held the server, its connections and the writer of responses. The writer is a class of its own in detail now; no behaviour changes.

--- a/source/core/runtime/http_server.cc
+++ b/source/core/runtime/http_server.cc
@@ -18,6 +18,7 @@
 
 #include "core/runtime/await.h"
 #include "core/runtime/sleep.h"
+#include "core/runtime/stream_writer.h"
 
 namespace jujuberock::runtime {
 
@@ -30,12 +31,11 @@
 
 namespace {
 
-// The default Asio and Beast types use a type-erased executor, whose virtual
-// calls took several percent of the time of a forwarded request.
+// The same executor as that of CallerStream, for the same reason.
 using Executor = boost::asio::io_context::executor_type;
 using Socket = boost::asio::basic_stream_socket<tcp, Executor>;
 using Acceptor = boost::asio::basic_socket_acceptor<tcp, Executor>;
-using Stream = beast::basic_stream<tcp, Executor>;
+using Stream = detail::CallerStream;
 using Timer = boost::asio::basic_waitable_timer<
     std::chrono::steady_clock,
     boost::asio::wait_traits<std::chrono::steady_clock>,
@@ -59,18 +59,6 @@
   return request;
 }
 
-template <typename Body>
-void FillHeader(http::response<Body>& message,
-                int status,
-                const HttpHeaders& headers,
-                bool keep_alive) {
-  message.version(11);
-  message.result(static_cast<unsigned>(status));
-  for (const HttpHeader& field : headers.all())
-    message.insert(field.name, field.value);
-  message.keep_alive(keep_alive);
-}
-
 // Maps a failed read to the error to respond with; nullopt when the connection
 // is lost.
 std::optional<Error> ErrorForRead(const error_code& error) {
@@ -132,122 +120,6 @@
   std::shared_ptr<State> state;
 };
 
-class StreamWriter : public ResponseWriter {
- public:
-  StreamWriter(Stream& stream,
-               common::Duration write_timeout,
-               bool keep_alive,
-               bool is_head)
-      : stream(stream),
-        write_timeout(write_timeout),
-        keep_alive(keep_alive),
-        is_head(is_head) {}
-
-  void Send(HttpResponse response) override {
-    this->has_started = true;
-    http::response<http::string_body> message;
-    FillHeader(message, response.status, response.headers, this->keep_alive);
-    message.body() = std::move(response.body);
-    message.prepare_payload();
-    if (this->is_head)
-      message.body().clear();
-    this->stream.expires_after(this->write_timeout);
-    error_code error;
-    http::response_serializer<http::string_body> serializer(message);
-    if (this->is_head)
-      http::async_write_header(this->stream, serializer, Await(error));
-    else
-      http::async_write(this->stream, serializer, Await(error));
-    this->ThrowIfFailed(error);
-    this->has_finished = true;
-  }
-
-  void StartStream(int status, HttpHeaders headers) override {
-    this->has_started = true;
-    http::response<http::empty_body> message;
-    FillHeader(message, status, headers, this->keep_alive);
-    message.chunked(true);
-    http::response_serializer<http::empty_body> serializer(message);
-    this->stream.expires_after(this->write_timeout);
-    error_code error;
-    http::async_write_header(this->stream, serializer, Await(error));
-    this->ThrowIfFailed(error);
-  }
-
-  void Write(std::string_view bytes) override {
-    if (bytes.empty())
-      return;
-    this->stream.expires_after(this->write_timeout);
-    error_code error;
-    boost::asio::async_write(
-        this->stream,
-        http::make_chunk(boost::asio::buffer(bytes.data(), bytes.size())),
-        Await(error));
-    this->ThrowIfFailed(error);
-  }
-
-  void FinishStream() override {
-    this->stream.expires_after(this->write_timeout);
-    error_code error;
-    boost::asio::async_write(this->stream, http::make_chunk_last(),
-                             Await(error));
-    this->ThrowIfFailed(error);
-    this->has_finished = true;
-  }
-
-  ~StreamWriter() override {
-    if (!this->watch)
-      return;
-    // No read or write is pending at this point, so only the wait is canceled.
-    this->watch->reset();
-    error_code ignored;
-    this->stream.socket().cancel(ignored);
-  }
-
-  void OnCallerDisconnect(std::function<void()> callback) override {
-    this->watch = std::make_shared<DisconnectWatch>(std::move(callback));
-    this->stream.socket().async_wait(
-        Socket::wait_read,
-        [watch = this->watch,
-         &socket = this->stream.socket()](const error_code& error) {
-          // The socket may have been destroyed after reset().
-          if (!*watch || (!error && !IsClosed(socket)))
-            return;
-          SpawnLocal(std::move(**watch));
-        });
-  }
-
-  bool started() const override { return this->has_started; }
-  bool finished() const { return this->has_finished; }
-
- private:
-  void ThrowIfFailed(const error_code& error) {
-    if (error)
-      throw Error(ResultCode::kCanceled,
-                  "the caller closed the connection: " + error.message());
-  }
-
-  // Readable data is not a disconnect: it belongs to a pipelined request.
-  static bool IsClosed(Socket& socket) {
-    error_code error;
-    char byte;
-    socket.non_blocking(true, error);
-    const size_t bytes = socket.receive(boost::asio::buffer(&byte, 1),
-                                        Socket::message_peek, error);
-    return bytes == 0 && error != boost::asio::error::would_block;
-  }
-
-  Stream& stream;
-  common::Duration write_timeout;
-  bool keep_alive;
-  bool is_head;
-  // Shared with the pending wait; empty once the request handler has returned.
-  using DisconnectWatch = std::optional<std::function<void()>>;
-  std::shared_ptr<DisconnectWatch> watch;
-  bool has_started = false;
-  bool has_finished = false;
-};
-
 }  // namespace
 
 HttpResponse RenderPlainError(const Error& error) {
@@ -440,8 +312,8 @@
   const bool keep_alive = message.keep_alive() && !this->draining;
   const bool is_head = message.method() == http::verb::head;
   const HttpRequest request = FromBeast(message);
-  StreamWriter writer(stream, this->Options()->write_timeout, keep_alive,
-                      is_head);
+  detail::StreamWriter writer(stream, this->Options()->write_timeout,
+                              keep_alive, is_head);
   try {
     // A handler may run for much longer than the read and write timeouts.
     stream.expires_never();
@@ -464,7 +336,8 @@
 
 void HttpServer::State::SendError(Stream& stream, const Error& error) {
   try {
-    StreamWriter writer(stream, this->Options()->write_timeout, false, false);
+    detail::StreamWriter writer(stream, this->Options()->write_timeout, false,
+                                false);
     writer.Send(this->render_error(error));
   } catch (const Error&) {
     // The peer has closed the connection.
--- /dev/null
+++ b/source/core/runtime/stream_writer.cc
@@ -0,0 +1,123 @@
+#include "core/runtime/stream_writer.h"
+
+#include <utility>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http.hpp>
+
+#include "core/common/error.h"
+#include "core/runtime/await.h"
+#include "core/runtime/worker_pool.h"
+
+namespace jujuberock::runtime::detail {
+
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using Socket = CallerStream::socket_type;
+
+namespace {
+
+template <typename Body>
+void FillHeader(http::response<Body>& message,
+                int status,
+                const HttpHeaders& headers,
+                bool keep_alive) {
+  message.version(11);
+  message.result(static_cast<unsigned>(status));
+  for (const HttpHeader& field : headers.all())
+    message.insert(field.name, field.value);
+  message.keep_alive(keep_alive);
+}
+
+// Readable data is not a disconnect: it belongs to a pipelined request.
+bool IsClosed(Socket& socket) {
+  error_code error;
+  char byte;
+  socket.non_blocking(true, error);
+  const size_t bytes = socket.receive(boost::asio::buffer(&byte, 1),
+                                      Socket::message_peek, error);
+  return bytes == 0 && error != boost::asio::error::would_block;
+}
+
+}  // namespace
+
+StreamWriter::~StreamWriter() {
+  if (!this->watch)
+    return;
+  // No read or write is pending at this point, so only the wait is canceled.
+  this->watch->reset();
+  error_code ignored;
+  this->stream.socket().cancel(ignored);
+}
+
+void StreamWriter::Send(HttpResponse response) {
+  this->has_started = true;
+  http::response<http::string_body> message;
+  FillHeader(message, response.status, response.headers, this->keep_alive);
+  message.body() = std::move(response.body);
+  message.prepare_payload();
+  if (this->is_head)
+    message.body().clear();
+  this->stream.expires_after(this->write_timeout);
+  error_code error;
+  http::response_serializer<http::string_body> serializer(message);
+  if (this->is_head)
+    http::async_write_header(this->stream, serializer, Await(error));
+  else
+    http::async_write(this->stream, serializer, Await(error));
+  ThrowIfFailed(error);
+  this->has_finished = true;
+}
+
+void StreamWriter::StartStream(int status, HttpHeaders headers) {
+  this->has_started = true;
+  http::response<http::empty_body> message;
+  FillHeader(message, status, headers, this->keep_alive);
+  message.chunked(true);
+  http::response_serializer<http::empty_body> serializer(message);
+  this->stream.expires_after(this->write_timeout);
+  error_code error;
+  http::async_write_header(this->stream, serializer, Await(error));
+  ThrowIfFailed(error);
+}
+
+void StreamWriter::Write(std::string_view bytes) {
+  if (bytes.empty())
+    return;
+  this->stream.expires_after(this->write_timeout);
+  error_code error;
+  boost::asio::async_write(
+      this->stream,
+      http::make_chunk(boost::asio::buffer(bytes.data(), bytes.size())),
+      Await(error));
+  ThrowIfFailed(error);
+}
+
+void StreamWriter::FinishStream() {
+  this->stream.expires_after(this->write_timeout);
+  error_code error;
+  boost::asio::async_write(this->stream, http::make_chunk_last(), Await(error));
+  ThrowIfFailed(error);
+  this->has_finished = true;
+}
+
+void StreamWriter::OnCallerDisconnect(std::function<void()> callback) {
+  this->watch = std::make_shared<DisconnectWatch>(std::move(callback));
+  this->stream.socket().async_wait(
+      Socket::wait_read, [watch = this->watch, &socket = this->stream.socket()](
+                             const error_code& error) {
+        // The socket may have been destroyed after reset().
+        if (!*watch || (!error && !IsClosed(socket)))
+          return;
+        SpawnLocal(std::move(**watch));
+      });
+}
+
+void StreamWriter::ThrowIfFailed(const error_code& error) {
+  if (error)
+    throw common::Error(common::ResultCode::kCanceled,
+                        "the caller closed the connection: " + error.message());
+}
+
+}  // namespace jujuberock::runtime::detail
