Reset the connection of a broken answer to a caller of HTTP/1.0

Callers of HTTP/1.0 saw: a stream or long answer that was broken off ended in order, with the sizes of chunks between its bytes. They know no chunks, so the end of the connection is the end of the answer for them, and it looked whole.

Cause: all streamed answers were sent in chunks and marked their end by the last one, whatever the version of the request.

Change: a caller of HTTP/1.0 gets the bytes as they are and then the end of the connection; a reset if the answer is not complete. With HTTP/1.1 a broken answer lacks its last chunk, with and without keep-alive, as before.

Evidence: 'a broken response looks complete to no caller' of test_runtime fails before in four of ten checks, all of HTTP/1.0, and passes.

--- a/source/core/runtime/http_server.cc
+++ b/source/core/runtime/http_server.cc
@@ -47,6 +47,8 @@
 // that requests already sent get a response instead of a connection reset.
 constexpr common::Duration kDrainGrace = std::chrono::seconds(1);
 constexpr common::Duration kDrainPollPeriod = std::chrono::milliseconds(5);
+// HTTP/1.1, as Beast counts versions.
+constexpr unsigned kFirstVersionWithChunks = 11;
 
 HttpRequest FromBeast(http::request<http::string_body>& message) {
   HttpRequest request;
@@ -309,11 +311,12 @@
 bool HttpServer::State::HandleRequest(
     Stream& stream,
     http::request<http::string_body>& message) {
-  const bool keep_alive = message.keep_alive() && !this->draining;
-  const bool is_head = message.method() == http::verb::head;
+  detail::ResponseForm form;
+  form.keep_alive = message.keep_alive() && !this->draining;
+  form.is_head = message.method() == http::verb::head;
+  form.knows_chunks = message.version() >= kFirstVersionWithChunks;
   const HttpRequest request = FromBeast(message);
-  detail::StreamWriter writer(stream, this->Options()->write_timeout,
-                              keep_alive, is_head);
+  detail::StreamWriter writer(stream, this->Options()->write_timeout, form);
   try {
     // A handler may run for much longer than the read and write timeouts.
     stream.expires_never();
@@ -331,13 +334,13 @@
     if (!writer.started())
       this->SendError(stream, Error(ResultCode::kInternal, "internal error"));
   }
-  return keep_alive && writer.finished();
+  writer.ResetIfIncomplete();
+  return writer.keeps_connection();
 }
 
 void HttpServer::State::SendError(Stream& stream, const Error& error) {
   try {
-    detail::StreamWriter writer(stream, this->Options()->write_timeout, false,
-                                false);
+    detail::StreamWriter writer(stream, this->Options()->write_timeout, {});
     writer.Send(this->render_error(error));
   } catch (const Error&) {
     // The peer has closed the connection.
--- a/source/core/runtime/stream_writer.cc
+++ b/source/core/runtime/stream_writer.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/socket_base.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
 
@@ -54,15 +55,15 @@
 void StreamWriter::Send(HttpResponse response) {
   this->has_started = true;
   http::response<http::string_body> message;
-  FillHeader(message, response.status, response.headers, this->keep_alive);
+  FillHeader(message, response.status, response.headers, this->form.keep_alive);
   message.body() = std::move(response.body);
   message.prepare_payload();
-  if (this->is_head)
+  if (this->form.is_head)
     message.body().clear();
   this->stream.expires_after(this->write_timeout);
   error_code error;
   http::response_serializer<http::string_body> serializer(message);
-  if (this->is_head)
+  if (this->form.is_head)
     http::async_write_header(this->stream, serializer, Await(error));
   else
     http::async_write(this->stream, serializer, Await(error));
@@ -72,9 +73,10 @@
 
 void StreamWriter::StartStream(int status, HttpHeaders headers) {
   this->has_started = true;
+  this->form.keep_alive &= this->form.knows_chunks;
   http::response<http::empty_body> message;
-  FillHeader(message, status, headers, this->keep_alive);
-  message.chunked(true);
+  FillHeader(message, status, headers, this->form.keep_alive);
+  message.chunked(this->form.knows_chunks);
   http::response_serializer<http::empty_body> serializer(message);
   this->stream.expires_after(this->write_timeout);
   error_code error;
@@ -87,14 +89,20 @@
     return;
   this->stream.expires_after(this->write_timeout);
   error_code error;
-  boost::asio::async_write(
-      this->stream,
-      http::make_chunk(boost::asio::buffer(bytes.data(), bytes.size())),
-      Await(error));
+  const auto buffer = boost::asio::buffer(bytes.data(), bytes.size());
+  if (this->form.knows_chunks)
+    boost::asio::async_write(this->stream, http::make_chunk(buffer),
+                             Await(error));
+  else
+    boost::asio::async_write(this->stream, buffer, Await(error));
   ThrowIfFailed(error);
 }
 
 void StreamWriter::FinishStream() {
+  if (!this->form.knows_chunks) {
+    this->has_finished = true;
+    return;
+  }
   this->stream.expires_after(this->write_timeout);
   error_code error;
   boost::asio::async_write(this->stream, http::make_chunk_last(), Await(error));
@@ -102,6 +110,15 @@
   this->has_finished = true;
 }
 
+void StreamWriter::ResetIfIncomplete() {
+  if (!this->has_started || this->has_finished || this->form.knows_chunks)
+    return;
+  error_code ignored;
+  this->stream.socket().set_option(boost::asio::socket_base::linger(true, 0),
+                                   ignored);
+  this->stream.close();
+}
+
 void StreamWriter::OnCallerDisconnect(std::function<void()> callback) {
   this->watch = std::make_shared<DisconnectWatch>(std::move(callback));
   this->stream.socket().async_wait(
--- a/source/core/runtime/stream_writer.h
+++ b/source/core/runtime/stream_writer.h
@@ -22,18 +22,24 @@
     boost::beast::basic_stream<boost::asio::ip::tcp,
                                boost::asio::io_context::executor_type>;
 
+// What a request asks of the form of its response.
+struct ResponseForm {
+  // Whether the connection may be used again.
+  bool keep_alive = false;
+  // A response to HEAD has no body.
+  bool is_head = false;
+  // HTTP/1.0 knows no chunks: the end of a streamed body is that of the
+  // connection.
+  bool knows_chunks = true;
+};
+
 // Writes the response to one request of a caller.
 class StreamWriter : public ResponseWriter {
  public:
-  // `is_head` leaves the body out, as for a HEAD request.
   StreamWriter(CallerStream& stream,
                common::Duration write_timeout,
-               bool keep_alive,
-               bool is_head)
-      : stream(stream),
-        write_timeout(write_timeout),
-        keep_alive(keep_alive),
-        is_head(is_head) {}
+               ResponseForm form)
+      : stream(stream), write_timeout(write_timeout), form(form) {}
   ~StreamWriter() override;
 
   void Send(HttpResponse response) override;
@@ -42,8 +48,13 @@
   void FinishStream() override;
   void OnCallerDisconnect(std::function<void()> callback) override;
   bool started() const override { return this->has_started; }
-  // Whether the response was written completely.
-  bool finished() const { return this->has_finished; }
+  // Whether the connection can be used for another request.
+  bool keeps_connection() const {
+    return this->form.keep_alive && this->has_finished;
+  }
+  // Closes the connection with a reset if the caller would otherwise take its
+  // end for the end of a response that is not complete.
+  void ResetIfIncomplete();
 
  private:
   // Shared with the pending wait; empty once the request handler has returned.
@@ -53,8 +64,7 @@
 
   CallerStream& stream;
   common::Duration write_timeout;
-  bool keep_alive;
-  bool is_head;
+  ResponseForm form;
   std::shared_ptr<DisconnectWatch> watch;
   bool has_started = false;
   bool has_finished = false;
--- a/source/unit_tests/core/runtime/http_test.cc
+++ b/source/unit_tests/core/runtime/http_test.cc
@@ -36,6 +36,11 @@
     writer.FinishStream();
     return;
   }
+  if (request.target == "/broken") {
+    writer.StartStream(200, {});
+    writer.Write("piece0;");
+    return;
+  }
   if (request.target == "/fail")
     throw common::Error(common::ResultCode::kNoEndpoint, "none");
   HttpResponse response;
@@ -69,6 +74,60 @@
   });
 }
 
+struct RawResponse {
+  std::string text;
+  // How the connection ended: end_of_file if it was closed in order.
+  boost::system::error_code end;
+};
+
+// Sends one request with these first lines and reads until the connection ends.
+RawResponse FetchRaw(const Address& address, const std::string& lines) {
+  using boost::asio::ip::tcp;
+  boost::asio::io_context io;
+  tcp::socket socket(io);
+  socket.connect({boost::asio::ip::make_address(address.ip), address.port});
+  boost::asio::write(socket, boost::asio::buffer(lines + "Host: h\r\n\r\n"));
+  RawResponse response;
+  char bytes[4096];
+  while (!response.end) {
+    const size_t count =
+        socket.read_some(boost::asio::buffer(bytes), response.end);
+    response.text.append(bytes, count);
+  }
+  return response;
+}
+
+std::string BodyOf(const RawResponse& response) {
+  const size_t end = response.text.find("\r\n\r\n");
+  return end == std::string::npos ? "" : response.text.substr(end + 4);
+}
+
+// Guards against a broken answer that looks whole to a caller of HTTP/1.0,
+// which knows no chunks: for it the end of the connection is the end of the
+// answer unless the connection is reset.
+TEST_CASE("a broken response looks complete to no caller") {
+  WorkerPool pool(1);
+  HttpServer server(pool, kAnyPort, {}, EchoHandler, RenderPlainError);
+  const boost::system::error_code closed = boost::asio::error::eof;
+  for (const char* fields : {"", "Connection: close\r\n"}) {
+    INFO(fields);
+    const RawResponse chunked = FetchRaw(
+        server.address(), std::string("GET /broken HTTP/1.1\r\n") + fields);
+    CHECK(BodyOf(chunked) == "7\r\npiece0;\r\n");
+    CHECK(chunked.end == closed);
+  }
+  for (const char* fields : {"", "Connection: keep-alive\r\n"}) {
+    INFO(fields);
+    const RawResponse broken = FetchRaw(
+        server.address(), std::string("GET /broken HTTP/1.0\r\n") + fields);
+    CHECK(broken.end == boost::asio::error::connection_reset);
+    const RawResponse whole = FetchRaw(
+        server.address(), std::string("GET /stream HTTP/1.0\r\n") + fields);
+    CHECK(BodyOf(whole) == "piece0;piece1;piece2;");
+    CHECK(whole.end == closed);
+  }
+}
+
 TEST_CASE("an error thrown by a handler sets the response status") {
   WorkerPool pool(1);
   HttpServer server(pool, kAnyPort, {}, EchoHandler, RenderPlainError);
