Take the end of a crashed plain service for no end of its answer in serve

Callers of serve could get a short answer as a whole one: a plain service crashed while it sent an answer without framing, and its connection was closed in order.

Cause: as in the gateway, the end of the connection was taken for the end of the answer, also if it was the end of the service.

Change: after an answer that ends with its connection, the client checks 20 ms later that the service still listens. If it does not, the outcome of the call is unknown, as for any connection that breaks. The connection itself does not go back to the pool any more.

Evidence: 'an unframed answer whose service has ended' of test_endpoint fails before (the body 'o' is returned) and passes.

--- a/source/core/endpoint/plain_client.cc
+++ b/source/core/endpoint/plain_client.cc
@@ -46,8 +46,9 @@
 HttpResponse PlainClient::Forward(const Address& service,
                                   const runtime::HttpRequest& request,
                                   common::Duration timeout) {
-  return this->http.Fetch(service, request,
-                          {.header_timeout = timeout, .read_timeout = timeout});
+  return this->http.Fetch(
+      service, request,
+      {.header_timeout = timeout, .read_timeout = timeout, .check_end = true});
 }
 
 HttpResponse PlainClient::ForwardOnce(
@@ -59,7 +60,8 @@
                           {.header_timeout = timeout,
                            .read_timeout = timeout,
                            .fresh_connection = true,
-                           .before_first_byte = before_first_byte});
+                           .before_first_byte = before_first_byte,
+                           .check_end = true});
 }
 
 CallStatus PlainClient::Status(const Address& service,
--- a/source/core/runtime/http_client.cc
+++ b/source/core/runtime/http_client.cc
@@ -13,6 +13,7 @@
 #include <boost/beast/http.hpp>
 
 #include "core/runtime/await.h"
+#include "core/runtime/sleep.h"
 
 namespace jujuberock::runtime {
 
@@ -32,6 +33,8 @@
 // Shorter timeouts do not show that a connection has fallen silent: a busy peer
 // may need as long.
 constexpr common::Duration kMinSilence = std::chrono::milliseconds(100);
+// Time in which a process that ends closes all of its sockets.
+constexpr common::Duration kCloseBatchTime = std::chrono::milliseconds(20);
 
 // beast::tcp_stream uses a type-erased executor, which costs virtual calls.
 using Stream = beast::basic_stream<tcp, boost::asio::io_context::executor_type>;
@@ -187,6 +190,7 @@
     return static_cast<int>(this->parser.get().result_int());
   }
   const HttpHeaders& headers() const override { return this->fields; }
+  bool ends_with_connection() const override { return this->parser.need_eof(); }
   void set_read_timeout(common::Duration timeout) override {
     this->read_timeout = timeout;
   }
@@ -217,7 +221,7 @@
 
  private:
   void Release() {
-    if (this->connection && this->parser.get().keep_alive())
+    if (this->connection && this->parser.keep_alive())
       this->client->ReturnIdle(this->address, std::move(this->connection));
   }
 
@@ -262,9 +266,23 @@
   response.headers = stream->headers();
   while (auto bytes = stream->Read())
     response.body += *bytes;
+  if (options.check_end && stream->ends_with_connection())
+    this->CheckListening(address);
   return response;
 }
 
+void HttpClient::CheckListening(const Address& address) {
+  SleepFor(kCloseBatchTime);
+  try {
+    this->state->ReturnIdle(address, this->state->Connect(address));
+  } catch (const HttpError& error) {
+    // A cut link is silent and says nothing about the peer.
+    if (error.code() == ResultCode::kPeerUnavailable)
+      throw HttpError(ResultCode::kEndpointFailed,
+                      "the peer ended with its response", true);
+  }
+}
+
 std::unique_ptr<HttpStream> HttpClient::Open(const Address& address,
                                              const HttpRequest& request,
                                              const HttpCallOptions& options) {
--- a/source/core/runtime/http_client.h
+++ b/source/core/runtime/http_client.h
@@ -54,6 +54,9 @@
   // request is written. If it returns false, nothing is written and the call
   // throws HttpError kCanceled with sent() false.
   std::function<bool()> before_first_byte = {};
+  // Checks that the peer still listens after a response that ends with its
+  // connection, which may also be the end of the peer. Fetch() then fails.
+  bool check_end = false;
 };
 
 // A response whose body is read incrementally. Destroying it before the end of
@@ -67,6 +70,9 @@
   // Returns the next bytes of the body, or nullopt at its end. Throws HttpError
   // kEndpointFailed when the connection breaks, kEndpointSilent on a timeout.
   virtual std::optional<std::string> Read() = 0;
+  // Whether the end of the connection is the end of the body, because the
+  // response declares no length.
+  virtual bool ends_with_connection() const = 0;
   // Sets the timeout of subsequent reads.
   virtual void set_read_timeout(common::Duration timeout) = 0;
 };
@@ -98,6 +104,10 @@
                                    const HttpCallOptions& options = {});
 
  private:
+  // Throws HttpError kEndpointFailed if nothing listens at the address any
+  // more.
+  void CheckListening(const Address& address);
+
   std::shared_ptr<State> state;
 };
 
--- a/source/unit_tests/core/endpoint/plain_client_test.cc
+++ b/source/unit_tests/core/endpoint/plain_client_test.cc
@@ -13,9 +13,11 @@
 namespace {
 
 // Returns the body of the answer, or nullopt if the call failed.
-std::optional<std::string> Forward(const std::string& answer, bool reset) {
+std::optional<std::string> Forward(const std::string& answer,
+                                   bool reset,
+                                   bool exits = false) {
   runtime::WorkerPool workers(1);
-  forward::FakeEndpoint peer({answer}, reset);
+  forward::FakeEndpoint peer({answer}, reset, exits);
   std::optional<std::string> body;
   workers.Run([&] {
     runtime::HttpClient http(workers, {});
@@ -57,5 +59,13 @@
   CHECK_FALSE(Forward(kChunked + "2\r\nok\r\n", true));
 }
 
+// Guards against a short answer that looks whole because the service crashed
+// while it sent it: without framing, only the end of the service shows it.
+TEST_CASE("an unframed answer whose service has ended has been broken off") {
+  CHECK_FALSE(Forward(kUnframed + "o", false, true));
+  CHECK(Forward(kWithLength + "ok", false, true) == "ok");
+  CHECK(Forward(kChunked + "2\r\nok\r\n0\r\n\r\n", false, true) == "ok");
+}
+
 }  // namespace
 }  // namespace jujuberock::endpoint
--- a/source/unit_tests/core/forward/fake_endpoint.h
+++ b/source/unit_tests/core/forward/fake_endpoint.h
@@ -41,18 +41,17 @@
 
 // Accepts one connection, answers each request on it with the next of
 // `answers`, and then closes the connection, with a TCP reset if `reset` is
-// set.
+// set. If `exits` is set, it closes its port as well, like a process that ends.
 class FakeEndpoint {
  public:
-  FakeEndpoint(std::vector<std::string> answers, bool reset)
-      : answers(std::move(answers)), reset(reset) {
+  FakeEndpoint(std::vector<std::string> answers, bool reset, bool exits = false)
+      : answers(std::move(answers)), reset(reset), exits(exits) {
     this->thread = std::thread([this] { this->Serve(); });
   }
   ~FakeEndpoint() { this->thread.join(); }
 
   std::string address() const {
-    return "127.0.0.1:" +
-           std::to_string(this->acceptor.local_endpoint().port());
+    return "127.0.0.1:" + std::to_string(this->port);
   }
 
  private:
@@ -73,14 +72,18 @@
     }
     if (this->reset)
       socket.set_option(boost::asio::socket_base::linger(true, 0), error);
+    if (this->exits)
+      this->acceptor.close(error);
     socket.close(error);
   }
 
   std::vector<std::string> answers;
   bool reset;
+  bool exits;
   boost::asio::io_context io;
   Tcp::acceptor acceptor{
       io, Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0)};
+  const unsigned short port = this->acceptor.local_endpoint().port();
   std::thread thread;
 };
 
