Accept a response on a used connection only if it names its request

Callers of serve could get the answer or the text of another caller: a service or an engine sent a response once more, on a connection that was in use again, and the next request on it took the copy for its own.

Cause: calls to plain services and completions took pooled connections, and nothing in a response was compared with the request. The gateway compares the id of the attempt; serve had no counterpart.

Change: the host sends Jujuberock-Request-Id with both. A connection is used again only after a response that repeated it, and a response on a used connection that does not repeat it counts as a broken connection: a plain call is retried where it may be, a completion is resumed by its id. Endpoints that do not repeat it get a new connection for each request. The stand-ins repeat it.

Evidence: late_copy_test.cc of test_endpoint; three of its cases fail before ('answer to a' for b, 'for a' for b) and pass. A refusal of an engine can't be repeated to the next request, since its connection is closed with it.

--- a/source/core/endpoint/engine_client.cc
+++ b/source/core/endpoint/engine_client.cc
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include "core/common/error.h"
+#include "core/endpoint/request_id.h"
 
 namespace jujuberock::endpoint {
 
@@ -182,9 +183,12 @@
 EngineStream EngineClient::Generate(const Address& engine,
                                     const GenerateRequest& request,
                                     common::Duration header_timeout) {
-  auto stream = this->http.Open(
-      engine, JsonPost("/v1/generate", ToJson(request)),
-      {.header_timeout = header_timeout, .read_timeout = header_timeout});
+  HttpRequest message = JsonPost("/v1/generate", ToJson(request));
+  message.headers.Set(kRequestIdField, request.request_id);
+  auto stream = this->http.Open(engine, message,
+                                {.header_timeout = header_timeout,
+                                 .read_timeout = header_timeout,
+                                 .naming_field = kRequestIdField});
   if (stream->status() != 200)
     ThrowForStatus(stream->status());
   return EngineStream(std::move(stream));
--- a/source/core/endpoint/plain_client.cc
+++ b/source/core/endpoint/plain_client.cc
@@ -7,6 +7,7 @@
 
 #include "core/common/error.h"
 #include "core/common/name_table.h"
+#include "core/endpoint/request_id.h"
 
 namespace jujuberock::endpoint {
 
@@ -46,9 +47,11 @@
 HttpResponse PlainClient::Forward(const Address& service,
                                   const runtime::HttpRequest& request,
                                   common::Duration timeout) {
-  return this->http.Fetch(
-      service, request,
-      {.header_timeout = timeout, .read_timeout = timeout, .check_end = true});
+  return this->http.Fetch(service, request,
+                          {.header_timeout = timeout,
+                           .read_timeout = timeout,
+                           .naming_field = kRequestIdField,
+                           .check_end = true});
 }
 
 HttpResponse PlainClient::ForwardOnce(
--- a/source/core/runtime/http_client.cc
+++ b/source/core/runtime/http_client.cc
@@ -45,6 +45,10 @@
   Stream stream;
   beast::flat_buffer buffer;
   SteadyTime idle_since{};
+  // Whether the last response named its request.
+  bool names_requests = false;
+  // Set when the connection was taken from the pool.
+  bool is_reused = false;
 };
 
 using ConnectionPtr = std::unique_ptr<Connection>;
@@ -74,15 +78,19 @@
   State(WorkerPool& pool, HttpClientOptions options)
       : pool(pool), options(options), idle(pool.size()) {}
 
-  ConnectionPtr TakeIdle(const Address& address) {
+  ConnectionPtr TakeIdle(const Address& address, bool names_requests) {
     auto& idle_list = this->idle[*WorkerPool::CurrentWorker()][address];
-    while (!idle_list.empty()) {
-      ConnectionPtr connection = std::move(idle_list.back());
-      idle_list.pop_back();
+    for (size_t i = idle_list.size(); i-- > 0;) {
+      if (idle_list[i]->names_requests != names_requests)
+        continue;
+      ConnectionPtr connection = std::move(idle_list[i]);
+      idle_list.erase(idle_list.begin() + static_cast<ptrdiff_t>(i));
       const auto age =
           std::chrono::steady_clock::now() - connection->idle_since;
-      if (age < this->options.idle_lifetime && !IsReadable(*connection))
-        return connection;
+      if (age >= this->options.idle_lifetime || IsReadable(*connection))
+        continue;
+      connection->is_reused = true;
+      return connection;
     }
     return nullptr;
   }
@@ -155,11 +163,12 @@
   BeastStream(ConnectionPtr connection,
               std::shared_ptr<HttpClient::State> client,
               Address address,
-              common::Duration read_timeout)
+              const HttpCallOptions& options)
       : connection(std::move(connection)),
         client(std::move(client)),
         address(std::move(address)),
-        read_timeout(read_timeout) {
+        naming_field(options.naming_field),
+        read_timeout(options.read_timeout) {
     this->parser.body_limit(this->client->options.body_limit_bytes);
   }
 
@@ -170,6 +179,8 @@
     http::async_write(this->connection->stream, message, Await(error));
     if (error)
       this->Fail(error, "write");
+    if (!this->naming_field.empty())
+      this->request_name = std::string(message[this->naming_field]);
   }
 
   void ReadHeader(common::Duration timeout) {
@@ -182,6 +193,7 @@
     for (const auto& field : this->parser.get())
       this->fields.Add(std::string(field.name_string()),
                        std::string(field.value()));
+    this->CheckName();
     if (this->parser.is_done())
       this->Release();
   }
@@ -220,8 +232,22 @@
   }
 
  private:
+  // Throws HttpError if the response is that to another request.
+  void CheckName() {
+    if (this->naming_field.empty())
+      return;
+    const auto name = this->fields.Find(this->naming_field);
+    const bool is_named = name == this->request_name;
+    if (!is_named && (name || this->connection->is_reused))
+      throw HttpError(ResultCode::kEndpointFailed,
+                      "the response does not name the request", true);
+    this->connection->names_requests = is_named;
+  }
+
   void Release() {
-    if (this->connection && this->parser.keep_alive())
+    if (!this->connection || !this->parser.keep_alive())
+      return;
+    if (this->naming_field.empty() || this->connection->names_requests)
       this->client->ReturnIdle(this->address, std::move(this->connection));
   }
 
@@ -242,6 +268,9 @@
   ConnectionPtr connection;
   std::shared_ptr<HttpClient::State> client;
   Address address;
+  std::string naming_field;
+  // Value of that field in the request.
+  std::string request_name;
   size_t read_bytes = kInitialReadBytes;
   common::Duration read_timeout;
   // Timeout of the operation in progress.
@@ -288,11 +317,11 @@
                                              const HttpCallOptions& options) {
   ConnectionPtr connection;
   if (!options.fresh_connection)
-    connection = this->state->TakeIdle(address);
+    connection = this->state->TakeIdle(address, !options.naming_field.empty());
   if (!connection)
     connection = this->state->Connect(address);
-  auto stream = std::make_unique<BeastStream>(
-      std::move(connection), this->state, address, options.read_timeout);
+  auto stream = std::make_unique<BeastStream>(std::move(connection),
+                                              this->state, address, options);
   http::request<http::string_body> message = ToBeast(address, request);
   if (options.before_first_byte && !options.before_first_byte())
     throw HttpError(ResultCode::kCanceled,
--- a/source/core/runtime/http_client.h
+++ b/source/core/runtime/http_client.h
@@ -54,6 +54,11 @@
   // request is written. If it returns false, nothing is written and the call
   // throws HttpError kCanceled with sent() false.
   std::function<bool()> before_first_byte = {};
+  // Field of the request that the peer repeats in its response. A peer may send
+  // an earlier response once more, on a connection that is in use again: such a
+  // connection is used only for responses that name their request, and only
+  // after one that did. If empty, any response is accepted.
+  std::string naming_field = {};
   // Checks that the peer still listens after a response that ends with its
   // connection, which may also be the end of the peer. Fetch() then fails.
   bool check_end = false;
@@ -92,7 +97,8 @@
 
   // Sends the request and reads the whole response. Throws HttpError:
   // kPeerUnavailable when connecting fails, kEndpointFailed when the connection
-  // breaks, kEndpointSilent on a timeout, including the connect timeout.
+  // breaks or carries the response to another request, kEndpointSilent on a
+  // timeout, including the connect timeout.
   HttpResponse Fetch(const Address& address,
                      const HttpRequest& request,
                      const HttpCallOptions& options = {});
--- a/source/core/serve/service_run.cc
+++ b/source/core/serve/service_run.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "core/common/error.h"
+#include "core/endpoint/request_id.h"
 
 namespace jujuberock::serve {
 
@@ -34,7 +35,7 @@
                                  const std::string& request_id) {
   HttpRequest request = call.request;
   request.headers.Set("Jujuberock-Team", call.team);
-  request.headers.Set("Jujuberock-Request-Id", request_id);
+  request.headers.Set(endpoint::kRequestIdField, request_id);
   if (!call.headers.idempotency_key.empty())
     request.headers.Set("Idempotency-Key", call.headers.idempotency_key);
   return request;
--- a/source/standin/engine_standin.cc
+++ b/source/standin/engine_standin.cc
@@ -10,6 +10,7 @@
 #include "core/runtime/sleep.h"
 #include "standin/clock.h"
 #include "standin/completion_text.h"
+#include "standin/naming_writer.h"
 
 namespace jujuberock::standin {
 
@@ -137,10 +138,11 @@
       !target.segments.empty() && target.segments[0] == "control";
   if (!is_control)
     this->connection_stall.WaitIfStalled();
+  NamingWriter naming_writer(request, writer);
   for (const RouteEntry& entry : Routes()) {
     if (request.method == entry.method &&
         PathMatches(entry.path, target.segments))
-      return (this->*entry.route)(request, target, writer);
+      return (this->*entry.route)(request, target, naming_writer);
   }
   SendJson(writer, 404, json::object());
 }
--- a/source/standin/plain_service_standin.cc
+++ b/source/standin/plain_service_standin.cc
@@ -5,6 +5,7 @@
 
 #include "core/common/hash.h"
 #include "core/runtime/sleep.h"
+#include "standin/naming_writer.h"
 
 namespace jujuberock::standin {
 
@@ -59,7 +60,8 @@
     const std::string key = std::string(*team) + "/" + target.segments[1];
     return this->Status(key, writer);
   }
-  this->Execute(request, writer);
+  NamingWriter naming_writer(request, writer);
+  this->Execute(request, naming_writer);
 }
 
 void PlainServiceStandin::Control(const HttpRequest& request,
--- /dev/null
+++ b/source/unit_tests/core/endpoint/late_copy_test.cc
@@ -0,0 +1,226 @@
+// Endpoints that send an earlier response once more, on a connection that is in
+// use again.
+#include <atomic>
+#include <functional>
+#include <list>
+#include <string>
+#include <thread>
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include "core/endpoint/engine_client.h"
+#include "core/endpoint/plain_client.h"
+#include "core/runtime/http_client.h"
+#include "core/runtime/worker_pool.h"
+
+namespace jujuberock::endpoint {
+namespace {
+
+using Tcp = boost::asio::ip::tcp;
+
+constexpr common::Duration kTimeout = std::chrono::seconds(5);
+
+std::string FieldOf(const std::string& head, const std::string& name) {
+  const size_t begin = head.find(name + ": ");
+  if (begin == std::string::npos)
+    return "";
+  const size_t value = begin + name.size() + 2;
+  return head.substr(value, head.find("\r\n", value) - value);
+}
+
+// Answers the first request on each connection; further ones with a copy of the
+// first response if `copies` is set.
+class CopyingEndpoint {
+ public:
+  // Returns the response to a request with this id, in full.
+  using Answer = std::function<std::string(const std::string& id)>;
+
+  CopyingEndpoint(Answer answer, bool copies)
+      : answer(std::move(answer)),
+        copies(copies),
+        acceptor(this->io,
+                 Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0)),
+        thread([this] { this->Accept(); }) {}
+  ~CopyingEndpoint() {
+    this->stopping = true;
+    Tcp::socket last(this->io);
+    last.connect(this->acceptor.local_endpoint());
+    this->thread.join();
+    for (std::thread& connection : this->connections)
+      connection.join();
+  }
+
+  runtime::Address address() const {
+    return {"127.0.0.1", this->acceptor.local_endpoint().port()};
+  }
+  int connection_count() const { return this->accepted; }
+
+ private:
+  void Accept() {
+    while (true) {
+      Tcp::socket socket(this->io);
+      this->acceptor.accept(socket);
+      if (this->stopping)
+        return;
+      ++this->accepted;
+      this->connections.emplace_back(
+          [this, connection = std::move(socket)]() mutable {
+            this->Serve(connection);
+          });
+    }
+  }
+
+  void Serve(Tcp::socket& socket) {
+    boost::asio::streambuf buffer;
+    boost::system::error_code error;
+    std::string first;
+    while (!error) {
+      const size_t size =
+          boost::asio::read_until(socket, buffer, "\r\n\r\n", error);
+      if (error)
+        return;
+      const auto* data = static_cast<const char*>(buffer.data().data());
+      const std::string head(data, size);
+      const std::string length = FieldOf(head, "Content-Length");
+      const size_t body = length.empty() ? 0 : std::stoul(length);
+      if (buffer.size() < size + body)
+        boost::asio::read(
+            socket, buffer,
+            boost::asio::transfer_at_least(size + body - buffer.size()), error);
+      buffer.consume(size + body);
+      const std::string own =
+          this->answer(FieldOf(head, "Jujuberock-Request-Id"));
+      const bool is_first = first.empty();
+      if (is_first)
+        first = own;
+      boost::asio::write(
+          socket,
+          boost::asio::buffer(this->copies && !is_first ? first + own : own),
+          error);
+    }
+  }
+
+  Answer answer;
+  bool copies;
+  std::atomic<bool> stopping{false};
+  std::atomic<int> accepted{0};
+  boost::asio::io_context io;
+  Tcp::acceptor acceptor;
+  std::list<std::thread> connections;
+  std::thread thread;
+};
+
+std::string Response(const std::string& status,
+                     const std::string& named_id,
+                     const std::string& body) {
+  const std::string name =
+      named_id.empty() ? "" : "Jujuberock-Request-Id: " + named_id + "\r\n";
+  return "HTTP/1.1 " + status + "\r\n" + name +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+// The body of the answer, or the name of the failure.
+std::string Forward(PlainClient& client,
+                    const runtime::Address& address,
+                    const std::string& id) {
+  runtime::HttpRequest request;
+  request.headers.Set("Jujuberock-Request-Id", id);
+  try {
+    return client.Forward(address, request, kTimeout).body;
+  } catch (const runtime::HttpError& error) {
+    return error.sent() ? "unknown" : "not run";
+  }
+}
+
+std::string Generate(EngineClient& client,
+                     const runtime::Address& address,
+                     const std::string& id) {
+  GenerateRequest request;
+  request.request_id = id;
+  try {
+    EngineStream stream = client.Generate(address, request, kTimeout);
+    std::string text;
+    while (const auto event = stream.Next(kTimeout)) {
+      if (const auto* token = std::get_if<TokenEvent>(&*event))
+        text += token->text;
+      else
+        return text;
+    }
+    return "broken";
+  } catch (const runtime::HttpError& error) {
+    return error.sent() ? "unknown" : "not run";
+  }
+}
+
+// Calls the endpoint for the requests a and b, one after the other.
+template <typename Client, typename Call>
+std::pair<std::string, std::string> CallTwice(const CopyingEndpoint& endpoint,
+                                              Call call) {
+  runtime::WorkerPool workers(1);
+  std::pair<std::string, std::string> found;
+  workers.Run([&] {
+    runtime::HttpClient http(workers, {});
+    Client client(http);
+    found.first = call(client, endpoint.address(), "a");
+    found.second = call(client, endpoint.address(), "b");
+  });
+  return found;
+}
+
+using Found = std::pair<std::string, std::string>;
+
+// Guards against answering a caller with the answer of the request before it on
+// the same connection.
+TEST_CASE("a copy of an earlier answer is not taken for the next one") {
+  for (const bool names : {false, true}) {
+    INFO("the service names requests: " << names);
+    const CopyingEndpoint service(
+        [names](const std::string& id) {
+          return Response("200 OK", names ? id : "", "answer to " + id);
+        },
+        true);
+    const Found found = CallTwice<PlainClient>(service, Forward);
+    CHECK(found.first == "answer to a");
+    CHECK(found.second == (names ? "unknown" : "answer to b"));
+  }
+}
+
+TEST_CASE("a copy of an earlier stream is not taken for the next one") {
+  for (const bool names : {false, true}) {
+    INFO("the engine names requests: " << names);
+    const CopyingEndpoint engine(
+        [names](const std::string& id) {
+          return Response("200 OK", names ? id : "",
+                          "data: {\"offset\":0,\"text\":\"for " + id +
+                              "\"}\n\ndata: {\"done\":true,\"tokens\":1}\n\n");
+        },
+        true);
+    const Found found = CallTwice<EngineClient>(engine, Generate);
+    CHECK(found.first == "for a");
+    CHECK(found.second == (names ? "unknown" : "for b"));
+  }
+}
+
+TEST_CASE("the connection of an endpoint that names requests is used again") {
+  for (const bool names : {false, true}) {
+    INFO("the service names requests: " << names);
+    const CopyingEndpoint service(
+        [names](const std::string& id) {
+          return Response("200 OK", names ? id : "", "answer to " + id);
+        },
+        false);
+    const Found found = CallTwice<PlainClient>(service, Forward);
+    CHECK(found.second == "answer to b");
+    CHECK(service.connection_count() == (names ? 1 : 2));
+  }
+}
+
+}  // namespace
+}  // namespace jujuberock::endpoint
