Keep what an endpoint says of its leaving also while it is not registered

Callers could be served by an endpoint that had said that it was leaving: if its registration had expired when its answer came, the notice was dropped, and the endpoint was used again once it was registered again, or a copy of the store had it.

Cause: the notice was kept at the registration, not for the instance.

Change: the notice is recorded for the instance, id and start time, whether or not it is registered; an earlier instance says nothing about a later one.

Evidence: 'an instance that says that it is leaving need not be registered' of test_catalog fails before in two checks and passes.

--- a/source/core/catalog/endpoint_directory.cc
+++ b/source/core/catalog/endpoint_directory.cc
@@ -85,13 +85,15 @@
       departure->second.started_at_ms == endpoint.started_at_ms)
     endpoint.leaving |= departure->second.is_leaving;
   if (endpoint.leaving)
-    this->RecordDeparture(endpoint);
+    this->RecordDeparture(endpoint.id, {endpoint.started_at_ms, true});
   std::string id = endpoint.id;
   this->entries.insert_or_assign(std::move(id), std::move(endpoint));
 }
 
 void EndpointDirectory::MarkLeaving(std::string_view id,
                                     uint64_t started_at_ms) {
+  // Its registration may have expired, and come back later.
+  this->RecordDeparture(id, {started_at_ms, true});
   const auto found = this->entries.find(id);
   const bool is_known = found != this->entries.end() &&
                         found->second.started_at_ms == started_at_ms;
@@ -99,18 +101,20 @@
     return;
   ++this->change_count;
   found->second.leaving = true;
-  this->RecordDeparture(found->second);
 }
 
-void EndpointDirectory::RecordDeparture(const Endpoint& endpoint) {
-  const auto [entry, is_new] = this->departures.try_emplace(endpoint.id);
-  Departure& departure = entry->second;
-  const bool is_same = departure.started_at_ms == endpoint.started_at_ms;
-  departure.is_leaving = endpoint.leaving || (is_same && departure.is_leaving);
-  departure.started_at_ms = endpoint.started_at_ms;
+void EndpointDirectory::RecordDeparture(std::string_view id,
+                                        const Departure& departure) {
+  const auto [entry, is_new] =
+      this->departures.try_emplace(std::string(id), departure);
+  Departure& known = entry->second;
+  if (known.started_at_ms == departure.started_at_ms)
+    known.is_leaving |= departure.is_leaving;
+  else if (known.started_at_ms < departure.started_at_ms)
+    known = departure;
   if (!is_new)
     return;
-  this->departure_order.push_back(endpoint.id);
+  this->departure_order.emplace_back(id);
   if (this->departure_order.size() <= kMaxDepartures)
     return;
   this->departures.erase(this->departure_order.front());
@@ -138,7 +142,8 @@
   if (found == this->entries.end())
     return;
   ++this->change_count;
-  this->RecordDeparture(found->second);
+  const Endpoint& endpoint = found->second;
+  this->RecordDeparture(id, {endpoint.started_at_ms, endpoint.leaving});
   this->entries.erase(found);
 }
 
--- a/source/core/catalog/endpoint_directory.h
+++ b/source/core/catalog/endpoint_directory.h
@@ -83,7 +83,7 @@
   bool AreRemovalsDeferred(common::TimePoint now) const;
   // Whether an entry of an older copy describes an instance that is gone.
   bool IsOutdated(const Endpoint& endpoint) const;
-  void RecordDeparture(const Endpoint& endpoint);
+  void RecordDeparture(std::string_view id, const Departure& departure);
   void Erase(std::string_view id);
   void RemoveMissing(const std::set<std::string>& present,
                      common::TimePoint now);
--- a/source/unit_tests/core/catalog/endpoint_directory_test.cc
+++ b/source/unit_tests/core/catalog/endpoint_directory_test.cc
@@ -108,6 +108,24 @@
   CHECK_FALSE(directory.endpoints().at("e1").leaving);
 }
 
+// Guards against requests to an endpoint that said so while its registration
+// had expired, once it registers again or a copy of the store has it.
+TEST_CASE("an instance that says that it is leaving need not be registered") {
+  EndpointDirectory directory{milliseconds(100)};
+  directory.Upsert(MakeInstance("e1", 10));
+  directory.Remove("e1", At(0));
+  directory.MarkLeaving("e1", 10);
+  directory.Upsert(MakeInstance("e1", 10));
+  CHECK(directory.endpoints().at("e1").leaving);
+  directory.Remove("e1", At(100));
+  directory.ReplaceWithCopy({MakeInstance("e1", 10)}, At(200));
+  directory.Expire(At(1000));
+  CHECK(directory.endpoints().at("e1").leaving);
+  directory.Upsert(MakeInstance("e1", 20));
+  directory.MarkLeaving("e1", 10);
+  CHECK_FALSE(directory.endpoints().at("e1").leaving);
+}
+
 // Guards against requests to an endpoint that is gone, whose address may belong
 // to another by now.
 TEST_CASE("an instance that was removed is held back when a copy has it") {
