Tell versions of the platform's store apart by its era in serve

Callers of serve: after the platform's store came back from an older copy, a key that was withdrawn went on being accepted, and the new one was refused, until the store's revisions had passed those that the hosts knew. A late conditional write could match a revision that was given out again for another object.

A version of the store was taken for a clock that never goes back.

Change: the client reads Store-Era from all answers, keeps it in the token of each write, and puts it before the revision: a version of a later era is above all of a former one. Answers of a former era are errors, a watch of one ends and the kind is listed, a conditional write for an object of one first reads it. A list of a new era deletes no rows of a former one for 5 s, in which what was lost is written again; then the kind is listed once more. A store that states no era is served as before. The stand-in of the platform can come back from a copy.

Evidence: 'a key that is withdrawn after a restore of the store is refused' of test_serve fails with the era ignored (the withdrawn key gets 200, its successor 401) and passes; test_standin has versions and watches, test_table the lists.

--- a/source/core/membership/coordinator.cc
+++ b/source/core/membership/coordinator.cc
@@ -199,8 +199,15 @@
 void Coordinator::OnList(const WatcherCall& watcher_call,
                          const std::optional<platform::ObjectList>& list,
                          TimePoint now) {
-  if (list)
-    this->sync.OnChanged(this->table.ApplyList(watcher_call.kind, *list), now);
+  if (list) {
+    bool keep_former = false;
+    {
+      const common::RankedLock lock(this->mutex);
+      keep_former = this->watcher.MayLackRows(list->version, now);
+    }
+    this->sync.OnChanged(
+        this->table.ApplyList(watcher_call.kind, *list, keep_former), now);
+  }
   bool complete = false;
   {
     const common::RankedLock lock(this->mutex);
--- a/source/core/platform/client.cc
+++ b/source/core/platform/client.cc
@@ -1,8 +1,10 @@
 #include "core/platform/client.h"
 
+#include <charconv>
 #include <utility>
 
 #include "core/common/error.h"
+#include "core/platform/era_token.h"
 #include "core/platform/object_json.h"
 
 namespace jujuberock::platform {
@@ -15,6 +17,7 @@
 namespace {
 
 constexpr common::Duration kCallTimeout = std::chrono::seconds(2);
+constexpr std::string_view kEraField = "Store-Era";
 
 std::string ObjectPath(std::string_view kind, std::string_view name) {
   return "/objects/" + std::string(kind) + "/" + std::string(name);
@@ -25,6 +28,19 @@
   return counters.GetCounter("platform_calls_total", {{"call", call}});
 }
 
+Object ParseStoredObject(std::string_view text) {
+  Object object = ParseObject(text);
+  TakeEra(object);
+  return object;
+}
+
+// A change that a watch reports was made in the era of the watch.
+Object ParseChange(std::string_view text, uint64_t era) {
+  Object object = ParseStoredObject(text);
+  object.version = MakeVersion(era, RevisionOf(object.version));
+  return object;
+}
+
 [[noreturn]] void ThrowForStatus(int status) {
   if (status == 429)
     throw Error(ResultCode::kPlatformRateLimited,
@@ -47,15 +63,36 @@
 
 HttpResponse Client::Fetch(const HttpRequest& request) {
   try {
-    return this->http.Fetch(
+    HttpResponse response = this->http.Fetch(
         this->address, request,
         {.header_timeout = kCallTimeout, .read_timeout = kCallTimeout});
+    this->CheckEra(response.headers);
+    return response;
   } catch (const runtime::HttpError& error) {
     throw Error(ResultCode::kPlatformUnavailable, error.what(),
                 error.outcome());
   }
 }
 
+uint64_t Client::CheckEra(const runtime::HttpHeaders& headers) {
+  uint64_t known = this->newest_era;
+  const auto text = headers.Find(kEraField);
+  uint64_t era = 0;
+  const bool is_stated =
+      text &&
+      std::from_chars(text->data(), text->data() + text->size(), era).ec ==
+          std::errc();
+  if (!is_stated)
+    return known;
+  while (era > known && !this->newest_era.compare_exchange_weak(known, era)) {
+  }
+  if (era < known)
+    throw Error(ResultCode::kPlatformUnavailable,
+                "the platform's answer is of a former era",
+                common::Outcome::kUnknown);
+  return era;
+}
+
 std::optional<Object> Client::Read(std::string_view kind,
                                    std::string_view name) {
   this->reads.Add();
@@ -65,7 +102,7 @@
     return std::nullopt;
   if (response.status != 200)
     ThrowForStatus(response.status);
-  return ParseObject(response.body);
+  return ParseStoredObject(response.body);
 }
 
 WriteResult Client::SendWrite(const HttpRequest& request) {
@@ -75,7 +112,8 @@
     const HttpResponse response = this->Fetch(request);
     if (response.status == 200) {
       result.state = WriteState::kWritten;
-      result.version = ParseWrittenVersion(response.body);
+      result.version =
+          MakeVersion(this->newest_era, ParseWrittenVersion(response.body));
       return result;
     }
     result.detail =
@@ -83,7 +121,7 @@
     if (response.status == 409) {
       result.state = WriteState::kConflict;
       if (!response.body.empty())
-        result.current = ParseObject(response.body);
+        result.current = ParseStoredObject(response.body);
       return result;
     }
     // After any other 5xx status the write may still have taken effect.
@@ -102,28 +140,62 @@
                           Version expected,
                           std::string_view body,
                           std::string_view token) {
-  HttpRequest request{"PUT", ObjectPath(kind, name), {}, {}};
-  request.headers.Add("If-Version", std::to_string(expected));
-  request.headers.Add("Content-Type", "application/json");
-  request.body = RenderWriteBody(body, token);
+  const auto make_request = [&](uint64_t era) {
+    HttpRequest request{"PUT", ObjectPath(kind, name), {}, {}};
+    request.headers.Add("Content-Type", "application/json");
+    request.body = RenderWriteBody(body, AddEra(era, token));
+    return request;
+  };
+  const uint64_t era = this->newest_era;
+  const WriteResult result = this->WriteAt(kind, name, expected, make_request);
+  if (result.state != WriteState::kWritten || EraOf(result.version) == era)
+    return result;
+  // The store came back from a copy meanwhile, so the object names a former
+  // era.
+  return this->WriteAt(kind, name, result.version, make_request);
+}
+
+WriteResult Client::WriteAt(
+    std::string_view kind,
+    std::string_view name,
+    Version expected,
+    const std::function<HttpRequest(uint64_t era)>& make_request) {
+  const uint64_t era = this->newest_era;
+  if (expected != 0 && EraOf(expected) < era) {
+    // The revision may have been given out again since.
+    try {
+      const std::optional<Object> found = this->Read(kind, name);
+      if (!found || found->version != expected)
+        return {WriteState::kConflict, 0, found, "written in a later era"};
+    } catch (const Error& error) {
+      return {WriteState::kRejected, 0, std::nullopt, error.what()};
+    }
+  }
+  HttpRequest request = make_request(era);
+  request.headers.Add("If-Version", std::to_string(RevisionOf(expected)));
   return this->SendWrite(request);
 }
 
 WriteResult Client::Delete(std::string_view kind,
                            std::string_view name,
                            Version expected) {
-  HttpRequest request{"DELETE", ObjectPath(kind, name), {}, {}};
-  request.headers.Add("If-Version", std::to_string(expected));
-  return this->SendWrite(request);
+  return this->WriteAt(kind, name, expected, [&](uint64_t) {
+    return HttpRequest{"DELETE", ObjectPath(kind, name), {}, {}};
+  });
 }
 
 ObjectList Client::List(std::string_view kind) {
   this->lists.Add();
   const HttpResponse response =
       this->Fetch({"GET", "/objects/" + std::string(kind), {}, ""});
+  const uint64_t era = this->CheckEra(response.headers);
   if (response.status != 200)
     ThrowForStatus(response.status);
-  return ParseObjectList(response.body);
+  ObjectList list = ParseObjectList(response.body);
+  list.version = MakeVersion(era, list.version);
+  for (Object& object : list.objects)
+    TakeEra(object);
+  return list;
 }
 
 WatchEnd Client::Watch(std::string_view kind,
@@ -133,8 +205,8 @@
                        common::Duration max_age,
                        const std::function<bool()>& should_stop) {
   this->watches.Add();
-  const std::string target =
-      "/watch/" + std::string(kind) + "?since=" + std::to_string(since);
+  const std::string target = "/watch/" + std::string(kind) +
+                             "?since=" + std::to_string(RevisionOf(since));
   const auto opened_at = std::chrono::steady_clock::now();
   std::string buffer;
   try {
@@ -144,6 +216,9 @@
                                    .fresh_connection = true});
     if (stream->status() != 200)
       ThrowForStatus(stream->status());
+    // Revisions of a former era mean nothing, even if the store accepts them.
+    if (this->CheckEra(stream->headers()) != EraOf(since))
+      return WatchEnd::kRestored;
     while (auto bytes = stream->Read()) {
       buffer += *bytes;
       size_t end;
@@ -151,7 +226,7 @@
         const std::string line = buffer.substr(0, end);
         buffer.erase(0, end + 1);
         // The platform sends empty lines as keep-alives.
-        if (!line.empty() && !on_change(ParseObject(line)))
+        if (!line.empty() && !on_change(ParseChange(line, EraOf(since))))
           return WatchEnd::kStopped;
       }
       if (should_stop && should_stop())
--- a/source/core/platform/client.h
+++ b/source/core/platform/client.h
@@ -1,6 +1,8 @@
 #ifndef CORE_PLATFORM_CLIENT_H_
 #define CORE_PLATFORM_CLIENT_H_
 
+#include <atomic>
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
@@ -14,6 +16,12 @@
 
 // HTTP client of the platform's object API. Every method suspends the calling
 // fiber. Calls are counted in `platform_calls_total{call}`.
+//
+// The store states its era in all answers. The client adds the era to the token
+// of each write, so that it can tell the version of an object that was written
+// before the store came back from a copy from that of one written since. An
+// answer of a former era, which arrives late, is an error. A store that states
+// no era is in era 0 for ever.
 class Client {
  public:
   Client(runtime::HttpClient& http,
@@ -25,6 +33,9 @@
   // malformed response, kProtocolError.
   std::optional<Object> Read(std::string_view kind, std::string_view name);
 
+  // The newest era that the store has stated.
+  uint64_t era() const { return this->newest_era; }
+
   // Writes `body` if the object's version is `expected` (0: the object must not
   // exist). Failed calls are reported as a WriteState, not thrown.
   WriteResult Write(std::string_view kind,
@@ -59,9 +70,21 @@
  private:
   runtime::HttpResponse Fetch(const runtime::HttpRequest& request);
   WriteResult SendWrite(const runtime::HttpRequest& request);
+  // Sends the write that `make_request` builds for an era, if the object has
+  // the version `expected`.
+  WriteResult WriteAt(
+      std::string_view kind,
+      std::string_view name,
+      Version expected,
+      const std::function<runtime::HttpRequest(uint64_t era)>& make_request);
+  // Returns the era that the response states. Throws common::Error
+  // kPlatformUnavailable if it is a former one.
+  uint64_t CheckEra(const runtime::HttpHeaders& headers);
 
   runtime::HttpClient& http;
   runtime::Address address;
+  // Calls come from all workers.
+  std::atomic<uint64_t> newest_era{0};
   common::Counter& reads;
   common::Counter& writes;
   common::Counter& lists;
--- a/source/core/platform/object.h
+++ b/source/core/platform/object.h
@@ -8,10 +8,25 @@
 
 namespace jujuberock::platform {
 
-// Version of an object: the value of the store-wide write counter at the
-// object's last write. Zero means that the object does not exist.
+// Version of an object: the era of the store in which the object was last
+// written, and below it the value of the store-wide write counter at that
+// write. Zero means that the object does not exist. A store that comes back
+// from an older copy of itself begins a new era and gives the values of its
+// counter out again, so only with the era do versions grow.
 using Version = uint64_t;
 
+inline constexpr int kRevisionBits = 40;
+
+constexpr Version MakeVersion(uint64_t era, uint64_t revision) {
+  return (era << kRevisionBits) | revision;
+}
+constexpr uint64_t EraOf(Version version) {
+  return version >> kRevisionBits;
+}
+constexpr uint64_t RevisionOf(Version version) {
+  return version & ((Version{1} << kRevisionBits) - 1);
+}
+
 // An object in the platform's store. `body` is JSON text of at most 1 MB.
 struct Object {
   std::string kind;
@@ -54,6 +69,8 @@
   kEnded,    // the connection was closed or broke
   kSilent,   // nothing arrived in time, not even a keep-alive line
   kExpired,  // the maximum age was reached
+  // The store came back from a copy: a list is needed to continue.
+  kRestored,
 };
 
 }  // namespace jujuberock::platform
--- a/source/core/table/platform_watcher.cc
+++ b/source/core/table/platform_watcher.cc
@@ -18,7 +18,8 @@
     KindState& state = this->kinds[i];
     if (state.call_in_progress || now < state.next_call_at)
       continue;
-    if (now - state.listed_at >= this->options.list_period)
+    const bool is_rewritten = state.is_incomplete && !this->IsRewriting(now);
+    if (is_rewritten || now - state.listed_at >= this->options.list_period)
       state.needs_list = true;
     state.call_in_progress = true;
     ++state.epoch;
@@ -45,6 +46,14 @@
   return state.call_in_progress && state.epoch == call.epoch;
 }
 
+bool PlatformWatcher::MayLackRows(Version version, common::TimePoint now) {
+  const uint64_t listed_era = platform::EraOf(version);
+  if (this->era && listed_era > *this->era)
+    this->restored_at = now;
+  this->era = std::max(this->era.value_or(listed_era), listed_era);
+  return this->IsRewriting(now);
+}
+
 void PlatformWatcher::OnListEnd(const WatcherCall& call,
                                 std::optional<Version> version,
                                 common::TimePoint now) {
@@ -59,6 +68,7 @@
   this->last_contact_time = now;
   state.needs_list = false;
   state.has_been_listed = true;
+  state.is_incomplete = this->IsRewriting(now);
   state.listed_at = now;
   state.since = std::max(state.since, *version);
 }
@@ -85,7 +95,8 @@
   }
   if (*end == platform::WatchEnd::kExpired)
     this->last_contact_time = now;
-  if (*end == platform::WatchEnd::kSilent)
+  if (*end == platform::WatchEnd::kSilent ||
+      *end == platform::WatchEnd::kRestored)
     state.needs_list = true;
   // During an outage watches may end immediately. Reopening them without a
   // delay would load the platform while it recovers.
--- a/source/core/table/platform_watcher.h
+++ b/source/core/table/platform_watcher.h
@@ -22,6 +22,9 @@
   common::Duration silence_limit = std::chrono::milliseconds(1500);
   // Every kind is listed at least this often, even if its watches work.
   common::Duration list_period = std::chrono::minutes(30);
+  // Time in which operators write again what a store has lost that came back
+  // from a copy. Each kind is listed once more at its end.
+  common::Duration rewrite_time = std::chrono::seconds(5);
   // Delay after a failed call.
   common::Duration retry_after = std::chrono::milliseconds(500);
 };
@@ -50,6 +53,9 @@
   // 100 ms.
   std::vector<WatcherCall> OnTick(common::TimePoint now, bool watch);
 
+  // Whether a list of this version may lack rows that the store has lost and
+  // that are not written again yet.
+  bool MayLackRows(Version version, common::TimePoint now);
   // Reports the end of a list call; `version` is nullopt if the call failed.
   void OnListEnd(const WatcherCall& call,
                  std::optional<Version> version,
@@ -77,6 +83,8 @@
     bool call_in_progress = false;
     bool needs_list = true;
     bool has_been_listed = false;
+    // Set if the last list may have lacked rows.
+    bool is_incomplete = false;
     Version since = 0;
     common::TimePoint listed_at;
     common::TimePoint next_call_at;
@@ -87,10 +95,18 @@
     return this->kinds[static_cast<size_t>(call.kind)];
   }
   void DiscardCalls();
+  bool IsRewriting(common::TimePoint now) const {
+    return this->restored_at &&
+           now - *this->restored_at < this->options.rewrite_time;
+  }
 
   WatcherOptions options;
   bool is_watching = false;
   std::array<KindState, kKindCount> kinds;
+  // The newest era of the store, and when it was first seen if it is not the
+  // first one.
+  std::optional<uint64_t> era;
+  std::optional<common::TimePoint> restored_at;
   std::optional<common::TimePoint> last_contact_time;
 };
 
--- a/source/core/table/shared_view.cc
+++ b/source/core/table/shared_view.cc
@@ -17,8 +17,10 @@
 }
 
 std::vector<Object> SharedView::ApplyList(Kind kind,
-                                          const platform::ObjectList& list) {
-  return this->Merge([&](View* view) { return view->ApplyList(kind, list); });
+                                          const platform::ObjectList& list,
+                                          bool keep_former) {
+  return this->Merge(
+      [&](View* view) { return view->ApplyList(kind, list, keep_former); });
 }
 
 std::vector<Object> SharedView::Merge(
--- a/source/core/table/shared_view.h
+++ b/source/core/table/shared_view.h
@@ -32,7 +32,9 @@
   // Merge objects, publish a new snapshot if anything changed, and return the
   // objects that changed.
   std::vector<Object> Apply(const std::vector<Object>& objects);
-  std::vector<Object> ApplyList(Kind kind, const platform::ObjectList& list);
+  std::vector<Object> ApplyList(Kind kind,
+                                const platform::ObjectList& list,
+                                bool keep_former);
 
   Digest MakeDigest() const;
   DigestSummary Summary() const;
--- a/source/core/table/view.cc
+++ b/source/core/table/view.cc
@@ -44,7 +44,8 @@
 }
 
 std::vector<Object> View::ApplyList(Kind kind,
-                                    const platform::ObjectList& list) {
+                                    const platform::ObjectList& list,
+                                    bool keep_former) {
   std::vector<Object> changed;
   std::set<std::string> listed;
   for (const Object& object : list.objects) {
@@ -57,7 +58,9 @@
   for (auto it = this->objects.lower_bound({kind_name, ""});
        it != this->objects.end() && it->first.first == kind_name; ++it) {
     const Object& held = it->second;
-    if (!held.deleted && held.version < list.version &&
+    const bool is_kept = keep_former && platform::EraOf(held.version) <
+                                            platform::EraOf(list.version);
+    if (!held.deleted && held.version < list.version && !is_kept &&
         !listed.contains(held.name))
       missing.push_back({kind_name, held.name, list.version, true, "", ""});
   }
--- a/source/core/table/view.h
+++ b/source/core/table/view.h
@@ -50,9 +50,13 @@
   bool Apply(const Object& object);
 
   // Merges a complete list of one kind read from the platform. A stored object
-  // that is older than the list and missing from it was deleted. Returns the
-  // objects that changed.
-  std::vector<Object> ApplyList(Kind kind, const platform::ObjectList& list);
+  // that is older than the list and missing from it was deleted; with
+  // `keep_former` only if it is of the list's era, since a store that has just
+  // come back from a copy may have lost the others. Returns the objects that
+  // changed.
+  std::vector<Object> ApplyList(Kind kind,
+                                const platform::ObjectList& list,
+                                bool keep_former = false);
 
   const Digest& digest() const { return this->current_digest; }
 
--- a/source/standin/engine_standin.cc
+++ b/source/standin/engine_standin.cc
@@ -10,7 +10,7 @@
 #include "core/runtime/sleep.h"
 #include "standin/clock.h"
 #include "standin/completion_text.h"
-#include "standin/naming_writer.h"
+#include "standin/field_writer.h"
 
 namespace jujuberock::standin {
 
@@ -138,7 +138,7 @@
       !target.segments.empty() && target.segments[0] == "control";
   if (!is_control)
     this->connection_stall.WaitIfStalled();
-  NamingWriter naming_writer(request, writer);
+  FieldWriter naming_writer = NameRequest(request, writer);
   for (const RouteEntry& entry : Routes()) {
     if (request.method == entry.method &&
         PathMatches(entry.path, target.segments))
--- a/source/standin/plain_service_standin.cc
+++ b/source/standin/plain_service_standin.cc
@@ -5,7 +5,7 @@
 
 #include "core/common/hash.h"
 #include "core/runtime/sleep.h"
-#include "standin/naming_writer.h"
+#include "standin/field_writer.h"
 
 namespace jujuberock::standin {
 
@@ -60,7 +60,7 @@
     const std::string key = std::string(*team) + "/" + target.segments[1];
     return this->Status(key, writer);
   }
-  NamingWriter naming_writer(request, writer);
+  FieldWriter naming_writer = NameRequest(request, writer);
   this->Execute(request, naming_writer);
 }
 
--- a/source/standin/platform_standin.cc
+++ b/source/standin/platform_standin.cc
@@ -6,6 +6,7 @@
 
 #include "core/common/error.h"
 #include "core/runtime/sleep.h"
+#include "standin/field_writer.h"
 
 namespace jujuberock::standin {
 
@@ -93,11 +94,21 @@
     return SendStatus(writer, 503);
   }
   const bool is_write = request.method != "GET";
+  FieldWriter era_writer(writer, "Store-Era",
+                         std::to_string(this->store.era()));
   TokenBucket& limiter = is_write ? this->write_limiter : this->read_limiter;
   if (!limiter.TryTake(Now())) {
     ++this->counts.limited;
-    return SendStatus(writer, 429);
+    return SendStatus(era_writer, 429);
   }
+  this->Serve(request, target, era_writer);
+}
+
+void PlatformStandin::Serve(const HttpRequest& request,
+                            const Target& target,
+                            ResponseWriter& writer) {
+  const std::string& area = target.segments[0];
+  const bool is_write = request.method != "GET";
   if (area == "watch" && !is_write && target.segments.size() == 2)
     return this->Watch(target, writer);
   if (area == "objects" && !is_write && target.segments.size() == 2)
@@ -144,6 +155,11 @@
     this->responses_to_drop = faults["lose_answers"].get<uint64_t>();
   if (faults.contains("silent_watches"))
     this->silent_watches = faults["silent_watches"].get<bool>();
+  if (faults.value("copy", false))
+    this->store.Copy();
+  // Watches that wait are cut off, as in an outage.
+  if (faults.value("restore", false))
+    this->store.Restore();
   this->change_signal.NotifyAll();
 }
 
@@ -217,9 +233,10 @@
 void PlatformStandin::Watch(const Target& target, ResponseWriter& writer) {
   ++this->counts.watches;
   uint64_t since = target.NumberOr("since", 0);
+  const uint64_t era = this->store.era();
   writer.StartStream(200, {{"Content-Type", "application/x-ndjson"}});
   common::TimePoint last_line = Now();
-  while (!this->InOutage()) {
+  while (!this->InOutage() && this->store.era() == era) {
     std::string lines;
     if (!this->silent_watches) {
       for (const StoredObject* object :
--- a/source/standin/platform_standin.h
+++ b/source/standin/platform_standin.h
@@ -27,9 +27,10 @@
 
 // Simulates the platform's object API, section 5.6 of the design. POST
 // /control/faults injects faults with any of `outage_ms`, `delay_ms`,
-// `lose_answers` (number of writes that take effect without a response) and
+// `lose_answers` (number of writes that take effect without a response),
 // `silent_watches` (open and new watches send nothing, not even keep-alive
-// lines).
+// lines), `copy` (makes a copy of the store) and `restore` (brings the last
+// copy back and cuts watches off). All answers state the era of the store.
 class PlatformStandin : public Standin {
  public:
   explicit PlatformStandin(PlatformOptions options);
@@ -56,6 +57,9 @@
                const Target& target,
                runtime::ResponseWriter& writer);
   void SetFaults(const nlohmann::json& faults);
+  void Serve(const runtime::HttpRequest& request,
+             const Target& target,
+             runtime::ResponseWriter& writer);
   void Read(const Target& target, runtime::ResponseWriter& writer);
   void List(const Target& target, runtime::ResponseWriter& writer);
   void Change(const runtime::HttpRequest& request,
--- a/source/standin/platform_store.cc
+++ b/source/standin/platform_store.cc
@@ -86,4 +86,15 @@
   return changes;
 }
 
+void PlatformStore::Copy() {
+  this->copied_objects = this->objects;
+  this->copied_version = this->last_version;
+}
+
+void PlatformStore::Restore() {
+  this->objects = this->copied_objects;
+  this->last_version = this->copied_version;
+  ++this->current_era;
+}
+
 }  // namespace jujuberock::standin
--- a/source/standin/platform_store.h
+++ b/source/standin/platform_store.h
@@ -56,12 +56,25 @@
                                                 uint64_t since) const;
 
   uint64_t version() const { return this->last_version; }
+  // Rises by one each time that the store comes back from an older copy.
+  uint64_t era() const { return this->current_era; }
+
+  // Makes the copy that Restore() brings back.
+  void Copy();
+  // Drops what was written since the copy was made. Its versions are given out
+  // again.
+  void Restore();
 
  private:
   uint64_t VersionOf(const std::string& kind, const std::string& name) const;
 
-  std::map<std::pair<std::string, std::string>, StoredObject> objects;
+  using Objects = std::map<std::pair<std::string, std::string>, StoredObject>;
+
+  Objects objects;
   uint64_t last_version = 0;
+  uint64_t current_era = 0;
+  Objects copied_objects;
+  uint64_t copied_version = 0;
 };
 
 }  // namespace jujuberock::standin
--- a/source/unit_tests/core/serve/deployment.cc
+++ b/source/unit_tests/core/serve/deployment.cc
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "core/platform/client.h"
 #include "core/runtime/sleep.h"
 #include "standin/completion_text.h"
 
@@ -259,20 +260,14 @@
                            const std::string& name,
                            const std::string& body) {
   this->pool.Run([&] {
-    const auto at = *runtime::Address::Parse(this->platform->address());
-    const std::string path = "/objects/" + kind + "/" + name;
-    const HttpResponse current_object =
-        this->client.Fetch(at, {"GET", path, {}, ""});
-    const uint64_t version =
-        current_object.status == 200
-            ? json::parse(current_object.body).at("version").get<uint64_t>()
-            : 0;
-    const HttpResponse written = this->client.Fetch(
-        at, {"PUT",
-             path,
-             {{"If-Version", std::to_string(version)}},
-             json{{"token", "t"}, {"body", json::parse(body)}}.dump()});
-    REQUIRE(written.status == 200);
+    common::MetricRegistry counters;
+    platform::Client store(this->client,
+                           *runtime::Address::Parse(this->platform->address()),
+                           counters);
+    const auto current = store.Read(kind, name);
+    const auto written =
+        store.Write(kind, name, current ? current->version : 0, body, "t");
+    REQUIRE(written.state == platform::WriteState::kWritten);
   });
 }
 
--- a/source/unit_tests/core/serve/host_test.cc
+++ b/source/unit_tests/core/serve/host_test.cc
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include "core/routing/block_key.h"
+#include "standin/completion_text.h"
 #include "unit_tests/core/caller/raw_client.h"
 #include "unit_tests/core/serve/deployment.h"
 
@@ -35,6 +36,12 @@
   return sum;
 }
 
+// A band of a team's row that covers the day.
+std::string AllDayTeamBand() {
+  return R"({"from": "00:00", "to": "24:00", "weight": 1,
+             "max_running": 100, "patience_ms": 5000})";
+}
+
 // Waits up to 3 s for a condition to become true.
 template <typename Condition>
 bool Eventually(Condition condition) {
@@ -228,6 +235,37 @@
   REQUIRE(json::parse(without_key.body)["outcome"] == "not_run");
 }
 
+// Guards against keys and rows that a store which came back from a copy gives
+// out again below the known version, and against dropping those that it lost.
+TEST_CASE("a key that is withdrawn after a restore of the store is refused") {
+  Deployment deployment(2);
+  const std::string band = AllDayTeamBand();
+  const auto team = [&](const std::string& key) {
+    return R"({"keys": [")" + standin::Sha256Hex(key) + R"("], "bands": [)" +
+           band + "]}";
+  };
+  const auto statuses = [&](const std::string& key) {
+    std::vector<int> found;
+    for (const size_t host : {0, 1})
+      found.push_back(deployment
+                          .Post(host, "/services/cajas-app/price", "",
+                                {{"Authorization", "Bearer " + key}})
+                          .status);
+    return found;
+  };
+  const std::vector<int> accepted(2, 200);
+  const std::vector<int> refused(2, 401);
+  deployment.platform->SetFaults(R"({"copy": true})");
+  for (int i = 0; i < 10; ++i)
+    deployment.PutObject("team", "gamma", team("key-of-gamma"));
+  REQUIRE(Eventually([&] { return statuses("key-of-gamma") == accepted; }));
+  deployment.platform->SetFaults(R"({"restore": true})");
+  deployment.PutObject("team", "alfa", team("new-key"));
+  CHECK(Eventually([&] { return statuses(kTeamKey) == refused; }));
+  CHECK(statuses("new-key") == accepted);
+  CHECK(statuses("key-of-gamma") == accepted);
+}
+
 // Two teams may use the same key. Guards against returning one team's answer to
 // the other, and against refusing a call because of another team's key.
 TEST_CASE("Idempotency-Keys are scoped to their team") {
--- a/source/unit_tests/core/table/view_test.cc
+++ b/source/unit_tests/core/table/view_test.cc
@@ -59,6 +59,31 @@
   CHECK(PatienceOf(view, "kept") == milliseconds(90));
 }
 
+// Guards against dropping accepted rows because a store that came back from an
+// older copy does not have them yet, and against taking its older ones.
+TEST_CASE("a list of a later era reverts nothing") {
+  const auto later = [](uint64_t revision) {
+    return platform::MakeVersion(1, revision);
+  };
+  View view;
+  view.Apply(TeamRow("lost", 60, 600));
+  view.Apply(TeamRow("older", 61, 610));
+  view.Apply(Tombstone("back", 62));
+  view.Apply(TeamRow("written", 63, 630));
+  const platform::ObjectList copy = {
+      later(45),
+      {TeamRow("older", 40, 400), TeamRow("back", 41, 410),
+       TeamRow("written", later(44), 440)}};
+  view.ApplyList(Kind::kTeam, copy, true);
+  CHECK(PatienceOf(view, "lost") == milliseconds(600));
+  CHECK(PatienceOf(view, "older") == milliseconds(610));
+  CHECK(PatienceOf(view, "back") == milliseconds(0));
+  CHECK(PatienceOf(view, "written") == milliseconds(440));
+  // It was not written again.
+  view.ApplyList(Kind::kTeam, copy);
+  CHECK(view.Find("team", "lost")->deleted);
+}
+
 // An invalid object must not remove the valid row, and must still be
 // replicated.
 TEST_CASE("an invalid row is reported and the last valid one stays in effect") {
--- a/source/unit_tests/standin/platform_standin_test.cc
+++ b/source/unit_tests/standin/platform_standin_test.cc
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 #include <string>
+#include <vector>
 
 #include "core/common/metrics.h"
 #include "core/platform/client.h"
@@ -104,6 +105,79 @@
   });
 }
 
+// Guards against taking an older object for a newer one, or a new one for an
+// older one, after the store came back from a copy: its revisions go back and
+// are given out again.
+TEST_CASE("versions grow though the store comes back from a copy") {
+  Fixture f;
+  f.pool.Run([&] {
+    f.client.Write("team", "a", 0, R"({"x": 1})", "t1");
+    const platform::Object copied = *f.client.Read("team", "a");
+    f.SetFault(R"({"copy": true})");
+    const auto lost =
+        f.client.Write("team", "a", copied.version, R"({"x": 2})", "t2");
+    const auto lost_list = f.client.List("team");
+    f.SetFault(R"({"restore": true})");
+
+    CHECK(f.client.Read("team", "a")->version == copied.version);
+    CHECK(f.client.List("team").version > lost_list.version);
+    CHECK(f.client.era() == 1);
+    const auto again =
+        f.client.Write("team", "a", copied.version, R"({"x": 3})", "t3");
+    REQUIRE(again.state == WriteState::kWritten);
+    CHECK(again.version > lost.version);
+    // The same revision.
+    CHECK(platform::RevisionOf(again.version) ==
+          platform::RevisionOf(lost.version));
+    const platform::Object found = *f.client.Read("team", "a");
+    CHECK(found.version == again.version);
+    CHECK(found.token == "t3");
+    CHECK(f.client.List("team").objects.at(0).version == again.version);
+
+    const auto late = f.client.Write("team", "a", lost.version, "{}", "t4");
+    CHECK(late.state == WriteState::kConflict);
+    REQUIRE(late.current);
+    CHECK(late.current->version == again.version);
+    CHECK(f.client.Delete("team", "a", lost.version).state ==
+          WriteState::kConflict);
+  });
+}
+
+// Guards against a watch that goes on from a revision of the former era, which
+// the store accepts once new changes have passed it.
+TEST_CASE("a watch ends when the store comes back from a copy") {
+  Fixture f;
+  f.pool.Run([&] {
+    f.client.Write("team", "a", 0, "{}", "t1");
+    f.SetFault(R"({"copy": true})");
+    f.client.Write("team", "b", 0, "{}", "t2");
+    const auto version = f.client.List("team").version;
+    std::vector<platform::WatchEnd> ends;
+    const auto watch = [&] {
+      ends.push_back(f.client.Watch(
+          "team", version, std::chrono::seconds(5),
+          [](const auto&) { return true; }, std::chrono::seconds(2)));
+    };
+    runtime::SpawnLocal([&] {
+      runtime::SleepFor(milliseconds(10));
+      f.SetFault(R"({"restore": true})");
+    });
+    watch();
+    f.client.Write("team", "c", 0, "{}", "t3");
+    f.client.Write("team", "d", 0, "{}", "t4");
+    watch();
+    CHECK(ends == std::vector{platform::WatchEnd::kEnded,
+                              platform::WatchEnd::kRestored});
+    std::string changes;
+    f.client.Watch("team", f.client.List("team").version - 1,
+                   std::chrono::seconds(5), [&](const auto& object) {
+                     changes += object.name;
+                     return platform::EraOf(object.version) != 1;
+                   });
+    CHECK(changes == "d");
+  });
+}
+
 // Guards against a plain service that hides duplicate executions, so that tests
 // could not detect them.
 TEST_CASE("the plain service counts every execution of a key") {
