Run no call again whose record the platform's store has lost

Callers of serve: a call that runs at most once could run a second time. The platform's store came back from a copy without the call's record, the owner of the shard was gone, and the next owner took the missing record for a call that had never been sent.

Change: the head of a shard names the era of the store. When a head is written in a later one, calls without a record that were issued before, or up to 2 s after, have an unknown outcome: they are neither run nor told as not run. Calls issued since run as before, and a host that knows the answer replays it.

--- a/source/core/journal/options.h
+++ b/source/core/journal/options.h
@@ -38,6 +38,9 @@
   std::chrono::milliseconds retention = std::chrono::hours(24);
   // Maximum time by which an issue time may be ahead of the owner's clock.
   std::chrono::milliseconds future_limit = std::chrono::minutes(5);
+  // Calls issued up to this long after a restore of the store was noticed may
+  // have run before it, since clocks of callers may be ahead.
+  std::chrono::milliseconds restore_margin = std::chrono::seconds(2);
   // A granted call issued longer ago is reported as unknown, not in progress.
   std::chrono::milliseconds in_progress_limit = std::chrono::minutes(10);
   // Finished records are sealed once the head's records exceed this size.
--- a/source/core/journal/record.cc
+++ b/source/core/journal/record.cc
@@ -159,6 +159,8 @@
                       {"term", head.term},
                       {"owner", head.owner},
                       {"floor", ToMillis(head.floor)},
+                      {"store_era", head.store_era},
+                      {"lost_until", ToMillis(head.lost_until)},
                       {"next_object", head.next_object},
                       {"segments", std::move(segments)},
                       {"indexes", std::move(indexes)}};
@@ -177,6 +179,9 @@
     head.term = value.at("term").get<Term>();
     head.owner = value.at("owner").get<std::string>();
     head.floor = FromMillis(value.at("floor"));
+    head.store_era = value.value("store_era", uint64_t{0});
+    if (value.contains("lost_until"))
+      head.lost_until = FromMillis(value["lost_until"]);
     head.next_object = value.at("next_object").get<uint64_t>();
     for (const json& index : value.at("indexes"))
       head.indexes.push_back({index.at(0).get<std::string>(),
--- a/source/core/journal/record.h
+++ b/source/core/journal/record.h
@@ -63,6 +63,11 @@
   // dropped. It is stored and never decreases, so that hosts with different
   // clocks agree on it.
   common::UnixTime floor;
+  // Era of the platform's store in which this head was in force, and the issue
+  // time before which calls may have run whose records the store has lost when
+  // it came back from an older copy.
+  uint64_t store_era = 0;
+  common::UnixTime lost_until;
   // Number for the next segment or index of this term.
   uint64_t next_object = 0;
   std::vector<SegmentInfo> segments;  // segments not listed by an index
--- a/source/core/journal/shard_owner.cc
+++ b/source/core/journal/shard_owner.cc
@@ -248,6 +248,14 @@
     this->LoadMore();
 }
 
+void ShardOwner::CheckEra(uint64_t era, UnixTime wall) {
+  if (era == this->head.store_era)
+    return;
+  // The next write of the head, which commits the next intent, contains this.
+  this->head.store_era = era;
+  this->head.lost_until = wall + this->options.restore_margin;
+}
+
 void ShardOwner::LoadMore() {
   const size_t segments = this->head.segments.size();
   const size_t total = segments + this->head.indexes.size();
--- a/source/core/journal/shard_owner.h
+++ b/source/core/journal/shard_owner.h
@@ -172,6 +172,9 @@
                   common::TimePoint now);
   void TakeOver(const std::optional<platform::Object>& object);
   void OnTakenOver(common::TimePoint now, common::UnixTime wall);
+  // Checks the era in which the head was written. In a new one, records of
+  // calls that have run may be lost.
+  void CheckEra(uint64_t era, common::UnixTime wall);
   void InsertEntry(Entry entry);
   void LoadMore();
   void OnSealedLoaded(const std::string& name,
--- a/source/core/journal/shard_owner_records.cc
+++ b/source/core/journal/shard_owner_records.cc
@@ -40,6 +40,10 @@
   } else if (this->SearchSealed(pending)) {
     return;
   }
+  if (request.issued < this->head.lost_until) {
+    this->Reply(pending.to, PermitDecision::kUnknown);
+    return;
+  }
   if (request.issued < this->head.floor ||
       request.issued < wall - this->options.retention) {
     this->Reply(pending.to, PermitDecision::kTooOld);
--- a/source/core/journal/shard_owner_writes.cc
+++ b/source/core/journal/shard_owner_writes.cc
@@ -220,6 +220,7 @@
   }
   this->version = pending.version;
   this->committed_change = pending.change;
+  this->CheckEra(platform::EraOf(pending.version), wall);
   if (this->state == State::kTakingOver) {
     this->OnTakenOver(now, wall);
     return;
--- a/source/unit_tests/core/serve/host_test.cc
+++ b/source/unit_tests/core/serve/host_test.cc
@@ -235,6 +235,28 @@
   REQUIRE(json::parse(without_key.body)["outcome"] == "not_run");
 }
 
+// Guards against running a call a second time because the store came back from
+// a copy without its record, and the owner of the shard is gone.
+TEST_CASE("a call whose record the store has lost does not run again") {
+  Deployment deployment(2);
+  deployment.platform->SetFaults(R"({"copy": true})");
+  const std::string path = "/services/cajas-app/pay/1";
+  const runtime::HttpHeaders identity = {
+      {"Idempotency-Key", "k1"}, {"Jujuberock-Issued-At", Deployment::Now()}};
+  REQUIRE(deployment.Post(0, path, "a", identity).status == 200);
+  deployment.StopHost(0);
+  deployment.platform->SetFaults(R"({"restore": true})");
+  const auto again = deployment.Post(1, path, "a", identity);
+  REQUIRE(again.status != 200);
+  REQUIRE(json::parse(again.body)["outcome"] == "unknown");
+  // A call that was issued since runs.
+  std::this_thread::sleep_for(std::chrono::seconds(4));
+  const runtime::HttpHeaders later = {
+      {"Idempotency-Key", "k2"}, {"Jujuberock-Issued-At", Deployment::Now()}};
+  const auto next = deployment.Post(1, path, "a", later);
+  REQUIRE(next.status == 200);
+}
+
 // Guards against keys and rows that a store which came back from a copy gives
 // out again below the known version, and against dropping those that it lost.
 TEST_CASE("a key that is withdrawn after a restore of the store is refused") {
