Begin the terms of orders with the era of the platform's store in serve

Two holders of the orders of a service could send orders with one fencing number after the platform's store had come back from a copy: the term of the first one was lost with the object, and the next claim gave it out again.

Cause: the term was the stored one plus one, so it went back with the store.

Change: a term begins with the era. A claim that was written in a later era than the object had is made once more on top of it. The new holder waits for the orders of a former one to expire, whether it knows of one or not.

Evidence: 'terms of a later era are above those of a former one' of test_orders; the change is needed for it to pass (term 1, held at once, without it).

--- a/source/core/orders/version_rollout.cc
+++ b/source/core/orders/version_rollout.cc
@@ -1,5 +1,6 @@
 #include "core/orders/version_rollout.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <nlohmann/json.hpp>
@@ -13,6 +14,9 @@
 
 namespace {
 
+// The low bits of a term count the claims of an era; the era is above them.
+constexpr int kTermBits = 32;
+
 struct OrderObject {
   uint64_t term = 0;
   std::string holder;
@@ -118,9 +122,11 @@
   // after a restart it has the same name but does not know which orders are in
   // flight.
   this->state = State::kClaiming;
+  const uint64_t era = platform::EraOf(this->object_version);
+  this->claimed_term = std::max(this->object_term, era << kTermBits) + 1;
   WriteOrderObject write;
   write.expected = this->object_version;
-  write.body = RenderOrderObject({this->object_term + 1, this->host});
+  write.body = RenderOrderObject({this->claimed_term, this->host});
   write.token = this->host + "/" + std::to_string(this->object_version) + "/" +
                 std::to_string(++this->claim_count);
   return {write};
@@ -133,7 +139,10 @@
   switch (result.state) {
     case WriteState::kWritten:
       this->object_version = result.version;
-      ++this->object_term;
+      this->object_term = this->claimed_term;
+      // Written in a later era than the object had, whose terms may be lost.
+      if (platform::EraOf(result.version) > this->object_term >> kTermBits)
+        return this->Claim();
       this->BecomeHolder(now);
       return this->IssueOrders(now);
     case WriteState::kUnknown:
--- a/source/core/orders/version_rollout.h
+++ b/source/core/orders/version_rollout.h
@@ -71,7 +71,9 @@
 // Rolls out the desired weight version to the endpoints of one service. Only
 // the host that holds the service's orders issues orders. The term in the
 // platform's `order` object serves as the fencing number; a host takes over by
-// raising it in a conditional write. A pure state machine: the caller performs
+// raising it in a conditional write. A store that comes back from an older copy
+// may lack the last terms, so a term begins with the era in which it was given
+// out. A pure state machine: the caller performs
 // the actions and reports the replies. Not thread-safe.
 class VersionRollout {
  public:
@@ -133,6 +135,7 @@
   // The order object as last read.
   platform::Version object_version = 0;
   uint64_t object_term = 0;
+  uint64_t claimed_term = 0;
   uint64_t claim_count = 0;
   uint64_t held_term = 0;
   common::TimePoint held_since;
--- a/source/unit_tests/core/orders/version_rollout_test.cc
+++ b/source/unit_tests/core/orders/version_rollout_test.cc
@@ -331,5 +331,37 @@
   CHECK(rollout.OnTick(TimePoint(seconds(4))).size() == 1);
 }
 
+// Guards against a fencing number that two holders use, because the store came
+// back from a copy that lacks the object of the first one, or has an older one.
+TEST_CASE("terms of a later era are above those of a former one") {
+  const Object older{
+      "order",     "service", 7, false, R"({"term":4,"holder":"host-0"})",
+      "host-0/1/1"};
+  for (const std::optional<Object>& copied :
+       {std::optional<Object>(), std::optional<Object>(older)}) {
+    INFO("the copy has an object: " << copied.has_value());
+    VersionRollout rollout("service", "host-1", RolloutOptions());
+    rollout.SetDesired({"model", "v2", 1});
+    rollout.SetPreferred(true);
+    rollout.SetEndpoints({"engine"});
+    rollout.OnTick(TimePoint());
+    rollout.OnReadReply(false, copied, TimePoint());
+    const platform::Version written = platform::MakeVersion(1, 8);
+    const Actions again = rollout.OnWriteReply(
+        {WriteState::kWritten, written, std::nullopt, ""}, TimePoint());
+    REQUIRE_FALSE(rollout.holds_orders());
+    REQUIRE(again.size() == 1);
+    REQUIRE(std::get<WriteOrderObject>(again[0]).expected == written);
+    rollout.OnWriteReply(
+        {WriteState::kWritten, platform::MakeVersion(1, 9), std::nullopt, ""},
+        TimePoint());
+    REQUIRE(rollout.holds_orders());
+    CHECK(rollout.term() > uint64_t{1} << 32);
+    // The orders of the former holder must have expired.
+    rollout.OnReport({"engine", 4, "v1", false}, TimePoint(seconds(1)));
+    CHECK(rollout.OnTick(TimePoint(seconds(1))).empty());
+  }
+}
+
 }  // namespace
 }  // namespace jujuberock::orders
