Give up answers that trickle in serve

Callers of serve waited past their deadline: a service or an engine that sent a byte now and then, without the end of its answer or event, was never given up. Control calls to engines and the platform were held the same way.

Cause: a timeout bounded each wait for bytes, not the wait for what they are a part of.

Change: the body of a fetched response has a timeout of its own, and so has the wait for one event; an event is at most 1 MB. A sound stream is not cut: each event begins a new wait.

--- a/source/core/endpoint/engine_client.cc
+++ b/source/core/endpoint/engine_client.cc
@@ -1,5 +1,6 @@
 #include "core/endpoint/engine_client.h"
 
+#include <chrono>
 #include <utility>
 
 #include <nlohmann/json.hpp>
@@ -22,9 +23,13 @@
 // wait means that the engine or its link has failed.
 constexpr common::Duration kControlTimeout = std::chrono::seconds(2);
 
+// Limit on the bytes of an event that are held until it ends.
+constexpr size_t kMaxEventBytes = 1024 * 1024;
+
 const runtime::HttpCallOptions kControlOptions{
     .header_timeout = kControlTimeout,
-    .read_timeout = kControlTimeout};
+    .read_timeout = kControlTimeout,
+    .body_timeout = kControlTimeout};
 
 // Applies `decode` to the parsed text. Throws common::Error kProtocolError if
 // the text is not JSON or `decode` rejects it.
@@ -165,7 +170,7 @@
 }
 
 std::optional<EngineEvent> EngineStream::Next(common::Duration timeout) {
-  this->stream->set_read_timeout(timeout);
+  const auto deadline = std::chrono::steady_clock::now() + timeout;
   while (true) {
     if (auto data = this->NextEventData()) {
       const EngineEvent event = ParseJson(*data, EventFromJson);
@@ -173,10 +178,20 @@
         this->DrainBody();
       return event;
     }
+    // The bytes of an event that never ends do not prolong the wait for it.
+    const auto left = std::chrono::duration_cast<common::Duration>(
+        deadline - std::chrono::steady_clock::now());
+    if (left <= common::Duration::zero())
+      throw runtime::HttpError(ResultCode::kEndpointSilent, "no event in time",
+                               true);
+    this->stream->set_read_timeout(left);
     auto bytes = this->stream->Read();
     if (!bytes)
       return std::nullopt;
     this->buffer += *bytes;
+    if (this->buffer.size() + this->event_data.size() > kMaxEventBytes)
+      throw runtime::HttpError(ResultCode::kEndpointFailed,
+                               "an event is too long", true);
   }
 }
 
--- a/source/core/endpoint/plain_client.cc
+++ b/source/core/endpoint/plain_client.cc
@@ -50,6 +50,7 @@
   return this->http.Fetch(service, request,
                           {.header_timeout = timeout,
                            .read_timeout = timeout,
+                           .body_timeout = timeout,
                            .naming_field = kRequestIdField,
                            .check_end = true});
 }
@@ -62,6 +63,7 @@
   return this->http.Fetch(service, request,
                           {.header_timeout = timeout,
                            .read_timeout = timeout,
+                           .body_timeout = timeout,
                            .fresh_connection = true,
                            .before_first_byte = before_first_byte,
                            .check_end = true});
@@ -74,7 +76,9 @@
   const std::string target = status_path + "/" + EscapePathSegment(key);
   const HttpResponse response = this->http.Fetch(
       service, {"GET", target, {{"Jujuberock-Team", team}}, ""},
-      {.header_timeout = kStatusTimeout, .read_timeout = kStatusTimeout});
+      {.header_timeout = kStatusTimeout,
+       .read_timeout = kStatusTimeout,
+       .body_timeout = kStatusTimeout});
   if (response.status != 200)
     throw Error(
         ResultCode::kEndpointFailed,
--- a/source/core/platform/client.cc
+++ b/source/core/platform/client.cc
@@ -63,9 +63,10 @@
 
 HttpResponse Client::Fetch(const HttpRequest& request) {
   try {
-    HttpResponse response = this->http.Fetch(
-        this->address, request,
-        {.header_timeout = kCallTimeout, .read_timeout = kCallTimeout});
+    HttpResponse response = this->http.Fetch(this->address, request,
+                                             {.header_timeout = kCallTimeout,
+                                              .read_timeout = kCallTimeout,
+                                              .body_timeout = kCallTimeout});
     this->CheckEra(response.headers);
     return response;
   } catch (const runtime::HttpError& error) {
--- a/source/core/runtime/http_client.cc
+++ b/source/core/runtime/http_client.cc
@@ -33,6 +33,7 @@
 // Shorter timeouts do not show that a connection has fallen silent: a busy peer
 // may need as long.
 constexpr common::Duration kMinSilence = std::chrono::milliseconds(100);
+constexpr common::Duration kMinTimeout = std::chrono::milliseconds(1);
 // Time in which a process that ends closes all of its sockets.
 constexpr common::Duration kCloseBatchTime = std::chrono::milliseconds(20);
 
@@ -53,6 +54,13 @@
 
 using ConnectionPtr = std::unique_ptr<Connection>;
 
+// At least a moment, so that a read with it times out.
+common::Duration TimeUntil(SteadyTime deadline) {
+  const auto left = std::chrono::duration_cast<common::Duration>(
+      deadline - std::chrono::steady_clock::now());
+  return std::max(left, kMinTimeout);
+}
+
 ResultCode ResultCodeOf(const error_code& error) {
   return error == beast::error::timeout ? ResultCode::kEndpointSilent
                                         : ResultCode::kEndpointFailed;
@@ -293,8 +301,16 @@
   HttpResponse response;
   response.status = stream->status();
   response.headers = stream->headers();
-  while (auto bytes = stream->Read())
+  const SteadyTime deadline =
+      std::chrono::steady_clock::now() + options.body_timeout;
+  while (true) {
+    stream->set_read_timeout(
+        std::min(options.read_timeout, TimeUntil(deadline)));
+    const auto bytes = stream->Read();
+    if (!bytes)
+      break;
     response.body += *bytes;
+  }
   if (options.check_end && stream->ends_with_connection())
     this->CheckListening(address);
   return response;
--- a/source/core/runtime/http_client.h
+++ b/source/core/runtime/http_client.h
@@ -47,6 +47,9 @@
   common::Duration header_timeout = std::chrono::seconds(30);
   // Limit on the wait for the next bytes of the body.
   common::Duration read_timeout = std::chrono::seconds(30);
+  // Limit on the time from the header to the end of the body, for Fetch().
+  // Without it, a peer that sends a byte now and then is never given up.
+  common::Duration body_timeout = std::chrono::seconds(30);
   // Opens a new connection instead of using a pooled one. For requests that
   // must not be retried: the peer may already have closed a pooled connection.
   bool fresh_connection = false;
