Log who ended a request without a whole answer, and what was owed

Nothing was logged when a started answer was cut, when the server sent nothing to a caller that had left, or why a canceled send was not followed by another one.

request_unanswered has who ended it, whether the whole answer or its rest was owed, why no other endpoint went on, and the versions of the configuration at the start and at the end.

--- a/source/core/events/event_log.h
+++ b/source/core/events/event_log.h
@@ -58,9 +58,10 @@
   kRequestResumed,
   kRequestCut,
   kRequestAnswered,
+  kRequestUnanswered,
 };
 
-inline constexpr size_t kEventCount = 33;
+inline constexpr size_t kEventCount = 34;
 
 inline constexpr common::NameTable<Event, kEventCount> kEventNames(
     {"started",
@@ -95,7 +96,8 @@
      "request_resent",
      "request_resumed",
      "request_cut",
-     "request_answered"});
+     "request_answered",
+     "request_unanswered"});
 
 // Fields that a line may have.
 enum class Field {
@@ -141,9 +143,12 @@
   kConnectionEnd,
   kStoreEra,
   kRevision,
+  kEndedBy,
+  kOwed,
+  kCurrentVersion,
 };
 
-inline constexpr size_t kFieldCount = 42;
+inline constexpr size_t kFieldCount = 45;
 
 inline constexpr common::NameTable<Field, kFieldCount> kFieldNames(
     {"request",
@@ -187,7 +192,10 @@
      "inside_event",
      "connection_end",
      "store_era",
-     "revision"});
+     "revision",
+     "ended_by",
+     "owed",
+     "current_version"});
 
 Level LevelOf(Event event);
 
--- a/source/core/gateway/request_task.cc
+++ b/source/core/gateway/request_task.cc
@@ -68,12 +68,23 @@
 }
 
 void RequestTask::Run() {
-  this->Route();
-  this->PickService();
-  this->CheckCrashMarks();
-  this->CheckParts();
-  this->WatchCaller();
-  this->deps.dispatcher.retries().OnRequest(this->service, this->received_at);
+  try {
+    this->Route();
+    this->PickService();
+    this->CheckCrashMarks();
+    this->CheckParts();
+    this->WatchCaller();
+    this->deps.dispatcher.retries().OnRequest(this->service, this->received_at);
+    this->RunUntilAnswered();
+  } catch (const Error& error) {
+    this->LogUnanswered(error);
+    throw;
+  }
+  this->deps.answered.Add();
+  this->deps.total.Observe(runtime::BootNow() - this->received_at);
+}
+
+void RequestTask::RunUntilAnswered() {
   while (true) {
     const dispatch::EndpointChoice choice = this->AwaitEndpoint();
     this->CheckParts();
@@ -85,8 +96,6 @@
     if (!this->MaySendAgain(result))
       this->FailRequest();
   }
-  this->deps.answered.Add();
-  this->deps.total.Observe(runtime::BootNow() - this->received_at);
 }
 
 void RequestTask::Route() {
@@ -208,8 +217,11 @@
       return *choice;
     }
     if (decision.step == AdmissionStep::kRefuse || out_of_time) {
-      if (this->sends > 0)
+      if (this->sends > 0) {
+        this->give_up_reason =
+            out_of_time ? GiveUpReason::kTime : GiveUpReason::kNoEndpoint;
         this->FailRequest();
+      }
       this->Refuse(
           choice ? ResultCode::kDeadlineUnreachable : ResultCode::kNoEndpoint,
           choice ? "no endpoint can respond in time" : "no endpoint available",
@@ -495,24 +507,29 @@
 }
 
 bool RequestTask::MaySendAgain(AttemptResult result) {
-  if (result == AttemptResult::kUnknown) {
+  if (result == AttemptResult::kUnknown)
     this->may_have_run = true;
-    if (!this->IsRepeatable())
-      return false;
-  }
+  this->give_up_reason = this->ReasonToGiveUp(result);
+  return !this->give_up_reason;
+}
+
+std::optional<GiveUpReason> RequestTask::ReasonToGiveUp(AttemptResult result) {
+  if (result == AttemptResult::kUnknown && !this->IsRepeatable())
+    return GiveUpReason::kNotRepeatable;
   // A started response can only be resumed after an event that has an id.
   if (this->relay.started() && !this->relay.last_event_id())
-    return false;
+    return GiveUpReason::kNoEventId;
   if (this->sends >= this->route->max_attempts)
-    return false;
+    return GiveUpReason::kAttempts;
   if (this->failed_connects >= kMaxFailedConnects)
-    return false;
+    return GiveUpReason::kConnects;
   const TimePoint now = runtime::BootNow();
   if (this->Remaining(now) <= 2 * kNetworkDelay)
-    return false;
-  if (this->sends == 0)
-    return true;
-  return this->deps.dispatcher.retries().TryRetry(this->service, now);
+    return GiveUpReason::kTime;
+  const bool is_retry = this->sends > 0;
+  if (is_retry && !this->deps.dispatcher.retries().TryRetry(this->service, now))
+    return GiveUpReason::kRetryBudget;
+  return std::nullopt;
 }
 
 void RequestTask::FailRequest() {
@@ -524,12 +541,16 @@
   const bool expired = this->timed_out || this->Remaining(now) <= kNetworkDelay;
   const auto code =
       expired ? ResultCode::kEndpointSilent : ResultCode::kEndpointFailed;
-  if (!this->relay.started())
-    LogLine(this->deps.log, Event::kRequestAnswered)
-        .Add(Field::kRequest, this->request.attempt_id)
+  if (!this->relay.started()) {
+    LogLine line(this->deps.log, Event::kRequestAnswered);
+    line.Add(Field::kRequest, this->request.attempt_id)
         .Add(Field::kStatus, common::InfoOf(code).http_status)
-        .Add(Field::kReason, expired ? "endpoint_silent" : "endpoint_failed")
-        .Add(Field::kTookMs, now - this->received_at);
+        .Add(Field::kReason, expired ? "endpoint_silent" : "endpoint_failed");
+    if (this->give_up_reason)
+      line.Add(Field::kDetail,
+               kGiveUpReasonNames.NameOf(*this->give_up_reason));
+    line.Add(Field::kTookMs, now - this->received_at);
+  }
   throw Error(
       code, expired ? "no response before the deadline" : "the endpoint failed",
       common::Outcome::kUnknown);
--- a/source/core/gateway/request_task.h
+++ b/source/core/gateway/request_task.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "core/catalog/config_view.h"
+#include "core/common/name_table.h"
 #include "core/dispatch/admission_policy.h"
 #include "core/events/event_log.h"
 #include "core/forward/endpoint_send.h"
@@ -39,6 +40,21 @@
   PeerLoads* peer_loads = nullptr;
 };
 
+// Why a request is not sent to another endpoint.
+enum class GiveUpReason {
+  kNotRepeatable,  // it may have run, and its route allows one run
+  kNoEventId,      // its answer has started with events that have no id
+  kAttempts,       // the route allows no more sends
+  kConnects,       // too many endpoints could not be reached
+  kTime,           // its deadline is too near
+  kRetryBudget,    // the service gets no more retries for now
+  kNoEndpoint,     // no endpoint may take it
+};
+
+inline constexpr common::NameTable<GiveUpReason, 7> kGiveUpReasonNames(
+    {"not_repeatable", "no_event_id", "attempts", "connects", "time",
+     "retry_budget", "no_endpoint"});
+
 // Handles one request of a caller until the end of the response. Runs on the
 // fiber of the caller's connection.
 class RequestTask {
@@ -74,6 +90,8 @@
     kUnknown,  // the request may have run
   };
 
+  // Sends the request until an endpoint has answered it.
+  void RunUntilAnswered();
   void Route();
   void CheckKey(const catalog::ConfigView& config);
   void CheckCrashMarks();
@@ -112,6 +130,8 @@
   void LogAnswered(const forward::EndpointSend& send,
                    const forward::ResponseHead& head,
                    const dispatch::EndpointRecord& endpoint);
+  // Logs that the caller gets no answer, or only the beginning of one.
+  void LogUnanswered(const common::Error& error) const;
   void LogCut(const forward::SendError& error,
               const forward::EndpointSend& send,
               const dispatch::EndpointRecord& endpoint);
@@ -133,6 +153,7 @@
 
   bool IsRepeatable() const;
   bool MaySendAgain(AttemptResult result);
+  std::optional<GiveUpReason> ReasonToGiveUp(AttemptResult result);
   [[noreturn]] void FailRequest();
   forward::SendParameters MakeSendParameters(
       const dispatch::EndpointChoice& choice);
@@ -181,6 +202,7 @@
   common::TimePoint first_byte_at;
   bool may_have_run = false;
   bool timed_out = false;
+  std::optional<GiveUpReason> give_up_reason;
   forward::ResponseRelay relay;
 };
 
--- a/source/core/gateway/request_task_log.cc
+++ b/source/core/gateway/request_task_log.cc
@@ -83,6 +83,26 @@
   line.Add(Field::kTookMs, runtime::BootNow() - this->received_at);
 }
 
+void RequestTask::LogUnanswered(const common::Error& error) const {
+  const bool by_caller = error.code() == common::ResultCode::kCanceled;
+  // Other errors are sent to the caller as the answer, unless one has started.
+  if (!by_caller && !this->relay.started())
+    return;
+  LogLine line(this->deps.log, Event::kRequestUnanswered);
+  line.Add(Field::kRequest, this->request.attempt_id)
+      .Add(Field::kEndedBy, by_caller ? "caller" : "host")
+      .Add(Field::kOwed, this->relay.started() ? "rest" : "answer");
+  if (this->give_up_reason)
+    line.Add(Field::kReason, kGiveUpReasonNames.NameOf(*this->give_up_reason));
+  line.Add(Field::kDetail, error.what())
+      .Add(Field::kCount, this->relay.statistics().events);
+  if (this->config)
+    line.Add(Field::kConfigVersion, this->config->version());
+  if (const auto current = this->deps.view.config())
+    line.Add(Field::kCurrentVersion, current->version());
+  line.Add(Field::kTookMs, runtime::BootNow() - this->received_at);
+}
+
 void RequestTask::LogCut(const forward::SendError& error,
                          const forward::EndpointSend& send,
                          const dispatch::EndpointRecord& endpoint) {
