--- a/tools/gateway_standins.py
+++ b/tools/gateway_standins.py
@@ -113,7 +113,7 @@
                 self.watching.add(writer)
                 status, body = await self.answer(*message)
                 self.watching.discard(writer)
-                text = json.dumps(body).encode()
+                text = self.encode(body)
                 head = ("HTTP/1.1 %d OK\r\nContent-Length: %d\r\n"
                         "Store-Era: %d\r\n\r\n")
                 writer.write((head % (status, len(text), self.era)).encode()
@@ -124,6 +124,9 @@
         self.watching.discard(writer)
         writer.close()
 
+    def encode(self, body):
+        return json.dumps(body).encode()
+
     async def answer(self, line, _headers, body):
         method, target, _ = line.split(" ")
         path, _, query = target.partition("?")
