Read each entry of the platform's store for itself

The client of the platform's store parsed a whole list or watch at once and printed each object again, which recurses on the stack of a fiber. One writer's entry could so end the process (deep nesting), or make the answer unreadable and with it the entries of all other writers (a number out of range, invalid UTF-8, a revision or a name of another type).

An answer is now cut into its entries by a scan that knows only strings, escapes and brackets (json_slices), and each entry is parsed for itself (store_answer). The content of an object is the entry's own text. An entry that is nested deeper than the limit, too large, no JSON, or without a revision keeps its name and has no content, so that endpoints whose sound entry it replaced are removed like others that are unreadable. An entry without a name is left out. Both are counted (store_entries_unreadable_total) and logged once for each revision (entry_unreadable). A list goes on behind the last name of a page that can be read, and names are escaped in requests. A host whose own object was replaced by odd bytes writes it again; a conflict now tells the revision for this.

The unit test of failed store responses expected an error for a list with an object without metadata. That is what one writer must not cause; the case is replaced by a list with a malformed revision and one that is cut off, which stay errors, and a new test checks that the object is left out and counted.

--- a/source/core/catalog/object_store.h
+++ b/source/core/catalog/object_store.h
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <vector>
 
+#include "core/common/name_table.h"
 #include "core/common/time.h"
 
 namespace jujuberock::catalog {
@@ -14,13 +15,33 @@
 // The object kinds that hosts read from the platform's store.
 enum class ObjectKind { kConfig, kEndpoints, kVersions, kHosts };
 
+inline constexpr size_t kObjectKindCount = 4;
+
+inline constexpr common::NameTable<ObjectKind, kObjectKindCount>
+    kObjectKindNames({"config", "endpoints", "versions", "hosts"});
+
+// Why an object can't be read.
+enum class ObjectFault {
+  kNone,
+  kNoName,      // there is no name, or it can't be read
+  kNoRevision,  // the revision is not a non-negative integer
+  kTooLarge,
+  kTooDeep,    // nested deeper than common::kNestingLimit
+  kMalformed,  // the content is not JSON
+};
+
+inline constexpr common::NameTable<ObjectFault, 6> kObjectFaultNames(
+    {"none", "no_name", "no_revision", "too_large", "too_deep", "malformed"});
+
 // One object of the platform's store. `content` is JSON whose schema is known
-// only to the platform adapter and to the code that owns the kind.
+// only to the platform adapter and to the code that owns the kind. An object
+// with a fault has no content; its name is empty if it can't be read either.
 struct StoredObject {
   std::string name;
   // Store revision of the last change to the object.
   uint64_t revision = 0;
   std::string content;
+  ObjectFault fault = ObjectFault::kNone;
 };
 
 struct ObjectChange {
--- a/source/core/gateway/host_registry.cc
+++ b/source/core/gateway/host_registry.cc
@@ -110,6 +110,8 @@
   if (!change.deleted) {
     this->SetRevision(change.object.revision);
     this->ReadFormerObject(change.object);
+    // Another writer has replaced it, and the other hosts can't read it.
+    this->write_pending |= change.object.fault != catalog::ObjectFault::kNone;
     return;
   }
   // A deleted object can't be replaced; it is created again.
--- a/source/core/gateway/platform_view.cc
+++ b/source/core/gateway/platform_view.cc
@@ -107,12 +107,14 @@
   watch.revision = snapshot.revision;
   this->OnAnswer(watch, sent_at);
   if (watch.kind == ObjectKind::kEndpoints) {
+    for (const catalog::StoredObject& object : snapshot.objects)
+      this->ReportUnreadable(watch, object);
     this->ReplaceEndpoints(snapshot,
                            former_era != 0 && former_era != watch.era);
     return;
   }
   for (const catalog::StoredObject& object : snapshot.objects)
-    (this->*watch.apply)({object, false}, changed_after);
+    this->Apply(watch, {object, false}, changed_after);
   this->ConfirmConfig(watch);
   this->hosts_known |= watch.kind == ObjectKind::kHosts;
 }
@@ -146,7 +148,7 @@
                             ? std::min(received_at, sent_at + watch.wait)
                             : sent_at);
   for (const ObjectChange& change : changes.changes)
-    (this->*watch.apply)(change, changed_after);
+    this->Apply(watch, change, changed_after);
   this->ConfirmConfig(watch);
   if (!changes.changes.empty() && watch.batch_delay > kNoBatchDelay)
     runtime::SleepFor(watch.batch_delay);
@@ -198,6 +200,28 @@
     this->directory.OnStoreFailure(runtime::BootNow());
 }
 
+void PlatformView::Apply(const KindWatch& watch,
+                         const ObjectChange& change,
+                         const ChangeTime& changed_after) {
+  if (!change.deleted)
+    this->ReportUnreadable(watch, change.object);
+  if (!change.object.name.empty())
+    (this->*watch.apply)(change, changed_after);
+}
+
+void PlatformView::ReportUnreadable(const KindWatch& watch,
+                                    const catalog::StoredObject& object) {
+  const bool is_readable = object.fault == catalog::ObjectFault::kNone;
+  if (is_readable || !this->reported_entries.Add(watch.kind, object))
+    return;
+  LogLine(this->log, Event::kEntryUnreadable)
+      .Add(Field::kDependency, watch.name)
+      .Add(Field::kDetail, object.name)
+      .Add(Field::kReason, catalog::kObjectFaultNames.NameOf(object.fault))
+      .Add(Field::kStoreEra, this->known_era)
+      .Add(Field::kRevision, object.revision);
+}
+
 void PlatformView::ApplyConfig(const ObjectChange& change, const ChangeTime&) {
   if (change.deleted)
     return;
--- a/source/core/gateway/platform_view.h
+++ b/source/core/gateway/platform_view.h
@@ -16,6 +16,7 @@
 #include "core/common/stall_detector.h"
 #include "core/events/event_log.h"
 #include "core/gateway/decoder.h"
+#include "core/gateway/reported_entries.h"
 #include "core/gateway/settings.h"
 #include "core/rollout/version_requirements.h"
 
@@ -135,6 +136,13 @@
   // has is known to be older.
   void ConfirmConfig(const KindWatch& watch);
 
+  // Logs an object that can't be read. One without a name is then left out; the
+  // others are applied, since they may replace one that could be read.
+  void Apply(const KindWatch& watch,
+             const catalog::ObjectChange& change,
+             const ChangeTime& changed_after);
+  void ReportUnreadable(const KindWatch& watch,
+                        const catalog::StoredObject& object);
   void ApplyConfig(const catalog::ObjectChange& change, const ChangeTime&);
   void ApplyEndpoint(const catalog::ObjectChange& change, const ChangeTime&);
   void ApplyVersion(const catalog::ObjectChange& change,
@@ -159,6 +167,7 @@
   catalog::ConfigFloor config_floor;
   catalog::EndpointDirectory directory;
   VersionsByModel version_requirements;
+  ReportedEntries reported_entries;
   common::StallDetector stall_detector;
   std::vector<KindWatchPtr> watches;
   // The newest era of the store that was noticed; 0 before its first answer.
--- a/source/platform/store_client.cc
+++ b/source/platform/store_client.cc
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include "core/common/error.h"
+#include "platform/store_answer.h"
 #include "platform/wire_names.h"
 
 namespace jujuberock::platform_adapter {
@@ -40,14 +41,6 @@
   return request;
 }
 
-Json ParseBody(const runtime::HttpResponse& response) {
-  Json value = Json::parse(response.body, nullptr, false);
-  if (!value.is_object())
-    throw Error(ResultCode::kProtocolError,
-                "store response is not a JSON object");
-  return value;
-}
-
 std::optional<uint64_t> ParseEra(std::string_view text) {
   uint64_t era = 0;
   const char* end = text.data() + text.size();
@@ -57,14 +50,22 @@
   return era;
 }
 
-catalog::StoredObject DecodeObject(const Json& value) {
-  catalog::StoredObject object;
-  const Json& metadata = value.at("metadata");
-  object.name = metadata.at("name").get<std::string>();
-  object.revision = metadata.value("rev", uint64_t{0});
-  if (value.contains("spec"))
-    object.content = value["spec"].dump();
-  return object;
+// Escapes all but the unreserved characters of a URI (RFC 3986, section 2.3),
+// since any text may be the name of an object.
+std::string EscapeForUri(std::string_view text) {
+  constexpr std::string_view kUnreserved =
+      "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~";
+  constexpr std::string_view kDigits = "0123456789ABCDEF";
+  std::string escaped;
+  for (const char c : text) {
+    if (kUnreserved.find(c) != std::string_view::npos) {
+      escaped += c;
+      continue;
+    }
+    const auto byte = static_cast<unsigned char>(c);
+    escaped += {'%', kDigits[byte / 16], kDigits[byte % 16]};
+  }
+  return escaped;
 }
 
 [[noreturn]] void ThrowForStatus(const runtime::HttpResponse& response) {
@@ -96,7 +97,20 @@
       lists(counters.GetCounter("store_calls_total", {{"call", "list"}})),
       watches(counters.GetCounter("store_calls_total", {{"call", "watch"}})),
       reads(counters.GetCounter("store_calls_total", {{"call", "read"}})),
-      writes(counters.GetCounter("store_calls_total", {{"call", "write"}})) {}
+      writes(counters.GetCounter("store_calls_total", {{"call", "write"}})) {
+  for (size_t i = 0; i < this->unreadable.size(); ++i) {
+    const auto kind = static_cast<catalog::ObjectKind>(i);
+    this->unreadable[i] = &counters.GetCounter(
+        "store_entries_unreadable_total",
+        {{"kind", std::string(catalog::kObjectKindNames.NameOf(kind))}});
+  }
+}
+
+void StoreClient::CountUnreadable(catalog::ObjectKind kind,
+                                  const catalog::StoredObject& object) {
+  if (object.fault != catalog::ObjectFault::kNone)
+    this->unreadable[static_cast<size_t>(kind)]->Add();
+}
 
 runtime::HttpResponse StoreClient::Fetch(const runtime::HttpRequest& request,
                                          Duration timeout) {
@@ -134,7 +148,7 @@
     this->lists.Add();
     std::string target = KindPath(kind);
     if (!last_name.empty())
-      target += "?after=" + last_name;
+      target += "?after=" + EscapeForUri(last_name);
     const auto response = this->Fetch(MakeRequest("GET", target), kReadTimeout);
     if (response.status != 200)
       ThrowForStatus(response);
@@ -143,25 +157,22 @@
     else if (first_page_era != this->newest_era)
       throw Error(ResultCode::kPlatformUnavailable,
                   "the store came back from a copy between two pages");
-    try {
-      const Json page = ParseBody(response);
-      const size_t before = snapshot.objects.size();
-      for (const Json& item : page.at("items"))
-        snapshot.objects.push_back(DecodeObject(item));
-      // The first page has the oldest revision. A watch that starts there also
-      // sees the changes made while later pages were read.
-      if (last_name.empty())
-        snapshot.revision = page.at("storeRevision").get<uint64_t>();
-      if (!page.value("more", false))
-        return snapshot;
-      if (snapshot.objects.size() == before ||
-          snapshot.objects.back().name == last_name)
-        throw Error(ResultCode::kProtocolError,
-                    "the list continues after a page without new objects");
-      last_name = snapshot.objects.back().name;
-    } catch (const Json::exception& error) {
-      throw Error(ResultCode::kProtocolError, error.what());
+    ListPage page = DecodeListPage(response.body);
+    // The first page has the oldest revision. A watch that starts there also
+    // sees the changes made while later pages were read.
+    if (last_name.empty())
+      snapshot.revision = page.revision;
+    const std::string page_end(page.LastName());
+    for (catalog::StoredObject& object : page.objects) {
+      this->CountUnreadable(kind, object);
+      snapshot.objects.push_back(std::move(object));
     }
+    if (!page.more)
+      return snapshot;
+    if (page_end.empty() || page_end == last_name)
+      throw Error(ResultCode::kProtocolError,
+                  "the list continues after a page without new objects");
+    last_name = page_end;
   }
 }
 
@@ -182,16 +193,9 @@
   }
   if (response.status != 200)
     ThrowForStatus(response);
-  try {
-    const Json body = ParseBody(response);
-    for (const Json& event : body.at("events")) {
-      changes.changes.push_back(
-          {DecodeObject(event.at("object")), event.value("deleted", false)});
-    }
-    changes.revision = body.at("storeRevision").get<uint64_t>();
-  } catch (const Json::exception& error) {
-    throw Error(ResultCode::kProtocolError, error.what());
-  }
+  changes = DecodeWatchAnswer(response.body);
+  for (const catalog::ObjectChange& change : changes.changes)
+    this->CountUnreadable(kind, change.object);
   return changes;
 }
 
@@ -199,17 +203,15 @@
                                                        std::string_view name) {
   this->reads.Add();
   const auto response =
-      this->Fetch(MakeRequest("GET", KindPath(kind) + "/" + std::string(name)),
+      this->Fetch(MakeRequest("GET", KindPath(kind) + "/" + EscapeForUri(name)),
                   kReadTimeout);
   if (response.status == 404)
     return std::nullopt;
   if (response.status != 200)
     ThrowForStatus(response);
-  try {
-    return DecodeObject(ParseBody(response));
-  } catch (const Json::exception& error) {
-    throw Error(ResultCode::kProtocolError, error.what());
-  }
+  auto object = DecodeStoredObject(response.body);
+  this->CountUnreadable(kind, object);
+  return object;
 }
 
 catalog::WriteReply StoreClient::Write(runtime::HttpRequest request) {
@@ -231,14 +233,17 @@
       return reply;
     reply.state = written ? catalog::WriteState::kWritten
                           : catalog::WriteState::kConflict;
-    reply.current = DecodeObject(ParseBody(response));
+    // The HTTP status already determines the result of the write. An object
+    // without a revision tells nothing; the caller has to read it again.
+    auto current = DecodeStoredObject(response.body);
+    const bool has_revision =
+        current.fault != catalog::ObjectFault::kNoName &&
+        current.fault != catalog::ObjectFault::kNoRevision;
+    if (has_revision)
+      reply.current = std::move(current);
   } catch (const Error& error) {
     if (error.outcome() == common::Outcome::kNotRun)
       reply.state = catalog::WriteState::kRefused;
-  } catch (const Json::exception&) {
-    // The HTTP status already determines the result of the write. Only the
-    // current object is unreadable, so the caller has to read it again.
-    reply.current.reset();
   }
   return reply;
 }
@@ -255,7 +260,7 @@
                                          std::string_view name,
                                          uint64_t expected,
                                          std::string_view content) {
-  auto request = MakeRequest("PUT", KindPath(kind) + "/" + std::string(name));
+  auto request = MakeRequest("PUT", KindPath(kind) + "/" + EscapeForUri(name));
   request.body = RenderWriteBody(name, expected, content);
   return this->Write(std::move(request));
 }
--- a/source/platform/store_client.h
+++ b/source/platform/store_client.h
@@ -1,7 +1,7 @@
 #ifndef PLATFORM_STORE_CLIENT_H_
 #define PLATFORM_STORE_CLIENT_H_
 
-#include <functional>
+#include <array>
 #include <string>
 #include <string_view>
 
@@ -12,7 +12,8 @@
 namespace jujuberock::platform_adapter {
 
 // HTTP client of the platform's metadata store. Counts its calls in
-// `store_calls_total{call}`.
+// `store_calls_total{call}`, and the objects in its answers that can't be read
+// in `store_entries_unreadable_total{kind}`.
 class StoreClient : public catalog::ObjectStore {
  public:
   StoreClient(runtime::HttpClient& http,
@@ -38,6 +39,8 @@
   runtime::HttpResponse Fetch(const runtime::HttpRequest& request,
                               common::Duration timeout);
   catalog::WriteReply Write(runtime::HttpRequest request);
+  void CountUnreadable(catalog::ObjectKind kind,
+                       const catalog::StoredObject& object);
   // Throws if the answer is of a former era.
   void CheckEra(const runtime::HttpResponse& response);
 
@@ -48,6 +51,8 @@
   common::Counter& watches;
   common::Counter& reads;
   common::Counter& writes;
+  // Indexed by catalog::ObjectKind.
+  std::array<common::Counter*, catalog::kObjectKindCount> unreadable;
 };
 
 }  // namespace jujuberock::platform_adapter
--- a/source/unit_tests/core/fuzz/parsers_test.cc
+++ b/source/unit_tests/core/fuzz/parsers_test.cc
@@ -10,6 +10,7 @@
 #include "core/report/burn_render.h"
 #include "core/runtime/http_types.h"
 #include "core/table/parse.h"
+#include "platform/json_slices.h"
 #include "unit_tests/core/fuzz/mutation.h"
 
 namespace jujuberock::fuzz {
@@ -118,6 +119,29 @@
              [](const std::string& text) { report::ParseJson(text); }) > 0);
 }
 
+// Returns where the last slice ends. Slices lie in the text in their order.
+size_t EndOf(std::string_view text, std::string_view slice, size_t begin) {
+  const auto at = static_cast<size_t>(slice.data() - text.data());
+  REQUIRE(at >= begin);
+  REQUIRE(at + slice.size() <= text.size());
+  return at + slice.size();
+}
+
+TEST_CASE("mutated JSON is cut into slices of the text or not at all") {
+  const std::string object =
+      R"({"name":"a\"b","list":[1,{"x":[]},"\\"], "null":null,"deep":[[[[{}]]]]})";
+  Fuzz(object, [](const std::string& text) {
+    size_t end = 0;
+    const auto members = platform_adapter::SliceObject(text);
+    for (const auto& member : members.value_or(platform_adapter::JsonMembers()))
+      end = EndOf(text, member.value, end);
+    const std::string list = "[" + text + "," + text + "]";
+    const auto elements = platform_adapter::SliceArray(list);
+    if (members)
+      REQUIRE(elements->size() == 2);
+  });
+}
+
 TEST_CASE("mutated addresses are refused or parsed") {
   Fuzz("[::1]:8080",
        [](const std::string& text) { runtime::Address::Parse(text); });
--- a/source/unit_tests/platform/store_client_test.cc
+++ b/source/unit_tests/platform/store_client_test.cc
@@ -38,11 +38,11 @@
   }
 
   std::vector<std::string> targets;
+  common::MetricRegistry counters;
 
  private:
   Responder respond;
   runtime::WorkerPool pool{1};
-  common::MetricRegistry counters;
   runtime::HttpServer server;
   runtime::HttpClient http;
   StoreClient client;
@@ -105,8 +105,9 @@
       {503, "", common::ResultCode::kPlatformUnavailable},
       {200, "", common::ResultCode::kProtocolError},
       {200, "[]", common::ResultCode::kProtocolError},
-      {200, "{\"items\":[{}],\"storeRevision\":1}",
+      {200, "{\"items\":[{}],\"storeRevision\":-1}",
        common::ResultCode::kProtocolError},
+      {200, "{\"items\":[{}]", common::ResultCode::kProtocolError},
       {200, "{\"items\":[]}", common::ResultCode::kProtocolError},
   };
   for (const Case& c : cases) {
@@ -124,6 +125,71 @@
   }
 }
 
+// Guards against one writer's object that makes a list unreadable: objects that
+// can't be read are counted and returned as such.
+TEST_CASE("an unreadable object does not fail a list or a watch") {
+  const std::string odd = R"({"metadata":{"name":"o","rev":4},"spec":NaN})";
+  const std::string sound = R"({"metadata":{"name":"s","rev":5},"spec":{}})";
+  FakeStore store([&](const auto& request) {
+    if (request.target.find("watch=") == std::string::npos)
+      return MakeResponse(200, "{\"items\":[{}," + odd + "," + sound +
+                                   "],\"storeRevision\":6}");
+    return MakeResponse(200, "{\"events\":[{\"object\":" + odd +
+                                 "},{\"object\":" + sound +
+                                 "}],\"storeRevision\":7}");
+  });
+  store.Run([](StoreClient& client) {
+    const auto snapshot = client.List(ObjectKind::kEndpoints);
+    REQUIRE(snapshot.objects.size() == 3);
+    CHECK(snapshot.objects[0].fault == catalog::ObjectFault::kNoName);
+    CHECK(snapshot.objects[1].fault == catalog::ObjectFault::kMalformed);
+    CHECK(snapshot.objects[1].name == "o");
+    CHECK(snapshot.objects[2].fault == catalog::ObjectFault::kNone);
+    const auto changes =
+        client.Watch(ObjectKind::kEndpoints, 6, std::chrono::milliseconds(100));
+    REQUIRE(changes.changes.size() == 2);
+    CHECK(changes.changes[0].object.fault == catalog::ObjectFault::kMalformed);
+    CHECK(changes.revision == 7);
+  });
+  CHECK(
+      store.counters
+          .GetCounter("store_entries_unreadable_total", {{"kind", "endpoints"}})
+          .value() == 3);
+}
+
+// Guards against a list that ends at a page whose last object has a name that
+// can't be read, or that must be escaped.
+TEST_CASE("a list goes on behind odd names") {
+  FakeStore store([](const auto& request) {
+    if (request.target == "/objects/servers")
+      return MakeResponse(200, R"({"items":[{"metadata":{"name":"a b&c/é"}},)"
+                               R"({"metadata":{"name":5}}],"more":true,)"
+                               R"("storeRevision":9})");
+    return MakeResponse(200, R"({"items":[{"metadata":{"name":5}},)"
+                             R"({"metadata":{"name":"z"}}],"more":false,)"
+                             R"("storeRevision":9})");
+  });
+  store.Run([](StoreClient& client) {
+    CHECK(client.List(ObjectKind::kEndpoints).objects.back().name == "z");
+  });
+  CHECK(store.targets[1] == "GET /objects/servers?after=a%20b%26c%2F%C3%A9");
+}
+
+// Guards against a host that can't write its object any more after another
+// writer has replaced it: the conflict must tell the revision.
+TEST_CASE("a conflict with an unreadable object tells its revision") {
+  FakeStore store([](const auto&) {
+    return MakeResponse(409, R"({"metadata":{"name":"h","rev":6},"spec":NaN})");
+  });
+  store.Run([](StoreClient& client) {
+    const auto reply = client.Replace(ObjectKind::kHosts, "h", 5, "{}");
+    CHECK(reply.state == WriteState::kConflict);
+    REQUIRE(reply.current);
+    CHECK(reply.current->revision == 6);
+    CHECK(reply.current->content.empty());
+  });
+}
+
 // Guards against a host that assumes it holds a lease although its write failed
 // or has an unknown outcome.
 TEST_CASE("a write reports whether it took effect") {
