Refuse deep nesting and numbers out of range in endpoints' and hosts' JSON

The reports of engines, the events of cache stores and the objects of other hosts were parsed at any depth, and `value()` copies a parsed value by recursion on the stack of a fiber: one engine's report could end the process. Numbers were converted silently: a negative version became a huge one, and the conversion of a number beyond the range of its type is undefined.

The bodies of endpoints are now decoded by a module without network (endpoint_answer), which bounds nesting and size before it parses. common::GetUnsigned refuses all but integers in a range; entries of endpoints, weight versions, configurations and host objects use it. Times in objects and configurations are cut to a year, so that they can be computed with.

Measured: the new case "report of an engine: nested" of tools/gateway-entry-test ended the process with SIGSEGV before and passes now; "events of a cache store: nested" passed before, since that decoder copies nothing. The new unit tests, run on the former decoders, failed in 22 of 117 checks for reports and events, 11 of 41 for configurations, 4 of 54 for entries of endpoints and 16 of 46 for host objects, and the age test in 1 of 4. All pass now, as do all 88 cases of tools/gateway-entry-test.

--- a/source/core/gateway/host_object.cc
+++ b/source/core/gateway/host_object.cc
@@ -1,12 +1,20 @@
 #include "core/gateway/host_object.h"
 
+#include <algorithm>
+#include <limits>
+
 #include <nlohmann/json.hpp>
 
+#include "core/common/error.h"
+#include "core/common/json_number.h"
+#include "core/common/nesting.h"
+
 namespace jujuberock::gateway {
 
 namespace {
 
 using common::Duration;
+using common::GetUnsigned;
 using suspects::CrashMark;
 using suspects::PartEvidence;
 using suspects::PartMark;
@@ -16,13 +24,19 @@
 // taken for the age of an object.
 constexpr Duration kMaxClockDifference = std::chrono::seconds(10);
 
+// Longer ages are cut to this, so that they can be computed with.
+constexpr Duration kMaxAge = std::chrono::hours(24 * 365);
+// End of the year 9999. Later times can't be computed with in microseconds.
+constexpr uint64_t kMaxUnixMs = 253'402'300'799'999;
+
 int64_t ToMilliseconds(Duration duration) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
       .count();
 }
 
-Duration GetMilliseconds(const Json& value) {
-  return std::chrono::milliseconds(value.get<int64_t>());
+Duration GetAge(const Json& value) {
+  const auto max_ms = static_cast<uint64_t>(ToMilliseconds(kMaxAge));
+  return std::chrono::milliseconds(std::min(GetUnsigned(value), max_ms));
 }
 
 Json EncodeMark(const CrashMark& mark) {
@@ -35,9 +49,9 @@
 
 CrashMark DecodeMark(const Json& item) {
   CrashMark mark;
-  mark.fingerprint = item.at("fingerprint").get<uint64_t>();
+  mark.fingerprint = GetUnsigned(item.at("fingerprint"));
   mark.endpoint = item.at("endpoint").get<std::string>();
-  mark.age = GetMilliseconds(item.at("age_ms"));
+  mark.age = GetAge(item.at("age_ms"));
   return mark;
 }
 
@@ -63,13 +77,14 @@
     return std::nullopt;
   PartMark mark;
   mark.evidence = *evidence;
-  mark.part = item.at("part").get<uint64_t>();
-  mark.age = GetMilliseconds(item.at("age_ms"));
+  mark.part = GetUnsigned(item.at("part"));
+  mark.age = GetAge(item.at("age_ms"));
   if (mark.evidence == PartEvidence::kCrash) {
     mark.endpoint = item.at("endpoint").get<std::string>();
-    mark.sent_age = GetMilliseconds(item.at("sent_age_ms"));
-    mark.requests = item.at("requests").get<uint32_t>();
-    mark.reporter = item.at("reporter").get<uint64_t>();
+    mark.sent_age = GetAge(item.at("sent_age_ms"));
+    mark.requests = static_cast<uint32_t>(
+        GetUnsigned(item.at("requests"), std::numeric_limits<uint32_t>::max()));
+    mark.reporter = GetUnsigned(item.at("reporter"));
   }
   return mark;
 }
@@ -78,9 +93,9 @@
   if (!value.contains("written_ms"))
     return Duration(0);
   const common::UnixTime written_at(
-      std::chrono::milliseconds(value["written_ms"].get<int64_t>()));
+      std::chrono::milliseconds(GetUnsigned(value["written_ms"], kMaxUnixMs)));
   const Duration age = wall_now - written_at;
-  return age > kMaxClockDifference ? age : Duration(0);
+  return age > kMaxClockDifference ? std::min(age, kMaxAge) : Duration(0);
 }
 
 }  // namespace
@@ -107,6 +122,8 @@
 
 std::optional<HostObject> DecodeHostObject(std::string_view text,
                                            common::UnixTime wall_now) {
+  if (common::ExceedsNesting(text))
+    return std::nullopt;
   const Json value = Json::parse(text, nullptr, false);
   if (!value.is_object() || !value.contains("marks"))
     return std::nullopt;
@@ -115,10 +132,10 @@
     object.zone = value.value("zone", "");
     object.caller_address = value.value("address", "");
     object.peer_address = value.value("peer_address", "");
-    object.store_era = value.value("store_era", uint64_t{0});
-    object.config_version = value.value("config_version", uint64_t{0});
+    object.store_era = common::GetUnsignedOrZero(value, "store_era");
+    object.config_version = common::GetUnsignedOrZero(value, "config_version");
     if (value.contains("last_order_age_ms"))
-      object.last_order_age = GetMilliseconds(value["last_order_age_ms"]);
+      object.last_order_age = GetAge(value["last_order_age_ms"]);
     const Duration age = AgeOf(value, wall_now);
     for (const Json& item : value["marks"]) {
       object.marks.push_back(DecodeMark(item));
@@ -135,6 +152,8 @@
     return object;
   } catch (const Json::exception&) {
     return std::nullopt;
+  } catch (const common::Error&) {
+    return std::nullopt;
   }
 }
 
--- a/source/platform/decode.cc
+++ b/source/platform/decode.cc
@@ -1,12 +1,14 @@
 #include "platform/decode.h"
 
-#include <limits>
+#include <algorithm>
 #include <string>
 #include <utility>
 
 #include <nlohmann/json.hpp>
 
 #include "core/common/error.h"
+#include "core/common/json_number.h"
+#include "core/common/nesting.h"
 
 namespace jujuberock::platform_adapter {
 
@@ -14,10 +16,22 @@
 
 using common::Duration;
 using common::Error;
+using common::GetUnsigned;
+using common::kMaxInt64;
 using common::ResultCode;
 using Json = nlohmann::json;
 
+// Longer times are cut to this, so that they can be computed with.
+constexpr double kMaxMs = 365.0 * 24 * 60 * 60 * 1000;
+// Integers up to this have an exact value as a double.
+constexpr double kMaxExactInteger = 1LL << 53;
+// More slots are taken for a forged entry.
+constexpr uint64_t kMaxSlots = 1'000'000;
+
 Json ParseObject(const catalog::StoredObject& object) {
+  if (common::ExceedsNesting(object.content))
+    throw Error(ResultCode::kProtocolError,
+                "object " + object.name + " is nested too deeply");
   Json value = Json::parse(object.content, nullptr, false);
   if (!value.is_object())
     throw Error(ResultCode::kProtocolError,
@@ -26,7 +40,31 @@
 }
 
 Duration GetMilliseconds(const Json& value, const char* name, double fallback) {
-  return common::FromSeconds(value.value(name, fallback) / 1000);
+  const double ms = value.value(name, fallback);
+  return common::FromSeconds(std::clamp(ms, 0.0, kMaxMs) / 1000);
+}
+
+// Cuts off fractions.
+int64_t GetInteger(const Json& value, const char* name, int64_t fallback) {
+  const double number = value.value(name, static_cast<double>(fallback));
+  if (number < -kMaxExactInteger || number > kMaxExactInteger)
+    throw Error(ResultCode::kProtocolError,
+                std::string(name) + " is out of range");
+  return static_cast<int64_t>(number);
+}
+
+size_t GetSize(const Json& value, const char* name, size_t fallback) {
+  const int64_t size = GetInteger(value, name, static_cast<int64_t>(fallback));
+  if (size < 0)
+    throw Error(ResultCode::kProtocolError, std::string(name) + " is negative");
+  return static_cast<size_t>(size);
+}
+
+// Returns the elements of the list; none if the object has none of this name.
+const Json& GetList(const Json& value, const char* name) {
+  static const Json kEmpty = Json::array();
+  const auto found = value.find(name);
+  return found == value.end() ? kEmpty : *found;
 }
 
 catalog::Route DecodeRoute(const Json& value) {
@@ -41,14 +79,14 @@
   route.timeout = GetMilliseconds(value, "timeoutMs", 30000);
   route.target_latency = GetMilliseconds(value, "targetLatencyMs", 1000);
   route.target_event_gap = GetMilliseconds(value, "gapAimMs", 0);
-  route.priority = value.value("priority", int64_t{5});
-  route.max_attempts = value.value("maxAttempts", int64_t{1});
+  route.priority = GetInteger(value, "priority", 5);
+  route.max_attempts = GetInteger(value, "maxAttempts", 1);
   route.is_public = value.value("public", false);
   route.session_affinity = value.value("sessionAffinity", false);
   route.can_resume = value.value("canResume", false);
   if (value.contains("service"))
     route.services.push_back({value["service"].get<std::string>(), 1});
-  for (const Json& part : value.value("backends", Json::array())) {
+  for (const Json& part : GetList(value, "backends")) {
     route.services.push_back(
         {part.at("service").get<std::string>(), part.value("weight", 1.0)});
   }
@@ -60,11 +98,11 @@
 
 catalog::EngineProperties DecodeEngine(const Json& value) {
   catalog::EngineProperties engine;
-  engine.slots = value.value("slots", int64_t{1});
-  engine.kv_capacity_tokens = value.value("kvCapacity", int64_t{0});
-  engine.kv_token_bytes = value.value("kvTokenBytes", int64_t{0});
+  engine.slots = GetInteger(value, "slots", 1);
+  engine.kv_capacity_tokens = GetInteger(value, "kvCapacity", 0);
+  engine.kv_token_bytes = GetInteger(value, "kvTokenBytes", 0);
   engine.link_mbps = value.value("linkMbps", 0.0);
-  for (const Json& model : value.value("models", Json::array()))
+  for (const Json& model : GetList(value, "models"))
     engine.models.push_back(model.value("name", ""));
   return engine;
 }
@@ -73,15 +111,15 @@
   catalog::Service service;
   service.name = value.at("name").get<std::string>();
   service.health_path = value.value("healthPath", "");
-  service.max_connections = value.value("maxConns", int64_t{0});
+  service.max_connections = GetInteger(value, "maxConns", 0);
   if (value.contains("engine"))
     service.engine = DecodeEngine(value["engine"]);
   if (value.contains("kvStoreAddr")) {
     catalog::CacheStoreProperties store;
     store.address = value["kvStoreAddr"].get<std::string>();
     store.zone = value.value("zone", "");
-    store.capacity_tokens = value.value("kvCapacity", int64_t{0});
-    store.max_event_calls = value.value("maxInflight", int64_t{1});
+    store.capacity_tokens = GetInteger(value, "kvCapacity", 0);
+    store.max_event_calls = GetInteger(value, "maxInflight", 1);
     store.link_mbps = value.value("linkMbps", 0.0);
     store.managed = value.value("managed", false);
     service.cache_store = std::move(store);
@@ -94,15 +132,15 @@
   team.name = value.at("name").get<std::string>();
   team.keys = value.value("apiKeys", std::vector<std::string>());
   if (value.contains("priority") && value["priority"].is_number_integer())
-    team.priority = value["priority"].get<int64_t>();
+    team.priority = GetInteger(value, "priority", 0);
   team.isolated = value.value("isolated", false);
   return team;
 }
 
 catalog::CallerLimits DecodeLimits(const Json& value) {
   catalog::CallerLimits limits;
-  limits.header_bytes = value.value("maxHeaderBytes", limits.header_bytes);
-  limits.body_bytes = value.value("maxBodyBytes", limits.body_bytes);
+  limits.header_bytes = GetSize(value, "maxHeaderBytes", limits.header_bytes);
+  limits.body_bytes = GetSize(value, "maxBodyBytes", limits.body_bytes);
   limits.header_timeout = GetMilliseconds(
       value, "headerTimeoutMs", common::ToMilliseconds(limits.header_timeout));
   limits.idle_timeout = GetMilliseconds(
@@ -114,25 +152,11 @@
   std::vector<catalog::ModelVersion> models;
   for (const Json& model : value) {
     models.push_back({model.at("name").get<std::string>(),
-                      model.at("version").get<uint64_t>()});
+                      GetUnsigned(model.at("version"), kMaxInt64)});
   }
   return models;
 }
 
-// Accepts only non-negative integers that fit into int64_t: anything else
-// indicates a forged entry.
-uint64_t GetUnsigned(const Json& value) {
-  const bool is_negative = value.is_number_integer() &&
-                           !value.is_number_unsigned() &&
-                           value.get<int64_t>() < 0;
-  if (!value.is_number_integer() || is_negative)
-    throw Error(ResultCode::kProtocolError, "expected a non-negative integer");
-  const auto number = value.get<uint64_t>();
-  if (number > static_cast<uint64_t>(std::numeric_limits<int64_t>::max()))
-    throw Error(ResultCode::kProtocolError, "the number is too large");
-  return number;
-}
-
 catalog::Endpoint DecodeValidEndpoint(const catalog::StoredObject& object) {
   const Json value = ParseObject(object);
   catalog::Endpoint endpoint;
@@ -140,9 +164,10 @@
   endpoint.service = value.at("service").get<std::string>();
   endpoint.address = value.at("address").get<std::string>();
   endpoint.zone = value.at("zone").get<std::string>();
-  endpoint.slots = static_cast<int64_t>(GetUnsigned(value.at("slots")));
+  endpoint.slots =
+      static_cast<int64_t>(GetUnsigned(value.at("slots"), kMaxSlots));
   if (value.contains("born"))
-    endpoint.started_at_ms = GetUnsigned(value["born"]);
+    endpoint.started_at_ms = GetUnsigned(value["born"], kMaxInt64);
   const auto state = value.at("state").get<std::string>();
   if (state != "ready" && state != "draining")
     throw Error(ResultCode::kProtocolError, "unknown endpoint state");
@@ -158,12 +183,12 @@
   try {
     const Json value = ParseObject(object);
     catalog::Config config;
-    config.version = value.at("version").get<uint64_t>();
-    for (const Json& route : value.value("routes", Json::array()))
+    config.version = GetUnsigned(value.at("version"), kMaxInt64);
+    for (const Json& route : GetList(value, "routes"))
       config.routes.push_back(DecodeRoute(route));
-    for (const Json& service : value.value("services", Json::array()))
+    for (const Json& service : GetList(value, "services"))
       config.services.push_back(DecodeService(service));
-    for (const Json& team : value.value("tenants", Json::array()))
+    for (const Json& team : GetList(value, "tenants"))
       config.teams.push_back(DecodeTeam(team));
     config.limits = DecodeLimits(value.value("limits", Json::object()));
     return config;
@@ -188,7 +213,7 @@
   try {
     const Json value = ParseObject(object);
     return {value.at("model").get<std::string>(),
-            GetUnsigned(value.at("version"))};
+            GetUnsigned(value.at("version"), kMaxInt64)};
   } catch (const Json::exception& error) {
     throw Error(ResultCode::kProtocolError,
                 std::string("malformed model version: ") + error.what());
--- a/source/platform/endpoint_control.cc
+++ b/source/platform/endpoint_control.cc
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "platform/endpoint_answer.h"
 #include "platform/notice.h"
 #include "platform/wire_names.h"
 
@@ -20,40 +21,6 @@
 // Added to the wait of a long poll for events before it times out.
 constexpr Duration kEventsTimeoutMargin = std::chrono::milliseconds(300);
 
-gateway::EngineReport DecodeReport(const Json& body) {
-  gateway::EngineReport report;
-  report.busy = body.value("busy", false);
-  report.sequence = body.value("sequence", uint64_t{0});
-  for (const Json& model : body.value("models", Json::array())) {
-    report.models.push_back({model.at("name").get<std::string>(),
-                             model.at("version").get<uint64_t>()});
-  }
-  return report;
-}
-
-// Decodes [event number, "+" or "-", salt, part, tokens stored now, model],
-// where "+" adds the part and "-" removes it.
-reuse::StoreEvent DecodeEvent(const Json& item) {
-  reuse::StoreEvent event;
-  event.added = item.at(1).get<std::string>() == "+";
-  event.salt = item.at(2).get<std::string>();
-  event.part = item.at(3).get<std::string>();
-  event.tokens = item.at(4).get<int64_t>();
-  return event;
-}
-
-reuse::StoreEvents DecodeEvents(const Json& body) {
-  reuse::StoreEvents events;
-  events.epoch = body.at("epoch").get<uint64_t>();
-  events.next = body.at("next").get<uint64_t>();
-  events.lost = body.value("lost", false);
-  if (body.contains("clock_ms"))
-    events.clock_ms = static_cast<int64_t>(body["clock_ms"].get<double>());
-  for (const Json& item : body.at("events"))
-    events.events.push_back(DecodeEvent(item));
-  return events;
-}
-
 }  // namespace
 
 std::optional<runtime::HttpResponse> PlatformEndpointControl::Fetch(
@@ -95,11 +62,7 @@
       this->Call(endpoint, std::move(request), kReportTimeout);
   if (!response || response->status != 200)
     return std::nullopt;
-  try {
-    return DecodeReport(Json::parse(response->body));
-  } catch (const Json::exception&) {
-    return std::nullopt;
-  }
+  return DecodeReport(response->body);
 }
 
 gateway::OrderReply PlatformEndpointControl::Order(
@@ -145,11 +108,7 @@
       this->Fetch(address, request, wait + kEventsTimeoutMargin);
   if (!response || response->status != 200)
     return std::nullopt;
-  try {
-    return DecodeEvents(Json::parse(response->body));
-  } catch (const Json::exception&) {
-    return std::nullopt;
-  }
+  return DecodeEvents(response->body);
 }
 
 bool PlatformEndpointControl::Free(const std::string& address,
--- a/source/unit_tests/core/gateway/host_object_test.cc
+++ b/source/unit_tests/core/gateway/host_object_test.cc
@@ -73,6 +73,40 @@
     CHECK_FALSE(DecodeHostObject(text, kWrittenAt));
 }
 
+// Guards against another writer's object that ends the process or is read with
+// numbers that it does not have.
+TEST_CASE("host objects with odd values are rejected") {
+  const std::string deep = std::string(100000, '[') + std::string(100000, ']');
+  const std::string odd_values[] = {deep,    "-1",       "1.5",
+                                    "1e300", "1e400",    "\"1\"",
+                                    "null",  "\"\xff\"", "\"\\ud800\""};
+  for (const std::string& odd : odd_values) {
+    INFO(odd.substr(0, 20));
+    for (const std::string& text :
+         {R"({"marks":[],"store_era":)" + odd + "}",
+          R"({"marks":[],"config_version":)" + odd + "}",
+          R"({"marks":[],"written_ms":)" + odd + "}",
+          R"({"marks":[],"last_order_age_ms":)" + odd + "}",
+          R"({"marks":[{"fingerprint":1,"endpoint":"e","age_ms":)" + odd +
+              "}]}"})
+      CHECK_FALSE(DecodeHostObject(text, kWrittenAt));
+  }
+  CHECK_FALSE(DecodeHostObject(R"({"marks":[],"x":)" + deep + "}", kWrittenAt));
+}
+
+// Guards against an overflow of times that are computed from an age.
+TEST_CASE("ages of any length can be computed with") {
+  const auto decoded =
+      DecodeHostObject(R"({"marks":[{"fingerprint":1,"endpoint":"e",)"
+                       R"("age_ms":18446744073709551615}],"written_ms":0,)"
+                       R"("last_order_age_ms":9223372036854775807})",
+                       kWrittenAt);
+  REQUIRE(decoded);
+  CHECK(decoded->marks[0].age > minutes(60));
+  CHECK(decoded->marks[0].age < std::chrono::hours(24 * 1000));
+  CHECK(*decoded->last_order_age < std::chrono::hours(24 * 1000));
+}
+
 TEST_CASE("unknown evidence is skipped") {
   const auto decoded = DecodeHostObject(
       R"({"marks":[],"part_marks":[{"evidence":"new","part":1,"age_ms":2}]})",
--- a/source/unit_tests/platform/decode_test.cc
+++ b/source/unit_tests/platform/decode_test.cc
@@ -94,6 +94,16 @@
       {"48", "-48"},
       {"48", "48.5"},
       {"48", "9223372036854775808"},
+      {"48", "9223372036854775807"},
+      {"48", "1e400"},
+      {"1700000000123", "9223372036854775808"},
+      {"1700000000123", "1e30"},
+      {"\"version\":1,", "\"version\":-1,"},
+      {"\"version\":1,", "\"version\":1.5,"},
+      {"\"version\":1,", "\"version\":1e30,"},
+      {"\"version\":1,", "\"version\":\"1\","},
+      {"\"z\"", "\"\xff\""},
+      {"\"z\"", "\"\\ud800\""},
       {"\"ready\"", "\"unknown\""},
       {"\"ready\"", "true"},
       {"1700000000123", "1700000000123.5"},
@@ -111,6 +121,32 @@
   }
 }
 
+// Guards against a deep value, which copies of a parsed value follow on the
+// stack, and against numbers whose conversion is undefined.
+TEST_CASE("configurations with odd values are rejected") {
+  const std::string deep = std::string(100000, '[') + std::string(100000, ']');
+  const auto reject = [](const std::string& from, const std::string& to) {
+    INFO(from << " -> " << to.substr(0, 40));
+    CHECK_THROWS_AS(DecodeConfig(MakeObject(Replace(kConfig, from, to))),
+                    common::Error);
+  };
+  reject("\"version\":7", "\"x\":" + deep + ",\"version\":7");
+  for (const char* odd : {"-7", "7.5", "1e30", "1e400", "\"7\""})
+    reject("\"version\":7", std::string("\"version\":") + odd);
+  for (const char* odd : {"1e300", "-1e300", "1e400", "\"48\""}) {
+    reject("\"slots\":48", std::string("\"slots\":") + odd);
+    reject("\"maxConns\":300", std::string("\"maxConns\":") + odd);
+    reject("\"maxBodyBytes\":200", std::string("\"maxBodyBytes\":") + odd);
+  }
+  reject("\"maxBodyBytes\":200", "\"maxBodyBytes\":-200");
+  const auto config = DecodeConfig(MakeObject(
+      Replace(kConfig, "\"timeoutMs\":5000", "\"timeoutMs\":1e300")));
+  CHECK(config.routes[0].timeout > std::chrono::hours(24));
+  CHECK_THROWS_AS(
+      DecodeModelVersion(MakeObject(R"({"model":"m","version":1e30})")),
+      common::Error);
+}
+
 TEST_CASE("mutated objects are decoded or rejected with common::Error") {
   common::Random random(20261204);
   for (int i = 0; i < 3000; ++i) {
