Cancel a silent send only once the next one is certain

A send whose endpoint was silent for a while was canceled first. Only then the gateway asked whether the request may be sent again: event id, attempts, time, retry budget, an endpoint that takes it. If not, a started stream was cut and an unstarted request got a 502, although a sound endpoint that pauses for a second would have gone on.

The task is now asked first. ReserveResend chooses an endpoint that is healthy and has not just refused a request, takes the retry, and the next send counts as load there at once, so that sends moved in the same check see each other. Only then the first send is canceled, and the next one uses what was reserved. Otherwise the send goes on and is asked again at the next check. A send on outdated weights is canceled as before, since its run must not begin.

If the chosen endpoint still refuses the request, it waits for an endpoint that is ready, including the one that it was moved from, instead of being cut; and only runs count as attempts once one may have begun. A retry taken for a send that never reached its endpoint is kept for the next one.

--- a/source/core/dispatch/admission_policy.cc
+++ b/source/core/dispatch/admission_policy.cc
@@ -22,10 +22,9 @@
 constexpr double kMaxLateWaitShare = 0.6;
 constexpr common::Duration kMinRetryAfter = std::chrono::milliseconds(100);
 
-}  // namespace
-
-AdmissionDecision DecideAdmission(const AdmissionRequest& request,
-                                  const std::optional<EndpointChoice>& choice) {
+AdmissionDecision DecideForRefusable(
+    const AdmissionRequest& request,
+    const std::optional<EndpointChoice>& choice) {
   if (!choice) {
     const auto max_hold =
         std::min(Scale(request.target_latency, kMaxHoldShareWithoutEndpoint),
@@ -57,4 +56,14 @@
           std::max(kMinRetryAfter, choice->predicted - left / 2)};
 }
 
+}  // namespace
+
+AdmissionDecision DecideAdmission(const AdmissionRequest& request,
+                                  const std::optional<EndpointChoice>& choice) {
+  const AdmissionDecision decision = DecideForRefusable(request, choice);
+  if (decision.step == AdmissionStep::kRefuse && !request.may_be_refused)
+    return {AdmissionStep::kWait};
+  return decision;
+}
+
 }  // namespace jujuberock::dispatch
--- a/source/core/dispatch/admission_policy.h
+++ b/source/core/dispatch/admission_policy.h
@@ -20,6 +20,8 @@
   common::Duration held{0};
   // Time until the deadline of the request.
   common::Duration remaining{0};
+  // Whether the request can be refused: no endpoint has begun to work on it.
+  bool may_be_refused = true;
   // Set if all endpoints have asked for a pause: time until the first one ends.
   std::optional<common::Duration> pause_left;
 };
@@ -33,7 +35,7 @@
 // Decides whether a request is sent now, stays queued, or is refused early
 // enough for its caller to retry elsewhere. A request is never refused while an
 // endpoint is idle. Under overload, endpoint time goes to requests that can
-// still meet their target latency.
+// still meet their target latency. One that can't be refused is queued instead.
 AdmissionDecision DecideAdmission(const AdmissionRequest& request,
                                   const std::optional<EndpointChoice>& choice);
 
--- a/source/core/dispatch/endpoint_record.cc
+++ b/source/core/dispatch/endpoint_record.cc
@@ -60,6 +60,10 @@
   this->own_waiting_at_report = this->own_waiting();
 }
 
+bool EndpointRecord::HasJustRefused(common::TimePoint now) const {
+  return this->refused_at && now - *this->refused_at < kRefusalLifetime;
+}
+
 void EndpointRecord::OnLatency(common::Duration latency) {
   const double ms = common::ToMilliseconds(latency);
   if (this->latency_ms == 0)
--- a/source/core/dispatch/endpoint_record.h
+++ b/source/core/dispatch/endpoint_record.h
@@ -71,6 +71,11 @@
   void OnLoadReport(const LoadReport& report, common::TimePoint now);
   // Some bytes arrived from the endpoint.
   void OnBytesReceived(common::TimePoint now) { this->last_byte_at = now; }
+  // The endpoint has refused a request, or accepted one.
+  void OnRefused(common::TimePoint now) { this->refused_at = now; }
+  void OnAccepted() { this->refused_at.reset(); }
+  // Whether the last request was refused, and that a short time ago.
+  bool HasJustRefused(common::TimePoint now) const;
   // Records the latency of an answered request.
   void OnLatency(common::Duration latency);
 
@@ -130,6 +135,10 @@
   static constexpr common::Duration kMaxReportAge =
       std::chrono::milliseconds(1500);
 
+  // An endpoint that refused a request is expected to refuse others for this
+  // long.
+  static constexpr common::Duration kRefusalLifetime = std::chrono::seconds(1);
+
   struct PeerRun {
     common::TimePoint until;
     int64_t memory_tokens = 0;
@@ -158,6 +167,8 @@
   int64_t own_in_flight_at_report = 0;
   int64_t own_waiting_at_report = 0;
   common::TimePoint last_byte_at;
+  // Unset once a request was accepted.
+  std::optional<common::TimePoint> refused_at;
   // Tokens that were pending at `peer_tokens_at`; the engine has prefilled some
   // of them since.
   mutable double peer_tokens = 0;
--- a/source/core/dispatch/service_pool.cc
+++ b/source/core/dispatch/service_pool.cc
@@ -179,6 +179,17 @@
     common::TimePoint now) {
   if (ExclusionOf(record, requirements, now) != Exclusion::kNone)
     return Eligibility::kNo;
+  const Eligibility eligibility = EligibilityByHealth(record, now);
+  if (!requirements.ready_only)
+    return eligibility;
+  const bool is_ready =
+      eligibility == Eligibility::kYes && !record.HasJustRefused(now);
+  return is_ready ? Eligibility::kYes : Eligibility::kNo;
+}
+
+ServicePool::Eligibility ServicePool::EligibilityByHealth(
+    const EndpointRecord& record,
+    common::TimePoint now) {
   switch (record.health().StateAt(now)) {
     case EndpointHealth::State::kHealthy:
       return Eligibility::kYes;
@@ -197,7 +208,8 @@
   std::optional<EndpointChoice> best;
   double lowest_cost = 0;
   Eligibility best_eligibility = Eligibility::kNo;
-  if (requirements.prompt)
+  // A request that looks for a ready endpoint was counted before.
+  if (requirements.prompt && !requirements.ready_only)
     this->mean_output +=
         0.02 * (static_cast<double>(requirements.prompt->max_output_tokens) -
                 this->mean_output);
--- a/source/core/dispatch/service_pool.h
+++ b/source/core/dispatch/service_pool.h
@@ -62,6 +62,8 @@
   // The request was in flight on an endpoint that crashed, so it should run
   // where it affects the fewest other requests.
   bool isolate = false;
+  // Only endpoints that are healthy and have not just refused a request.
+  bool ready_only = false;
 };
 
 struct EndpointChoice {
@@ -155,6 +157,8 @@
   static Eligibility EligibilityOf(const EndpointRecord& record,
                                    const SendRequirements& requirements,
                                    common::TimePoint now);
+  static Eligibility EligibilityByHealth(const EndpointRecord& record,
+                                         common::TimePoint now);
   // What makes some engines cheaper for a prompt than others: the two
   // highest-ranked endpoints of its session by rendezvous hashing, and the
   // parts that an engine may have cached.
--- a/source/core/gateway/dispatcher.cc
+++ b/source/core/gateway/dispatcher.cc
@@ -349,10 +349,10 @@
     const auto found = this->active.find(handle);
     if (found == this->active.end())
       continue;
-    auto move = std::move(found->second.move);
+    if (!found->second.move(reason))
+      continue;
     this->active.erase(found);
     this->moved_sends.Add();
-    move(reason);
   }
 }
 
--- a/source/core/gateway/dispatcher.h
+++ b/source/core/gateway/dispatcher.h
@@ -54,7 +54,9 @@
   // The first event of a stream has arrived, so its run has begun.
   bool has_first_event = false;
   // Cancels the send, so that the request can be sent to another endpoint.
-  std::function<void(MoveReason reason)> move = nullptr;
+  // Returns false if the send goes on, because no other endpoint can take the
+  // request now.
+  std::function<bool(MoveReason reason)> move = nullptr;
 
   // Whether the run must not begin any more, because a newer version of the
   // weights was announced too long ago.
@@ -136,8 +138,8 @@
 
   // Decides on prompt parts that crash endpoints; called every kCheckPeriod.
   void CheckSuspects();
-  // Detects silent endpoints and moves hanging sends; called every
-  // kCheckPeriod.
+  // Detects silent endpoints and moves hanging sends where that is possible;
+  // called every kCheckPeriod.
   void CheckSilence();
   static constexpr common::Duration kCheckPeriod =
       std::chrono::milliseconds(100);
--- a/source/core/gateway/request_task.cc
+++ b/source/core/gateway/request_task.cc
@@ -19,17 +19,13 @@
 using common::Scale;
 using common::TimePoint;
 using dispatch::AdmissionStep;
+using dispatch::GiveUpReason;
 using dispatch::SendOutcome;
 using events::Event;
 using events::Field;
 using events::LogLine;
 using forward::SendFailure;
 
-// Interval at which a waiting request tries again to choose an endpoint.
-constexpr Duration kAwaitPoll = std::chrono::milliseconds(12);
-// Maximum failed connection attempts of one request. Each unreachable endpoint
-// can cost the connect timeout.
-constexpr int64_t kMaxFailedConnects = 3;
 // An endpoint that rejected a request because it is full is not used for this
 // long.
 constexpr Duration kFullEndpointPause = std::chrono::milliseconds(60);
@@ -65,6 +61,9 @@
 
 RequestTask::~RequestTask() {
   this->callback_state->send = nullptr;
+  if (this->reserved)
+    this->reserved->choice.endpoint->OnEnded(this->reserved->ticket,
+                                             runtime::BootNow());
 }
 
 void RequestTask::Run() {
@@ -86,18 +85,43 @@
 
 void RequestTask::RunUntilAnswered() {
   while (true) {
-    const dispatch::EndpointChoice choice = this->AwaitEndpoint();
-    this->CheckParts();
-    const AttemptResult result = this->Attempt(choice);
+    const AttemptResult result = this->Attempt(this->NextSend());
     if (result == AttemptResult::kAnswered)
       break;
-    if (this->callback_state->caller_gone)
-      throw Error(ResultCode::kCanceled, "the caller disconnected");
-    if (!this->MaySendAgain(result))
+    this->CheckCaller();
+    if (!this->reserved && !this->MaySendAgain())
       this->FailRequest();
   }
 }
 
+RequestTask::PlannedSend RequestTask::NextSend() {
+  if (this->reserved) {
+    PlannedSend planned = std::move(*this->reserved);
+    this->reserved.reset();
+    return planned;
+  }
+  const dispatch::EndpointChoice choice = this->AwaitEndpoint();
+  this->CheckParts();
+  return this->Plan(choice);
+}
+
+RequestTask::PlannedSend RequestTask::Plan(
+    const dispatch::EndpointChoice& choice) {
+  dispatch::SendTicket ticket;
+  ticket.endpoint = choice.endpoint;
+  ticket.urgency = this->urgency;
+  ticket.uncached_tokens = choice.uncached_tokens;
+  ticket.is_long = choice.is_long;
+  if (this->request.prompt) {
+    ticket.memory_tokens = this->request.prompt->MemoryTokens();
+    ticket.max_output_tokens = this->request.prompt->max_output_tokens;
+  }
+  choice.endpoint->OnSent(ticket, runtime::BootNow());
+  this->tried.insert(choice.endpoint->endpoint().id);
+  this->RecordPrompt(choice, ticket);
+  return {choice, ticket};
+}
+
 void RequestTask::Route() {
   if (!this->config || !this->deps.view.IsComplete(this->received_at))
     this->Refuse(ResultCode::kNotReady, "no configuration yet",
@@ -191,27 +215,48 @@
   });
 }
 
+void RequestTask::CheckCaller() const {
+  if (this->callback_state->caller_gone)
+    throw Error(ResultCode::kCanceled, "the caller disconnected");
+}
+
 Duration RequestTask::Remaining(TimePoint now) const {
   return this->deadline - now;
 }
 
+dispatch::AdmissionRequest RequestTask::Admission(TimePoint now) const {
+  dispatch::AdmissionRequest admission;
+  admission.target_latency = this->route->target_latency;
+  admission.elapsed = now - this->received_at;
+  admission.remaining = this->Remaining(now);
+  admission.may_be_refused = !this->run_was_canceled;
+  return admission;
+}
+
+std::optional<dispatch::EndpointChoice> RequestTask::Choose(TimePoint now) {
+  dispatch::SendRequirements requirements = this->Requirements();
+  if (this->run_was_canceled) {
+    // The endpoint that should go on has not run the request. The one whose run
+    // was canceled may be the only one left.
+    requirements.ready_only = true;
+    requirements.tried = nullptr;
+  }
+  return this->pool->Choose(requirements, now);
+}
+
 dispatch::EndpointChoice RequestTask::AwaitEndpoint() {
   const TimePoint began = runtime::BootNow();
   bool queued = false;
   while (true) {
     const TimePoint now = runtime::BootNow();
-    if (this->callback_state->caller_gone)
-      throw Error(ResultCode::kCanceled, "the caller disconnected");
-    const auto choice = this->pool->Choose(this->Requirements(), now);
-    dispatch::AdmissionRequest admission;
-    admission.target_latency = this->route->target_latency;
-    admission.elapsed = now - this->received_at;
+    this->CheckCaller();
+    const auto choice = this->Choose(now);
+    dispatch::AdmissionRequest admission = this->Admission(now);
     admission.held = now - began;
-    admission.remaining = this->Remaining(now);
     if (!choice)
       admission.pause_left = this->pool->PauseLeft(this->Requirements(), now);
     const auto decision = dispatch::DecideAdmission(admission, choice);
-    const bool out_of_time = admission.remaining <= 2 * kNetworkDelay;
+    const bool out_of_time = admission.remaining <= dispatch::kMinTimeToAnswer;
     if (decision.step == AdmissionStep::kSend && !out_of_time) {
       this->held += now - began;
       return *choice;
@@ -267,49 +312,20 @@
   throw RefusedError(code, reason, retry_after);
 }
 
-RequestTask::AttemptResult RequestTask::Attempt(
-    const dispatch::EndpointChoice& choice) {
+RequestTask::AttemptResult RequestTask::Attempt(PlannedSend planned) {
+  const dispatch::EndpointChoice& choice = planned.choice;
+  dispatch::SendTicket& ticket = planned.ticket;
   auto& record = *choice.endpoint;
-  const TimePoint now = runtime::BootNow();
   this->predicted = choice.predicted;
   this->reuse = {};
   this->part_monitor.OnSent();
-  dispatch::SendTicket ticket;
-  ticket.endpoint = choice.endpoint;
-  ticket.urgency = this->urgency;
-  ticket.uncached_tokens = choice.uncached_tokens;
-  ticket.is_long = choice.is_long;
-  if (this->request.prompt) {
-    ticket.memory_tokens = this->request.prompt->MemoryTokens();
-    ticket.max_output_tokens = this->request.prompt->max_output_tokens;
-  }
-  record.OnSent(ticket, now);
-  this->tried.insert(record.endpoint().id);
-  this->RecordPrompt(choice, ticket);
-
   forward::EndpointSend send(this->deps.connections, this->deps.codec,
                              record.endpoint().address);
   this->callback_state->send = &send;
-  ActiveSend active{choice.endpoint,
-                    this->pool,
-                    now,
-                    this->MoveTimeout(choice),
-                    TargetsOf(*this->route),
-                    this->ExpectedAnswer()};
   this->callback_state->move_reason.reset();
-  active.move = [callback_state = this->callback_state](MoveReason reason) {
-    if (!callback_state->send)
-      return;
-    callback_state->move_reason = reason;
-    callback_state->send->Cancel();
-  };
-  if (this->request.prompt && this->pool->is_engine()) {
-    active.model = this->request.prompt->model;
-    active.version = record.VersionOf(active.model);
-  }
-  this->active_send = this->deps.dispatcher.Register(std::move(active));
+  this->RegisterSend(choice);
   const forward::SendParameters parameters = this->MakeSendParameters(choice);
-  this->LogSent(choice, now);
+  this->LogSent(choice, runtime::BootNow());
   AttemptResult result = AttemptResult::kUnknown;
   std::optional<Error> failure;
   try {
@@ -323,8 +339,7 @@
   } catch (const Error& error) {
     failure = error;
   }
-  if (send.sent())
-    ++this->sends;
+  this->CountSend(send, result);
   this->callback_state->send = nullptr;
   this->deps.dispatcher.Unregister(this->active_send);
   record.OnEnded(ticket, runtime::BootNow());
@@ -333,6 +348,21 @@
   return result;
 }
 
+void RequestTask::RegisterSend(const dispatch::EndpointChoice& choice) {
+  ActiveSend active{choice.endpoint,         this->pool,
+                    runtime::BootNow(),      this->MoveTimeout(choice),
+                    TargetsOf(*this->route), this->ExpectedAnswer()};
+  // The shared state outlives the task and tells whether a send is in progress.
+  active.move = [this, state = this->callback_state](MoveReason reason) {
+    return state->send && this->Move(reason);
+  };
+  if (this->request.prompt && this->pool->is_engine()) {
+    active.model = this->request.prompt->model;
+    active.version = choice.endpoint->VersionOf(active.model);
+  }
+  this->active_send = this->deps.dispatcher.Register(std::move(active));
+}
+
 void RequestTask::RecordPrompt(const dispatch::EndpointChoice& choice,
                                const dispatch::SendTicket& ticket) {
   if (!this->request.prompt || !this->pool->is_engine())
@@ -364,11 +394,13 @@
   if (head.not_run) {
     const Duration pause =
         head.status == 421 ? kMismatchPause : kFullEndpointPause;
-    record.paused_until =
-        std::max(record.paused_until, runtime::BootNow() + pause);
+    const TimePoint now = runtime::BootNow();
+    record.paused_until = std::max(record.paused_until, now + pause);
+    record.OnRefused(now);
     send.Discard();
     return AttemptResult::kNotRun;
   }
+  record.OnAccepted();
   const bool own_failure = head.status >= 500;
   if (own_failure)
     this->deps.dispatcher.OnOutcome(*this->pool, record, SendOutcome::kError);
@@ -500,42 +532,10 @@
   return AttemptResult::kUnknown;
 }
 
-bool RequestTask::IsRepeatable() const {
-  if (this->route->kind == RouteKind::kIdempotent)
-    return true;
-  return this->route->kind == RouteKind::kStream && this->route->can_resume;
-}
-
-bool RequestTask::MaySendAgain(AttemptResult result) {
-  if (result == AttemptResult::kUnknown)
-    this->may_have_run = true;
-  this->give_up_reason = this->ReasonToGiveUp(result);
-  return !this->give_up_reason;
-}
-
-std::optional<GiveUpReason> RequestTask::ReasonToGiveUp(AttemptResult result) {
-  if (result == AttemptResult::kUnknown && !this->IsRepeatable())
-    return GiveUpReason::kNotRepeatable;
-  // A started response can only be resumed after an event that has an id.
-  if (this->relay.started() && !this->relay.last_event_id())
-    return GiveUpReason::kNoEventId;
-  if (this->sends >= this->route->max_attempts)
-    return GiveUpReason::kAttempts;
-  if (this->failed_connects >= kMaxFailedConnects)
-    return GiveUpReason::kConnects;
-  const TimePoint now = runtime::BootNow();
-  if (this->Remaining(now) <= 2 * kNetworkDelay)
-    return GiveUpReason::kTime;
-  const bool is_retry = this->sends > 0;
-  if (is_retry && !this->deps.dispatcher.retries().TryRetry(this->service, now))
-    return GiveUpReason::kRetryBudget;
-  return std::nullopt;
-}
-
 void RequestTask::FailRequest() {
   const TimePoint now = runtime::BootNow();
   this->deps.failed.Add();
-  if (!this->may_have_run && !this->relay.started())
+  if (this->runs == 0 && !this->relay.started())
     this->Refuse(ResultCode::kNoEndpoint, "no endpoint accepted the request",
                  this->route->target_latency / 3);
   const bool expired = this->timed_out || this->Remaining(now) <= kNetworkDelay;
@@ -548,7 +548,7 @@
         .Add(Field::kReason, expired ? "endpoint_silent" : "endpoint_failed");
     if (this->give_up_reason)
       line.Add(Field::kDetail,
-               kGiveUpReasonNames.NameOf(*this->give_up_reason));
+               dispatch::kGiveUpReasonNames.NameOf(*this->give_up_reason));
     line.Add(Field::kTookMs, now - this->received_at);
   }
   throw Error(
--- a/source/core/gateway/request_task.h
+++ b/source/core/gateway/request_task.h
@@ -7,8 +7,8 @@
 #include <string>
 
 #include "core/catalog/config_view.h"
-#include "core/common/name_table.h"
 #include "core/dispatch/admission_policy.h"
+#include "core/dispatch/resend_policy.h"
 #include "core/events/event_log.h"
 #include "core/forward/endpoint_send.h"
 #include "core/forward/response_relay.h"
@@ -40,21 +40,6 @@
   PeerLoads* peer_loads = nullptr;
 };
 
-// Why a request is not sent to another endpoint.
-enum class GiveUpReason {
-  kNotRepeatable,  // it may have run, and its route allows one run
-  kNoEventId,      // its answer has started with events that have no id
-  kAttempts,       // the route allows no more sends
-  kConnects,       // too many endpoints could not be reached
-  kTime,           // its deadline is too near
-  kRetryBudget,    // the service gets no more retries for now
-  kNoEndpoint,     // no endpoint may take it
-};
-
-inline constexpr common::NameTable<GiveUpReason, 7> kGiveUpReasonNames(
-    {"not_repeatable", "no_event_id", "attempts", "connects", "time",
-     "retry_budget", "no_endpoint"});
-
 // Handles one request of a caller until the end of the response. Runs on the
 // fiber of the caller's connection.
 class RequestTask {
@@ -73,6 +58,8 @@
   // response can still reach the caller.
   static constexpr common::Duration kNetworkDelay =
       std::chrono::milliseconds(5);
+  // Interval at which a waiting request tries again to be sent.
+  static constexpr common::Duration kAwaitPoll = std::chrono::milliseconds(12);
 
   // State shared with callbacks that may outlive the task.
   struct CallbackState {
@@ -90,6 +77,12 @@
     kUnknown,  // the request may have run
   };
 
+  // A send that the endpoint's load already accounts for.
+  struct PlannedSend {
+    dispatch::EndpointChoice choice;
+    dispatch::SendTicket ticket;
+  };
+
   // Sends the request until an endpoint has answered it.
   void RunUntilAnswered();
   void Route();
@@ -100,9 +93,17 @@
   void CheckParts();
   void PickService();
   void WatchCaller();
-
-  // Waits until the request may be sent. Throws if it is refused.
+  // Throws if the caller has disconnected.
+  void CheckCaller() const;
+
+  // Returns the send that a move has prepared, or waits until the request may
+  // be sent. Throws if it is refused.
+  PlannedSend NextSend();
+  // Adds the send to the load of its endpoint.
+  PlannedSend Plan(const dispatch::EndpointChoice& choice);
   dispatch::EndpointChoice AwaitEndpoint();
+  std::optional<dispatch::EndpointChoice> Choose(common::TimePoint now);
+  dispatch::AdmissionRequest Admission(common::TimePoint now) const;
   dispatch::SendRequirements Requirements() const;
   // Adds the version that is required now and the numbers of endpoints that may
   // and may not take the request.
@@ -111,7 +112,17 @@
                            const char* reason,
                            std::optional<common::Duration> retry_after);
 
-  AttemptResult Attempt(const dispatch::EndpointChoice& choice);
+  AttemptResult Attempt(PlannedSend planned);
+  // Tracks the send until it is unregistered, so that it can be moved.
+  void RegisterSend(const dispatch::EndpointChoice& choice);
+  // Cancels the send in progress so that the request can go on elsewhere.
+  // Returns false, and lets it go on, if that is not certain.
+  bool Move(MoveReason reason);
+  // Prepares the next send while one is in progress. Returns false if the
+  // request can't be sent again at the moment.
+  bool ReserveNextSend();
+  // Counts a send that has ended.
+  void CountSend(const forward::EndpointSend& send, AttemptResult result);
   void LogSent(const dispatch::EndpointChoice& choice, common::TimePoint now);
   // Adds the weight version of the engine and, while a newer one is announced,
   // what the host knows about that announcement.
@@ -152,8 +163,9 @@
   void RecordFetch(common::Duration excess);
 
   bool IsRepeatable() const;
-  bool MaySendAgain(AttemptResult result);
-  std::optional<GiveUpReason> ReasonToGiveUp(AttemptResult result);
+  dispatch::ResendRequest AsResend(common::TimePoint now) const;
+  bool MaySendAgain();
+  std::optional<dispatch::GiveUpReason> ReasonToGiveUp();
   [[noreturn]] void FailRequest();
   forward::SendParameters MakeSendParameters(
       const dispatch::EndpointChoice& choice);
@@ -193,16 +205,24 @@
   std::set<std::string> tried;
   // The send in progress, if there is one.
   Dispatcher::SendHandle active_send = 0;
+  // The send that follows the one in progress when that is canceled.
+  std::optional<PlannedSend> reserved;
+  // Whether this host has canceled the last run although its endpoint might
+  // have answered.
+  bool run_was_canceled = false;
+  // Sends that reached an endpoint, and those of them that may have run.
   int64_t sends = 0;
+  int64_t runs = 0;
   int64_t failed_connects = 0;
+  // Whether a retry was taken from the budget for the next send.
+  bool holds_retry = false;
   // The parts that this send reads from and saves to cache stores, and the
   // predicted time to the first token.
   reuse::ReusePlan reuse;
   common::Duration predicted{0};
   common::TimePoint first_byte_at;
-  bool may_have_run = false;
   bool timed_out = false;
-  std::optional<GiveUpReason> give_up_reason;
+  std::optional<dispatch::GiveUpReason> give_up_reason;
   forward::ResponseRelay relay;
 };
 
--- a/source/core/gateway/request_task_log.cc
+++ b/source/core/gateway/request_task_log.cc
@@ -93,7 +93,8 @@
       .Add(Field::kEndedBy, by_caller ? "caller" : "host")
       .Add(Field::kOwed, this->relay.started() ? "rest" : "answer");
   if (this->give_up_reason)
-    line.Add(Field::kReason, kGiveUpReasonNames.NameOf(*this->give_up_reason));
+    line.Add(Field::kReason,
+             dispatch::kGiveUpReasonNames.NameOf(*this->give_up_reason));
   line.Add(Field::kDetail, error.what())
       .Add(Field::kCount, this->relay.statistics().events);
   if (this->config)
--- a/source/core/gateway/request_task_send.cc
+++ b/source/core/gateway/request_task_send.cc
@@ -128,7 +128,7 @@
 
 std::optional<Duration> RequestTask::MoveTimeout(
     const dispatch::EndpointChoice& choice) const {
-  const bool is_last = this->sends + 1 >= this->route->max_attempts;
+  const bool is_last = this->runs + 1 >= this->route->max_attempts;
   if (!this->IsRepeatable() || is_last)
     return std::nullopt;
   if (!this->pool->is_engine()) {
--- a/source/unit_tests/core/dispatch/admission_policy_test.cc
+++ b/source/unit_tests/core/dispatch/admission_policy_test.cc
@@ -52,6 +52,18 @@
         AdmissionStep::kRefuse);
 }
 
+// Guards against cutting a request that this host has moved while no endpoint
+// is ready for it.
+TEST_CASE("a request that can't be refused is queued instead") {
+  AdmissionRequest request = Request(400);
+  request.may_be_refused = false;
+  CHECK(DecideAdmission(request, std::nullopt).step == AdmissionStep::kWait);
+  CHECK(DecideAdmission(request, Predicted(900, false)).step ==
+        AdmissionStep::kWait);
+  CHECK(DecideAdmission(request, Predicted(900, true)).step ==
+        AdmissionStep::kSend);
+}
+
 // Load pattern: a service is overloaded as a whole, and all of its endpoints
 // ask for a pause. Guards against holding a request that is known to be
 // unservable.
