Refuse requests in a planned stop that it would have to cut

Requests that arrived up to 2.7 s after SIGTERM were passed on whatever they might take. Those still in progress at the end of the grace period were cut without an answer, among them requests that must not be repeated.

While the host stops, a request is now passed on only if it is expected to end in time. Its deadline is the sure bound. Otherwise the longest recent duration of its route at this host decides, with a margin: 1.25 times for requests that may be repeated, 1.6 times for others, whose callers can do nothing about an unknown outcome. If the route had no successful request in the last one to two minutes, that of its service counts; without any, the request is refused at once as not run, with a Retry-After of 0.1 s, so that its caller goes to another host. What is passed on, or sent once more, in a stop gets at most the time that is left as its deadline, so that a slower endpoint or this host answers before the end.

dispatch::DurationRecord keeps the durations and dispatch::MayStartWhileStopping decides; gateway::PlannedStop holds what requests need to know about the stop.

--- a/source/core/gateway/gateway.cc
+++ b/source/core/gateway/gateway.cc
@@ -20,13 +20,13 @@
 // Time for which a stopping host keeps serving while it reports not ready. The
 // load balancer probes every second and removes a host after two failures.
 constexpr Duration kReadinessDelay = std::chrono::milliseconds(2400);
-// Requests that arrive later than this after the stop began may not finish
-// within the grace period. They are refused while it is certain that they have
-// not run.
+// Requests that arrive later than this after the stop began are refused. Their
+// connections are being closed.
 constexpr Duration kAcceptPeriod = std::chrono::milliseconds(2700);
-constexpr Duration kStoppingRetryAfter = std::chrono::milliseconds(100);
 // Part of the grace period reserved for the process to exit by itself.
 constexpr Duration kExitReserve = std::chrono::milliseconds(400);
+// Time before that in which final answers reach the callers.
+constexpr Duration kFinalAnswerPeriod = std::chrono::milliseconds(100);
 constexpr Duration kStopPoll = std::chrono::milliseconds(20);
 
 runtime::HttpServerOptions OptionsFor(const catalog::CallerLimits& limits) {
@@ -81,6 +81,7 @@
                    this->dispatcher,
                    this->cache_store_index,
                    this->connections,
+                   this->planned_stop,
                    platform.codec,
                    log,
                    counters.GetCounter("requests_answered_total"),
@@ -226,7 +227,7 @@
   try {
     if (stop_began_at && runtime::BootNow() - *stop_began_at > kAcceptPeriod)
       throw RefusedError(ResultCode::kStopping, "the host is stopping",
-                         kStoppingRetryAfter);
+                         PlannedStop::kRetryAfter);
     RequestTask task(this->request_deps,
                      this->platform.codec.DecodeRequest(request), writer);
     task.Run();
@@ -252,13 +253,14 @@
   const auto began = runtime::BootNow();
   this->workers.Run([this, began] {
     this->stop_began_at = began;
+    const auto limit = this->settings.stop_grace - kExitReserve;
+    this->planned_stop.Begin(began + limit - kFinalAnswerPeriod);
     this->rollout_controller.Stop();
     LogLine(this->log, Event::kStopping)
         .Add(Field::kInFlight,
              static_cast<uint64_t>(this->caller_server->ActiveRequests()));
     runtime::SleepFor(kReadinessDelay);
     this->caller_server->Drain();
-    const auto limit = this->settings.stop_grace - kExitReserve;
     while (!this->caller_server->IsDrained() &&
            runtime::BootNow() - began < limit)
       runtime::SleepFor(kStopPoll);
--- a/source/core/gateway/gateway.h
+++ b/source/core/gateway/gateway.h
@@ -17,6 +17,7 @@
 #include "core/gateway/endpoint_control.h"
 #include "core/gateway/host_registry.h"
 #include "core/gateway/peer_loads.h"
+#include "core/gateway/planned_stop.h"
 #include "core/gateway/platform_view.h"
 #include "core/gateway/request_task.h"
 #include "core/gateway/rollout_controller.h"
@@ -83,6 +84,7 @@
   RolloutController rollout_controller;
   CacheStoreCleaner cache_store_cleaner;
   std::unique_ptr<PeerLoads> peer_loads;
+  PlannedStop planned_stop;
   RequestDependencies request_deps;
   std::unique_ptr<runtime::HttpServer> caller_server;
   std::unique_ptr<runtime::HttpServer> readiness_server;
--- a/source/core/gateway/request_task.cc
+++ b/source/core/gateway/request_task.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "core/common/scale.h"
+#include "core/dispatch/stop_policy.h"
 #include "core/gateway/refused_error.h"
 #include "core/runtime/boot_clock.h"
 #include "core/runtime/sleep.h"
@@ -71,19 +72,34 @@
   try {
     this->Route();
     this->PickService();
+    this->CheckPlannedStop();
     this->CheckCrashMarks();
     this->CheckParts();
     this->WatchCaller();
     this->deps.dispatcher.retries().OnRequest(this->service, this->received_at);
     this->RunUntilAnswered();
   } catch (const Error& error) {
+    this->RecordDuration();
     this->LogUnanswered(error);
     throw;
   }
+  this->RecordDuration();
   this->deps.answered.Add();
   this->deps.total.Observe(runtime::BootNow() - this->received_at);
 }
 
+void RequestTask::RecordDuration() {
+  if (this->sends == 0)
+    return;
+  const TimePoint now = runtime::BootNow();
+  const Duration duration = now - this->received_at;
+  PlannedStop& stop = this->deps.planned_stop;
+  if (this->succeeded)
+    stop.OnAnswered(this->route->name, this->service, duration, now);
+  else
+    stop.OnUnfinished(this->route->name, this->service, duration, now);
+}
+
 void RequestTask::RunUntilAnswered() {
   while (true) {
     const dispatch::EndpointChoice choice = this->AwaitEndpoint();
@@ -181,6 +197,20 @@
                  kStaleViewRetryAfter);
 }
 
+void RequestTask::CheckPlannedStop() {
+  const auto end = this->deps.planned_stop.answer_deadline();
+  if (!end)
+    return;
+  const dispatch::StoppingRequest stopping{
+      this->deadline - this->received_at,
+      this->deps.planned_stop.LongestDuration(this->route->name, this->service,
+                                              this->received_at),
+      this->IsRepeatable()};
+  if (!dispatch::MayStartWhileStopping(stopping, *end - this->received_at))
+    this->Refuse(ResultCode::kStopping, "the host is stopping",
+                 PlannedStop::kRetryAfter);
+}
+
 void RequestTask::WatchCaller() {
   // A non-idempotent request is not canceled when its caller disconnects,
   // because it may be partially executed.
@@ -193,8 +223,14 @@
   });
 }
 
+TimePoint RequestTask::EffectiveDeadline() const {
+  return std::min(
+      this->deadline,
+      this->deps.planned_stop.answer_deadline().value_or(this->deadline));
+}
+
 Duration RequestTask::Remaining(TimePoint now) const {
-  return this->deadline - now;
+  return this->EffectiveDeadline() - now;
 }
 
 dispatch::EndpointChoice RequestTask::AwaitEndpoint() {
@@ -316,7 +352,7 @@
   std::optional<Error> failure;
   try {
     const forward::ResponseHead head =
-        send.Open(this->request, parameters, this->deadline);
+        send.Open(this->request, parameters, this->EffectiveDeadline());
     this->deps.dispatcher.MarkStarted(this->active_send);
     this->RecordHead(head, record);
     result = this->HandleResponse(send, head, ticket);
@@ -383,6 +419,7 @@
   if (this->relay.started() && !this->IsStream(head))
     return AttemptResult::kUnknown;
   this->RelayResponse(send, head, ticket);
+  this->succeeded = IsSuccess(head.status);
   if (!own_failure) {
     this->deps.dispatcher.OnOutcome(*this->pool, record, SendOutcome::kGood);
     this->deps.dispatcher.suspects().OnSuccess(this->fingerprint,
--- a/source/core/gateway/request_task.h
+++ b/source/core/gateway/request_task.h
@@ -16,6 +16,7 @@
 #include "core/gateway/dispatcher.h"
 #include "core/gateway/part_monitor.h"
 #include "core/gateway/peer_loads.h"
+#include "core/gateway/planned_stop.h"
 #include "core/reuse/cache_store_index.h"
 #include "core/reuse/salt.h"
 #include "core/runtime/http_server.h"
@@ -29,6 +30,7 @@
   Dispatcher& dispatcher;
   reuse::CacheStoreIndex& cache_store_index;
   forward::ConnectionPool& connections;
+  PlannedStop& planned_stop;
   const forward::Codec& codec;
   events::EventLog& log;
   common::Counter& answered;
@@ -99,6 +101,8 @@
   // because other hosts may have found out in the meantime.
   void CheckParts();
   void PickService();
+  // Refuses the request if the host stops and would have to cut it.
+  void CheckPlannedStop();
   void WatchCaller();
 
   // Waits until the request may be sent. Throws if it is refused.
@@ -147,6 +151,8 @@
   void RecordHead(const forward::ResponseHead& head,
                   dispatch::EndpointRecord& record);
   dispatch::AnswerKind ExpectedAnswer() const;
+  // Records how long the request took, for those that arrive in a stop.
+  void RecordDuration();
   void RecordFirstByte(dispatch::SendTicket& ticket);
   // Records how much later than predicted the first token of a fetch arrived.
   void RecordFetch(common::Duration excess);
@@ -162,6 +168,9 @@
       const dispatch::EndpointChoice& choice);
   std::optional<common::Duration> MoveTimeout(
       const dispatch::EndpointChoice& choice) const;
+  // The deadline, or the end of a planned stop if that is earlier.
+  common::TimePoint EffectiveDeadline() const;
+  // Time until the effective deadline.
   common::Duration Remaining(common::TimePoint now) const;
   // Returns the salt of prompt parts that this weight version computes.
   std::string SaltFor(uint64_t version) const;
@@ -205,6 +214,8 @@
   common::TimePoint first_byte_at;
   bool may_have_run = false;
   bool timed_out = false;
+  // Whether the caller got the whole of a successful answer.
+  bool succeeded = false;
   std::optional<GiveUpReason> give_up_reason;
   forward::ResponseRelay relay;
 };
