--- a/source/core/gateway/request_task.h
+++ b/source/core/gateway/request_task.h
@@ -16,6 +16,7 @@
 #include "core/gateway/dispatcher.h"
 #include "core/gateway/part_monitor.h"
 #include "core/gateway/peer_loads.h"
+#include "core/gateway/planned_stop.h"
 #include "core/reuse/cache_store_index.h"
 #include "core/reuse/salt.h"
 #include "core/runtime/http_server.h"
@@ -29,6 +30,7 @@
   Dispatcher& dispatcher;
   reuse::CacheStoreIndex& cache_store_index;
   forward::ConnectionPool& connections;
+  PlannedStop& planned_stop;
   const forward::Codec& codec;
   events::EventLog& log;
   common::Counter& answered;
@@ -92,8 +94,11 @@
   // because other hosts may have found out in the meantime.
   void CheckParts();
   void PickService();
+  // Refuses the request if the host stops and would have to cut it.
+  void CheckPlannedStop();
   void WatchCaller();
-  // Throws if the caller has disconnected.
+  // Ends the request by an exception if its caller has disconnected. The caller
+  // gets an answer if it has closed only its sending side.
   void CheckCaller() const;
 
   // Returns the send that a move has prepared, or waits until the request may
@@ -158,6 +163,8 @@
   void RecordHead(const forward::ResponseHead& head,
                   dispatch::EndpointRecord& record);
   dispatch::AnswerKind ExpectedAnswer() const;
+  // Records how long the request took, for those that arrive in a stop.
+  void RecordDuration();
   void RecordFirstByte(dispatch::SendTicket& ticket);
   // Records how much later than predicted the first token of a fetch arrived.
   void RecordFetch(common::Duration excess);
@@ -171,6 +178,9 @@
       const dispatch::EndpointChoice& choice);
   std::optional<common::Duration> MoveTimeout(
       const dispatch::EndpointChoice& choice) const;
+  // The deadline, or the end of a planned stop if that is earlier.
+  common::TimePoint EffectiveDeadline() const;
+  // Time until the effective deadline.
   common::Duration Remaining(common::TimePoint now) const;
   // Returns the salt of prompt parts that this weight version computes.
   std::string SaltFor(uint64_t version) const;
@@ -222,6 +232,8 @@
   common::Duration predicted{0};
   common::TimePoint first_byte_at;
   bool timed_out = false;
+  // Whether the caller got the whole of a successful answer.
+  bool succeeded = false;
   std::optional<dispatch::GiveUpReason> give_up_reason;
   forward::ResponseRelay relay;
 };
