Bound the tries to move sends of a service in one check

When all endpoints of a service are silent, each send to them was tried at each check, which chooses an endpoint among all of them: with hundreds of sends and of endpoints that is work of many milliseconds ten times a second, on a host with a third of a core, and none of it succeeds. At most 16 tries in vain are made for a service in one check, beginning at a random send.

--- a/source/core/gateway/dispatcher.cc
+++ b/source/core/gateway/dispatcher.cc
@@ -24,6 +24,10 @@
 using events::Field;
 using events::LogLine;
 
+// Sends of a service that a check tries to move in vain before it leaves the
+// others to the next check. Each try costs a choice of an endpoint, and when
+// all endpoints are silent none succeeds.
+constexpr size_t kMaxKeptSends = 16;
 // Time until all requests to a crashed endpoint have failed.
 constexpr Duration kCrashBatchTime = std::chrono::milliseconds(60);
 // Time in which the ends of all connections to an endpoint that has ended
@@ -345,12 +349,24 @@
     if (const auto reason = this->ReasonToMove(send, now))
       due.emplace_back(handle, *reason);
   }
+  if (due.empty())
+    return;
+  // Begins anywhere, so that the limit does not always pass over the same ones.
+  const auto first =
+      static_cast<std::ptrdiff_t>(this->random_source.Next() % due.size());
+  std::rotate(due.begin(), due.begin() + first, due.end());
+  std::map<const ServicePool*, size_t> kept;
   for (const auto& [handle, reason] : due) {
     const auto found = this->active.find(handle);
     if (found == this->active.end())
       continue;
-    if (!found->second.move(reason))
+    size_t& kept_in_pool = kept[found->second.pool];
+    if (reason != MoveReason::kOutdatedWeights && kept_in_pool >= kMaxKeptSends)
+      continue;
+    if (!found->second.move(reason)) {
+      ++kept_in_pool;
       continue;
+    }
     this->active.erase(found);
     this->moved_sends.Add();
   }
