Keep a request at a silent engine unless another one takes it

In serve, an engine that did not respond on a new connection within the probe timeout counted as lost, 1.5 s after its last token at the defaults. A started stream was then cut, and a request whose retry found no other engine was answered with 503, although the engine would have gone on. A request that had not begun got 410 when the engine read the connection that resumes it before the one that sent it.

The stream now asks whether the request can go on elsewhere: another engine must be available and the retry is taken from the budget first. If not, it reconnects until the engine has been silent for 3 s more. An engine that does not know a request which it has not answered yet is asked again.

--- a/source/core/endpoint/resuming_stream.cc
+++ b/source/core/endpoint/resuming_stream.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/runtime/sleep.h"
+
 namespace jujuberock::endpoint {
 
 using common::Duration;
@@ -16,6 +18,8 @@
 // Without this limit, the stream would reconnect in a tight loop to an engine
 // that accepts connections but breaks each one immediately.
 constexpr int kMaxFailedConnections = 3;
+// Pause before an engine that has not responded is tried again.
+constexpr Duration kReconnectPause = std::chrono::milliseconds(20);
 
 }  // namespace
 
@@ -35,6 +39,7 @@
   } catch (const HttpError& error) {
     if (!error.sent())
       throw;
+    this->is_unanswered = error.code() == ResultCode::kEndpointSilent;
     this->Reconnect(until);
   }
 }
@@ -95,6 +100,18 @@
 }
 
 void ResumingStream::Reconnect(TimePoint until) {
+  const TimePoint lost_at = this->timers.Now() + this->timeouts.loss;
+  while (!this->TryReconnect(until)) {
+    const bool gives_up =
+        this->timers.Now() >= lost_at || (this->can_move && this->can_move());
+    if (gives_up)
+      throw StreamLostError(StreamLossReason::kSilent,
+                            "the engine cannot be reached");
+    runtime::SleepFor(kReconnectPause);
+  }
+}
+
+bool ResumingStream::TryReconnect(TimePoint until) {
   const Duration timeout =
       std::min(this->timeouts.probe, this->Remaining(until));
   const bool was_accepted = this->accepted_by_engine;
@@ -103,16 +120,22 @@
     this->stream = this->engine.Resume(this->address, this->request_id,
                                        this->next_offset, timeout);
     this->accepted_by_engine = true;
+    return true;
   } catch (const HttpError& error) {
-    const bool refused = error.code() != ResultCode::kEndpointSilent;
+    if (error.code() == ResultCode::kEndpointSilent)
+      return false;
     throw StreamLostError(
-        refused ? StreamLossReason::kCrashed : StreamLossReason::kSilent,
+        StreamLossReason::kCrashed,
         std::string("the engine cannot be reached: ") + error.what());
   } catch (const Error& error) {
-    if (error.code() != ResultCode::kStreamGone || !was_accepted)
+    if (error.code() != ResultCode::kStreamGone)
       throw;
-    throw StreamLostError(StreamLossReason::kCrashed,
-                          "the engine no longer knows the request");
+    if (was_accepted)
+      throw StreamLostError(StreamLossReason::kCrashed,
+                            "the engine no longer knows the request");
+    if (!this->is_unanswered)
+      throw;
+    return false;
   }
 }
 
--- a/source/core/endpoint/resuming_stream.h
+++ b/source/core/endpoint/resuming_stream.h
@@ -2,6 +2,7 @@
 #define CORE_ENDPOINT_RESUMING_STREAM_H_
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -42,24 +43,33 @@
   common::Duration idle = std::chrono::seconds(1);
   // Timeout for the engine to accept a new connection and respond on it.
   common::Duration probe = std::chrono::milliseconds(500);
+  // Time of reconnecting after which an engine that responds on no connection
+  // counts as lost. Sound engines may be silent for a second or so.
+  common::Duration loss = std::chrono::seconds(3);
 };
 
 // Delivers the events of one engine request in order and exactly once.
 // Reconnects when a connection breaks or falls silent.
 class ResumingStream {
  public:
+  // Asked when the engine does not respond on a new connection: whether the
+  // request can go on elsewhere. If so, the stream ends at once.
+  using MoveCallback = std::function<bool()>;
+
   ResumingStream(EngineClient& engine,
                  const common::TimerService& timers,
                  runtime::Address address,
                  std::string request_id,
                  uint64_t next_offset,
-                 ResumeTimeouts timeouts)
+                 ResumeTimeouts timeouts,
+                 MoveCallback can_move = nullptr)
       : engine(engine),
         timers(timers),
         address(std::move(address)),
         request_id(std::move(request_id)),
         next_offset(next_offset),
-        timeouts(timeouts) {}
+        timeouts(timeouts),
+        can_move(std::move(can_move)) {}
 
   // Starts the request. Throws common::Error like EngineClient if the engine
   // refuses it, HttpError if it could not be sent, StreamLostError if the
@@ -86,6 +96,9 @@
   // token.
   bool Accept(const EngineEvent& event);
   void Reconnect(common::TimePoint until);
+  // Returns false if the engine has not responded, or does not know the request
+  // yet.
+  bool TryReconnect(common::TimePoint until);
   // Time remaining until `until`. Throws kDeadlineExceeded if none is left.
   common::Duration Remaining(common::TimePoint until) const;
 
@@ -95,7 +108,11 @@
   std::string request_id;
   uint64_t next_offset;
   ResumeTimeouts timeouts;
+  MoveCallback can_move;
   std::optional<EngineStream> stream;
+  // Whether the request was sent and the engine has not responded in time. It
+  // may then read a later connection first.
+  bool is_unanswered = false;
   // Whether the engine has responded to this request before.
   bool accepted_by_engine = false;
   uint64_t reconnect_count = 0;
--- a/source/core/serve/completion_run.cc
+++ b/source/core/serve/completion_run.cc
@@ -118,9 +118,11 @@
   } catch (const Error& error) {
     const bool can_retry =
         this->dispatched && !this->writer.started() && !this->caller->gone;
-    if (!can_retry || !this->steps.TryConsumeRetry(error))
+    if (!can_retry ||
+        !(this->holds_retry || this->steps.TryConsumeRetry(error)))
       throw;
   }
+  this->is_retry = true;
   this->writer.Reset();
   this->route.isolate = this->steps.CheckSuspect();
   this->RunAttempt();
@@ -149,6 +151,20 @@
   attempt.MarkSucceeded();
 }
 
+bool CompletionRun::ReserveRetry(const RouteDecision& decision) {
+  if (this->caller->gone)
+    return true;
+  if (this->is_retry || this->writer.started() || this->route.isolate)
+    return false;
+  routing::RouteRequest other = this->route;
+  this->steps.ExcludeEndpoint(other, decision.endpoint);
+  const bool has_other = this->deps.router.With([&](routing::Router& router) {
+    return router.Choose(other, this->deps.timers.Now()).has_value();
+  });
+  this->holds_retry = has_other && this->steps.TakeRetry();
+  return this->holds_retry;
+}
+
 RelayResult CompletionRun::RunOnEngine(const RouteDecision& decision,
                                        const Address& address) {
   const std::string stream_id = this->deps.request_ids.TextOf(this->route.id);
@@ -162,7 +178,8 @@
   };
   endpoint::ResumingStream stream(this->deps.engine_client, this->deps.timers,
                                   address, stream_id, 0,
-                                  ResumeLimitsOf(this->deps.settings));
+                                  ResumeLimitsOf(this->deps.settings),
+                                  [&] { return this->ReserveRetry(decision); });
   stream.Start(this->MakeEngineRequest(decision), this->steps.deadline());
   const RelayTarget target{
       address,
--- a/source/core/serve/completion_run.h
+++ b/source/core/serve/completion_run.h
@@ -39,6 +39,9 @@
   void PrepareRoute();
   void RunWithRetry();
   void RunAttempt();
+  // Whether the request goes on at another engine because this one is silent.
+  // If so, takes the retry.
+  bool ReserveRetry(const routing::RouteDecision& decision);
   RelayResult RunOnEngine(const routing::RouteDecision& decision,
                           const runtime::Address& address);
   void OnFirstToken(const endpoint::TokenEvent& token);
@@ -58,6 +61,9 @@
   std::string conversation_owner;
   // Whether the request was dispatched to an endpoint at least once.
   bool dispatched = false;
+  // Whether the retry has been taken from the budget, and whether it has begun.
+  bool holds_retry = false;
+  bool is_retry = false;
   // Whether a cancel was sent to the engine because the caller disconnected.
   bool engine_cancel_sent = false;
   bool first_token_in_time = false;
--- a/source/core/serve/request_steps.cc
+++ b/source/core/serve/request_steps.cc
@@ -200,20 +200,25 @@
       kRetryableCodes.end();
   if (!retryable || this->deps.timers.Now() >= this->effective_deadline)
     return false;
-  const bool granted =
-      this->deps.budget.With([&](admission::RetryBudget& budget) {
-        return budget.TryRetry(this->service_name);
-      });
-  if (!granted)
+  if (!this->TakeRetry())
     throw Error(ResultCode::kRetryBudgetExhausted,
                 std::string("retry budget exhausted after: ") + error.what(),
                 error.outcome());
-  this->deps.counters
-      .GetCounter("retries_total", {{"service", this->service_name}})
-      .Add();
   return true;
 }
 
+bool RequestSteps::TakeRetry() {
+  const bool granted =
+      this->deps.budget.With([&](admission::RetryBudget& budget) {
+        return budget.TryRetry(this->service_name);
+      });
+  if (granted)
+    this->deps.counters
+        .GetCounter("retries_total", {{"service", this->service_name}})
+        .Add();
+  return granted;
+}
+
 void RequestSteps::ReportSuccess() {
   this->deps.suspects.With([&](suspects::SuspectList& list) {
     list.OnSuccess(this->request_fingerprint, this->deps.timers.Now());
--- a/source/core/serve/request_steps.h
+++ b/source/core/serve/request_steps.h
@@ -52,6 +52,9 @@
   void OnPlainFailure(const std::string& endpoint,
                       const runtime::Address& address,
                       const runtime::HttpError& error);
+  // Takes a retry from the budget of the service. Returns false if it is used
+  // up.
+  bool TakeRetry();
   // Returns whether the request may be retried after this failure; if so, takes
   // the retry from the budget. Throws kRetryBudgetExhausted when the failure is
   // retryable but the budget is used up.
--- a/source/unit_tests/core/serve/deployment.cc
+++ b/source/unit_tests/core/serve/deployment.cc
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <ctime>
+#include <thread>
 
 #include <nlohmann/json.hpp>
 
@@ -82,6 +83,11 @@
   this->server.reset();
 }
 
+void StandinServer::Freeze(std::chrono::milliseconds length) {
+  // The server has one worker.
+  this->pool.Spawn(0, [length] { std::this_thread::sleep_for(length); });
+}
+
 void StandinServer::SetFaults(const std::string& json_text) {
   this->pool.Run([&] {
     const HttpResponse response = this->client.Fetch(
--- a/source/unit_tests/core/serve/deployment.h
+++ b/source/unit_tests/core/serve/deployment.h
@@ -1,6 +1,7 @@
 #ifndef UNIT_TESTS_CORE_SERVE_DEPLOYMENT_H_
 #define UNIT_TESTS_CORE_SERVE_DEPLOYMENT_H_
 
+#include <chrono>
 #include <map>
 #include <memory>
 #include <string>
@@ -33,6 +34,8 @@
   // Listens again on the same address after Kill().
   void Restart() { this->Listen(this->bound); }
   void SetFaults(const std::string& json);
+  // Neither reads nor sends anything for this long. Returns at once.
+  void Freeze(std::chrono::milliseconds length);
 
  private:
   void Listen(const runtime::Address& address);
--- a/source/unit_tests/core/serve/host_test.cc
+++ b/source/unit_tests/core/serve/host_test.cc
@@ -15,6 +15,8 @@
 using nlohmann::json;
 
 constexpr const char* kCompletionsPath = "/v1/completions";
+// Longer than a host waits for a token before it probes the engine.
+constexpr std::chrono::milliseconds kSilence{1200};
 
 std::string RawRequest(const std::string& body,
                        const std::string& fields = "") {
@@ -161,6 +163,34 @@
   REQUIRE(events.text == Deployment::ExpectedAnswer("p", 100));
 }
 
+// Guards against an answer that is cut, or an error in place of one, because
+// all endpoints are silent for a moment and then go on.
+TEST_CASE("a silence of all endpoints ends no request") {
+  Deployment deployment(1);
+  const auto caller_address = deployment.host(0).caller_address();
+  RawClient stream(caller_address);
+  stream.Send(RawRequest(Deployment::CompletionBody("p", 100, true),
+                         "Connection: close\r\n"));
+  stream.ReadUntil("\nid: ");
+  for (const auto& engine : deployment.engines)
+    engine->Freeze(kSilence);
+  deployment.plain->Freeze(kSilence);
+  RawClient completion(caller_address);
+  completion.Send(
+      RawRequest(Deployment::CompletionBody("q", 4), "Connection: close\r\n"));
+  RawClient call(caller_address);
+  call.Send(std::string("POST /services/cajas-app/price HTTP/1.1\r\n") +
+            "Host: x\r\nConnection: close\r\nAuthorization: Bearer " +
+            kTeamKey + "\r\nContent-Length: 0\r\n\r\n");
+  const auto events = Deployment::ParseEvents(stream.ReadAll());
+  CHECK(events.done);
+  CHECK(events.text == Deployment::ExpectedAnswer("p", 100));
+  CHECK_THAT(completion.ReadAll(),
+             Catch::StartsWith("HTTP/1.1 200") &&
+                 Catch::Contains(Deployment::ExpectedAnswer("q", 4)));
+  CHECK_THAT(call.ReadAll(), Catch::StartsWith("HTTP/1.1 200"));
+}
+
 TEST_CASE("a caller resumes a stream at another host after its last event") {
   Deployment deployment(2);
   std::string first;
