Call no request of serve not run whose first attempt may have run

A completion or plain call whose first attempt had failed at an endpoint was answered with the outcome of its retry. If that found no endpoint, the answer said not_run although the request may have run once. Such a failure now has the outcome of the first attempt.

--- a/source/core/serve/completion_run.cc
+++ b/source/core/serve/completion_run.cc
@@ -112,10 +112,12 @@
 }
 
 void CompletionRun::RunWithRetry() {
+  common::Outcome first_outcome = common::Outcome::kUnknown;
   try {
     this->RunAttempt();
     return;
   } catch (const Error& error) {
+    first_outcome = error.outcome();
     const bool can_retry =
         this->dispatched && !this->writer.started() && !this->caller->gone;
     if (!can_retry ||
@@ -124,8 +126,12 @@
   }
   this->is_retry = true;
   this->writer.Reset();
-  this->route.isolate = this->steps.CheckSuspect();
-  this->RunAttempt();
+  try {
+    this->route.isolate = this->steps.CheckSuspect();
+    this->RunAttempt();
+  } catch (const Error& error) {
+    throw AfterRetry(error, first_outcome);
+  }
 }
 
 void CompletionRun::RunAttempt() {
--- a/source/core/serve/request_steps.cc
+++ b/source/core/serve/request_steps.cc
@@ -233,6 +233,12 @@
   });
 }
 
+Error AfterRetry(const Error& error, common::Outcome first_outcome) {
+  if (error.outcome() != common::Outcome::kNotRun)
+    return error;
+  return Error(error.code(), error.what(), first_outcome);
+}
+
 Attempt::Attempt(Dependencies& deps,
                  const RequestSteps& steps,
                  const RouteRequest& route,
--- a/source/core/serve/request_steps.h
+++ b/source/core/serve/request_steps.h
@@ -93,6 +93,11 @@
   std::optional<routing::RouteDecision> early_decision;
 };
 
+// Returns the failure of a request whose retry has failed with `error`: if the
+// first attempt may have run, so may the request.
+common::Error AfterRetry(const common::Error& error,
+                         common::Outcome first_outcome);
+
 // One attempt at one endpoint. Reports its start to the router when it is
 // created and its end when it is destroyed.
 class Attempt {
--- a/source/core/serve/service_run.cc
+++ b/source/core/serve/service_run.cc
@@ -71,14 +71,20 @@
 }
 
 HttpResponse ServiceRun::RunWithRetry() {
+  common::Outcome first_outcome = common::Outcome::kUnknown;
   try {
     return this->RunAttempt();
   } catch (const Error& error) {
+    first_outcome = error.outcome();
     if (!this->dispatched || !this->steps.TryConsumeRetry(error))
       throw;
   }
-  this->route.isolate = this->steps.CheckSuspect();
-  return this->RunAttempt();
+  try {
+    this->route.isolate = this->steps.CheckSuspect();
+    return this->RunAttempt();
+  } catch (const Error& error) {
+    throw AfterRetry(error, first_outcome);
+  }
 }
 
 HttpResponse ServiceRun::RunAttempt() {
--- a/source/unit_tests/core/serve/host_test.cc
+++ b/source/unit_tests/core/serve/host_test.cc
@@ -105,6 +105,27 @@
   REQUIRE(Metric(deployment, 0, "endpoint_crashes_total") == 1);
 }
 
+// Guards against a caller that is told that its request has not run although
+// its first attempt has.
+TEST_CASE("a refused retry does not say that the request has not run") {
+  Deployment deployment(1);
+  deployment.engines[1]->Kill();
+  // The host finds out that it is gone.
+  for (int i = 0; i < 5; ++i)
+    deployment.Post(0, kCompletionsPath, Deployment::CompletionBody("q", 1));
+  std::thread killer([&] {
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    deployment.engines[0]->Kill();
+  });
+  const auto answer =
+      deployment.Post(0, kCompletionsPath, Deployment::CompletionBody("p", 200),
+                      {{"Jujuberock-Deadline-Ms", "1500"}});
+  killer.join();
+  INFO(answer.body);
+  CHECK(answer.status != 200);
+  CHECK(json::parse(answer.body)["outcome"] == "unknown");
+}
+
 // Guards against crashing one engine after the other because no two requests
 // with the part that crashes them are alike, and against refusing requests that
 // share only other parts with them.
