End no stream before its caller gives up

A stream without events was ended by the gateway after exactly the time after which callers give up, counted from the arrival of the last event at the gateway. The caller's time begins later, so the gateway always came first, although the endpoint might have gone on. If the stream could not be resumed, it was cut; if it could, that was too late for its caller.

It is now ended half a second after that time. A started stream that may be resumed is moved after three quarters of it, like one whose endpoint is silent: only once the next send is certain.

--- a/source/core/dispatch/silence_limit.cc
+++ b/source/core/dispatch/silence_limit.cc
@@ -20,6 +20,9 @@
 constexpr Duration kMinStreamStall = std::chrono::seconds(2);
 constexpr double kStreamStallLatencyFactor = 4;
 constexpr double kStreamStallGapFactor = 8;
+constexpr double kStalledMoveShare = 0.75;
+// Callers count from the arrival of the last event, which may be delayed.
+constexpr Duration kCallerDelay = std::chrono::milliseconds(500);
 constexpr Duration kMinPlainSilence = std::chrono::milliseconds(250);
 constexpr double kPlainSilenceLatencyFactor = 8;
 constexpr double kEjectedSilenceShare = 0.5;
@@ -83,4 +86,12 @@
                    Scale(targets.event_gap, kStreamStallGapFactor)});
 }
 
+Duration StalledMoveLimit(const StreamTargets& targets) {
+  return Scale(StreamStallLimit(targets), kStalledMoveShare);
+}
+
+Duration StalledEndLimit(const StreamTargets& targets) {
+  return StreamStallLimit(targets) + kCallerDelay;
+}
+
 }  // namespace jujuberock::dispatch
--- a/source/core/dispatch/silence_limit.h
+++ b/source/core/dispatch/silence_limit.h
@@ -53,9 +53,15 @@
 common::Duration StreamSilenceLimit(const StreamTargets& targets);
 // The same for an engine that has sent no event yet.
 common::Duration FirstEventSilenceLimit(const StreamTargets& targets);
-// Time without events after which a stream counts as stalled, although the
-// engine may send bytes that are no events. Callers give up after this time.
+// Time without events after which callers give up a stream.
 common::Duration StreamStallLimit(const StreamTargets& targets);
+// Time without events after which a started stream is moved if that is
+// possible, although the engine may send bytes that are no events. Before its
+// caller gives up.
+common::Duration StalledMoveLimit(const StreamTargets& targets);
+// Time without events after which a stream is ended. After its caller has given
+// up: until then, a silent endpoint may go on.
+common::Duration StalledEndLimit(const StreamTargets& targets);
 
 }  // namespace jujuberock::dispatch
 
--- a/source/core/gateway/dispatcher.cc
+++ b/source/core/gateway/dispatcher.cc
@@ -319,6 +319,14 @@
   return deadline && now >= *deadline;
 }
 
+bool ActiveSend::IsStalled(TimePoint resumed_at, TimePoint now) const {
+  if (!this->has_first_event ||
+      this->answer_kind == dispatch::AnswerKind::kWhole)
+    return false;
+  const TimePoint since = std::max(this->last_event_at(), resumed_at);
+  return now - since > dispatch::StalledMoveLimit(this->targets);
+}
+
 std::optional<MoveReason> Dispatcher::ReasonToMove(const ActiveSend& send,
                                                    TimePoint now) const {
   if (send.MustNotBegin(this->view, now))
@@ -336,6 +344,8 @@
     return MoveReason::kNoResponse;
   if (is_unresponsive)
     return MoveReason::kSilentEndpoint;
+  if (send.IsStalled(this->stall_detector.resumed_at(), now))
+    return MoveReason::kStalled;
   return std::nullopt;
 }
 
--- a/source/core/gateway/dispatcher.h
+++ b/source/core/gateway/dispatcher.h
@@ -30,10 +30,11 @@
   kOutdatedWeights,  // it has not begun, and newer weights are required now
   kNoResponse,       // it takes longer than usual
   kSilentEndpoint,   // the endpoint is ejected and sends nothing
+  kStalled,          // no event arrives, although the endpoint may send bytes
 };
 
-inline constexpr common::NameTable<MoveReason, 3> kMoveReasonNames(
-    {"outdated_weights", "no_response", "silent_endpoint"});
+inline constexpr common::NameTable<MoveReason, 4> kMoveReasonNames(
+    {"outdated_weights", "no_response", "silent_endpoint", "stalled"});
 
 // A send in progress, as tracked by the silence check.
 struct ActiveSend {
@@ -53,6 +54,8 @@
   bool started = false;
   // The first event of a stream has arrived, so its run has begun.
   bool has_first_event = false;
+  // Returns when the last event of the stream arrived.
+  std::function<common::TimePoint()> last_event_at = nullptr;
   // Cancels the send, so that the request can be sent to another endpoint.
   // Returns false if the send goes on, because no other endpoint can take the
   // request now.
@@ -61,6 +64,9 @@
   // Whether the run must not begin any more, because a newer version of the
   // weights was announced too long ago.
   bool MustNotBegin(const PlatformView& view, common::TimePoint now) const;
+  // Whether it is a started stream and no event has arrived for long. Time
+  // before `resumed_at` does not count.
+  bool IsStalled(common::TimePoint resumed_at, common::TimePoint now) const;
 };
 
 // A request that an endpoint was running when it broke its connection.
--- a/source/core/gateway/request_task.cc
+++ b/source/core/gateway/request_task.cc
@@ -356,6 +356,9 @@
   active.move = [this, state = this->callback_state](MoveReason reason) {
     return state->send && this->Move(reason);
   };
+  active.last_event_at = [this] {
+    return this->relay.statistics().last_event_at;
+  };
   if (this->request.prompt && this->pool->is_engine()) {
     active.model = this->request.prompt->model;
     active.version = choice.endpoint->VersionOf(active.model);
@@ -469,7 +472,7 @@
   };
   if (this->IsStream(head)) {
     this->relay.RelayStream(
-        send, head, dispatch::StreamStallLimit(TargetsOf(*this->route)),
+        send, head, dispatch::StalledEndLimit(TargetsOf(*this->route)),
         [&] {
           this->RecordFirstByte(ticket);
           const TimePoint now = runtime::BootNow();
--- a/source/unit_tests/core/dispatch/silence_limit_test.cc
+++ b/source/unit_tests/core/dispatch/silence_limit_test.cc
@@ -37,6 +37,18 @@
         milliseconds(3200));
 }
 
+// Guards against ending a stream whose caller still waits, and against moving
+// one when its caller has left.
+TEST_CASE("a stalled stream is moved before its caller gives up") {
+  for (const int gap_ms : {100, 400}) {
+    const StreamTargets targets{milliseconds(400), milliseconds(gap_ms)};
+    const auto limit = StreamStallLimit(targets);
+    CHECK(StalledMoveLimit(targets) > StreamSilenceLimit(targets));
+    CHECK(StalledMoveLimit(targets) < limit);
+    CHECK(StalledEndLimit(targets) > limit + milliseconds(100));
+  }
+}
+
 SendProgress StreamOf(AnswerKind kind, int gap_ms, bool has_first_event) {
   return {kind,
           {milliseconds(400), milliseconds(gap_ms)},
