--- a/source/core/serve/request_steps.h
+++ b/source/core/serve/request_steps.h
@@ -52,6 +52,9 @@
   void OnPlainFailure(const std::string& endpoint,
                       const runtime::Address& address,
                       const runtime::HttpError& error);
+  // Takes a retry from the budget of the service. Returns false if it is used
+  // up.
+  bool TakeRetry();
   // Returns whether the request may be retried after this failure; if so, takes
   // the retry from the budget. Throws kRetryBudgetExhausted when the failure is
   // retryable but the budget is used up.
@@ -90,6 +93,11 @@
   std::optional<routing::RouteDecision> early_decision;
 };
 
+// Returns the failure of a request whose retry has failed with `error`: if the
+// first attempt may have run, so may the request.
+common::Error AfterRetry(const common::Error& error,
+                         common::Outcome first_outcome);
+
 // One attempt at one endpoint. Reports its start to the router when it is
 // created and its end when it is destroyed.
 class Attempt {
