End unanswered requests with an answer before a planned stop cuts them

At the end of the grace period the process exited with requests in flight, whose connections ended without a word, and nothing was logged about them.

Answers that have started go on until the process exits. Each that is cut then is logged as request_unanswered with ended_by=stop, as is a stream that was passed on in the stop and whose shortened deadline has passed.

Requests in progress register with PlannedStop, which ends them through the interface StoppableRequest.

--- a/source/core/gateway/gateway.cc
+++ b/source/core/gateway/gateway.cc
@@ -248,22 +248,29 @@
   writer.Send(std::move(response));
 }
 
+void Gateway::AwaitDrained(common::TimePoint limit) {
+  while (!this->caller_server->IsDrained() && runtime::BootNow() < limit)
+    runtime::SleepFor(kStopPoll);
+}
+
 void Gateway::Stop() {
   this->stopping = true;
   const auto began = runtime::BootNow();
   this->workers.Run([this, began] {
     this->stop_began_at = began;
-    const auto limit = this->settings.stop_grace - kExitReserve;
-    this->planned_stop.Begin(began + limit - kFinalAnswerPeriod);
+    const auto end = began + this->settings.stop_grace - kExitReserve;
+    const auto answer_deadline = end - kFinalAnswerPeriod;
+    this->planned_stop.Begin(answer_deadline);
     this->rollout_controller.Stop();
     LogLine(this->log, Event::kStopping)
         .Add(Field::kInFlight,
              static_cast<uint64_t>(this->caller_server->ActiveRequests()));
     runtime::SleepFor(kReadinessDelay);
     this->caller_server->Drain();
-    while (!this->caller_server->IsDrained() &&
-           runtime::BootNow() - began < limit)
-      runtime::SleepFor(kStopPoll);
+    this->AwaitDrained(answer_deadline);
+    this->planned_stop.EndUnanswered();
+    this->AwaitDrained(end);
+    this->planned_stop.LogCutOff();
     LogLine(this->log, Event::kStopped)
         .Add(Field::kInFlight,
              static_cast<uint64_t>(this->caller_server->ActiveRequests()))
--- a/source/core/gateway/gateway.h
+++ b/source/core/gateway/gateway.h
@@ -53,7 +53,7 @@
   void Reload(const Settings& settings);
   // Graceful shutdown: reports not ready, keeps serving for a while, then
   // drains. Returns when all requests have ended or the grace period is nearly
-  // over.
+  // over; requests whose answer has not started by then get a final one.
   void Stop();
 
  private:
@@ -63,6 +63,8 @@
   void SendRefusal(const common::Error& error,
                    std::optional<common::Duration> retry_after,
                    runtime::ResponseWriter& writer);
+  // Waits until the draining server has no connection left.
+  void AwaitDrained(common::TimePoint limit);
   void StartPeerLoads();
   void OnViewChanged();
   void OnHostObject(const catalog::ObjectChange& change);
--- a/source/core/gateway/planned_stop.cc
+++ b/source/core/gateway/planned_stop.cc
@@ -29,4 +29,14 @@
   return this->services.Longest(service, now);
 }
 
+void PlannedStop::EndUnanswered() {
+  for (StoppableRequest* request : this->requests)
+    request->EndUnanswered();
+}
+
+void PlannedStop::LogCutOff() const {
+  for (const StoppableRequest* request : this->requests)
+    request->LogCutOff();
+}
+
 }  // namespace jujuberock::gateway
--- a/source/core/gateway/planned_stop.h
+++ b/source/core/gateway/planned_stop.h
@@ -2,6 +2,7 @@
 #define CORE_GATEWAY_PLANNED_STOP_H_
 
 #include <optional>
+#include <set>
 #include <string_view>
 
 #include "core/common/time.h"
@@ -9,9 +10,21 @@
 
 namespace jujuberock::gateway {
 
-// What requests need to know about a planned stop of their host: until when
-// they must be answered, and how long similar requests have taken. Accessed on
-// worker 0 only.
+// A request in progress, as the end of a planned stop finds it.
+class StoppableRequest {
+ public:
+  // Ends the request with a final answer, unless its answer has started.
+  virtual void EndUnanswered() = 0;
+  // Logs that the end of the process cuts the request off.
+  virtual void LogCutOff() const = 0;
+
+ protected:
+  ~StoppableRequest() = default;
+};
+
+// A planned stop of the host and the requests that it has to end. Tells them
+// until when they must be answered, and how long similar requests have taken.
+// Accessed on worker 0 only.
 class PlannedStop {
  public:
   // Time after which a refused caller may retry, at another host.
@@ -38,7 +51,17 @@
                                                   std::string_view service,
                                                   common::TimePoint now) const;
 
+  // Requests in progress.
+  void Add(StoppableRequest& request) { this->requests.insert(&request); }
+  void Remove(StoppableRequest& request) { this->requests.erase(&request); }
+  // Ends the requests whose answer has not started; their answers are sent by
+  // their own fibers.
+  void EndUnanswered();
+  // Logs what the end of the process cuts off.
+  void LogCutOff() const;
+
  private:
+  std::set<StoppableRequest*> requests;
   std::optional<common::TimePoint> end;
   dispatch::DurationRecord routes;
   dispatch::DurationRecord services;
--- a/source/core/gateway/request_task.cc
+++ b/source/core/gateway/request_task.cc
@@ -62,9 +62,12 @@
                    this->request.prompt ? &*this->request.prompt : nullptr),
       received_at(runtime::BootNow()),
       callback_state(std::make_shared<CallbackState>()),
-      relay(writer) {}
+      relay(writer) {
+  this->deps.planned_stop.Add(*this);
+}
 
 RequestTask::~RequestTask() {
+  this->deps.planned_stop.Remove(*this);
   this->callback_state->send = nullptr;
 }
 
@@ -109,8 +112,7 @@
       break;
     if (result == AttemptResult::kUnknown)
       this->may_have_run = true;
-    if (this->callback_state->caller_gone)
-      this->EndForCaller();
+    this->CheckMayGoOn();
     if (!this->MaySendAgain(result))
       this->FailRequest();
   }
@@ -229,6 +231,11 @@
       this->deps.planned_stop.answer_deadline().value_or(this->deadline));
 }
 
+bool RequestTask::IsPastStop(TimePoint now) const {
+  return this->EffectiveDeadline() < this->deadline &&
+         this->Remaining(now) <= kNetworkDelay;
+}
+
 Duration RequestTask::Remaining(TimePoint now) const {
   return this->EffectiveDeadline() - now;
 }
@@ -238,8 +245,7 @@
   bool queued = false;
   while (true) {
     const TimePoint now = runtime::BootNow();
-    if (this->callback_state->caller_gone)
-      this->EndForCaller();
+    this->CheckMayGoOn();
     const auto choice = this->pool->Choose(this->Requirements(), now);
     dispatch::AdmissionRequest admission;
     admission.target_latency = this->route->target_latency;
@@ -577,6 +583,35 @@
   throw Error(ResultCode::kCanceled, kReason);
 }
 
+void RequestTask::EndUnanswered() {
+  if (this->relay.started())
+    return;
+  this->ended_by_stop = true;
+  if (this->callback_state->send)
+    this->callback_state->send->Cancel();
+}
+
+void RequestTask::EndForStop() {
+  constexpr const char* kReason = "the host is stopping";
+  if (!this->may_have_run)
+    this->Refuse(ResultCode::kStopping, kReason, PlannedStop::kRetryAfter);
+  this->deps.failed.Add();
+  LogLine(this->deps.log, Event::kRequestAnswered)
+      .Add(Field::kRequest, this->request.attempt_id)
+      .Add(Field::kStatus,
+           common::InfoOf(ResultCode::kDeadlineExceeded).http_status)
+      .Add(Field::kReason, "stopping")
+      .Add(Field::kTookMs, runtime::BootNow() - this->received_at);
+  throw Error(ResultCode::kDeadlineExceeded, kReason);
+}
+
+void RequestTask::CheckMayGoOn() {
+  if (this->callback_state->caller_gone)
+    this->EndForCaller();
+  if (this->ended_by_stop)
+    this->EndForStop();
+}
+
 void RequestTask::FailRequest() {
   const TimePoint now = runtime::BootNow();
   this->deps.failed.Add();
--- a/source/core/gateway/request_task.h
+++ b/source/core/gateway/request_task.h
@@ -59,7 +59,7 @@
 
 // Handles one request of a caller until the end of the response. Runs on the
 // fiber of the caller's connection.
-class RequestTask {
+class RequestTask final : private StoppableRequest {
  public:
   RequestTask(RequestDependencies& deps,
               forward::CallerRequest request,
@@ -86,6 +86,9 @@
     std::optional<MoveReason> move_reason;
   };
 
+  void EndUnanswered() override;
+  void LogCutOff() const override;
+
   enum class AttemptResult {
     kAnswered,
     kNotRun,   // nothing was sent, or the endpoint did not run the request
@@ -134,8 +137,9 @@
   void LogAnswered(const forward::EndpointSend& send,
                    const forward::ResponseHead& head,
                    const dispatch::EndpointRecord& endpoint);
-  // Logs that the caller gets no answer, or only the beginning of one.
+  // Logs the error if the caller gets no answer, or only the beginning of one.
   void LogUnanswered(const common::Error& error) const;
+  void LogUnanswered(std::string_view ended_by, std::string_view detail) const;
   void LogCut(const forward::SendError& error,
               const forward::EndpointSend& send,
               const dispatch::EndpointRecord& endpoint);
@@ -164,12 +168,18 @@
   // Ends the request after its caller has disconnected. The caller gets an
   // answer if it has closed only its sending side.
   [[noreturn]] void EndForCaller();
+  // Ends the request because the grace period of a planned stop ends.
+  [[noreturn]] void EndForStop();
+  // Throws if the caller has disconnected or the host ends.
+  void CheckMayGoOn();
   forward::SendParameters MakeSendParameters(
       const dispatch::EndpointChoice& choice);
   std::optional<common::Duration> MoveTimeout(
       const dispatch::EndpointChoice& choice) const;
   // The deadline, or the end of a planned stop if that is earlier.
   common::TimePoint EffectiveDeadline() const;
+  // Whether the end of a planned stop has come before the deadline.
+  bool IsPastStop(common::TimePoint now) const;
   // Time until the effective deadline.
   common::Duration Remaining(common::TimePoint now) const;
   // Returns the salt of prompt parts that this weight version computes.
@@ -216,6 +226,8 @@
   bool timed_out = false;
   // Whether the caller got the whole of a successful answer.
   bool succeeded = false;
+  // Whether EndUnanswered() was called before the answer started.
+  bool ended_by_stop = false;
   std::optional<GiveUpReason> give_up_reason;
   forward::ResponseRelay relay;
 };
--- a/source/core/gateway/request_task_log.cc
+++ b/source/core/gateway/request_task_log.cc
@@ -88,13 +88,24 @@
   // Other errors are sent to the caller as the answer, unless one has started.
   if (!by_caller && !this->relay.started())
     return;
+  const bool by_stop = this->IsPastStop(runtime::BootNow());
+  this->LogUnanswered(by_caller ? "caller" : (by_stop ? "stop" : "host"),
+                      error.what());
+}
+
+void RequestTask::LogCutOff() const {
+  this->LogUnanswered("stop", "the grace period of the stop has ended");
+}
+
+void RequestTask::LogUnanswered(std::string_view ended_by,
+                                std::string_view detail) const {
   LogLine line(this->deps.log, Event::kRequestUnanswered);
   line.Add(Field::kRequest, this->request.attempt_id)
-      .Add(Field::kEndedBy, by_caller ? "caller" : "host")
+      .Add(Field::kEndedBy, ended_by)
       .Add(Field::kOwed, this->relay.started() ? "rest" : "answer");
   if (this->give_up_reason)
     line.Add(Field::kReason, kGiveUpReasonNames.NameOf(*this->give_up_reason));
-  line.Add(Field::kDetail, error.what())
+  line.Add(Field::kDetail, detail)
       .Add(Field::kCount, this->relay.statistics().events);
   if (this->config)
     line.Add(Field::kConfigVersion, this->config->version());
