Show that a header's timeout does not end the read of the body

ReadDeadline::Restart() could only meet a timer that has expired and whose handler is queued if a fiber ran between the two. The scheduler polls all handlers before it resumes a fiber, so the handler finds no read to cancel. The new test blocks the worker until the rest of the header and the expiry of its timeout are both due.

--- a/source/unit_tests/core/runtime/http_test.cc
+++ b/source/unit_tests/core/runtime/http_test.cc
@@ -156,6 +156,35 @@
   CHECK(client.ReadAll().empty());
 }
 
+// Load pattern: the worker is busy while the rest of a header arrives and the
+// header's timeout expires, so that both are handled in the same turn. Guards
+// against a timeout of the header that ends the read of the body.
+TEST_CASE("the timeout of a header does not end the read of its body") {
+  WorkerPool pool(1);
+  HttpServerOptions options;
+  options.header_timeout = std::chrono::milliseconds(100);
+  HttpServer server(pool, kAnyPort, options, EchoHandler, RenderPlainError);
+  RawClient client(server.address());
+  client.Send("POST / HTTP/1.1\r\nHost: h\r\nContent-");
+  while (server.ActiveRequests() == 0)
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  std::atomic<bool> is_busy{false};
+  std::atomic<bool> is_released{false};
+  pool.Spawn(0, [&] {
+    is_busy = true;
+    while (!is_released)
+      std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  });
+  while (!is_busy)
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  client.Send("Length: 2\r\n\r\n");
+  std::this_thread::sleep_for(2 * options.header_timeout);
+  is_released = true;
+  std::this_thread::sleep_for(options.header_timeout);
+  client.Send("ok");
+  CHECK(StatusOf(client.ReadUntil("\r\n\r\nok")) == 200);
+}
+
 TEST_CASE("an error thrown by a handler sets the response status") {
   WorkerPool pool(1);
   HttpServer server(pool, kAnyPort, {}, EchoHandler, RenderPlainError);
