Answer requests that the stop limit of `serve` would cut without a word

When stop_limit_ms had passed, the host closed the connections of the requests that still ran. Those whose answer had not started got neither an answer nor a refusal.

HttpServer::EndUnanswered() sends an error in place of the responses that handlers have not started; what such a handler sends later throws kCanceled. The host uses it at the limit and gives the answers up to 0.1 s to leave. They are 504 with an unknown outcome, since the engine or service may have run the request. Streams that have started are cut as before; their callers resume them at another host. New requests need no change here: `serve` refuses them from the start of the stop.

--- a/source/core/caller/server.h
+++ b/source/core/caller/server.h
@@ -36,6 +36,9 @@
   runtime::Address address() const { return this->http.address(); }
   void Drain() { this->http.Drain(); }
   bool IsDrained() const { return this->http.IsDrained(); }
+  void EndUnanswered(const common::Error& error) {
+    this->http.EndUnanswered(error);
+  }
   size_t ActiveRequests() const { return this->http.ActiveRequests(); }
   size_t OpenConnections() const { return this->http.OpenConnections(); }
 
--- a/source/core/runtime/http_server.cc
+++ b/source/core/runtime/http_server.cc
@@ -162,6 +162,8 @@
   bool ReadAndHandle(Stream& stream, beast::flat_buffer& buffer);
   bool HandleRequest(Stream& stream, http::request<http::string_body>& message);
   void SendError(Stream& stream, const Error& error);
+  void EndUnanswered(const Error& error);
+  void EndUnansweredOn(size_t worker, const Error& error);
   void SpawnConnection(size_t worker, Socket socket);
   void StopAccepting(size_t worker);
   void Drain();
@@ -179,9 +181,14 @@
   // One acceptor per worker, all bound to the same port (SO_REUSEPORT),
   // so that a connection never moves between threads.
   std::vector<std::unique_ptr<Acceptor>> acceptors;
+  struct ConnectionState {
+    // Whether the connection is between two requests.
+    bool is_idle = true;
+    // Set while a handler runs.
+    detail::StreamWriter* writer = nullptr;
+  };
   // Open streams, indexed by worker and accessed only on that worker's thread.
-  // The flag is true while the stream is idle between two requests.
-  std::vector<std::map<Stream*, bool>> streams;
+  std::vector<std::map<Stream*, ConnectionState>> streams;
   std::atomic<size_t> fibers{0};
   std::atomic<size_t> connections{0};
   std::atomic<size_t> active{0};
@@ -250,7 +257,7 @@
   error_code ignored;
   socket.set_option(tcp::no_delay(true), ignored);
   Stream stream(std::move(socket));
-  this->streams[worker][&stream] = true;
+  this->streams[worker][&stream] = {};
   this->ServeRequests(stream);
   this->streams[worker].erase(&stream);
   stream.socket().shutdown(Socket::shutdown_both, ignored);
@@ -278,11 +285,12 @@
       return false;
     buffer.commit(bytes);
   }
-  this->streams[worker][&stream] = false;
+  ConnectionState& connection = this->streams[worker][&stream];
+  connection.is_idle = false;
   ++this->active;
   const bool keep = this->ReadAndHandle(stream, buffer);
   --this->active;
-  this->streams[worker][&stream] = true;
+  connection.is_idle = true;
   return keep;
 }
 
@@ -327,6 +335,9 @@
   form.knows_chunks = message.version() >= kFirstVersionWithChunks;
   const HttpRequest request = FromBeast(message);
   detail::StreamWriter writer(stream, this->Options()->write_timeout, form);
+  const size_t worker = *WorkerPool::CurrentWorker();
+  ConnectionState& connection = this->streams[worker][&stream];
+  connection.writer = &writer;
   try {
     // A handler may run for much longer than the read and write timeouts.
     stream.expires_never();
@@ -344,6 +355,8 @@
     if (!writer.started())
       this->SendError(stream, Error(ResultCode::kInternal, "internal error"));
   }
+  connection.writer = nullptr;
+  writer.AwaitReplacement();
   writer.ResetIfIncomplete();
   return writer.keeps_connection();
 }
@@ -357,6 +370,29 @@
   }
 }
 
+void HttpServer::State::EndUnanswered(const Error& error) {
+  for (size_t i = 0; i < this->pool.size(); ++i) {
+    ++this->fibers;
+    this->pool.Spawn(i, [self = this->shared_from_this(), i, error] {
+      self->EndUnansweredOn(i, error);
+      --self->fibers;
+    });
+  }
+}
+
+void HttpServer::State::EndUnansweredOn(size_t worker, const Error& error) {
+  for (const auto& [stream, connection] : this->streams[worker]) {
+    detail::StreamWriter* writer = connection.writer;
+    if (!writer || !writer->BeginReplacement())
+      continue;
+    // The connection's fiber waits for the replacement, so the writer lives
+    // until then.
+    SpawnLocal([writer, response = this->render_error(error)] {
+      writer->SendReplacement(response);
+    });
+  }
+}
+
 void HttpServer::State::Drain() {
   if (this->draining.exchange(true))
     return;
@@ -386,10 +422,10 @@
       this->SpawnConnection(worker, std::move(socket));
   }
   acceptor.close(error);
-  for (auto& [stream, idle] : this->streams[worker]) {
+  for (const auto& [stream, connection] : this->streams[worker]) {
     // Only the receiving side is closed: a request that has arrived is read and
     // answered, even if the fiber of its connection has not run since.
-    if (idle)
+    if (connection.is_idle)
       stream->socket().shutdown(Socket::shutdown_receive, error);
   }
 }
@@ -402,7 +438,7 @@
         this->pool.IoContextOf(i), [self = this->shared_from_this(), i] {
           error_code ignored;
           self->acceptors[i]->close(ignored);
-          for (auto& [stream, idle] : self->streams[i])
+          for (const auto& [stream, connection] : self->streams[i])
             stream->socket().shutdown(Socket::shutdown_both, ignored);
         });
   }
@@ -441,6 +477,10 @@
       std::make_shared<const HttpServerOptions>(options));
 }
 
+void HttpServer::EndUnanswered(const Error& error) {
+  this->state->EndUnanswered(error);
+}
+
 void HttpServer::Drain() {
   this->state->Drain();
 }
--- a/source/core/runtime/http_server.h
+++ b/source/core/runtime/http_server.h
@@ -82,6 +82,12 @@
   // already sent are not reset.
   void Drain();
 
+  // Sends the error in place of the responses that handlers have not started;
+  // these handlers are not stopped, but what they send throws kCanceled.
+  // Returns immediately. For requests that the end of the process would cut
+  // off.
+  void EndUnanswered(const common::Error& error);
+
   // True once a drain is complete: no longer accepting and no connection open.
   bool IsDrained() const;
 
--- a/source/core/runtime/stream_writer.cc
+++ b/source/core/runtime/stream_writer.cc
@@ -9,6 +9,7 @@
 
 #include "core/common/error.h"
 #include "core/runtime/await.h"
+#include "core/runtime/sleep.h"
 #include "core/runtime/worker_pool.h"
 
 namespace jujuberock::runtime::detail {
@@ -19,6 +20,8 @@
 
 namespace {
 
+constexpr common::Duration kReplacementPoll = std::chrono::milliseconds(1);
+
 template <typename Body>
 void FillHeader(http::response<Body>& message,
                 int status,
@@ -54,13 +57,47 @@
   this->stream.socket().cancel(ignored);
 }
 
+bool StreamWriter::BeginReplacement() {
+  if (this->has_started)
+    return false;
+  this->has_started = true;
+  this->form.keep_alive = false;
+  this->replacement = Replacement::kSending;
+  return true;
+}
+
+void StreamWriter::SendReplacement(HttpResponse response) {
+  try {
+    this->SendMessage(std::move(response));
+  } catch (const common::Error&) {
+    // The caller has closed the connection.
+  }
+  this->replacement = Replacement::kSent;
+}
+
+void StreamWriter::AwaitReplacement() const {
+  while (this->replacement == Replacement::kSending)
+    SleepFor(kReplacementPoll);
+}
+
+void StreamWriter::ThrowIfReplaced() const {
+  if (this->replacement != Replacement::kNone)
+    throw common::Error(common::ResultCode::kCanceled,
+                        "the server has sent another response");
+}
+
 void StreamWriter::Start() {
+  this->ThrowIfReplaced();
   this->has_started = true;
   this->form.keep_alive &= !this->caller_disconnected();
 }
 
 void StreamWriter::Send(HttpResponse response) {
   this->Start();
+  this->SendMessage(std::move(response));
+}
+
+void StreamWriter::SendMessage(HttpResponse response) {
   http::response<http::string_body> message;
   FillHeader(message, response.status, response.headers, this->form.keep_alive);
   message.body() = std::move(response.body);
@@ -92,6 +129,7 @@
 }
 
 void StreamWriter::Write(std::string_view bytes) {
+  this->ThrowIfReplaced();
   if (bytes.empty())
     return;
   this->stream.expires_after(this->write_timeout);
@@ -106,6 +144,7 @@
 }
 
 void StreamWriter::FinishStream() {
+  this->ThrowIfReplaced();
   if (!this->form.knows_chunks) {
     this->has_finished = true;
     return;
--- a/source/core/runtime/stream_writer.h
+++ b/source/core/runtime/stream_writer.h
@@ -57,6 +57,13 @@
   bool caller_disconnected() const {
     return this->watch && this->watch->disconnected;
   }
+  // Starts a response in place of the handler's, whose own calls then throw
+  // kCanceled. Returns false if the handler's response has started. The caller
+  // must send it with SendReplacement(), from any fiber of the same worker.
+  bool BeginReplacement();
+  void SendReplacement(HttpResponse response);
+  // Waits until a replacement that has begun is sent.
+  void AwaitReplacement() const;
   // Closes the connection with a reset if the caller would otherwise take its
   // end for the end of a response that is not complete.
   void ResetIfIncomplete();
@@ -69,14 +76,21 @@
     bool disconnected = false;
   };
 
+  // The state of a response that the server sends in place of the handler's.
+  enum class Replacement { kNone, kSending, kSent };
+
   // Begins a response: the connection is not used again after a disconnect.
+  // Throws if the response is replaced.
   void Start();
+  void SendMessage(HttpResponse response);
+  void ThrowIfReplaced() const;
   static void ThrowIfFailed(const boost::system::error_code& error);
 
   CallerStream& stream;
   common::Duration write_timeout;
   ResponseForm form;
   std::shared_ptr<DisconnectWatch> watch;
+  Replacement replacement = Replacement::kNone;
   bool has_started = false;
   bool has_finished = false;
 };
--- a/source/core/serve/host.cc
+++ b/source/core/serve/host.cc
@@ -46,6 +46,8 @@
 constexpr common::Duration kRolloutPeriod = std::chrono::milliseconds(250);
 constexpr common::Duration kExportPeriod = std::chrono::milliseconds(250);
 constexpr common::Duration kDrainCheckPeriod = std::chrono::milliseconds(10);
+// Time in which the final answers of requests that are cut off reach callers.
+constexpr common::Duration kFinalAnswerPeriod = std::chrono::milliseconds(100);
 // Timeout for releasing the journal's shards after the requests are drained.
 constexpr common::Duration kJournalStopTimeout = std::chrono::seconds(5);
 
@@ -160,7 +162,7 @@
   std::optional<std::string> NotReadyReason() const;
   nlohmann::json RenderLaggingHosts();
   std::string RenderStatus();
-  void WaitUntilDrained();
+  void WaitUntilDrained(common::Duration timeout);
   StopReport Stop();
 
   // In the order of construction; each member uses those above it.
@@ -512,8 +514,8 @@
   return status.dump(2) + "\n";
 }
 
-void Host::Impl::WaitUntilDrained() {
-  const TimePoint limit = this->timers.Now() + this->settings.stop_limit;
+void Host::Impl::WaitUntilDrained(common::Duration timeout) {
+  const TimePoint limit = this->timers.Now() + timeout;
   // Shared with the timer, which may fire once more after this returns.
   struct DrainState {
     std::promise<void> drained;
@@ -535,9 +537,15 @@
   this->handler.BeginStop();
   this->pool.Run([this] { this->membership_service.AnnounceStop(); });
   this->caller_server.Drain();
-  this->WaitUntilDrained();
+  this->WaitUntilDrained(this->settings.stop_limit);
   StopReport report;
   report.cut_off = this->caller_server.ActiveRequests();
+  if (report.cut_off > 0) {
+    this->caller_server.EndUnanswered(
+        common::Error(common::ResultCode::kDeadlineExceeded,
+                      "the host stops before the request has ended"));
+    this->WaitUntilDrained(kFinalAnswerPeriod);
+  }
   this->counters.GetCounter("requests_cut_off_total").Add(report.cut_off);
   LOG(INFO) << "planned stop: " << report.cut_off << " requests cut off";
   this->pool.Run([this] { this->journal.Stop(kJournalStopTimeout); });
--- a/source/core/serve/host.h
+++ b/source/core/serve/host.h
@@ -34,7 +34,8 @@
 
   // Shuts down gracefully: refuses new requests, waits until the running ones
   // have ended or the stop limit is reached, then releases the journal's shards
-  // and stops rollouts.
+  // and stops rollouts. Requests that are cut off before their answer has
+  // started get one with an unknown outcome.
   StopReport Stop();
 
  private:
--- a/source/unit_tests/core/runtime/http_test.cc
+++ b/source/unit_tests/core/runtime/http_test.cc
@@ -240,6 +240,50 @@
   });
 }
 
+// Guards against a request whose connection ends without a response because its
+// handler runs longer than the process, and against a second response of it.
+TEST_CASE("a server can respond in place of handlers that still run") {
+  WorkerPool pool(2);
+  std::atomic<int> started{0};
+  std::atomic<int> refused{0};
+  std::atomic<bool> is_released{false};
+  HttpServer server(
+      pool, kAnyPort, {},
+      [&](const HttpRequest& request, ResponseWriter& writer) {
+        const bool streams = request.target == "/stream";
+        if (streams)
+          writer.StartStream(200, {});
+        ++started;
+        while (!is_released)
+          SleepFor(std::chrono::milliseconds(1));
+        try {
+          if (streams) {
+            writer.Write("late");
+            writer.FinishStream();
+          } else {
+            writer.Send({});
+          }
+        } catch (const common::Error&) {
+          ++refused;
+          throw;
+        }
+      },
+      RenderPlainError);
+  RawClient waiting(server.address());
+  RawClient streaming(server.address());
+  waiting.Send("GET /wait HTTP/1.1\r\nHost: h\r\n\r\n");
+  streaming.Send("GET /stream HTTP/1.1\r\nHost: h\r\n\r\n");
+  while (started < 2)
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  server.EndUnanswered(
+      common::Error(common::ResultCode::kDeadlineExceeded, "stopping"));
+  CHECK(StatusOf(waiting.ReadUntil("stopping\n")) == 504);
+  is_released = true;
+  CHECK(waiting.ReadAll().find("HTTP/1.1", 1) == std::string::npos);
+  CHECK(streaming.ReadUntil("\r\n0\r\n\r\n").find("late") != std::string::npos);
+  CHECK(refused == 1);
+}
+
 // A blocking client connection that does not depend on the workers.
 class BlockingClient {
  public:
--- a/source/unit_tests/core/serve/deployment.cc
+++ b/source/unit_tests/core/serve/deployment.cc
@@ -90,7 +90,9 @@
   });
 }
 
-Deployment::Deployment(size_t hosts, const std::string& patience_ms) {
+Deployment::Deployment(size_t hosts,
+                       const std::string& patience_ms,
+                       common::Duration stop_limit) {
   this->platform = std::make_unique<StandinServer>([](runtime::HttpClient&) {
     return std::make_unique<standin::PlatformStandin>(
         standin::PlatformOptions());
@@ -167,6 +169,7 @@
     settings.deployment_key = "0123456789abcdef";
     settings.token_idle_limit = std::chrono::milliseconds(300);
     settings.resume_grace = std::chrono::milliseconds(300);
+    settings.stop_limit = stop_limit;
     this->hosts.push_back(std::make_unique<Host>(settings, [] {}));
   }
   this->WaitReady();
--- a/source/unit_tests/core/serve/deployment.h
+++ b/source/unit_tests/core/serve/deployment.h
@@ -48,7 +48,9 @@
 // process.
 class Deployment {
  public:
-  explicit Deployment(size_t hosts, const std::string& patience_ms = "5000");
+  explicit Deployment(size_t hosts,
+                      const std::string& patience_ms = "5000",
+                      common::Duration stop_limit = std::chrono::seconds(120));
 
   Host& host(size_t index) { return *this->hosts[index]; }
   void StopHost(size_t index) { this->hosts[index].reset(); }
--- a/source/unit_tests/core/serve/host_test.cc
+++ b/source/unit_tests/core/serve/host_test.cc
@@ -452,5 +452,23 @@
   REQUIRE(report.cut_off == 0);
 }
 
+// Guards against requests whose connection ends without a word when they run
+// longer than the stop may take.
+TEST_CASE("a request that the stop limit cuts off gets an answer") {
+  Deployment deployment(1, "5000", std::chrono::milliseconds(300));
+  RawClient waiting(deployment.host(0).caller_address());
+  RawClient streaming(deployment.host(0).caller_address());
+  waiting.Send(RawRequest(Deployment::CompletionBody("p", 5000, false)));
+  streaming.Send(RawRequest(Deployment::CompletionBody("q", 5000, true)));
+  streaming.ReadUntil("\nid: ");
+  const StopReport report = deployment.host(0).Stop();
+  deployment.StopHost(0);
+  CHECK(report.cut_off == 2);
+  const std::string answer = waiting.ReadAll();
+  CHECK(StatusOf(answer) == 504);
+  CHECK(answer.find("\"outcome\":\"unknown\"") != std::string::npos);
+  CHECK_FALSE(Deployment::ParseEvents(streaming.ReadAll()).done);
+}
+
 }  // namespace
 }  // namespace jujuberock::serve
