--- a/source/core/gateway/request_task.cc
+++ b/source/core/gateway/request_task.cc
@@ -58,9 +58,12 @@
                    this->request.prompt ? &*this->request.prompt : nullptr),
       received_at(runtime::BootNow()),
       callback_state(std::make_shared<CallbackState>()),
-      relay(writer) {}
+      relay(writer) {
+  this->deps.planned_stop.Add(*this);
+}
 
 RequestTask::~RequestTask() {
+  this->deps.planned_stop.Remove(*this);
   this->callback_state->send = nullptr;
   if (this->reserved)
     this->reserved->choice.endpoint->OnEnded(this->reserved->ticket,
@@ -104,7 +107,7 @@
     const AttemptResult result = this->Attempt(this->NextSend());
     if (result == AttemptResult::kAnswered)
       break;
-    this->CheckCaller();
+    this->CheckMayGoOn();
     if (!this->reserved && !this->MaySendAgain())
       this->FailRequest();
   }
@@ -245,22 +248,17 @@
   });
 }
 
-void RequestTask::CheckCaller() const {
-  if (!this->callback_state->caller_gone)
-    return;
-  constexpr const char* kReason =
-      "the caller closed its side of the connection";
-  if (this->runs == 0)
-    throw RefusedError(ResultCode::kCanceled, kReason, std::nullopt);
-  throw Error(ResultCode::kCanceled, kReason);
-}
-
 TimePoint RequestTask::EffectiveDeadline() const {
   return std::min(
       this->deadline,
       this->deps.planned_stop.answer_deadline().value_or(this->deadline));
 }
 
+bool RequestTask::IsPastStop(TimePoint now) const {
+  return this->EffectiveDeadline() < this->deadline &&
+         this->Remaining(now) <= kNetworkDelay;
+}
+
 Duration RequestTask::Remaining(TimePoint now) const {
   return this->EffectiveDeadline() - now;
 }
@@ -290,7 +288,7 @@
   bool queued = false;
   while (true) {
     const TimePoint now = runtime::BootNow();
-    this->CheckCaller();
+    this->CheckMayGoOn();
     const auto choice = this->Choose(now);
     dispatch::AdmissionRequest admission = this->Admission(now);
     admission.held = now - began;
@@ -577,6 +575,43 @@
   return AttemptResult::kUnknown;
 }
 
+void RequestTask::EndUnanswered() {
+  if (this->relay.started())
+    return;
+  this->ended_by_stop = true;
+  if (this->callback_state->send)
+    this->callback_state->send->Cancel();
+}
+
+void RequestTask::EndForStop() {
+  constexpr const char* kReason = "the host is stopping";
+  if (this->runs == 0)
+    this->Refuse(ResultCode::kStopping, kReason, PlannedStop::kRetryAfter);
+  this->deps.failed.Add();
+  LogLine(this->deps.log, Event::kRequestAnswered)
+      .Add(Field::kRequest, this->request.attempt_id)
+      .Add(Field::kStatus,
+           common::InfoOf(ResultCode::kDeadlineExceeded).http_status)
+      .Add(Field::kReason, "stopping")
+      .Add(Field::kTookMs, runtime::BootNow() - this->received_at);
+  throw Error(ResultCode::kDeadlineExceeded, kReason);
+}
+
+void RequestTask::EndForCaller() {
+  constexpr const char* kReason =
+      "the caller closed its side of the connection";
+  if (this->runs == 0)
+    throw RefusedError(ResultCode::kCanceled, kReason, std::nullopt);
+  throw Error(ResultCode::kCanceled, kReason);
+}
+
+void RequestTask::CheckMayGoOn() {
+  if (this->callback_state->caller_gone)
+    this->EndForCaller();
+  if (this->ended_by_stop)
+    this->EndForStop();
+}
+
 void RequestTask::FailRequest() {
   const TimePoint now = runtime::BootNow();
   this->deps.failed.Add();
--- a/source/core/gateway/request_task_resend.cc
+++ b/source/core/gateway/request_task_resend.cc
@@ -53,7 +53,7 @@
   while (this->run_was_canceled &&
          this->give_up_reason == GiveUpReason::kRetryBudget) {
     runtime::SleepFor(kAwaitPoll);
-    this->CheckCaller();
+    this->CheckMayGoOn();
     this->give_up_reason = this->ReasonToGiveUp();
   }
   return !this->give_up_reason;
--- a/source/unit_tests/core/runtime/http_test.cc
+++ b/source/unit_tests/core/runtime/http_test.cc
@@ -156,6 +156,35 @@
   CHECK(client.ReadAll().empty());
 }
 
+// Load pattern: the worker is busy while the rest of a header arrives and the
+// header's timeout expires, so that both are handled in the same turn. Guards
+// against a timeout of the header that ends the read of the body.
+TEST_CASE("the timeout of a header does not end the read of its body") {
+  WorkerPool pool(1);
+  HttpServerOptions options;
+  options.header_timeout = std::chrono::milliseconds(100);
+  HttpServer server(pool, kAnyPort, options, EchoHandler, RenderPlainError);
+  RawClient client(server.address());
+  client.Send("POST / HTTP/1.1\r\nHost: h\r\nContent-");
+  while (server.ActiveRequests() == 0)
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  std::atomic<bool> is_busy{false};
+  std::atomic<bool> is_released{false};
+  pool.Spawn(0, [&] {
+    is_busy = true;
+    while (!is_released)
+      std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  });
+  while (!is_busy)
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  client.Send("Length: 2\r\n\r\n");
+  std::this_thread::sleep_for(2 * options.header_timeout);
+  is_released = true;
+  std::this_thread::sleep_for(options.header_timeout);
+  client.Send("ok");
+  CHECK(StatusOf(client.ReadUntil("\r\n\r\nok")) == 200);
+}
+
 TEST_CASE("an error thrown by a handler sets the response status") {
   WorkerPool pool(1);
   HttpServer server(pool, kAnyPort, {}, EchoHandler, RenderPlainError);
@@ -211,6 +240,50 @@
   });
 }
 
+// Guards against a request whose connection ends without a response because its
+// handler runs longer than the process, and against a second response of it.
+TEST_CASE("a server can respond in place of handlers that still run") {
+  WorkerPool pool(2);
+  std::atomic<int> started{0};
+  std::atomic<int> refused{0};
+  std::atomic<bool> is_released{false};
+  HttpServer server(
+      pool, kAnyPort, {},
+      [&](const HttpRequest& request, ResponseWriter& writer) {
+        const bool streams = request.target == "/stream";
+        if (streams)
+          writer.StartStream(200, {});
+        ++started;
+        while (!is_released)
+          SleepFor(std::chrono::milliseconds(1));
+        try {
+          if (streams) {
+            writer.Write("late");
+            writer.FinishStream();
+          } else {
+            writer.Send({});
+          }
+        } catch (const common::Error&) {
+          ++refused;
+          throw;
+        }
+      },
+      RenderPlainError);
+  RawClient waiting(server.address());
+  RawClient streaming(server.address());
+  waiting.Send("GET /wait HTTP/1.1\r\nHost: h\r\n\r\n");
+  streaming.Send("GET /stream HTTP/1.1\r\nHost: h\r\n\r\n");
+  while (started < 2)
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  server.EndUnanswered(
+      common::Error(common::ResultCode::kDeadlineExceeded, "stopping"));
+  CHECK(StatusOf(waiting.ReadUntil("stopping\n")) == 504);
+  is_released = true;
+  CHECK(waiting.ReadAll().find("HTTP/1.1", 1) == std::string::npos);
+  CHECK(streaming.ReadUntil("\r\n0\r\n\r\n").find("late") != std::string::npos);
+  CHECK(refused == 1);
+}
+
 // A blocking client connection that does not depend on the workers.
 class BlockingClient {
  public:
