Reject entries of endpoints whose address can't be connected to

An entry without a port, with a port out of range or with a host that is no IP address was taken for an endpoint: requests were sent to it and lost an attempt each, until it was ejected. Its text could also be of any length and bytes, which lines of the log repeat.

--- a/source/platform/decode.cc
+++ b/source/platform/decode.cc
@@ -4,11 +4,13 @@
 #include <string>
 #include <utility>
 
+#include <boost/asio/ip/address.hpp>
 #include <nlohmann/json.hpp>
 
 #include "core/common/error.h"
 #include "core/common/json_number.h"
 #include "core/common/nesting.h"
+#include "core/runtime/http_types.h"
 
 namespace jujuberock::platform_adapter {
 
@@ -27,6 +29,8 @@
 constexpr double kMaxExactInteger = 1LL << 53;
 // More slots are taken for a forged entry.
 constexpr uint64_t kMaxSlots = 1'000'000;
+// Longer texts are taken for a forged entry; lines of the log have them.
+constexpr size_t kMaxTextBytes = 1024;
 
 Json ParseObject(const catalog::StoredObject& object) {
   if (common::ExceedsNesting(object.content))
@@ -157,13 +161,32 @@
   return models;
 }
 
+std::string GetText(const Json& value, const char* name) {
+  auto text = value.at(name).get<std::string>();
+  if (text.size() > kMaxTextBytes)
+    throw Error(ResultCode::kProtocolError, std::string(name) + " is too long");
+  return text;
+}
+
+// Whether the text is an IP address and a port that can be connected to.
+bool IsAddress(const std::string& text) {
+  const auto address = runtime::Address::Parse(text);
+  if (!address || address->port == 0)
+    return false;
+  boost::system::error_code error;
+  boost::asio::ip::make_address(address->ip, error);
+  return !error;
+}
+
 catalog::Endpoint DecodeValidEndpoint(const catalog::StoredObject& object) {
   const Json value = ParseObject(object);
   catalog::Endpoint endpoint;
   endpoint.id = object.name;
-  endpoint.service = value.at("service").get<std::string>();
-  endpoint.address = value.at("address").get<std::string>();
-  endpoint.zone = value.at("zone").get<std::string>();
+  endpoint.service = GetText(value, "service");
+  endpoint.address = GetText(value, "address");
+  if (!IsAddress(endpoint.address))
+    throw Error(ResultCode::kProtocolError, "malformed address");
+  endpoint.zone = GetText(value, "zone");
   endpoint.slots =
       static_cast<int64_t>(GetUnsigned(value.at("slots"), kMaxSlots));
   if (value.contains("born"))
--- a/source/unit_tests/platform/decode_test.cc
+++ b/source/unit_tests/platform/decode_test.cc
@@ -121,6 +121,27 @@
   }
 }
 
+// Guards against requests that are lost on an address that nobody can be at,
+// and against header fields and lines with bytes that were chosen by a writer.
+TEST_CASE("an endpoint entry with an odd address or long text is rejected") {
+  const std::string long_text(2000, 'x');
+  for (const std::string& address :
+       {std::string("127.0.0.1"), std::string("127.0.0.1:99999"),
+        std::string("127.0.0.1:-1"), std::string("127.0.0.1:0"),
+        std::string("127.0.0.1:"), std::string("127.0.0.1:80 "),
+        std::string("host:80"), std::string("\\u0000:80"),
+        std::string("127.0.0.1\\r\\nA: b:80"), long_text + ":80"}) {
+    INFO(address);
+    CHECK_FALSE(
+        DecodeEndpoint(MakeObject(Replace(kEndpoint, "10.0.0.1:80", address))));
+  }
+  CHECK_FALSE(DecodeEndpoint(
+      MakeObject(Replace(kEndpoint, "\"s\"", "\"" + long_text + "\""))));
+  CHECK_FALSE(DecodeEndpoint(
+      MakeObject(Replace(kEndpoint, "\"z\"", "\"" + long_text + "\""))));
+  CHECK(DecodeEndpoint(MakeObject(Replace(kEndpoint, "10.0.0.1", "[::1]"))));
+}
+
 // Guards against a deep value, which copies of a parsed value follow on the
 // stack, and against numbers whose conversion is undefined.
 TEST_CASE("configurations with odd values are rejected") {
