Answer numbers out of range and duplicate names of callers with 400

A number that no double holds, such as 1e400, made the JSON parser throw an exception that was not handled: the caller got an internal error instead of one that names its mistake. A body with a name twice in one object was accepted with the last value, while the engine or a proxy may take the first. Both are now a malformed request. The depth of a body is checked before it is parsed, instead of in a callback of the parser; the limit of 32 levels stays.

Before the change "a number out of range gets an error response" failed with status 500 and "duplicate names in a body get an error response" with 200. The tests of nesting depths of 10,000 and 200,000 and of invalid UTF-8 passed before as well. All tests of the module pass now.

--- a/source/core/caller/completion_request.cc
+++ b/source/core/caller/completion_request.cc
@@ -2,10 +2,13 @@
 
 #include <charconv>
 #include <cstdio>
+#include <set>
+#include <vector>
 
 #include <nlohmann/json.hpp>
 
 #include "core/common/error.h"
+#include "core/common/nesting.h"
 
 namespace jujuberock::caller {
 
@@ -18,28 +21,55 @@
 constexpr size_t kMaxNameChars = 128;
 constexpr size_t kMaxHeaderChars = 255;
 constexpr int64_t kMaxDeadlineMs = 24 * 3600 * 1000;
-// Maximum nesting of the JSON body. No request needs more, and the parser
-// recurses at each level.
-constexpr int kMaxDepth = 32;
+// Maximum nesting of the JSON body. No request needs more.
+constexpr size_t kMaxDepth = 32;
 
 [[noreturn]] void ThrowMalformed(const std::string& detail) {
   throw Error(ResultCode::kMalformedRequest, detail);
 }
 
+// Throws when a name appears twice in an object. Of such names parsers take
+// different ones, so an engine could run another request than this host
+// checked.
+class DuplicateNameCheck {
+ public:
+  void OnEvent(json::parse_event_t event, const json& parsed) {
+    using Event = json::parse_event_t;
+    if (event == Event::object_start)
+      this->open_objects.emplace_back();
+    if (event == Event::object_end)
+      this->open_objects.pop_back();
+    if (event != Event::key)
+      return;
+    const auto& name = parsed.get_ref<const std::string&>();
+    if (!this->open_objects.back().insert(name).second)
+      ThrowMalformed("the body contains a name twice in one object");
+  }
+
+ private:
+  // The names seen so far in each object that has not ended.
+  std::vector<std::set<std::string>> open_objects;
+};
+
 json ParseObject(std::string_view body) {
-  const auto limit_depth = [](int depth, json::parse_event_t, json&) {
-    if (depth > kMaxDepth)
-      ThrowMalformed("the body is nested too deeply");
+  if (common::ExceedsNesting(body, kMaxDepth))
+    ThrowMalformed("the body is nested more than " + std::to_string(kMaxDepth) +
+                   " levels deep");
+  DuplicateNameCheck duplicates;
+  const auto check = [&](int, json::parse_event_t event, const json& parsed) {
+    duplicates.OnEvent(event, parsed);
     return true;
   };
   try {
-    json value = json::parse(body, limit_depth);
+    json value = json::parse(body, check);
     if (!value.is_object())
       ThrowMalformed("the body must be a JSON object");
     return value;
   } catch (const json::parse_error& error) {
     ThrowMalformed("the body is not valid JSON: error at byte " +
                    std::to_string(error.byte));
+  } catch (const json::out_of_range&) {
+    ThrowMalformed("the body contains a number out of range");
   }
 }
 
--- a/source/unit_tests/core/caller/malformed_input_test.cc
+++ b/source/unit_tests/core/caller/malformed_input_test.cc
@@ -50,7 +50,14 @@
 }
 
 struct TestServer {
-  TestServer() {
+  explicit TestServer(const ServerOptions& options = ShortLimits())
+      : server(this->pool,
+               {"127.0.0.1", 0},
+               options,
+               this->keys,
+               this->sealer,
+               this->handler,
+               this->counters) {
     this->keys.SetTeam("alfa", {HexHash(kKey)});
     this->keys.SetTeam("gone", {HexHash("key-of-gone")});
     this->keys.RemoveTeam("gone");
@@ -61,8 +68,7 @@
   ApiKeyRegistry keys;
   EventIdSealer sealer{"0123456789abcdef"};
   OneTokenHandler handler;
-  Server server{pool,   {"127.0.0.1", 0}, ShortLimits(), keys,
-                sealer, handler,          counters};
+  Server server;
 };
 
 constexpr const char* kTextPath = "/v1/completions";
@@ -206,6 +212,110 @@
   }
 }
 
+std::string Arrays(size_t depth) {
+  return std::string(depth, '[') + std::string(depth, ']');
+}
+
+std::string Objects(size_t depth) {
+  std::string text;
+  for (size_t level = 0; level < depth; ++level)
+    text += R"({"a":)";
+  return text + "0" + std::string(depth, '}');
+}
+
+// Sends the request and checks for a problem response with HTTP status 400.
+void RequireMalformed(const TestServer& test, const std::string& request) {
+  INFO(request.substr(0, 400));
+  RawClient client(test.server.address());
+  client.Send(request);
+  const std::string response = client.ReadAll();
+  INFO(response);
+  REQUIRE(StatusOf(response) == 400);
+  REQUIRE(response.find("\"code\":100,") != std::string::npos);
+  REQUIRE(response.find("\"outcome\":\"not_run\"") != std::string::npos);
+  RawClient next(test.server.address());
+  next.Send(Post(kValidBody));
+  REQUIRE(StatusOf(next.ReadAll()) == 200);
+}
+
+// Guards against a body whose nesting overflows the stack of the fiber that
+// reads it, wherever in the body it is and whether or not it is complete.
+TEST_CASE("a body of any nesting depth gets an error response") {
+  ServerOptions options;
+  options.http.body_limit_bytes = 4 * 1024 * 1024;
+  const TestServer test(options);
+  for (const size_t depth : {10'000U, 200'000U}) {
+    for (const std::string& deep :
+         {Arrays(depth), Objects(depth), std::string(depth, '[')}) {
+      RequireMalformed(test, Post(deep));
+      RequireMalformed(test,
+                       Post(R"({"model":"m","prompt":"p","x":)" + deep + "}"));
+      RequireMalformed(test, Post(R"({"model":"m","prompt":)" + deep + "}"));
+      RequireMalformed(test, Post(R"({"prompt":"p","model":)" + deep + "}"));
+      RequireMalformed(test,
+                       Request("POST", kChatPath,
+                               R"({"model":"m","messages":)" + deep + "}"));
+      RequireMalformed(
+          test,
+          Request("POST", kChatPath,
+                  R"({"model":"m","messages":[{"role":"user","content":)" +
+                      deep + "}]}"));
+    }
+  }
+}
+
+// Guards against an internal error for a number that no double can hold.
+TEST_CASE("a number out of range gets an error response") {
+  const TestServer test;
+  for (const char* number : {"1e400", "-1e400", "1e99999999999"}) {
+    const std::string text(number);
+    RequireMalformed(
+        test, Post(R"({"model":"m","prompt":"p","max_tokens":)" + text + "}"));
+    RequireMalformed(test,
+                     Post(R"({"model":"m","prompt":"p","x":)" + text + "}"));
+    RequireMalformed(test, Post(text));
+  }
+}
+
+// Guards against an exception when such text is rendered into a response.
+TEST_CASE("invalid UTF-8 anywhere in a body gets an error response") {
+  const TestServer test;
+  for (const char* bytes :
+       {"\xff", "\xc3", "\xed\xa0\x80", "\xf5\x80\x80\x80", R"(\ud800)"}) {
+    const std::string text(bytes);
+    RequireMalformed(test,
+                     Post(R"({"prompt":"p","model":"m)" + text + R"("})"));
+    RequireMalformed(test,
+                     Post(R"({"model":"m","prompt":"p)" + text + R"("})"));
+    RequireMalformed(
+        test, Post(R"({"model":"m","prompt":"p","x)" + text + R"(":1})"));
+    RequireMalformed(
+        test, Request("POST", kChatPath,
+                      R"({"model":"m","messages":[{"role":"user","content":")" +
+                          text + R"("}]})"));
+  }
+}
+
+// Guards against a request that means one thing to this parser and another to
+// the next one that reads it.
+TEST_CASE("duplicate names in a body get an error response") {
+  const TestServer test;
+  for (const char* body :
+       {R"({"model":"m","prompt":"p","model":"n"})",
+        R"({"model":"m","prompt":"p","prompt":"q"})",
+        R"({"model":"m","prompt":"p","\u006dodel":"n"})",
+        R"({"model":"m","prompt":"p","x":[{"a":1,"b":{},"a":1}]})"})
+    RequireMalformed(test, Post(body));
+  RequireMalformed(
+      test, Request("POST", kChatPath,
+                    R"({"model":"m","messages":[{"role":"user","content":"c",)"
+                    R"("content":"d"}]})"));
+  RawClient client(test.server.address());
+  client.Send(
+      Post(R"({"model":"m","prompt":"p","x":[{"a":1},{"a":{"a":1}}]})"));
+  REQUIRE(StatusOf(client.ReadAll()) == 200);
+}
+
 TEST_CASE("a caller may disconnect in the middle of its request") {
   TestServer test;
   for (const std::string& part :
