Let the stand-in of the platform serve any text as an object's body

The stand-in kept bodies as parsed JSON, so no test could show what a host does with a body that no parser accepts or that is nested too deep: the stand-in itself would have crashed when it copied one. It now keeps the text, and PUT /control/objects/KIND/NAME writes any text.

--- a/source/standin/http_json.cc
+++ b/source/standin/http_json.cc
@@ -1,6 +1,7 @@
 #include "standin/http_json.h"
 
 #include <charconv>
+#include <utility>
 
 #include "core/common/error.h"
 
@@ -71,10 +72,16 @@
 }
 
 void SendJson(runtime::ResponseWriter& writer, int status, const json& body) {
+  SendJsonText(writer, status, body.dump());
+}
+
+void SendJsonText(runtime::ResponseWriter& writer,
+                  int status,
+                  std::string text) {
   runtime::HttpResponse response;
   response.status = status;
   response.headers.Add("Content-Type", "application/json");
-  response.body = body.dump();
+  response.body = std::move(text);
   writer.Send(std::move(response));
 }
 
--- a/source/standin/http_json.h
+++ b/source/standin/http_json.h
@@ -36,6 +36,10 @@
 void SendJson(runtime::ResponseWriter& writer,
               int status,
               const nlohmann::json& body);
+// Sends text that is meant to be JSON, but is not checked.
+void SendJsonText(runtime::ResponseWriter& writer,
+                  int status,
+                  std::string text);
 
 // Aborts the request: throws common::Error kCanceled, so that the server closes
 // the connection without a (complete) response.
--- a/source/standin/platform_standin.cc
+++ b/source/standin/platform_standin.cc
@@ -75,7 +75,8 @@
   for (const json& item : content["objects"]) {
     const std::string name = item.at("name");
     ValidateName(name);
-    this->store.Write(item.at("kind"), name, 0, "initial", item.at("body"));
+    this->store.Write(item.at("kind"), name, 0, "initial",
+                      item.at("body").dump());
   }
 }
 
@@ -129,6 +130,11 @@
     this->SetFaults(ParseBody(request));
     return SendJson(writer, 200, json::object());
   }
+  if (target.segments[1] == "objects" && target.segments.size() == 4) {
+    this->store.WriteAny(target.segments[2], target.segments[3], request.body);
+    this->change_signal.NotifyAll();
+    return SendJson(writer, 200, json::object());
+  }
   const Counts& c = this->counts;
   SendJson(writer, 200,
            {{"reads", c.reads},
@@ -169,16 +175,17 @@
       this->store.Find(target.segments[1], target.segments[2]);
   if (!object)
     return SendStatus(writer, 404);
-  SendJson(writer, 200, object->ToJson());
+  SendJsonText(writer, 200, object->ToJson());
 }
 
 void PlatformStandin::List(const Target& target, ResponseWriter& writer) {
   ++this->counts.lists;
-  json objects = json::array();
+  std::string objects;
   for (const StoredObject* object : this->store.List(target.segments[1]))
-    objects.push_back(object->ToJson());
-  SendJson(writer, 200,
-           {{"version", this->store.version()}, {"objects", objects}});
+    objects += (objects.empty() ? "" : ",") + object->ToJson();
+  SendJsonText(writer, 200,
+               "{\"version\":" + std::to_string(this->store.version()) +
+                   ",\"objects\":[" + objects + "]}");
 }
 
 void PlatformStandin::CountWrite() {
@@ -208,7 +215,7 @@
     if (!body.contains("body"))
       throw Error(ResultCode::kMalformedRequest, "missing field \"body\"");
     version = this->store.Write(kind, name, expected, body.value("token", ""),
-                                body["body"]);
+                                body["body"].dump());
   } else if (request.method == "DELETE") {
     version = this->store.Delete(kind, name, expected);
   } else {
@@ -227,7 +234,7 @@
   const StoredObject* current = this->store.Find(kind, name);
   if (!current)
     return SendStatus(writer, 409);
-  SendJson(writer, 409, current->ToJson());
+  SendJsonText(writer, 409, current->ToJson());
 }
 
 void PlatformStandin::Watch(const Target& target, ResponseWriter& writer) {
@@ -241,7 +248,7 @@
     if (!this->silent_watches) {
       for (const StoredObject* object :
            this->store.ChangesSince(target.segments[1], since)) {
-        lines += object->ToWatchJson().dump() + "\n";
+        lines += object->ToWatchJson() + "\n";
         since = object->version;
       }
       if (lines.empty() && Now() - last_line >= this->options.keep_alive)
--- a/source/standin/platform_standin.h
+++ b/source/standin/platform_standin.h
@@ -30,7 +30,9 @@
 // `lose_answers` (number of writes that take effect without a response),
 // `silent_watches` (open and new watches send nothing, not even keep-alive
 // lines), `copy` (makes a copy of the store) and `restore` (brings the last
-// copy back and cuts watches off). All answers state the era of the store.
+// copy back and cuts watches off). PUT /control/objects/KIND/NAME writes an
+// object whose body is served as it is sent, even if it is not JSON; it must be
+// a single line. All answers state the era of the store.
 class PlatformStandin : public Standin {
  public:
   explicit PlatformStandin(PlatformOptions options);
--- a/source/standin/platform_store.cc
+++ b/source/standin/platform_store.cc
@@ -2,27 +2,38 @@
 
 #include <algorithm>
 
+#include <nlohmann/json.hpp>
+
 namespace jujuberock::standin {
 
 using nlohmann::json;
 
-json StoredObject::ToJson() const {
-  return {{"kind", this->kind},
-          {"name", this->name},
-          {"version", this->version},
-          {"token", this->token},
-          {"body", this->body}};
+namespace {
+
+// Returns the text of an object with the fields of `head` and the body.
+std::string RenderWithBody(const json& head, const std::string& body) {
+  std::string text = head.dump();
+  text.pop_back();
+  return text + ",\"body\":" + body + "}";
 }
 
-json StoredObject::ToWatchJson() const {
-  json line = {{"kind", this->kind},
-               {"name", this->name},
-               {"version", this->version},
-               {"deleted", this->deleted},
-               {"token", this->token}};
-  if (!this->deleted)
-    line["body"] = this->body;
-  return line;
+}  // namespace
+
+std::string StoredObject::ToJson() const {
+  return RenderWithBody({{"kind", this->kind},
+                         {"name", this->name},
+                         {"version", this->version},
+                         {"token", this->token}},
+                        this->body);
+}
+
+std::string StoredObject::ToWatchJson() const {
+  const json head = {{"kind", this->kind},
+                     {"name", this->name},
+                     {"version", this->version},
+                     {"deleted", this->deleted},
+                     {"token", this->token}};
+  return this->deleted ? head.dump() : RenderWithBody(head, this->body);
 }
 
 const StoredObject* PlatformStore::Find(const std::string& kind,
@@ -43,11 +54,11 @@
                                              const std::string& name,
                                              uint64_t expected,
                                              const std::string& token,
-                                             json body) {
+                                             const std::string& body) {
   if (this->VersionOf(kind, name) != expected)
     return std::nullopt;
   StoredObject& object = this->objects[{kind, name}];
-  object = {kind, name, ++this->last_version, false, token, std::move(body)};
+  object = {kind, name, ++this->last_version, false, token, body};
   return object.version;
 }
 
@@ -57,10 +68,16 @@
   if (expected == 0 || this->VersionOf(kind, name) != expected)
     return std::nullopt;
   StoredObject& object = this->objects[{kind, name}];
-  object = {kind, name, ++this->last_version, true, "", nullptr};
+  object = {kind, name, ++this->last_version, true, "", ""};
   return object.version;
 }
 
+void PlatformStore::WriteAny(const std::string& kind,
+                             const std::string& name,
+                             const std::string& body) {
+  this->Write(kind, name, this->VersionOf(kind, name), "", body);
+}
+
 std::vector<const StoredObject*> PlatformStore::List(
     const std::string& kind) const {
   std::vector<const StoredObject*> list;
--- a/source/standin/platform_store.h
+++ b/source/standin/platform_store.h
@@ -8,8 +8,6 @@
 #include <utility>
 #include <vector>
 
-#include <nlohmann/json.hpp>
-
 namespace jujuberock::standin {
 
 struct StoredObject {
@@ -18,12 +16,14 @@
   uint64_t version = 0;
   bool deleted = false;
   std::string token;
-  nlohmann::json body;
-
-  // Representation in responses to reads and lists.
-  nlohmann::json ToJson() const;
-  // Representation in a line of a watch stream.
-  nlohmann::json ToWatchJson() const;
+  // JSON text that is served as it is. It is not parsed, since it may be
+  // malformed or nested too deep.
+  std::string body;
+
+  // JSON text in responses to reads and lists.
+  std::string ToJson() const;
+  // A line of a watch stream, without its end.
+  std::string ToWatchJson() const;
 };
 
 // Versioned object store with one version counter for all objects. Deleted
@@ -41,11 +41,16 @@
                                 const std::string& name,
                                 uint64_t expected,
                                 const std::string& token,
-                                nlohmann::json body);
+                                const std::string& body);
   std::optional<uint64_t> Delete(const std::string& kind,
                                  const std::string& name,
                                  uint64_t expected);
 
+  // Writes an object whatever its version is.
+  void WriteAny(const std::string& kind,
+                const std::string& name,
+                const std::string& body);
+
   // Returns the objects of the kind that are not deleted, sorted by name.
   std::vector<const StoredObject*> List(const std::string& kind) const;
 
--- a/source/unit_tests/standin/models_test.cc
+++ b/source/unit_tests/standin/models_test.cc
@@ -17,10 +17,10 @@
 // Every other guarantee depends on this one.
 TEST_CASE("a conditional write takes effect once for each version") {
   PlatformStore store;
-  REQUIRE(store.Write("team", "a", 0, "first", {{"x", 1}}) == 1);
-  REQUIRE_FALSE(store.Write("team", "a", 0, "second", {{"x", 2}}));
-  REQUIRE(store.Write("team", "a", 1, "third", {{"x", 3}}) == 2);
-  REQUIRE_FALSE(store.Write("team", "a", 1, "late", {{"x", 4}}));
+  REQUIRE(store.Write("team", "a", 0, "first", R"({"x":1})") == 1);
+  REQUIRE_FALSE(store.Write("team", "a", 0, "second", R"({"x":2})"));
+  REQUIRE(store.Write("team", "a", 1, "third", R"({"x":3})") == 2);
+  REQUIRE_FALSE(store.Write("team", "a", 1, "late", R"({"x":4})"));
   REQUIRE(store.Find("team", "a")->token == "third");
 }
 
@@ -28,13 +28,13 @@
 // recreated object that reuses a version number.
 TEST_CASE("a deletion leaves a tombstone with a new version") {
   PlatformStore store;
-  store.Write("team", "a", 0, "t", 1);
+  store.Write("team", "a", 0, "t", "1");
   REQUIRE_FALSE(store.Delete("team", "a", 9));
   REQUIRE(store.Delete("team", "a", 1) == 2);
   REQUIRE(store.Find("team", "a") == nullptr);
   REQUIRE(store.List("team").empty());
   REQUIRE(store.ChangesSince("team", 1).at(0)->deleted);
-  REQUIRE(store.Write("team", "a", 0, "t", 2) == 3);
+  REQUIRE(store.Write("team", "a", 0, "t", "2") == 3);
 }
 
 // Guards against a simulation in which prefill is free: all routing policies
