Keep odd objects in the platform from hiding others or ending serve

The client parsed a list as one JSON text and rendered each body again, which recurses on the stack of a fiber for each level of nesting: one object with a body nested 100,000 deep ended every process that listed or watched its kind. A number such as 1e400, invalid UTF-8 or a token that is no string made the whole list fail, and with it all objects of other writers. Parsing a table row printed odd values into errors, with the same recursion.

The list is now split into its entries, and an entry into its fields, without recursion. Bodies stay text until their reader parses them, which first checks their depth. A token that is no string counts as empty. Malformed entries and lines of a watch are left out, counted in platform_malformed_entries_total and logged once for each kind. From a list with such entries no deletions are derived, since it does not show whether the object behind the entry exists.

--- a/source/core/platform/client.cc
+++ b/source/core/platform/client.cc
@@ -1,5 +1,7 @@
 #include "core/platform/client.h"
 
+#include <glog/logging.h>
+
 #include <charconv>
 #include <utility>
 
@@ -34,13 +36,6 @@
   return object;
 }
 
-// A change that a watch reports was made in the era of the watch.
-Object ParseChange(std::string_view text, uint64_t era) {
-  Object object = ParseStoredObject(text);
-  object.version = MakeVersion(era, RevisionOf(object.version));
-  return object;
-}
-
 [[noreturn]] void ThrowForStatus(int status) {
   if (status == 429)
     throw Error(ResultCode::kPlatformRateLimited,
@@ -56,6 +51,7 @@
                common::MetricRegistry& counters)
     : http(http),
       address(std::move(address)),
+      counters(counters),
       reads(CallCounter(counters, "read")),
       writes(CallCounter(counters, "write")),
       lists(CallCounter(counters, "list")),
@@ -193,12 +189,38 @@
   if (response.status != 200)
     ThrowForStatus(response.status);
   ObjectList list = ParseObjectList(response.body);
+  this->OnMalformed(kind, list.malformed, list.problem);
   list.version = MakeVersion(era, list.version);
   for (Object& object : list.objects)
     TakeEra(object);
   return list;
 }
 
+void Client::OnMalformed(std::string_view kind,
+                         size_t entries,
+                         std::string_view problem) {
+  if (entries == 0)
+    return;
+  common::Counter& malformed = this->counters.GetCounter(
+      "platform_malformed_entries_total", {{"kind", std::string(kind)}});
+  if (malformed.value() == 0)
+    LOG(WARNING) << "left out an entry of kind " << kind << ": " << problem;
+  malformed.Add(entries);
+}
+
+std::optional<Object> Client::TakeChange(std::string_view kind,
+                                         std::string_view line,
+                                         uint64_t era) {
+  try {
+    Object object = ParseStoredObject(line);
+    object.version = MakeVersion(era, RevisionOf(object.version));
+    return object;
+  } catch (const Error& error) {
+    this->OnMalformed(kind, 1, error.what());
+    return std::nullopt;
+  }
+}
+
 WatchEnd Client::Watch(std::string_view kind,
                        Version since,
                        common::Duration idle_timeout,
@@ -227,7 +249,10 @@
         const std::string line = buffer.substr(0, end);
         buffer.erase(0, end + 1);
         // The platform sends empty lines as keep-alives.
-        if (!line.empty() && !on_change(ParseChange(line, EraOf(since))))
+        if (line.empty())
+          continue;
+        const auto change = this->TakeChange(kind, line, EraOf(since));
+        if (change && !on_change(*change))
           return WatchEnd::kStopped;
       }
       if (should_stop && should_stop())
--- a/source/core/platform/client.h
+++ b/source/core/platform/client.h
@@ -15,7 +15,9 @@
 namespace jujuberock::platform {
 
 // HTTP client of the platform's object API. Every method suspends the calling
-// fiber. Calls are counted in `platform_calls_total{call}`.
+// fiber. Calls are counted in `platform_calls_total{call}`, and malformed
+// entries of lists and lines of watches, which are left out, in
+// `platform_malformed_entries_total{kind}`.
 //
 // The store states its era in all answers. The client adds the era to the token
 // of each write, so that it can tell the version of an object that was written
@@ -50,16 +52,17 @@
                      std::string_view name,
                      Version expected);
 
-  // Lists all objects of a kind. Throws the same errors as Read().
+  // Lists all objects of a kind, without malformed entries. Throws the same
+  // errors as Read().
   ObjectList List(std::string_view kind);
 
-  // Calls `on_change` for every change of the kind after version `since`. Ends
-  // when `on_change` returns false, the connection ends, nothing arrives for
-  // `idle_timeout`, the watch has been open for `max_age`, or `should_stop`
-  // returns true. The last two are checked only when data arrives, which a
-  // keep-alive line is too. Opens a new connection, because a pooled one may
-  // have gone silent. Throws the same errors as Read() if the watch cannot be
-  // opened.
+  // Calls `on_change` for every change of the kind after version `since`,
+  // except for malformed lines. Ends when `on_change` returns false, the
+  // connection ends, nothing arrives for `idle_timeout`, the watch has been
+  // open for `max_age`, or `should_stop` returns true. The last two are checked
+  // only when data arrives, which a keep-alive line is too. Opens a new
+  // connection, because a pooled one may have gone silent. Throws the same
+  // errors as Read() if the watch cannot be opened.
   WatchEnd Watch(std::string_view kind,
                  Version since,
                  common::Duration idle_timeout,
@@ -80,9 +83,19 @@
   // Returns the era that the response states. Throws common::Error
   // kPlatformUnavailable if it is a former one.
   uint64_t CheckEra(const runtime::HttpHeaders& headers);
+  // Parses a line of a watch, whose changes are all of the given era. Returns
+  // nullopt if it is malformed.
+  std::optional<Object> TakeChange(std::string_view kind,
+                                   std::string_view line,
+                                   uint64_t era);
+  // Counts malformed entries, and logs the first of each kind.
+  void OnMalformed(std::string_view kind,
+                   size_t entries,
+                   std::string_view problem);
 
   runtime::HttpClient& http;
   runtime::Address address;
+  common::MetricRegistry& counters;
   // Calls come from all workers.
   std::atomic<uint64_t> newest_era{0};
   common::Counter& reads;
--- a/source/core/platform/object.h
+++ b/source/core/platform/object.h
@@ -1,6 +1,7 @@
 #ifndef CORE_PLATFORM_OBJECT_H_
 #define CORE_PLATFORM_OBJECT_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -27,7 +28,9 @@
   return version & ((Version{1} << kRevisionBits) - 1);
 }
 
-// An object in the platform's store. `body` is JSON text of at most 1 MB.
+// An object in the platform's store. `body` is text of at most 1 MB as its
+// writer sent it. It is meant to be JSON, but may be nested too deep to be
+// parsed or not valid.
 struct Object {
   std::string kind;
   std::string name;
@@ -43,6 +46,10 @@
   // version continues where the list ends.
   Version version = 0;
   std::vector<Object> objects;
+  // Number of entries that are missing from `objects` because they are
+  // malformed, and what is wrong with the first one.
+  size_t malformed = 0;
+  std::string problem;
 };
 
 // Outcome of a conditional write.
--- a/source/core/platform/object_json.cc
+++ b/source/core/platform/object_json.cc
@@ -1,8 +1,15 @@
 #include "core/platform/object_json.h"
 
+#include <optional>
+#include <ranges>
+#include <utility>
+#include <vector>
+
 #include <nlohmann/json.hpp>
 
 #include "core/common/error.h"
+#include "core/common/nesting.h"
+#include "core/platform/json_slices.h"
 
 namespace jujuberock::platform {
 
@@ -10,44 +17,111 @@
 
 using nlohmann::json;
 
-// Applies `decode` to the parsed text. Throws common::Error kProtocolError if
-// the text is not JSON or `decode` rejects it.
-template <typename Decode>
-auto ParseJson(std::string_view text, Decode decode) {
-  try {
-    return decode(json::parse(text));
-  } catch (const json::exception& error) {
-    throw common::Error(common::ResultCode::kProtocolError,
-                        std::string("platform: ") + error.what());
-  }
+[[noreturn]] void ThrowMalformed(const std::string& what) {
+  throw common::Error(common::ResultCode::kProtocolError, "platform: " + what);
 }
 
-Object FromJson(const json& value) {
-  Object object;
-  object.kind = value.at("kind").get<std::string>();
-  object.name = value.at("name").get<std::string>();
-  object.version = value.at("version").get<Version>();
-  object.deleted = value.value("deleted", false);
-  object.token = value.value("token", std::string());
-  if (value.contains("body"))
-    object.body = value["body"].dump();
-  return object;
-}
+// The members of an object, each of which is parsed only when it is read.
+class Members {
+ public:
+  explicit Members(std::string_view text) {
+    auto members = SplitObject(text);
+    if (!members)
+      ThrowMalformed("not a JSON object");
+    this->members = std::move(*members);
+  }
+
+  // Returns the text of the member, or nullopt if there is none. The last one
+  // counts, as in other readers of JSON.
+  std::optional<std::string_view> Find(std::string_view name) const {
+    for (const JsonMember& member : this->members | std::views::reverse) {
+      if (member.name == name)
+        return member.value;
+    }
+    return std::nullopt;
+  }
+
+  std::string_view At(std::string_view name) const {
+    const auto value = this->Find(name);
+    if (!value)
+      ThrowMalformed("missing field " + std::string(name));
+    return *value;
+  }
+
+  std::string String(std::string_view name) const {
+    const json value = Parse(this->At(name));
+    if (!value.is_string())
+      ThrowMalformed("no string in field " + std::string(name));
+    return value.get<std::string>();
+  }
+
+  // Returns `fallback` if the member is absent or no string.
+  std::string StringOr(std::string_view name, std::string fallback) const {
+    const auto text = this->Find(name);
+    const json value = text ? Parse(*text) : json();
+    return value.is_string() ? value.get<std::string>() : std::move(fallback);
+  }
+
+  Version VersionIn(std::string_view name) const {
+    const json value = Parse(this->At(name));
+    if (!value.is_number_unsigned())
+      ThrowMalformed("no version in field " + std::string(name));
+    return value.get<Version>();
+  }
+
+  bool BoolOr(std::string_view name, bool fallback) const {
+    const auto text = this->Find(name);
+    if (!text)
+      return fallback;
+    const json value = Parse(*text);
+    if (!value.is_boolean())
+      ThrowMalformed("neither true nor false in field " + std::string(name));
+    return value.get<bool>();
+  }
+
+ private:
+  // Returns a discarded value, which is of no type, for malformed text.
+  static json Parse(std::string_view text) {
+    if (common::ExceedsNesting(text))
+      return json(json::value_t::discarded);
+    return json::parse(text, nullptr, false);
+  }
+
+  std::vector<JsonMember> members;
+};
 
 }  // namespace
 
 Object ParseObject(std::string_view text) {
-  return ParseJson(text, FromJson);
+  const Members members(text);
+  Object object;
+  object.kind = members.String("kind");
+  object.name = members.String("name");
+  object.version = members.VersionIn("version");
+  object.deleted = members.BoolOr("deleted", false);
+  // An odd token is not one of this system's writes, but its object counts.
+  object.token = members.StringOr("token", "");
+  if (const auto body = members.Find("body"))
+    object.body = std::string(*body);
+  return object;
 }
 
 ObjectList ParseObjectList(std::string_view text) {
-  return ParseJson(text, [](const json& value) {
-    ObjectList list;
-    list.version = value.at("version").get<Version>();
-    for (const json& item : value.at("objects"))
-      list.objects.push_back(FromJson(item));
-    return list;
-  });
+  const Members members(text);
+  ObjectList list;
+  list.version = members.VersionIn("version");
+  const auto entries = SplitArray(members.At("objects"));
+  if (!entries)
+    ThrowMalformed("no array in field objects");
+  for (const std::string_view entry : *entries) {
+    try {
+      list.objects.push_back(ParseObject(entry));
+    } catch (const common::Error& error) {
+      if (++list.malformed == 1)
+        list.problem = error.what();
+    }
+  }
+  return list;
 }
 
 std::string RenderWriteBody(std::string_view body, std::string_view token) {
@@ -57,9 +131,7 @@
 }
 
 Version ParseWrittenVersion(std::string_view text) {
-  return ParseJson(text, [](const json& value) {
-    return value.at("version").get<Version>();
-  });
+  return Members(text).VersionIn("version");
 }
 
 }  // namespace jujuberock::platform
--- a/source/core/table/parse.cc
+++ b/source/core/table/parse.cc
@@ -12,6 +12,7 @@
 
 #include "core/common/error.h"
 #include "core/common/name_table.h"
+#include "core/common/nesting.h"
 #include "core/runtime/http_types.h"
 
 namespace jujuberock::table {
@@ -296,6 +297,10 @@
     throw Error(ResultCode::kInvalidTable,
                 path + ": the body has " + std::to_string(object.body.size()) +
                     " bytes; the limit is " + std::to_string(kMaxBodyBytes));
+  if (common::ExceedsNesting(object.body))
+    throw Error(ResultCode::kInvalidTable,
+                path + ": the body is nested more than " +
+                    std::to_string(common::kNestingLimit) + " levels deep");
   const json body = json::parse(object.body, nullptr, false);
   if (body.is_discarded())
     throw Error(ResultCode::kInvalidTable, path + ": the body is not JSON");
--- a/source/core/table/view.cc
+++ b/source/core/table/view.cc
@@ -53,6 +53,9 @@
     if (this->Apply(object))
       changed.push_back(object);
   }
+  // An object that the list left out still exists, and it is not known which.
+  if (list.malformed > 0)
+    return changed;
   std::vector<Object> missing;
   const std::string kind_name(NameOf(kind));
   for (auto it = this->objects.lower_bound({kind_name, ""});
--- a/source/unit_tests/core/membership/service_test.cc
+++ b/source/unit_tests/core/membership/service_test.cc
@@ -52,6 +52,16 @@
     REQUIRE(result.state == platform::WriteState::kWritten);
     return result.version;
   }
+  // Writes an object with any text as its body.
+  void WriteText(const std::string& kind,
+                 const std::string& name,
+                 const std::string& body) {
+    this->pool.Run([&] {
+      this->http.Fetch(
+          this->server.address(),
+          {"PUT", "/control/objects/" + kind + "/" + name, {}, body});
+    });
+  }
   void Fault(const std::string& fault) {
     this->pool.Run([&] {
       this->http.Fetch(this->server.address(),
@@ -246,6 +256,33 @@
                   .count());
 }
 
+// Guards against one object whose body ends the processes that read it, or
+// hides the objects of other writers in a list or a watch.
+TEST_CASE("odd objects in the platform hide no others") {
+  Deployment deployment;
+  REQUIRE(WaitFor([&] { return deployment.AllReady(); }, seconds(5)));
+  const std::string deep =
+      std::string(100'000, '[') + std::string(100'000, ']');
+  const std::vector<std::string> bodies = {deep, R"({"keys":)" + deep + "}",
+                                           R"({"keys":[],"bands":1e400})",
+                                           "{\"keys\":[\"\xff\"]}", "nul"};
+  size_t count = 0;
+  for (const std::string& body : bodies) {
+    deployment.platform.WriteText("team", "odd" + std::to_string(count++),
+                                  body);
+  }
+  const auto watched =
+      deployment.platform.Write("team", "a", deployment.version, TeamBody(200));
+  CHECK(WaitFor([&] { return deployment.AllHave(watched); }, seconds(3)));
+  // Silent watches are followed by a list.
+  deployment.platform.Fault(R"({"silent_watches": true})");
+  const auto listed =
+      deployment.platform.Write("team", "a", watched, TeamBody(300));
+  CHECK(WaitFor([&] { return deployment.AllHave(listed); }, seconds(5)));
+  for (auto& host : deployment.hosts)
+    CHECK(host->table.InvalidObjects().size() == bodies.size());
+}
+
 TEST_CASE("a host restarted during a platform outage gets its peers' rows") {
   Deployment deployment;
   REQUIRE(WaitFor([&] { return deployment.AllReady(); }, seconds(5)));
--- a/source/unit_tests/core/table/parse_test.cc
+++ b/source/unit_tests/core/table/parse_test.cc
@@ -2,8 +2,10 @@
 
 #include <catch2/catch.hpp>
 #include <string>
+#include <vector>
 
 #include "core/common/error.h"
+#include "core/runtime/worker_pool.h"
 #include "core/table/view.h"
 
 namespace jujuberock::table {
@@ -56,6 +58,42 @@
     CHECK_FALSE(error(Band("00:00", time)).empty());
 }
 
+// Guards against a row whose nesting overflows the stack of the fiber that
+// parses it, or that prints the value into the error.
+TEST_CASE("a row of any nesting depth is rejected on a fiber") {
+  runtime::WorkerPool workers(1);
+  for (const size_t depth : {65U, 1'000U, 30'000U}) {
+    const std::string deep = std::string(depth, '[') + std::string(depth, ']');
+    const std::vector<std::string> bodies = {
+        deep, R"({"x":)" + deep + "}", R"({"keys":)" + deep + R"(,"bands":[]})",
+        TeamOf(Band("00:00", "24:00",
+                    R"("max_running":2,"patience_ms":5,"weight":)" + deep)),
+        TeamOf(Band("00:00", "24:00",
+                    R"("weight":1,"patience_ms":5,"max_running":)" + deep))};
+    workers.Run([&bodies] {
+      for (const std::string& body : bodies)
+        CHECK_FALSE(ErrorOf("team", "a", body).empty());
+    });
+  }
+}
+
+// Guards against an exception of another type, which would end the merge of a
+// list in the middle.
+TEST_CASE("a row with odd numbers or text is rejected") {
+  for (const char* weight : {"1e400", "-1e400", "1e308", "\"\xff\"", "\xc3"}) {
+    INFO(weight);
+    CHECK_FALSE(ErrorOf("team", "a",
+                        TeamOf(Band("00:00", "24:00",
+                                    R"("max_running":2,"patience_ms":5,)"
+                                    R"("weight":)" +
+                                        std::string(weight))))
+                    .empty());
+  }
+  CHECK_FALSE(ErrorOf("team", "a", "{\"\xff\":1}").empty());
+  CHECK_FALSE(ErrorOf("team", "a", "{\"k").empty());
+  CHECK_FALSE(ErrorOf("team", "a", "").empty());
+}
+
 TEST_CASE("an invalid value is rejected with the path of its field") {
   const auto rest = [](const std::string& fields) {
     return ErrorOf("team", "a", TeamOf(Band("00:00", "24:00", fields)));
--- a/source/unit_tests/core/table/view_test.cc
+++ b/source/unit_tests/core/table/view_test.cc
@@ -59,6 +59,21 @@
   CHECK(PatienceOf(view, "kept") == milliseconds(90));
 }
 
+// Guards against dropping rows of other writers because one entry of the list
+// could not be read.
+TEST_CASE("a list with malformed entries deletes nothing") {
+  View view;
+  view.Apply(TeamRow("old", 3, 300));
+  platform::ObjectList list{10, {TeamRow("kept", 9, 90)}};
+  list.malformed = 1;
+  CHECK(view.ApplyList(Kind::kTeam, list, false).size() == 1);
+  CHECK(PatienceOf(view, "old") == milliseconds(300));
+  CHECK(PatienceOf(view, "kept") == milliseconds(90));
+  list = {11, {TeamRow("kept", 9, 90)}};
+  CHECK(view.ApplyList(Kind::kTeam, list, false).size() == 1);
+  CHECK(view.Find("team", "old")->deleted);
+}
+
 // Guards against dropping accepted rows because a store that came back from an
 // older copy does not have them yet, and against taking its older ones.
 TEST_CASE("a list of a later era reverts nothing") {
--- a/source/unit_tests/standin/platform_standin_test.cc
+++ b/source/unit_tests/standin/platform_standin_test.cc
@@ -105,6 +105,31 @@
   });
 }
 
+// Guards against a watch that ends at a line that is not JSON, so that no later
+// change arrives.
+TEST_CASE("a watch goes on behind a malformed line") {
+  Fixture f;
+  f.pool.Run([&] {
+    platform::WriteResult written;
+    for (const char* body : {"[", "1}", "\"x"}) {
+      f.http.Fetch(f.server.address(),
+                   {"PUT", "/control/objects/team/odd", {}, body});
+      written = f.client.Write("team", "a", written.version, "{}", "t");
+      REQUIRE(written.state == WriteState::kWritten);
+      std::string last;
+      f.client.Watch("team", 0, milliseconds(200),
+                     [&](const platform::Object& object) {
+                       last = object.name;
+                       return object.version < written.version;
+                     });
+      REQUIRE(last == "a");
+    }
+  });
+  CHECK(f.counters
+            .GetCounter("platform_malformed_entries_total", {{"kind", "team"}})
+            .value() == 3);
+}
+
 // Guards against taking an older object for a newer one, or a new one for an
 // older one, after the store came back from a copy: its revisions go back and
 // are given out again.
