Let an answer that is nested too deep fail only its own call

A plain service could end the process with the body of an answer to a status call: the body was printed again, which recurses on the stack of a fiber for each level of nesting. Answers of engines and cache stores were parsed at any depth.

--- a/source/core/cache_store/client.cc
+++ b/source/core/cache_store/client.cc
@@ -8,11 +8,13 @@
 
 #include "core/common/error.h"
 #include "core/common/hash.h"
+#include "core/common/json_decode.h"
 
 namespace jujuberock::cache_store {
 
 using common::Error;
 using common::ResultCode;
+using nlohmann::json;
 using runtime::Address;
 using runtime::HttpResponse;
 
@@ -43,6 +45,21 @@
         "cache store returned HTTP status " + std::to_string(response.status));
 }
 
+StoreStatus StatusFromJson(const json& value, uint64_t since) {
+  StoreStatus status;
+  status.capacity_bytes = value.value("capacity_bytes", uint64_t{0});
+  status.used_bytes = value.value("used_bytes", uint64_t{0});
+  status.link_bytes_per_s = value.value("link_bytes_per_s", 0.0);
+  status.sent_bytes = value.value("sent_bytes", uint64_t{0});
+  status.received_bytes = value.value("received_bytes", uint64_t{0});
+  status.first_event = value.value("first", since);
+  for (const json& item : value.at("events")) {
+    const bool added = item.at("op").get<std::string>() == "add";
+    status.events.push_back({added, item.at("key").get<std::string>()});
+  }
+  return status;
+}
+
 }  // namespace
 
 StoreStatus Client::Status(const Address& store, uint64_t since) {
@@ -50,24 +67,9 @@
       store, {"GET", "/status?since=" + std::to_string(since), {}, ""},
       {.header_timeout = kStatusTimeout, .read_timeout = kStatusTimeout});
   RequireStatus(response, 200);
-  try {
-    const auto value = nlohmann::json::parse(response.body);
-    StoreStatus status;
-    status.capacity_bytes = value.value("capacity_bytes", uint64_t{0});
-    status.used_bytes = value.value("used_bytes", uint64_t{0});
-    status.link_bytes_per_s = value.value("link_bytes_per_s", 0.0);
-    status.sent_bytes = value.value("sent_bytes", uint64_t{0});
-    status.received_bytes = value.value("received_bytes", uint64_t{0});
-    status.first_event = value.value("first", since);
-    for (const auto& item : value.at("events")) {
-      const bool added = item.at("op").get<std::string>() == "add";
-      status.events.push_back({added, item.at("key").get<std::string>()});
-    }
-    return status;
-  } catch (const nlohmann::json::exception& error) {
-    throw Error(ResultCode::kProtocolError,
-                std::string("cache store: ") + error.what());
-  }
+  return common::DecodeJson(
+      "cache store", response.body,
+      [since](const json& value) { return StatusFromJson(value, since); });
 }
 
 std::optional<Block> Client::Read(const Address& store,
--- a/source/core/endpoint/engine_client.cc
+++ b/source/core/endpoint/engine_client.cc
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include "core/common/error.h"
+#include "core/common/json_decode.h"
 #include "core/endpoint/request_id.h"
 
 namespace jujuberock::endpoint {
@@ -31,16 +32,9 @@
     .read_timeout = kControlTimeout,
     .body_timeout = kControlTimeout};
 
-// Applies `decode` to the parsed text. Throws common::Error kProtocolError if
-// the text is not JSON or `decode` rejects it.
 template <typename Decode>
 auto ParseJson(std::string_view text, Decode decode) {
-  try {
-    return decode(json::parse(text));
-  } catch (const json::exception& error) {
-    throw Error(ResultCode::kProtocolError,
-                std::string("engine: ") + error.what());
-  }
+  return common::DecodeJson("engine", text, decode);
 }
 
 HttpRequest JsonPost(std::string target, const json& body) {
--- a/source/core/endpoint/plain_client.cc
+++ b/source/core/endpoint/plain_client.cc
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include "core/common/error.h"
+#include "core/common/json_decode.h"
 #include "core/common/name_table.h"
 #include "core/endpoint/request_id.h"
 
@@ -42,6 +43,19 @@
   return escaped;
 }
 
+CallStatus StatusFromJson(const nlohmann::json& value) {
+  const auto state = kCallStates.ValueOf(value.at("state").get<std::string>());
+  if (!state)
+    throw Error(ResultCode::kProtocolError,
+                "status call returned an unknown state");
+  CallStatus status{*state, ""};
+  if (value.contains("body")) {
+    const auto& body = value["body"];
+    status.body = body.is_string() ? body.get<std::string>() : body.dump();
+  }
+  return status;
+}
+
 }  // namespace
 
 HttpResponse PlainClient::Forward(const Address& service,
@@ -83,23 +97,7 @@
     throw Error(
         ResultCode::kEndpointFailed,
         "status call returned HTTP status " + std::to_string(response.status));
-  try {
-    const auto value = nlohmann::json::parse(response.body);
-    const auto state =
-        kCallStates.ValueOf(value.at("state").get<std::string>());
-    if (!state)
-      throw Error(ResultCode::kProtocolError,
-                  "status call returned an unknown state");
-    CallStatus status{*state, ""};
-    if (value.contains("body")) {
-      const auto& body = value["body"];
-      status.body = body.is_string() ? body.get<std::string>() : body.dump();
-    }
-    return status;
-  } catch (const nlohmann::json::exception& error) {
-    throw Error(ResultCode::kProtocolError,
-                std::string("plain service: ") + error.what());
-  }
+  return common::DecodeJson("plain service", response.body, StatusFromJson);
 }
 
 ProbeResult PlainClient::Probe(const Address& service,
--- a/source/unit_tests/core/endpoint/plain_client_test.cc
+++ b/source/unit_tests/core/endpoint/plain_client_test.cc
@@ -67,5 +67,44 @@
   CHECK(Forward(kChunked + "2\r\nok\r\n0\r\n\r\n", false, true) == "ok");
 }
 
+// Returns the state that a status call finds, or nullopt if the call failed.
+std::optional<CallState> StatusOf(const std::string& body) {
+  runtime::WorkerPool workers(1);
+  forward::FakeEndpoint peer({"HTTP/1.1 200 OK\r\nContent-Length: " +
+                              std::to_string(body.size()) + "\r\n\r\n" + body},
+                             false);
+  std::optional<CallState> state;
+  workers.Run([&] {
+    runtime::HttpClient http(workers, {});
+    PlainClient client(http);
+    try {
+      state = client
+                  .Status(*runtime::Address::Parse(peer.address()), "/status",
+                          "team", "key")
+                  .state;
+    } catch (const common::Error& error) {
+      CHECK(error.code() == common::ResultCode::kProtocolError);
+    }
+  });
+  return state;
+}
+
+// Guards against an answer that overflows the stack of the fiber that reads it,
+// or fails more than its own call.
+TEST_CASE("an odd answer to a status call fails the call") {
+  CHECK(StatusOf(R"({"state":"done","body":{"a":[1]}})") == CallState::kDone);
+  for (const size_t depth : {1'000U, 10'000U, 200'000U}) {
+    const std::string deep = std::string(depth, '[') + std::string(depth, ']');
+    CHECK_FALSE(StatusOf(R"({"state":"done","body":)" + deep + "}"));
+    CHECK_FALSE(StatusOf(R"({"state":)" + deep + "}"));
+    CHECK_FALSE(StatusOf(deep));
+  }
+  for (const char* body :
+       {R"({"state":"done","body":1e400})",
+        "{\"state\":\"done\",\"x\":\"\xff\"}", R"({"state":1e400})",
+        R"({"state":5})", R"([])", "5", "", "{"})
+    CHECK_FALSE(StatusOf(body));
+}
+
 }  // namespace
 }  // namespace jujuberock::endpoint
