Read an order object again later when it is malformed

An order object that could not be parsed threw out of the round of the rollout service. The rollout of its service then waited for ever for the reply to its read, even after the object was mended, and the services behind it in the round were left out. The object is now read again after the retry delay. It is not overwritten, since the next term must be above the one that it had.

Before the change "an order object that can not be read is read again" failed with the exception. test_orders passes now.

--- a/source/core/orders/version_rollout.cc
+++ b/source/core/orders/version_rollout.cc
@@ -1,11 +1,13 @@
 #include "core/orders/version_rollout.h"
 
+#include <glog/logging.h>
+
 #include <algorithm>
 #include <utility>
 
 #include <nlohmann/json.hpp>
 
-#include "core/common/error.h"
+#include "core/common/nesting.h"
 
 namespace jujuberock::orders {
 
@@ -22,15 +24,17 @@
   std::string holder;
 };
 
-OrderObject ParseOrderObject(const std::string& body) {
-  try {
-    const auto value = nlohmann::json::parse(body);
-    return {value.at("term").get<uint64_t>(),
-            value.at("holder").get<std::string>()};
-  } catch (const nlohmann::json::exception& error) {
-    throw common::Error(common::ResultCode::kProtocolError,
-                        std::string("order object: ") + error.what());
-  }
+// Returns nullopt if the body is malformed.
+std::optional<OrderObject> ParseOrderObject(const std::string& body) {
+  if (common::ExceedsNesting(body))
+    return std::nullopt;
+  const auto value = nlohmann::json::parse(body, nullptr, false);
+  if (!value.is_object() || !value.contains("term") ||
+      !value["term"].is_number_unsigned() || !value.contains("holder") ||
+      !value["holder"].is_string())
+    return std::nullopt;
+  return OrderObject{value["term"].get<uint64_t>(),
+                     value["holder"].get<std::string>()};
 }
 
 std::string RenderOrderObject(const OrderObject& object) {
@@ -105,18 +109,31 @@
   if (this->state != State::kReading)
     return {};
   if (failed) {
-    this->state = State::kIdle;
-    this->next_claim_at = now + this->options.retry_delay;
+    this->StepDown(now);
+    return {};
+  }
+  std::optional<OrderObject> order = OrderObject();
+  if (object && !object->deleted)
+    order = ParseOrderObject(object->body);
+  if (!order) {
+    // Not overwritten, since the next term must be above the one that it had.
+    this->OnMalformedObject(object->version);
+    this->StepDown(now);
     return {};
   }
   this->object_version = object ? object->version : 0;
-  const OrderObject order = object && !object->deleted
-                                ? ParseOrderObject(object->body)
-                                : OrderObject();
-  this->object_term = order.term;
+  this->object_term = order->term;
   return this->Claim();
 }
 
+void VersionRollout::OnMalformedObject(platform::Version version) {
+  if (version == this->malformed_version)
+    return;
+  this->malformed_version = version;
+  LOG(ERROR) << "service " << this->service
+             << ": no orders, since the order object is malformed";
+}
+
 Actions VersionRollout::Claim() {
   // Every claim raises the term, even if this host is the recorded holder:
   // after a restart it has the same name but does not know which orders are in
--- a/source/core/orders/version_rollout.h
+++ b/source/core/orders/version_rollout.h
@@ -89,7 +89,8 @@
   // Orders that a report makes possible are issued by the next OnTick(), after
   // all endpoints were polled.
   void OnReport(const EndpointReport& report, common::TimePoint now);
-  // `failed` is true when the platform did not answer.
+  // `failed` is true when the platform did not answer. An object that is
+  // malformed is read again later, as if it had failed.
   Actions OnReadReply(bool failed,
                       const std::optional<platform::Object>& object,
                       common::TimePoint now);
@@ -117,6 +118,7 @@
 
   bool HasWork() const;
   Actions StartRead();
+  void OnMalformedObject(platform::Version version);
   Actions Claim();
   void BecomeHolder(common::TimePoint now);
   void StepDown(common::TimePoint now);
@@ -135,6 +137,8 @@
   // The order object as last read.
   platform::Version object_version = 0;
   uint64_t object_term = 0;
+  // Version of the last malformed order object, which was logged.
+  platform::Version malformed_version = 0;
   uint64_t claimed_term = 0;
   uint64_t claim_count = 0;
   uint64_t held_term = 0;
--- a/source/unit_tests/core/orders/version_rollout_test.cc
+++ b/source/unit_tests/core/orders/version_rollout_test.cc
@@ -363,5 +363,42 @@
   }
 }
 
+// Guards against an order object that ends the rollout of its service, and of
+// those behind it, for good. It must not be overwritten: its term is unknown.
+TEST_CASE("an order object that can not be read is read again") {
+  const std::string deep =
+      std::string(200'000, '[') + std::string(200'000, ']');
+  for (const std::string& body :
+       {deep, R"({"term":1,"holder":"h","x":)" + deep + "}",
+        std::string(R"({"term":1e400,"holder":"h"})"),
+        std::string(R"({"term":"1","holder":"h"})"),
+        std::string(R"({"term":-1,"holder":"h"})"),
+        std::string(R"({"term":1.5,"holder":"h"})"),
+        std::string("{\"term\":1,\"holder\":\"\xff\"}"), std::string("[]"),
+        std::string("")}) {
+    INFO(body.substr(0, 60));
+    VersionRollout rollout("service", "host", {});
+    rollout.SetDesired({"model", "v2", 1});
+    rollout.SetPreferred(true);
+    rollout.SetEndpoints({"engine"});
+    TimePoint now{seconds(1)};
+    REQUIRE(rollout.OnTick(now).size() == 1);
+    REQUIRE(rollout
+                .OnReadReply(
+                    false, Object{"order", "service", 5, false, body, ""}, now)
+                .empty());
+    CHECK(rollout.OnTick(now).empty());
+    now += seconds(2);
+    const Actions again = rollout.OnTick(now);
+    REQUIRE(again.size() == 1);
+    CHECK(std::holds_alternative<ReadOrderObject>(again[0]));
+    const Object mended{
+        "order", "service", 6, false, R"({"term":3,"holder":"h"})", ""};
+    const Actions claim = rollout.OnReadReply(false, mended, now);
+    REQUIRE(claim.size() == 1);
+    CHECK(std::get<WriteOrderObject>(claim[0]).expected == 6);
+  }
+}
+
 }  // namespace
 }  // namespace jujuberock::orders
