--- a/source/core/journal/record.cc
+++ b/source/core/journal/record.cc
@@ -8,6 +8,7 @@
 
 #include "core/common/error.h"
 #include "core/common/hash.h"
+#include "core/common/json_decode.h"
 
 namespace jujuberock::journal {
 
@@ -29,6 +30,11 @@
   return text;
 }
 
+[[noreturn]] void ThrowMalformedBase64() {
+  throw common::Error(common::ResultCode::kProtocolError,
+                      "journal: malformed base64 in a stored object");
+}
+
 std::string FromBase64(const std::string& text, uint64_t size) {
   std::string bytes(text.size(), '\0');
   const int length =
@@ -36,8 +42,7 @@
                       reinterpret_cast<const unsigned char*>(text.data()),
                       static_cast<int>(text.size()));
   if (length < 0 || static_cast<uint64_t>(length) < size)
-    throw common::Error(common::ResultCode::kProtocolError,
-                        "journal: malformed base64 in a stored object");
+    ThrowMalformedBase64();
   bytes.resize(size);
   return bytes;
 }
@@ -91,24 +96,16 @@
   return records;
 }
 
-json ParseBody(std::string_view body) {
-  json value = json::parse(body);
-  if (value.at("format").get<int>() != kFormatVersion)
-    throw common::Error(
-        common::ResultCode::kProtocolError,
-        "journal: a stored object has an unsupported format version");
-  return value;
-}
-
 template <typename Parse>
 auto ParseObject(std::string_view body, Parse parse) {
-  try {
-    return parse(ParseBody(body));
-  } catch (const json::exception& error) {
-    throw common::Error(
-        common::ResultCode::kProtocolError,
-        std::string("journal: malformed stored object: ") + error.what());
-  }
+  return common::DecodeJson(
+      "journal: malformed stored object", body, [&](const json& value) {
+        if (value.at("format").get<int>() != kFormatVersion)
+          throw common::Error(
+              common::ResultCode::kProtocolError,
+              "journal: a stored object has an unsupported format version");
+        return parse(value);
+      });
 }
 
 std::string TwoDigits(ShardId shard) {
@@ -228,8 +225,11 @@
       IndexedSegment segment;
       segment.name = item.at(0).get<std::string>();
       const auto count = item.at(1).get<size_t>();
-      const std::string bytes =
-          FromBase64(item.at(2).get<std::string>(), count * sizeof(uint64_t));
+      const auto text = item.at(2).get<std::string>();
+      // Checked first, since the number of bytes may overflow.
+      if (count > text.size())
+        ThrowMalformedBase64();
+      const std::string bytes = FromBase64(text, count * sizeof(uint64_t));
       segment.hashes.resize(count);
       for (size_t i = 0; i < bytes.size(); ++i)
         segment.hashes[i / sizeof(uint64_t)] |=
