--- a/source/unit_tests/core/fuzz/parsers_test.cc
+++ b/source/unit_tests/core/fuzz/parsers_test.cc
@@ -2,24 +2,30 @@
 #include <functional>
 #include <string>
 
+#include "core/caller/completion_request.h"
 #include "core/common/error.h"
 #include "core/common/settings.h"
 #include "core/journal/codec.h"
+#include "core/journal/record.h"
 #include "core/load_exchange/codec.h"
+#include "core/membership/message.h"
 #include "core/platform/object_json.h"
 #include "core/report/burn_render.h"
 #include "core/runtime/http_types.h"
+#include "core/runtime/worker_pool.h"
 #include "core/table/parse.h"
+#include "core/table/sync_message.h"
 #include "unit_tests/core/fuzz/mutation.h"
 
 namespace jujuberock::fuzz {
 namespace {
 
-// Feeds mutations of `valid` to a parser of untrusted input. The parser may
-// refuse them with common::Error; any other exception, a crash or a sanitizer
-// report is a failure. Returns how many inputs were refused.
-int Fuzz(const std::string& valid,
-         const std::function<void(const std::string&)>& parse) {
+// Feeds mutations of `valid` to a parser of untrusted input, on a fiber, whose
+// stack is small. The parser may refuse them with common::Error; any other
+// exception, a crash or a sanitizer report is a failure. Returns how many
+// inputs were refused.
+int FuzzOnFiber(const std::string& valid,
+                const std::function<void(const std::string&)>& parse) {
   constexpr int kMutations = 4000;
   common::Random random(20261204);
   int refused = 0;
@@ -37,6 +43,14 @@
   return refused;
 }
 
+int Fuzz(const std::string& valid,
+         const std::function<void(const std::string&)>& parse) {
+  runtime::WorkerPool workers(1);
+  int refused = 0;
+  workers.Run([&] { refused = FuzzOnFiber(valid, parse); });
+  return refused;
+}
+
 table::Object MakeObject(const std::string& kind, const std::string& body) {
   return {kind, "name", 7, false, body, "token"};
 }
@@ -71,6 +85,61 @@
         }) > 0);
 }
 
+TEST_CASE("mutated stored objects of the journal are refused or parsed") {
+  journal::Head head;
+  head.segments = {{"segment", {}, 3}};
+  journal::Record record;
+  record.key = {"team", "key"};
+  record.state = journal::RecordState::kDone;
+  record.answer.body_kept = true;
+  record.answer.body = "answer";
+  record.answer.body_bytes = record.answer.body.size();
+  const std::string records = journal::RenderRecord(record);
+  CHECK(Fuzz(journal::RenderHead(head, records),
+             [](const std::string& text) { journal::ParseHead(text); }) > 0);
+  CHECK(Fuzz(journal::RenderSegment(records),
+             [](const std::string& text) { journal::ParseSegment(text); }) > 0);
+  CHECK(Fuzz(journal::RenderIndex({{"segment", {1, 2}}}),
+             [](const std::string& text) { journal::ParseIndex(text); }) > 0);
+}
+
+TEST_CASE("mutated requests of callers are refused or parsed") {
+  constexpr int64_t kMaxTokens = 1000;
+  const std::string text =
+      R"({"model":"m","prompt":"p","max_tokens":5,"stream":true,"x":[{"a":1}]})";
+  CHECK(Fuzz(text, [](const std::string& body) {
+          caller::ParseCompletion(caller::CompletionKind::kText, body,
+                                  kMaxTokens);
+        }) > 0);
+  const std::string chat =
+      R"({"model":"m","messages":[{"role":"user","content":"hello"}]})";
+  CHECK(Fuzz(chat, [](const std::string& body) {
+          caller::ParseCompletion(caller::CompletionKind::kChat, body,
+                                  kMaxTokens);
+        }) > 0);
+}
+
+TEST_CASE("mutated messages of the membership are refused or parsed") {
+  membership::Message message;
+  message.sender = {"host", "zone", "127.0.0.1:80", 7, {}};
+  message.gossip = {
+      membership::HostInfo{"other", "zone", "127.0.0.1:81", 8, {}},
+      membership::LeavingEndpoint{"engine", 3, 1},
+      membership::ZoneSummary{"zone", "host", 1, 2, {{"d", "a"}}}};
+  CHECK(Fuzz(membership::Encode(message), [](const std::string& bytes) {
+          membership::DecodeMessage(bytes);
+        }) > 0);
+}
+
+TEST_CASE("mutated messages about the table are refused or parsed") {
+  table::SyncMessage message;
+  message.digest.emplace();
+  message.objects = {MakeObject("team", "{}")};
+  CHECK(Fuzz(table::Encode(message), [](const std::string& bytes) {
+          table::DecodeSyncMessage(bytes);
+        }) > 0);
+}
+
 TEST_CASE("mutated settings files are refused or parsed") {
   const std::string settings = R"({
     // comment
