Leave rows with invalid names out of the table

The table took rows with any name from the platform, but a message between hosts with such a row is refused as a whole. One row with an odd name would have kept all rows from spreading between the hosts. Rows with an invalid name are ignored now, as those of unknown kinds are.

Before the change "a row whose name is not valid is not passed on" failed: the rows were taken, and decoding the message threw "malformed table message". test_table and test_membership pass now.

--- a/source/core/table/view.cc
+++ b/source/core/table/view.cc
@@ -30,7 +30,7 @@
 }
 
 bool View::Apply(const Object& object) {
-  if (!KindOf(object.kind) || object.version == 0)
+  if (!KindOf(object.kind) || !IsObjectName(object.name) || object.version == 0)
     return false;
   if (this->IsStale(object, this->Find(object.kind, object.name)))
     return false;
--- a/source/core/table/view.h
+++ b/source/core/table/view.h
@@ -46,7 +46,8 @@
   explicit View(ViewOptions options = {});
 
   // Merges one object. Returns true if it was newer than the stored one.
-  // Objects of kinds that are not part of the table are ignored.
+  // Objects of kinds that are not part of the table are ignored, and those with
+  // an invalid name, which other hosts refuse.
   bool Apply(const Object& object);
 
   // Merges a complete list of one kind read from the platform. A stored object
--- a/source/unit_tests/core/table/view_test.cc
+++ b/source/unit_tests/core/table/view_test.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "core/common/random.h"
+#include "core/table/sync_message.h"
 #include "unit_tests/core/table/rows.h"
 
 namespace jujuberock::table {
@@ -59,6 +60,18 @@
   CHECK(PatienceOf(view, "kept") == milliseconds(90));
 }
 
+// Guards against a row that other hosts refuse: they would refuse each message
+// that contains it, with all other rows.
+TEST_CASE("a row whose name is not valid is not passed on") {
+  View view;
+  view.Apply(TeamRow("a", 3, 300));
+  for (const char* name : {"", "Odd", "o d", "a/b", "-a", "\xff"})
+    CHECK_FALSE(view.Apply(TeamRow(name, 4, 400)));
+  SyncMessage message;
+  message.objects = view.DeltaSince({}).objects;
+  CHECK(DecodeSyncMessage(Encode(message)).objects.size() == 1);
+}
+
 // Guards against dropping rows of other writers because one entry of the list
 // could not be read.
 TEST_CASE("a list with malformed entries deletes nothing") {
