--- a/source/core/table/view.cc
+++ b/source/core/table/view.cc
@@ -30,7 +30,7 @@
 }
 
 bool View::Apply(const Object& object) {
-  if (!KindOf(object.kind) || object.version == 0)
+  if (!KindOf(object.kind) || !IsObjectName(object.name) || object.version == 0)
     return false;
   if (this->IsStale(object, this->Find(object.kind, object.name)))
     return false;
@@ -53,6 +53,9 @@
     if (this->Apply(object))
       changed.push_back(object);
   }
+  // An object that the list left out still exists, and it is not known which.
+  if (list.malformed > 0)
+    return changed;
   std::vector<Object> missing;
   const std::string kind_name(NameOf(kind));
   for (auto it = this->objects.lower_bound({kind_name, ""});
