Bound the era that a token in the platform can claim

The era of an object's version is read from its token, which any writer can choose. With a token such as "era-7:x" the object's version was above those of all later writes, so hosts kept it and ignored what was written since. An era after that of the store itself now counts as the store's.

--- a/source/core/platform/client.cc
+++ b/source/core/platform/client.cc
@@ -30,9 +30,9 @@
   return counters.GetCounter("platform_calls_total", {{"call", call}});
 }
 
-Object ParseStoredObject(std::string_view text) {
+Object ParseStoredObject(std::string_view text, uint64_t newest_era) {
   Object object = ParseObject(text);
-  TakeEra(object);
+  TakeEra(object, newest_era);
   return object;
 }
 
@@ -99,7 +99,7 @@
     return std::nullopt;
   if (response.status != 200)
     ThrowForStatus(response.status);
-  return ParseStoredObject(response.body);
+  return ParseStoredObject(response.body, this->newest_era);
 }
 
 WriteResult Client::SendWrite(const HttpRequest& request) {
@@ -118,7 +118,7 @@
     if (response.status == 409) {
       result.state = WriteState::kConflict;
       if (!response.body.empty())
-        result.current = ParseStoredObject(response.body);
+        result.current = ParseStoredObject(response.body, this->newest_era);
       return result;
     }
     // After any other 5xx status the write may still have taken effect.
@@ -192,7 +192,7 @@
   this->OnMalformed(kind, list.malformed, list.problem);
   list.version = MakeVersion(era, list.version);
   for (Object& object : list.objects)
-    TakeEra(object);
+    TakeEra(object, era);
   return list;
 }
 
@@ -212,7 +212,7 @@
                                          std::string_view line,
                                          uint64_t era) {
   try {
-    Object object = ParseStoredObject(line);
+    Object object = ParseStoredObject(line, era);
     object.version = MakeVersion(era, RevisionOf(object.version));
     return object;
   } catch (const Error& error) {
--- a/source/core/platform/era_token.cc
+++ b/source/core/platform/era_token.cc
@@ -1,5 +1,6 @@
 #include "core/platform/era_token.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace jujuberock::platform {
@@ -18,7 +19,7 @@
          std::string(token);
 }
 
-void TakeEra(Object& object) {
+void TakeEra(Object& object, uint64_t newest_era) {
   const std::string& token = object.token;
   if (!token.starts_with(kPrefix))
     return;
@@ -28,7 +29,8 @@
   if (parsed.ec != std::errc() || parsed.ptr == end ||
       *parsed.ptr != kSeparator)
     return;
-  object.version = MakeVersion(era, RevisionOf(object.version));
+  object.version =
+      MakeVersion(std::min(era, newest_era), RevisionOf(object.version));
   object.token = std::string(parsed.ptr + 1, end);
 }
 
--- a/source/core/platform/era_token.h
+++ b/source/core/platform/era_token.h
@@ -16,8 +16,9 @@
 std::string AddEra(uint64_t era, std::string_view token);
 
 // Takes the era out of the object's token and completes its version with it.
-// Objects without an era are of era 0.
-void TakeEra(Object& object);
+// Objects without an era are of era 0. Any writer can choose a token, so an era
+// after `newest_era`, the one of the store, counts as that era.
+void TakeEra(Object& object, uint64_t newest_era);
 
 }  // namespace jujuberock::platform
 
--- a/source/unit_tests/standin/platform_standin_test.cc
+++ b/source/unit_tests/standin/platform_standin_test.cc
@@ -105,6 +105,35 @@
   });
 }
 
+// Guards against a writer whose token claims a later era: no later write of the
+// object would count as newer.
+TEST_CASE("a token can not claim an era that the store has not reached") {
+  Fixture f;
+  f.pool.Run([&] {
+    for (const char* era : {"7", "18446744073709551615"}) {
+      const auto old = f.client.Read("team", "a");
+      const std::string body =
+          R"({"token":"era-)" + std::string(era) + R"(:x","body":{}})";
+      f.http.Fetch(
+          f.server.address(),
+          {"PUT",
+           "/objects/team/a",
+           {{"If-Version",
+             std::to_string(old ? platform::RevisionOf(old->version) : 0)}},
+           body});
+      const auto forged = f.client.Read("team", "a");
+      REQUIRE(forged);
+      CHECK(platform::EraOf(forged->version) == 0);
+      CHECK(f.client.List("team").objects.at(0).version == forged->version);
+      const auto written =
+          f.client.Write("team", "a", forged->version, "{}", "t");
+      REQUIRE(written.state == WriteState::kWritten);
+      CHECK(written.version > forged->version);
+      CHECK(f.client.Read("team", "a")->version == written.version);
+    }
+  });
+}
+
 // Guards against a watch that ends at a line that is not JSON, so that no later
 // change arrives.
 TEST_CASE("a watch goes on behind a malformed line") {
