Show and replace objects that can not be parsed in jujuberock table

An object with a body nested 100,000 deep ended `table get`, `table diff` and the message about a conflict, as the body was printed on the stack of a fiber. A body that is not JSON made `table get KIND` fail for all objects of the kind. Such a body is now shown as "not JSON", and the object can be replaced.

Before the change "an object that can not be parsed does not hide others" ended with SIGSEGV. test_table_cli passes now. `version set`, which got the same check of the depth, has no unit test.

--- a/source/core/table_cli/bands.cc
+++ b/source/core/table_cli/bands.cc
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include "core/common/error.h"
+#include "core/common/nesting.h"
 
 namespace jujuberock::table_cli {
 
@@ -86,6 +87,8 @@
   if (!well_formed)
     throw Error(ResultCode::kUsage,
                 "not a time range HH:MM-HH:MM: \"" + std::string(range) + "\"");
+  if (common::ExceedsNesting(body))
+    throw Error(ResultCode::kInvalidTable, "the object is nested too deep");
   json object = json::parse(body, nullptr, false);
   const bool has_bands = object.is_object() && object.contains("bands") &&
                          object["bands"].is_array();
--- a/source/core/table_cli/commands.cc
+++ b/source/core/table_cli/commands.cc
@@ -12,6 +12,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "core/common/nesting.h"
 #include "core/runtime/sleep.h"
 #include "core/table/edit.h"
 #include "core/table/parse.h"
@@ -40,13 +41,28 @@
   throw Error(ResultCode::kUsage, detail + "\n" + std::string(kUsageText));
 }
 
-json ParseJson(const std::string& text, const std::string& where) {
-  json value = json::parse(text, nullptr, false, true);
+json ParseFile(const std::string& text, const std::string& path) {
+  constexpr bool kAllowExceptions = false;
+  constexpr bool kIgnoreComments = true;
+  json value = json::parse(text, nullptr, kAllowExceptions, kIgnoreComments);
   if (value.is_discarded())
-    throw Error(ResultCode::kInvalidTable, where + " is not JSON");
+    throw Error(ResultCode::kInvalidTable, path + " is not JSON");
   return value;
 }
 
+// Parses the body of an object. Any writer may have sent it, so the result is a
+// discarded value if it is not JSON or is nested too deep.
+json ParseBody(const std::string& body) {
+  if (common::ExceedsNesting(body))
+    return json(json::value_t::discarded);
+  return json::parse(body, nullptr, false);
+}
+
+std::string FormatBody(const std::string& body) {
+  const json value = ParseBody(body);
+  return value.is_discarded() ? "// not JSON" : value.dump(2);
+}
+
 void CheckKind(const std::string& kind) {
   if (!table::KindOf(kind))
     ThrowUsageError("unknown kind \"" + kind + "\"");
@@ -65,7 +81,7 @@
 // is reported separately.
 std::map<std::string, std::string> Flatten(const std::string& text) {
   std::map<std::string, std::string> flat;
-  const json value = json::parse(text, nullptr, false);
+  const json value = ParseBody(text);
   if (value.is_discarded())
     return flat;
   const json leaves = value.flatten();
@@ -190,7 +206,7 @@
   for (const Object& object : objects) {
     this->out << "// " << kind << "/" << object.name << " version "
               << object.version << "\n"
-              << ParseJson(object.body, object.name).dump(2) << "\n";
+              << FormatBody(object.body) << "\n";
   }
   return ResultCode::kOk;
 }
@@ -229,7 +245,7 @@
     wanted.body = EditBands(current->body, change.front(), assignments);
   } else if (!wanted.deleted) {
     wanted.body =
-        ParseJson(this->read_file(change.front()), change.front()).dump();
+        ParseFile(this->read_file(change.front()), change.front()).dump();
   }
   if (!wanted.deleted)
     table::Validate(wanted);
@@ -312,7 +328,7 @@
   Object wanted;
   wanted.kind = arguments[0];
   wanted.name = arguments[1];
-  wanted.body = ParseJson(this->read_file(arguments[2]), arguments[2]).dump();
+  wanted.body = ParseFile(this->read_file(arguments[2]), arguments[2]).dump();
   const auto current = this->platform.Read(wanted.kind, wanted.name);
   const auto lines = DiffJson(current ? current->body : "{}", wanted.body);
   for (const std::string& line : lines)
--- a/source/jujuberock/table_command.cc
+++ b/source/jujuberock/table_command.cc
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include "core/common/error.h"
+#include "core/common/nesting.h"
 #include "core/common/random.h"
 #include "core/platform/client.h"
 #include "core/table_cli/commands.h"
@@ -60,6 +61,8 @@
 // Returns the body of a service object with its weight version replaced.
 std::string ReplaceVersion(const std::string& body,
                            const std::string& version) {
+  if (common::ExceedsNesting(body))
+    throw Error(ResultCode::kInvalidTable, "the service is nested too deep");
   try {
     nlohmann::json value = nlohmann::json::parse(body);
     value["version"] = version;
--- a/source/unit_tests/core/table_cli/commands_test.cc
+++ b/source/unit_tests/core/table_cli/commands_test.cc
@@ -100,6 +100,35 @@
                     Catch::Contains("does not exist"));
 }
 
+// Guards against an odd object that keeps operators from seeing the others, or
+// from replacing it.
+TEST_CASE("an object that can not be parsed does not hide others") {
+  Fixture f;
+  f.files = {{"one", TeamBody(1)}};
+  f.Run("ana", {"set", "team", "z", "one"});
+  const std::string deep =
+      std::string(100'000, '[') + std::string(100'000, ']');
+  for (const std::string& body :
+       {deep, R"({"bands":[{"from":"00:00","to":"24:00","x":)" + deep + "}]}",
+        std::string("1e400"), std::string("\"\xff\"")}) {
+    INFO(body.substr(0, 60));
+    f.pool.Run([&] {
+      f.http.Fetch(f.server.address(),
+                   {"PUT", "/control/objects/team/odd", {}, body});
+    });
+    CHECK(f.Run("ana", {"get", "team"}) == ResultCode::kOk);
+    CHECK(f.Printed("team/odd"));
+    CHECK(f.Printed("\"weight\": 1"));
+    CHECK(f.Run("ana", {"diff", "team", "odd", "one"}) == ResultCode::kOk);
+    CHECK(f.Run("ana", {"history"}) == ResultCode::kOk);
+    CHECK_THROWS(
+        f.Run("ana", {"set", "team", "odd", "06:00-09:00", "weight=4"}));
+    CHECK(f.Run("ana", {"set", "team", "odd", "--version", "1", "one"}) ==
+          ResultCode::kPlatformConflict);
+    CHECK(f.Run("ana", {"set", "team", "odd", "one"}) == ResultCode::kOk);
+  }
+}
+
 TEST_CASE("editing a time range keeps the whole day covered") {
   Fixture f;
   f.files = {{"one", TeamBody(1)}};
