Pass on the failure of an endpoint if no other one takes the request

The gateway discarded a 5xx answer of an endpoint to a repeatable request and then asked whether the request may be sent again. With the retry budget used up, the caller got a 502 of the gateway in place of the endpoint's answer. The next send is now reserved first, as for a silent endpoint.

--- a/source/core/gateway/request_task.cc
+++ b/source/core/gateway/request_task.cc
@@ -229,13 +229,13 @@
   admission.target_latency = this->route->target_latency;
   admission.elapsed = now - this->received_at;
   admission.remaining = this->Remaining(now);
-  admission.may_be_refused = !this->run_was_canceled;
+  admission.may_be_refused = !this->run_was_given_up;
   return admission;
 }
 
 std::optional<dispatch::EndpointChoice> RequestTask::Choose(TimePoint now) {
   dispatch::SendRequirements requirements = this->Requirements();
-  if (this->run_was_canceled) {
+  if (this->run_was_given_up) {
     // The endpoint that should go on has not run the request. The one whose run
     // was canceled may be the only one left.
     requirements.ready_only = true;
@@ -407,9 +407,10 @@
   const bool own_failure = head.status >= 500;
   if (own_failure)
     this->deps.dispatcher.OnOutcome(*this->pool, record, SendOutcome::kError);
-  if (own_failure && this->IsRepeatable() && !this->relay.started() &&
-      this->sends + 1 < this->route->max_attempts &&
-      this->Remaining(runtime::BootNow()) > this->route->target_latency / 2) {
+  // The failure is the answer unless another endpoint takes the request.
+  if (own_failure && !this->relay.started() &&
+      this->Remaining(runtime::BootNow()) > this->route->target_latency / 2 &&
+      this->ReserveNextSend()) {
     send.Discard();
     return AttemptResult::kUnknown;
   }
--- a/source/core/gateway/request_task.h
+++ b/source/core/gateway/request_task.h
@@ -207,9 +207,9 @@
   Dispatcher::SendHandle active_send = 0;
   // The send that follows the one in progress when that is canceled.
   std::optional<PlannedSend> reserved;
-  // Whether this host has canceled the last run although its endpoint might
-  // have answered.
-  bool run_was_canceled = false;
+  // Whether this host has given up the last run, although its endpoint might
+  // have answered or has answered with a failure.
+  bool run_was_given_up = false;
   // Sends that reached an endpoint, and those of them that may have run.
   int64_t sends = 0;
   int64_t runs = 0;
--- a/source/core/gateway/request_task_resend.cc
+++ b/source/core/gateway/request_task_resend.cc
@@ -18,7 +18,7 @@
   ++this->sends;
   if (result != AttemptResult::kNotRun) {
     ++this->runs;
-    this->run_was_canceled = this->reserved.has_value();
+    this->run_was_given_up = this->reserved.has_value();
   }
   // A retry that is reserved meanwhile belongs to the next send.
   if (!this->reserved)
@@ -50,7 +50,7 @@
   this->give_up_reason = this->ReasonToGiveUp();
   // The endpoint whose run this host has canceled might have answered, so the
   // request waits for the budget as long as it has time.
-  while (this->run_was_canceled &&
+  while (this->run_was_given_up &&
          this->give_up_reason == GiveUpReason::kRetryBudget) {
     runtime::SleepFor(kAwaitPoll);
     this->CheckCaller();
@@ -81,6 +81,8 @@
 }
 
 bool RequestTask::ReserveNextSend() {
+  if (this->reserved)
+    return true;
   const TimePoint now = runtime::BootNow();
   if (this->part_monitor.FindBlocked(now))
     return false;
