--- a/source/core/gateway/request_task.h
+++ b/source/core/gateway/request_task.h
@@ -103,6 +103,7 @@
   PlannedSend Plan(const dispatch::EndpointChoice& choice);
   dispatch::EndpointChoice AwaitEndpoint();
   std::optional<dispatch::EndpointChoice> Choose(common::TimePoint now);
+  // The request's timing, as far as it does not depend on the wait in progress.
   dispatch::AdmissionRequest Admission(common::TimePoint now) const;
   dispatch::SendRequirements Requirements() const;
   // Adds the version that is required now and the numbers of endpoints that may
