Close a kept connection in a drain only if its caller was told

Whether a response allows another request on its connection was decided when its request began, but a draining server closed the connection after the response in any case. Callers whose request was in progress when the drain began were told to go on and sent their next request into a closed connection.

The decision is now made when the response begins. If the last response began before the drain, the connection stays open for the next request, at most one second idle.

Before: the new test of test_runtime failed for a whole response and a stream (status 0 instead of 200).

--- a/source/core/runtime/http_server.cc
+++ b/source/core/runtime/http_server.cc
@@ -267,7 +267,7 @@
 
 void HttpServer::State::ServeRequests(Stream& stream) {
   beast::flat_buffer buffer;
-  while (this->ServeNextRequest(stream, buffer) && !this->draining) {
+  while (this->ServeNextRequest(stream, buffer)) {
   }
 }
 
@@ -330,11 +330,12 @@
     Stream& stream,
     http::request<http::string_body>& message) {
   detail::ResponseForm form;
-  form.keep_alive = message.keep_alive() && !this->draining;
+  form.keep_alive = message.keep_alive();
   form.is_head = message.method() == http::verb::head;
   form.knows_chunks = message.version() >= kFirstVersionWithChunks;
   const HttpRequest request = FromBeast(message);
-  detail::StreamWriter writer(stream, this->Options()->write_timeout, form);
+  detail::StreamWriter writer(stream, this->Options()->write_timeout, form,
+                              this->draining);
   const size_t worker = *WorkerPool::CurrentWorker();
   ConnectionState& connection = this->streams[worker][&stream];
   connection.writer = &writer;
@@ -363,7 +364,8 @@
 
 void HttpServer::State::SendError(Stream& stream, const Error& error) {
   try {
-    detail::StreamWriter writer(stream, this->Options()->write_timeout, {});
+    detail::StreamWriter writer(stream, this->Options()->write_timeout, {},
+                                this->draining);
     writer.Send(this->render_error(error));
   } catch (const Error&) {
     // The peer has closed the connection.
--- a/source/core/runtime/http_server.h
+++ b/source/core/runtime/http_server.h
@@ -77,9 +77,10 @@
   void SetOptions(HttpServerOptions options);
 
   // Starts a graceful shutdown and returns immediately. Each connection is
-  // closed after its current request. The server still accepts connections and
-  // requests for one second, which the handler should refuse, so that requests
-  // already sent are not reset.
+  // closed after its next response that begins, or when it has been idle for
+  // one second. The server still accepts connections and requests for one
+  // second, which the handler should refuse, so that requests already sent are
+  // not reset.
   void Drain();
 
   // Sends the error in place of the responses that handlers have not started;
--- a/source/core/runtime/stream_writer.cc
+++ b/source/core/runtime/stream_writer.cc
@@ -89,7 +89,7 @@
 void StreamWriter::Start() {
   this->ThrowIfReplaced();
   this->has_started = true;
-  this->form.keep_alive &= !this->caller_disconnected();
+  this->form.keep_alive &= !this->caller_disconnected() && !this->draining;
 }
 
 void StreamWriter::Send(HttpResponse response) {
--- a/source/core/runtime/stream_writer.h
+++ b/source/core/runtime/stream_writer.h
@@ -1,6 +1,7 @@
 #ifndef CORE_RUNTIME_STREAM_WRITER_H_
 #define CORE_RUNTIME_STREAM_WRITER_H_
 
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <string_view>
@@ -35,10 +36,15 @@
 // Writes the response to one request of a caller.
 class StreamWriter : public ResponseWriter {
  public:
+  // A response that begins while `draining` is set ends the connection.
   StreamWriter(CallerStream& stream,
                common::Duration write_timeout,
-               ResponseForm form)
-      : stream(stream), write_timeout(write_timeout), form(form) {}
+               ResponseForm form,
+               const std::atomic<bool>& draining)
+      : stream(stream),
+        write_timeout(write_timeout),
+        form(form),
+        draining(draining) {}
   ~StreamWriter() override;
 
   void Send(HttpResponse response) override;
@@ -79,8 +85,8 @@
   // The state of a response that the server sends in place of the handler's.
   enum class Replacement { kNone, kSending, kSent };
 
-  // Begins a response: the connection is not used again after a disconnect.
-  // Throws if the response is replaced.
+  // Begins a response: the connection is not used again after a disconnect or
+  // in a drain. Throws if the response is replaced.
   void Start();
   void SendMessage(HttpResponse response);
   void ThrowIfReplaced() const;
@@ -89,6 +95,7 @@
   CallerStream& stream;
   common::Duration write_timeout;
   ResponseForm form;
+  const std::atomic<bool>& draining;
   std::shared_ptr<DisconnectWatch> watch;
   Replacement replacement = Replacement::kNone;
   bool has_started = false;
--- a/source/unit_tests/core/runtime/http_test.cc
+++ b/source/unit_tests/core/runtime/http_test.cc
@@ -284,6 +284,46 @@
   CHECK(refused == 1);
 }
 
+// Guards against a connection that is closed although its last response, which
+// was sent or began before the drain, allows the caller another request.
+TEST_CASE("a draining server closes only connections whose callers know") {
+  WorkerPool pool(1);
+  std::atomic<bool> is_running{false};
+  std::atomic<bool> is_released{false};
+  HttpServer server(
+      pool, kAnyPort, {},
+      [&](const HttpRequest& request, ResponseWriter& writer) {
+        const bool streams = request.target == "/stream";
+        if (streams)
+          writer.StartStream(200, {});
+        is_running = true;
+        while (!is_released)
+          SleepFor(std::chrono::milliseconds(1));
+        if (streams)
+          writer.FinishStream();
+        else
+          writer.Send({200, {}, "whole"});
+      },
+      RenderPlainError);
+  const std::string target = GENERATE(as<std::string>(), "/whole", "/stream");
+  INFO(target);
+  RawClient client(server.address());
+  client.Send("GET " + target + " HTTP/1.1\r\nHost: h\r\n\r\n");
+  while (!is_running)
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  server.Drain();
+  is_released = true;
+  const bool streams = target == "/stream";
+  const std::string first =
+      client.ReadUntil(streams ? "\r\n0\r\n\r\n" : "whole");
+  if (first.find("Connection: close\r\n") != std::string::npos)
+    return;
+  client.Send("GET /whole HTTP/1.1\r\nHost: h\r\n\r\n");
+  const std::string second = client.ReadAll().substr(first.size());
+  CHECK(StatusOf(second) == 200);
+  CHECK(second.find("Connection: close\r\n") != std::string::npos);
+}
+
 // A blocking client connection that does not depend on the workers.
 class BlockingClient {
  public:
