End a planned stop in time if its grace period is short

A stopping host serves on for 2.4 s whatever its grace period is. With stop_grace_ms of 2,800 or less it was killed while it served or before it had drained, and cut what was in flight. At most half of the time until the final answers is now spent on serving. Nothing changes for periods from 5.3 s on.

--- a/source/core/gateway/gateway.cc
+++ b/source/core/gateway/gateway.cc
@@ -1,5 +1,6 @@
 #include "core/gateway/gateway.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "core/gateway/refused_error.h"
@@ -20,9 +21,9 @@
 // Time for which a stopping host keeps serving while it reports not ready. The
 // load balancer probes every second and removes a host after two failures.
 constexpr Duration kReadinessDelay = std::chrono::milliseconds(2400);
-// Requests that arrive later than this after the stop began are refused. Their
-// connections are being closed.
-constexpr Duration kAcceptPeriod = std::chrono::milliseconds(2700);
+// Requests that arrive later than this after the readiness delay are refused.
+// Their connections are being closed.
+constexpr Duration kAcceptPeriod = std::chrono::milliseconds(300);
 // Part of the grace period reserved for the process to exit by itself.
 constexpr Duration kExitReserve = std::chrono::milliseconds(400);
 // Time before that in which final answers reach the callers.
@@ -223,9 +224,9 @@
 
 void Gateway::Serve(const runtime::HttpRequest& request,
                     runtime::ResponseWriter& writer) {
-  const auto stop_began_at = this->stop_began_at;
+  const auto accept_until = this->accept_until;
   try {
-    if (stop_began_at && runtime::BootNow() - *stop_began_at > kAcceptPeriod)
+    if (accept_until && runtime::BootNow() > *accept_until)
       throw RefusedError(ResultCode::kStopping, "the host is stopping",
                          PlannedStop::kRetryAfter);
     RequestTask task(this->request_deps,
@@ -257,15 +258,18 @@
   this->stopping = true;
   const auto began = runtime::BootNow();
   this->workers.Run([this, began] {
-    this->stop_began_at = began;
     const auto end = began + this->settings.stop_grace - kExitReserve;
     const auto answer_deadline = end - kFinalAnswerPeriod;
+    // A short grace period leaves as much time to finish as to serve on.
+    const auto serving_time =
+        std::min(kReadinessDelay, (answer_deadline - began) / 2);
+    this->accept_until = began + serving_time + kAcceptPeriod;
     this->planned_stop.Begin(answer_deadline);
     this->rollout_controller.Stop();
     LogLine(this->log, Event::kStopping)
         .Add(Field::kInFlight,
              static_cast<uint64_t>(this->caller_server->ActiveRequests()));
-    runtime::SleepFor(kReadinessDelay);
+    runtime::SleepFor(serving_time);
     this->caller_server->Drain();
     this->AwaitDrained(answer_deadline);
     this->planned_stop.EndUnanswered();
--- a/source/core/gateway/gateway.h
+++ b/source/core/gateway/gateway.h
@@ -93,8 +93,9 @@
   std::unique_ptr<runtime::HttpServer> metrics_server;
   std::atomic<bool> stopping{false};
   bool was_view_fresh = false;
-  // Start of the graceful shutdown; accessed on worker 0 only.
-  std::optional<common::TimePoint> stop_began_at;
+  // Set by a graceful shutdown: requests that arrive later are refused.
+  // Accessed on worker 0 only.
+  std::optional<common::TimePoint> accept_until;
 };
 
 }  // namespace jujuberock::gateway
