Keep one module that splits JSON text into its parts

The clients of both platforms each had a scan that cuts a text into members and elements. The one of core/platform moves to core/common with its tests unchanged. It gets FindMember() and, for single entries of the users' platform, SplitMalformedObject(), which also splits off values that are no JSON value. The one of source/platform is removed; its test cases for members are kept there.

Lists and the outlines of answers are split strictly by both: a comma without an element is an error of the whole list.

--- a/source/core/platform/json_slices.cc
+++ b/source/core/common/json_slices.cc
@@ -1,8 +1,9 @@
-#include "core/platform/json_slices.h"
+#include "core/common/json_slices.h"
 
 #include <cstddef>
+#include <ranges>
 
-namespace jujuberock::platform {
+namespace jujuberock::common {
 
 namespace {
 
@@ -41,12 +42,45 @@
     return this->text.substr(begin, this->at - begin);
   }
 
+  // Reads the name of a member and the colon behind it. Reads nothing and
+  // returns an empty name if there is no such beginning of a member.
+  std::string_view TakeNameIfAny() {
+    const size_t begin = this->at;
+    const auto name = this->TakeString();
+    if (name && this->TakeSymbol(':'))
+      return *name;
+    this->at = begin;
+    return {};
+  }
+
+  // Reads the text up to the next comma or closing bracket that is not inside a
+  // string or a nested value.
+  std::optional<std::string_view> TakeMalformedValue() {
+    this->SkipWhitespace();
+    const size_t begin = this->at;
+    while (this->at < this->text.size()) {
+      const char c = this->text[this->at];
+      if (c == ',' || c == ']' || c == '}')
+        return TrimEnd(this->text.substr(begin, this->at - begin));
+      const bool is_skippable = c == '[' || c == '{' || c == '"';
+      if (!is_skippable)
+        ++this->at;
+      else if (!this->SkipValue())
+        return std::nullopt;
+    }
+    return std::nullopt;
+  }
+
   bool IsAtEnd() {
     this->SkipWhitespace();
     return this->at == this->text.size();
   }
 
  private:
+  static std::string_view TrimEnd(std::string_view text) {
+    return text.substr(0, text.find_last_not_of(kWhitespace) + 1);
+  }
+
   void SkipWhitespace() { this->SkipTo(kWhitespace, false); }
 
   // Skips to the first character that is in `set`, or not in it.
@@ -118,9 +152,9 @@
 
 }  // namespace
 
-std::optional<std::vector<JsonMember>> SplitObject(std::string_view json) {
+std::optional<JsonMembers> SplitObject(std::string_view json) {
   Cursor cursor(json);
-  std::vector<JsonMember> members;
+  JsonMembers members;
   const auto take_member = [&] {
     const auto name = cursor.TakeString();
     if (!name || !cursor.TakeSymbol(':'))
@@ -149,4 +183,28 @@
   return elements;
 }
 
-}  // namespace jujuberock::platform
+std::optional<JsonMembers> SplitMalformedObject(std::string_view json) {
+  Cursor cursor(json);
+  JsonMembers members;
+  const auto take_member = [&] {
+    const auto name = cursor.TakeNameIfAny();
+    const auto value = cursor.TakeMalformedValue();
+    if (value)
+      members.push_back({name, *value});
+    return value.has_value();
+  };
+  if (!TakeParts(cursor, '{', '}', take_member))
+    return std::nullopt;
+  return members;
+}
+
+std::optional<std::string_view> FindMember(const JsonMembers& members,
+                                           std::string_view name) {
+  for (const JsonMember& member : members | std::views::reverse) {
+    if (member.name == name)
+      return member.value;
+  }
+  return std::nullopt;
+}
+
+}  // namespace jujuberock::common
--- a/source/core/platform/object_json.cc
+++ b/source/core/platform/object_json.cc
@@ -1,15 +1,14 @@
 #include "core/platform/object_json.h"
 
 #include <optional>
-#include <ranges>
 #include <utility>
 #include <vector>
 
 #include <nlohmann/json.hpp>
 
 #include "core/common/error.h"
+#include "core/common/json_slices.h"
 #include "core/common/nesting.h"
-#include "core/platform/json_slices.h"
 
 namespace jujuberock::platform {
 
@@ -25,20 +24,15 @@
 class Members {
  public:
   explicit Members(std::string_view text) {
-    auto members = SplitObject(text);
+    auto members = common::SplitObject(text);
     if (!members)
       ThrowMalformed("not a JSON object");
     this->members = std::move(*members);
   }
 
-  // Returns the text of the member, or nullopt if there is none. The last one
-  // counts, as in other readers of JSON.
+  // Returns the text of the member, or nullopt if there is none.
   std::optional<std::string_view> Find(std::string_view name) const {
-    for (const JsonMember& member : this->members | std::views::reverse) {
-      if (member.name == name)
-        return member.value;
-    }
-    return std::nullopt;
+    return common::FindMember(this->members, name);
   }
 
   std::string_view At(std::string_view name) const {
@@ -87,7 +81,7 @@
     return json::parse(text, nullptr, false);
   }
 
-  std::vector<JsonMember> members;
+  common::JsonMembers members;
 };
 
 }  // namespace
@@ -110,7 +104,7 @@
   const Members members(text);
   ObjectList list;
   list.version = members.VersionIn("version");
-  const auto entries = SplitArray(members.At("objects"));
+  const auto entries = common::SplitArray(members.At("objects"));
   if (!entries)
     ThrowMalformed("no array in field objects");
   for (const std::string_view entry : *entries) {
--- a/source/platform/store_answer.cc
+++ b/source/platform/store_answer.cc
@@ -7,8 +7,8 @@
 #include <nlohmann/json.hpp>
 
 #include "core/common/error.h"
+#include "core/common/json_slices.h"
 #include "core/common/nesting.h"
-#include "platform/json_slices.h"
 
 namespace jujuberock::platform_adapter {
 
@@ -17,6 +17,8 @@
 using catalog::ObjectFault;
 using catalog::StoredObject;
 using common::Error;
+using common::FindMember;
+using common::JsonMembers;
 using common::ResultCode;
 using Json = nlohmann::json;
 
@@ -66,7 +68,7 @@
 
 // Reads the name and the revision.
 ObjectFault DecodeMetadata(std::string_view text, StoredObject& object) {
-  const auto members = SliceObject(text);
+  const auto members = common::SplitMalformedObject(text);
   if (!members)
     return ObjectFault::kNoName;
   const auto name = FindMember(*members, "name");
@@ -80,7 +82,7 @@
 }
 
 JsonMembers SliceAnswer(std::string_view body) {
-  auto members = SliceObject(body);
+  auto members = common::SplitObject(body);
   if (!members)
     ThrowMalformed("store response is not a JSON object");
   return std::move(*members);
@@ -88,7 +90,8 @@
 
 std::vector<std::string_view> SliceList(const JsonMembers& answer,
                                         const char* name) {
-  const auto elements = SliceArray(FindMember(answer, name).value_or(""));
+  const auto elements =
+      common::SplitArray(FindMember(answer, name).value_or(""));
   if (!elements)
     ThrowMalformed("store response has no list of objects");
   return *elements;
@@ -113,7 +116,7 @@
 }
 
 catalog::ObjectChange DecodeEvent(std::string_view text) {
-  const auto members = SliceObject(text);
+  const auto members = common::SplitMalformedObject(text);
   if (!members)
     return {DecodeStoredObject(""), false};
   catalog::ObjectChange change;
@@ -140,7 +143,7 @@
 StoredObject DecodeStoredObject(std::string_view text) {
   StoredObject object;
   object.fault = ObjectFault::kNoName;
-  const auto members = SliceObject(text);
+  const auto members = common::SplitMalformedObject(text);
   if (!members)
     return object;
   const auto metadata = FindMember(*members, "metadata");
--- a/source/unit_tests/core/fuzz/parsers_test.cc
+++ b/source/unit_tests/core/fuzz/parsers_test.cc
@@ -4,6 +4,7 @@
 
 #include "core/caller/completion_request.h"
 #include "core/common/error.h"
+#include "core/common/json_slices.h"
 #include "core/common/settings.h"
 #include "core/journal/codec.h"
 #include "core/journal/record.h"
@@ -15,7 +16,6 @@
 #include "core/runtime/worker_pool.h"
 #include "core/table/parse.h"
 #include "core/table/sync_message.h"
-#include "platform/json_slices.h"
 #include "unit_tests/core/fuzz/mutation.h"
 
 namespace jujuberock::fuzz {
@@ -201,11 +201,11 @@
       R"({"name":"a\"b","list":[1,{"x":[]},"\\"], "null":null,"deep":[[[[{}]]]]})";
   Fuzz(object, [](const std::string& text) {
     size_t end = 0;
-    const auto members = platform_adapter::SliceObject(text);
-    for (const auto& member : members.value_or(platform_adapter::JsonMembers()))
+    const auto members = common::SplitMalformedObject(text);
+    for (const auto& member : members.value_or(common::JsonMembers()))
       end = EndOf(text, member.value, end);
     const std::string list = "[" + text + "," + text + "]";
-    const auto elements = platform_adapter::SliceArray(list);
+    const auto elements = common::SplitArray(list);
     if (members)
       REQUIRE(elements->size() == 2);
   });
--- a/source/unit_tests/platform/store_answer_test.cc
+++ b/source/unit_tests/platform/store_answer_test.cc
@@ -5,8 +5,8 @@
 #include <catch2/catch.hpp>
 
 #include "core/common/error.h"
+#include "core/common/json_slices.h"
 #include "core/common/nesting.h"
-#include "platform/json_slices.h"
 #include "unit_tests/core/fuzz/mutation.h"
 
 namespace jujuberock::platform_adapter {
@@ -204,7 +204,7 @@
     INFO(odd);
     CHECK_NOTHROW(DecodeStoredObject(odd));
     const std::string list = MakeList(kSound + "," + odd + "," + kLast);
-    if (!SliceObject(odd)) {
+    if (!common::SplitMalformedObject(odd)) {
       try {
         DecodeListPage(list);
       } catch (const common::Error&) {
