Do not confirm keys when the configuration in force was replaced unreadably

Since an entry that can't be read no longer makes the whole answer an error, a host whose configuration was replaced by odd bytes went on to take its answers as a confirmation of the former one, and accepted keys that the new one may have withdrawn. The host now remembers the name of the object in force and confirms nothing while that object can't be read; entries of other names do not matter.

--- a/source/core/gateway/platform_view.cc
+++ b/source/core/gateway/platform_view.cc
@@ -186,7 +186,7 @@
 }
 
 void PlatformView::ConfirmConfig(const KindWatch& watch) {
-  if (watch.kind == ObjectKind::kConfig &&
+  if (watch.kind == ObjectKind::kConfig && !this->is_config_unreadable &&
       this->config_floor.IsMet(runtime::BootNow()))
     this->view_age.OnConfirmed(*watch.answered_at);
 }
@@ -223,6 +223,9 @@
 }
 
 void PlatformView::ApplyConfig(const ObjectChange& change, const ChangeTime&) {
+  if (change.object.name == this->config_name)
+    this->is_config_unreadable =
+        !change.deleted && change.object.fault != catalog::ObjectFault::kNone;
   if (change.deleted)
     return;
   try {
@@ -235,6 +238,8 @@
     this->current_config =
         std::make_shared<const catalog::ConfigView>(std::move(config));
     this->config_floor.OnInForce(this->current_config->version());
+    this->config_name = change.object.name;
+    this->is_config_unreadable = false;
     LogLine(this->log, Event::kConfigInForce)
         .Add(Field::kConfigVersion, this->current_config->version())
         .Add(Field::kStoreEra, this->known_era)
--- a/source/core/gateway/platform_view.h
+++ b/source/core/gateway/platform_view.h
@@ -133,7 +133,7 @@
   void OnAnswer(KindWatch& watch, common::TimePoint earliest_answer);
   void OnFailure(KindWatch& watch, const std::string& detail);
   // Records that the store confirmed the configuration in force, unless what it
-  // has is known to be older.
+  // has is known to be older or can't be read.
   void ConfirmConfig(const KindWatch& watch);
 
   // Logs an object that can't be read. One without a name is then left out; the
@@ -163,6 +163,10 @@
   ChangeCallback on_changed;
   HostObjectCallback on_host_object;
   std::shared_ptr<const catalog::ConfigView> current_config;
+  // Name of the object with that configuration, and whether it was replaced by
+  // one that can't be read. That one may have withdrawn keys.
+  std::string config_name;
+  bool is_config_unreadable = false;
   catalog::ViewAge view_age;
   catalog::ConfigFloor config_floor;
   catalog::EndpointDirectory directory;
