Find JSON members without a view that the linter can't compile

clang-tidy reads the standard library's ranges with errors, so that it failed for the file that uses std::views::reverse. It passes now, and the tests of the four modules that use the splitter pass.

--- a/source/core/common/json_slices.cc
+++ b/source/core/common/json_slices.cc
@@ -1,7 +1,7 @@
 #include "core/common/json_slices.h"
 
+#include <algorithm>
 #include <cstddef>
-#include <ranges>
 
 namespace jujuberock::common {
 
@@ -200,11 +200,12 @@
 
 std::optional<std::string_view> FindMember(const JsonMembers& members,
                                            std::string_view name) {
-  for (const JsonMember& member : members | std::views::reverse) {
-    if (member.name == name)
-      return member.value;
-  }
-  return std::nullopt;
+  const auto found =
+      std::find_if(members.rbegin(), members.rend(),
+                   [&](const JsonMember& m) { return m.name == name; });
+  if (found == members.rend())
+    return std::nullopt;
+  return found->value;
 }
 
 }  // namespace jujuberock::common
