Bound the nesting of datagrams between gateways

The datagrams were decoded by a reader that recurses for each nested array or map, and anybody can send one. They are now decoded like the messages of serve, by msgpack's unpacker, which keeps its own stack and refuses more than eight levels.

--- a/source/core/gateway/peer_loads.cc
+++ b/source/core/gateway/peer_loads.cc
@@ -3,13 +3,16 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <span>
 #include <utility>
 
 #include <boost/asio/buffer.hpp>
+#include <msgpack.hpp>
 #include <nlohmann/json.hpp>
 
 #include "core/common/error.h"
 #include "core/common/hash.h"
+#include "core/common/msgpack_unpack.h"
 #include "core/runtime/await.h"
 #include "core/runtime/boot_clock.h"
 #include "core/runtime/sleep.h"
@@ -43,41 +46,54 @@
   return static_cast<uint32_t>(std::clamp(ms, 0.0, 60000.0));
 }
 
-bool StartsWithUnsignedNumbers(const Json& list, size_t count) {
-  if (!list.is_array() || list.size() < count)
-    return false;
-  for (size_t i = 0; i < count; ++i) {
-    if (!list[i].is_number_unsigned())
-      return false;
-  }
-  return true;
+// Returns the elements of an array of `minimum` to `maximum` elements. Throws
+// msgpack::type_error for any other value.
+std::span<const msgpack::object> ElementsOf(const msgpack::object& value,
+                                            size_t minimum,
+                                            size_t maximum) {
+  if (value.type != msgpack::type::ARRAY)
+    throw msgpack::type_error();
+  const msgpack::object_array& array = value.via.array;
+  if (array.size < minimum || array.size > maximum)
+    throw msgpack::type_error();
+  return {array.ptr, array.size};
 }
 
-// [endpoint, uncached tokens, memory tokens, run time in ms, is long]
-std::optional<SentPrompt> DecodePrompt(const Json& item) {
-  if (!StartsWithUnsignedNumbers(item, 5))
-    return std::nullopt;
+// [endpoint, uncached tokens, memory tokens, run time in ms, is long]. Later
+// versions may add fields.
+SentPrompt DecodePrompt(const msgpack::object& item) {
+  const auto fields = ElementsOf(item, 5, kMaxDatagramBytes);
   SentPrompt sent;
-  sent.endpoint = item[0].get<uint64_t>();
-  sent.prompt.uncached_tokens = item[1].get<uint32_t>();
-  sent.prompt.memory_tokens = item[2].get<uint32_t>();
-  sent.prompt.run_time = std::chrono::milliseconds(item[3].get<uint32_t>());
-  sent.prompt.is_long = item[4].get<uint32_t>() != 0;
+  sent.endpoint = fields[0].as<uint64_t>();
+  sent.prompt.uncached_tokens = fields[1].as<uint32_t>();
+  sent.prompt.memory_tokens = fields[2].as<uint32_t>();
+  sent.prompt.run_time = std::chrono::milliseconds(fields[3].as<uint32_t>());
+  sent.prompt.is_long = fields[4].as<uint32_t>() != 0;
   return sent;
 }
 
 // [store, Mbit, excess in ms...]
-std::optional<CacheStoreUsage> DecodeStoreUsage(const Json& item) {
-  if (!StartsWithUnsignedNumbers(item, 2) ||
-      !StartsWithUnsignedNumbers(item, item.size()) ||
-      item.size() > 2 + kMaxExcessesPerStore)
-    return std::nullopt;
-  CacheStoreUsage usage{item[0].get<uint64_t>(), item[1].get<uint32_t>(), {}};
-  for (size_t i = 2; i < item.size(); ++i)
-    usage.excess_ms.push_back(item[i].get<uint32_t>());
+CacheStoreUsage DecodeStoreUsage(const msgpack::object& item) {
+  const auto fields = ElementsOf(item, 2, 2 + kMaxExcessesPerStore);
+  CacheStoreUsage usage{fields[0].as<uint64_t>(), fields[1].as<uint32_t>(), {}};
+  for (const msgpack::object& excess : fields.subspan(2))
+    usage.excess_ms.push_back(excess.as<uint32_t>());
   return usage;
 }
 
+// [prompts, stores, hashes of unreachable endpoints]
+PeerUpdate DecodeLists(const msgpack::object& value) {
+  const auto lists = ElementsOf(value, 3, 3);
+  PeerUpdate update;
+  for (const msgpack::object& item : ElementsOf(lists[0], 0, kMaxPrompts))
+    update.prompts.push_back(DecodePrompt(item));
+  for (const msgpack::object& item : ElementsOf(lists[1], 0, kMaxStores))
+    update.stores.push_back(DecodeStoreUsage(item));
+  for (const msgpack::object& hash : ElementsOf(lists[2], 0, kMaxUnreachable))
+    update.unreachable.push_back(hash.as<uint64_t>());
+  return update;
+}
+
 }  // namespace
 
 std::vector<uint8_t> EncodePeerUpdate(const PeerUpdate& update) {
@@ -99,28 +115,14 @@
 }
 
 std::optional<PeerUpdate> DecodePeerUpdate(const uint8_t* bytes, size_t size) {
-  const Json lists = Json::from_msgpack(bytes, bytes + size, true, false);
-  if (!lists.is_array() || lists.size() != 3 || !lists[0].is_array() ||
-      !lists[1].is_array() || lists[0].size() > kMaxPrompts ||
-      lists[1].size() > kMaxStores || lists[2].size() > kMaxUnreachable ||
-      !StartsWithUnsignedNumbers(lists[2], lists[2].size()))
+  const std::string_view message(reinterpret_cast<const char*>(bytes), size);
+  try {
+    return DecodeLists(common::UnpackMessage(message).get());
+  } catch (const msgpack::unpack_error&) {
+    return std::nullopt;
+  } catch (const msgpack::type_error&) {
     return std::nullopt;
-  PeerUpdate update;
-  for (const Json& item : lists[0]) {
-    const auto sent = DecodePrompt(item);
-    if (!sent)
-      return std::nullopt;
-    update.prompts.push_back(*sent);
-  }
-  for (const Json& item : lists[1]) {
-    auto usage = DecodeStoreUsage(item);
-    if (!usage)
-      return std::nullopt;
-    update.stores.push_back(std::move(*usage));
   }
-  for (const Json& hash : lists[2])
-    update.unreachable.push_back(hash.get<uint64_t>());
-  return update;
 }
 
 PeerLoads::PeerLoads(Dispatcher& dispatcher,
--- a/source/unit_tests/core/gateway/peer_loads_test.cc
+++ b/source/unit_tests/core/gateway/peer_loads_test.cc
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "core/runtime/worker_pool.h"
 #include "unit_tests/core/fuzz/mutation.h"
 
 namespace jujuberock::gateway {
@@ -46,6 +47,38 @@
   CHECK_FALSE(DecodePeerUpdate(nullptr, 0));
 }
 
+// Guards against a datagram whose nesting overflows the stack of the fiber that
+// decodes it. Anybody can send one.
+TEST_CASE("a datagram of any nesting depth is rejected on a fiber") {
+  constexpr size_t kDatagramBytes = 1472;
+  // Arrays and maps with one element, with an 8-bit or a 32-bit length.
+  const std::vector<std::string> prefixes = {
+      "\x91", std::string("\xdc\x00\x01", 3),
+      std::string("\xdd\x00\x00\x00\x01", 5), "\x81\xa1k",
+      std::string("\xde\x00\x01\xa0", 4)};
+  runtime::WorkerPool workers(1);
+  for (const std::string& prefix : prefixes) {
+    // Below the top level as well, where a decoder looks for the lists.
+    for (const std::string& start :
+         {std::string(), std::string("\x93\x90\x90"), std::string("\x93")}) {
+      std::string bytes = start;
+      while (bytes.size() + prefix.size() <= kDatagramBytes)
+        bytes += prefix;
+      workers.Run([&bytes] {
+        const auto* data = reinterpret_cast<const uint8_t*>(bytes.data());
+        CHECK_FALSE(DecodePeerUpdate(data, bytes.size()));
+      });
+    }
+  }
+}
+
+// Guards against a decoder that takes the start of a datagram for the whole.
+TEST_CASE("a datagram with bytes behind the update is rejected") {
+  auto bytes = EncodePeerUpdate(MakeUpdate());
+  bytes.push_back(0x90);
+  CHECK_FALSE(DecodePeerUpdate(bytes.data(), bytes.size()));
+}
+
 // Guards against oversized updates, which no host sends and which would use up
 // memory.
 TEST_CASE("a datagram with too many entries is rejected") {
