Give up an engine whose events do not continue the stream

The limit on connections in a row that bring no progress counted from the last event of any kind, so an engine that sends only old tokens, skips tokens or ends with another number of tokens was asked again in a tight loop until the deadline. The count now restarts only at an event that is accepted.

--- a/source/core/endpoint/resuming_stream.cc
+++ b/source/core/endpoint/resuming_stream.cc
@@ -14,7 +14,8 @@
 namespace {
 
 // Without this limit, the stream would reconnect in a tight loop to an engine
-// that accepts connections but breaks each one immediately.
+// that accepts connections but breaks each one immediately, or sends no event
+// that continues the stream.
 constexpr int kMaxFailedConnections = 3;
 
 }  // namespace
@@ -48,11 +49,10 @@
     if (!this->stream)
       this->Reconnect(until);
     const std::optional<EngineEvent> event = this->Receive(until);
-    if (!event)
+    if (!event || !this->Accept(*event))
       continue;
     this->failed_connections = 0;
-    if (this->Accept(*event))
-      return *event;
+    return *event;
   }
 }
 
@@ -68,12 +68,16 @@
     if (error.code() == ResultCode::kEndpointSilent)
       this->failed_connections = 0;
   }
+  this->DropConnection();
+  return std::nullopt;
+}
+
+void ResumingStream::DropConnection() {
   this->stream.reset();
   ++this->failed_connections;
   if (this->failed_connections > kMaxFailedConnections)
     throw StreamLostError(StreamLossReason::kSilent,
                           "connections to the engine keep breaking");
-  return std::nullopt;
 }
 
 bool ResumingStream::Accept(const EngineEvent& event) {
@@ -82,8 +86,7 @@
           ? std::get<TokenEvent>(event).offset
           : static_cast<uint64_t>(std::get<StreamEnd>(event).tokens);
   if (offset > this->next_offset) {
-    this->stream.reset();
-    ++this->failed_connections;
+    this->DropConnection();
     return false;
   }
   if (std::holds_alternative<StreamEnd>(event))
--- a/source/core/endpoint/resuming_stream.h
+++ b/source/core/endpoint/resuming_stream.h
@@ -85,6 +85,9 @@
   // which also drops the connection so that the stream resumes at the missing
   // token.
   bool Accept(const EngineEvent& event);
+  // Drops the connection, which brought no next event. Throws StreamLostError
+  // if too many did.
+  void DropConnection();
   void Reconnect(common::TimePoint until);
   // Time remaining until `until`. Throws kDeadlineExceeded if none is left.
   common::Duration Remaining(common::TimePoint until) const;
@@ -99,7 +102,8 @@
   // Whether the engine has responded to this request before.
   bool accepted_by_engine = false;
   uint64_t reconnect_count = 0;
-  // Connections since the last event that broke, ended early or skipped tokens.
+  // Connections since the last event that was accepted that broke, ended early
+  // or skipped tokens.
   // A connection that was only silent restarts the count at one.
   int failed_connections = 0;
 };
