--- a/source/core/platform/object_json.cc
+++ b/source/core/platform/object_json.cc
@@ -1,7 +1,7 @@
 #include "core/platform/object_json.h"
 
+#include <algorithm>
 #include <optional>
-#include <ranges>
 #include <utility>
 #include <vector>
 
@@ -34,11 +34,12 @@
   // Returns the text of the member, or nullopt if there is none. The last one
   // counts, as in other readers of JSON.
   std::optional<std::string_view> Find(std::string_view name) const {
-    for (const JsonMember& member : this->members | std::views::reverse) {
-      if (member.name == name)
-        return member.value;
-    }
-    return std::nullopt;
+    const auto found =
+        std::find_if(this->members.rbegin(), this->members.rend(),
+                     [&](const auto& member) { return member.name == name; });
+    if (found == this->members.rend())
+      return std::nullopt;
+    return found->value;
   }
 
   std::string_view At(std::string_view name) const {
