--- a/source/core/orders/rollout_service.cc
+++ b/source/core/orders/rollout_service.cc
@@ -105,6 +105,7 @@
                                 Entry& entry,
                                 TimePoint now) {
   const bool held = entry.rollout->holds_orders();
+  const bool was_malformed = entry.rollout->object_malformed();
   if (this->is_preferred(service) && IsPollDue(entry, now)) {
     entry.polled_at = now;
     this->PollEndpoints(entry);
@@ -115,6 +116,9 @@
               << (held ? ": no longer issuing orders"
                        : ": issuing orders, term ")
               << (held ? "" : std::to_string(entry.rollout->term()));
+  if (!was_malformed && entry.rollout->object_malformed())
+    LOG(ERROR) << "service " << service
+               << ": no orders, since the order object is malformed";
 }
 
 bool RolloutService::IsPollDue(const Entry& entry, TimePoint now) {
--- a/source/core/orders/version_rollout.cc
+++ b/source/core/orders/version_rollout.cc
@@ -1,7 +1,5 @@
 #include "core/orders/version_rollout.h"
 
-#include <glog/logging.h>
-
 #include <algorithm>
 #include <utility>
 
@@ -115,9 +113,9 @@
   std::optional<OrderObject> order = OrderObject();
   if (object && !object->deleted)
     order = ParseOrderObject(object->body);
+  this->is_object_malformed = !order;
   if (!order) {
     // Not overwritten, since the next term must be above the one that it had.
-    this->OnMalformedObject(object->version);
     this->StepDown(now);
     return {};
   }
@@ -126,14 +124,6 @@
   return this->Claim();
 }
 
-void VersionRollout::OnMalformedObject(platform::Version version) {
-  if (version == this->malformed_version)
-    return;
-  this->malformed_version = version;
-  LOG(ERROR) << "service " << this->service
-             << ": no orders, since the order object is malformed";
-}
-
 Actions VersionRollout::Claim() {
   // Every claim raises the term, even if this host is the recorded holder:
   // after a restart it has the same name but does not know which orders are in
--- a/source/core/orders/version_rollout.h
+++ b/source/core/orders/version_rollout.h
@@ -102,6 +102,9 @@
 
   bool holds_orders() const { return this->state == State::kHolding; }
   uint64_t term() const { return this->held_term; }
+  // Whether the order object, as last read, is malformed, so that no host can
+  // issue orders.
+  bool object_malformed() const { return this->is_object_malformed; }
   // Number of endpoints that report the desired version.
   size_t CountUpToDate() const;
 
@@ -118,7 +121,6 @@
 
   bool HasWork() const;
   Actions StartRead();
-  void OnMalformedObject(platform::Version version);
   Actions Claim();
   void BecomeHolder(common::TimePoint now);
   void StepDown(common::TimePoint now);
@@ -137,8 +139,7 @@
   // The order object as last read.
   platform::Version object_version = 0;
   uint64_t object_term = 0;
-  // Version of the last malformed order object, which was logged.
-  platform::Version malformed_version = 0;
+  bool is_object_malformed = false;
   uint64_t claimed_term = 0;
   uint64_t claim_count = 0;
   uint64_t held_term = 0;
--- a/source/unit_tests/core/orders/version_rollout_test.cc
+++ b/source/unit_tests/core/orders/version_rollout_test.cc
@@ -387,6 +387,7 @@
                 .OnReadReply(
                     false, Object{"order", "service", 5, false, body, ""}, now)
                 .empty());
+    CHECK(rollout.object_malformed());
     CHECK(rollout.OnTick(now).empty());
     now += seconds(2);
     const Actions again = rollout.OnTick(now);
@@ -397,6 +398,7 @@
     const Actions claim = rollout.OnReadReply(false, mended, now);
     REQUIRE(claim.size() == 1);
     CHECK(std::get<WriteOrderObject>(claim[0]).expected == 6);
+    CHECK_FALSE(rollout.object_malformed());
   }
 }
 
