Count invalid objects of the table and log when their number changes

An object that is left out of the table was named only in /status. The gauge table_invalid_objects counts them, and a line is logged when the number changes. "odd objects in the platform hide no others" checks the gauge, which did not exist before. test_membership passes.

--- a/source/core/membership/coordinator.h
+++ b/source/core/membership/coordinator.h
@@ -106,6 +106,11 @@
 
   // Whether a complete configuration is in force.
   bool ready() const;
+  // Number of table objects whose newest version is invalid, so that a former
+  // version or none is in force.
+  size_t CountInvalidObjects() const {
+    return this->table.CountInvalidObjects();
+  }
   // Whether the platform or any host of the zone reports the endpoint as
   // leaving.
   bool IsLeaving(const std::string& endpoint) const;
--- a/source/core/membership/service.cc
+++ b/source/core/membership/service.cc
@@ -66,6 +66,7 @@
       timers(timers),
       counters(counters),
       ready_gauge(counters.GetGauge("table_ready")),
+      invalid_gauge(counters.GetGauge("table_invalid_objects")),
       alive_gauge(counters.GetGauge("membership_alive_hosts")),
       delegate_gauge(counters.GetGauge("membership_is_delegate")) {
   for (const std::string_view message :
@@ -214,6 +215,11 @@
   if (ready != this->was_ready.exchange(ready))
     LOG(INFO) << (ready ? "the configuration is complete"
                         : "the configuration is not complete");
+  const auto invalid =
+      static_cast<int64_t>(this->coordinator.CountInvalidObjects());
+  if (invalid != this->invalid_gauge.value())
+    LOG(WARNING) << invalid << " objects of the table are invalid";
+  this->invalid_gauge.Set(invalid);
   const table::PeerSet peers = this->coordinator.Peers(this->timers.Now());
   this->ready_gauge.Set(ready);
   this->alive_gauge.Set(static_cast<int64_t>(peers.zone_peers.size()));
--- a/source/core/membership/service.h
+++ b/source/core/membership/service.h
@@ -43,8 +43,8 @@
 // listener tells it of changes. A planned stop calls AnnounceStop() first.
 // Destroy the service before the transport, from a thread that is not a worker.
 //
-// Metrics: `table_ready`, `membership_alive_hosts`, `membership_is_delegate`
-// (gauges), `membership_changes_total{state}`,
+// Metrics: `table_ready`, `table_invalid_objects`, `membership_alive_hosts`,
+// `membership_is_delegate` (gauges), `membership_changes_total{state}`,
 // `membership_calls_failed_total{message}`.
 class Service {
  public:
@@ -102,6 +102,7 @@
   common::TimerService& timers;
   common::MetricRegistry& counters;
   common::Gauge& ready_gauge;
+  common::Gauge& invalid_gauge;
   common::Gauge& alive_gauge;
   common::Gauge& delegate_gauge;
   EndpointListener endpoint_listener;
--- a/source/core/table/shared_view.cc
+++ b/source/core/table/shared_view.cc
@@ -70,6 +70,11 @@
   return this->view.InvalidObjects();
 }
 
+size_t SharedView::CountInvalidObjects() const {
+  const common::RankedLock lock(this->mutex);
+  return this->view.CountInvalidObjects();
+}
+
 size_t SharedView::size() const {
   const common::RankedLock lock(this->mutex);
   return this->view.size();
--- a/source/core/table/shared_view.h
+++ b/source/core/table/shared_view.h
@@ -43,6 +43,7 @@
   std::optional<Object> Find(std::string_view kind,
                              std::string_view name) const;
   std::vector<InvalidObject> InvalidObjects() const;
+  size_t CountInvalidObjects() const;
   size_t size() const;
 
  private:
--- a/source/core/table/view.h
+++ b/source/core/table/view.h
@@ -82,6 +82,7 @@
   SnapshotPtr snapshot();
 
   std::vector<InvalidObject> InvalidObjects() const;
+  size_t CountInvalidObjects() const { return this->problems.size(); }
   size_t size() const { return this->objects.size(); }
   size_t tombstones() const { return this->tombstone_versions.size(); }
 
--- a/source/unit_tests/core/membership/service_test.cc
+++ b/source/unit_tests/core/membership/service_test.cc
@@ -279,8 +279,13 @@
   const auto listed =
       deployment.platform.Write("team", "a", watched, TeamBody(300));
   CHECK(WaitFor([&] { return deployment.AllHave(listed); }, seconds(5)));
-  for (auto& host : deployment.hosts)
+  for (auto& host : deployment.hosts) {
     CHECK(host->table.InvalidObjects().size() == bodies.size());
+    const auto& invalid = host->counters.GetGauge("table_invalid_objects");
+    CHECK(WaitFor(
+        [&] { return invalid.value() == static_cast<int64_t>(bodies.size()); },
+        seconds(3)));
+  }
 }
 
 TEST_CASE("a host restarted during a platform outage gets its peers' rows") {
