Refuse load reports with numbers beyond any range

Counts and times of a load report are added to and multiplied, which overflows for numbers such as 1e300 or the largest 64-bit integer. A report with a number above 1e15 now fails its call.

--- a/source/core/endpoint/engine_client.cc
+++ b/source/core/endpoint/engine_client.cc
@@ -1,6 +1,7 @@
 #include "core/endpoint/engine_client.h"
 
 #include <chrono>
+#include <cmath>
 #include <utility>
 
 #include <nlohmann/json.hpp>
@@ -24,6 +25,10 @@
 // wait means that the engine or its link has failed.
 constexpr common::Duration kControlTimeout = std::chrono::seconds(2);
 
+// Limit on the size of numbers in load reports, so that what is computed from
+// them does not overflow. In milliseconds since 1970 it is the year 33658.
+constexpr double kMaxReportedNumber = 1e15;
+
 // Limit on the bytes of an event that are held until it ends.
 constexpr size_t kMaxEventBytes = 1024 * 1024;
 
@@ -92,16 +97,25 @@
                     value.value("restored_tokens", int64_t{0})};
 }
 
+// Returns a count or a time, or 0 if it is absent.
+int64_t BoundedInteger(const json& value, const char* name) {
+  const double number = value.value(name, 0.0);
+  if (std::abs(number) > kMaxReportedNumber)
+    throw Error(ResultCode::kProtocolError,
+                std::string("engine: out of range: ") + name);
+  return static_cast<int64_t>(number);
+}
+
 EngineLoad LoadFromJson(const json& value) {
   EngineLoad load;
-  load.as_of_ms = value.value("as_of_ms", int64_t{0});
-  load.running = value.value("running", int64_t{0});
-  load.queued_tokens = value.value("queued_tokens", int64_t{0});
-  load.slots = value.value("slots", int64_t{0});
+  load.as_of_ms = BoundedInteger(value, "as_of_ms");
+  load.running = BoundedInteger(value, "running");
+  load.queued_tokens = BoundedInteger(value, "queued_tokens");
+  load.slots = BoundedInteger(value, "slots");
   load.prefill_tokens_per_s = value.value("prefill_tokens_per_s", 0.0);
   load.decode_ms = value.value("decode_ms", 0.0);
-  load.kv_capacity_blocks = value.value("kv_capacity_blocks", int64_t{0});
-  load.kv_used_blocks = value.value("kv_used_blocks", int64_t{0});
+  load.kv_capacity_blocks = BoundedInteger(value, "kv_capacity_blocks");
+  load.kv_used_blocks = BoundedInteger(value, "kv_used_blocks");
   load.version = value.value("version", std::string());
   load.leaving = value.value("leaving", false);
   return load;
--- a/source/unit_tests/core/endpoint/engine_report_test.cc
+++ b/source/unit_tests/core/endpoint/engine_report_test.cc
@@ -107,6 +107,24 @@
   }
 }
 
+// Guards against numbers that overflow when times and counts are computed from
+// them.
+TEST_CASE("a load report with a number beyond any range fails the call") {
+  for (const char* field : {"as_of_ms", "running", "queued_tokens", "slots",
+                            "kv_capacity_blocks", "kv_used_blocks"}) {
+    for (const char* number :
+         {"1e300", "-1e300", "9223372036854775807", "-9223372036854775808",
+          "18446744073709551615"}) {
+      const std::string body =
+          R"({")" + std::string(field) + R"(":)" + number + "}";
+      INFO(body);
+      CHECK_FALSE(Succeeds(WithLength(body), ReadLoad));
+    }
+  }
+  CHECK(Succeeds(WithLength(R"({"as_of_ms":1764910000000,"running":0})"),
+                 ReadLoad));
+}
+
 // Guards against a limit that valid answers reach.
 TEST_CASE("a valid answer of an engine is read") {
   CHECK(Succeeds(WithLength(R"({"running":1,"x":[[{}]]})"), ReadLoad));
