--- a/source/core/endpoint/resuming_stream.h
+++ b/source/core/endpoint/resuming_stream.h
@@ -95,6 +95,9 @@
   // which also drops the connection so that the stream resumes at the missing
   // token.
   bool Accept(const EngineEvent& event);
+  // Drops the connection, which brought no next event. Throws StreamLostError
+  // if too many did.
+  void DropConnection();
   void Reconnect(common::TimePoint until);
   // Returns false if the engine has not responded, or does not know the request
   // yet.
@@ -116,7 +119,8 @@
   // Whether the engine has responded to this request before.
   bool accepted_by_engine = false;
   uint64_t reconnect_count = 0;
-  // Connections since the last event that broke, ended early or skipped tokens.
+  // Connections since the last event that was accepted that broke, ended early
+  // or skipped tokens.
   // A connection that was only silent restarts the count at one.
   int failed_connections = 0;
 };
