Let prompts that were canceled on former weights wait for new ones

A prompt that an engine still holds when its weights become too old is canceled, because its run must not begin. It then waited for an engine with the new weights only as long as a request that can still be refused, half of its target latency, and got a 502 with most of its time left. It now waits until its deadline, as do requests that were canceled at a silent endpoint.

Requests that wait after such a cancel look for an endpoint every 60 ms instead of every 12 ms.

Before: the case "weights" of tools/gateway-resend-test failed with status 502 after 1.1 s of 9 s. After: it passes, as do gateway-version-test (5) and gateway-pause-test (12).

--- a/source/core/gateway/request_task.cc
+++ b/source/core/gateway/request_task.cc
@@ -319,7 +319,9 @@
           .Add(Field::kService, this->service)
           .Add(Field::kPredictedMs, choice ? choice->predicted : Duration(0));
     queued = true;
-    runtime::SleepFor(kAwaitPoll);
+    runtime::SleepFor(
+        std::min(this->run_was_canceled ? kCanceledRunPoll : kAwaitPoll,
+                 admission.remaining));
   }
 }
 
--- a/source/core/gateway/request_task.h
+++ b/source/core/gateway/request_task.h
@@ -62,6 +62,10 @@
       std::chrono::milliseconds(5);
   // Interval at which a waiting request tries again to be sent.
   static constexpr common::Duration kAwaitPoll = std::chrono::milliseconds(12);
+  // The same after a canceled run, which may wait until the deadline. Each try
+  // goes over all endpoints, and hundreds of requests can wait at a time.
+  static constexpr common::Duration kCanceledRunPoll =
+      std::chrono::milliseconds(60);
 
   // State shared with callbacks that may outlive the task.
   struct CallbackState {
--- a/source/core/gateway/request_task_resend.cc
+++ b/source/core/gateway/request_task_resend.cc
@@ -18,7 +18,7 @@
   ++this->sends;
   if (result != AttemptResult::kNotRun) {
     ++this->runs;
-    this->run_was_canceled = this->reserved.has_value();
+    this->run_was_canceled = this->callback_state->move_reason.has_value();
   }
   // A retry that is reserved meanwhile belongs to the next send.
   if (!this->reserved)
