--- a/source/core/gateway/request_task.cc
+++ b/source/core/gateway/request_task.cc
@@ -270,13 +270,13 @@
   admission.target_latency = this->route->target_latency;
   admission.elapsed = now - this->received_at;
   admission.remaining = this->Remaining(now);
-  admission.may_be_refused = !this->run_was_canceled;
+  admission.may_be_refused = !this->run_was_given_up;
   return admission;
 }
 
 std::optional<dispatch::EndpointChoice> RequestTask::Choose(TimePoint now) {
   dispatch::SendRequirements requirements = this->Requirements();
-  if (this->run_was_canceled) {
+  if (this->run_was_given_up) {
     // The endpoint that should go on has not run the request. The one whose run
     // was canceled may be the only one left.
     requirements.ready_only = true;
@@ -320,7 +320,7 @@
           .Add(Field::kPredictedMs, choice ? choice->predicted : Duration(0));
     queued = true;
     runtime::SleepFor(
-        std::min(this->run_was_canceled ? kCanceledRunPoll : kAwaitPoll,
+        std::min(this->run_was_given_up ? kGivenUpRunPoll : kAwaitPoll,
                  admission.remaining));
   }
 }
@@ -399,6 +399,9 @@
   active.move = [this, state = this->callback_state](MoveReason reason) {
     return state->send && this->Move(reason);
   };
+  active.last_event_at = [this] {
+    return this->relay.statistics().last_event_at;
+  };
   if (this->request.prompt && this->pool->is_engine()) {
     active.model = this->request.prompt->model;
     active.version = choice.endpoint->VersionOf(active.model);
@@ -447,9 +450,10 @@
   const bool own_failure = head.status >= 500;
   if (own_failure)
     this->deps.dispatcher.OnOutcome(*this->pool, record, SendOutcome::kError);
-  if (own_failure && this->IsRepeatable() && !this->relay.started() &&
-      this->sends + 1 < this->route->max_attempts &&
-      this->Remaining(runtime::BootNow()) > this->route->target_latency / 2) {
+  // The failure is the answer unless another endpoint takes the request.
+  if (own_failure && !this->relay.started() &&
+      this->Remaining(runtime::BootNow()) > this->route->target_latency / 2 &&
+      this->ReserveNextSend()) {
     send.Discard();
     return AttemptResult::kUnknown;
   }
@@ -513,7 +517,7 @@
   };
   if (this->IsStream(head)) {
     this->relay.RelayStream(
-        send, head, dispatch::StreamStallLimit(TargetsOf(*this->route)),
+        send, head, dispatch::StalledEndLimit(TargetsOf(*this->route)),
         [&] {
           this->RecordFirstByte(ticket);
           const TimePoint now = runtime::BootNow();
--- a/source/core/gateway/request_task.h
+++ b/source/core/gateway/request_task.h
@@ -62,9 +62,9 @@
       std::chrono::milliseconds(5);
   // Interval at which a waiting request tries again to be sent.
   static constexpr common::Duration kAwaitPoll = std::chrono::milliseconds(12);
-  // The same after a canceled run, which may wait until the deadline. Each try
-  // goes over all endpoints, and hundreds of requests can wait at a time.
-  static constexpr common::Duration kCanceledRunPoll =
+  // The same after a run was given up, which may wait until the deadline. Each
+  // try goes over all endpoints, and hundreds of requests can wait at a time.
+  static constexpr common::Duration kGivenUpRunPoll =
       std::chrono::milliseconds(60);
 
   // State shared with callbacks that may outlive the task.
@@ -221,9 +221,9 @@
   Dispatcher::SendHandle active_send = 0;
   // The send that follows the one in progress when that is canceled.
   std::optional<PlannedSend> reserved;
-  // Whether this host has canceled the last run although its endpoint might
-  // have answered.
-  bool run_was_canceled = false;
+  // Whether this host has given up the last run, although its endpoint might
+  // have answered or has answered with a failure.
+  bool run_was_given_up = false;
   // Sends that reached an endpoint, and those of them that may have run.
   int64_t sends = 0;
   int64_t runs = 0;
