Don't hold an endpoint for silent while the caller does not read

While a gateway waits for a caller that reads slowly, it reads nothing from the endpoint. The endpoint then counted as silent, was ejected, and its stream was run once more at another one, although only the caller had paused. The limit of a stalled stream also included the caller's pause.

Sends that wait for their callers are now left out of the silence check and are not moved, and the limits begin anew once the caller has taken the last event.

Before: the case "slowly" of tools/gateway-resend-test failed with 1 ejection and 2 runs of the stream. After: it passes, as do gateway-test (107), gateway-pause-test (14) and test_forward.

--- a/source/core/forward/response_relay.cc
+++ b/source/core/forward/response_relay.cc
@@ -61,7 +61,7 @@
       continue;
     on_progress();
     this->Start(head);
-    this->writer.Write(response.body);
+    this->Write(response.body);
     this->PassOn(send, is_running);
     return;
   }
@@ -71,9 +71,15 @@
   this->writer.Send(std::move(response));
 }
 
+void ResponseRelay::Write(std::string_view bytes) {
+  this->is_writing = true;
+  this->writer.Write(bytes);
+  this->is_writing = false;
+}
+
 void ResponseRelay::PassOn(EndpointSend& send, const RunningCheck& is_running) {
   while (auto bytes = send.Read())
-    this->writer.Write(*bytes);
+    this->Write(*bytes);
   CheckRunning(send, is_running);
   this->writer.FinishStream();
 }
@@ -96,12 +102,16 @@
     if (this->splitter.has_progressed()) {
       on_progress();
       this->RecordEvent();
-      send.ExpectProgressWithin(stall_limit);
     }
     // The answer starts with the first event, so that another endpoint can
     // begin it if this one sends none.
     this->Start(head);
-    this->writer.Write(events);
+    this->Write(events);
+    if (this->splitter.has_progressed()) {
+      // Time in which the caller does not read is no stall of the endpoint.
+      this->event_taken_at = runtime::BootNow();
+      send.ExpectProgressWithin(stall_limit);
+    }
   }
   this->CheckComplete(send, is_running);
   this->FinishEvents(head);
@@ -131,7 +141,7 @@
   const std::string rest = this->splitter.TakePartial();
   this->Start(head);
   if (!rest.empty())
-    this->writer.Write(rest);
+    this->Write(rest);
   this->writer.FinishStream();
 }
 
--- a/source/core/forward/response_relay.h
+++ b/source/core/forward/response_relay.h
@@ -64,6 +64,11 @@
     return this->splitter.last_id();
   }
   const Statistics& statistics() const { return this->stats; }
+  // Whether the caller has not taken the last bytes yet. Nothing is read from
+  // the endpoint until it has.
+  bool waits_for_caller() const { return this->is_writing; }
+  // When the caller had taken the last event.
+  common::TimePoint last_event_taken_at() const { return this->event_taken_at; }
   // Whether the last bytes of the stream that arrived are a part of an event.
   bool is_inside_event() const { return this->splitter.IsInsideEvent(); }
 
@@ -72,6 +77,7 @@
   // Throws SendError if this response can't be the rest of the stream that was
   // started.
   void CheckContinues(const ResponseHead& head) const;
+  void Write(std::string_view bytes);
   // Passes the rest of the body on as it arrives.
   void PassOn(EndpointSend& send, const RunningCheck& is_running);
   void RecordEvent();
@@ -89,6 +95,8 @@
   EventSplitter splitter;
   Statistics stats;
   bool has_started = false;
+  bool is_writing = false;
+  common::TimePoint event_taken_at;
   // Of the response that started the answer.
   std::string media_type;
 };
--- a/source/core/gateway/dispatcher.cc
+++ b/source/core/gateway/dispatcher.cc
@@ -278,7 +278,12 @@
   for (auto& [name, pool] : this->pools) {
     for (const auto& [id, record] : pool->records()) {
       const auto found = sends.find(record.get());
-      if (found != sends.end())
+      if (found == sends.end())
+        continue;
+      // Whether the endpoint is silent is not known while nothing is read.
+      if (found->second.empty())
+        record->OnBytesReceived(now);
+      else
         this->CheckEndpointSilence(*pool, *record, found->second, now);
     }
   }
@@ -288,10 +293,13 @@
 Dispatcher::SendsByEndpoint Dispatcher::SendsInProgress() const {
   SendsByEndpoint sends;
   for (const auto& [handle, send] : this->active) {
+    auto& sends_of_endpoint = sends[send.endpoint.get()];
+    if (send.waits_for_caller())
+      continue;
     const double usual_ms = send.endpoint->mean_latency_ms();
-    sends[send.endpoint.get()].push_back(
-        {send.answer_kind, send.targets, send.started, send.has_first_event,
-         common::FromSeconds(usual_ms / 1000)});
+    sends_of_endpoint.push_back({send.answer_kind, send.targets, send.started,
+                                 send.has_first_event,
+                                 common::FromSeconds(usual_ms / 1000)});
   }
   return sends;
 }
@@ -335,7 +343,7 @@
                                                    TimePoint now) const {
   if (send.MustNotBegin(this->view, now))
     return MoveReason::kOutdatedWeights;
-  if (!send.move_timeout)
+  if (!send.move_timeout || send.waits_for_caller())
     return std::nullopt;
   const bool is_unresponsive =
       send.endpoint->health().StateAt(now) == EndpointHealth::State::kEjected &&
--- a/source/core/gateway/dispatcher.h
+++ b/source/core/gateway/dispatcher.h
@@ -60,6 +60,9 @@
   // Returns false if the send goes on, because no other endpoint can take the
   // request now.
   std::function<bool(MoveReason reason)> move = nullptr;
+  // Whether nothing is read from the endpoint at the moment, because the caller
+  // has not taken the last bytes yet.
+  std::function<bool()> waits_for_caller = nullptr;
 
   // Whether the run must not begin any more, because a newer version of the
   // weights was announced too long ago.
@@ -163,6 +166,7 @@
   using SendsByEndpoint =
       std::unordered_map<const dispatch::EndpointRecord*,
                          std::vector<dispatch::SendProgress>>;
+  // Leaves out sends that wait for their callers, but not their endpoints.
   SendsByEndpoint SendsInProgress() const;
   void CheckEndpointSilence(dispatch::ServicePool& pool,
                             dispatch::EndpointRecord& record,
--- a/source/core/gateway/request_task.cc
+++ b/source/core/gateway/request_task.cc
@@ -400,7 +400,11 @@
     return state->send && this->Move(reason);
   };
   active.last_event_at = [this] {
-    return this->relay.statistics().last_event_at;
+    return std::max(this->relay.statistics().last_event_at,
+                    this->relay.last_event_taken_at());
+  };
+  active.waits_for_caller = [this, state = this->callback_state] {
+    return state->send && this->relay.waits_for_caller();
   };
   if (this->request.prompt && this->pool->is_engine()) {
     active.model = this->request.prompt->model;
