--- a/source/core/gateway/request_task.cc
+++ b/source/core/gateway/request_task.cc
@@ -317,7 +317,9 @@
           .Add(Field::kService, this->service)
           .Add(Field::kPredictedMs, choice ? choice->predicted : Duration(0));
     queued = true;
-    runtime::SleepFor(kAwaitPoll);
+    runtime::SleepFor(
+        std::min(this->run_was_given_up ? kGivenUpRunPoll : kAwaitPoll,
+                 admission.remaining));
   }
 }
 
@@ -396,7 +398,11 @@
     return state->send && this->Move(reason);
   };
   active.last_event_at = [this] {
-    return this->relay.statistics().last_event_at;
+    return std::max(this->relay.statistics().last_event_at,
+                    this->relay.last_event_taken_at());
+  };
+  active.waits_for_caller = [this, state = this->callback_state] {
+    return state->send && this->relay.waits_for_caller();
   };
   if (this->request.prompt && this->pool->is_engine()) {
     active.model = this->request.prompt->model;
--- a/source/core/gateway/request_task_resend.cc
+++ b/source/core/gateway/request_task_resend.cc
@@ -18,7 +18,8 @@
   ++this->sends;
   if (result != AttemptResult::kNotRun) {
     ++this->runs;
-    this->run_was_given_up = this->reserved.has_value();
+    this->run_was_given_up = this->reserved.has_value() ||
+                             this->callback_state->move_reason.has_value();
   }
   // A retry that is reserved meanwhile belongs to the next send.
   if (!this->reserved)
