Log the software version of endpoints and the streams that requests take up

The version is read from the endpoint's entry, the first attempt from the request. Nothing is decided by them yet.

--- a/source/core/catalog/types.h
+++ b/source/core/catalog/types.h
@@ -118,6 +118,9 @@
   std::string service;
   std::string address;
   std::string zone;
+  // Version of its program, not of weights; empty if not given. Versions have
+  // no order.
+  std::string software;
   int64_t slots = 1;
   // Draining: finishes running requests, accepts no new ones.
   bool leaving = false;
--- a/source/core/events/event_log.h
+++ b/source/core/events/event_log.h
@@ -131,9 +131,12 @@
   kEndedBy,
   kOwed,
   kCurrentVersion,
+  kSoftware,
+  kResumes,
+  kLastEvent,
 };
 
-inline constexpr size_t kFieldCount = 45;
+inline constexpr size_t kFieldCount = 48;
 
 inline constexpr common::NameTable<Field, kFieldCount> kFieldNames(
     {"request",
@@ -180,7 +183,10 @@
      "revision",
      "ended_by",
      "owed",
-     "current_version"});
+     "current_version",
+     "software",
+     "resumes",
+     "last_event"});
 
 Level LevelOf(Event event);
 
--- a/source/core/forward/types.h
+++ b/source/core/forward/types.h
@@ -27,7 +27,11 @@
   std::string key;
   // Time until the caller stops waiting.
   std::optional<common::Duration> remaining;
+  // Set if the caller takes up a stream that has broken off: the last event
+  // that it has, and the attempt that brought the first one; empty if not
+  // given.
   std::optional<std::string> last_event_id;
+  std::string first_attempt;
   std::optional<dispatch::Prompt> prompt;
 };
 
--- a/source/core/gateway/platform_view.cc
+++ b/source/core/gateway/platform_view.cc
@@ -259,7 +259,8 @@
     if (is_new)
       LogLine(this->log, Event::kEndpointAdded)
           .Add(Field::kEndpoint, endpoint->id)
-          .Add(Field::kService, endpoint->service);
+          .Add(Field::kService, endpoint->service)
+          .Add(Field::kSoftware, endpoint->software);
     if (leaves)
       LogLine(this->log, Event::kEndpointLeft)
           .Add(Field::kEndpoint, endpoint->id)
--- a/source/core/gateway/request_task_log.cc
+++ b/source/core/gateway/request_task_log.cc
@@ -49,6 +49,11 @@
       .Add(Field::kAbsentTokens, this->reuse.absent_tokens)
       .Add(Field::kInFlight, record.own_in_flight())
       .Add(Field::kRemainingMs, this->Remaining(now));
+  if (this->route->kind == catalog::RouteKind::kStream)
+    line.Add(Field::kSoftware, record.endpoint().software);
+  if (this->request.last_event_id)
+    line.Add(Field::kResumes, this->request.first_attempt)
+        .Add(Field::kLastEvent, *this->request.last_event_id);
   if (this->request.prompt && this->pool->is_engine())
     this->AddVersions(line, record, now);
 }
--- a/source/platform/codec.cc
+++ b/source/platform/codec.cc
@@ -175,6 +175,7 @@
     decoded.remaining = ParseMilliseconds(*remaining_ms);
   if (const auto id = headers.Find(wire::kLastEventId))
     decoded.last_event_id = std::string(*id);
+  decoded.first_attempt = text(wire::kResumes);
   decoded.prompt = DecodePrompt(headers);
   const auto connection_options = ConnectionOptions(headers);
   for (const runtime::HttpHeader& field : headers.all()) {
--- a/source/platform/decode.cc
+++ b/source/platform/decode.cc
@@ -187,6 +187,9 @@
   if (!IsAddress(endpoint.address))
     throw Error(ResultCode::kProtocolError, "malformed address");
   endpoint.zone = GetText(value, "zone");
+  // Of its program. The versions of its weights are listed with its models.
+  if (value.contains("version"))
+    endpoint.software = GetText(value, "version");
   endpoint.slots =
       static_cast<int64_t>(GetUnsigned(value.at("slots"), kMaxSlots));
   if (value.contains("born"))
--- a/source/platform/wire_names.h
+++ b/source/platform/wire_names.h
@@ -20,6 +20,8 @@
 // All parts of the prompt in order, as "ID:TOKENS,ID:TOKENS,...".
 inline constexpr std::string_view kPromptParts = "X-Prompt-Prefix";
 inline constexpr std::string_view kLastEventId = "Last-Event-Id";
+// Beside a last event id: the attempt that brought the first event.
+inline constexpr std::string_view kResumes = "Resumes";
 // Integer; 0 is the most urgent.
 inline constexpr std::string_view kUrgency = "X-Request-Urgency";
 inline constexpr std::string_view kCacheSalt = "X-Cache-Salt";
@@ -86,6 +88,7 @@
     kTokenCount,
     kPromptParts,
     kLastEventId,
+    kResumes,
     std::string_view("Host"),
     std::string_view("X-Length-Hint"),
 };
