Let a stream go on only at the software version that began it

Callers got text joined from two software versions of a service: a broken stream was resumed at any endpoint, within an answer by the host and by the callers' own take-ups at any host, with nothing in the answer to show it.

The cause: a stream's version was a fact without an owner. The version of an endpoint's program was not read from its entry, the attempt that began a stream was passed on unread, and what a host knew of its streams ended with it.

- Within one answer, the host keeps the version of the endpoint that wrote the first event, and resumes only there; if no such endpoint is left, the answer is cut at once.
- A take-up whose version is not known, or has no endpoint left, is refused at once as not run, without Retry-After.

--- a/source/core/catalog/object_store.h
+++ b/source/core/catalog/object_store.h
@@ -12,13 +12,14 @@
 
 namespace jujuberock::catalog {
 
-// The object kinds that hosts read from the platform's store.
-enum class ObjectKind { kConfig, kEndpoints, kVersions, kHosts };
+// The object kinds that hosts read from the platform's store. kStreams is read
+// on demand, the others are watched.
+enum class ObjectKind { kConfig, kEndpoints, kVersions, kHosts, kStreams };
 
-inline constexpr size_t kObjectKindCount = 4;
+inline constexpr size_t kObjectKindCount = 5;
 
 inline constexpr common::NameTable<ObjectKind, kObjectKindCount>
-    kObjectKindNames({"config", "endpoints", "versions", "hosts"});
+    kObjectKindNames({"config", "endpoints", "versions", "hosts", "streams"});
 
 // Why an object can't be read.
 enum class ObjectFault {
--- a/source/core/dispatch/service_pool.cc
+++ b/source/core/dispatch/service_pool.cc
@@ -133,6 +133,9 @@
                                    common::TimePoint now) {
   if (record.endpoint().leaving || record.removed)
     return Exclusion::kLeaving;
+  if (requirements.software &&
+      record.endpoint().software != *requirements.software)
+    return Exclusion::kOtherSoftware;
   if (requirements.tried && requirements.tried->contains(record.endpoint().id))
     return Exclusion::kTried;
   if (requirements.prompt && requirements.required_version != 0 &&
@@ -152,7 +155,8 @@
   std::optional<common::Duration> left;
   for (const auto& [id, record] : this->endpoints) {
     const Exclusion exclusion = ExclusionOf(*record, requirements, now);
-    if (exclusion == Exclusion::kLeaving || exclusion == Exclusion::kTried)
+    if (exclusion == Exclusion::kLeaving || exclusion == Exclusion::kTried ||
+        exclusion == Exclusion::kOtherSoftware)
       continue;
     if (now >= record->backoff_until)
       return std::nullopt;
@@ -162,6 +166,18 @@
   return left;
 }
 
+bool ServicePool::HasSoftware(const std::string& software,
+                              const std::set<std::string>* except) const {
+  return std::any_of(
+      this->endpoints.begin(), this->endpoints.end(), [&](const auto& entry) {
+        const EndpointRecord& record = *entry.second;
+        const bool takes_requests =
+            !record.endpoint().leaving && !record.removed;
+        return takes_requests && record.endpoint().software == software &&
+               (!except || !except->contains(entry.first));
+      });
+}
+
 ExclusionCounts ServicePool::CountExclusions(
     const SendRequirements& requirements,
     common::TimePoint now) const {
--- a/source/core/dispatch/service_pool.h
+++ b/source/core/dispatch/service_pool.h
@@ -26,18 +26,20 @@
 // Why an endpoint may not take a request.
 enum class Exclusion {
   kNone,
-  kLeaving,   // it is draining or no longer registered
-  kTried,     // the request was already sent to it
-  kOutdated,  // its weights are older than the required version
-  kReserved,  // its weights are being replaced
-  kPaused,    // it is full, or not the endpoint that was expected
+  kLeaving,        // it is draining or no longer registered
+  kTried,          // the request was already sent to it
+  kOutdated,       // its weights are older than the required version
+  kReserved,       // its weights are being replaced
+  kPaused,         // it is full, or not the endpoint that was expected
+  kOtherSoftware,  // its program has another version than that of the stream
 };
 
-inline constexpr common::NameTable<Exclusion, 6> kExclusionNames(
-    {"none", "leaving", "tried", "outdated", "reserved", "paused"});
+inline constexpr common::NameTable<Exclusion, 7> kExclusionNames(
+    {"none", "leaving", "tried", "outdated", "reserved", "paused",
+     "other_software"});
 
 // Number of endpoints by exclusion; indexed by Exclusion.
-using ExclusionCounts = std::array<uint64_t, 6>;
+using ExclusionCounts = std::array<uint64_t, 7>;
 
 // Properties of a request that the choice of an endpoint depends on.
 struct SendRequirements {
@@ -53,6 +55,9 @@
   // one. May be empty.
   std::function<std::optional<common::TimePoint>(uint64_t version)>
       start_deadline;
+  // Software version of the endpoints that may go on with the stream; any if
+  // not set.
+  std::optional<std::string> software;
   // Endpoints that this request was already sent to.
   const std::set<std::string>* tried = nullptr;
   // Returns, for each part of the prompt, the stored copy that an engine of
@@ -110,6 +115,10 @@
   std::optional<common::Duration> PauseLeft(
       const SendRequirements& requirements,
       common::TimePoint now) const;
+  // Whether an endpoint of this software version takes new requests, apart from
+  // those in `except`, if given.
+  bool HasSoftware(const std::string& software,
+                   const std::set<std::string>* except = nullptr) const;
   // Counts the endpoints that may take the request and those that may not.
   ExclusionCounts CountExclusions(const SendRequirements& requirements,
                                   common::TimePoint now) const;
--- a/source/core/gateway/gateway.cc
+++ b/source/core/gateway/gateway.cc
@@ -62,6 +62,12 @@
                     this->cache_store_watcher,
                     platform.store,
                     std::move(wall_now)),
+      stream_registry(this->settings,
+                      this->view,
+                      this->host_registry,
+                      platform.store,
+                      log,
+                      counters),
       rollout_controller(this->settings,
                          this->view,
                          this->dispatcher,
@@ -82,6 +88,7 @@
                    this->cache_store_index,
                    this->connections,
                    this->planned_stop,
+                   this->stream_registry,
                    platform.codec,
                    log,
                    counters.GetCounter("requests_answered_total"),
@@ -134,6 +141,7 @@
     this->view.Start();
     runtime::SpawnLocal([this] { this->rollout_controller.Run(); });
     runtime::SpawnLocal([this] { this->host_registry.Run(); });
+    runtime::SpawnLocal([this] { this->stream_registry.Run(); });
     runtime::SpawnLocal([this] { this->cache_store_cleaner.Run(); });
     // Goes on during a planned stop, until the process exits.
     while (true) {
@@ -164,6 +172,7 @@
   this->cache_store_watcher.Stop();
   this->rollout_controller.Stop();
   this->host_registry.Stop();
+  this->stream_registry.Stop();
   this->cache_store_cleaner.Stop();
   if (this->peer_loads)
     this->peer_loads->Stop();
@@ -178,6 +187,7 @@
 
 void Gateway::OnViewChanged() {
   this->dispatcher.Refresh();
+  this->stream_registry.Refresh();
   const auto config = this->view.config();
   if (!config)
     return;
@@ -191,6 +201,10 @@
       this->rollout_controller.OnLeaseObject(change.object);
     return;
   }
+  if (StreamRegistry::OwnsObject(change.object.name)) {
+    this->stream_registry.OnObject(change);
+    return;
+  }
   this->host_registry.OnObject(change);
 }
 
--- a/source/core/gateway/gateway.h
+++ b/source/core/gateway/gateway.h
@@ -22,6 +22,7 @@
 #include "core/gateway/request_task.h"
 #include "core/gateway/rollout_controller.h"
 #include "core/gateway/settings.h"
+#include "core/gateway/stream_registry.h"
 #include "core/runtime/http_server.h"
 #include "core/runtime/worker_pool.h"
 
@@ -83,6 +84,7 @@
   CacheStoreWatcher cache_store_watcher;
   rollout::OrderHistory order_history;
   HostRegistry host_registry;
+  StreamRegistry stream_registry;
   RolloutController rollout_controller;
   CacheStoreCleaner cache_store_cleaner;
   std::unique_ptr<PeerLoads> peer_loads;
--- a/source/core/gateway/host_registry.h
+++ b/source/core/gateway/host_registry.h
@@ -38,6 +38,8 @@
   // Writes this host's object whenever it has changed. Runs until Stop().
   void Run();
   void Stop() { this->stopping = true; }
+  // Number of hosts that have published an object.
+  size_t host_count() const { return this->host_names.size(); }
   // Returns this host's position in the rendezvous hashing order for `key`; 0
   // is the first.
   size_t RankFor(std::string_view key) const;
--- a/source/core/gateway/request_task.cc
+++ b/source/core/gateway/request_task.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/common/hash.h"
 #include "core/common/scale.h"
 #include "core/dispatch/stop_policy.h"
 #include "core/gateway/refused_error.h"
@@ -74,6 +75,7 @@
   try {
     this->Route();
     this->PickService();
+    this->FindOrigin();
     this->CheckPlannedStop();
     this->CheckCrashMarks();
     this->CheckParts();
@@ -135,6 +137,7 @@
     ticket.memory_tokens = this->request.prompt->MemoryTokens();
     ticket.max_output_tokens = this->request.prompt->max_output_tokens;
   }
+  this->BindSoftware(choice);
   choice.endpoint->OnSent(ticket, runtime::BootNow());
   this->tried.insert(choice.endpoint->endpoint().id);
   this->RecordPrompt(choice, ticket);
@@ -206,7 +209,9 @@
   double total = 0;
   for (const catalog::WeightedService& part : this->route->services)
     total += part.weight;
-  double random_point = this->deps.dispatcher.random().NextDouble() * total;
+  // Attempts at the same stream pick the same service.
+  const uint64_t hash = common::Hash64(this->FirstAttempt());
+  double random_point = static_cast<double>(hash >> 11) * 0x1.0p-53 * total;
   this->service = this->route->services.back().service;
   for (const catalog::WeightedService& part : this->route->services) {
     random_point -= part.weight;
@@ -311,6 +316,12 @@
           choice ? "no endpoint can respond in time" : "no endpoint available",
           decision.retry_after);
     }
+    const bool is_stuck = !choice && this->stream_software &&
+                          !this->pool->HasSoftware(*this->stream_software);
+    if (is_stuck && this->sends > 0) {
+      this->give_up_reason = GiveUpReason::kNoEndpoint;
+      this->FailRequest();
+    }
     if (!queued)
       LogLine(this->deps.log, Event::kRequestQueued)
           .Add(Field::kRequest, this->request.attempt_id)
@@ -456,6 +467,8 @@
     return AttemptResult::kUnknown;
   this->RelayResponse(send, head, ticket);
   this->succeeded = IsSuccess(head.status);
+  if (this->succeeded && this->IsResumable())
+    this->deps.stream_registry.OnComplete(this->FirstAttempt());
   if (!own_failure) {
     this->deps.dispatcher.OnOutcome(*this->pool, record, SendOutcome::kGood);
     this->deps.dispatcher.suspects().OnSuccess(this->fingerprint,
@@ -481,6 +494,7 @@
 void RequestTask::RecordFirstByte(dispatch::SendTicket& ticket) {
   if (ticket.started)
     return;
+  this->FixSoftware();
   const TimePoint now = runtime::BootNow();
   auto& record = *ticket.endpoint;
   record.OnStarted(ticket, now);
--- a/source/core/gateway/request_task.h
+++ b/source/core/gateway/request_task.h
@@ -17,6 +17,7 @@
 #include "core/gateway/part_monitor.h"
 #include "core/gateway/peer_loads.h"
 #include "core/gateway/planned_stop.h"
+#include "core/gateway/stream_registry.h"
 #include "core/reuse/cache_store_index.h"
 #include "core/reuse/salt.h"
 #include "core/runtime/http_server.h"
@@ -31,6 +32,7 @@
   reuse::CacheStoreIndex& cache_store_index;
   forward::ConnectionPool& connections;
   PlannedStop& planned_stop;
+  StreamRegistry& stream_registry;
   const forward::Codec& codec;
   events::EventLog& log;
   common::Counter& answered;
@@ -97,6 +99,20 @@
   // because other hosts may have found out in the meantime.
   void CheckParts();
   void PickService();
+  // Finds out which software version the stream goes on at, if the request
+  // takes one up. Refuses it if that is not known, or no endpoint has that
+  // version.
+  void FindOrigin();
+  // Whether the request is for a stream that may go on at another endpoint.
+  bool IsResumable() const;
+  // The attempt that began the stream.
+  const std::string& FirstAttempt() const;
+  // The software version that the next send needs; nothing for any.
+  std::optional<std::string> RequiredSoftware() const;
+  // Records at which software version the next send may begin the stream.
+  void BindSoftware(const dispatch::EndpointChoice& choice);
+  // Fixes the software version of the stream, whose first event has arrived.
+  void FixSoftware();
   // Refuses the request if the host stops and would have to cut it.
   void CheckPlannedStop();
   void WatchCaller();
@@ -209,6 +225,13 @@
   std::string service;
   dispatch::ServicePool* pool = nullptr;
   suspects::Fingerprint fingerprint = 0;
+  // Software version that wrote the stream's events so far; nothing before the
+  // first one.
+  std::optional<std::string> stream_software;
+  // Software version of the endpoint that the request was sent to last, and
+  // whether hosts may know another one of an earlier send.
+  std::optional<std::string> sent_software;
+  bool was_rebound = false;
   bool isolate = false;
   PartMonitor part_monitor;
   // The part for which the request is refused, if any.
--- a/source/core/gateway/request_task_send.cc
+++ b/source/core/gateway/request_task_send.cc
@@ -38,6 +38,7 @@
   requirements.urgency = this->urgency;
   requirements.tried = &this->tried;
   requirements.isolate = this->isolate;
+  requirements.software = this->RequiredSoftware();
   if (!this->request.prompt || !this->pool->is_engine())
     return requirements;
   requirements.prompt = &*this->request.prompt;
--- a/source/platform/store_client.cc
+++ b/source/platform/store_client.cc
@@ -26,7 +26,8 @@
 
 // Indexed by catalog::ObjectKind.
 constexpr std::array kKindNames = {wire::kConfigKind, wire::kEndpointsKind,
-                                   wire::kVersionsKind, wire::kHostsKind};
+                                   wire::kVersionsKind, wire::kHostsKind,
+                                   wire::kStreamsKind};
 
 std::string KindPath(catalog::ObjectKind kind) {
   std::string path(wire::kObjectsPath);
--- a/source/platform/wire_names.h
+++ b/source/platform/wire_names.h
@@ -107,8 +107,9 @@
 inline constexpr std::string_view kConfigKind = "config";
 inline constexpr std::string_view kEndpointsKind = "servers";
 inline constexpr std::string_view kVersionsKind = "versions";
-// Object kind that this system stores for itself.
+// Object kinds that this system stores for itself.
 inline constexpr std::string_view kHostsKind = "jujuberock";
+inline constexpr std::string_view kStreamsKind = "jujuberock-streams";
 
 }  // namespace jujuberock::platform_adapter::wire
 
