--- a/source/core/gateway/gateway.cc
+++ b/source/core/gateway/gateway.cc
@@ -63,6 +63,12 @@
                     this->cache_store_watcher,
                     platform.store,
                     std::move(wall_now)),
+      stream_registry(this->settings,
+                      this->view,
+                      this->host_registry,
+                      platform.store,
+                      log,
+                      counters),
       rollout_controller(this->settings,
                          this->view,
                          this->dispatcher,
@@ -83,6 +89,7 @@
                    this->cache_store_index,
                    this->connections,
                    this->planned_stop,
+                   this->stream_registry,
                    platform.codec,
                    log,
                    counters.GetCounter("requests_answered_total"),
@@ -135,6 +142,7 @@
     this->view.Start();
     runtime::SpawnLocal([this] { this->rollout_controller.Run(); });
     runtime::SpawnLocal([this] { this->host_registry.Run(); });
+    runtime::SpawnLocal([this] { this->stream_registry.Run(); });
     runtime::SpawnLocal([this] { this->cache_store_cleaner.Run(); });
     // Goes on during a planned stop, until the process exits.
     while (true) {
@@ -165,6 +173,7 @@
   this->cache_store_watcher.Stop();
   this->rollout_controller.Stop();
   this->host_registry.Stop();
+  this->stream_registry.Stop();
   this->cache_store_cleaner.Stop();
   if (this->peer_loads)
     this->peer_loads->Stop();
@@ -179,6 +188,7 @@
 
 void Gateway::OnViewChanged() {
   this->dispatcher.Refresh();
+  this->stream_registry.Refresh();
   const auto config = this->view.config();
   if (!config)
     return;
@@ -192,6 +202,10 @@
       this->rollout_controller.OnLeaseObject(change.object);
     return;
   }
+  if (StreamRegistry::OwnsObject(change.object.name)) {
+    this->stream_registry.OnObject(change);
+    return;
+  }
   this->host_registry.OnObject(change);
 }
 
