--- a/source/platform/store_answer.cc
+++ b/source/platform/store_answer.cc
@@ -81,14 +81,14 @@
   return revision ? ObjectFault::kNone : ObjectFault::kNoRevision;
 }
 
-JsonMembers SliceAnswer(std::string_view body) {
+JsonMembers SplitAnswer(std::string_view body) {
   auto members = common::SplitObject(body);
   if (!members)
     ThrowMalformed("store response is not a JSON object");
   return std::move(*members);
 }
 
-std::vector<std::string_view> SliceList(const JsonMembers& answer,
+std::vector<std::string_view> SplitList(const JsonMembers& answer,
                                         const char* name) {
   const auto elements =
       common::SplitArray(FindMember(answer, name).value_or(""));
@@ -164,9 +164,9 @@
 }
 
 ListPage DecodeListPage(std::string_view body) {
-  const JsonMembers answer = SliceAnswer(body);
+  const JsonMembers answer = SplitAnswer(body);
   ListPage page;
-  for (const std::string_view item : SliceList(answer, "items"))
+  for (const std::string_view item : SplitList(answer, "items"))
     page.objects.push_back(DecodeStoredObject(item));
   page.revision = RevisionOf(answer);
   const auto more = FindFlag(answer, "more");
@@ -177,9 +177,9 @@
 }
 
 catalog::ObjectChanges DecodeWatchAnswer(std::string_view body) {
-  const JsonMembers answer = SliceAnswer(body);
+  const JsonMembers answer = SplitAnswer(body);
   catalog::ObjectChanges changes;
-  for (const std::string_view event : SliceList(answer, "events"))
+  for (const std::string_view event : SplitList(answer, "events"))
     changes.changes.push_back(DecodeEvent(event));
   changes.revision = RevisionOf(answer);
   return changes;
