Answer requests that still connect when a planned stop ends

A request that was connecting to an endpoint when the grace period ended could not be ended at once, since an attempt to connect takes up to 0.4 s and does not stop when the send is canceled. It was cut without an answer. The server now sends a 504 in place of such answers half-way through the time for final answers.

--- a/source/core/gateway/gateway.cc
+++ b/source/core/gateway/gateway.cc
@@ -273,6 +273,11 @@
     this->caller_server->Drain();
     this->AwaitDrained(answer_deadline);
     this->planned_stop.EndUnanswered();
+    this->AwaitDrained(end - kFinalAnswerPeriod / 2);
+    // For requests that could not end at once because they connect to an
+    // endpoint.
+    this->caller_server->EndUnanswered(
+        Error(ResultCode::kDeadlineExceeded, "the host is stopping"));
     this->AwaitDrained(end);
     this->planned_stop.LogCutOff();
     LogLine(this->log, Event::kStopped)
--- a/source/core/gateway/request_task_log.cc
+++ b/source/core/gateway/request_task_log.cc
@@ -94,6 +94,9 @@
 }
 
 void RequestTask::LogCutOff() const {
+  // The server may have answered in place of this request.
+  if (this->writer.started() && !this->relay.started())
+    return;
   this->LogUnanswered("stop", "the grace period of the stop has ended");
 }
 
