Skip interim responses in the HTTP client

The client took a 100, 102 or 103 of a peer for the response to its request. The plain calls of serve use it, so their callers would get an interim response and wait for a final one that does not come. Shown for the client, not for a whole serve process.

Up to eight interim responses are now skipped, within the time for the header of the response. A peer that sends more has failed.

--- a/source/core/runtime/http_client.cc
+++ b/source/core/runtime/http_client.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <map>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -34,6 +35,9 @@
 // may need as long.
 constexpr common::Duration kMinSilence = std::chrono::milliseconds(100);
 constexpr common::Duration kMinTimeout = std::chrono::milliseconds(1);
+constexpr int kFirstFinalStatus = 200;
+// Interim responses (1xx) that are skipped before a call fails.
+constexpr int kMaxInterimResponses = 8;
 // Time in which a process that ends closes all of its sockets.
 constexpr common::Duration kCloseBatchTime = std::chrono::milliseconds(20);
 
@@ -177,7 +181,7 @@
         address(std::move(address)),
         naming_field(options.naming_field),
         read_timeout(options.read_timeout) {
-    this->parser.body_limit(this->client->options.body_limit_bytes);
+    this->ResetParser();
   }
 
   void SendRequest(http::request<http::string_body>& message,
@@ -192,46 +196,52 @@
   }
 
   void ReadHeader(common::Duration timeout) {
-    error_code error;
-    this->SetExpiry(timeout);
-    http::async_read_header(this->connection->stream, this->connection->buffer,
-                            this->parser, Await(error));
-    if (error)
-      this->Fail(error, "read");
-    for (const auto& field : this->parser.get())
+    const SteadyTime deadline = std::chrono::steady_clock::now() + timeout;
+    this->ReadNextHeader(timeout);
+    // Whoever gets an interim response as the final one waits for ever.
+    for (int i = 0; this->status() < kFirstFinalStatus; ++i) {
+      if (i == kMaxInterimResponses)
+        throw HttpError(ResultCode::kEndpointFailed,
+                        "received only interim responses", true);
+      this->ResetParser();
+      this->ReadNextHeader(TimeUntil(deadline));
+    }
+    for (const auto& field : this->parser->get())
       this->fields.Add(std::string(field.name_string()),
                        std::string(field.value()));
     this->CheckName();
-    if (this->parser.is_done())
+    if (this->parser->is_done())
       this->Release();
   }
 
   int status() const override {
-    return static_cast<int>(this->parser.get().result_int());
+    return static_cast<int>(this->parser->get().result_int());
   }
   const HttpHeaders& headers() const override { return this->fields; }
-  bool ends_with_connection() const override { return this->parser.need_eof(); }
+  bool ends_with_connection() const override {
+    return this->parser->need_eof();
+  }
   void set_read_timeout(common::Duration timeout) override {
     this->read_timeout = timeout;
   }
 
   std::optional<std::string> Read() override {
-    while (!this->parser.is_done()) {
+    while (!this->parser->is_done()) {
       std::string bytes(this->read_bytes, '\0');
-      auto& body = this->parser.get().body();
+      auto& body = this->parser->get().body();
       body.data = bytes.data();
       body.size = bytes.size();
       body.more = true;
       error_code error;
       this->SetExpiry(this->read_timeout);
       http::async_read_some(this->connection->stream, this->connection->buffer,
-                            this->parser, Await(error));
+                            *this->parser, Await(error));
       if (error && error != http::error::need_buffer)
         this->Fail(error, "read");
       if (body.size == 0)
         this->read_bytes = std::min(2 * this->read_bytes, kMaxReadBytes);
       bytes.resize(bytes.size() - body.size);
-      if (this->parser.is_done())
+      if (this->parser->is_done())
         this->Release();
       if (!bytes.empty())
         return bytes;
@@ -240,6 +250,22 @@
   }
 
  private:
+  using Parser = http::response_parser<http::buffer_body>;
+
+  void ResetParser() {
+    this->parser.emplace();
+    this->parser->body_limit(this->client->options.body_limit_bytes);
+  }
+
+  void ReadNextHeader(common::Duration timeout) {
+    error_code error;
+    this->SetExpiry(timeout);
+    http::async_read_header(this->connection->stream, this->connection->buffer,
+                            *this->parser, Await(error));
+    if (error)
+      this->Fail(error, "read");
+  }
+
   // Throws HttpError if the response is that to another request.
   void CheckName() {
     if (this->naming_field.empty())
@@ -253,7 +279,7 @@
   }
 
   void Release() {
-    if (!this->connection || !this->parser.keep_alive())
+    if (!this->connection || !this->parser->keep_alive())
       return;
     if (this->naming_field.empty() || this->connection->names_requests)
       this->client->ReturnIdle(this->address, std::move(this->connection));
@@ -283,7 +309,7 @@
   common::Duration read_timeout;
   // Timeout of the operation in progress.
   common::Duration current_timeout{0};
-  http::response_parser<http::buffer_body> parser;
+  std::optional<Parser> parser;
   HttpHeaders fields;
 };
 
--- a/source/core/runtime/http_client.h
+++ b/source/core/runtime/http_client.h
@@ -106,8 +106,8 @@
                      const HttpRequest& request,
                      const HttpCallOptions& options = {});
 
-  // Sends the request and returns once the response header has arrived. Throws
-  // like Fetch().
+  // Sends the request and returns once the response header has arrived. Interim
+  // responses (1xx) are skipped. Throws like Fetch().
   std::unique_ptr<HttpStream> Open(const Address& address,
                                    const HttpRequest& request,
                                    const HttpCallOptions& options = {});
