Try any endpoint after a failure that another one has answered

Since an endpoint's 5xx is dropped only once the next send is certain, a request whose other endpoints are ejected got that 5xx, where it was sent once more before. An answer that is a failure has nothing to lose: the next send may go to an endpoint that is not ready. Sends that are still in progress move to ready ones only, as before.

--- a/source/core/dispatch/resend_policy.cc
+++ b/source/core/dispatch/resend_policy.cc
@@ -43,7 +43,7 @@
                                             common::TimePoint now) {
   if (CheckResend(request))
     return std::nullopt;
-  requirements.ready_only = true;
+  requirements.ready_only = request.needs_ready;
   const auto choice = pool.Choose(requirements, now);
   if (!choice || choice->predicted >= request.admission.remaining ||
       DecideAdmission(request.admission, choice).step != AdmissionStep::kSend)
--- a/source/core/dispatch/resend_policy.h
+++ b/source/core/dispatch/resend_policy.h
@@ -45,6 +45,9 @@
   // Whether a retry that this request has taken from the budget is still
   // unused.
   bool holds_retry = false;
+  // Whether the next endpoint must be ready, because the send in progress may
+  // still be answered.
+  bool needs_ready = true;
   AdmissionRequest admission;
 };
 
--- a/source/core/gateway/request_task.cc
+++ b/source/core/gateway/request_task.cc
@@ -466,7 +466,7 @@
   // The failure is the answer unless another endpoint takes the request.
   if (own_failure && !this->relay.started() &&
       this->Remaining(runtime::BootNow()) > this->route->target_latency / 2 &&
-      this->ReserveNextSend()) {
+      this->ReserveNextSend(false)) {
     send.Discard();
     return AttemptResult::kUnknown;
   }
--- a/source/core/gateway/request_task.h
+++ b/source/core/gateway/request_task.h
@@ -145,8 +145,10 @@
   // Returns false, and lets it go on, if that is not certain.
   bool Move(MoveReason reason);
   // Prepares the next send while one is in progress. Returns false if the
-  // request can't be sent again at the moment.
-  bool ReserveNextSend();
+  // request can't be sent again at the moment. With `needs_ready`, only an
+  // endpoint that is sure to take it will do, since the send in progress may
+  // still be answered.
+  bool ReserveNextSend(bool needs_ready);
   // Counts a send that has ended.
   void CountSend(const forward::EndpointSend& send, AttemptResult result);
   void LogSent(const dispatch::EndpointChoice& choice, common::TimePoint now);
--- a/source/core/gateway/request_task_resend.cc
+++ b/source/core/gateway/request_task_resend.cc
@@ -74,20 +74,21 @@
 bool RequestTask::Move(MoveReason reason) {
   // A run that must not begin any more is canceled in any case.
   const bool may_go_on = reason != MoveReason::kOutdatedWeights;
-  if (may_go_on && !this->ReserveNextSend())
+  if (may_go_on && !this->ReserveNextSend(true))
     return false;
   this->callback_state->move_reason = reason;
   this->callback_state->send->Cancel();
   return true;
 }
 
-bool RequestTask::ReserveNextSend() {
+bool RequestTask::ReserveNextSend(bool needs_ready) {
   if (this->reserved)
     return true;
   const TimePoint now = runtime::BootNow();
   if (this->part_monitor.FindBlocked(now))
     return false;
   dispatch::ResendRequest resend = this->AsResend(now);
+  resend.needs_ready = needs_ready;
   if (this->callback_state->send->sent()) {
     ++resend.sends;
     ++resend.runs;
