Go on with streams that callers have a part of before new ones begin

Under overload a stream that was taken up, or that a host resumed, was judged like a new request: refused if its next event would come later than the target of a first event, and after half of that target without an endpoint.

Such a stream is now sent if its next event is predicted within half of the time that it has left, and waits as long for an endpoint. Refusals of take-ups have the first attempt and the version in the log.

The new case of test_dispatch fails without the change.

--- a/source/core/dispatch/admission_policy.cc
+++ b/source/core/dispatch/admission_policy.cc
@@ -26,9 +26,11 @@
     const AdmissionRequest& request,
     const std::optional<EndpointChoice>& choice) {
   if (!choice) {
-    const auto max_hold =
-        std::min(Scale(request.target_latency, kMaxHoldShareWithoutEndpoint),
-                 request.remaining / 2);
+    const auto longest_hold =
+        request.is_continuation
+            ? request.remaining
+            : Scale(request.target_latency, kMaxHoldShareWithoutEndpoint);
+    const auto max_hold = std::min(longest_hold, request.remaining / 2);
     const bool is_unservable =
         request.pause_left && request.held + *request.pause_left > max_hold;
     if (is_unservable)
@@ -39,7 +41,10 @@
     return {AdmissionStep::kRefuse,
             std::max(kMinRetryAfter, request.target_latency / 2)};
   }
-  if (choice->idle)
+  // What the caller has of a stream is worth nothing without the rest.
+  const bool can_continue =
+      request.is_continuation && choice->predicted < request.remaining / 2;
+  if (choice->idle || can_continue)
     return {AdmissionStep::kSend};
   const auto left = request.target_latency - request.elapsed;
   const bool can_be_on_time = left > choice->predicted;
--- a/source/core/dispatch/admission_policy.h
+++ b/source/core/dispatch/admission_policy.h
@@ -20,6 +20,9 @@
   common::Duration held{0};
   // Time until the deadline of the request.
   common::Duration remaining{0};
+  // Whether the request goes on with a stream that its caller has a part of.
+  // The target for the first event does not apply to it any more.
+  bool is_continuation = false;
   // Whether the request can be refused: no endpoint has begun to work on it.
   bool may_be_refused = true;
   // Set if all endpoints have asked for a pause: time until the first one ends.
--- a/source/core/gateway/request_task.cc
+++ b/source/core/gateway/request_task.cc
@@ -273,6 +273,7 @@
   admission.target_latency = this->route->target_latency;
   admission.elapsed = now - this->received_at;
   admission.remaining = this->Remaining(now);
+  admission.is_continuation = this->stream_software.has_value();
   admission.may_be_refused = !this->run_was_given_up;
   return admission;
 }
@@ -357,6 +358,10 @@
     line.Add(Field::kViewAgeMs, *age);
   if (this->pool)
     this->AddExclusions(line, now);
+  if (this->request.last_event_id)
+    line.Add(Field::kResumes, this->request.first_attempt);
+  if (this->stream_software)
+    line.Add(Field::kSoftware, *this->stream_software);
   if (this->blocked_part)
     line.Add(Field::kPart, *this->blocked_part);
   if (retry_after)
--- a/source/unit_tests/core/dispatch/admission_policy_test.cc
+++ b/source/unit_tests/core/dispatch/admission_policy_test.cc
@@ -77,5 +77,25 @@
   CHECK(DecideAdmission(request, std::nullopt).step == AdmissionStep::kWait);
 }
 
+// Load pattern: twice the load that the engines bear, while streams break off
+// and are taken up. Guards against streams that are left unfinished for new
+// ones, because their first event would be late by the target of a new request.
+TEST_CASE("a stream goes on although its next event is later than the target") {
+  AdmissionRequest request = Request(0);
+  CHECK(DecideAdmission(request, Predicted(900, false)).step !=
+        AdmissionStep::kSend);
+  request.is_continuation = true;
+  CHECK(DecideAdmission(request, Predicted(900, false)).step ==
+        AdmissionStep::kSend);
+  // It must still end in time.
+  CHECK(DecideAdmission(request, Predicted(4900, false)).step !=
+        AdmissionStep::kSend);
+  // It waits longer for an endpoint that is away for a moment.
+  request.held = request.target_latency;
+  CHECK(DecideAdmission(request, std::nullopt).step == AdmissionStep::kWait);
+  request.is_continuation = false;
+  CHECK(DecideAdmission(request, std::nullopt).step == AdmissionStep::kRefuse);
+}
+
 }  // namespace
 }  // namespace jujuberock::dispatch
