Show that serve does not go on with a stream at a replaced engine

A stream of serve goes on only at the engine request that began it, which a new process does not know; the caller gets 410. The test passes without a change of the code.

--- a/source/unit_tests/core/serve/deployment.cc
+++ b/source/unit_tests/core/serve/deployment.cc
@@ -59,11 +59,19 @@
 }  // namespace
 
 StandinServer::StandinServer(const Factory& factory)
-    : standin(factory(this->client)) {
+    : factory(factory), standin(factory(this->client)) {
   this->pool.Run([this] { this->standin->Start(); });
   this->Listen(kAnyPort);
 }
 
+void StandinServer::RestartAnew() {
+  this->pool.Run([this] {
+    this->standin = this->factory(this->client);
+    this->standin->Start();
+  });
+  this->Listen(this->bound);
+}
+
 void StandinServer::Listen(const runtime::Address& address) {
   this->server = std::make_unique<runtime::HttpServer>(
       this->pool, address, runtime::HttpServerOptions(),
--- a/source/unit_tests/core/serve/deployment.h
+++ b/source/unit_tests/core/serve/deployment.h
@@ -33,6 +33,8 @@
   void Kill();
   // Listens again on the same address after Kill().
   void Restart() { this->Listen(this->bound); }
+  // Listens again as a new process, which knows nothing of former requests.
+  void RestartAnew();
   void SetFaults(const std::string& json);
   // Neither reads nor sends anything for this long. Returns at once.
   void Freeze(std::chrono::milliseconds length);
@@ -42,6 +44,7 @@
 
   runtime::WorkerPool pool{1};
   runtime::HttpClient client{pool, {}};
+  Factory factory;
   std::unique_ptr<standin::Standin> standin;
   std::unique_ptr<runtime::HttpServer> server;
   runtime::Address bound;
--- a/source/unit_tests/core/serve/host_test.cc
+++ b/source/unit_tests/core/serve/host_test.cc
@@ -243,6 +243,31 @@
   REQUIRE(foreign.status == 400);
 }
 
+// Guards against a stream whose rest is written by another program than its
+// beginning: a newer version may have replaced the engine at its address.
+TEST_CASE("a stream does not go on at an engine that was replaced") {
+  Deployment deployment(2);
+  std::string first;
+  {
+    RawClient client(deployment.host(0).caller_address());
+    client.Send(RawRequest(Deployment::CompletionBody("p", 200, true)));
+    client.ReadUntil("\nid: ");
+    std::this_thread::sleep_for(std::chrono::milliseconds(60));
+    first = client.ReadUntil("\nid: ");
+  }
+  first = first.substr(0, first.rfind("\n\n") + 2);
+  const auto before = Deployment::ParseEvents(first);
+  REQUIRE(!before.ids.empty());
+  for (const auto& engine : deployment.engines) {
+    engine->Kill();
+    engine->RestartAnew();
+  }
+  const auto response = deployment.Post(1, kCompletionsPath, "",
+                                        {{"Last-Event-ID", before.ids.back()}});
+  CHECK(response.status == 410);
+  CHECK(Deployment::ParseEvents(response.body).text.empty());
+}
+
 TEST_CASE("the engine request is canceled when the caller disconnects") {
   Deployment deployment(1);
   for (const bool stream : {false, true}) {
