Unregister the send of a request that an unexpected exception ends

The entry of a send refers to its request. If an exception that is not common::Error ended the request, the entry stayed, and the next check would have read a request that is gone. Found by review; no path throws one today, so there is no test.

--- a/source/core/gateway/request_task.cc
+++ b/source/core/gateway/request_task.cc
@@ -66,6 +66,8 @@
 RequestTask::~RequestTask() {
   this->deps.planned_stop.Remove(*this);
   this->callback_state->send = nullptr;
+  // Still registered if an unexpected exception ended the request.
+  this->deps.dispatcher.Unregister(this->active_send);
   if (this->reserved)
     this->reserved->choice.endpoint->OnEnded(this->reserved->ticket,
                                              runtime::BootNow());
