Refuse streams in a planned stop by what nearly all of them took

A stopping host refused each stream whose deadline did not fit and whose route had had a single long request in the last one to two minutes.

Streams now go by the duration that 98 of 100 of the last 200 requests did not exceed, with the margins as before; calls that must not be repeated still go by the longest one. A stream that takes longer than expected breaks off at the end of the grace period and is logged, as before.

test_dispatch: the new case can't be built without the change.

--- a/source/core/dispatch/duration_record.cc
+++ b/source/core/dispatch/duration_record.cc
@@ -1,6 +1,8 @@
 #include "core/dispatch/duration_record.h"
 
 #include <algorithm>
+#include <cmath>
+#include <utility>
 
 namespace jujuberock::dispatch {
 
@@ -10,16 +12,13 @@
 void DurationRecord::OnAnswered(std::string_view name,
                                 Duration duration,
                                 TimePoint now) {
-  Period& period = this->CurrentPeriod(name, now);
-  period.longest = std::max(period.longest, duration);
-  period.has_answers = true;
+  this->Add(name, duration, now).has_answers = true;
 }
 
 void DurationRecord::OnUnfinished(std::string_view name,
                                   Duration duration,
                                   TimePoint now) {
-  Period& period = this->CurrentPeriod(name, now);
-  period.longest = std::max(period.longest, duration);
+  this->Add(name, duration, now);
 }
 
 std::optional<Duration> DurationRecord::Longest(std::string_view name,
@@ -33,6 +32,19 @@
   return std::max(record.current.longest, record.previous.longest);
 }
 
+std::optional<Duration> DurationRecord::Usual(std::string_view name,
+                                              TimePoint now) const {
+  const auto longest = this->Longest(name, now);
+  if (!longest)
+    return std::nullopt;
+  std::deque<Duration> sorted = this->records.find(name)->second.last;
+  const auto count = static_cast<double>(sorted.size());
+  const auto rank = static_cast<std::ptrdiff_t>(
+      std::max(0.0, std::ceil(kUsualShare * count) - 1));
+  std::nth_element(sorted.begin(), sorted.begin() + rank, sorted.end());
+  return std::min(*longest, sorted[static_cast<size_t>(rank)]);
+}
+
 int64_t DurationRecord::PeriodOf(TimePoint now) {
   return now.time_since_epoch() / kPeriod;
 }
@@ -47,15 +59,21 @@
   return record;
 }
 
-DurationRecord::Period& DurationRecord::CurrentPeriod(std::string_view name,
-                                                      TimePoint now) {
+DurationRecord::Period& DurationRecord::Add(std::string_view name,
+                                            Duration duration,
+                                            TimePoint now) {
   auto found = this->records.find(name);
   if (found == this->records.end()) {
     this->RemoveOld(now);
     found = this->records.emplace(name, Record()).first;
   }
-  found->second = Advance(found->second, now);
-  return found->second.current;
+  Record& record = found->second;
+  record = Advance(std::move(record), now);
+  record.last.push_back(duration);
+  if (record.last.size() > kLastRequests)
+    record.last.pop_front();
+  record.current.longest = std::max(record.current.longest, duration);
+  return record.current;
 }
 
 void DurationRecord::RemoveOld(TimePoint now) {
--- a/source/core/dispatch/stop_policy.cc
+++ b/source/core/dispatch/stop_policy.cc
@@ -6,7 +6,7 @@
 
 namespace {
 
-// Times the longest recent duration that must be left. Endpoints get slower
+// Times the expected duration that must be left. Endpoints get slower
 // while callers move from a stopping host to others.
 constexpr double kMargin = 1.25;
 // The same for a request that must not be repeated. Its caller can do nothing
@@ -19,10 +19,10 @@
                            common::Duration left) {
   if (request.remaining <= left)
     return true;
-  if (!request.longest)
+  if (!request.expected)
     return false;
   const double margin = request.is_repeatable ? kMargin : kNonRepeatableMargin;
-  return common::Scale(*request.longest, margin) <= left;
+  return common::Scale(*request.expected, margin) <= left;
 }
 
 }  // namespace jujuberock::dispatch
--- a/source/core/dispatch/stop_policy.h
+++ b/source/core/dispatch/stop_policy.h
@@ -11,8 +11,9 @@
 struct StoppingRequest {
   // Time until its deadline, at which it certainly ends.
   common::Duration remaining{0};
-  // Longest recent duration of similar requests; nullopt if none is known.
-  std::optional<common::Duration> longest;
+  // Expected duration, from those of similar requests; nullopt if none is
+  // known.
+  std::optional<common::Duration> expected;
   bool is_repeatable = false;
 };
 
--- a/source/core/gateway/planned_stop.cc
+++ b/source/core/gateway/planned_stop.cc
@@ -29,6 +29,14 @@
   return this->services.Longest(service, now);
 }
 
+std::optional<Duration> PlannedStop::UsualDuration(std::string_view route,
+                                                   std::string_view service,
+                                                   TimePoint now) const {
+  if (const auto usual = this->routes.Usual(route, now))
+    return usual;
+  return this->services.Usual(service, now);
+}
+
 void PlannedStop::EndUnanswered() {
   for (StoppableRequest* request : this->requests)
     request->EndUnanswered();
--- a/source/core/gateway/planned_stop.h
+++ b/source/core/gateway/planned_stop.h
@@ -50,6 +50,10 @@
   std::optional<common::Duration> LongestDuration(std::string_view route,
                                                   std::string_view service,
                                                   common::TimePoint now) const;
+  // The same for what nearly all of them did not exceed.
+  std::optional<common::Duration> UsualDuration(std::string_view route,
+                                                std::string_view service,
+                                                common::TimePoint now) const;
 
   // Requests in progress.
   void Add(StoppableRequest& request) { this->requests.insert(&request); }
--- a/source/core/gateway/request_task.cc
+++ b/source/core/gateway/request_task.cc
@@ -233,11 +233,17 @@
   const auto end = this->deps.planned_stop.answer_deadline();
   if (!end)
     return;
-  const dispatch::StoppingRequest stopping{
-      this->deadline - this->received_at,
-      this->deps.planned_stop.LongestDuration(this->route->name, this->service,
-                                              this->received_at),
-      this->IsRepeatable()};
+  // An outcome that stays unknown is worst for a call that must not be
+  // repeated. A stream that breaks off shows its caller how far it got.
+  const PlannedStop& stop = this->deps.planned_stop;
+  const bool is_call_once = this->route->kind == RouteKind::kNonIdempotent;
+  const auto expected =
+      is_call_once ? stop.LongestDuration(this->route->name, this->service,
+                                          this->received_at)
+                   : stop.UsualDuration(this->route->name, this->service,
+                                        this->received_at);
+  const dispatch::StoppingRequest stopping{this->deadline - this->received_at,
+                                           expected, this->IsRepeatable()};
   if (!dispatch::MayStartWhileStopping(stopping, *end - this->received_at))
     this->Refuse(ResultCode::kStopping, "the host is stopping",
                  PlannedStop::kRetryAfter);
--- a/source/unit_tests/core/dispatch/duration_record_test.cc
+++ b/source/unit_tests/core/dispatch/duration_record_test.cc
@@ -23,6 +23,22 @@
   CHECK_FALSE(record.Longest("b", At(130)));
 }
 
+// Load pattern: streams of a second, and one in a hundred that hangs. Guards
+// against a planned stop that refuses all of them for the few.
+TEST_CASE("a few long requests do not raise the usual duration") {
+  DurationRecord record;
+  CHECK_FALSE(record.Usual("a", At(1)));
+  for (int i = 0; i < 198; ++i)
+    record.OnAnswered("a", seconds(1), At(1));
+  record.OnUnfinished("a", seconds(15), At(1));
+  record.OnAnswered("a", seconds(9), At(1));
+  CHECK(record.Usual("a", At(1)) == seconds(1));
+  CHECK(record.Longest("a", At(1)) == seconds(15));
+  for (int i = 0; i < 10; ++i)
+    record.OnAnswered("a", seconds(9), At(2));
+  CHECK(record.Usual("a", At(2)) == seconds(9));
+}
+
 TEST_CASE("a duration is forgotten after one to two periods") {
   DurationRecord record;
   record.OnAnswered("a", seconds(5), At(61));
