review: case 3, a machine without the store joins streams of two versions

Cause: a host takes the last record of a service's only software version for the origin of any stream that it does not know, however old the record is.

Case: review/3, a script. Rule ORDER: streams hold events of two software versions.

--- a/review/common/case_tools.py
+++ b/review/common/case_tools.py
@@ -63,3 +63,56 @@
                 COULD_NOT_RUN: "the case could not run"}[status])
     print(open(record.out.name).read().splitlines()[-1])
     sys.exit(status)
+
+
+class CutProxy:
+    """Passes the calls of one machine on to the store until cut() partitions
+    the machine from it: no byte passes any more, and no connection is closed.
+    After go_silent() only the connections that are open then are dead."""
+
+    def __init__(self, address):
+        self.target = address
+        self.is_cut = False
+        self.connections = []
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.address = "127.0.0.1:%d" % self.server.sockets[0].getsockname()[1]
+
+    def cut(self):
+        self.is_cut = True
+
+    def heal(self):
+        self.is_cut = False
+
+    def go_silent(self):
+        for connection in self.connections:
+            connection["silent"] = True
+
+    async def serve(self, reader, writer):
+        connection = {"silent": False}
+        self.connections.append(connection)
+        writers = [writer]
+        try:
+            while self.is_cut:
+                await asyncio.sleep(0.05)
+            host, port = self.target.rsplit(":", 1)
+            far_reader, far_writer = await asyncio.open_connection(
+                host, int(port))
+            writers.append(far_writer)
+            await asyncio.gather(
+                self.pump(reader, far_writer, connection),
+                self.pump(far_reader, writer, connection))
+        except (ConnectionError, asyncio.CancelledError):
+            pass  # One of the two has ended, or the case has.
+        finally:
+            for each in writers:
+                each.close()
+
+    async def pump(self, reader, writer, connection):
+        while data := await reader.read(65536):
+            while self.is_cut or connection["silent"]:
+                await asyncio.sleep(0.05)
+            writer.write(data)
+            await writer.drain()
+        writer.close()
