--- a/review/common/case_tools.py
+++ b/review/common/case_tools.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import shutil
 import sys
 import time
 import traceback
@@ -59,6 +60,7 @@
     finally:
         for process in processes:
             process.kill()
+            shutil.rmtree(process.folder, ignore_errors=True)
     record.add({HELD: "the rule held", BROKEN: "the rule was broken",
                 COULD_NOT_RUN: "the case could not run"}[status])
     print(open(record.out.name).read().splitlines()[-1])
