review: case 3 with one crashed worker of four

Cause: one worker of three is a larger share than the site file lets crash.

Change: three workers of v1 and one of v2, 32 streams.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -17,7 +17,7 @@
         b"Transfer-Encoding: chunked\r\n\r\n")
 EVENTS = 20
 EVENT_PAUSE_S = 0.1
-STREAMS = 24
+STREAMS = 32
 LIMIT = 2
 # The most that the sheet of the site lets `core_cut` last.
 CUT_S = 5.5
@@ -91,8 +91,8 @@
     await store.start()
     proxy = CutProxy(store.address)
     await proxy.start()
-    old = [Worker("w1", "v1"), Worker("w2", "v1")]
-    new = Worker("w3", "v2")
+    old = [Worker(f"w{number}", "v1") for number in range(1, 4)]
+    new = Worker("w4", "v2")
     for worker in old:
         await worker.register(store)
     store.put("config", "main", CONFIG)
@@ -109,7 +109,7 @@
         proxy.cut()
         record.add("front-2 is partitioned from the store")
     await new.register(store)
-    record.add("w3, the first worker of v2, has registered")
+    record.add("w4, the first worker of v2, has registered")
     await asyncio.sleep(0.6)
     machines = [("front-1", first), ("front-2", second)]
     streams = [asyncio.create_task(
@@ -118,7 +118,7 @@
     record.add(f"{STREAMS} streams sent to front-1")
     await asyncio.sleep(0.5)
     new.crash()
-    record.add("w3 crashes")
+    record.add("w4 crashes")
     asyncio.get_running_loop().call_later(CUT_S - 1.1, proxy.heal)
     mixed = 0
     for events in await asyncio.gather(*streams):
