--- a/review/3/case.py
+++ b/review/3/case.py
@@ -7,6 +7,7 @@
 import asyncio
 import os
 import re
+import time
 
 from case_tools import SETTINGS, CutProxy, has_trouble, run_case
 from gateway_standins import (GatewayProcess, PlatformStore, ScriptedEndpoint,
@@ -18,6 +19,7 @@
 EVENTS = 20
 EVENT_PAUSE_S = 0.1
 STREAMS = 32
+BUDGET_S = 5.0
 LIMIT = 2
 # The most that the sheet of the site lets `core_cut` last.
 CUT_S = 5.5
@@ -64,9 +66,11 @@
     """What a requester does: it takes a broken stream up at another machine."""
     events = []
     first_attempt = None
+    deadline = time.monotonic() + BUDGET_S
     for number, (machine, gateway) in enumerate(gateways):
         attempt = f"{name}-{number}"
-        extra = ["X-Deadline-Remaining: 5000"]
+        left_ms = int(1000 * (deadline - time.monotonic()))
+        extra = [f"X-Deadline-Remaining: {left_ms}"]
         if events:
             extra += [f"Last-Event-Id: {events[-1][0]}",
                       f"Resumes: {first_attempt}"]
