Receive signals until the process is gone

A second signal during a planned stop (SIGHUP, SIGTERM or SIGINT) ended the gateway at once: callers lost the answers of calls that had run, and streams ended in the middle. The object that received signals was a temporary, whose destructor restored the default actions before the stop began. serve never received SIGHUP at all.

runtime::ProcessSignals lives from the start of both commands to the end of the process and is used by both.

--- a/source/jujuberock/gateway_command.cc
+++ b/source/jujuberock/gateway_command.cc
@@ -8,9 +8,6 @@
 #include <optional>
 #include <vector>
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/signal_set.hpp>
-
 #include "core/common/error.h"
 #include "core/common/settings.h"
 #include "core/events/event_log.h"
@@ -18,6 +15,7 @@
 #include "core/gateway/gateway.h"
 #include "core/gateway/settings.h"
 #include "core/runtime/http_client.h"
+#include "core/runtime/process_signals.h"
 #include "core/runtime/worker_pool.h"
 #include "jujuberock/command.h"
 #include "platform/codec.h"
@@ -59,55 +57,21 @@
   return settings;
 }
 
-// Reloads the settings on SIGHUP; returns from Run() on SIGTERM or SIGINT.
-class SignalLoop {
- public:
-  SignalLoop(gateway::Gateway& gateway_host,
-             runtime::WorkerPool& workers,
-             const CommandLine& line)
-      : gateway_host(gateway_host),
-        workers(workers),
-        line(line),
-        signals(this->io, SIGTERM) {
-    this->signals.add(SIGINT);
-    this->signals.add(SIGHUP);
-    this->Wait();
+void Reload(gateway::Gateway& gateway_host,
+            runtime::WorkerPool& workers,
+            const CommandLine& line) {
+  const auto new_settings = ReadSettings(FLAGS_config, line, std::cerr);
+  if (!new_settings) {
+    LOG(ERROR) << "settings not reloaded: the settings file has errors";
+    return;
   }
-
-  void Run() { this->io.run(); }
-
- private:
-  void Wait() {
-    this->signals.async_wait(
-        [this](const boost::system::error_code&, int signal_number) {
-          if (signal_number != SIGHUP) {
-            this->io.stop();
-            return;
-          }
-          this->Reload();
-          this->Wait();
-        });
-  }
-
-  void Reload() {
-    const auto new_settings = ReadSettings(FLAGS_config, this->line, std::cerr);
-    if (!new_settings) {
-      LOG(ERROR) << "settings not reloaded: the settings file has errors";
-      return;
-    }
-    this->workers.Run([&] { this->gateway_host.Reload(*new_settings); });
-  }
-
-  gateway::Gateway& gateway_host;
-  runtime::WorkerPool& workers;
-  const CommandLine& line;
-  boost::asio::io_context io;
-  boost::asio::signal_set signals;
-};
+  workers.Run([&] { gateway_host.Reload(*new_settings); });
+}
 
 }  // namespace
 
 int RunGateway(const CommandLine& line) {
+  runtime::ProcessSignals signals;
   const auto settings = ReadSettings(FLAGS_config, line, std::cerr);
   if (!settings)
     return kExitFailed;
@@ -129,10 +93,11 @@
     gateway::Gateway gateway_host(*settings, workers,
                                   {store, decoder, codec, control}, log,
                                   counters, WallNow);
-    SignalLoop(gateway_host, workers, line).Run();
+    while (signals.Next() != runtime::ProcessSignal::kStop)
+      Reload(gateway_host, workers, line);
     gateway_host.Stop();
     // Exits without destructors, since fibers that still run would delay the
-    // exit.
+    // exit. Signals keep being received until then.
     std::_Exit(kExitOk);
   } catch (const common::Error& error) {
     std::cerr << "jujuberock gateway: " << error.what() << "\n";
--- a/source/jujuberock/serve_command.cc
+++ b/source/jujuberock/serve_command.cc
@@ -1,19 +1,15 @@
 #include <gflags/gflags.h>
 #include <glog/logging.h>
 
-#include <csignal>
 #include <cstdlib>
 #include <iostream>
 #include <optional>
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/post.hpp>
-#include <boost/asio/signal_set.hpp>
-
 #include "core/common/error.h"
 #include "core/common/settings.h"
 #include "core/common/settings_table.h"
 #include "core/gateway/settings.h"
+#include "core/runtime/process_signals.h"
 #include "core/serve/host.h"
 #include "core/serve/settings.h"
 #include "jujuberock/command.h"
@@ -45,21 +41,16 @@
 }  // namespace
 
 int RunServe(const CommandLine& line) {
+  runtime::ProcessSignals signals;
   const auto settings = ReadSettings(FLAGS_config, line);
   if (!settings)
     return kExitFailed;
-  boost::asio::io_context io;
-  // From here on SIGTERM and SIGINT are handled. A second signal is queued and
-  // ignored, so that it cannot interrupt running requests.
-  boost::asio::signal_set signals(io, SIGTERM, SIGINT);
-  signals.async_wait(
-      [&io](const boost::system::error_code&, int) { io.stop(); });
   try {
-    serve::Host host(*settings,
-                     [&io] { boost::asio::post(io, [&io] { io.stop(); }); });
+    serve::Host host(*settings, [&signals] { signals.RequestStop(); });
     LOG(INFO) << "serving callers on " << host.caller_address().ToString()
               << ", operators on " << host.operator_address().ToString();
-    io.run();
+    while (signals.Next() != runtime::ProcessSignal::kStop)
+      LOG(WARNING) << "SIGHUP ignored: settings are read at start only";
     if (host.Stop().cut_off > 0) {
       // Exits without destructors, since handlers that still run would delay
       // the exit.
