Ask the store for the version of a stream that is taken up

A host that was cut off from the store, or behind it, took the last version it knew of a service for that of any stream.

A stream that the host has not begun is now looked up in the store after the take-up came in. That read can't be too old, since the stream began before, and at another version only once the record had been replaced. Requests that come during a read share the next one.

--- a/source/core/gateway/stream_registry.cc
+++ b/source/core/gateway/stream_registry.cc
@@ -34,9 +34,12 @@
 // A caller whose connection broke at the end of a stream may not have got it.
 constexpr Duration kCompleteLifetime = std::chrono::seconds(1);
 constexpr Duration kMaxRecordWait = std::chrono::milliseconds(250);
-// A list serves the requests that come within this time after it was begun.
-constexpr Duration kListReuse = std::chrono::milliseconds(25);
-constexpr Duration kListPoll = std::chrono::milliseconds(3);
+constexpr Duration kRecordPoll = std::chrono::milliseconds(3);
+
+// Name of the object with the record of a service.
+std::string ObjectNameOf(const std::string& service) {
+  return std::string(kNamePrefix) + service;
+}
 
 }  // namespace
 
@@ -53,7 +56,8 @@
       log(log),
       recorded(counters.GetCounter("stream_origin_writes_total")),
       lookups(counters.GetCounter("stream_origin_lists_total")),
-      unknown(counters.GetCounter("stream_origins_unknown_total")) {}
+      unknown(counters.GetCounter("stream_origins_unknown_total")),
+      stored_origins([this] { return this->ReadOrigins(); }) {}
 
 bool StreamRegistry::OwnsObject(std::string_view name) {
   return name.substr(0, kNamePrefix.size()) == kNamePrefix;
@@ -154,9 +158,9 @@
 
 void StreamRegistry::ReadState(const std::string& service,
                                SoftwareState& state) {
-  const std::string name = std::string(kNamePrefix) + service;
   try {
-    const auto object = this->store.Read(ObjectKind::kHosts, name);
+    const auto object =
+        this->store.Read(ObjectKind::kHosts, ObjectNameOf(service));
     if (!object) {
       state.OnNoRecord();
       return;
@@ -172,10 +176,9 @@
 void StreamRegistry::WriteState(const std::string& service,
                                 SoftwareState& state,
                                 const SoftwareRecord& record) {
-  const std::string name = std::string(kNamePrefix) + service;
-  const auto reply =
-      this->Write(ObjectKind::kHosts, name, state.expected_revision(),
-                  streams::RenderSoftwareRecord(record));
+  const auto reply = this->Write(ObjectKind::kHosts, ObjectNameOf(service),
+                                 state.expected_revision(),
+                                 streams::RenderSoftwareRecord(record));
   switch (reply.state) {
     case WriteState::kWritten:
       if (!reply.current) {
@@ -336,85 +339,85 @@
   const TimePoint until = runtime::BootNow() + kMaxRecordWait;
   while (this->table.SequenceOf(key) > this->written_sequence &&
          runtime::BootNow() < until)
-    runtime::SleepFor(kListPoll);
+    runtime::SleepFor(kRecordPoll);
 }
 
 std::optional<StreamOrigin> StreamRegistry::FindOrigin(
     std::string_view attempt,
     const std::string& service) {
   const streams::AttemptKey key = streams::KeyOf(attempt);
-  const auto find_here = [&]() -> std::optional<StreamOrigin> {
-    if (auto known = this->table.Find(key))
-      return known;
-    const auto state = this->states.find(service);
-    if (state == this->states.end())
-      return std::nullopt;
-    if (auto sole = state->second.SoleVersion())
-      return StreamOrigin{service, std::move(*sole)};
-    return std::nullopt;
-  };
-  auto origin = find_here();
-  if (origin || attempt.empty())
-    return origin;
-  if (auto found = this->FindStored(key))
-    return found;
-  // A host that still runs may be about to write it.
-  runtime::SleepFor(this->WriteInterval() + kTickPeriod);
-  origin = find_here();
-  if (!origin)
-    origin = this->FindStored(key);
+  std::optional<StreamOrigin> origin;
+  try {
+    origin = this->LookUp(key, service);
+    if (!origin && !attempt.empty()) {
+      // A host that still runs may be about to write it.
+      runtime::SleepFor(this->WriteInterval() + kTickPeriod);
+      origin = this->LookUp(key, service);
+    }
+  } catch (const common::Error&) {
+    // The watches log that the store does not answer. The stream is refused.
+  }
   if (!origin)
     this->unknown.Add();
   return origin;
 }
 
-std::optional<StreamOrigin> StreamRegistry::FindStored(
-    streams::AttemptKey key) {
-  const TimePoint asked_at = runtime::BootNow();
-  while (!this->listed_at || *this->listed_at < asked_at - kListReuse) {
-    if (this->is_listing) {
-      runtime::SleepFor(kListPoll);
-      continue;
-    }
-    try {
-      this->ReadOrigins();
-    } catch (const common::Error&) {
-      // The watches log that the store does not answer.
-      return std::nullopt;
-    }
+std::optional<StreamOrigin> StreamRegistry::LookUp(streams::AttemptKey attempt,
+                                                   const std::string& service) {
+  if (auto known = this->table.Find(attempt))
+    return known;
+  // What was written about the stream itself holds whatever the record says, so
+  // usually one read suffices.
+  const bool lists_first = this->RecordsStreams(service);
+  if (lists_first) {
+    if (auto stored = this->FindStored(attempt))
+      return stored;
   }
-  const auto found = this->stored.find(key);
-  if (found == this->stored.end())
+  if (auto sole = this->ReadSoleVersion(service))
+    return StreamOrigin{service, std::move(*sole)};
+  return lists_first ? std::nullopt : this->FindStored(attempt);
+}
+
+std::optional<StreamOrigin> StreamRegistry::FindStored(
+    streams::AttemptKey attempt) {
+  const auto origins = this->stored_origins.Get();
+  const auto found = origins->find(attempt);
+  if (found == origins->end())
     return std::nullopt;
   return found->second;
 }
 
-void StreamRegistry::ReadOrigins() {
-  this->is_listing = true;
+std::optional<std::string> StreamRegistry::ReadSoleVersion(
+    const std::string& service) {
+  const auto read = [this, service]() -> SoleVersion {
+    const auto object =
+        this->store.Read(ObjectKind::kHosts, ObjectNameOf(service));
+    const auto record =
+        object ? streams::ParseSoftwareRecord(object->content) : std::nullopt;
+    if (!record || record->store_era != this->store.era())
+      return std::nullopt;
+    return record->sole;
+  };
+  return *this->stored_sole_versions.try_emplace(service, read)
+              .first->second.Get();
+}
+
+StreamRegistry::OriginIndex StreamRegistry::ReadOrigins() {
   this->lookups.Add();
-  const TimePoint began = runtime::BootNow();
-  catalog::ObjectSnapshot snapshot;
-  try {
-    snapshot = this->store.List(ObjectKind::kStreams);
-  } catch (const common::Error&) {
-    this->is_listing = false;
-    throw;
-  }
-  this->is_listing = false;
-  this->listed_at = began;
-  this->stored.clear();
-  for (const catalog::StoredObject& object : snapshot.objects) {
+  OriginIndex origins;
+  for (const catalog::StoredObject& object :
+       this->store.List(ObjectKind::kStreams).objects) {
     const auto record = streams::ParseOriginRecord(object.content);
     if (!record)
       continue;
     for (const auto& [service, versions] : *record) {
       for (const auto& [software, attempts] : versions) {
         for (const streams::AttemptKey attempt : attempts)
-          this->stored.insert_or_assign(attempt,
-                                        StreamOrigin{service, software});
+          origins.insert_or_assign(attempt, StreamOrigin{service, software});
       }
     }
   }
+  return origins;
 }
 
 }  // namespace jujuberock::gateway
--- a/source/core/gateway/stream_registry.h
+++ b/source/core/gateway/stream_registry.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -16,6 +17,7 @@
 #include "core/gateway/host_registry.h"
 #include "core/gateway/platform_view.h"
 #include "core/gateway/settings.h"
+#include "core/gateway/shared_read.h"
 #include "core/streams/origin_record.h"
 #include "core/streams/origin_table.h"
 #include "core/streams/software_state.h"
@@ -64,7 +66,9 @@
   // recorded, for a limited time.
   void AwaitRecorded(std::string_view attempt) const;
   // Returns what began the stream of this attempt, or nothing if it can't be
-  // found out. `service` is that of the route. May suspend the calling fiber.
+  // found out. `service` is that of the route. Unless this host began the
+  // stream, the answer comes from the store: another host may have begun it
+  // after this one has last heard of a change. May suspend the calling fiber.
   std::optional<streams::StreamOrigin> FindOrigin(std::string_view attempt,
                                                   const std::string& service);
 
@@ -97,9 +101,17 @@
   // replaced.
   void ReadFormerOrigins();
   void MergeFormerOrigins(const catalog::StoredObject& object);
-  std::optional<streams::StreamOrigin> FindStored(streams::AttemptKey key);
-  // Reads the origins that all hosts have written, unless that was just done.
-  void ReadOrigins();
+  // One look at what this host and the store know. Throws Error if the store
+  // can't be read.
+  std::optional<streams::StreamOrigin> LookUp(streams::AttemptKey attempt,
+                                              const std::string& service);
+  // Reads what the hosts have written about the stream. Throws Error.
+  std::optional<streams::StreamOrigin> FindStored(streams::AttemptKey attempt);
+  // Reads from the store at which version all streams were begun; nothing if
+  // that depends on the stream. Throws Error.
+  std::optional<std::string> ReadSoleVersion(const std::string& service);
+  // Reads the origins that all hosts have written. Throws Error.
+  OriginIndex ReadOrigins();
 
   const Settings& settings;
   const PlatformView& view;
@@ -119,10 +131,10 @@
   bool has_read_former = false;
   std::optional<uint64_t> origins_revision;
   uint64_t origins_era = 0;
-  // What the hosts had written when the last list was begun.
-  OriginIndex stored;
-  std::optional<common::TimePoint> listed_at;
-  bool is_listing = false;
+  SharedRead<OriginIndex> stored_origins;
+  // By service.
+  using SoleVersion = std::optional<std::string>;
+  std::map<std::string, SharedRead<SoleVersion>> stored_sole_versions;
   bool stopping = false;
 };
 
--- a/tools/gateway_standins.py
+++ b/tools/gateway_standins.py
@@ -169,6 +169,43 @@
                 pass
 
 
+class StoreLink:
+    """The way of one gateway to the store: a proxy on loopback.
+
+    While `is_cut`, no byte passes and no connection is closed; answers take
+    `delay_s` longer.
+    """
+
+    def __init__(self, store):
+        self.store = store
+        self.is_cut = False
+        self.delay_s = 0.0
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.address = "127.0.0.1:%d" % self.server.sockets[0].getsockname()[1]
+
+    async def serve(self, reader, writer):
+        host, port = self.store.address.split(":")
+        try:
+            far_reader, far_writer = await asyncio.open_connection(host, port)
+            await asyncio.gather(self.pump(reader, far_writer, 0.0),
+                                 self.pump(far_reader, writer, None))
+        except (ConnectionError, asyncio.CancelledError):
+            pass  # The gateway has ended, or the test has.
+        finally:
+            writer.close()
+
+    async def pump(self, reader, writer, delay_s):
+        while data := await reader.read(65536):
+            await asyncio.sleep(self.delay_s if delay_s is None else delay_s)
+            while self.is_cut:
+                await asyncio.sleep(0.01)
+            writer.write(data)
+            await writer.drain()
+        writer.close()
+
+
 class ScriptedEndpoint:
     """Answers each request with the steps that `script(request)` returns.
 
