Block parts with the same crashes together and test wrong verdicts

One part that crashes engines got the part that all requests of the route share blocked, too: no sound answer comes between three crashes if few requests come, or if answers end with their connection, which never counted.

Parts that were in flight at the same crashes are blocked together: only requests with all of them are refused, until an answer or a crash tells them apart. Answers that end with their connection count if the endpoint accepts a new one afterwards. Where nothing like the refused requests is answered any more, up to two single requests test the verdict; hosts tell each other of them. Hosts that know a verdict but no crash count sound answers.

--- a/source/core/events/event_log.h
+++ b/source/core/events/event_log.h
@@ -53,6 +53,7 @@
   kCrashMarked,
   kSoftwareAgreed,
   kPartsBlocked,
+  kPartTrial,
   kRequestRefused,
   kRequestQueued,
   kRequestSent,
@@ -63,27 +64,28 @@
   kRequestUnanswered,
 };
 
-inline constexpr size_t kEventCount = 36;
+inline constexpr size_t kEventCount = 37;
 
 inline constexpr common::NameTable<Event, kEventCount> kEventNames(
-    {"started",          "stopping",
-     "stopped",          "reloaded",
-     "dependency_lost",  "dependency_regained",
-     "lines_dropped",    "store_restored",
-     "entry_unreadable", "config_in_force",
-     "config_rejected",  "view_stale",
-     "view_renewed",     "endpoint_added",
-     "endpoint_left",    "endpoints_held_back",
-     "endpoint_ejected", "endpoint_readmitted",
-     "endpoint_backoff", "version_named",
-     "holder_gained",    "holder_lost",
-     "weights_ordered",  "weights_in_force",
-     "parts_freed",      "crash_marked",
-     "software_agreed",  "parts_blocked",
-     "request_refused",  "request_queued",
-     "request_sent",     "request_resent",
-     "request_resumed",  "request_cut",
-     "request_answered", "request_unanswered"});
+    {"started",           "stopping",
+     "stopped",           "reloaded",
+     "dependency_lost",   "dependency_regained",
+     "lines_dropped",     "store_restored",
+     "entry_unreadable",  "config_in_force",
+     "config_rejected",   "view_stale",
+     "view_renewed",      "endpoint_added",
+     "endpoint_left",     "endpoints_held_back",
+     "endpoint_ejected",  "endpoint_readmitted",
+     "endpoint_backoff",  "version_named",
+     "holder_gained",     "holder_lost",
+     "weights_ordered",   "weights_in_force",
+     "parts_freed",       "crash_marked",
+     "software_agreed",   "parts_blocked",
+     "part_trial",        "request_refused",
+     "request_queued",    "request_sent",
+     "request_resent",    "request_resumed",
+     "request_cut",       "request_answered",
+     "request_unanswered"});
 
 // Fields that a line may have.
 enum class Field {
--- a/source/core/gateway/dispatcher.cc
+++ b/source/core/gateway/dispatcher.cc
@@ -55,11 +55,13 @@
       host_count(static_cast<size_t>(settings.assumed_hosts)),
       stall_detector(kHostStallThreshold) {
   this->retry_window.SetHostCount(this->host_count);
+  this->part_suspect_list.SetHostCount(this->host_count);
 }
 
 void Dispatcher::SetHostCount(size_t count) {
   this->host_count = count == 0 ? 1 : count;
   this->retry_window.SetHostCount(this->host_count);
+  this->part_suspect_list.SetHostCount(this->host_count);
   for (auto& [name, pool] : this->pools)
     pool->SetHostCount(this->host_count);
 }
@@ -194,14 +196,14 @@
         .Add(Field::kEndpoint, endpoint.endpoint().id);
 }
 
-bool Dispatcher::IsStillRunning(const EndpointRecord& endpoint) {
+forward::Reachability Dispatcher::ProbeAfterEnd(
+    const EndpointRecord& endpoint) {
   // One that is leaving may have ended after its last response.
   if (endpoint.endpoint().leaving || endpoint.removed)
-    return true;
+    return forward::Reachability::kSilent;
   const std::string address = endpoint.endpoint().address;
   runtime::SleepFor(kCloseBatchTime);
-  // A cut link is silent and says nothing about the endpoint.
-  return this->connections.Probe(address) != forward::Reachability::kRefused;
+  return this->connections.Probe(address);
 }
 
 void Dispatcher::OnBroken(const std::shared_ptr<EndpointRecord>& endpoint,
--- a/source/core/gateway/dispatcher.h
+++ b/source/core/gateway/dispatcher.h
@@ -132,9 +132,9 @@
   void OnOutcome(dispatch::ServicePool& pool,
                  dispatch::EndpointRecord& endpoint,
                  dispatch::SendOutcome outcome);
-  // Whether an endpoint that has closed a connection still runs. Suspends the
-  // calling fiber.
-  bool IsStillRunning(const dispatch::EndpointRecord& endpoint);
+  // Whether an endpoint that has closed a connection still runs; kSilent if
+  // that can't be told. Suspends the calling fiber.
+  forward::Reachability ProbeAfterEnd(const dispatch::EndpointRecord& endpoint);
   // Called when an endpoint has broken the connection of a request. Checks
   // whether the endpoint crashed and, if so, marks the requests that it was
   // running.
--- a/source/core/gateway/part_monitor.cc
+++ b/source/core/gateway/part_monitor.cc
@@ -33,6 +33,14 @@
   return this->prompt->parts[*blocked].id;
 }
 
+bool PartMonitor::MayBeTrial(common::TimePoint now) const {
+  return this->suspects.MayBeTrial(this->fingerprints, now);
+}
+
+bool PartMonitor::TakeTrial(common::TimePoint now) {
+  return this->suspects.TakeTrial(this->fingerprints, now);
+}
+
 void PartMonitor::OnEvent(const dispatch::SendTicket& ticket,
                           common::TimePoint now) {
   if (IsPastCrashDelay(ticket, now))
--- a/source/core/gateway/part_monitor.h
+++ b/source/core/gateway/part_monitor.h
@@ -21,11 +21,17 @@
 
   // Returns the id of a part for which the request must not be sent.
   std::optional<std::string> FindBlocked(common::TimePoint now) const;
+  // Whether the request, which has such a part, may be sent all the same to
+  // test that the part crashes endpoints; TakeTrial() when it is about to be
+  // sent.
+  bool MayBeTrial(common::TimePoint now) const;
+  bool TakeTrial(common::TimePoint now);
   // The request is being sent to another endpoint.
   void OnSent() { this->is_sound = false; }
   // An event of the response has arrived.
   void OnEvent(const dispatch::SendTicket& ticket, common::TimePoint now);
-  // The response has ended successfully, and not only by a closed connection.
+  // The response has ended successfully. If it ended with its connection, the
+  // endpoint has answered since.
   void OnAnswered(const dispatch::SendTicket& ticket, common::TimePoint now);
   // The parts that can be the cause if the endpoint has crashed.
   std::vector<suspects::PartInFlight> PossibleCauses(
--- a/source/core/gateway/request_task.cc
+++ b/source/core/gateway/request_task.cc
@@ -125,6 +125,7 @@
   }
   const dispatch::EndpointChoice choice = this->AwaitEndpoint();
   this->CheckParts();
+  this->BeginPartTrial();
   return this->Plan(choice);
 }
 
@@ -198,11 +199,32 @@
 }
 
 void RequestTask::CheckParts() {
-  this->blocked_part = this->part_monitor.FindBlocked(runtime::BootNow());
+  const TimePoint now = runtime::BootNow();
+  this->blocked_part = this->part_monitor.FindBlocked(now);
   if (!this->blocked_part)
     return;
-  if (this->sends > 0)
+  if (this->sends > 0 && !(this->is_part_trial && this->runs == 0))
     this->FailRequest();
+  if (this->is_part_trial || this->part_monitor.MayBeTrial(now)) {
+    this->isolate = true;
+    return;
+  }
+  this->RefuseForPart();
+}
+
+void RequestTask::BeginPartTrial() {
+  if (!this->blocked_part || this->is_part_trial)
+    return;
+  // Another request may have become the trial while this one waited.
+  this->is_part_trial = this->part_monitor.TakeTrial(runtime::BootNow());
+  if (!this->is_part_trial)
+    this->RefuseForPart();
+  LogLine(this->deps.log, Event::kPartTrial)
+      .Add(Field::kRequest, this->request.attempt_id)
+      .Add(Field::kPart, *this->blocked_part);
+}
+
+void RequestTask::RefuseForPart() {
   this->Refuse(ResultCode::kSuspectRefused,
                "a part of the prompt crashes endpoints", std::nullopt);
 }
@@ -494,7 +516,8 @@
     this->deps.dispatcher.suspects().OnSuccess(this->fingerprint,
                                                runtime::BootNow());
     // Without framing, the end of the connection may also be a crash.
-    if (IsSuccess(head.status) && !send.ends_with_connection())
+    if (IsSuccess(head.status) &&
+        (!send.ends_with_connection() || this->answers_after_end))
       this->part_monitor.OnAnswered(ticket, runtime::BootNow());
   }
   return AttemptResult::kAnswered;
@@ -542,7 +565,11 @@
                                 const forward::ResponseHead& head,
                                 dispatch::SendTicket& ticket) {
   const auto is_running = [&] {
-    return this->deps.dispatcher.IsStillRunning(*ticket.endpoint);
+    const auto reachability =
+        this->deps.dispatcher.ProbeAfterEnd(*ticket.endpoint);
+    this->answers_after_end = reachability == forward::Reachability::kReachable;
+    // A cut link is silent and says nothing about the endpoint.
+    return reachability != forward::Reachability::kRefused;
   };
   if (this->IsStream(head)) {
     this->relay.RelayStream(
--- a/source/core/gateway/request_task.h
+++ b/source/core/gateway/request_task.h
@@ -99,9 +99,14 @@
   void Route();
   void CheckKey(const catalog::ConfigView& config);
   void CheckCrashMarks();
-  // Throws if a part of the prompt crashes endpoints. Checked before each send,
-  // because other hosts may have found out in the meantime.
+  // Throws if a part of the prompt crashes endpoints, unless the request may
+  // test that. Checked before each send, because other hosts may have found out
+  // in the meantime.
   void CheckParts();
+  // Makes a request that CheckParts() has let pass for a test the trial of its
+  // part, or refuses it.
+  void BeginPartTrial();
+  [[noreturn]] void RefuseForPart();
   void PickService();
   // Finds out which software version the stream goes on at, if the request
   // takes one up. Refuses it if that is not known, or no endpoint has that
@@ -241,8 +246,10 @@
   bool was_rebound = false;
   bool isolate = false;
   PartMonitor part_monitor;
-  // The part for which the request is refused, if any.
+  // The part for which the request is refused, if any, and whether the request
+  // is sent all the same, to test that.
   std::optional<std::string> blocked_part;
+  bool is_part_trial = false;
   // The salt without a weight version, and its rendered form, which is the key
   // of the engines' part caches.
   reuse::Salt salt;
@@ -272,6 +279,9 @@
   common::Duration predicted{0};
   common::TimePoint first_byte_at;
   bool timed_out = false;
+  // Whether the endpoint has answered a new connection after it had closed that
+  // of its response.
+  bool answers_after_end = false;
   // Whether the caller got the whole of a successful answer.
   bool succeeded = false;
   // Whether EndUnanswered() was called before the answer started.
--- a/source/core/serve/completion_run.cc
+++ b/source/core/serve/completion_run.cc
@@ -126,6 +126,7 @@
   }
   this->is_retry = true;
   this->writer.Reset();
+  this->steps.EndPartTrial();
   try {
     this->route.isolate = this->steps.CheckSuspect();
     this->RunAttempt();
--- a/source/core/serve/peer_sync.cc
+++ b/source/core/serve/peer_sync.cc
@@ -206,8 +206,10 @@
 }
 
 void PeerSync::DecideOnParts(TimePoint now) {
+  const size_t host_count = this->OtherHosts(true).size() + 1;
   const size_t blocked =
       this->part_suspects.With([&](suspects::PartSuspects& list) {
+        list.SetHostCount(host_count);
         list.Tick(now);
         return list.CountBlocked(now);
       });
--- a/source/core/serve/request_steps.cc
+++ b/source/core/serve/request_steps.cc
@@ -87,16 +87,19 @@
   if (action == suspects::SuspectAction::kRefuse)
     throw Error(ResultCode::kSuspectRefused,
                 "two endpoints crashed while running this request");
-  return action == suspects::SuspectAction::kIsolate;
+  return action == suspects::SuspectAction::kIsolate || this->is_part_trial;
 }
 
 void RequestSteps::CheckPromptParts() {
-  if (this->parts.empty())
+  if (this->parts.empty() || this->is_part_trial)
     return;
+  const TimePoint now = this->deps.timers.Now();
   const bool is_blocked =
       this->deps.part_suspects.With([&](suspects::PartSuspects& list) {
-        return list.FindBlocked(this->parts, this->deps.timers.Now())
-            .has_value();
+        if (!list.FindBlocked(this->parts, now))
+          return false;
+        this->is_part_trial = list.TakeTrial(this->parts, now);
+        return !this->is_part_trial;
       });
   if (!is_blocked)
     return;
--- a/source/core/serve/request_steps.h
+++ b/source/core/serve/request_steps.h
@@ -30,7 +30,7 @@
   void Admit(const routing::RouteRequest& route);
   // Refuses a request that crashed two endpoints or has a part that crashes
   // endpoints. Returns whether the request must run isolated because it crashed
-  // one.
+  // one or tests whether its part does.
   bool CheckSuspect();
   // Sets the parts of the request's prompt. Without them, it has none.
   void SetPromptParts(std::vector<suspects::Fingerprint> parts) {
@@ -39,6 +39,8 @@
   // Refuses a request with a part that crashes endpoints. CheckSuspect() and
   // Route() do this too, so that each send is checked.
   void CheckPromptParts();
+  // The request may be sent again, which is no part of a trial.
+  void EndPartTrial() { this->is_part_trial = false; }
   // Chooses an endpoint. If none can take the request now, waits at most until
   // the deadline for one that may become free.
   routing::RouteDecision Route(routing::RouteRequest& route);
@@ -85,6 +87,8 @@
   std::string service_name;
   suspects::Fingerprint request_fingerprint;
   std::vector<suspects::Fingerprint> parts;
+  // Whether the request tests a verdict on one of its parts.
+  bool is_part_trial = false;
   table::SnapshotPtr snapshot;
   common::TimePoint arrived;
   common::TimePoint effective_deadline;
--- a/source/core/suspects/part_suspects.cc
+++ b/source/core/suspects/part_suspects.cc
@@ -2,10 +2,12 @@
 
 #include <algorithm>
 #include <map>
+#include <string>
 #include <tuple>
 #include <utility>
 
 #include "core/common/hash.h"
+#include "core/common/scale.h"
 
 namespace jujuberock::suspects {
 
@@ -24,6 +26,16 @@
 // Error of the times of a crash that other hosts report, which includes the
 // transit time of the message. An endpoint takes longer to restart.
 constexpr common::Duration kCrashTimeTolerance = std::chrono::milliseconds(100);
+// Trials of a verdict. Callers miss what is refused wrongly, and each trial of
+// a verdict that is right crashes one more endpoint.
+constexpr int kMaxTrials = 2;
+constexpr common::Duration kFirstTrialDelay = std::chrono::seconds(1);
+constexpr common::Duration kNextTrialDelay = std::chrono::seconds(4);
+// Trials of several hosts within this time count as one.
+constexpr common::Duration kSameTrial = std::chrono::seconds(2);
+// Mean time between the trials of two hosts that have not heard of each
+// other's.
+constexpr common::Duration kTrialSpacing = std::chrono::milliseconds(250);
 
 }  // namespace
 
@@ -54,7 +66,9 @@
 void PartSuspects::OnSound(std::span<const Fingerprint> sound_parts,
                            common::TimePoint started_at,
                            common::TimePoint now) {
-  if (this->last_crash_at < now - this->options.evidence_lifetime)
+  const bool has_crashes =
+      this->last_crash_at >= now - this->options.evidence_lifetime;
+  if (!has_crashes && now >= this->verdicts_until)
     return;
   this->Expire(now);
   for (const Fingerprint fingerprint : sound_parts)
@@ -66,12 +80,86 @@
     common::TimePoint now) const {
   for (size_t i = 0; i < requested.size(); ++i) {
     const auto found = this->parts.find(requested[i]);
-    if (found != this->parts.end() && IsRefusedAt(found->second, now))
+    if (found != this->parts.end() && IsRefusedAt(found->second, now) &&
+        HoldsAll(requested, found->second.tied))
       return i;
   }
   return std::nullopt;
 }
 
+bool PartSuspects::HoldsAll(std::span<const Fingerprint> requested,
+                            const std::vector<Fingerprint>& parts) {
+  return std::all_of(parts.begin(), parts.end(), [&](Fingerprint part) {
+    return std::find(requested.begin(), requested.end(), part) !=
+           requested.end();
+  });
+}
+
+bool PartSuspects::MayBeTrial(std::span<const Fingerprint> requested,
+                              common::TimePoint now) const {
+  const auto blocked = this->FindBlocked(requested, now);
+  if (!blocked)
+    return false;
+  const Part& part = this->parts.at(requested[*blocked]);
+  if (now < part.trial_at || !part.tied.empty())
+    return false;
+  for (size_t i = 0; i < requested.size(); ++i) {
+    const auto found = this->parts.find(requested[i]);
+    if (i == *blocked || found == this->parts.end())
+      continue;
+    const Part& other = found->second;
+    // In the rest of the crashes it was not in flight.
+    const bool may_be_cause = IsRefusedAt(other, now) ||
+                              2 * other.crashes.size() > part.crashes.size();
+    if (may_be_cause)
+      return false;
+    // The first of the other parts tells whether requests like this one are
+    // answered where they do not have the part. Later ones may be shared with
+    // requests of any kind.
+    const size_t first_other = *blocked == 0 ? 1 : 0;
+    if (i == first_other && other.sound_at > part.first_crash_at)
+      return false;
+  }
+  return true;
+}
+
+bool PartSuspects::TakeTrial(std::span<const Fingerprint> requested,
+                             common::TimePoint now) {
+  if (!this->MayBeTrial(requested, now))
+    return false;
+  const Fingerprint fingerprint = requested[*this->FindBlocked(requested, now)];
+  this->ApplyTrial(fingerprint, this->parts.at(fingerprint), now);
+  this->is_changed = true;
+  return true;
+}
+
+void PartSuspects::ApplyTrial(Fingerprint fingerprint,
+                              Part& part,
+                              common::TimePoint began_at) {
+  if (part.trials > 0 && began_at < part.last_trial_at + kSameTrial)
+    return;
+  ++part.trials;
+  part.last_trial_at = began_at;
+  this->ScheduleTrial(fingerprint, part, began_at);
+}
+
+void PartSuspects::ScheduleTrial(Fingerprint fingerprint,
+                                 Part& part,
+                                 common::TimePoint since) {
+  if (part.trials >= kMaxTrials) {
+    part.trial_at = common::TimePoint::max();
+    return;
+  }
+  const uint64_t hash =
+      common::Hash64(std::to_string(fingerprint), this->options.reporter);
+  const double share = static_cast<double>(hash) * 0x1.0p-64;
+  const common::Duration spread = common::Scale(
+      kTrialSpacing, static_cast<double>(this->host_count) * share);
+  const common::Duration delay =
+      part.trials == 0 ? kFirstTrialDelay : kNextTrialDelay;
+  part.trial_at = std::max(part.trial_at, since + delay + spread);
+}
+
 void PartSuspects::Tick(common::TimePoint now) {
   this->Expire(now);
   this->Evaluate(now);
@@ -94,6 +182,12 @@
                        {},
                        now - part.first_crash_at,
                        {}});
+    if (IsBlockedAt(part, now) && part.trials > 0)
+      marks.push_back({PartEvidence::kTrial,
+                       fingerprint,
+                       {},
+                       now - part.last_trial_at,
+                       {}});
     if (this->IsSoundPublished(part, now))
       marks.push_back(
           {PartEvidence::kSound, fingerprint, {}, now - part.sound_at, {}});
@@ -134,7 +228,11 @@
         this->ApplySound(this->PartOf(mark.part, now), at, now);
         break;
       case PartEvidence::kBlocked:
-        this->ApplyVerdict(this->PartOf(mark.part, now), at, now);
+        this->ApplyVerdict(mark.part, this->PartOf(mark.part, now), at, now);
+        break;
+      case PartEvidence::kTrial:
+        if (Part& part = this->PartOf(mark.part, now); IsBlockedAt(part, now))
+          this->ApplyTrial(mark.part, part, at);
         break;
     }
   }
@@ -194,8 +292,10 @@
       this->PublishSound(part, now);
     return;
   }
-  if (IsBlockedAt(part, now))
+  if (IsBlockedAt(part, now)) {
     this->AddExplained(crash);
+    this->ScheduleTrial(fingerprint, part, crash.at);
+  }
   for (Crash& known : part.crashes) {
     if (!IsSameCrash(known, crash))
       continue;
@@ -228,6 +328,7 @@
   if (lifts_verdict) {
     Lift(part, now);
     this->CollectExplained(now);
+    this->UpdateBlocked(now);
   }
   if (lifts_verdict || is_in_danger)
     this->PublishSound(part, now);
@@ -251,7 +352,8 @@
          now - *part.sound_published_at <= this->options.evidence_lifetime;
 }
 
-void PartSuspects::ApplyVerdict(Part& part,
+void PartSuspects::ApplyVerdict(Fingerprint fingerprint,
+                                Part& part,
                                 common::TimePoint first_crash_at,
                                 common::TimePoint now) {
   if (IsBlockedAt(part, now))
@@ -262,7 +364,7 @@
     return;
   }
   part.first_crash_at = first_crash_at;
-  this->Block(part, now);
+  this->Block(fingerprint, part, now);
 }
 
 size_t PartSuspects::CountCrashes(const Part& part) const {
@@ -310,7 +412,12 @@
 
 void PartSuspects::Evaluate(common::TimePoint now) {
   double best = 0;
-  std::vector<std::pair<Part*, double>> due;
+  struct Due {
+    Fingerprint fingerprint;
+    Part* part;
+    double score;
+  };
+  std::vector<Due> due;
   for (auto& [fingerprint, part] : this->parts) {
     if (part.crashes.empty() || IsBlockedAt(part, now))
       continue;
@@ -324,24 +431,30 @@
     const double score = this->ScoreOf(part);
     best = std::max(best, score);
     if (now >= *part.verdict_at)
-      due.emplace_back(&part, score);
+      due.push_back({fingerprint, &part, score});
   }
-  for (const auto& [part, score] : due) {
+  for (const auto& [fingerprint, part, score] : due) {
     if (score < best)
       continue;
     part->first_crash_at = part->crashes.front().at;
-    this->Block(*part, now);
+    this->Block(fingerprint, *part, now);
   }
-  this->UpdateSuperseded(now);
+  this->UpdateBlocked(now);
 }
 
-void PartSuspects::Block(Part& part, common::TimePoint now) {
+void PartSuspects::Block(Fingerprint fingerprint,
+                         Part& part,
+                         common::TimePoint now) {
   const int doublings = std::min(part.times_blocked, kMaxBlockTimeDoublings);
   part.blocked_until = now + this->options.block_time * (1 << doublings);
   ++part.times_blocked;
   part.verdict_at.reset();
+  this->verdicts_until = std::max(this->verdicts_until, part.blocked_until);
   for (const Crash& crash : part.crashes)
     this->AddExplained(crash);
+  part.trials = 0;
+  part.trial_at = common::TimePoint::min();
+  this->ScheduleTrial(fingerprint, part, now);
   this->is_changed = true;
 }
 
@@ -350,31 +463,54 @@
   part.blocked_until = common::TimePoint::min();
   part.times_blocked = 0;
   part.verdict_at.reset();
+  part.trials = 0;
+  part.trial_at = common::TimePoint::max();
 }
 
 bool PartSuspects::Supersedes(const Part& cause, const Part& other) const {
-  if (cause.crashes.size() <= other.crashes.size() ||
-      this->ScoreOf(cause) <= this->ScoreOf(other))
+  return cause.crashes.size() > other.crashes.size() &&
+         this->ScoreOf(cause) > this->ScoreOf(other) &&
+         this->Explains(cause, other);
+}
+
+bool PartSuspects::Explains(const Part& cause, const Part& other) const {
+  return std::all_of(
+      other.crashes.begin(), other.crashes.end(), [&](const Crash& crash) {
+        return std::any_of(cause.crashes.begin(), cause.crashes.end(),
+                           [&](const Crash& known) {
+                             return this->IsSameCrash(known, crash);
+                           });
+      });
+}
+
+bool PartSuspects::AreTied(const Part& a, const Part& b) const {
+  if (a.crashes.size() != b.crashes.size())
     return false;
-  const auto explains = [&](const Crash& crash) {
-    return std::any_of(
-        cause.crashes.begin(), cause.crashes.end(),
-        [&](const Crash& known) { return this->IsSameCrash(known, crash); });
-  };
-  return std::all_of(other.crashes.begin(), other.crashes.end(), explains);
+  // Verdicts of hosts that are gone: parts with the same crashes have the same
+  // first one.
+  if (a.crashes.empty())
+    return std::chrono::abs(a.first_crash_at - b.first_crash_at) <=
+           kCrashTimeTolerance;
+  return this->Explains(a, b) && this->Explains(b, a);
 }
 
-void PartSuspects::UpdateSuperseded(common::TimePoint now) {
-  std::vector<Part*> blocked;
+void PartSuspects::UpdateBlocked(common::TimePoint now) {
+  std::vector<std::pair<Fingerprint, Part*>> blocked;
   for (auto& [fingerprint, part] : this->parts) {
     part.is_superseded = false;
-    if (IsBlockedAt(part, now) && !part.crashes.empty())
-      blocked.push_back(&part);
+    part.tied.clear();
+    if (IsBlockedAt(part, now))
+      blocked.emplace_back(fingerprint, &part);
   }
-  for (Part* part : blocked) {
-    part->is_superseded = std::any_of(
-        blocked.begin(), blocked.end(),
-        [&](const Part* other) { return this->Supersedes(*other, *part); });
+  for (const auto& [fingerprint, part] : blocked) {
+    for (const auto& [other_fingerprint, other] : blocked) {
+      if (other == part)
+        continue;
+      const bool has_crashes = !part->crashes.empty();
+      part->is_superseded |= has_crashes && this->Supersedes(*other, *part);
+      if (this->AreTied(*part, *other))
+        part->tied.push_back(other_fingerprint);
+    }
   }
 }
 
--- a/source/core/suspects/part_suspects.h
+++ b/source/core/suspects/part_suspects.h
@@ -29,13 +29,14 @@
 // The most important first.
 enum class PartEvidence {
   kBlocked,  // the part is blocked
+  kTrial,    // a request with the blocked part is sent to test the verdict
   kSound,    // a run with the part was answered without a crash
   kCrash,    // a request with the part was in flight at a crash
 };
 
 // Names of the evidence in messages between hosts.
-inline constexpr common::NameTable<PartEvidence, 3> kPartEvidenceNames(
-    {"blocked", "sound", "crash"});
+inline constexpr common::NameTable<PartEvidence, 4> kPartEvidenceNames(
+    {"blocked", "trial", "sound", "crash"});
 
 // What one host knows about a part, as it is sent to the other hosts. Ages
 // instead of times make it independent of synchronized clocks.
@@ -44,8 +45,8 @@
   Fingerprint part = 0;
   // Crashes only: the endpoint that crashed.
   std::string endpoint;
-  // Time since the crash, the start of the sound run, or the first crash that
-  // the verdict is based on.
+  // Time since the crash, the start of the sound run or of the trial, or the
+  // first crash that the verdict is based on.
   common::Duration age{0};
   // Crashes only: time since the latest of the requests was sent, their number,
   // and the host that counted them.
@@ -88,10 +89,17 @@
 // endpoints at once blocks nothing: two crashes are independent if a request
 // was sent between them, or after some time.
 //
-// A wrong verdict ends without a test on an endpoint: a sound run with the part
-// that began after the first of its crashes lifts it. It has no effect while
-// another blocked part was in flight at all of its crashes and explains them
-// better; the next crash without that part puts it into force again.
+// Parts that were in flight at the same crashes are blocked together: only
+// requests with all of them are refused. What the others show tells the parts
+// apart. A sound run lifts the verdict on its parts, and the next crash puts
+// the verdict on the parts that were in flight again into force alone.
+//
+// A sound run with a blocked part that began after the first of its crashes
+// lifts the verdict. Where all requests have the part, none can come any more,
+// so single requests are sent as a trial, of which all hosts tell each other. A
+// verdict has no effect while another blocked part was in flight at all of its
+// crashes and explains them better; the next crash without that part puts it
+// into force again.
 //
 // Evidence is merged from all hosts. Not thread-safe.
 class PartSuspects {
@@ -112,6 +120,17 @@
   // must be refused; nullopt if it may be sent.
   std::optional<size_t> FindBlocked(std::span<const Fingerprint> parts,
                                     common::TimePoint now) const;
+  // Whether a request with these parts, which must be refused, may be sent all
+  // the same, once and to one endpoint, to test the verdict. True only if its
+  // outcome will concern one blocked part, and if nothing else shows that the
+  // part is or is not the cause.
+  bool MayBeTrial(std::span<const Fingerprint> parts,
+                  common::TimePoint now) const;
+  // The same for a request that is about to be sent. If true, the trial has
+  // begun.
+  bool TakeTrial(std::span<const Fingerprint> parts, common::TimePoint now);
+  // Number of hosts that may send trials.
+  void SetHostCount(size_t count) { this->host_count = count; }
   // Decides on the parts whose verdict is due; called periodically.
   void Tick(common::TimePoint now);
 
@@ -155,6 +174,14 @@
     // Another blocked part is the better explanation, so requests with this one
     // are not refused.
     bool is_superseded = false;
+    // Blocked parts that were in flight at the same crashes. Only requests with
+    // all of them are refused.
+    std::vector<Fingerprint> tied;
+    // When this host may send a trial, when one was last sent by any host, and
+    // how many there were since the verdict.
+    common::TimePoint trial_at = common::TimePoint::max();
+    common::TimePoint last_trial_at = common::TimePoint::min();
+    int trials = 0;
     common::TimePoint changed_at;
   };
   using PartMap = std::unordered_map<Fingerprint, Part>;
@@ -163,9 +190,12 @@
   static bool IsBlockedAt(const Part& part, common::TimePoint now) {
     return now < part.blocked_until;
   }
+  // Whether requests with the part and those tied to it are refused.
   static bool IsRefusedAt(const Part& part, common::TimePoint now) {
     return IsBlockedAt(part, now) && !part.is_superseded;
   }
+  static bool HoldsAll(std::span<const Fingerprint> requested,
+                       const std::vector<Fingerprint>& parts);
   Part& PartOf(Fingerprint fingerprint, common::TimePoint now);
   void AddCrash(Fingerprint fingerprint,
                 const Crash& crash,
@@ -175,7 +205,8 @@
   void ApplySound(Part& part,
                   common::TimePoint started_at,
                   common::TimePoint now);
-  void ApplyVerdict(Part& part,
+  void ApplyVerdict(Fingerprint fingerprint,
+                    Part& part,
                     common::TimePoint first_crash_at,
                     common::TimePoint now);
   bool IsOwn(const Crash& crash) const {
@@ -194,25 +225,42 @@
   bool IsExplained(const Crash& crash) const;
   void AddExplained(const Crash& crash);
   void Evaluate(common::TimePoint now);
-  void Block(Part& part, common::TimePoint now);
+  void Block(Fingerprint fingerprint, Part& part, common::TimePoint now);
   static void Lift(Part& part, common::TimePoint now);
+  // Another host, or this one, began a trial.
+  void ApplyTrial(Fingerprint fingerprint,
+                  Part& part,
+                  common::TimePoint began_at);
+  // Sets when this host may send the next trial, some time after `since`. The
+  // hosts take different times, so that rarely more than one begins it.
+  void ScheduleTrial(Fingerprint fingerprint,
+                     Part& part,
+                     common::TimePoint since);
   // Lets the other hosts know of the sound run.
   void PublishSound(Part& part, common::TimePoint now);
   bool IsSoundPublished(const Part& part, common::TimePoint now) const;
   // Whether `cause` was in flight at all crashes of `other`, and explains them
   // better.
   bool Supersedes(const Part& cause, const Part& other) const;
-  void UpdateSuperseded(common::TimePoint now);
+  // Whether `cause` was in flight at all crashes of `other`.
+  bool Explains(const Part& cause, const Part& other) const;
+  // Whether nothing tells the two blocked parts apart.
+  bool AreTied(const Part& a, const Part& b) const;
+  // Decides which verdicts are in force, alone or together.
+  void UpdateBlocked(common::TimePoint now);
   void CollectExplained(common::TimePoint now);
   void Expire(common::TimePoint now);
 
   PartSuspectOptions options;
+  size_t host_count = 1;
   PartMap parts;
   // Crashes at which a blocked part was in flight, by endpoint.
   std::multimap<std::string, Crash, std::less<>> explained;
   bool is_changed = false;
-  // Sound runs are recorded only for some time after a crash.
+  // Sound runs are recorded only for some time after a crash and while there
+  // are verdicts, of which a host may know without the crashes.
   common::TimePoint last_crash_at = common::TimePoint::min();
+  common::TimePoint verdicts_until = common::TimePoint::min();
   common::TimePoint expired_at;
 };
 
--- a/source/unit_tests/core/gateway/host_object_test.cc
+++ b/source/unit_tests/core/gateway/host_object_test.cc
@@ -26,7 +26,8 @@
       {PartEvidence::kCrash, 1, "e1/1000", milliseconds(30), milliseconds(90),
        2, 77},
       {PartEvidence::kSound, 2, {}, milliseconds(40), {}},
-      {PartEvidence::kBlocked, ~uint64_t{0}, {}, milliseconds(50), {}}};
+      {PartEvidence::kBlocked, ~uint64_t{0}, {}, milliseconds(50), {}},
+      {PartEvidence::kTrial, 3, {}, milliseconds(60), {}}};
   return object;
 }
 
--- a/source/unit_tests/core/serve/peer_messages_test.cc
+++ b/source/unit_tests/core/serve/peer_messages_test.cc
@@ -25,6 +25,7 @@
   const std::vector<PartMark> marks = {
       {PartEvidence::kCrash, 7, "e1", common::Duration(5), common::Duration(9)},
       {PartEvidence::kSound, 8, "", common::Duration(6), {}},
+      {PartEvidence::kTrial, 9, "", common::Duration(3), {}},
       {PartEvidence::kBlocked, UINT64_MAX, "", common::Duration(4), {}}};
   CHECK(DecodePartMarks(EncodePartMarks(marks)) == marks);
 }
--- a/source/unit_tests/core/suspects/part_suspects_test.cc
+++ b/source/unit_tests/core/suspects/part_suspects_test.cc
@@ -43,6 +43,18 @@
   return list.FindBlocked(std::vector<Fingerprint>{part}, At(ms)).has_value();
 }
 
+bool AreBlocked(const PartSuspects& list,
+                const std::vector<Fingerprint>& parts,
+                int ms) {
+  return list.FindBlocked(parts, At(ms)).has_value();
+}
+
+bool TakeTrial(PartSuspects& list,
+               const std::vector<Fingerprint>& parts,
+               int ms) {
+  return list.TakeTrial(parts, At(ms));
+}
+
 // Three crashes that have kCause in common, and the verdict on it.
 void BlockCause(PartSuspects& list) {
   for (int i = 0; i < 3; ++i)
@@ -177,8 +189,7 @@
   Crash(list, "e1", {kOther, kCause}, 1000);
   Crash(list, "e2", {kOther, kCause}, 2000);
   list.Tick(At(2600));
-  REQUIRE(IsBlocked(list, kOther, 2600));
-  REQUIRE(IsBlocked(list, kCause, 2600));
+  REQUIRE(AreBlocked(list, {kOther, kCause}, 2600));
   Crash(list, "e3", {kCause}, 3000);
   list.Tick(At(3600));
   CHECK(IsBlocked(list, kCause, 3600));
@@ -417,5 +428,157 @@
   CHECK(IsBlocked(other, kCause, 3800));
 }
 
+// Three crashes that kShared and kCause have in common.
+void BlockBoth(PartSuspects& list) {
+  for (int i = 0; i < 3; ++i)
+    Crash(list, "e" + std::to_string(i), {kShared, kCause}, 1000 * i);
+  list.Tick(At(2600));
+}
+
+// Guards against refusing all requests of a route for a part that crashes
+// endpoints beside the part that they share: few requests come, and no sound
+// one between the crashes.
+TEST_CASE(
+    "of parts with the same crashes, only requests with all are refused") {
+  PartSuspects list;
+  BlockBoth(list);
+  CHECK(AreBlocked(list, {kShared, kCause}, 2600));
+  CHECK(AreBlocked(list, {kShared, kOther, kCause}, 2600));
+  CHECK_FALSE(AreBlocked(list, {kShared, kOther}, 2600));
+  CHECK_FALSE(AreBlocked(list, {kCause}, 2600));
+}
+
+TEST_CASE("a sound run tells parts with the same crashes apart") {
+  PartSuspects list;
+  BlockBoth(list);
+  Sound(list, kShared, 3000, 3500);
+  CHECK(AreBlocked(list, {kShared, kCause}, 3500));
+  CHECK(IsBlocked(list, kCause, 3500));
+  CHECK_FALSE(IsBlocked(list, kShared, 3500));
+}
+
+TEST_CASE("the next crash tells parts with the same crashes apart") {
+  PartSuspects list;
+  BlockBoth(list);
+  Crash(list, "e3", {kCause, kOther}, 3000);
+  CHECK(IsBlocked(list, kCause, 3000));
+  CHECK_FALSE(AreBlocked(list, {kShared, kOther}, 3000));
+}
+
+// Guards against a verdict that refuses more on a host that started after the
+// crashes and knows only the verdict.
+TEST_CASE("a host that knows no crashes keeps verdicts together") {
+  PartSuspects first = MakeHost(1);
+  BlockBoth(first);
+  PartSuspects second = MakeHost(2);
+  second.Merge(first.Marks(At(3000)), At(3000));
+  PartSuspects third = MakeHost(3);
+  third.Merge(second.Marks(At(5000)), At(5000));
+  CHECK(AreBlocked(third, {kShared, kCause}, 5000));
+  CHECK_FALSE(AreBlocked(third, {kShared, kOther}, 5000));
+  Sound(third, kShared, 5100, 5500);
+  CHECK(IsBlocked(third, kCause, 5500));
+}
+
+// Guards against a wrong verdict on the part that all requests of a route have:
+// endpoints crashed for another reason, nothing was answered in between, and no
+// sound run can come any more.
+TEST_CASE("a trial ends a wrong verdict on a part that all requests have") {
+  PartSuspects list;
+  BlockCause(list);
+  CHECK_FALSE(TakeTrial(list, {kCause, kOther}, 3000));
+  REQUIRE(TakeTrial(list, {kCause, kOther}, 4000));
+  CHECK(AreBlocked(list, {kCause, kOther}, 4000));
+  CHECK_FALSE(TakeTrial(list, {kCause, kOther}, 4100));
+  Sound(list, kCause, 4100, 4600);
+  CHECK_FALSE(IsBlocked(list, kCause, 4600));
+}
+
+// Guards against crashing endpoint after endpoint to test a verdict that is
+// right.
+TEST_CASE("a verdict that is right is tested twice at most") {
+  PartSuspects list;
+  BlockCause(list);
+  int trials = 0;
+  for (int ms = 2600; ms < 600000; ms += 100) {
+    if (!TakeTrial(list, {kCause, kOther}, ms))
+      continue;
+    ++trials;
+    Crash(list, "t" + std::to_string(ms), {kCause, kOther}, ms + 100);
+  }
+  CHECK(trials == 2);
+}
+
+TEST_CASE("a crash with the part puts off its trial") {
+  PartSuspects list;
+  BlockCause(list);
+  Crash(list, "e3", {kCause}, 3800);
+  CHECK_FALSE(TakeTrial(list, {kCause, kOther}, 4000));
+  CHECK(TakeTrial(list, {kCause, kOther}, 5100));
+}
+
+TEST_CASE("a request that another part may crash is no trial") {
+  PartSuspects list;
+  BlockCause(list);
+  Crash(list, "f0", {kOther}, 3000);
+  Crash(list, "f1", {kOther}, 3700);
+  CHECK_FALSE(TakeTrial(list, {kCause, kOther}, 6000));
+  CHECK_FALSE(TakeTrial(list, {kCause, kShared, kOther}, 6000));
+  CHECK_FALSE(TakeTrial(list, {kOther}, 6000));
+}
+
+// Guards against a crash for nothing: what the request shares with others is
+// answered, so nobody misses more than the requests with the part.
+TEST_CASE("a part beside which others are answered gets no trial") {
+  PartSuspects list;
+  for (int i = 0; i < 3; ++i) {
+    Crash(list, "e" + std::to_string(i), {kShared, kCause}, 1000 * i);
+    Sound(list, kShared, 1000 * i + 200, 1000 * i + 500);
+  }
+  list.Tick(At(2600));
+  REQUIRE(IsBlocked(list, kCause, 2600));
+  CHECK_FALSE(TakeTrial(list, {kShared, kCause}, 20000));
+}
+
+// Guards against a verdict that stays because requests of another kind, which
+// share a later part, are answered.
+TEST_CASE("a later part that others are answered with prevents no trial") {
+  PartSuspects list;
+  BlockCause(list);
+  constexpr Fingerprint kDocument = 9;
+  Sound(list, kDocument, 2000, 2700);
+  CHECK(TakeTrial(list, {kCause, kOther, kDocument}, 4000));
+}
+
+// Load pattern: the part comes at all hosts all the time. Guards against a
+// trial of each of them before it has heard of that of another.
+TEST_CASE("rarely more than one host of many sends a trial") {
+  constexpr int kHosts = 24;
+  constexpr int kMessageDelayMs = 200;
+  std::vector<PartSuspects> hosts;
+  for (int i = 0; i < kHosts; ++i) {
+    hosts.push_back(MakeHost(1000 + static_cast<uint64_t>(i)));
+    hosts.back().SetHostCount(kHosts);
+    BlockCause(hosts.back());
+  }
+  int trials = 0;
+  std::vector<std::pair<int, std::vector<PartMark>>> messages;
+  for (int ms = 2600; ms < 12000; ms += 20) {
+    while (!messages.empty() && messages.front().first <= ms) {
+      for (PartSuspects& host : hosts)
+        host.Merge(messages.front().second, At(ms));
+      messages.erase(messages.begin());
+    }
+    for (PartSuspects& host : hosts) {
+      if (!TakeTrial(host, {kCause, kOther}, ms))
+        continue;
+      ++trials;
+      messages.emplace_back(ms + kMessageDelayMs, host.Marks(At(ms)));
+    }
+  }
+  CHECK(trials >= 1);
+  CHECK(trials <= 3);
+}
+
 }  // namespace
 }  // namespace jujuberock::suspects
--- a/tools/crashing_engine.py
+++ b/tools/crashing_engine.py
@@ -79,13 +79,16 @@
     at the same address with a new id or a new start time (`born`).
     """
 
-    def __init__(self, name, zone, store, journal, crashing_parts, rng):
+    def __init__(self, name, zone, store, journal, crashing_parts, rng,
+                 framed=True):
         self.name = name
         self.zone = zone
         self.store = store
         self.journal = journal
         self.crashing_parts = crashing_parts
         self.rng = rng
+        # Whether streams come in chunks, or end with their connection.
+        self.framed = framed
         self.generation = 1
         self.id = f"{name}-1"
         self.server = None
@@ -223,13 +226,17 @@
         writer.write((f"HTTP/1.1 200 OK\r\nX-Attempt-Id: {arrival.attempt_id}"
                       f"\r\nX-Server-Stamp: {self.id}\r\n"
                       "X-Weight-Versions: 1\r\n"
-                      "Content-Type: text/event-stream\r\n"
-                      "Transfer-Encoding: chunked\r\n\r\n").encode())
+                      "Content-Type: text/event-stream\r\n" +
+                      ("Transfer-Encoding: chunked\r\n\r\n" if self.framed
+                       else "Connection: close\r\n\r\n")).encode())
         first = int(headers.get("last-event-id", 0)) + 1
         for number in range(first, EVENTS + 1):
             if number > first:
                 await asyncio.sleep(EVENT_GAP_S)
-            writer.write(chunk(event(arrival.attempt_id, number)))
+            data = event(arrival.attempt_id, number)
+            writer.write(chunk(data) if self.framed else data)
             await writer.drain()
+        if not self.framed:
+            raise ConnectionError("the stream ends with its connection")
         writer.write(b"0\r\n\r\n")
         await writer.drain()
