Limit the size of the answers to a host's own calls

HttpClient kept up to 64 MB of each answer, whatever the call, and had no bound for the trailer and the headers of chunks. Requests had no such bound either.

Each call states how large its answer may be (256 KB by default); what is read ahead of the parser is bounded on both sides.

--- a/source/bench/overhead.cc
+++ b/source/bench/overhead.cc
@@ -142,7 +142,8 @@
   std::vector<double> milliseconds;
   for (int i = 0; i < count; ++i) {
     const auto start = Clock::now();
-    const auto response = client.Fetch(address, request);
+    const auto response = client.Fetch(
+        address, request, {.body_limit_bytes = runtime::kStreamLimitBytes});
     const std::chrono::duration<double, std::milli> took = Clock::now() - start;
     CHECK_EQ(response.status, 200) << response.body;
     milliseconds.push_back(took.count());
--- a/source/core/cache_store/client.cc
+++ b/source/core/cache_store/client.cc
@@ -22,6 +22,8 @@
 
 constexpr common::Duration kStatusTimeout = std::chrono::seconds(2);
 constexpr common::Duration kBlockTimeout = std::chrono::seconds(5);
+constexpr size_t kMaxStatusBytes = 4 * 1024 * 1024;
+constexpr size_t kMaxBlockBytes = 64 * 1024 * 1024;
 
 std::string HeaderText(const HttpResponse& response, std::string_view name) {
   return std::string(response.headers.Find(name).value_or(""));
@@ -65,7 +67,9 @@
 StoreStatus Client::Status(const Address& store, uint64_t since) {
   const HttpResponse response = this->http.Fetch(
       store, {"GET", "/status?since=" + std::to_string(since), {}, ""},
-      {.header_timeout = kStatusTimeout, .read_timeout = kStatusTimeout});
+      {.body_limit_bytes = kMaxStatusBytes,
+       .header_timeout = kStatusTimeout,
+       .read_timeout = kStatusTimeout});
   RequireStatus(response, 200);
   return common::DecodeJson(
       "cache store", response.body,
@@ -77,9 +81,11 @@
                                   const std::string& team,
                                   const std::string& version,
                                   std::optional<uint64_t> expected_generation) {
-  HttpResponse response = this->http.Fetch(
-      store, {"GET", "/blocks/" + key, {}, ""},
-      {.header_timeout = kBlockTimeout, .read_timeout = kBlockTimeout});
+  HttpResponse response =
+      this->http.Fetch(store, {"GET", "/blocks/" + key, {}, ""},
+                       {.body_limit_bytes = kMaxBlockBytes,
+                        .header_timeout = kBlockTimeout,
+                        .read_timeout = kBlockTimeout});
   if (response.status == 404)
     return std::nullopt;
   RequireStatus(response, 200);
--- a/source/core/endpoint/engine_client.cc
+++ b/source/core/endpoint/engine_client.cc
@@ -29,6 +29,9 @@
 // them does not overflow. In milliseconds since 1970 it is the year 33658.
 constexpr double kMaxReportedNumber = 1e15;
 
+// Largest answer to a poll for cache events.
+constexpr size_t kMaxCacheEventsBytes = 4 * 1024 * 1024;
+
 // Limit on the bytes of an event that are held until it ends.
 constexpr size_t kMaxEventBytes = 1024 * 1024;
 
@@ -65,10 +68,12 @@
               "engine returned HTTP status " + std::to_string(status));
 }
 
-HttpResponse FetchOk(runtime::HttpClient& http,
-                     const Address& engine,
-                     const HttpRequest& request) {
-  HttpResponse response = http.Fetch(engine, request, kControlOptions);
+HttpResponse FetchOk(
+    runtime::HttpClient& http,
+    const Address& engine,
+    const HttpRequest& request,
+    const runtime::HttpCallOptions& options = kControlOptions) {
+  HttpResponse response = http.Fetch(engine, request, options);
   if (response.status / 100 != 2)
     ThrowForStatus(response.status);
   return response;
@@ -209,7 +214,8 @@
   HttpRequest message = JsonPost("/v1/generate", ToJson(request));
   message.headers.Set(kRequestIdField, request.request_id);
   auto stream = this->http.Open(engine, message,
-                                {.header_timeout = header_timeout,
+                                {.body_limit_bytes = runtime::kStreamLimitBytes,
+                                 .header_timeout = header_timeout,
                                  .read_timeout = header_timeout,
                                  .naming_field = kRequestIdField});
   if (stream->status() != 200)
@@ -224,7 +230,8 @@
   const std::string target =
       "/v1/requests/" + request_id + "?from=" + std::to_string(from);
   auto stream = this->http.Open(engine, {"GET", target, {}, ""},
-                                {.header_timeout = header_timeout,
+                                {.body_limit_bytes = runtime::kStreamLimitBytes,
+                                 .header_timeout = header_timeout,
                                  .read_timeout = header_timeout,
                                  .fresh_connection = true});
   if (stream->status() == 404 || stream->status() == 410)
@@ -249,8 +256,10 @@
 
 CacheEvents EngineClient::Events(const Address& engine, uint64_t since) {
   const std::string target = "/kv/events?since=" + std::to_string(since);
+  runtime::HttpCallOptions options = kControlOptions;
+  options.body_limit_bytes = kMaxCacheEventsBytes;
   const HttpResponse response =
-      FetchOk(this->http, engine, {"GET", target, {}, ""});
+      FetchOk(this->http, engine, {"GET", target, {}, ""}, options);
   return ParseJson(response.body, EventsFromJson);
 }
 
--- a/source/core/endpoint/plain_client.cc
+++ b/source/core/endpoint/plain_client.cc
@@ -20,6 +20,8 @@
 namespace {
 
 constexpr common::Duration kStatusTimeout = std::chrono::seconds(2);
+// Largest answer of a plain service.
+constexpr size_t kMaxAnswerBytes = 8 * 1024 * 1024;
 
 constexpr common::NameTable<CallState, 3> kCallStates(
     std::array<std::string_view, 3>{"done", "absent", "running"});
@@ -62,7 +64,8 @@
                                   const runtime::HttpRequest& request,
                                   common::Duration timeout) {
   return this->http.Fetch(service, request,
-                          {.header_timeout = timeout,
+                          {.body_limit_bytes = kMaxAnswerBytes,
+                           .header_timeout = timeout,
                            .read_timeout = timeout,
                            .body_timeout = timeout,
                            .naming_field = kRequestIdField,
@@ -75,7 +78,8 @@
     common::Duration timeout,
     const std::function<bool()>& before_first_byte) {
   return this->http.Fetch(service, request,
-                          {.header_timeout = timeout,
+                          {.body_limit_bytes = kMaxAnswerBytes,
+                           .header_timeout = timeout,
                            .read_timeout = timeout,
                            .body_timeout = timeout,
                            .fresh_connection = true,
@@ -90,7 +94,8 @@
   const std::string target = status_path + "/" + EscapePathSegment(key);
   const HttpResponse response = this->http.Fetch(
       service, {"GET", target, {{"Jujuberock-Team", team}}, ""},
-      {.header_timeout = kStatusTimeout,
+      {.body_limit_bytes = kMaxAnswerBytes,
+       .header_timeout = kStatusTimeout,
        .read_timeout = kStatusTimeout,
        .body_timeout = kStatusTimeout});
   if (response.status != 200)
--- a/source/core/platform/client.cc
+++ b/source/core/platform/client.cc
@@ -19,6 +19,9 @@
 namespace {
 
 constexpr common::Duration kCallTimeout = std::chrono::seconds(2);
+// Largest list of objects, and largest object in a watch.
+constexpr size_t kMaxListBytes = 16 * 1024 * 1024;
+constexpr size_t kMaxLineBytes = 8 * 1024 * 1024;
 constexpr std::string_view kEraField = "Store-Era";
 
 std::string ObjectPath(std::string_view kind, std::string_view name) {
@@ -60,7 +63,8 @@
 HttpResponse Client::Fetch(const HttpRequest& request) {
   try {
     HttpResponse response = this->http.Fetch(this->address, request,
-                                             {.header_timeout = kCallTimeout,
+                                             {.body_limit_bytes = kMaxListBytes,
+                                              .header_timeout = kCallTimeout,
                                               .read_timeout = kCallTimeout,
                                               .body_timeout = kCallTimeout});
     this->CheckEra(response.headers);
@@ -233,10 +237,12 @@
   const auto opened_at = std::chrono::steady_clock::now();
   std::string buffer;
   try {
-    auto stream = this->http.Open(this->address, {"GET", target, {}, ""},
-                                  {.header_timeout = kCallTimeout,
-                                   .read_timeout = idle_timeout,
-                                   .fresh_connection = true});
+    auto stream =
+        this->http.Open(this->address, {"GET", target, {}, ""},
+                        {.body_limit_bytes = runtime::kStreamLimitBytes,
+                         .header_timeout = kCallTimeout,
+                         .read_timeout = idle_timeout,
+                         .fresh_connection = true});
     if (stream->status() != 200)
       ThrowForStatus(stream->status());
     // Revisions of a former era mean nothing, even if the store accepts them.
@@ -255,6 +261,8 @@
         if (change && !on_change(*change))
           return WatchEnd::kStopped;
       }
+      if (buffer.size() > kMaxLineBytes)
+        return WatchEnd::kEnded;
       if (should_stop && should_stop())
         return WatchEnd::kStopped;
       // Compared in microseconds: Duration::max() overflows the clock's
--- a/source/core/runtime/http_client.cc
+++ b/source/core/runtime/http_client.cc
@@ -31,6 +31,9 @@
 // with a small buffer, while large bodies need few reads.
 constexpr size_t kInitialReadBytes = 1024;
 constexpr size_t kMaxReadBytes = 64 * 1024;
+// Bytes of a response that are held before they are parsed. The parser needs
+// the whole of a header, of a chunk's header and of the trailer.
+constexpr size_t kMaxBufferedBytes = 128 * 1024;
 // Shorter timeouts do not show that a connection has fallen silent: a busy peer
 // may need as long.
 constexpr common::Duration kMinSilence = std::chrono::milliseconds(100);
@@ -48,7 +51,7 @@
   explicit Connection(boost::asio::io_context& io) : stream(io) {}
 
   Stream stream;
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer{kMaxBufferedBytes};
   SteadyTime idle_since{};
   // Whether the last response named its request.
   bool names_requests = false;
@@ -180,6 +183,7 @@
         client(std::move(client)),
         address(std::move(address)),
         naming_field(options.naming_field),
+        body_limit_bytes(options.body_limit_bytes),
         read_timeout(options.read_timeout) {
     this->ResetParser();
   }
@@ -254,7 +258,7 @@
 
   void ResetParser() {
     this->parser.emplace();
-    this->parser->body_limit(this->client->options.body_limit_bytes);
+    this->parser->body_limit(this->body_limit_bytes);
   }
 
   void ReadNextHeader(common::Duration timeout) {
@@ -303,6 +307,7 @@
   std::shared_ptr<HttpClient::State> client;
   Address address;
   std::string naming_field;
+  size_t body_limit_bytes;
   // Value of that field in the request.
   std::string request_name;
   size_t read_bytes = kInitialReadBytes;
--- a/source/core/runtime/http_client.h
+++ b/source/core/runtime/http_client.h
@@ -31,6 +31,9 @@
   bool request_sent;
 };
 
+// For bodies that are read piece by piece and not kept.
+inline constexpr size_t kStreamLimitBytes = 64 * 1024 * 1024;
+
 struct HttpClientOptions {
   common::Duration connect_timeout = std::chrono::milliseconds(500);
   common::Duration write_timeout = std::chrono::seconds(5);
@@ -38,10 +41,13 @@
   size_t idle_connections = 64;
   // Connections idle for longer than this are closed instead of reused.
   common::Duration idle_lifetime = std::chrono::seconds(30);
-  size_t body_limit_bytes = 64 * 1024 * 1024;
 };
 
 struct HttpCallOptions {
+  // Largest body of a response. Fetch() keeps it whole, so a peer that sends
+  // without end must not fill the memory of this host: a call states what its
+  // answer may need, if that is more.
+  size_t body_limit_bytes = 256 * 1024;
   // Limit on the wait for the response header, counted from the end of the
   // request.
   common::Duration header_timeout = std::chrono::seconds(30);
@@ -100,8 +106,8 @@
 
   // Sends the request and reads the whole response. Throws HttpError:
   // kPeerUnavailable when connecting fails, kEndpointFailed when the connection
-  // breaks or carries the response to another request, kEndpointSilent on a
-  // timeout, including the connect timeout.
+  // breaks, carries the response to another request or exceeds a size limit,
+  // kEndpointSilent on a timeout, including the connect timeout.
   HttpResponse Fetch(const Address& address,
                      const HttpRequest& request,
                      const HttpCallOptions& options = {});
--- a/source/core/runtime/http_server.cc
+++ b/source/core/runtime/http_server.cc
@@ -41,6 +41,9 @@
     boost::asio::wait_traits<std::chrono::steady_clock>,
     Executor>;
 
+// Bytes beyond the limit of a header that are held before they are parsed. The
+// parser needs the whole of a chunk's header and of the trailer.
+constexpr size_t kMaxReadAheadBytes = 64 * 1024;
 constexpr common::Duration kAcceptBackoff = std::chrono::milliseconds(50);
 
 // Time for which a draining server still accepts connections and requests, so
@@ -266,7 +269,8 @@
 }
 
 void HttpServer::State::ServeRequests(Stream& stream) {
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer(this->Options()->header_limit_bytes +
+                            kMaxReadAheadBytes);
   while (this->ServeNextRequest(stream, buffer)) {
   }
 }
--- a/source/jujuberock/operator_commands.cc
+++ b/source/jujuberock/operator_commands.cc
@@ -29,6 +29,9 @@
 using common::Error;
 using common::ResultCode;
 
+// Largest answer of a host to an operator.
+constexpr size_t kMaxAnswerBytes = 64 * 1024 * 1024;
+
 // Reads the operator key from a file or the environment. It is neither a flag
 // nor an argument, because other users of the machine can read the command
 // line.
@@ -71,7 +74,8 @@
   const std::string key = OperatorKey();
   if (!key.empty())
     request.headers.Add("Authorization", "Bearer " + key);
-  const runtime::HttpResponse response = client.Fetch(address, request);
+  const runtime::HttpResponse response =
+      client.Fetch(address, request, {.body_limit_bytes = kMaxAnswerBytes});
   if (response.status / 100 != 2)
     throw Error(ResultCode::kPeerUnavailable,
                 address.ToString() + ": " + response.body);
--- a/source/platform/endpoint_control.cc
+++ b/source/platform/endpoint_control.cc
@@ -18,21 +18,34 @@
 constexpr Duration kReportTimeout = std::chrono::milliseconds(400);
 constexpr Duration kOrderTimeout = std::chrono::milliseconds(500);
 constexpr Duration kFreeTimeout = std::chrono::milliseconds(500);
+// A cache store keeps its newest events for whoever polls it rarely.
+constexpr size_t kMaxEventsBytes = 2 * 1024 * 1024;
 // Added to the wait of a long poll for events before it times out.
 constexpr Duration kEventsTimeoutMargin = std::chrono::milliseconds(300);
 
+runtime::HttpCallOptions OptionsFor(Duration timeout) {
+  runtime::HttpCallOptions options;
+  options.header_timeout = timeout;
+  options.read_timeout = timeout;
+  options.body_timeout = timeout;
+  return options;
+}
+
+runtime::HttpCallOptions OptionsForEvents(Duration wait) {
+  runtime::HttpCallOptions options = OptionsFor(wait + kEventsTimeoutMargin);
+  options.body_limit_bytes = kMaxEventsBytes;
+  return options;
+}
+
 }  // namespace
 
 std::optional<runtime::HttpResponse> PlatformEndpointControl::Fetch(
     const std::string& address,
     const runtime::HttpRequest& request,
-    Duration timeout) {
+    runtime::HttpCallOptions options) {
   const auto parsed = runtime::Address::Parse(address);
   if (!parsed)
     return std::nullopt;
-  runtime::HttpCallOptions options;
-  options.header_timeout = timeout;
-  options.read_timeout = timeout;
   try {
     return this->http.Fetch(*parsed, request, options);
   } catch (const runtime::HttpError&) {
@@ -45,7 +58,7 @@
     runtime::HttpRequest request,
     Duration timeout) {
   request.headers.Set(wire::kExpectInstance, endpoint.id);
-  auto response = this->Fetch(endpoint.address, request, timeout);
+  auto response = this->Fetch(endpoint.address, request, OptionsFor(timeout));
   if (!response || !this->on_notice)
     return response;
   const auto notice = DecodeNotice(response->status, response->headers);
@@ -104,8 +117,7 @@
   request.target =
       std::string(wire::kCacheEventsPath) + "?since=" + std::to_string(next);
   request.headers.Set(wire::kWaitMs, std::to_string(wait.count() / 1000));
-  const auto response =
-      this->Fetch(address, request, wait + kEventsTimeoutMargin);
+  const auto response = this->Fetch(address, request, OptionsForEvents(wait));
   if (!response || response->status != 200)
     return std::nullopt;
   return DecodeEvents(response->body);
@@ -124,7 +136,7 @@
   for (const reuse::StoredPartName& name : order.parts)
     body["parts"].push_back({name.salt, name.part});
   request.body = body.dump();
-  const auto response = this->Fetch(address, request, kFreeTimeout);
+  const auto response = this->Fetch(address, request, OptionsFor(kFreeTimeout));
   return response && response->status >= 200 && response->status < 300;
 }
 
--- a/source/platform/endpoint_control.h
+++ b/source/platform/endpoint_control.h
@@ -34,7 +34,7 @@
   std::optional<runtime::HttpResponse> Fetch(
       const std::string& address,
       const runtime::HttpRequest& request,
-      common::Duration timeout);
+      runtime::HttpCallOptions options);
 
   // The same for a call to an engine; reports what the response says about it.
   std::optional<runtime::HttpResponse> Call(const catalog::Endpoint& endpoint,
--- a/source/platform/store_client.cc
+++ b/source/platform/store_client.cc
@@ -21,6 +21,10 @@
 
 constexpr Duration kReadTimeout = std::chrono::milliseconds(900);
 constexpr Duration kWriteTimeout = std::chrono::milliseconds(900);
+// A page of a list has about a megabyte, an object a little more at most. A
+// watch may return many objects at once.
+constexpr size_t kMaxPageBytes = 8 * 1024 * 1024;
+constexpr size_t kMaxWatchBytes = 16 * 1024 * 1024;
 // Added to the wait of a watch before it times out.
 constexpr Duration kWatchTimeoutMargin = std::chrono::milliseconds(700);
 
@@ -114,8 +118,10 @@
 }
 
 runtime::HttpResponse StoreClient::Fetch(const runtime::HttpRequest& request,
-                                         Duration timeout) {
+                                         Duration timeout,
+                                         size_t body_limit_bytes) {
   runtime::HttpCallOptions options;
+  options.body_limit_bytes = body_limit_bytes;
   options.header_timeout = timeout;
   options.read_timeout = kReadTimeout;
   try {
@@ -150,7 +156,8 @@
     std::string target = KindPath(kind);
     if (!last_name.empty())
       target += "?after=" + EscapeForUri(last_name);
-    const auto response = this->Fetch(MakeRequest("GET", target), kReadTimeout);
+    const auto response =
+        this->Fetch(MakeRequest("GET", target), kReadTimeout, kMaxPageBytes);
     if (response.status != 200)
       ThrowForStatus(response);
     if (last_name.empty())
@@ -184,8 +191,8 @@
   const std::string target = KindPath(kind) +
                              "?watch=" + std::to_string(revision) +
                              "&waitMs=" + std::to_string(wait.count() / 1000);
-  const auto response =
-      this->Fetch(MakeRequest("GET", target), wait + kWatchTimeoutMargin);
+  const auto response = this->Fetch(MakeRequest("GET", target),
+                                    wait + kWatchTimeoutMargin, kMaxWatchBytes);
   catalog::ObjectChanges changes;
   changes.revision = revision;
   if (response.status == 410) {
@@ -205,7 +212,7 @@
   this->reads.Add();
   const auto response =
       this->Fetch(MakeRequest("GET", KindPath(kind) + "/" + EscapeForUri(name)),
-                  kReadTimeout);
+                  kReadTimeout, kMaxPageBytes);
   if (response.status == 404)
     return std::nullopt;
   if (response.status != 200)
@@ -220,7 +227,7 @@
   request.headers.Set("Content-Type", "application/json");
   catalog::WriteReply reply;
   try {
-    const auto response = this->Fetch(request, kWriteTimeout);
+    const auto response = this->Fetch(request, kWriteTimeout, kMaxPageBytes);
     if (response.status == 429 || response.status == 503) {
       reply.state = catalog::WriteState::kRefused;
       return reply;
--- a/source/platform/store_client.h
+++ b/source/platform/store_client.h
@@ -37,7 +37,8 @@
 
  private:
   runtime::HttpResponse Fetch(const runtime::HttpRequest& request,
-                              common::Duration timeout);
+                              common::Duration timeout,
+                              size_t body_limit_bytes);
   catalog::WriteReply Write(runtime::HttpRequest request);
   void CountUnreadable(catalog::ObjectKind kind,
                        const catalog::StoredObject& object);
--- a/source/standin/engine_standin.cc
+++ b/source/standin/engine_standin.cc
@@ -275,7 +275,8 @@
       throw Error(ResultCode::kPeerUnavailable, "unknown store " + store);
     response =
         this->client.Fetch(*address, {"GET", "/blocks/" + block.key, {}, ""},
-                           {.header_timeout = this->options.restore_timeout,
+                           {.body_limit_bytes = runtime::kStreamLimitBytes,
+                            .header_timeout = this->options.restore_timeout,
                             .read_timeout = this->options.restore_timeout});
   } catch (const Error&) {
     ++this->counts.bad_blocks;
@@ -521,9 +522,10 @@
     const std::string path =
         "/weights/" + this->options.model + "/" + target_version;
     try {
-      loaded =
-          this->client.Fetch(*this->options.weight_store, {"GET", path, {}, ""})
-              .status == 200;
+      loaded = this->client
+                   .Fetch(*this->options.weight_store, {"GET", path, {}, ""},
+                          {.body_limit_bytes = runtime::kStreamLimitBytes})
+                   .status == 200;
     } catch (const Error&) {
       loaded = false;
     }
--- a/source/unit_tests/core/runtime/http_test.cc
+++ b/source/unit_tests/core/runtime/http_test.cc
@@ -528,6 +528,54 @@
   CHECK_FALSE(other_timed_out);
 }
 
+// Guards against keeping all that a peer sends without end.
+TEST_CASE("a body beyond the limit of its call is not kept") {
+  constexpr size_t kLimit = 64 * 1024;
+  constexpr size_t kMaxSent = 8 * 1024 * 1024;
+  WorkerPool pool(2);
+  std::atomic<size_t> sent{0};
+  HttpServer server(
+      pool, kAnyPort, {},
+      [&](const HttpRequest& request, ResponseWriter& writer) {
+        const std::string block(kLimit, 'x');
+        if (request.target == "/limit") {
+          writer.Send({200, {}, block});
+          return;
+        }
+        writer.StartStream(200, {});
+        while (sent < kMaxSent) {
+          writer.Write(block);
+          sent += block.size();
+        }
+        writer.FinishStream();
+      },
+      RenderPlainError);
+  pool.Run([&] {
+    HttpClient client(pool, {});
+    const HttpCallOptions options{.body_limit_bytes = kLimit};
+    CHECK_THROWS_AS(
+        client.Fetch(server.address(), {"GET", "/", {}, ""}, options),
+        HttpError);
+    CHECK(sent < kMaxSent);
+    const auto response =
+        client.Fetch(server.address(), {"GET", "/limit", {}, ""}, options);
+    CHECK(response.body.size() == kLimit);
+  });
+}
+
+// Guards against keeping a trailer, or the header of a chunk, without end.
+TEST_CASE("what a caller sends beside its body is bounded") {
+  WorkerPool pool(1);
+  HttpServer server(pool, kAnyPort, {}, EchoHandler, RenderPlainError);
+  for (const char* const start : {"0\r\nA: ", "5;"}) {
+    RawClient caller(server.address());
+    caller.Send(
+        "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n");
+    caller.Send(start + std::string(1024 * 1024, 'x'));
+    CHECK(StatusOf(caller.ReadUntil("\r\n")) == 431);
+  }
+}
+
 TEST_CASE("a timer fires on a fiber that may suspend") {
   WorkerPool pool(1);
   WallTimerService timers(pool, 0);
