--- a/source/core/runtime/http_server.cc
+++ b/source/core/runtime/http_server.cc
@@ -2,6 +2,7 @@
 
 #include <glog/logging.h>
 
+#include <algorithm>
 #include <atomic>
 #include <map>
 #include <memory>
@@ -64,6 +65,16 @@
   return request;
 }
 
+// Whether it is known where the body ends and what it holds. With a transfer
+// coding other than chunked neither is, and the bytes of the body would be
+// taken for the next request (RFC 9112, section 6.3).
+bool HasSupportedCoding(const http::request<http::string_body>& message) {
+  const auto codings = message.equal_range(http::field::transfer_encoding);
+  return std::all_of(codings.first, codings.second, [](const auto& field) {
+    return beast::iequals(field.value(), "chunked");
+  });
+}
+
 // Maps a failed read to the error to respond with; nullopt when the connection
 // is lost.
 std::optional<Error> ErrorForRead(const error_code& error) {
@@ -308,6 +319,11 @@
   stream.expires_never();
   ReadDeadline deadline(stream, this->Options()->header_timeout);
   http::async_read_header(stream, buffer, parser, Await(error));
+  if (!error && !HasSupportedCoding(parser.get())) {
+    this->SendError(stream, Error(ResultCode::kMalformedRequest,
+                                  "unsupported transfer coding"));
+    return false;
+  }
   if (!error && !parser.is_done()) {
     if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
       http::response<http::empty_body> continue_response(
--- a/source/unit_tests/core/runtime/http_test.cc
+++ b/source/unit_tests/core/runtime/http_test.cc
@@ -576,6 +576,33 @@
   }
 }
 
+// Guards against running the bytes of a body as a request of its own.
+TEST_CASE("a request with a transfer coding but chunked is refused") {
+  WorkerPool pool(1);
+  std::atomic<int> handled{0};
+  HttpServer server(
+      pool, kAnyPort, {},
+      [&](const HttpRequest& request, ResponseWriter& writer) {
+        ++handled;
+        EchoHandler(request, writer);
+      },
+      RenderPlainError);
+  for (const std::string coding :
+       {"identity", "gzip", "xchunked", "gzip, chunked", "chunked, gzip"}) {
+    RawClient caller(server.address());
+    caller.Send("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: " + coding +
+                "\r\n\r\nPOST / HTTP/1.1\r\nHost: x\r\nContent-Length: 0"
+                "\r\n\r\n");
+    CHECK(StatusOf(caller.ReadAll()) == 400);
+  }
+  CHECK(handled == 0);
+  RawClient caller(server.address());
+  caller.Send(
+      "POST / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+      "Transfer-Encoding: Chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n");
+  CHECK(StatusOf(caller.ReadAll()) == 200);
+}
+
 TEST_CASE("a timer fires on a fiber that may suspend") {
   WorkerPool pool(1);
   WallTimerService timers(pool, 0);
