--- a/source/core/runtime/http_client.cc
+++ b/source/core/runtime/http_client.cc
@@ -69,8 +69,13 @@
 }
 
 ResultCode ResultCodeOf(const error_code& error) {
-  return error == beast::error::timeout ? ResultCode::kEndpointSilent
-                                        : ResultCode::kEndpointFailed;
+  if (error == beast::error::timeout)
+    return ResultCode::kEndpointSilent;
+  const bool is_too_large = error == http::error::body_limit ||
+                            error == http::error::header_limit ||
+                            error == http::error::buffer_overflow;
+  return is_too_large ? ResultCode::kProtocolError
+                      : ResultCode::kEndpointFailed;
 }
 
 http::request<http::string_body> ToBeast(const Address& address,
--- a/source/unit_tests/core/runtime/http_test.cc
+++ b/source/unit_tests/core/runtime/http_test.cc
@@ -553,9 +553,12 @@
   pool.Run([&] {
     HttpClient client(pool, {});
     const HttpCallOptions options{.body_limit_bytes = kLimit};
-    CHECK_THROWS_AS(
-        client.Fetch(server.address(), {"GET", "/", {}, ""}, options),
-        HttpError);
+    try {
+      client.Fetch(server.address(), {"GET", "/", {}, ""}, options);
+      FAIL("a body beyond the limit was kept");
+    } catch (const HttpError& error) {
+      CHECK(error.code() == common::ResultCode::kProtocolError);
+    }
     CHECK(sent < kMaxSent);
     const auto response =
         client.Fetch(server.address(), {"GET", "/limit", {}, ""}, options);
