--- a/source/core/events/event_log.h
+++ b/source/core/events/event_log.h
@@ -137,9 +137,11 @@
   kSoftware,
   kResumes,
   kLastEvent,
+  kStartedAtMs,
+  kEndEvidence,
 };
 
-inline constexpr size_t kFieldCount = 48;
+inline constexpr size_t kFieldCount = 50;
 
 inline constexpr common::NameTable<Field, kFieldCount> kFieldNames(
     {"request",
@@ -189,7 +191,9 @@
      "current_version",
      "software",
      "resumes",
-     "last_event"});
+     "last_event",
+     "started_at_ms",
+     "end_evidence"});
 
 Level LevelOf(Event event);
 
--- a/source/core/gateway/platform_view.cc
+++ b/source/core/gateway/platform_view.cc
@@ -265,7 +265,8 @@
       LogLine(this->log, Event::kEndpointAdded)
           .Add(Field::kEndpoint, endpoint->id)
           .Add(Field::kService, endpoint->service)
-          .Add(Field::kSoftware, endpoint->software);
+          .Add(Field::kSoftware, endpoint->software)
+          .Add(Field::kStartedAtMs, endpoint->started_at_ms);
     if (leaves)
       LogLine(this->log, Event::kEndpointLeft)
           .Add(Field::kEndpoint, endpoint->id)
--- a/source/core/gateway/request_task.cc
+++ b/source/core/gateway/request_task.cc
@@ -405,6 +405,7 @@
   auto& record = *choice.endpoint;
   this->predicted = choice.predicted;
   this->reuse = {};
+  this->end_evidence.reset();
   this->part_monitor.OnSent();
   forward::EndpointSend send(this->deps.connections, this->deps.codec,
                              record.endpoint().address);
@@ -517,7 +518,8 @@
                                                runtime::BootNow());
     // Without framing, the end of the connection may also be a crash.
     if (IsSuccess(head.status) &&
-        (!send.ends_with_connection() || this->answers_after_end))
+        (!send.ends_with_connection() ||
+         this->end_evidence == forward::Reachability::kReachable))
       this->part_monitor.OnAnswered(ticket, runtime::BootNow());
   }
   return AttemptResult::kAnswered;
@@ -565,11 +567,9 @@
                                 const forward::ResponseHead& head,
                                 dispatch::SendTicket& ticket) {
   const auto is_running = [&] {
-    const auto reachability =
-        this->deps.dispatcher.ProbeAfterEnd(*ticket.endpoint);
-    this->answers_after_end = reachability == forward::Reachability::kReachable;
+    this->end_evidence = this->deps.dispatcher.ProbeAfterEnd(*ticket.endpoint);
     // A cut link is silent and says nothing about the endpoint.
-    return reachability != forward::Reachability::kRefused;
+    return this->end_evidence != forward::Reachability::kRefused;
   };
   if (this->IsStream(head)) {
     this->relay.RelayStream(
--- a/source/core/gateway/request_task.h
+++ b/source/core/gateway/request_task.h
@@ -279,9 +279,9 @@
   common::Duration predicted{0};
   common::TimePoint first_byte_at;
   bool timed_out = false;
-  // Whether the endpoint has answered a new connection after it had closed that
-  // of its response.
-  bool answers_after_end = false;
+  // What a new connection has shown after the endpoint had closed that of its
+  // response, which has no other end.
+  std::optional<forward::Reachability> end_evidence;
   // Whether the caller got the whole of a successful answer.
   bool succeeded = false;
   // Whether EndUnanswered() was called before the answer started.
--- a/source/core/gateway/request_task_log.cc
+++ b/source/core/gateway/request_task_log.cc
@@ -50,7 +50,8 @@
       .Add(Field::kInFlight, record.own_in_flight())
       .Add(Field::kRemainingMs, this->Remaining(now));
   if (this->route->kind == catalog::RouteKind::kStream)
-    line.Add(Field::kSoftware, record.endpoint().software);
+    line.Add(Field::kSoftware, record.endpoint().software)
+        .Add(Field::kStartedAtMs, record.endpoint().started_at_ms);
   if (this->request.last_event_id)
     line.Add(Field::kResumes, this->request.first_attempt)
         .Add(Field::kLastEvent, *this->request.last_event_id);
@@ -145,6 +146,9 @@
       .Add(Field::kInsideEvent, this->relay.is_inside_event() ? 1 : 0)
       .Add(Field::kConnectionEnd,
            forward::kConnectionEndNames.NameOf(send.connection_end()));
+  if (this->end_evidence)
+    line.Add(Field::kEndEvidence,
+             forward::kReachabilityNames.NameOf(*this->end_evidence));
 }
 
 }  // namespace jujuberock::gateway
