Watch a connection to each endpoint to see whether its process runs on

An endpoint's registration is what a host knows of it, but it is a fact about the process that wrote it: another one may take its place under the same id and address, and its registration follows seconds later. Nothing in the host tied a fact to a process.

Each host now keeps one idle connection open to each endpoint. While that, or a chain of connections that are accepted at once, lasts, the process is the same. After a refused connection, a silent one or a gap, the endpoint is uncertain until it registers anew, or until its registration has stayed the same for longer than one may lag (new setting registration_lag_ms; four heartbeats at least). Changes are logged as endpoint_uncertain and endpoint_certain. Nothing goes by this yet.

The tests of the state machine and of the watch pass; they have no counterpart before this change.

--- a/source/core/dispatch/endpoint_record.h
+++ b/source/core/dispatch/endpoint_record.h
@@ -13,6 +13,7 @@
 #include "core/dispatch/endpoint_health.h"
 #include "core/dispatch/part_cache.h"
 #include "core/dispatch/peer_prompt.h"
+#include "core/dispatch/process_continuity.h"
 
 namespace jujuberock::dispatch {
 
@@ -61,6 +62,8 @@
   }
   EndpointHealth& health() { return this->passive_health; }
   const EndpointHealth& health() const { return this->passive_health; }
+  ProcessContinuity& process() { return this->continuity; }
+  const ProcessContinuity& process() const { return this->continuity; }
   PartCache& part_cache() { return this->cache; }
   const PartCache& part_cache() const { return this->cache; }
 
@@ -156,6 +159,7 @@
 
   catalog::Endpoint description;
   EndpointHealth passive_health;
+  ProcessContinuity continuity;
   PartCache cache;
   int64_t in_flight = 0;
   int64_t started = 0;
--- a/source/core/events/event_log.h
+++ b/source/core/events/event_log.h
@@ -44,6 +44,8 @@
   kEndpointEjected,
   kEndpointReadmitted,
   kEndpointBackoff,
+  kEndpointUncertain,
+  kEndpointCertain,
   kVersionNamed,
   kHolderGained,
   kHolderLost,
@@ -64,7 +66,7 @@
   kRequestUnanswered,
 };
 
-inline constexpr size_t kEventCount = 37;
+inline constexpr size_t kEventCount = 39;
 
 inline constexpr common::NameTable<Event, kEventCount> kEventNames(
     {"started",           "stopping",
@@ -76,7 +78,8 @@
      "view_renewed",      "endpoint_added",
      "endpoint_left",     "endpoints_held_back",
      "endpoint_ejected",  "endpoint_readmitted",
-     "endpoint_backoff",  "version_named",
+     "endpoint_backoff",  "endpoint_uncertain",
+     "endpoint_certain",  "version_named",
      "holder_gained",     "holder_lost",
      "weights_ordered",   "weights_in_force",
      "parts_freed",       "crash_marked",
--- a/source/core/gateway/dispatcher.h
+++ b/source/core/gateway/dispatcher.h
@@ -93,6 +93,18 @@
   void Refresh();
   // Returns the pool of a service, or null if there is none.
   dispatch::ServicePool* FindPool(std::string_view service);
+  // Calls `function` with the record of each registered endpoint.
+  template <typename Function>
+  void ForEachEndpoint(Function function) const {
+    for (const auto& [name, pool] : this->pools) {
+      for (const auto& [id, record] : pool->records())
+        function(record);
+    }
+  }
+  // Earliest time at which a message that is read now can have arrived.
+  common::TimePoint EarliestArrival(common::TimePoint now) const {
+    return this->stall_detector.EarliestArrival(now);
+  }
   dispatch::RetryWindow& retries() { return this->retry_window; }
   suspects::SuspectList& suspects() { return this->suspect_list; }
   suspects::PartSuspects& part_suspects() { return this->part_suspect_list; }
--- a/source/core/gateway/gateway.cc
+++ b/source/core/gateway/gateway.cc
@@ -55,6 +55,12 @@
       connections({}, counters),
       view(this->settings, platform.store, platform.decoder, log),
       dispatcher(this->settings, this->view, this->connections, log, counters),
+      endpoint_watches(this->settings,
+                       this->view,
+                       this->dispatcher,
+                       this->connections,
+                       log,
+                       counters),
       cache_store_watcher(platform.control, this->cache_store_index, log),
       host_registry(this->settings,
                     this->view,
@@ -170,6 +176,7 @@
 
 Gateway::~Gateway() {
   this->view.Stop();
+  this->endpoint_watches.Stop();
   this->cache_store_watcher.Stop();
   this->rollout_controller.Stop();
   this->host_registry.Stop();
@@ -188,6 +195,7 @@
 
 void Gateway::OnViewChanged() {
   this->dispatcher.Refresh();
+  this->endpoint_watches.Refresh();
   this->stream_registry.Refresh();
   const auto config = this->view.config();
   if (!config)
@@ -215,6 +223,7 @@
   this->dispatcher.CheckSilence();
   this->dispatcher.CheckSuspects();
   this->connections.Expire(now);
+  this->endpoint_watches.Tick();
   this->LogViewFreshness(now);
   this->log.Flush();
 }
--- a/source/core/gateway/gateway.h
+++ b/source/core/gateway/gateway.h
@@ -15,6 +15,7 @@
 #include "core/gateway/decoder.h"
 #include "core/gateway/dispatcher.h"
 #include "core/gateway/endpoint_control.h"
+#include "core/gateway/endpoint_watches.h"
 #include "core/gateway/host_registry.h"
 #include "core/gateway/peer_loads.h"
 #include "core/gateway/planned_stop.h"
@@ -80,6 +81,7 @@
   forward::ConnectionPool connections;
   PlatformView view;
   Dispatcher dispatcher;
+  EndpointWatches endpoint_watches;
   reuse::CacheStoreIndex cache_store_index;
   CacheStoreWatcher cache_store_watcher;
   rollout::OrderHistory order_history;
--- a/source/core/gateway/platform_view.cc
+++ b/source/core/gateway/platform_view.cc
@@ -181,8 +181,10 @@
         .Add(Field::kCount, watch.failures);
   watch.failures = 0;
   watch.answered_at = earliest_answer;
-  if (watch.kind == ObjectKind::kEndpoints)
-    this->directory.OnStoreAnswer(runtime::BootNow());
+  if (watch.kind != ObjectKind::kEndpoints)
+    return;
+  this->directory.OnStoreAnswer(runtime::BootNow());
+  this->endpoints_answered_at = earliest_answer;
 }
 
 void PlatformView::ConfirmConfig(const KindWatch& watch) {
--- a/source/core/gateway/platform_view.h
+++ b/source/core/gateway/platform_view.h
@@ -56,6 +56,11 @@
     return this->directory;
   }
   const catalog::ViewAge& age() const { return this->view_age; }
+  // The endpoints are those that the store had at this time, or later; nothing
+  // before they are known.
+  std::optional<common::TimePoint> endpoints_read_at() const {
+    return this->endpoints_answered_at;
+  }
   // Whether API keys may be checked against the configuration in force.
   bool KeysUsable(common::TimePoint now) const {
     return this->IsComplete(now) && this->view_age.KeysUsable(now);
@@ -176,6 +181,7 @@
   std::vector<KindWatchPtr> watches;
   // The newest era of the store that was noticed; 0 before its first answer.
   uint64_t known_era = 0;
+  std::optional<common::TimePoint> endpoints_answered_at;
   bool endpoints_known = false;
   bool hosts_known = false;
   bool stopping = false;
--- a/source/core/gateway/settings.cc
+++ b/source/core/gateway/settings.cc
@@ -69,6 +69,9 @@
        "Number of hosts assumed until they have been counted"},
       {"endpoint_heartbeat_ms", &S::endpoint_heartbeat, "ms", 10, 600000,
        "Interval at which endpoints report to the platform's store"},
+      {"registration_lag_ms", &S::registration_lag, "ms", 0, 600000,
+       "Maximum time from the start of an endpoint until hosts read of it in "
+       "the platform's store"},
       {"config_watch_wait_ms", &S::config_watch_wait, "ms", 100, 30000,
        "Maximum wait of one watch of the configuration"},
       {"endpoints_watch_wait_ms", &S::endpoints_watch_wait, "ms", 100, 30000,
--- a/source/core/gateway/settings.h
+++ b/source/core/gateway/settings.h
@@ -37,6 +37,7 @@
   double retry_slack = 0;
   int64_t assumed_hosts = 4;
   common::Duration endpoint_heartbeat = std::chrono::milliseconds(1200);
+  common::Duration registration_lag = std::chrono::milliseconds(3000);
   common::Duration config_watch_wait = std::chrono::milliseconds(1300);
   common::Duration endpoints_watch_wait = std::chrono::milliseconds(2500);
   common::Duration other_watch_wait = std::chrono::milliseconds(4000);
