Begin streams only at processes that are the registered ones

What callers saw: streams with events of two software versions. An endpoint ended and another version of it started under its id and port; until its registration arrived (an entry may lag by 3 s), hosts recorded the streams that it began under the version of its predecessor. When they broke off, they went on at an endpoint of that one.

Cause: a host bound a stream to the version of the entry at the time of the send, although nothing showed that the process that answered had written it.

A stream that may go on elsewhere is now sent only to an endpoint whose process is certain to be the registered one, and dropped before its first event if that changes between the choice and the answer. Since no stream begins elsewhere, what hosts have agreed on about versions stays true, also for take-ups at other hosts. Endpoints that are left out are counted as 'uncertain' in excluded_endpoints.

--- a/source/core/dispatch/service_pool.cc
+++ b/source/core/dispatch/service_pool.cc
@@ -136,6 +136,8 @@
   if (requirements.software &&
       record.endpoint().software != *requirements.software)
     return Exclusion::kOtherSoftware;
+  if (requirements.certain_only && !record.process().IsCertain())
+    return Exclusion::kUncertain;
   if (requirements.tried && requirements.tried->contains(record.endpoint().id))
     return Exclusion::kTried;
   if (requirements.prompt && requirements.required_version != 0 &&
@@ -156,7 +158,8 @@
   for (const auto& [id, record] : this->endpoints) {
     const Exclusion exclusion = ExclusionOf(*record, requirements, now);
     if (exclusion == Exclusion::kLeaving || exclusion == Exclusion::kTried ||
-        exclusion == Exclusion::kOtherSoftware)
+        exclusion == Exclusion::kOtherSoftware ||
+        exclusion == Exclusion::kUncertain)
       continue;
     if (now >= record->backoff_until)
       return std::nullopt;
--- a/source/core/dispatch/service_pool.h
+++ b/source/core/dispatch/service_pool.h
@@ -32,14 +32,15 @@
   kReserved,       // its weights are being replaced
   kPaused,         // it is full, or not the endpoint that was expected
   kOtherSoftware,  // its program has another version than that of the stream
+  kUncertain,      // its process may not be the one that is registered
 };
 
-inline constexpr common::NameTable<Exclusion, 7> kExclusionNames(
+inline constexpr common::NameTable<Exclusion, 8> kExclusionNames(
     {"none", "leaving", "tried", "outdated", "reserved", "paused",
-     "other_software"});
+     "other_software", "uncertain"});
 
 // Number of endpoints by exclusion; indexed by Exclusion.
-using ExclusionCounts = std::array<uint64_t, 7>;
+using ExclusionCounts = std::array<uint64_t, 8>;
 
 // Properties of a request that the choice of an endpoint depends on.
 struct SendRequirements {
@@ -58,6 +59,9 @@
   // Software version of the endpoints that may go on with the stream; any if
   // not set.
   std::optional<std::string> software;
+  // Only endpoints whose process is certain to be the one that is registered,
+  // because the software version matters.
+  bool certain_only = false;
   // Endpoints that this request was already sent to.
   const std::set<std::string>* tried = nullptr;
   // Returns, for each part of the prompt, the stored copy that an engine of
--- a/source/core/gateway/request_task.cc
+++ b/source/core/gateway/request_task.cc
@@ -144,7 +144,7 @@
   choice.endpoint->OnSent(ticket, runtime::BootNow());
   this->tried.insert(choice.endpoint->endpoint().id);
   this->RecordPrompt(choice, ticket);
-  return {choice, ticket};
+  return {choice, ticket, choice.endpoint->process().generation()};
 }
 
 void RequestTask::Route() {
@@ -404,6 +404,7 @@
   dispatch::SendTicket& ticket = planned.ticket;
   auto& record = *choice.endpoint;
   this->predicted = choice.predicted;
+  this->sent_process = planned.process;
   this->reuse = {};
   this->end_evidence.reset();
   this->part_monitor.OnSent();
@@ -508,6 +509,8 @@
   }
   if (this->relay.started() && !this->IsStream(head))
     return AttemptResult::kUnknown;
+  if (this->IsStream(head))
+    this->CheckProcess(record);
   this->RelayResponse(send, head, ticket);
   this->succeeded = IsSuccess(head.status);
   if (this->succeeded && this->IsResumable())
--- a/source/core/gateway/request_task.h
+++ b/source/core/gateway/request_task.h
@@ -92,6 +92,8 @@
   struct PlannedSend {
     dispatch::EndpointChoice choice;
     dispatch::SendTicket ticket;
+    // Which process of the endpoint it is for.
+    uint64_t process = 0;
   };
 
   // Sends the request until an endpoint has answered it.
@@ -122,6 +124,9 @@
   void BindSoftware(const dispatch::EndpointChoice& choice);
   // Fixes the software version of the stream, whose first event has arrived.
   void FixSoftware();
+  // Throws forward::SendError if another process of the endpoint than the one
+  // that was chosen may have answered, so that its version is not known.
+  void CheckProcess(const dispatch::EndpointRecord& endpoint) const;
   // Refuses the request if the host stops and would have to cut it.
   void CheckPlannedStop();
   void WatchCaller();
@@ -244,6 +249,8 @@
   // whether hosts may know another one of an earlier send.
   std::optional<std::string> sent_software;
   bool was_rebound = false;
+  // Which process of the endpoint the send in progress is for.
+  uint64_t sent_process = 0;
   bool isolate = false;
   PartMonitor part_monitor;
   // The part for which the request is refused, if any, and whether the request
--- a/source/core/gateway/request_task_send.cc
+++ b/source/core/gateway/request_task_send.cc
@@ -39,6 +39,7 @@
   requirements.tried = &this->tried;
   requirements.isolate = this->isolate;
   requirements.software = this->RequiredSoftware();
+  requirements.certain_only = this->IsResumable();
   if (!this->request.prompt || !this->pool->is_engine())
     return requirements;
   requirements.prompt = &*this->request.prompt;
--- a/source/core/gateway/request_task_software.cc
+++ b/source/core/gateway/request_task_software.cc
@@ -76,6 +76,13 @@
                                   std::max(this->deadline, gives_up_at));
 }
 
+void RequestTask::CheckProcess(const dispatch::EndpointRecord& endpoint) const {
+  if (this->IsResumable() &&
+      endpoint.process().generation() != this->sent_process)
+    throw forward::SendError(forward::SendFailure::kCanceled,
+                             "the endpoint's process may have been replaced");
+}
+
 void RequestTask::FixSoftware() {
   if (!this->IsResumable() || this->stream_software)
     return;
