Take the end of an unframed stream for complete only if its process runs on

What callers saw: streams that ended as complete before their last event. A response with neither length nor chunks ends with its connection, and so does its process.

Cause: 20 ms after the end the host asked only whether something listens at the address, and nothing at all of endpoints that are leaving or removed. A process that closes its connections before its port, one that is replaced at once and one whose port another process holds were all taken for running.

The watched connection to the same process is the evidence now: it must have been open before the end, and stay open, or be replaced at once, for as long as the stream's pauses may last. Connections that close together are the end of their process. Where no connection was watched, the probe decides as before. A sound endpoint that ends its process in the same moment as its last unframed stream now has that stream cut or resumed: its caller loses a whole stream, where it could have taken a broken one for whole before.

--- a/source/core/forward/connection_pool.h
+++ b/source/core/forward/connection_pool.h
@@ -13,7 +13,6 @@
 #include <boost/beast/core/flat_buffer.hpp>
 
 #include "core/common/metrics.h"
-#include "core/common/name_table.h"
 #include "core/common/time.h"
 #include "core/runtime/http_types.h"
 
@@ -50,9 +49,6 @@
   kSilent,     // no answer in time: the endpoint or the way to it may be down
 };
 
-inline constexpr common::NameTable<Reachability, 3> kReachabilityNames(
-    {"reachable", "refused", "silent"});
-
 struct ConnectionPoolOptions {
   common::Duration connect_timeout = std::chrono::milliseconds(400);
   // Idle limit for endpoints that announce none.
--- a/source/core/gateway/dispatcher.cc
+++ b/source/core/gateway/dispatcher.cc
@@ -30,9 +30,6 @@
 constexpr size_t kMaxKeptSends = 16;
 // Time until all requests to a crashed endpoint have failed.
 constexpr Duration kCrashBatchTime = std::chrono::milliseconds(60);
-// Time in which the ends of all connections to an endpoint that has ended
-// arrive.
-constexpr Duration kCloseBatchTime = std::chrono::milliseconds(20);
 
 }  // namespace
 
@@ -196,14 +193,23 @@
         .Add(Field::kEndpoint, endpoint.endpoint().id);
 }
 
-forward::Reachability Dispatcher::ProbeAfterEnd(
-    const EndpointRecord& endpoint) {
-  // One that is leaving may have ended after its last response.
-  if (endpoint.endpoint().leaving || endpoint.removed)
-    return forward::Reachability::kSilent;
+EndEvidence Dispatcher::CheckAfterEnd(const EndpointRecord& endpoint,
+                                      Duration watch_time) {
   const std::string address = endpoint.endpoint().address;
-  runtime::SleepFor(kCloseBatchTime);
-  return this->connections.Probe(address);
+  const TimePoint closed_at = runtime::BootNow();
+  runtime::SleepFor(
+      std::max<Duration>(dispatch::ProcessContinuity::kCloseTime, watch_time));
+  if (const auto runs = endpoint.process().RunsAfter(closed_at))
+    return *runs ? EndEvidence::kSameProcess : EndEvidence::kProcessEnded;
+  switch (this->connections.Probe(address)) {
+    case forward::Reachability::kReachable:
+      return EndEvidence::kReachable;
+    case forward::Reachability::kRefused:
+      return EndEvidence::kRefused;
+    case forward::Reachability::kSilent:
+      break;
+  }
+  return EndEvidence::kSilent;
 }
 
 void Dispatcher::OnBroken(const std::shared_ptr<EndpointRecord>& endpoint,
--- a/source/core/gateway/dispatcher.h
+++ b/source/core/gateway/dispatcher.h
@@ -36,6 +36,25 @@
 inline constexpr common::NameTable<MoveReason, 4> kMoveReasonNames(
     {"outdated_weights", "no_response", "silent_endpoint", "stalled"});
 
+// What is known of an endpoint that has closed the connection of a response.
+enum class EndEvidence {
+  kSameProcess,   // another connection to it has stayed open
+  kProcessEnded,  // its other connections were closed, or it is gone
+  kReachable,     // it accepts a new connection
+  kRefused,       // nothing listens there any more
+  kSilent,        // there is no answer
+};
+
+inline constexpr common::NameTable<EndEvidence, 5> kEndEvidenceNames(
+    {"same_process", "process_ended", "reachable", "refused", "silent"});
+
+// Whether the endpoint may still run. A cut link is silent and says nothing
+// about the endpoint.
+inline bool MayStillRun(EndEvidence evidence) {
+  return evidence != EndEvidence::kProcessEnded &&
+         evidence != EndEvidence::kRefused;
+}
+
 // A send in progress, as tracked by the silence check.
 struct ActiveSend {
   std::shared_ptr<dispatch::EndpointRecord> endpoint;
@@ -144,9 +163,11 @@
   void OnOutcome(dispatch::ServicePool& pool,
                  dispatch::EndpointRecord& endpoint,
                  dispatch::SendOutcome outcome);
-  // Whether an endpoint that has closed a connection still runs; kSilent if
-  // that can't be told. Suspends the calling fiber.
-  forward::Reachability ProbeAfterEnd(const dispatch::EndpointRecord& endpoint);
+  // What became of an endpoint that has just closed the connection of a
+  // response. Waits for `watch_time` or longer, since a process may close its
+  // connections some time before it ends. Suspends the calling fiber.
+  EndEvidence CheckAfterEnd(const dispatch::EndpointRecord& endpoint,
+                            common::Duration watch_time);
   // Called when an endpoint has broken the connection of a request. Checks
   // whether the endpoint crashed and, if so, marks the requests that it was
   // running.
--- a/source/core/gateway/request_task.cc
+++ b/source/core/gateway/request_task.cc
@@ -522,7 +522,8 @@
     // Without framing, the end of the connection may also be a crash.
     if (IsSuccess(head.status) &&
         (!send.ends_with_connection() ||
-         this->end_evidence == forward::Reachability::kReachable))
+         this->end_evidence == EndEvidence::kSameProcess ||
+         this->end_evidence == EndEvidence::kReachable))
       this->part_monitor.OnAnswered(ticket, runtime::BootNow());
   }
   return AttemptResult::kAnswered;
@@ -570,9 +571,11 @@
                                 const forward::ResponseHead& head,
                                 dispatch::SendTicket& ticket) {
   const auto is_running = [&] {
-    this->end_evidence = this->deps.dispatcher.ProbeAfterEnd(*ticket.endpoint);
-    // A cut link is silent and says nothing about the endpoint.
-    return this->end_evidence != forward::Reachability::kRefused;
+    const Duration watch_time =
+        this->IsStream(head) ? this->route->target_event_gap : Duration(0);
+    this->end_evidence =
+        this->deps.dispatcher.CheckAfterEnd(*ticket.endpoint, watch_time);
+    return MayStillRun(*this->end_evidence);
   };
   if (this->IsStream(head)) {
     this->relay.RelayStream(
--- a/source/core/gateway/request_task.h
+++ b/source/core/gateway/request_task.h
@@ -286,9 +286,9 @@
   common::Duration predicted{0};
   common::TimePoint first_byte_at;
   bool timed_out = false;
-  // What a new connection has shown after the endpoint had closed that of its
+  // What became of the endpoint after it had closed the connection of its
   // response, which has no other end.
-  std::optional<forward::Reachability> end_evidence;
+  std::optional<EndEvidence> end_evidence;
   // Whether the caller got the whole of a successful answer.
   bool succeeded = false;
   // Whether EndUnanswered() was called before the answer started.
--- a/source/core/gateway/request_task_log.cc
+++ b/source/core/gateway/request_task_log.cc
@@ -148,7 +148,7 @@
            forward::kConnectionEndNames.NameOf(send.connection_end()));
   if (this->end_evidence)
     line.Add(Field::kEndEvidence,
-             forward::kReachabilityNames.NameOf(*this->end_evidence));
+             kEndEvidenceNames.NameOf(*this->end_evidence));
 }
 
 }  // namespace jujuberock::gateway
