Watch the caller while the version of its stream is looked up

Cause: the host began to watch the caller's connection after that question, which takes as long as the store does.

Measured: the new case of tools/gateway-software-test, 'nowhere, after the caller has left', failed before (1 of 12 requests ran) and passes.

--- a/source/core/gateway/request_task.cc
+++ b/source/core/gateway/request_task.cc
@@ -77,11 +77,11 @@
   try {
     this->Route();
     this->PickService();
+    this->WatchCaller();
     this->FindOrigin();
     this->CheckPlannedStop();
     this->CheckCrashMarks();
     this->CheckParts();
-    this->WatchCaller();
     this->deps.dispatcher.retries().OnRequest(this->service, this->received_at);
     this->RunUntilAnswered();
   } catch (const Error& error) {
