Take responses that break with the watched connection for the end of a process

What callers saw: streams with events of two software versions, if another process, such as the parent of both, holds the port of an endpoint while its process is replaced: the next connection is accepted at once, so the endpoint stayed certain.

All connections of a process that ends close together. An endpoint that nobody uses at that moment shows no such sign; its new process is noticed when it registers.

--- a/source/core/dispatch/process_continuity.cc
+++ b/source/core/dispatch/process_continuity.cc
@@ -21,6 +21,14 @@
   this->closings.push_back(now);
   if (this->closings.size() > kMaxClosings)
     this->closings.pop_front();
+  if (this->response_broken_at && now - *this->response_broken_at <= kCloseTime)
+    this->BecomeUncertain(now);
+}
+
+void ProcessContinuity::OnResponseBroken(TimePoint now) {
+  this->response_broken_at = now;
+  if (!this->closings.empty() && now - this->closings.back() <= kCloseTime)
+    this->BecomeUncertain(now);
 }
 
 void ProcessContinuity::OnSilent(TimePoint now) {
@@ -61,7 +69,8 @@
 
 void ProcessContinuity::BecomeUncertain(TimePoint now) {
   const bool is_known = this->is_uncertain && !this->watched_since;
-  this->watched_since.reset();
+  // A connection that is open already may lead to the new process.
+  this->watched_since = this->is_open ? std::optional(now) : std::nullopt;
   if (is_known)
     return;
   this->is_uncertain = true;
--- a/source/core/dispatch/process_continuity.h
+++ b/source/core/dispatch/process_continuity.h
@@ -15,11 +15,12 @@
 // A connection leads to one process for as long as it is open. So a host keeps
 // one open to each endpoint, on which nothing is sent. Endpoints close idle
 // connections; as long as a new one is accepted at once, the process is the
-// same. Otherwise another process may have taken its place, with the same id
-// and address and another version of its program, and its registration may lag.
-// The endpoint is then uncertain until it has registered anew, which gives it a
-// new record, or until its registration has stayed the same for so long that
-// its former process can't have written it.
+// same, unless it broke a response at that moment: the connections of a process
+// that ends close together. Otherwise another process may have taken its place,
+// with the same id and address and another version of its program, and its
+// registration may lag. The endpoint is then uncertain until it has registered
+// anew, which gives it a new record, or until its registration has stayed the
+// same for so long that its former process can't have written it.
 //
 // Before the first connection an endpoint is certain: nothing shows that its
 // registration is out of date. Pure state machine, not thread-safe.
@@ -30,6 +31,8 @@
   // The endpoint has closed the watched connection. This is noticed now and may
   // have happened at any time since `earliest`.
   void OnClosed(common::TimePoint earliest, common::TimePoint now);
+  // The endpoint has broken the connection of a response.
+  void OnResponseBroken(common::TimePoint now);
   // The watched connection has got no sign of life for too long.
   void OnSilent(common::TimePoint now);
   // No connection could be opened.
@@ -68,7 +71,8 @@
   // When the last connection was closed at the earliest.
   common::TimePoint gap_began;
   std::optional<common::TimePoint> replaced_at;
-  // When the last connections were closed.
+  std::optional<common::TimePoint> response_broken_at;
+  // When the last watched connections were closed.
   std::deque<common::TimePoint> closings;
   uint64_t replacements = 0;
 };
--- a/source/core/gateway/endpoint_watches.cc
+++ b/source/core/gateway/endpoint_watches.cc
@@ -34,6 +34,7 @@
 
   void Run() { this->connection.Run(); }
   void Stop() {
+    this->record->process().OnUnwatched();
     this->owner = nullptr;
     this->connection.Stop();
   }
--- a/source/core/gateway/request_task.cc
+++ b/source/core/gateway/request_task.cc
@@ -616,6 +616,7 @@
   }
   switch (error.failure()) {
     case SendFailure::kBroken:
+      record.process().OnResponseBroken(runtime::BootNow());
       this->deps.dispatcher.OnOutcome(*this->pool, record,
                                       SendOutcome::kBroken);
       this->deps.dispatcher.OnBroken(
--- a/source/unit_tests/core/dispatch/process_continuity_test.cc
+++ b/source/unit_tests/core/dispatch/process_continuity_test.cc
@@ -51,6 +51,35 @@
   CHECK(process.generation() == 0);
 }
 
+// Guards against a process that is replaced while another one holds its port.
+TEST_CASE("connections that close together make uncertain") {
+  ProcessContinuity process = ConnectedAt(0);
+  SECTION("the watched one first") {
+    process.OnClosed(At(1000), At(1000));
+    process.OnConnected(At(1001));
+    process.OnResponseBroken(At(1005));
+    process.OnResponseBroken(At(1006));
+  }
+  SECTION("that of a response first") {
+    process.OnResponseBroken(At(995));
+    process.OnClosed(At(1000), At(1000));
+    process.OnConnected(At(1001));
+  }
+  CHECK_FALSE(process.IsCertain());
+  process.OnRegistrationRead(At(4010), kLag);
+  CHECK(process.IsCertain());
+}
+
+// Guards against endpoints that get no streams because they break responses.
+TEST_CASE("a broken response alone makes not uncertain") {
+  ProcessContinuity process = ConnectedAt(0);
+  process.OnResponseBroken(At(1000));
+  process.OnClosed(At(1500), At(1500));
+  process.OnConnected(At(1501));
+  process.OnResponseBroken(At(2000));
+  CHECK(process.IsCertain());
+}
+
 // Guards against a process that is replaced while this host is suspended.
 TEST_CASE("a connection whose end is noticed late makes uncertain") {
   ProcessContinuity process = ConnectedAt(0);
