--- a/source/core/gateway/request_task.h
+++ b/source/core/gateway/request_task.h
@@ -197,6 +197,7 @@
   void RecordHead(const forward::ResponseHead& head,
                   dispatch::EndpointRecord& record);
   dispatch::AnswerKind ExpectedAnswer() const;
+  dispatch::StreamTargets Targets() const;
   // Records how long the request took, for those that arrive in a stop.
   void RecordDuration();
   void RecordFirstByte(dispatch::SendTicket& ticket);
--- /dev/null
+++ b/source/core/gateway/request_task_response.cc
@@ -0,0 +1,204 @@
+// The response of an endpoint: how it is passed on, and what is learnt from it.
+#include "core/gateway/request_task.h"
+
+#include <algorithm>
+
+#include "core/runtime/boot_clock.h"
+
+namespace jujuberock::gateway {
+
+namespace {
+
+using catalog::RouteKind;
+using common::Duration;
+using common::TimePoint;
+using dispatch::SendOutcome;
+using forward::SendFailure;
+
+// An endpoint that rejected a request because it is full is not used for this
+// long.
+constexpr Duration kFullEndpointPause = std::chrono::milliseconds(60);
+// An endpoint that is not the intended one, or that runs other weights, is not
+// used for this long, so that the view can be updated.
+constexpr Duration kMismatchPause = std::chrono::milliseconds(400);
+constexpr int kStatusOk = 200;
+
+bool IsSuccess(int status) {
+  return status >= 200 && status < 300;
+}
+
+}  // namespace
+
+void RequestTask::RecordHead(const forward::ResponseHead& head,
+                             dispatch::EndpointRecord& record) {
+  const TimePoint now = runtime::BootNow();
+  record.OnBytesReceived(now);
+  this->deps.dispatcher.OnNotice(record, head.notice);
+  if (head.load)
+    record.OnLoadReport(*head.load, now);
+  if (head.weight_version && this->request.prompt)
+    record.SetVersion(this->request.prompt->model, *head.weight_version);
+}
+
+RequestTask::AttemptResult RequestTask::HandleResponse(
+    forward::EndpointSend& send,
+    const forward::ResponseHead& head,
+    dispatch::SendTicket& ticket) {
+  auto& record = *ticket.endpoint;
+  if (head.not_run) {
+    const Duration pause =
+        head.status == 421 ? kMismatchPause : kFullEndpointPause;
+    const TimePoint now = runtime::BootNow();
+    record.paused_until = std::max(record.paused_until, now + pause);
+    record.OnRefused(now);
+    send.Discard();
+    return AttemptResult::kNotRun;
+  }
+  record.OnAccepted();
+  const bool own_failure = head.status >= 500;
+  if (own_failure)
+    this->deps.dispatcher.OnOutcome(*this->pool, record, SendOutcome::kError);
+  // The failure is the answer unless another endpoint takes the request.
+  if (own_failure && !this->relay.started() &&
+      this->Remaining(runtime::BootNow()) > this->route->target_latency / 2 &&
+      this->ReserveNextSend(false)) {
+    send.Discard();
+    return AttemptResult::kUnknown;
+  }
+  if (this->relay.started() && !this->IsStream(head))
+    return AttemptResult::kUnknown;
+  if (this->IsStream(head))
+    this->CheckProcess(record);
+  this->RelayResponse(send, head, ticket);
+  this->succeeded = IsSuccess(head.status);
+  if (this->succeeded && this->IsResumable())
+    this->deps.stream_registry.OnComplete(this->FirstAttempt());
+  if (!own_failure) {
+    this->deps.dispatcher.OnOutcome(*this->pool, record, SendOutcome::kGood);
+    this->deps.dispatcher.suspects().OnSuccess(this->fingerprint,
+                                               runtime::BootNow());
+    // Without framing, the end of the connection may also be a crash.
+    if (IsSuccess(head.status) &&
+        (!send.ends_with_connection() ||
+         this->end_evidence == EndEvidence::kSameProcess ||
+         this->end_evidence == EndEvidence::kReachable))
+      this->part_monitor.OnAnswered(ticket, runtime::BootNow());
+  }
+  return AttemptResult::kAnswered;
+}
+
+bool RequestTask::IsStream(const forward::ResponseHead& head) const {
+  return this->route->kind == RouteKind::kStream && head.status == kStatusOk;
+}
+
+dispatch::AnswerKind RequestTask::ExpectedAnswer() const {
+  if (this->pool->is_engine())
+    return dispatch::AnswerKind::kEngineStream;
+  return this->route->kind == RouteKind::kStream ? dispatch::AnswerKind::kStream
+                                                 : dispatch::AnswerKind::kWhole;
+}
+
+void RequestTask::RecordFirstByte(dispatch::SendTicket& ticket) {
+  if (ticket.started)
+    return;
+  this->FixSoftware();
+  const TimePoint now = runtime::BootNow();
+  auto& record = *ticket.endpoint;
+  record.OnStarted(ticket, now);
+  this->deps.dispatcher.MarkFirstEvent(this->active_send);
+  if (this->request.prompt && this->pool->is_engine()) {
+    this->pool->OnFirstToken(ticket, now);
+    this->RecordFetch(now - ticket.sent_at - this->predicted);
+    record.part_cache().Insert(
+        dispatch::CachedPartsOf(this->cache_key, *this->request.prompt));
+  }
+  if (this->first_byte_at == TimePoint())
+    this->first_byte_at = now;
+  this->deps.first_byte.Observe(now - this->received_at);
+}
+
+void RequestTask::RecordFetch(Duration excess) {
+  if (this->reuse.main_source.empty())
+    return;
+  this->deps.cache_store_index.OnFetched(this->reuse.main_source, excess);
+  if (this->deps.peer_loads)
+    this->deps.peer_loads->OnFetched(this->reuse.main_source, excess);
+}
+
+void RequestTask::RelayResponse(forward::EndpointSend& send,
+                                const forward::ResponseHead& head,
+                                dispatch::SendTicket& ticket) {
+  const auto is_running = [&] {
+    const Duration watch_time =
+        this->IsStream(head) ? this->route->target_event_gap : Duration(0);
+    this->end_evidence =
+        this->deps.dispatcher.CheckAfterEnd(*ticket.endpoint, watch_time);
+    return MayStillRun(*this->end_evidence);
+  };
+  if (this->IsStream(head)) {
+    this->relay.RelayStream(
+        send, head, dispatch::StalledEndLimit(this->Targets()),
+        [&] {
+          this->RecordFirstByte(ticket);
+          const TimePoint now = runtime::BootNow();
+          ticket.endpoint->OnBytesReceived(now);
+          this->part_monitor.OnEvent(ticket, now);
+        },
+        is_running);
+    this->pool->OnFinished(ticket, runtime::BootNow());
+  } else {
+    this->relay.RelayWhole(
+        send, head,
+        [&] {
+          if (!this->pool->is_engine())
+            ticket.endpoint->OnLatency(runtime::BootNow() - ticket.sent_at);
+          this->RecordFirstByte(ticket);
+        },
+        is_running);
+  }
+  this->LogAnswered(send, head, *ticket.endpoint);
+}
+
+RequestTask::AttemptResult RequestTask::OnSendError(
+    const forward::SendError& error,
+    const forward::EndpointSend& send,
+    dispatch::SendTicket& ticket) {
+  auto& record = *ticket.endpoint;
+  this->LogCut(error, send, record);
+  if (!send.sent()) {
+    ++this->failed_connects;
+    if (error.failure() == SendFailure::kNotConnected)
+      this->deps.dispatcher.OnOutcome(*this->pool, record,
+                                      SendOutcome::kNoRoute);
+    return AttemptResult::kNotRun;
+  }
+  switch (error.failure()) {
+    case SendFailure::kBroken:
+      record.process().OnResponseBroken(runtime::BootNow());
+      this->deps.dispatcher.OnOutcome(*this->pool, record,
+                                      SendOutcome::kBroken);
+      this->deps.dispatcher.OnBroken(
+          ticket.endpoint,
+          {this->fingerprint,
+           this->part_monitor.PossibleCauses(ticket, runtime::BootNow())});
+      break;
+    case SendFailure::kMalformed:
+    case SendFailure::kStalled:
+      this->deps.dispatcher.OnOutcome(*this->pool, record, SendOutcome::kError);
+      break;
+    case SendFailure::kTimeout:
+      this->timed_out = true;
+      if (record.last_byte_time() < ticket.sent_at)
+        this->deps.dispatcher.OnOutcome(*this->pool, record,
+                                        SendOutcome::kSilent);
+      break;
+    case SendFailure::kCanceled:
+      // When the dispatcher cancels a send, it records the reason itself.
+      break;
+    case SendFailure::kNotConnected:
+      break;
+  }
+  return AttemptResult::kUnknown;
+}
+
+}  // namespace jujuberock::gateway
--- a/source/core/gateway/request_task_send.cc
+++ b/source/core/gateway/request_task_send.cc
@@ -128,6 +128,10 @@
     parameters.cache_until_ms = this->reuse.until_ms;
 }
 
+dispatch::StreamTargets RequestTask::Targets() const {
+  return {this->route->target_latency, this->route->target_event_gap};
+}
+
 std::optional<Duration> RequestTask::MoveTimeout(
     const dispatch::EndpointChoice& choice) const {
   const bool is_last = this->runs + 1 >= this->route->max_attempts;
