Judge processes by what a review of the watched connections found

Now the time since which the store answers counts for the lag, a break is recorded for the moment in which it happened, a process that was replaced since the send has ended, connections that lived for less than 0.2 s and those that break before a response say nothing, and the wait ends with the deadline.

--- a/source/core/dispatch/process_continuity.h
+++ b/source/core/dispatch/process_continuity.h
@@ -31,8 +31,8 @@
   // The endpoint has closed the watched connection. This is noticed now and may
   // have happened at any time since `earliest`.
   void OnClosed(common::TimePoint earliest, common::TimePoint now);
-  // The endpoint has broken the connection of a response.
-  void OnResponseBroken(common::TimePoint now);
+  // The endpoint has broken the connection of a response at `broken_at`.
+  void OnResponseBroken(common::TimePoint broken_at, common::TimePoint now);
   // The watched connection has got no sign of life for too long.
   void OnSilent(common::TimePoint now);
   // No connection could be opened.
@@ -41,8 +41,11 @@
   // too many. Nothing is known until OnConnected() is called.
   void OnUnwatched();
   // The registration, as the store had it at `read_at`, is the one that this
-  // host goes by. It follows the start of a process within `lag`.
-  void OnRegistrationRead(common::TimePoint read_at, common::Duration lag);
+  // host goes by. It follows the start of a process within `lag`, as long as
+  // the store answers, which it has done since `answering_since`.
+  void OnRegistrationRead(common::TimePoint read_at,
+                          common::TimePoint answering_since,
+                          common::Duration lag);
 
   // Whether the process is the one that is registered.
   bool IsCertain() const { return !this->is_uncertain; }
@@ -60,12 +63,21 @@
   // A connection that is accepted within this time after the former one was
   // closed leads to the same process, because no process starts that fast.
   static constexpr common::Duration kMaxGap = std::chrono::milliseconds(100);
+  // An endpoint that has too many connections closes new ones sooner. That says
+  // nothing about its process.
+  static constexpr common::Duration kMinLifetime =
+      std::chrono::milliseconds(200);
   static constexpr size_t kMaxClosings = 8;
 
   void BecomeUncertain(common::TimePoint now);
+  // Whether a watched connection was closed together with one that was closed
+  // at this time.
+  bool HasClosingAt(common::TimePoint closed_at) const;
 
   bool is_open = false;
   bool is_uncertain = false;
+  // When the connection that is open, or the last one, was opened.
+  common::TimePoint opened_at;
   // Connections since then, without a gap, have led to one process.
   std::optional<common::TimePoint> watched_since;
   // When the last connection was closed at the earliest.
--- a/source/core/dispatch/service_pool.cc
+++ b/source/core/dispatch/service_pool.cc
@@ -60,6 +60,12 @@
   return common::Hash64(endpoint, common::Hash64(key));
 }
 
+bool TakesRequestsAt(const EndpointRecord& record,
+                     const std::string& software) {
+  return !record.endpoint().leaving && !record.removed &&
+         record.endpoint().software == software;
+}
+
 // Id of the part that identifies the session: the second to last one, because
 // the last one belongs to the request alone; the only one if there is just one.
 std::string_view SessionKey(const Prompt& prompt) {
@@ -169,15 +175,21 @@
   return left;
 }
 
-bool ServicePool::HasSoftware(const std::string& software,
-                              const std::set<std::string>* except) const {
+bool ServicePool::HasSoftware(const std::string& software) const {
+  return std::any_of(this->endpoints.begin(), this->endpoints.end(),
+                     [&](const auto& entry) {
+                       return TakesRequestsAt(*entry.second, software);
+                     });
+}
+
+bool ServicePool::HasCertainSoftware(
+    const std::string& software,
+    const std::set<std::string>& except) const {
   return std::any_of(
       this->endpoints.begin(), this->endpoints.end(), [&](const auto& entry) {
         const EndpointRecord& record = *entry.second;
-        const bool takes_requests =
-            !record.endpoint().leaving && !record.removed;
-        return takes_requests && record.endpoint().software == software &&
-               (!except || !except->contains(entry.first));
+        return TakesRequestsAt(record, software) &&
+               record.process().IsCertain() && !except.contains(entry.first);
       });
 }
 
--- a/source/core/dispatch/service_pool.h
+++ b/source/core/dispatch/service_pool.h
@@ -119,10 +119,12 @@
   std::optional<common::Duration> PauseLeft(
       const SendRequirements& requirements,
       common::TimePoint now) const;
-  // Whether an endpoint of this software version takes new requests, apart from
-  // those in `except`, if given.
-  bool HasSoftware(const std::string& software,
-                   const std::set<std::string>* except = nullptr) const;
+  // Whether an endpoint of this software version takes new requests.
+  bool HasSoftware(const std::string& software) const;
+  // The same for an endpoint whose process is certain and that is not among
+  // those in `except`.
+  bool HasCertainSoftware(const std::string& software,
+                          const std::set<std::string>& except) const;
   // Counts the endpoints that may take the request and those that may not.
   ExclusionCounts CountExclusions(const SendRequirements& requirements,
                                   common::TimePoint now) const;
--- a/source/core/gateway/dispatcher.cc
+++ b/source/core/gateway/dispatcher.cc
@@ -193,14 +193,26 @@
         .Add(Field::kEndpoint, endpoint.endpoint().id);
 }
 
-EndEvidence Dispatcher::CheckAfterEnd(const EndpointRecord& endpoint,
+EndEvidence Dispatcher::CheckAfterEnd(EndpointRecord& endpoint,
+                                      uint64_t process,
                                       Duration watch_time) {
+  constexpr Duration kCloseTime = dispatch::ProcessContinuity::kCloseTime;
   const std::string address = endpoint.endpoint().address;
   const TimePoint closed_at = runtime::BootNow();
-  runtime::SleepFor(
-      std::max<Duration>(dispatch::ProcessContinuity::kCloseTime, watch_time));
-  if (const auto runs = endpoint.process().RunsAfter(closed_at))
-    return *runs ? EndEvidence::kSameProcess : EndEvidence::kProcessEnded;
+  const auto runs = [&]() -> std::optional<bool> {
+    // The end of a response that a slow caller takes is noticed late.
+    if (endpoint.process().generation() != process)
+      return false;
+    return endpoint.process().RunsAfter(closed_at);
+  };
+  runtime::SleepFor(kCloseTime);
+  if (runs() != false && watch_time > kCloseTime)
+    runtime::SleepFor(watch_time - kCloseTime);
+  if (const auto still_runs = runs()) {
+    if (!*still_runs)
+      endpoint.process().OnResponseBroken(closed_at, runtime::BootNow());
+    return *still_runs ? EndEvidence::kSameProcess : EndEvidence::kProcessEnded;
+  }
   switch (this->connections.Probe(address)) {
     case forward::Reachability::kReachable:
       return EndEvidence::kReachable;
--- a/source/core/gateway/dispatcher.h
+++ b/source/core/gateway/dispatcher.h
@@ -164,9 +164,11 @@
                  dispatch::EndpointRecord& endpoint,
                  dispatch::SendOutcome outcome);
   // What became of an endpoint that has just closed the connection of a
-  // response. Waits for `watch_time` or longer, since a process may close its
-  // connections some time before it ends. Suspends the calling fiber.
-  EndEvidence CheckAfterEnd(const dispatch::EndpointRecord& endpoint,
+  // response, which was sent to this process of it. Waits for `watch_time` or
+  // longer, since a process may close its connections some time before it ends.
+  // Suspends the calling fiber.
+  EndEvidence CheckAfterEnd(dispatch::EndpointRecord& endpoint,
+                            uint64_t process,
                             common::Duration watch_time);
   // Called when an endpoint has broken the connection of a request. Checks
   // whether the endpoint crashed and, if so, marks the requests that it was
--- a/source/core/gateway/endpoint_watches.cc
+++ b/source/core/gateway/endpoint_watches.cc
@@ -38,10 +38,10 @@
     this->owner = nullptr;
     this->connection.Stop();
   }
-  // The registration is the one that the store had at `read_at`.
-  void OnRegistrationRead(common::TimePoint read_at, Duration lag) {
+  // The registration is the one that the store had at that time.
+  void OnRegistrationRead(const PlatformView::EndpointsAge& age, Duration lag) {
     this->Change("registration", [&](dispatch::ProcessContinuity& process) {
-      process.OnRegistrationRead(read_at, lag);
+      process.OnRegistrationRead(age.read_at, age.answering_since, lag);
     });
   }
   bool IsNeeded() const {
@@ -125,7 +125,7 @@
 }
 
 void EndpointWatches::Tick() {
-  const auto read_at = this->view.endpoints_read_at();
+  const auto age = this->view.endpoints_age();
   const Duration lag =
       std::max(this->settings.registration_lag,
                kRegistrationIntervals * this->settings.endpoint_heartbeat);
@@ -135,8 +135,8 @@
       it = this->watches.erase(it);
       continue;
     }
-    if (read_at)
-      it->second->OnRegistrationRead(*read_at, lag);
+    if (age)
+      it->second->OnRegistrationRead(*age, lag);
     ++it;
   }
 }
--- a/source/core/gateway/platform_view.cc
+++ b/source/core/gateway/platform_view.cc
@@ -163,6 +163,7 @@
   this->config_floor.OnEra(era, runtime::BootNow());
   if (!is_restored)
     return;
+  this->endpoints_read.reset();
   LogLine line(this->log, Event::kStoreRestored);
   line.Add(Field::kStoreEra, era);
   if (this->current_config)
@@ -184,7 +185,9 @@
   if (watch.kind != ObjectKind::kEndpoints)
     return;
   this->directory.OnStoreAnswer(runtime::BootNow());
-  this->endpoints_answered_at = earliest_answer;
+  if (!this->endpoints_read)
+    this->endpoints_read = EndpointsAge{earliest_answer, runtime::BootNow()};
+  this->endpoints_read->read_at = earliest_answer;
 }
 
 void PlatformView::ConfirmConfig(const KindWatch& watch) {
@@ -198,8 +201,10 @@
     LogLine(this->log, Event::kDependencyLost)
         .Add(Field::kDependency, watch.name)
         .Add(Field::kDetail, detail);
-  if (watch.kind == ObjectKind::kEndpoints)
-    this->directory.OnStoreFailure(runtime::BootNow());
+  if (watch.kind != ObjectKind::kEndpoints)
+    return;
+  this->directory.OnStoreFailure(runtime::BootNow());
+  this->endpoints_read.reset();
 }
 
 void PlatformView::Apply(const KindWatch& watch,
--- a/source/core/gateway/platform_view.h
+++ b/source/core/gateway/platform_view.h
@@ -56,10 +56,15 @@
     return this->directory;
   }
   const catalog::ViewAge& age() const { return this->view_age; }
-  // The endpoints are those that the store had at this time, or later; nothing
-  // before they are known.
-  std::optional<common::TimePoint> endpoints_read_at() const {
-    return this->endpoints_answered_at;
+  // The endpoints are those that the store had at `read_at` or later, and it
+  // has answered without a failure since `answering_since`.
+  struct EndpointsAge {
+    common::TimePoint read_at;
+    common::TimePoint answering_since;
+  };
+  // Nothing while the endpoints are not known, or the store does not answer.
+  std::optional<EndpointsAge> endpoints_age() const {
+    return this->endpoints_read;
   }
   // Whether API keys may be checked against the configuration in force.
   bool KeysUsable(common::TimePoint now) const {
@@ -181,7 +186,7 @@
   std::vector<KindWatchPtr> watches;
   // The newest era of the store that was noticed; 0 before its first answer.
   uint64_t known_era = 0;
-  std::optional<common::TimePoint> endpoints_answered_at;
+  std::optional<EndpointsAge> endpoints_read;
   bool endpoints_known = false;
   bool hosts_known = false;
   bool stopping = false;
--- a/source/core/gateway/request_task_response.cc
+++ b/source/core/gateway/request_task_response.cc
@@ -130,9 +130,11 @@
                                 dispatch::SendTicket& ticket) {
   const auto is_running = [&] {
     const Duration watch_time =
-        this->IsStream(head) ? this->route->target_event_gap : Duration(0);
-    this->end_evidence =
-        this->deps.dispatcher.CheckAfterEnd(*ticket.endpoint, watch_time);
+        this->IsStream(head) ? std::min(this->route->target_event_gap,
+                                        this->Remaining(runtime::BootNow()))
+                             : Duration(0);
+    this->end_evidence = this->deps.dispatcher.CheckAfterEnd(
+        *ticket.endpoint, this->sent_process, watch_time);
     return MayStillRun(*this->end_evidence);
   };
   if (this->IsStream(head)) {
@@ -174,7 +176,10 @@
   }
   switch (error.failure()) {
     case SendFailure::kBroken:
-      record.process().OnResponseBroken(runtime::BootNow());
+      // A full endpoint resets new connections before it answers.
+      if (send.framing() != forward::Framing::kNone && !this->end_evidence)
+        record.process().OnResponseBroken(runtime::BootNow(),
+                                          runtime::BootNow());
       this->deps.dispatcher.OnOutcome(*this->pool, record,
                                       SendOutcome::kBroken);
       this->deps.dispatcher.OnBroken(
--- a/source/core/gateway/request_task_software.cc
+++ b/source/core/gateway/request_task_software.cc
@@ -58,7 +58,7 @@
   const bool keeps_version =
       this->sent_software &&
       this->deps.stream_registry.RecordsStreams(this->service) &&
-      this->pool->HasSoftware(*this->sent_software, &this->tried);
+      this->pool->HasCertainSoftware(*this->sent_software, this->tried);
   return keeps_version ? this->sent_software : std::nullopt;
 }
 
--- a/source/unit_tests/core/dispatch/process_continuity_test.cc
+++ b/source/unit_tests/core/dispatch/process_continuity_test.cc
@@ -57,26 +57,31 @@
   SECTION("the watched one first") {
     process.OnClosed(At(1000), At(1000));
     process.OnConnected(At(1001));
-    process.OnResponseBroken(At(1005));
-    process.OnResponseBroken(At(1006));
+    process.OnResponseBroken(At(1005), At(1005));
+    process.OnResponseBroken(At(1006), At(1006));
+  }
+  SECTION("the watched one first, and the response is judged later") {
+    process.OnClosed(At(1000), At(1000));
+    process.OnConnected(At(1001));
+    process.OnResponseBroken(At(1005), At(1300));
   }
   SECTION("that of a response first") {
-    process.OnResponseBroken(At(995));
+    process.OnResponseBroken(At(995), At(995));
     process.OnClosed(At(1000), At(1000));
     process.OnConnected(At(1001));
   }
   CHECK_FALSE(process.IsCertain());
-  process.OnRegistrationRead(At(4010), kLag);
+  process.OnRegistrationRead(At(4310), At(0), kLag);
   CHECK(process.IsCertain());
 }
 
 // Guards against endpoints that get no streams because they break responses.
 TEST_CASE("a broken response alone makes not uncertain") {
   ProcessContinuity process = ConnectedAt(0);
-  process.OnResponseBroken(At(1000));
+  process.OnResponseBroken(At(1000), At(1000));
   process.OnClosed(At(1500), At(1500));
   process.OnConnected(At(1501));
-  process.OnResponseBroken(At(2000));
+  process.OnResponseBroken(At(2000), At(2000));
   CHECK(process.IsCertain());
 }
 
@@ -102,33 +107,59 @@
   ProcessContinuity process = ConnectedAt(0);
   process.OnClosed(At(1000), At(1000));
   process.OnConnectFailed(At(1001));
-  process.OnRegistrationRead(At(9000), kLag);
+  process.OnRegistrationRead(At(9000), At(0), kLag);
   CHECK_FALSE(process.IsCertain());
   process.OnConnected(At(10'000));
-  process.OnRegistrationRead(At(12'999), kLag);
+  process.OnRegistrationRead(At(12'999), At(0), kLag);
   CHECK_FALSE(process.IsCertain());
   SECTION("while one connection stays open") {
-    process.OnRegistrationRead(At(13'000), kLag);
+    process.OnRegistrationRead(At(13'000), At(0), kLag);
     CHECK(process.IsCertain());
   }
   SECTION("while connections follow each other without a gap") {
     process.OnClosed(At(12'000), At(12'000));
     process.OnConnected(At(12'010));
-    process.OnRegistrationRead(At(13'000), kLag);
+    process.OnRegistrationRead(At(13'000), At(0), kLag);
     CHECK(process.IsCertain());
   }
   SECTION("but not if the process has ended once more") {
     process.OnClosed(At(12'000), At(12'000));
     process.OnConnectFailed(At(12'001));
     process.OnConnected(At(12'500));
-    process.OnRegistrationRead(At(13'000), kLag);
+    process.OnRegistrationRead(At(13'000), At(0), kLag);
     CHECK_FALSE(process.IsCertain());
     CHECK(process.generation() == 2);
-    process.OnRegistrationRead(At(15'500), kLag);
+    process.OnRegistrationRead(At(15'500), At(0), kLag);
     CHECK(process.IsCertain());
   }
 }
 
+// Guards against a registration that is taken for current although no process
+// could register while the store was away.
+TEST_CASE("the time in which the store does not answer proves nothing") {
+  ProcessContinuity process = ConnectedAt(0);
+  process.OnClosed(At(1000), At(1000));
+  process.OnConnectFailed(At(1001));
+  process.OnConnected(At(2000));
+  process.OnRegistrationRead(At(20'000), At(19'000), kLag);
+  CHECK_FALSE(process.IsCertain());
+  process.OnRegistrationRead(At(22'000), At(19'000), kLag);
+  CHECK(process.IsCertain());
+}
+
+// Guards against sound endpoints that are left out, and whole streams that are
+// cut, because the endpoint resets new connections while it is full.
+TEST_CASE("a connection that is closed at once says nothing") {
+  ProcessContinuity process = ConnectedAt(0);
+  process.OnClosed(At(1000), At(1000));
+  process.OnConnected(At(1001));
+  process.OnClosed(At(1050), At(1050));
+  process.OnConnected(At(1051));
+  process.OnResponseBroken(At(1055), At(1055));
+  CHECK(process.IsCertain());
+  CHECK(process.RunsAfter(At(1060)) == true);
+}
+
 // Guards against endpoints that get no streams because they have too many
 // connections to keep an idle one open.
 TEST_CASE("an endpoint that can't be watched stays certain") {
