--- a/source/core/dispatch/admission_policy.cc
+++ b/source/core/dispatch/admission_policy.cc
@@ -22,6 +22,12 @@
 constexpr double kMaxLateWaitShare = 0.6;
 constexpr common::Duration kMinRetryAfter = std::chrono::milliseconds(100);
 
+AdmissionDecision WaitFor(common::Duration left) {
+  AdmissionDecision decision{AdmissionStep::kWait};
+  decision.wait_left = left;
+  return decision;
+}
+
 AdmissionDecision DecideForRefusable(
     const AdmissionRequest& request,
     const std::optional<EndpointChoice>& choice) {
@@ -37,7 +43,7 @@
       return {AdmissionStep::kRefuse,
               std::max(kMinRetryAfter, *request.pause_left)};
     if (request.held < max_hold)
-      return {AdmissionStep::kWait};
+      return WaitFor(max_hold - request.held);
     return {AdmissionStep::kRefuse,
             std::max(kMinRetryAfter, request.target_latency / 2)};
   }
@@ -47,16 +53,19 @@
   if (choice->idle || can_continue)
     return {AdmissionStep::kSend};
   const auto left = request.target_latency - request.elapsed;
+  // Other requests need the room more.
+  const bool may_overtake = !request.must_wait;
   const bool can_be_on_time = left > choice->predicted;
-  if (can_be_on_time)
+  if (can_be_on_time && may_overtake)
     return {AdmissionStep::kSend};
   const bool is_late = left <= common::Duration(0);
-  if (is_late &&
+  if (is_late && may_overtake &&
       choice->predicted < Scale(request.target_latency, kMaxLateWaitShare))
     return {AdmissionStep::kSend};
-  if (request.held < Scale(request.target_latency, kMaxHoldShare) &&
-      request.held < request.remaining / 2)
-    return {AdmissionStep::kWait};
+  const auto max_hold = std::min(Scale(request.target_latency, kMaxHoldShare),
+                                 request.remaining / 2);
+  if (request.held < max_hold)
+    return WaitFor(max_hold - request.held);
   return {AdmissionStep::kRefuse,
           std::max(kMinRetryAfter, choice->predicted - left / 2)};
 }
@@ -67,7 +76,7 @@
                                   const std::optional<EndpointChoice>& choice) {
   const AdmissionDecision decision = DecideForRefusable(request, choice);
   if (decision.step == AdmissionStep::kRefuse && !request.may_be_refused)
-    return {AdmissionStep::kWait};
+    return WaitFor(request.remaining);
   return decision;
 }
 
--- a/source/core/dispatch/admission_policy.h
+++ b/source/core/dispatch/admission_policy.h
@@ -25,6 +25,9 @@
   bool is_continuation = false;
   // Whether the request can be refused: no endpoint has begun to work on it.
   bool may_be_refused = true;
+  // Whether another request that waits on this host goes before this one. It
+  // may still use an idle endpoint.
+  bool must_wait = false;
   // Set if all endpoints have asked for a pause: time until the first one ends.
   std::optional<common::Duration> pause_left;
 };
@@ -33,6 +36,8 @@
   AdmissionStep step = AdmissionStep::kSend;
   // Set for kRefuse: time after which capacity is expected.
   common::Duration retry_after{0};
+  // Set for kWait: time for which the request may go on waiting.
+  common::Duration wait_left{0};
 };
 
 // Decides whether a request is sent now, stays queued, or is refused early
--- a/source/core/dispatch/endpoint_filter.cc
+++ b/source/core/dispatch/endpoint_filter.cc
@@ -5,13 +5,15 @@
 namespace {
 
 Eligibility EligibilityByHealth(const EndpointRecord& record,
+                                const SendRequirements& requirements,
                                 common::TimePoint now) {
   switch (record.health().StateAt(now)) {
     case EndpointHealth::State::kHealthy:
       return Eligibility::kYes;
     case EndpointHealth::State::kProbation:
-      return record.own_in_flight() == 0 ? Eligibility::kYes
-                                         : Eligibility::kLastResort;
+      return record.own_in_flight() == 0 && !requirements.avoid_probation
+                 ? Eligibility::kYes
+                 : Eligibility::kLastResort;
     case EndpointHealth::State::kEjected:
       return Eligibility::kLastResort;
   }
@@ -48,7 +50,8 @@
                           common::TimePoint now) {
   if (ExclusionOf(record, requirements, now) != Exclusion::kNone)
     return Eligibility::kNo;
-  const Eligibility eligibility = EligibilityByHealth(record, now);
+  const Eligibility eligibility =
+      EligibilityByHealth(record, requirements, now);
   if (!requirements.ready_only)
     return eligibility;
   const bool is_ready =
--- a/source/core/dispatch/endpoint_record.cc
+++ b/source/core/dispatch/endpoint_record.cc
@@ -7,21 +7,19 @@
 namespace {
 
 constexpr double kLatencySmoothing = 0.1;
-constexpr size_t kMaxPeerRuns = 512;
 
 }  // namespace
 
 void EndpointRecord::OnSent(SendTicket& ticket, common::TimePoint now) {
   ticket.sent_at = now;
   ticket.tokens_ahead =
-      this->PendingTokens(ticket.urgency) + ticket.uncached_tokens;
+      this->engine_room.OwnPending(ticket.urgency) + ticket.uncached_tokens;
   if (this->own_waiting() == 0)
     this->unanswered_since = now;
   ++this->in_flight;
-  this->memory_in_use += ticket.memory_tokens;
   this->own_long_runs += ticket.is_long ? 1 : 0;
-  this->pending_tokens[static_cast<size_t>(ticket.urgency)] +=
-      ticket.uncached_tokens;
+  this->engine_room.AddOwn(ticket.urgency, ticket.uncached_tokens,
+                           ticket.memory_tokens);
 }
 
 void EndpointRecord::OnStarted(SendTicket& ticket, common::TimePoint now) {
@@ -32,8 +30,7 @@
   ++this->started;
   this->last_byte_at = now;
   this->unanswered_since = now;
-  this->pending_tokens[static_cast<size_t>(ticket.urgency)] -=
-      ticket.uncached_tokens;
+  this->engine_room.OnOwnStarted(ticket.urgency, ticket.uncached_tokens);
 }
 
 void EndpointRecord::OnEnded(SendTicket& ticket, common::TimePoint now) {
@@ -42,11 +39,10 @@
   if (ticket.started)
     --this->started;
   else
-    this->pending_tokens[static_cast<size_t>(ticket.urgency)] -=
-        ticket.uncached_tokens;
+    this->engine_room.OnOwnStarted(ticket.urgency, ticket.uncached_tokens);
   ticket.ended = true;
   --this->in_flight;
-  this->memory_in_use -= ticket.memory_tokens;
+  this->engine_room.RemoveOwn(ticket.urgency, ticket.memory_tokens);
   this->own_long_runs -= ticket.is_long ? 1 : 0;
   if (!ticket.started)
     this->unanswered_since = now;
@@ -71,13 +67,6 @@
   this->latency_ms += kLatencySmoothing * (ms - this->latency_ms);
 }
 
-int64_t EndpointRecord::PendingTokens(int urgency) const {
-  int64_t tokens = 0;
-  for (int i = 0; i <= urgency; ++i)
-    tokens += this->pending_tokens[static_cast<size_t>(i)];
-  return tokens;
-}
-
 double EndpointRecord::ReportWeight(common::TimePoint now) const {
   if (!this->report)
     return 0;
@@ -95,29 +84,13 @@
          static_cast<double>(std::max<int64_t>(0, others));
 }
 
-void EndpointRecord::ExpirePeerRuns(common::TimePoint now) const {
-  std::erase_if(this->peer_runs, [&](const PeerRun& run) {
-    if (now < run.until)
-      return false;
-    this->peer_memory -= run.memory_tokens;
-    this->peer_long_runs -= run.is_long ? 1 : 0;
-    return true;
-  });
-}
-
-int64_t EndpointRecord::PeerRuns(common::TimePoint now) const {
-  this->ExpirePeerRuns(now);
-  return static_cast<int64_t>(this->peer_runs.size());
-}
-
-int64_t EndpointRecord::PeerMemory(common::TimePoint now) const {
-  this->ExpirePeerRuns(now);
-  return this->peer_memory;
+double EndpointRecord::UnannouncedRuns(common::TimePoint now) const {
+  return std::max(0.0, this->OthersInFlight(now) -
+                           static_cast<double>(this->PeerRuns(now)));
 }
 
 int64_t EndpointRecord::LongRuns(common::TimePoint now) const {
-  this->ExpirePeerRuns(now);
-  return this->own_long_runs + this->peer_long_runs;
+  return this->own_long_runs + this->engine_room.PeerLongRuns(now);
 }
 
 double EndpointRecord::OthersWaiting(common::TimePoint now) const {
@@ -128,30 +101,6 @@
          static_cast<double>(std::max<int64_t>(0, others));
 }
 
-void EndpointRecord::OnPeerPrompt(const PeerPrompt& prompt,
-                                  common::TimePoint now) {
-  if (this->peer_tokens <= 0)
-    this->peer_tokens_at = now;
-  this->peer_tokens += static_cast<double>(prompt.uncached_tokens);
-  // Announcements of other hosts are not trusted without a limit.
-  if (this->peer_runs.size() >= kMaxPeerRuns)
-    return;
-  this->peer_runs.push_back(
-      {now + prompt.run_time, prompt.memory_tokens, prompt.is_long});
-  this->peer_memory += prompt.memory_tokens;
-  this->peer_long_runs += prompt.is_long ? 1 : 0;
-}
-
-double EndpointRecord::PeerTokens(double token_ms,
-                                  common::TimePoint now) const {
-  if (this->peer_tokens <= 0 || token_ms <= 0)
-    return 0;
-  const double passed_ms = common::ToMilliseconds(now - this->peer_tokens_at);
-  this->peer_tokens = std::max(0.0, this->peer_tokens - passed_ms / token_ms);
-  this->peer_tokens_at = now;
-  return this->peer_tokens;
-}
-
 void EndpointRecord::Reserve(std::string_view model,
                              uint64_t version,
                              common::TimePoint until) {
--- a/source/core/dispatch/endpoint_record.h
+++ b/source/core/dispatch/endpoint_record.h
@@ -1,9 +1,7 @@
 #ifndef CORE_DISPATCH_ENDPOINT_RECORD_H_
 #define CORE_DISPATCH_ENDPOINT_RECORD_H_
 
-#include <array>
 #include <cstdint>
-#include <deque>
 #include <memory>
 #include <optional>
 #include <string>
@@ -11,15 +9,13 @@
 #include "core/catalog/types.h"
 #include "core/common/time.h"
 #include "core/dispatch/endpoint_health.h"
+#include "core/dispatch/engine_room.h"
 #include "core/dispatch/part_cache.h"
 #include "core/dispatch/peer_prompt.h"
 #include "core/dispatch/process_continuity.h"
 
 namespace jujuberock::dispatch {
 
-// Number of urgency levels of requests; 0 is the most urgent.
-inline constexpr int kUrgencies = 10;
-
 // Load that an endpoint reported along with an answer.
 struct LoadReport {
   int64_t running = 0;
@@ -84,25 +80,24 @@
 
   int64_t own_in_flight() const { return this->in_flight; }
   int64_t own_waiting() const { return this->in_flight - this->started; }
-  int64_t memory_tokens() const { return this->memory_in_use; }
-  // Tokens that the engine prefills before a new request of this urgency.
-  // Counts only the sends of this host.
-  int64_t PendingTokens(int urgency) const;
+  const EngineRoom& room() const { return this->engine_room; }
   // Requests of other hosts on the endpoint, estimated from its load reports:
   // running and waiting ones, and waiting ones only.
   double OthersInFlight(common::TimePoint now) const;
   double OthersWaiting(common::TimePoint now) const;
   // Another host announced a prompt that it sent to the engine.
-  void OnPeerPrompt(const PeerPrompt& prompt, common::TimePoint now);
-  // Runs that other hosts have announced and that should still be going on, and
-  // the engine memory that they need.
-  int64_t PeerRuns(common::TimePoint now) const;
-  int64_t PeerMemory(common::TimePoint now) const;
+  void OnPeerPrompt(const PeerPrompt& prompt, common::TimePoint now) {
+    this->engine_room.AddPeer(prompt, now);
+  }
+  // Runs that other hosts have announced and that should still be going on.
+  int64_t PeerRuns(common::TimePoint now) const {
+    return this->engine_room.PeerRuns(now);
+  }
+  // Requests of other hosts that the engine reports and that no host has
+  // announced, because the announcement was lost or this host has just started.
+  double UnannouncedRuns(common::TimePoint now) const;
   // Runs of all hosts that stream many events.
   int64_t LongRuns(common::TimePoint now) const;
-  // Tokens of other hosts' prompts that the engine has not prefilled yet, given
-  // its prefill time per token.
-  double PeerTokens(double token_ms, common::TimePoint now) const;
   common::TimePoint last_byte_time() const { return this->last_byte_at; }
   // Start of the current wait for a first byte: the time of the first
   // unanswered send, or of the last send that got its first byte or ended
@@ -142,12 +137,6 @@
   // long.
   static constexpr common::Duration kRefusalLifetime = std::chrono::seconds(1);
 
-  struct PeerRun {
-    common::TimePoint until;
-    int64_t memory_tokens = 0;
-    bool is_long = false;
-  };
-
   struct Reservation {
     std::string model;
     uint64_t version = 0;
@@ -155,7 +144,6 @@
   };
 
   double ReportWeight(common::TimePoint now) const;
-  void ExpirePeerRuns(common::TimePoint now) const;
 
   catalog::Endpoint description;
   EndpointHealth passive_health;
@@ -163,9 +151,8 @@
   PartCache cache;
   int64_t in_flight = 0;
   int64_t started = 0;
-  int64_t memory_in_use = 0;
   int64_t own_long_runs = 0;
-  std::array<int64_t, kUrgencies> pending_tokens{};
+  EngineRoom engine_room;
   std::optional<LoadReport> report;
   common::TimePoint reported_at;
   int64_t own_in_flight_at_report = 0;
@@ -173,13 +160,6 @@
   common::TimePoint last_byte_at;
   // Unset once a request was accepted.
   std::optional<common::TimePoint> refused_at;
-  // Tokens that were pending at `peer_tokens_at`; the engine has prefilled some
-  // of them since.
-  mutable double peer_tokens = 0;
-  mutable common::TimePoint peer_tokens_at;
-  mutable std::deque<PeerRun> peer_runs;
-  mutable int64_t peer_memory = 0;
-  mutable int64_t peer_long_runs = 0;
   common::TimePoint unanswered_since;
   double latency_ms = 0;
   std::optional<Reservation> reservation;
--- a/source/core/dispatch/peer_prompt.h
+++ b/source/core/dispatch/peer_prompt.h
@@ -17,6 +17,8 @@
   common::Duration run_time{0};
   // Whether the run is expected to stream many events.
   bool is_long = false;
+  // 0 is the most urgent, which is also assumed of a host that does not tell.
+  int urgency = 0;
 
   friend bool operator==(const PeerPrompt&, const PeerPrompt&) = default;
 };
--- a/source/core/dispatch/placement_cost.cc
+++ b/source/core/dispatch/placement_cost.cc
@@ -29,6 +29,7 @@
 // Smoothing of the means over requests and over first tokens.
 constexpr double kOutputSmoothing = 0.02;
 constexpr double kUncachedSmoothing = 0.05;
+constexpr double kMemorySmoothing = 0.02;
 constexpr double kOutputTimeSmoothing = 0.02;
 constexpr double kMemoryOverflowPenaltyMs = 400;
 constexpr double kFailureSmoothing = 0.02;
@@ -126,12 +127,18 @@
                record.part_cache().CachedTokens(preparation.parts));
   choice.uncached_tokens = prompt.prompt_tokens - choice.cached_tokens;
   this->ApplyStoredParts(choice, requirements);
-  const double peer_tokens = record.PeerTokens(this->model.token_ms(), now);
+  const EngineRoom& room = record.room();
   const double peer_pending =
-      std::max(peer_tokens, record.OthersWaiting(now) * this->mean_uncached);
+      room.PeerPending(requirements.urgency, this->model.token_ms(), now);
+  const double all_peer_pending =
+      room.PeerPending(kUrgencies - 1, this->model.token_ms(), now);
+  // Reports do not tell the urgency of what waits, so what they show beyond the
+  // announcements counts as ahead.
+  const double unannounced_pending = std::max(
+      0.0, record.OthersWaiting(now) * this->mean_uncached - all_peer_pending);
   const double pending_ahead =
-      static_cast<double>(record.PendingTokens(requirements.urgency)) +
-      peer_pending;
+      static_cast<double>(room.OwnPending(requirements.urgency)) +
+      peer_pending + unannounced_pending;
   // The engine prefills other prompts during the fetch, so the times overlap.
   const double fetch_as_tokens = choice.fetch_ms / this->model.token_ms();
   choice.predicted = this->model.Predict(
@@ -146,7 +153,7 @@
   if (preparation.second == &record)
     cost -= prefill_ms * kSecondAffinitySaving;
   const double all_pending =
-      static_cast<double>(record.PendingTokens(kUrgencies - 1)) + peer_tokens;
+      static_cast<double>(room.OwnPending(kUrgencies - 1)) + all_peer_pending;
   if (choice.is_long)
     cost += kPendingPrefillWeight * this->model.token_ms() * all_pending;
   cost += this->long_runs.MisplacementCost(record.endpoint().id, choice.is_long,
@@ -155,26 +162,35 @@
   if (requirements.preferred_version != 0 &&
       record.VersionOf(prompt.model) < requirements.preferred_version)
     cost += kOldVersionPenaltyMs;
-  return cost + this->RoomCost(choice, prompt, pending_ahead, now);
+  return cost + this->RoomCost(choice, requirements, pending_ahead, now);
 }
 
 double PlacementCost::RoomCost(EndpointChoice& choice,
-                               const Prompt& prompt,
+                               const SendRequirements& requirements,
                                double pending_ahead,
                                common::TimePoint now) const {
   const EndpointRecord& record = *choice.endpoint;
+  const EngineRoom& room = record.room();
   double cost = 0;
   const auto capacity =
       static_cast<double>(this->properties->kv_capacity_tokens);
-  const double memory = static_cast<double>(
-      record.memory_tokens() + record.PeerMemory(now) + prompt.MemoryTokens());
+  const double unannounced =
+      record.UnannouncedRuns(now) * this->mean_memory +
+      static_cast<double>(requirements.prompt->MemoryTokens());
+  const auto memory_up_to = [&](int urgency) {
+    return unannounced + static_cast<double>(room.OwnMemory(urgency) +
+                                             room.PeerMemory(urgency, now));
+  };
+  const double memory = memory_up_to(kUrgencies - 1);
   const bool fits = capacity <= 0 || memory <= capacity;
   if (!fits) {
+    // Some run is preempted and prefilled again.
     cost += kMemoryOverflowPenaltyMs * (memory / capacity);
-    // The prompt waits until runs have freed the missing memory, or preempts
-    // one that is then prefilled again.
-    choice.predicted +=
-        common::Scale(choice.run_time, (memory - capacity) / capacity);
+    // The prompt waits until runs have freed the missing memory. Less urgent
+    // runs are preempted for it.
+    const double missing =
+        std::max(0.0, memory_up_to(requirements.urgency) - capacity);
+    choice.predicted += common::Scale(choice.run_time, missing / capacity);
   }
   const double in_flight = static_cast<double>(record.own_in_flight()) +
                            std::max(record.OthersInFlight(now),
@@ -244,6 +260,13 @@
   return expected + latency * std::max(0.0, in_flight + 1 - slots);
 }
 
+void PlacementCost::OnSent(const PeerPrompt& prompt, common::TimePoint now) {
+  this->long_runs.OnSent(prompt, now);
+  this->mean_memory +=
+      kMemorySmoothing *
+      (static_cast<double>(prompt.memory_tokens) - this->mean_memory);
+}
+
 void PlacementCost::OnFirstToken(const SendTicket& ticket,
                                  common::TimePoint now) {
   const auto uncached = static_cast<double>(ticket.uncached_tokens);
--- a/source/core/dispatch/placement_cost.h
+++ b/source/core/dispatch/placement_cost.h
@@ -55,9 +55,7 @@
                   common::TimePoint now);
 
   // Records a send of this host or one that another host announced.
-  void OnSent(const PeerPrompt& prompt, common::TimePoint now) {
-    this->long_runs.OnSent(prompt, now);
-  }
+  void OnSent(const PeerPrompt& prompt, common::TimePoint now);
   void OnFirstToken(const SendTicket& ticket, common::TimePoint now);
   // Records a run that ended successfully.
   void OnFinished(const SendTicket& ticket, common::TimePoint now);
@@ -81,7 +79,7 @@
   // Returns the cost of what the run does not find on the engine: memory and a
   // slot. Also sets whether the engine is idle.
   double RoomCost(EndpointChoice& choice,
-                  const Prompt& prompt,
+                  const SendRequirements& requirements,
                   double pending_ahead,
                   common::TimePoint now) const;
   // Subtracts the parts that are worth fetching from the uncached tokens and
@@ -97,6 +95,8 @@
   LongRunEngines long_runs;
   double mean_failures = 0;
   double mean_uncached = 0;
+  // Moving average of the KV cache use of runs, in tokens.
+  double mean_memory = 0;
   // Moving average of the `max_output_tokens` of requests.
   double mean_output = 0;
   // Time per output token. For short runs it includes the pause after the first
--- a/source/core/dispatch/resend_policy.cc
+++ b/source/core/dispatch/resend_policy.cc
@@ -4,9 +4,11 @@
 
 namespace {
 
-// Maximum failed connection attempts of one request. Each unreachable endpoint
-// can cost the connect timeout.
-constexpr int64_t kMaxFailedConnects = 3;
+// Maximum connection attempts of one request that ran into the connect timeout.
+constexpr int64_t kMaxSlowConnects = 3;
+// Maximum sends of one request that failed at once, because nothing listens at
+// the address or another process does. They cost a few milliseconds each.
+constexpr int64_t kMaxQuickFailures = 12;
 
 }  // namespace
 
@@ -19,10 +21,14 @@
   // A request that has not run can be refused, which is better than many sends
   // to endpoints that are full. One that may have run can't be refused any
   // more, so only its runs count.
-  const int64_t attempts = request.runs > 0 ? request.runs : request.sends;
+  // A send that another process has answered was no attempt at the endpoint.
+  const int64_t attempts = request.runs > 0
+                               ? request.runs
+                               : request.sends - request.misdirected_sends;
   if (attempts >= request.max_attempts)
     return GiveUpReason::kAttempts;
-  if (request.failed_connects >= kMaxFailedConnects)
+  if (request.slow_connects >= kMaxSlowConnects ||
+      request.quick_failures >= kMaxQuickFailures)
     return GiveUpReason::kConnects;
   if (request.admission.remaining <= kMinTimeToAnswer)
     return GiveUpReason::kTime;
--- a/source/core/dispatch/resend_policy.h
+++ b/source/core/dispatch/resend_policy.h
@@ -41,7 +41,13 @@
   int64_t sends = 0;
   int64_t runs = 0;
   int64_t max_attempts = 1;
-  int64_t failed_connects = 0;
+  // Sends that another process at the endpoint's address has turned away. They
+  // are part of `sends`, and of the retries that the budget counts.
+  int64_t misdirected_sends = 0;
+  // Sends that failed because no connection was opened in time, and those that
+  // failed at once: refused connections and misdirected sends.
+  int64_t slow_connects = 0;
+  int64_t quick_failures = 0;
   // Whether a retry that this request has taken from the budget is still
   // unused.
   bool holds_retry = false;
--- a/source/core/dispatch/send_requirements.h
+++ b/source/core/dispatch/send_requirements.h
@@ -46,6 +46,9 @@
   bool isolate = false;
   // Only endpoints that are healthy and have not just refused a request.
   bool ready_only = false;
+  // The request has already found a dead endpoint, so it is not the one to try
+  // whether another endpoint has recovered.
+  bool avoid_probation = false;
 };
 
 }  // namespace jujuberock::dispatch
--- a/source/core/events/event_log.h
+++ b/source/core/events/event_log.h
@@ -62,33 +62,34 @@
   kRequestResent,
   kRequestResumed,
   kRequestCut,
+  kRequestTurnedAway,
   kRequestAnswered,
   kRequestUnanswered,
 };
 
-inline constexpr size_t kEventCount = 39;
+inline constexpr size_t kEventCount = 40;
 
 inline constexpr common::NameTable<Event, kEventCount> kEventNames(
-    {"started",           "stopping",
-     "stopped",           "reloaded",
-     "dependency_lost",   "dependency_regained",
-     "lines_dropped",     "store_restored",
-     "entry_unreadable",  "config_in_force",
-     "config_rejected",   "view_stale",
-     "view_renewed",      "endpoint_added",
-     "endpoint_left",     "endpoints_held_back",
-     "endpoint_ejected",  "endpoint_readmitted",
-     "endpoint_backoff",  "endpoint_uncertain",
-     "endpoint_certain",  "version_named",
-     "holder_gained",     "holder_lost",
-     "weights_ordered",   "weights_in_force",
-     "parts_freed",       "crash_marked",
-     "software_agreed",   "parts_blocked",
-     "part_trial",        "request_refused",
-     "request_queued",    "request_sent",
-     "request_resent",    "request_resumed",
-     "request_cut",       "request_answered",
-     "request_unanswered"});
+    {"started",          "stopping",
+     "stopped",          "reloaded",
+     "dependency_lost",  "dependency_regained",
+     "lines_dropped",    "store_restored",
+     "entry_unreadable", "config_in_force",
+     "config_rejected",  "view_stale",
+     "view_renewed",     "endpoint_added",
+     "endpoint_left",    "endpoints_held_back",
+     "endpoint_ejected", "endpoint_readmitted",
+     "endpoint_backoff", "endpoint_uncertain",
+     "endpoint_certain", "version_named",
+     "holder_gained",    "holder_lost",
+     "weights_ordered",  "weights_in_force",
+     "parts_freed",      "crash_marked",
+     "software_agreed",  "parts_blocked",
+     "part_trial",       "request_refused",
+     "request_queued",   "request_sent",
+     "request_resent",   "request_resumed",
+     "request_cut",      "request_turned_away",
+     "request_answered", "request_unanswered"});
 
 // Fields that a line may have.
 enum class Field {
@@ -142,9 +143,11 @@
   kLastEvent,
   kStartedAtMs,
   kEndEvidence,
+  kUrgency,
+  kBelowFloor,
 };
 
-inline constexpr size_t kFieldCount = 50;
+inline constexpr size_t kFieldCount = 52;
 
 inline constexpr common::NameTable<Field, kFieldCount> kFieldNames(
     {"request",
@@ -196,7 +199,9 @@
      "resumes",
      "last_event",
      "started_at_ms",
-     "end_evidence"});
+     "end_evidence",
+     "urgency",
+     "below_floor"});
 
 Level LevelOf(Event event);
 
--- a/source/core/gateway/dispatcher.cc
+++ b/source/core/gateway/dispatcher.cc
@@ -81,6 +81,16 @@
     pool->Update(service, endpoints_by_service[service.name]);
   }
   this->IndexEndpoints();
+  for (auto& [service, gate] : this->gates)
+    gate.OnRoomFreed();
+}
+
+AdmissionGate& Dispatcher::GateOf(std::string_view service) {
+  const auto found = this->gates.find(service);
+  if (found != this->gates.end())
+    return found->second;
+  return this->gates.try_emplace(std::string(service), runtime::BootNow)
+      .first->second;
 }
 
 void Dispatcher::IndexEndpoints() {
--- a/source/core/gateway/dispatcher.h
+++ b/source/core/gateway/dispatcher.h
@@ -18,6 +18,7 @@
 #include "core/dispatch/silence_limit.h"
 #include "core/events/event_log.h"
 #include "core/forward/connection_pool.h"
+#include "core/gateway/admission_gate.h"
 #include "core/gateway/platform_view.h"
 #include "core/gateway/settings.h"
 #include "core/suspects/part_suspects.h"
@@ -124,6 +125,8 @@
   common::TimePoint EarliestArrival(common::TimePoint now) const {
     return this->stall_detector.EarliestArrival(now);
   }
+  // Returns the queue of the requests that wait for the endpoints of a service.
+  AdmissionGate& GateOf(std::string_view service);
   dispatch::RetryWindow& retries() { return this->retry_window; }
   suspects::SuspectList& suspects() { return this->suspect_list; }
   suspects::PartSuspects& part_suspects() { return this->part_suspect_list; }
@@ -221,6 +224,7 @@
   common::Counter& moved_sends;
   std::map<std::string, std::unique_ptr<dispatch::ServicePool>, std::less<>>
       pools;
+  std::map<std::string, AdmissionGate, std::less<>> gates;
   struct Engine {
     std::weak_ptr<dispatch::EndpointRecord> record;
     dispatch::ServicePool* pool = nullptr;
--- a/source/core/gateway/peer_loads.cc
+++ b/source/core/gateway/peer_loads.cc
@@ -34,7 +34,9 @@
 constexpr double kMaxDatagramsPerSecond = 2000;
 // An update with the maximum number of prompts or stores is sent immediately.
 // With these limits an update fits into kMaxDatagramBytes.
-constexpr size_t kMaxPrompts = 32;
+constexpr size_t kMaxPrompts = 30;
+// Hosts of earlier versions send up to this many.
+constexpr size_t kMaxReceivedPrompts = 32;
 constexpr size_t kMaxStores = 14;
 constexpr size_t kMaxExcessesPerStore = 4;
 constexpr size_t kMaxUnreachable = 16;
@@ -59,8 +61,8 @@
   return {array.ptr, array.size};
 }
 
-// [endpoint, uncached tokens, memory tokens, run time in ms, is long]. Later
-// versions may add fields.
+// [endpoint, uncached tokens, memory tokens, run time in ms, is long, urgency].
+// Earlier versions send no urgency; later ones may add fields.
 SentPrompt DecodePrompt(const msgpack::object& item) {
   const auto fields = ElementsOf(item, 5, kMaxDatagramBytes);
   SentPrompt sent;
@@ -69,6 +71,9 @@
   sent.prompt.memory_tokens = fields[2].as<uint32_t>();
   sent.prompt.run_time = std::chrono::milliseconds(fields[3].as<uint32_t>());
   sent.prompt.is_long = fields[4].as<uint32_t>() != 0;
+  if (fields.size() > 5)
+    sent.prompt.urgency = static_cast<int>(
+        std::min<uint32_t>(fields[5].as<uint32_t>(), dispatch::kUrgencies - 1));
   return sent;
 }
 
@@ -85,7 +90,8 @@
 PeerUpdate DecodeLists(const msgpack::object& value) {
   const auto lists = ElementsOf(value, 3, 3);
   PeerUpdate update;
-  for (const msgpack::object& item : ElementsOf(lists[0], 0, kMaxPrompts))
+  for (const msgpack::object& item :
+       ElementsOf(lists[0], 0, kMaxReceivedPrompts))
     update.prompts.push_back(DecodePrompt(item));
   for (const msgpack::object& item : ElementsOf(lists[1], 0, kMaxStores))
     update.stores.push_back(DecodeStoreUsage(item));
@@ -102,7 +108,7 @@
     prompts.push_back({sent.endpoint, sent.prompt.uncached_tokens,
                        sent.prompt.memory_tokens,
                        ToClampedMilliseconds(sent.prompt.run_time),
-                       sent.prompt.is_long ? 1 : 0});
+                       sent.prompt.is_long ? 1 : 0, sent.prompt.urgency});
   Json stores = Json::array();
   for (const CacheStoreUsage& usage : update.stores) {
     Json item = {usage.store, usage.mbit};
--- a/source/core/gateway/request_task.cc
+++ b/source/core/gateway/request_task.cc
@@ -8,7 +8,6 @@
 #include "core/dispatch/stop_policy.h"
 #include "core/gateway/refused_error.h"
 #include "core/runtime/boot_clock.h"
-#include "core/runtime/sleep.h"
 
 namespace jujuberock::gateway {
 
@@ -20,7 +19,6 @@
 using common::ResultCode;
 using common::Scale;
 using common::TimePoint;
-using dispatch::AdmissionStep;
 using dispatch::GiveUpReason;
 using events::Event;
 using events::Field;
@@ -280,16 +278,6 @@
   return this->EffectiveDeadline() - now;
 }
 
-dispatch::AdmissionRequest RequestTask::Admission(TimePoint now) const {
-  dispatch::AdmissionRequest admission;
-  admission.target_latency = this->route->target_latency;
-  admission.elapsed = now - this->received_at;
-  admission.remaining = this->Remaining(now);
-  admission.is_continuation = this->stream_software.has_value();
-  admission.may_be_refused = !this->run_was_given_up;
-  return admission;
-}
-
 std::optional<dispatch::EndpointChoice> RequestTask::Choose(TimePoint now) {
   dispatch::SendRequirements requirements = this->Requirements();
   if (this->run_was_given_up) {
@@ -301,52 +289,6 @@
   return this->pool->Choose(requirements, now);
 }
 
-dispatch::EndpointChoice RequestTask::AwaitEndpoint() {
-  const TimePoint began = runtime::BootNow();
-  bool queued = false;
-  while (true) {
-    const TimePoint now = runtime::BootNow();
-    this->CheckMayGoOn();
-    const auto choice = this->Choose(now);
-    dispatch::AdmissionRequest admission = this->Admission(now);
-    admission.held = now - began;
-    if (!choice)
-      admission.pause_left = this->pool->PauseLeft(this->Requirements(), now);
-    const auto decision = dispatch::DecideAdmission(admission, choice);
-    const bool out_of_time = admission.remaining <= dispatch::kMinTimeToAnswer;
-    if (decision.step == AdmissionStep::kSend && !out_of_time) {
-      this->held += now - began;
-      return *choice;
-    }
-    if (decision.step == AdmissionStep::kRefuse || out_of_time) {
-      if (this->sends > 0) {
-        this->give_up_reason =
-            out_of_time ? GiveUpReason::kTime : GiveUpReason::kNoEndpoint;
-        this->FailRequest();
-      }
-      this->Refuse(
-          choice ? ResultCode::kDeadlineUnreachable : ResultCode::kNoEndpoint,
-          choice ? "no endpoint can respond in time" : "no endpoint available",
-          decision.retry_after);
-    }
-    const bool is_stuck = !choice && this->stream_software &&
-                          !this->pool->HasSoftware(*this->stream_software);
-    if (is_stuck && this->sends > 0) {
-      this->give_up_reason = GiveUpReason::kNoEndpoint;
-      this->FailRequest();
-    }
-    if (!queued)
-      LogLine(this->deps.log, Event::kRequestQueued)
-          .Add(Field::kRequest, this->request.attempt_id)
-          .Add(Field::kService, this->service)
-          .Add(Field::kPredictedMs, choice ? choice->predicted : Duration(0));
-    queued = true;
-    runtime::SleepFor(
-        std::min(this->run_was_given_up ? kGivenUpRunPoll : kAwaitPoll,
-                 admission.remaining));
-  }
-}
-
 void RequestTask::Refuse(ResultCode code,
                          const char* reason,
                          std::optional<Duration> retry_after) {
@@ -414,6 +356,7 @@
   this->callback_state->send = nullptr;
   this->deps.dispatcher.Unregister(this->active_send);
   record.OnEnded(ticket, runtime::BootNow());
+  this->deps.dispatcher.GateOf(this->service).OnRoomFreed();
   if (failure)
     throw *failure;
   return result;
@@ -447,7 +390,7 @@
     return;
   const dispatch::PeerPrompt prompt{ticket.uncached_tokens,
                                     ticket.memory_tokens, choice.run_time,
-                                    choice.is_long};
+                                    choice.is_long, ticket.urgency};
   this->pool->OnSent(prompt, ticket.sent_at);
   if (this->deps.peer_loads)
     this->deps.peer_loads->OnSent(choice.endpoint->endpoint().id, prompt);
--- a/source/core/gateway/request_task.h
+++ b/source/core/gateway/request_task.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "core/catalog/config_view.h"
 #include "core/dispatch/admission_policy.h"
@@ -13,6 +14,7 @@
 #include "core/forward/endpoint_send.h"
 #include "core/forward/response_relay.h"
 #include "core/forward/types.h"
+#include "core/gateway/admission_gate.h"
 #include "core/gateway/dispatcher.h"
 #include "core/gateway/part_monitor.h"
 #include "core/gateway/peer_loads.h"
@@ -62,12 +64,9 @@
   // response can still reach the caller.
   static constexpr common::Duration kNetworkDelay =
       std::chrono::milliseconds(5);
-  // Interval at which a waiting request tries again to be sent.
-  static constexpr common::Duration kAwaitPoll = std::chrono::milliseconds(12);
-  // The same after a run was given up, which may wait until the deadline. Each
-  // try goes over all endpoints, and hundreds of requests can wait at a time.
-  static constexpr common::Duration kGivenUpRunPoll =
-      std::chrono::milliseconds(60);
+  // Interval at which a request asks again for a retry from the budget.
+  static constexpr common::Duration kRetryBudgetPoll =
+      std::chrono::milliseconds(12);
 
   // State shared with callbacks that may outlive the task.
   struct CallbackState {
@@ -140,6 +139,13 @@
   std::optional<dispatch::EndpointChoice> Choose(common::TimePoint now);
   // The request's timing, as far as it does not depend on the wait in progress.
   dispatch::AdmissionRequest Admission(common::TimePoint now) const;
+  // The groups of callers whose share of admissions the request counts for.
+  std::vector<std::string> FloorGroups();
+  // What its order among the waiting requests depends on.
+  dispatch::WaitingRequest AsWaiting(common::TimePoint now);
+  void LogQueued(const std::optional<dispatch::EndpointChoice>& choice,
+                 const dispatch::WaitingRequest& waiting,
+                 bool is_displaced) const;
   dispatch::SendRequirements Requirements() const;
   // Adds the version that is required now and the numbers of endpoints that may
   // and may not take the request.
@@ -170,6 +176,9 @@
   AttemptResult HandleResponse(forward::EndpointSend& send,
                                const forward::ResponseHead& head,
                                dispatch::SendTicket& ticket);
+  // The endpoint has not run the request.
+  void OnTurnedAway(const forward::ResponseHead& head,
+                    dispatch::EndpointRecord& record);
   // Whether the body of the response is a series of events.
   bool IsStream(const forward::ResponseHead& head) const;
   // Passes the response on to the caller. Throws forward::SendError.
@@ -252,6 +261,8 @@
   bool was_rebound = false;
   // Which process of the endpoint the send in progress is for.
   uint64_t sent_process = 0;
+  // The weight version that the send in progress expects.
+  uint64_t sent_version = 0;
   bool isolate = false;
   PartMonitor part_monitor;
   // The part for which the request is refused, if any, and whether the request
@@ -266,6 +277,7 @@
   common::TimePoint received_at;
   common::TimePoint deadline;
   common::Duration held{0};
+  std::vector<std::string> floor_groups;
   std::shared_ptr<CallbackState> callback_state;
   std::set<std::string> tried;
   // The send in progress, if there is one.
@@ -278,7 +290,9 @@
   // Sends that reached an endpoint, and those of them that may have run.
   int64_t sends = 0;
   int64_t runs = 0;
-  int64_t failed_connects = 0;
+  int64_t misdirected_sends = 0;
+  int64_t slow_connects = 0;
+  int64_t quick_failures = 0;
   // Whether a retry was taken from the budget for the next send.
   bool holds_retry = false;
   // The parts that this send reads from and saves to cache stores, and the
--- a/source/core/gateway/request_task_resend.cc
+++ b/source/core/gateway/request_task_resend.cc
@@ -41,7 +41,9 @@
   resend.sends = this->sends;
   resend.runs = this->runs;
   resend.max_attempts = this->route->max_attempts;
-  resend.failed_connects = this->failed_connects;
+  resend.misdirected_sends = this->misdirected_sends;
+  resend.slow_connects = this->slow_connects;
+  resend.quick_failures = this->quick_failures;
   resend.holds_retry = this->holds_retry;
   resend.admission = this->Admission(now);
   return resend;
@@ -53,7 +55,7 @@
   // request waits for the budget as long as it has time.
   while (this->run_was_given_up &&
          this->give_up_reason == GiveUpReason::kRetryBudget) {
-    runtime::SleepFor(kAwaitPoll);
+    runtime::SleepFor(kRetryBudgetPoll);
     this->CheckMayGoOn();
     this->give_up_reason = this->ReasonToGiveUp();
   }
--- a/source/core/gateway/request_task_response.cc
+++ b/source/core/gateway/request_task_response.cc
@@ -13,6 +13,9 @@
 using common::Duration;
 using common::TimePoint;
 using dispatch::SendOutcome;
+using events::Event;
+using events::Field;
+using events::LogLine;
 using forward::SendFailure;
 
 // An endpoint that rejected a request because it is full is not used for this
@@ -22,6 +25,10 @@
 // used for this long, so that the view can be updated.
 constexpr Duration kMismatchPause = std::chrono::milliseconds(400);
 constexpr int kStatusOk = 200;
+constexpr int kStatusMisdirected = 421;
+// A connection that fails faster than this was refused; a slower one has run
+// into the connect timeout.
+constexpr Duration kQuickConnect = std::chrono::milliseconds(50);
 
 bool IsSuccess(int status) {
   return status >= 200 && status < 300;
@@ -46,11 +53,7 @@
     dispatch::SendTicket& ticket) {
   auto& record = *ticket.endpoint;
   if (head.not_run) {
-    const Duration pause =
-        head.status == 421 ? kMismatchPause : kFullEndpointPause;
-    const TimePoint now = runtime::BootNow();
-    record.paused_until = std::max(record.paused_until, now + pause);
-    record.OnRefused(now);
+    this->OnTurnedAway(head, record);
     send.Discard();
     return AttemptResult::kNotRun;
   }
@@ -87,6 +90,28 @@
   return AttemptResult::kAnswered;
 }
 
+void RequestTask::OnTurnedAway(const forward::ResponseHead& head,
+                               dispatch::EndpointRecord& record) {
+  const TimePoint now = runtime::BootNow();
+  const bool is_misdirected = head.status == kStatusMisdirected;
+  const Duration pause = is_misdirected ? kMismatchPause : kFullEndpointPause;
+  record.paused_until = std::max(record.paused_until, now + pause);
+  record.OnRefused(now);
+  LogLine(this->deps.log, Event::kRequestTurnedAway)
+      .Add(Field::kRequest, this->request.attempt_id)
+      .Add(Field::kEndpoint, record.endpoint().id)
+      .Add(Field::kStatus, head.status);
+  if (!is_misdirected)
+    return;
+  ++this->misdirected_sends;
+  ++this->quick_failures;
+  // An endpoint with other weights is still the one that is registered.
+  const bool has_other_weights = head.weight_version && this->request.prompt &&
+                                 *head.weight_version != this->sent_version;
+  if (!has_other_weights)
+    this->deps.dispatcher.OnOutcome(*this->pool, record, SendOutcome::kNoRoute);
+}
+
 bool RequestTask::IsStream(const forward::ResponseHead& head) const {
   return this->route->kind == RouteKind::kStream && head.status == kStatusOk;
 }
@@ -105,6 +130,8 @@
   const TimePoint now = runtime::BootNow();
   auto& record = *ticket.endpoint;
   record.OnStarted(ticket, now);
+  // The engine has prefilled the prompt, and has reported its load.
+  this->deps.dispatcher.GateOf(this->service).OnRoomFreed();
   this->deps.dispatcher.MarkFirstEvent(this->active_send);
   if (this->request.prompt && this->pool->is_engine()) {
     this->pool->OnFirstToken(ticket, now);
@@ -168,7 +195,8 @@
   auto& record = *ticket.endpoint;
   this->LogCut(error, send, record);
   if (!send.sent()) {
-    ++this->failed_connects;
+    const bool is_quick = runtime::BootNow() - ticket.sent_at < kQuickConnect;
+    ++(is_quick ? this->quick_failures : this->slow_connects);
     if (error.failure() == SendFailure::kNotConnected)
       this->deps.dispatcher.OnOutcome(*this->pool, record,
                                       SendOutcome::kNoRoute);
--- a/source/core/gateway/request_task_send.cc
+++ b/source/core/gateway/request_task_send.cc
@@ -38,6 +38,7 @@
   requirements.urgency = this->urgency;
   requirements.tried = &this->tried;
   requirements.isolate = this->isolate;
+  requirements.avoid_probation = this->slow_connects + this->quick_failures > 0;
   requirements.software = this->RequiredSoftware();
   requirements.certain_only = this->IsResumable();
   if (!this->request.prompt || !this->pool->is_engine())
@@ -89,6 +90,7 @@
   // Cached parts are looked up by salt, so they must be computed with the
   // weight version that is part of the salt.
   parameters.expected_version = version;
+  this->sent_version = version;
   this->AddReuse(choice, parameters);
   return parameters;
 }
