--- a/source/core/dispatch/admission_floor.cc
+++ b/source/core/dispatch/admission_floor.cc
@@ -10,10 +10,10 @@
 constexpr double kFloorRatio = 0.5;
 // Groups with fewer decisions per second are not judged.
 constexpr double kMinDecisionsPerSecond = 1;
-constexpr double kLargeQuantile = 0.85;
-constexpr double kLargestQuantile = 0.90;
+constexpr double kLargeQuantile = 0.7;
+constexpr double kLargestQuantile = 0.9;
 // Relative step of the quantile estimates for one prompt.
-constexpr double kQuantileStep = 0.05;
+constexpr double kQuantileStep = 0.02;
 
 // Moves the estimate of a quantile by one observation. It rests where the share
 // `quantile` of the observations is below it.
--- a/source/core/dispatch/admission_floor.h
+++ b/source/core/dispatch/admission_floor.h
@@ -12,7 +12,8 @@
 
 namespace jujuberock::dispatch {
 
-// Sizes of prompts, by the share of the prompts of its route that are smaller.
+// Size of a prompt among those of its route: one of the largest tenth, of the
+// fifth below it, or of the rest.
 enum class SizeClass { kUsual, kLarge, kLargest };
 
 // Tracks how often the requests of each group of callers are admitted: those of
@@ -45,7 +46,7 @@
       return this->admitted.At(now) / this->Total(now);
     }
   };
-  // Estimates of the sizes below which 85 and 90 of 100 prompts are.
+  // Estimates of the sizes below which 70 and 90 of 100 prompts are.
   struct Sizes {
     double large = 0;
     double largest = 0;
--- a/source/unit_tests/core/dispatch/admission_policy_test.cc
+++ b/source/unit_tests/core/dispatch/admission_policy_test.cc
@@ -40,6 +40,19 @@
   CHECK(decision.retry_after < milliseconds(5000) / 3);
 }
 
+// Load pattern: long prompts that are not urgent arrive while urgent requests
+// wait for room. Guards against engine time that goes to who arrived last.
+TEST_CASE("a request waits while another one goes before it") {
+  AdmissionRequest request = Request(0);
+  request.must_wait = true;
+  const auto decision = DecideAdmission(request, Predicted(500, false));
+  CHECK(decision.step == AdmissionStep::kWait);
+  CHECK(decision.wait_left == milliseconds(120));
+  // An idle endpoint is used at once.
+  CHECK(DecideAdmission(request, Predicted(500, true)).step ==
+        AdmissionStep::kSend);
+}
+
 // Guards against refusals while there are free slots and no queue.
 TEST_CASE("no request is refused while an endpoint is idle") {
   CHECK(DecideAdmission(Request(550), Predicted(2000, true)).step ==
--- a/source/unit_tests/core/dispatch/resend_policy_test.cc
+++ b/source/unit_tests/core/dispatch/resend_policy_test.cc
@@ -161,6 +161,37 @@
   CHECK(CheckResend(request) == GiveUpReason::kAttempts);
 }
 
+// Load pattern: a third of the engines crash and come back under other ids, and
+// their addresses answer for the new ones. Guards against refusing a request
+// whose route allows one run, while most endpoints could take it.
+TEST_CASE("a send that another process turned away is no attempt") {
+  ResendRequest request = Stream();
+  request.is_repeatable = false;
+  request.has_started = false;
+  request.max_attempts = 1;
+  request.runs = 0;
+  request.sends = 1;
+  CHECK(CheckResend(request) == GiveUpReason::kAttempts);
+  request.misdirected_sends = 1;
+  CHECK_FALSE(CheckResend(request));
+  // It still takes a retry from the budget.
+  RetryWindow empty({.ratio = 0, .slack = 0});
+  CHECK_FALSE(TakeRetry(request, empty, At(0)));
+}
+
+// Guards against refusals after three connections that were refused within a
+// few milliseconds, and against a request that spends its time on timeouts.
+TEST_CASE("quick failures are limited less than connect timeouts") {
+  ResendRequest request = Stream();
+  request.quick_failures = 3;
+  CHECK_FALSE(CheckResend(request));
+  request.slow_connects = 3;
+  CHECK(CheckResend(request) == GiveUpReason::kConnects);
+  request.slow_connects = 0;
+  request.quick_failures = 12;
+  CHECK(CheckResend(request) == GiveUpReason::kConnects);
+}
+
 // Guards against two retries for one send, when a connection has failed before
 // anything was sent.
 TEST_CASE("a retry that was not used is kept for the next send") {
--- a/source/unit_tests/core/dispatch/service_pool_test.cc
+++ b/source/unit_tests/core/dispatch/service_pool_test.cc
@@ -99,7 +99,7 @@
     requirements.prompt = &prompt;
     CHECK(pool.pool.Choose(requirements, At(5))->endpoint != busy);
   }
-  CHECK(busy->PeerTokens(0.02, At(5000)) == 0);
+  CHECK(busy->room().PeerPending(kUrgencies - 1, 0.02, At(5000)) == 0);
 }
 
 // Load pattern: many hosts that each send a few runs to the same engine. Guards
@@ -115,10 +115,50 @@
   requirements.prompt = &prompt;
   for (int i = 0; i < 8; ++i)
     CHECK(pool.pool.Choose(requirements, At(5))->endpoint != full);
-  CHECK(full->PeerMemory(At(500)) == 0);
+  CHECK(full->room().PeerMemory(kUrgencies - 1, At(500)) == 0);
   CHECK(full->PeerRuns(At(500)) == 0);
 }
 
+// Load pattern: a host has just started, or the announcements of others are
+// lost, while an engine reports many runs. Guards against taking the memory of
+// these runs for free.
+TEST_CASE("reported runs that nobody has announced take memory") {
+  Pool pool(2);
+  const auto full = pool.pool.Find("e0");
+  const auto other = pool.pool.Find("e1");
+  // The mean run of the service needs about 9,500 tokens.
+  for (int i = 0; i < 300; ++i)
+    pool.pool.OnSent({0, 9500, milliseconds(400), false}, At(0));
+  full->OnLoadReport({5, 0, 8}, At(0));
+  other->OnLoadReport({1, 0, 8}, At(0));
+  const Prompt prompt = MakePrompt("s", 4000);
+  SendRequirements requirements;
+  requirements.prompt = &prompt;
+  for (int i = 0; i < 8; ++i)
+    CHECK(pool.pool.Choose(requirements, At(5))->endpoint == other);
+  // Once announced they are not counted twice.
+  full->OnPeerPrompt({0, 500, milliseconds(400), false}, At(0));
+  CHECK(full->UnannouncedRuns(At(0)) == Approx(4));
+}
+
+// Load pattern: engines crash and are replaced, while their entries are still
+// registered. Guards against urgent requests that are refused because each
+// endpoint they try is a dead one on probation.
+TEST_CASE("a request that found a dead endpoint avoids those on probation") {
+  Pool pool(3);
+  pool.pool.Find("e0")->health().Eject(At(-5000));
+  pool.pool.Find("e1")->health().Eject(At(-5000));
+  const Prompt prompt = MakePrompt("s", 4000);
+  // The healthy endpoint is the busiest.
+  pool.pool.Find("e2")->OnPeerPrompt({20000, 20000, milliseconds(900), false},
+                                     At(0));
+  SendRequirements requirements;
+  requirements.prompt = &prompt;
+  CHECK(pool.pool.Choose(requirements, At(0))->endpoint->endpoint().id != "e2");
+  requirements.avoid_probation = true;
+  CHECK(pool.pool.Choose(requirements, At(0))->endpoint->endpoint().id == "e2");
+}
+
 // Load pattern: chats with long answers mixed with long prompts that have short
 // answers. Guards against pauses in the stream of a chat while its engine
 // prefills a long prompt.
--- a/source/unit_tests/core/gateway/peer_loads_test.cc
+++ b/source/unit_tests/core/gateway/peer_loads_test.cc
@@ -10,7 +10,7 @@
 
 PeerUpdate MakeUpdate() {
   PeerUpdate update;
-  update.prompts = {{1, {9000, 9400, std::chrono::milliseconds(420), false}},
+  update.prompts = {{1, {9000, 9400, std::chrono::milliseconds(420), false, 2}},
                     {~uint64_t{0}, {0, 700, std::chrono::seconds(2), true}}};
   update.stores = {{7, 5200, {0, 310}}, {8, 0, {}}};
   update.unreachable = {12, ~uint64_t{0}};
@@ -103,7 +103,8 @@
   constexpr uint32_t kTokens = 1u << 20;
   PeerUpdate update;
   update.prompts.assign(
-      32, {kLargestHash, {kTokens, kTokens, std::chrono::seconds(60), true}});
+      30,
+      {kLargestHash, {kTokens, kTokens, std::chrono::seconds(60), true, 9}});
   update.stores.assign(14,
                        {kLargestHash, kTokens, {60000, 60000, 60000, 60000}});
   update.unreachable.assign(16, kLargestHash);
