--- a/source/core/dispatch/endpoint_health.cc
+++ b/source/core/dispatch/endpoint_health.cc
@@ -27,8 +27,9 @@
     return false;
   }
   ++this->consecutive_failures;
-  const bool unreachable =
-      outcome == SendOutcome::kNoRoute || outcome == SendOutcome::kSilent;
+  const bool unreachable = outcome == SendOutcome::kNoRoute ||
+                           outcome == SendOutcome::kSilent ||
+                           outcome == SendOutcome::kReplaced;
   const bool failing =
       this->consecutive_failures >= 3 &&
       this->failure_rate > usual_failure_share + kEjectionMargin;
@@ -38,6 +39,8 @@
   const bool mostly_failing = this->failure_rate > usual_failure_share + 0.3;
   if (!unreachable && !failing && !relapse && !mostly_failing)
     return false;
+  if (outcome == SendOutcome::kReplaced)
+    this->next_ejection_time = kMaxEjection;
   this->Eject(now);
   return true;
 }
--- a/source/core/dispatch/endpoint_health.h
+++ b/source/core/dispatch/endpoint_health.h
@@ -15,10 +15,12 @@
   kBroken,   // the connection ended before the answer was complete
   kSilent,   // no byte arrived within the expected time
   kNoRoute,  // no connection could be opened
+  // Another process answers at its address, so it is gone for good.
+  kReplaced,
 };
 
-inline constexpr common::NameTable<SendOutcome, 5> kSendOutcomeNames(
-    {"good", "error", "broken", "silent", "no_route"});
+inline constexpr common::NameTable<SendOutcome, 6> kSendOutcomeNames(
+    {"good", "error", "broken", "silent", "no_route", "replaced"});
 
 // Passive health check of one endpoint, based on the outcomes of sends to it.
 // A failing endpoint is ejected for a time that doubles with each relapse, up
--- a/source/core/gateway/dispatcher.cc
+++ b/source/core/gateway/dispatcher.cc
@@ -193,7 +193,9 @@
         .Add(Field::kFailureShare, endpoint.health().failure_share());
     // Silence is not reported to other hosts: under overload it may be caused
     // by a long queue.
-    if (outcome == SendOutcome::kNoRoute && this->on_endpoint_unreachable)
+    const bool is_gone =
+        outcome == SendOutcome::kNoRoute || outcome == SendOutcome::kReplaced;
+    if (is_gone && this->on_endpoint_unreachable)
       this->on_endpoint_unreachable(endpoint.endpoint().id);
     return;
   }
--- a/source/core/gateway/request_task.h
+++ b/source/core/gateway/request_task.h
@@ -39,6 +39,10 @@
   events::EventLog& log;
   common::Counter& answered;
   common::Counter& refused;
+  // Requests that waited on this host, and those of them that found other
+  // requests in front of them.
+  common::Counter& queued;
+  common::Counter& displaced;
   common::Counter& failed;
   common::DurationHistogram& first_byte;
   common::DurationHistogram& total;
--- a/source/core/gateway/request_task_admission.cc
+++ b/source/core/gateway/request_task_admission.cc
@@ -104,6 +104,9 @@
       this->FailRequest();
     }
     if (!waiter) {
+      this->deps.queued.Add();
+      if (admission.must_wait)
+        this->deps.displaced.Add();
       this->LogQueued(choice, waiting, admission.must_wait);
       waiter.emplace(gate, waiting);
     }
--- a/source/core/gateway/request_task_response.cc
+++ b/source/core/gateway/request_task_response.cc
@@ -109,7 +109,8 @@
   const bool has_other_weights = head.weight_version && this->request.prompt &&
                                  *head.weight_version != this->sent_version;
   if (!has_other_weights)
-    this->deps.dispatcher.OnOutcome(*this->pool, record, SendOutcome::kNoRoute);
+    this->deps.dispatcher.OnOutcome(*this->pool, record,
+                                    SendOutcome::kReplaced);
 }
 
 bool RequestTask::IsStream(const forward::ResponseHead& head) const {
--- a/source/unit_tests/core/dispatch/endpoint_health_test.cc
+++ b/source/unit_tests/core/dispatch/endpoint_health_test.cc
@@ -19,6 +19,16 @@
   CHECK(health.StateAt(At(1)) == State::kEjected);
 }
 
+// Load pattern: engines crash and come back under other ids, while their old
+// entries stay registered. Guards against all hosts trying them every second.
+TEST_CASE(
+    "an endpoint that was replaced is tried again only after the maximum") {
+  EndpointHealth health;
+  CHECK(health.OnOutcome(SendOutcome::kReplaced, 0, At(0)));
+  CHECK(health.StateAt(At(3999)) == State::kEjected);
+  CHECK(health.StateAt(At(4000)) == State::kProbation);
+}
+
 TEST_CASE("a single failure does not eject an endpoint") {
   EndpointHealth health;
   CHECK_FALSE(health.OnOutcome(SendOutcome::kError, 0, At(0)));
