--- a/source/unit_tests/core/dispatch/admission_floor_test.cc
+++ b/source/unit_tests/core/dispatch/admission_floor_test.cc
@@ -10,20 +10,24 @@
 
 using common::TimePoint;
 using std::chrono::milliseconds;
-using Groups = std::vector<std::string>;
 
 TimePoint At(int ms) {
   return TimePoint(milliseconds(100000 + ms));
 }
 
-// Decides on 100 requests of the group in 10 s, of which `admitted` in 100 are
-// admitted.
-void Decide(AdmissionFloor& floor, const Groups& groups, int admitted) {
+// Of 100 requests of each group in 10 s, admits those of `admitted` in 100.
+struct Group {
+  std::string name;
+  int admitted = 0;
+};
+void Decide(AdmissionFloor& floor, const std::vector<Group>& all) {
   for (int i = 0; i < 100; ++i) {
-    if (i % 100 * 37 % 100 < admitted)
-      floor.OnAdmitted(groups, At(100 * i));
-    else
-      floor.OnRefused(groups, At(100 * i));
+    for (const Group& group : all) {
+      if (i * 37 % 100 < group.admitted)
+        floor.OnAdmitted({group.name}, At(100 * i));
+      else
+        floor.OnRefused({group.name}, At(100 * i));
+    }
   }
 }
 
@@ -33,8 +37,7 @@
 TEST_CASE(
     "a team that is admitted less than half as often is below the floor") {
   AdmissionFloor floor;
-  Decide(floor, {"team:a"}, 90);
-  Decide(floor, {"team:b"}, 20);
+  Decide(floor, {{"team:a", 90}, {"team:b", 20}});
   CHECK(floor.IsBelow({"team:b"}, At(10000)));
   CHECK_FALSE(floor.IsBelow({"team:a"}, At(10000)));
   CHECK(floor.IsBelow({"team:a", "team:b"}, At(10000)));
@@ -43,8 +46,7 @@
 // Guards against groups that go first although everybody is refused alike.
 TEST_CASE("in an overload that all share no group is below the floor") {
   AdmissionFloor floor;
-  Decide(floor, {"team:a"}, 30);
-  Decide(floor, {"team:b"}, 25);
+  Decide(floor, {{"team:a", 30}, {"team:b", 25}});
   CHECK_FALSE(floor.IsBelow({"team:a"}, At(10000)));
   CHECK_FALSE(floor.IsBelow({"team:b"}, At(10000)));
 }
@@ -53,10 +55,9 @@
 // outlives the overload.
 TEST_CASE("a group is judged only while it has recent decisions") {
   AdmissionFloor floor;
-  Decide(floor, {"team:a"}, 100);
+  Decide(floor, {{"team:a", 100}, {"team:c", 0}});
   floor.OnRefused({"team:b"}, At(10000));
   CHECK_FALSE(floor.IsBelow({"team:b"}, At(10000)));
-  Decide(floor, {"team:c"}, 0);
   CHECK(floor.IsBelow({"team:c"}, At(10000)));
   CHECK_FALSE(floor.IsBelow({"team:c"}, At(40000)));
 }
