--- a/source/core/gateway/host_object.cc
+++ b/source/core/gateway/host_object.cc
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <limits>
+#include <map>
+#include <tuple>
+#include <utility>
 
 #include <nlohmann/json.hpp>
 
@@ -39,14 +42,94 @@
   return std::chrono::milliseconds(std::min(GetUnsigned(value), max_ms));
 }
 
-Json EncodeMark(const CrashMark& mark) {
-  Json item;
-  item["fingerprint"] = mark.fingerprint;
-  item["endpoint"] = mark.endpoint;
-  item["age_ms"] = ToMilliseconds(mark.age);
-  return item;
+// The requests of one crash are written together: after a crash of many engines
+// their marks are nearly all of the object, which every host reads.
+Json EncodeCrashes(const std::vector<CrashMark>& marks) {
+  std::map<std::pair<std::string, int64_t>, Json> crashes;
+  for (const CrashMark& mark : marks)
+    crashes[{mark.endpoint, ToMilliseconds(mark.age)}].push_back(
+        mark.fingerprint);
+  Json items = Json::array();
+  for (auto& [crash, fingerprints] : crashes)
+    items.push_back({{"endpoint", crash.first},
+                     {"age_ms", crash.second},
+                     {"fingerprints", std::move(fingerprints)}});
+  return items;
 }
 
+void DecodeCrash(const Json& item, std::vector<CrashMark>& marks) {
+  const CrashMark crash{0, item.at("endpoint").get<std::string>(),
+                        GetAge(item.at("age_ms"))};
+  for (const Json& fingerprint : item.at("fingerprints")) {
+    marks.push_back(crash);
+    marks.back().fingerprint = GetUnsigned(fingerprint);
+  }
+}
+
+// [part, age of the latest send, requests] of each part that was in flight.
+Json EncodePartCrashes(const std::vector<PartMark>& marks) {
+  std::map<std::tuple<std::string, int64_t, uint64_t>, Json> crashes;
+  for (const PartMark& mark : marks) {
+    if (mark.evidence == PartEvidence::kCrash)
+      crashes[{mark.endpoint, ToMilliseconds(mark.age), mark.reporter}]
+          .push_back({mark.part, ToMilliseconds(mark.sent_age), mark.requests});
+  }
+  Json items = Json::array();
+  for (auto& [crash, parts] : crashes)
+    items.push_back({{"endpoint", std::get<0>(crash)},
+                     {"age_ms", std::get<1>(crash)},
+                     {"reporter", std::get<2>(crash)},
+                     {"parts", std::move(parts)}});
+  return items;
+}
+
+void DecodePartCrash(const Json& item, std::vector<PartMark>& marks) {
+  PartMark crash;
+  crash.endpoint = item.at("endpoint").get<std::string>();
+  crash.age = GetAge(item.at("age_ms"));
+  crash.reporter = GetUnsigned(item.at("reporter"));
+  for (const Json& part : item.at("parts")) {
+    PartMark mark = crash;
+    mark.part = GetUnsigned(part.at(0));
+    mark.sent_age = GetAge(part.at(1));
+    mark.requests = static_cast<uint32_t>(
+        GetUnsigned(part.at(2), std::numeric_limits<uint32_t>::max()));
+    marks.push_back(std::move(mark));
+  }
+}
+
+// For each kind of evidence, the most important first: [part, age] of each
+// part.
+Json EncodePartEvidence(const std::vector<PartMark>& marks) {
+  std::map<PartEvidence, Json> kinds;
+  for (const PartMark& mark : marks) {
+    if (mark.evidence != PartEvidence::kCrash)
+      kinds[mark.evidence].push_back({mark.part, ToMilliseconds(mark.age)});
+  }
+  Json items = Json::array();
+  for (auto& [evidence, parts] : kinds)
+    items.push_back(
+        {{"evidence", suspects::kPartEvidenceNames.NameOf(evidence)},
+         {"parts", std::move(parts)}});
+  return items;
+}
+
+void DecodePartEvidence(const Json& item, std::vector<PartMark>& marks) {
+  const auto evidence = suspects::kPartEvidenceNames.ValueOf(
+      item.at("evidence").get<std::string>());
+  // A newer version of the program has added it.
+  if (!evidence)
+    return;
+  for (const Json& part : item.at("parts")) {
+    PartMark mark;
+    mark.evidence = *evidence;
+    mark.part = GetUnsigned(part.at(0));
+    mark.age = GetAge(part.at(1));
+    marks.push_back(std::move(mark));
+  }
+}
+
+// The form of earlier versions of the program, which some hosts still run.
 CrashMark DecodeMark(const Json& item) {
   CrashMark mark;
   mark.fingerprint = GetUnsigned(item.at("fingerprint"));
@@ -55,20 +138,6 @@
   return mark;
 }
 
-Json EncodePartMark(const PartMark& mark) {
-  Json item;
-  item["evidence"] = suspects::kPartEvidenceNames.NameOf(mark.evidence);
-  item["part"] = mark.part;
-  item["age_ms"] = ToMilliseconds(mark.age);
-  if (mark.evidence == PartEvidence::kCrash) {
-    item["endpoint"] = mark.endpoint;
-    item["sent_age_ms"] = ToMilliseconds(mark.sent_age);
-    item["requests"] = mark.requests;
-    item["reporter"] = mark.reporter;
-  }
-  return item;
-}
-
 // Returns nullopt for evidence that a newer version of the program has added.
 std::optional<PartMark> DecodePartMark(const Json& item) {
   const auto evidence = suspects::kPartEvidenceNames.ValueOf(
@@ -89,6 +158,24 @@
   return mark;
 }
 
+void DecodeMarks(const Json& value, HostObject& object) {
+  const auto list = [&](const char* name) {
+    return value.value(name, Json::array());
+  };
+  for (const Json& item : value["marks"])
+    object.marks.push_back(DecodeMark(item));
+  for (const Json& item : list("crashes"))
+    DecodeCrash(item, object.marks);
+  for (const Json& item : list("part_marks")) {
+    if (auto mark = DecodePartMark(item))
+      object.part_marks.push_back(std::move(*mark));
+  }
+  for (const Json& item : list("part_evidence"))
+    DecodePartEvidence(item, object.part_marks);
+  for (const Json& item : list("part_crashes"))
+    DecodePartCrash(item, object.part_marks);
+}
+
 Duration AgeOf(const Json& value, common::UnixTime wall_now) {
   if (!value.contains("written_ms"))
     return Duration(0);
@@ -111,12 +198,11 @@
   value["config_version"] = object.config_version;
   if (object.last_order_age)
     value["last_order_age_ms"] = ToMilliseconds(*object.last_order_age);
+  // Earlier versions of the program reject an object without it.
   value["marks"] = Json::array();
-  for (const CrashMark& mark : object.marks)
-    value["marks"].push_back(EncodeMark(mark));
-  value["part_marks"] = Json::array();
-  for (const PartMark& mark : object.part_marks)
-    value["part_marks"].push_back(EncodePartMark(mark));
+  value["crashes"] = EncodeCrashes(object.marks);
+  value["part_crashes"] = EncodePartCrashes(object.part_marks);
+  value["part_evidence"] = EncodePartEvidence(object.part_marks);
   return value.dump();
 }
 
@@ -137,17 +223,12 @@
     if (value.contains("last_order_age_ms"))
       object.last_order_age = GetAge(value["last_order_age_ms"]);
     const Duration age = AgeOf(value, wall_now);
-    for (const Json& item : value["marks"]) {
-      object.marks.push_back(DecodeMark(item));
-      object.marks.back().age += age;
-    }
-    for (const Json& item : value.value("part_marks", Json::array())) {
-      auto mark = DecodePartMark(item);
-      if (!mark)
-        continue;
-      mark->age += age;
-      mark->sent_age += age;
-      object.part_marks.push_back(std::move(*mark));
+    DecodeMarks(value, object);
+    for (CrashMark& mark : object.marks)
+      mark.age += age;
+    for (PartMark& mark : object.part_marks) {
+      mark.age += age;
+      mark.sent_age += age;
     }
     return object;
   } catch (const Json::exception&) {
--- a/source/core/gateway/host_registry.cc
+++ b/source/core/gateway/host_registry.cc
@@ -22,11 +22,24 @@
 // Crash marks that arise within this period are written together.
 constexpr Duration kWritePeriod = std::chrono::milliseconds(150);
 constexpr Duration kRetryDelay = std::chrono::milliseconds(700);
+// Bytes of other hosts' objects that one host reads per second at most, since
+// every host reads what any of them writes. A host with a third of a core reads
+// more than this only late, and its callers' streams wait.
+constexpr double kMaxReadBytesPerSecond = 256.0 * 1024;
+// Verdicts on requests that crash endpoints must reach all hosts in time.
+constexpr Duration kMaxWritePeriod = std::chrono::milliseconds(1500);
 // Maximum number of marks of each kind in one host's object.
 constexpr size_t kMaxMarks = 200;
 
 }  // namespace
 
+Duration HostWritePeriod(size_t object_bytes, size_t hosts) {
+  const double read_bytes =
+      static_cast<double>(object_bytes) * static_cast<double>(hosts);
+  return std::clamp(common::FromSeconds(read_bytes / kMaxReadBytesPerSecond),
+                    kWritePeriod, kMaxWritePeriod);
+}
+
 HostRegistry::HostRegistry(const Settings& settings,
                            PlatformView& view,
                            const rollout::OrderHistory& own_orders,
@@ -180,6 +193,7 @@
 WriteState HostRegistry::WriteOwnObject() {
   const uint64_t era = this->store.era();
   const std::string content = this->EncodeOwnObject();
+  this->written_bytes = content.size();
   const auto reply =
       this->own_revision
           ? this->store.Replace(ObjectKind::kHosts, this->own_name,
@@ -216,7 +230,8 @@
 
 void HostRegistry::Run() {
   while (!this->stopping) {
-    runtime::SleepFor(kWritePeriod);
+    runtime::SleepFor(
+        HostWritePeriod(this->written_bytes, this->host_names.size()));
     this->write_pending |= this->dispatcher.part_suspects().TakeChanged();
     this->CheckEra();
     if (!this->write_pending)
--- a/source/core/gateway/host_registry.h
+++ b/source/core/gateway/host_registry.h
@@ -19,6 +19,10 @@
 
 namespace jujuberock::gateway {
 
+// Returns the time between two writes of an object of this size. Every host
+// reads the object of every other one.
+common::Duration HostWritePeriod(size_t object_bytes, size_t hosts);
+
 // Publishes this host's object in the platform's store and reads those of the
 // other hosts: how many hosts exist, their addresses, and which requests
 // crashed endpoints. The number of hosts is used only to divide budgets; no
@@ -91,6 +95,8 @@
   std::function<void(std::vector<runtime::Address>)> on_peers_changed;
   bool write_pending = true;
   bool has_written = false;
+  // Size of the object that was written last.
+  size_t written_bytes = 0;
   // Era of the store in which the object was written last.
   uint64_t written_era = 0;
   bool stopping = false;
--- a/source/unit_tests/core/gateway/host_object_test.cc
+++ b/source/unit_tests/core/gateway/host_object_test.cc
@@ -1,7 +1,12 @@
 #include "core/gateway/host_object.h"
 
+#include <string>
+#include <vector>
+
 #include <catch2/catch.hpp>
 
+#include "core/gateway/host_registry.h"
+
 namespace jujuberock::gateway {
 namespace {
 
@@ -22,12 +27,13 @@
   object.config_version = 12;
   object.last_order_age = milliseconds(70);
   object.marks = {{7, "e1/1000", milliseconds(20)}};
+  // In the order of PartSuspects::Marks().
   object.part_marks = {
-      {PartEvidence::kCrash, 1, "e1/1000", milliseconds(30), milliseconds(90),
-       2, 77},
-      {PartEvidence::kSound, 2, {}, milliseconds(40), {}},
       {PartEvidence::kBlocked, ~uint64_t{0}, {}, milliseconds(50), {}},
-      {PartEvidence::kTrial, 3, {}, milliseconds(60), {}}};
+      {PartEvidence::kTrial, 3, {}, milliseconds(60), {}},
+      {PartEvidence::kSound, 2, {}, milliseconds(40), {}},
+      {PartEvidence::kCrash, 1, "e1/1000", milliseconds(30), milliseconds(90),
+       2, 77}};
   return object;
 }
 
@@ -53,8 +59,8 @@
                                         kWrittenAt + minutes(20));
   REQUIRE(decoded);
   CHECK(decoded->marks[0].age == minutes(20) + milliseconds(20));
-  CHECK(decoded->part_marks[0].sent_age == minutes(20) + milliseconds(90));
-  CHECK(decoded->part_marks[2].age == minutes(20) + milliseconds(50));
+  CHECK(decoded->part_marks[3].sent_age == minutes(20) + milliseconds(90));
+  CHECK(decoded->part_marks[0].age == minutes(20) + milliseconds(50));
 }
 
 TEST_CASE("a difference of the clocks does not change the ages") {
@@ -108,6 +114,67 @@
   CHECK(*decoded->last_order_age < std::chrono::hours(24 * 1000));
 }
 
+// Load pattern: many engines crash at once, with hundreds of requests in
+// flight. Guards against objects that fill the links and the processor time of
+// the hosts, all of which read all of them.
+TEST_CASE("the marks of a crash take a few bytes each") {
+  HostObject object = MakeObject();
+  object.marks.clear();
+  object.part_marks.clear();
+  constexpr uint64_t kLargeHash = ~uint64_t{0} - 1000;
+  for (uint64_t i = 0; i < 200; ++i) {
+    const std::string endpoint =
+        "i-0123456789/176752010" + std::to_string(i / 20);
+    object.marks.push_back({kLargeHash + i, endpoint, milliseconds(70000)});
+    object.part_marks.push_back({PartEvidence::kCrash, kLargeHash + i, endpoint,
+                                 milliseconds(70000), milliseconds(70500), 2,
+                                 kLargeHash});
+  }
+  const std::string text = EncodeHostObject(object);
+  CHECK(text.size() < 400 * 36);
+  const auto decoded = DecodeHostObject(text, kWrittenAt);
+  REQUIRE(decoded);
+  CHECK(decoded->marks == object.marks);
+  CHECK(decoded->part_marks == object.part_marks);
+}
+
+// Guards against marks that are lost while hosts of two versions run.
+TEST_CASE("marks in the form of earlier versions are read") {
+  const auto decoded = DecodeHostObject(
+      R"({"marks":[{"fingerprint":7,"endpoint":"e1","age_ms":20}],)"
+      R"("part_marks":[{"evidence":"crash","part":1,"age_ms":30,"requests":2,)"
+      R"("endpoint":"e1","sent_age_ms":90,"reporter":77},)"
+      R"({"evidence":"sound","part":2,"age_ms":40}]})",
+      kWrittenAt);
+  REQUIRE(decoded);
+  CHECK(decoded->marks ==
+        std::vector<suspects::CrashMark>{{7, "e1", milliseconds(20)}});
+  CHECK(decoded->part_marks ==
+        std::vector<PartMark>{
+            {PartEvidence::kCrash, 1, "e1", milliseconds(30), milliseconds(90),
+             2, 77},
+            {PartEvidence::kSound, 2, {}, milliseconds(40), {}}});
+}
+
+TEST_CASE("malformed groups of marks are rejected") {
+  for (const char* text :
+       {R"({"marks":[],"crashes":[{}]})", R"({"marks":[],"crashes":1})",
+        R"({"marks":[],"part_crashes":[{"endpoint":"e","age_ms":1}]})",
+        R"({"marks":[],"part_evidence":[{"evidence":"sound","parts":[[1]]}]})",
+        R"({"marks":[],"part_evidence":[{"evidence":"sound","parts":[1]}]})"})
+    CHECK_FALSE(DecodeHostObject(text, kWrittenAt));
+}
+
+// Load pattern: many engines crash at once, and every host has much to tell.
+// Guards against objects that every host reads as often as each of the others
+// writes them, and against verdicts that spread too late.
+TEST_CASE("large objects are written less often") {
+  CHECK(HostWritePeriod(400, 26) == milliseconds(150));
+  CHECK(HostWritePeriod(20000, 4) > milliseconds(300));
+  CHECK(HostWritePeriod(12000, 26) > milliseconds(1000));
+  CHECK(HostWritePeriod(50000, 370) == milliseconds(1500));
+}
+
 TEST_CASE("unknown evidence is skipped") {
   const auto decoded = DecodeHostObject(
       R"({"marks":[],"part_marks":[{"evidence":"new","part":1,"age_ms":2}]})",
