Order requests of equal teams by their routes' priorities, on the wire as well

All teams of kaya have priority 1, which came in place of the routes' priorities, so engines and hosts saw no difference between the urgent short and the long prompts.

--- a/source/core/catalog/config_view.cc
+++ b/source/core/catalog/config_view.cc
@@ -22,7 +22,8 @@
 
 }  // namespace
 
-ConfigView::ConfigView(Config config) : indexed_config(std::move(config)) {
+ConfigView::ConfigView(Config config)
+    : indexed_config(std::move(config)), urgency_levels(indexed_config) {
   for (const Route& route : this->indexed_config.routes)
     this->routes_by_host[NormalizeHostName(route.host)].push_back(&route);
   for (auto& [host, routes] : this->routes_by_host)
--- a/source/core/catalog/config_view.h
+++ b/source/core/catalog/config_view.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "core/catalog/types.h"
+#include "core/catalog/urgency_levels.h"
 
 namespace jujuberock::catalog {
 
@@ -29,9 +30,14 @@
   // Returns the team that owns the API key, or null.
   const Team* FindTeam(std::string_view key) const;
   const Service* FindService(std::string_view name) const;
+  // Returns the urgency of a request; `team` is null without a key.
+  int UrgencyOf(const Route& route, const Team* team) const {
+    return this->urgency_levels.LevelOf(route, team);
+  }
 
  private:
   Config indexed_config;
+  UrgencyLevels urgency_levels;
   // Routes per lower-case host name, longest prefix first.
   std::map<std::string, std::vector<const Route*>, std::less<>> routes_by_host;
   std::unordered_map<std::string, const Team*> teams_by_key;
--- a/source/core/dispatch/endpoint_choice.h
+++ b/source/core/dispatch/endpoint_choice.h
@@ -18,6 +18,10 @@
   // Whether the endpoint has a free slot and enough memory, and no request is
   // waiting there.
   bool idle = false;
+  // What the prediction takes for the engine's backlog: tokens to be prefilled
+  // before this request, and KV memory that its run and others need.
+  int64_t ahead_tokens = 0;
+  int64_t memory_tokens = 0;
   // Tokens that the engine must prefill.
   int64_t uncached_tokens = 0;
   // Tokens that the engine is assumed to have cached.
--- a/source/core/dispatch/engine_room.cc
+++ b/source/core/dispatch/engine_room.cc
@@ -11,7 +11,7 @@
 constexpr size_t kMaxPeerRuns = 512;
 
 size_t IndexOf(int urgency) {
-  return static_cast<size_t>(std::clamp(urgency, 0, kUrgencies - 1));
+  return static_cast<size_t>(std::clamp(urgency, 0, kUrgencyLevels - 1));
 }
 
 }  // namespace
--- a/source/core/dispatch/engine_room.h
+++ b/source/core/dispatch/engine_room.h
@@ -5,13 +5,13 @@
 #include <cstdint>
 #include <deque>
 
+#include "core/catalog/urgency_levels.h"
 #include "core/common/time.h"
 #include "core/dispatch/peer_prompt.h"
 
 namespace jujuberock::dispatch {
 
-// Number of urgency levels of requests; 0 is the most urgent.
-inline constexpr int kUrgencies = 10;
+using catalog::kUrgencyLevels;
 
 // What an engine holds and still has to prefill for the sends of all hosts, by
 // urgency: an engine admits the more urgent prompts first and, when its memory
@@ -41,7 +41,7 @@
   double PeerPending(int urgency, double token_ms, common::TimePoint now) const;
 
  private:
-  using TokensByUrgency = std::array<int64_t, kUrgencies>;
+  using TokensByUrgency = std::array<int64_t, kUrgencyLevels>;
 
   struct PeerRun {
     common::TimePoint until;
@@ -61,7 +61,7 @@
   mutable std::deque<PeerRun> peer_runs;
   mutable TokensByUrgency peer_memory{};
   mutable int64_t peer_long_runs = 0;
-  mutable std::array<double, kUrgencies> peer_pending{};
+  mutable std::array<double, kUrgencyLevels> peer_pending{};
   mutable common::TimePoint drained_at;
 };
 
--- a/source/core/dispatch/placement_cost.cc
+++ b/source/core/dispatch/placement_cost.cc
@@ -131,7 +131,7 @@
   const double peer_pending =
       room.PeerPending(requirements.urgency, this->model.token_ms(), now);
   const double all_peer_pending =
-      room.PeerPending(kUrgencies - 1, this->model.token_ms(), now);
+      room.PeerPending(kUrgencyLevels - 1, this->model.token_ms(), now);
   // Reports do not tell the urgency of what waits, so what they show beyond the
   // announcements counts as ahead.
   const double unannounced_pending = std::max(
@@ -139,6 +139,7 @@
   const double pending_ahead =
       static_cast<double>(room.OwnPending(requirements.urgency)) +
       peer_pending + unannounced_pending;
+  choice.ahead_tokens = static_cast<int64_t>(pending_ahead);
   // The engine prefills other prompts during the fetch, so the times overlap.
   const double fetch_as_tokens = choice.fetch_ms / this->model.token_ms();
   choice.predicted = this->model.Predict(
@@ -153,7 +154,8 @@
   if (preparation.second == &record)
     cost -= prefill_ms * kSecondAffinitySaving;
   const double all_pending =
-      static_cast<double>(room.OwnPending(kUrgencies - 1)) + all_peer_pending;
+      static_cast<double>(room.OwnPending(kUrgencyLevels - 1)) +
+      all_peer_pending;
   if (choice.is_long)
     cost += kPendingPrefillWeight * this->model.token_ms() * all_pending;
   cost += this->long_runs.MisplacementCost(record.endpoint().id, choice.is_long,
@@ -181,7 +183,8 @@
     return unannounced + static_cast<double>(room.OwnMemory(urgency) +
                                              room.PeerMemory(urgency, now));
   };
-  const double memory = memory_up_to(kUrgencies - 1);
+  const double memory = memory_up_to(kUrgencyLevels - 1);
+  choice.memory_tokens = static_cast<int64_t>(memory);
   const bool fits = capacity <= 0 || memory <= capacity;
   if (!fits) {
     // Some run is preempted and prefilled again.
--- a/source/core/events/event_log.h
+++ b/source/core/events/event_log.h
@@ -145,9 +145,12 @@
   kEndEvidence,
   kUrgency,
   kBelowFloor,
+  kAheadTokens,
+  kMemoryTokens,
+  kFetchMs,
 };
 
-inline constexpr size_t kFieldCount = 52;
+inline constexpr size_t kFieldCount = 55;
 
 inline constexpr common::NameTable<Field, kFieldCount> kFieldNames(
     {"request",
@@ -201,7 +204,10 @@
      "started_at_ms",
      "end_evidence",
      "urgency",
-     "below_floor"});
+     "below_floor",
+     "ahead_tokens",
+     "memory_tokens",
+     "fetch_ms"});
 
 Level LevelOf(Event event);
 
--- a/source/core/gateway/peer_loads.cc
+++ b/source/core/gateway/peer_loads.cc
@@ -72,8 +72,8 @@
   sent.prompt.run_time = std::chrono::milliseconds(fields[3].as<uint32_t>());
   sent.prompt.is_long = fields[4].as<uint32_t>() != 0;
   if (fields.size() > 5)
-    sent.prompt.urgency = static_cast<int>(
-        std::min<uint32_t>(fields[5].as<uint32_t>(), dispatch::kUrgencies - 1));
+    sent.prompt.urgency = static_cast<int>(std::min<uint32_t>(
+        fields[5].as<uint32_t>(), dispatch::kUrgencyLevels - 1));
   return sent;
 }
 
--- a/source/core/gateway/request_task.cc
+++ b/source/core/gateway/request_task.cc
@@ -135,10 +135,9 @@
       this->config->FindRoute(this->request.host, this->request.target);
   if (!this->route)
     throw Error(ResultCode::kUnknownPath, "no route for this host and path");
-  this->urgency = static_cast<int>(this->route->priority);
   if (this->config->has_teams() && !this->route->is_public)
     this->CheckKey(*this->config);
-  this->urgency = std::clamp(this->urgency, 0, dispatch::kUrgencies - 1);
+  this->urgency = this->config->UrgencyOf(*this->route, this->team);
   if (this->request.attempt_id.empty())
     throw Error(ResultCode::kMalformedRequest, "the request has no attempt id");
   const Duration remaining =
@@ -160,8 +159,6 @@
   this->team = config.FindTeam(this->request.key);
   if (!this->team)
     throw Error(ResultCode::kUnauthenticated, "unknown API key");
-  if (this->team->priority)
-    this->urgency = static_cast<int>(*this->team->priority);
 }
 
 void RequestTask::CheckCrashMarks() {
--- a/source/core/gateway/request_task_admission.cc
+++ b/source/core/gateway/request_task_admission.cc
@@ -128,6 +128,11 @@
       .Add(Field::kUrgency, this->urgency)
       .Add(Field::kBelowFloor, waiting.is_below_floor ? 1 : 0)
       .Add(Field::kPredictedMs, choice ? choice->predicted : Duration(0));
+  if (!choice || !this->request.prompt)
+    return;
+  line.Add(Field::kAheadTokens, choice->ahead_tokens)
+      .Add(Field::kMemoryTokens, choice->memory_tokens)
+      .Add(Field::kFetchMs, choice->fetch_ms);
 }
 
 }  // namespace jujuberock::gateway
--- a/source/unit_tests/core/dispatch/service_pool_test.cc
+++ b/source/unit_tests/core/dispatch/service_pool_test.cc
@@ -99,7 +99,7 @@
     requirements.prompt = &prompt;
     CHECK(pool.pool.Choose(requirements, At(5))->endpoint != busy);
   }
-  CHECK(busy->room().PeerPending(kUrgencies - 1, 0.02, At(5000)) == 0);
+  CHECK(busy->room().PeerPending(kUrgencyLevels - 1, 0.02, At(5000)) == 0);
 }
 
 // Load pattern: many hosts that each send a few runs to the same engine. Guards
@@ -115,7 +115,7 @@
   requirements.prompt = &prompt;
   for (int i = 0; i < 8; ++i)
     CHECK(pool.pool.Choose(requirements, At(5))->endpoint != full);
-  CHECK(full->room().PeerMemory(kUrgencies - 1, At(500)) == 0);
+  CHECK(full->room().PeerMemory(kUrgencyLevels - 1, At(500)) == 0);
   CHECK(full->PeerRuns(At(500)) == 0);
 }
 
