--- a/source/core/dispatch/endpoint_choice.h
+++ b/source/core/dispatch/endpoint_choice.h
@@ -22,8 +22,6 @@
   // before this request, and KV memory that its run and others need.
   int64_t ahead_tokens = 0;
   int64_t memory_tokens = 0;
-  // The part of `predicted` that is a wait for memory.
-  common::Duration memory_wait{0};
   // Tokens that the engine must prefill.
   int64_t uncached_tokens = 0;
   // Tokens that the engine is assumed to have cached.
--- a/source/core/dispatch/endpoint_record.h
+++ b/source/core/dispatch/endpoint_record.h
@@ -10,7 +10,6 @@
 #include "core/common/time.h"
 #include "core/dispatch/endpoint_health.h"
 #include "core/dispatch/engine_room.h"
-#include "core/dispatch/memory_share.h"
 #include "core/dispatch/part_cache.h"
 #include "core/dispatch/peer_prompt.h"
 #include "core/dispatch/process_continuity.h"
@@ -39,7 +38,6 @@
   int64_t max_output_tokens = 0;
   // Whether the run is expected to stream many events.
   bool is_long = false;
-  MemoryForecast memory_forecast = {};
   common::TimePoint sent_at;
   common::TimePoint started_at;
   bool started = false;
--- a/source/core/dispatch/placement_cost.cc
+++ b/source/core/dispatch/placement_cost.cc
@@ -176,12 +176,12 @@
   double cost = 0;
   const auto capacity =
       static_cast<double>(this->properties->kv_capacity_tokens);
-  const double unannounced = record.UnannouncedRuns(now) * this->mean_memory;
-  const auto own = static_cast<double>(requirements.prompt->MemoryTokens());
+  const double unannounced =
+      record.UnannouncedRuns(now) * this->mean_memory +
+      static_cast<double>(requirements.prompt->MemoryTokens());
   const auto memory_up_to = [&](int urgency) {
-    const auto others = static_cast<double>(room.OwnMemory(urgency) +
-                                            room.PeerMemory(urgency, now));
-    return own + this->memory_share.value() * (others + unannounced);
+    return unannounced + static_cast<double>(room.OwnMemory(urgency) +
+                                             room.PeerMemory(urgency, now));
   };
   const double memory = memory_up_to(kUrgencyLevels - 1);
   choice.memory_tokens = static_cast<int64_t>(memory);
@@ -193,8 +193,7 @@
     // runs are preempted for it.
     const double missing =
         std::max(0.0, memory_up_to(requirements.urgency) - capacity);
-    choice.memory_wait = common::Scale(choice.run_time, missing / capacity);
-    choice.predicted += choice.memory_wait;
+    choice.predicted += common::Scale(choice.run_time, missing / capacity);
   }
   const double in_flight = static_cast<double>(record.own_in_flight()) +
                            std::max(record.OthersInFlight(now),
@@ -276,7 +275,6 @@
   const auto uncached = static_cast<double>(ticket.uncached_tokens);
   this->mean_uncached += kUncachedSmoothing * (uncached - this->mean_uncached);
   this->model.Observe(ticket.tokens_ahead, now - ticket.sent_at);
-  this->memory_share.Observe(ticket.memory_forecast, now - ticket.sent_at);
 }
 
 void PlacementCost::OnFinished(const SendTicket& ticket,
--- a/source/core/dispatch/placement_cost.h
+++ b/source/core/dispatch/placement_cost.h
@@ -15,7 +15,6 @@
 #include "core/dispatch/endpoint_record.h"
 #include "core/dispatch/first_token_model.h"
 #include "core/dispatch/long_run_engines.h"
-#include "core/dispatch/memory_share.h"
 #include "core/dispatch/part_cache.h"
 #include "core/dispatch/peer_prompt.h"
 #include "core/dispatch/send_requirements.h"
@@ -98,7 +97,6 @@
   double mean_uncached = 0;
   // Moving average of the KV cache use of runs, in tokens.
   double mean_memory = 0;
-  MemoryShare memory_share;
   // Moving average of the `max_output_tokens` of requests.
   double mean_output = 0;
   // Time per output token. For short runs it includes the pause after the first
--- a/source/core/gateway/request_task.cc
+++ b/source/core/gateway/request_task.cc
@@ -116,8 +116,6 @@
   ticket.urgency = this->urgency;
   ticket.uncached_tokens = choice.uncached_tokens;
   ticket.is_long = choice.is_long;
-  ticket.memory_forecast = {choice.predicted - choice.memory_wait,
-                            choice.memory_wait};
   if (this->request.prompt) {
     ticket.memory_tokens = this->request.prompt->MemoryTokens();
     ticket.max_output_tokens = this->request.prompt->max_output_tokens;
