Bound the bytes and connections that callers hold in a process

Request bodies were read before anything limited their sum, and each was held up to three times: parsed, decoded and in the outgoing message. A byte budget now reserves them before they are read, refuses what does not fit with 503, ends stalled bodies first, and keeps a part for small ones; a body is held once. The number of callers' connections leaves descriptors for the rest of the process, and freed blocks go back to the system.

--- a/source/core/forward/endpoint_send.cc
+++ b/source/core/forward/endpoint_send.cc
@@ -7,7 +7,7 @@
 #include <boost/beast/core/error.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
-#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include "core/common/error.h"
@@ -38,7 +38,7 @@
 constexpr common::Duration kDiscardTime = std::chrono::milliseconds(50);
 constexpr common::Duration kMinExpiry = std::chrono::milliseconds(1);
 
-using RequestMessage = http::request<http::string_body>;
+using RequestMessage = http::request<http::span_body<const char>>;
 
 template <typename Parser>
 Framing FramingOf(const Parser& parser) {
@@ -55,7 +55,8 @@
   message.target(request.target);
   for (const runtime::HttpHeader& field : headers.all())
     message.insert(field.name, field.value);
-  message.body() = request.body;
+  const std::string_view body = request.body.view();
+  message.body() = {body.data(), body.size()};
   message.prepare_payload();
   return message;
 }
@@ -64,6 +65,8 @@
 
 struct EndpointSend::BackgroundWrite {
   RequestMessage message;
+  // What the message refers to.
+  SharedBody body;
   bool done = false;
 };
 
@@ -182,6 +185,7 @@
   }
   this->background = std::make_shared<BackgroundWrite>();
   this->background->message = std::move(message);
+  this->background->body = request.body;
   runtime::SpawnLocal(
       [job = this->background, connection_ref = this->connection] {
         error_code error;
--- a/source/core/forward/response_relay.cc
+++ b/source/core/forward/response_relay.cc
@@ -57,7 +57,7 @@
   response.headers = head.forwarded_headers;
   while (auto bytes = send.Read()) {
     response.body += *bytes;
-    if (response.body.size() <= kMaxCollectedBytes)
+    if (this->MayCollect(response.body.size()))
       continue;
     on_progress();
     this->Start(head);
@@ -71,6 +71,17 @@
   this->writer.Send(std::move(response));
 }
 
+bool ResponseRelay::MayCollect(size_t bytes) {
+  if (bytes > kMaxCollectedBytes)
+    return false;
+  if (bytes <= this->granted_bytes)
+    return true;
+  if (!this->writer.MayHold(kMaxCollectedBytes))
+    return false;
+  this->granted_bytes = kMaxCollectedBytes;
+  return true;
+}
+
 void ResponseRelay::Write(std::string_view bytes) {
   this->is_writing = true;
   this->writer.Write(bytes);
--- a/source/core/forward/response_relay.h
+++ b/source/core/forward/response_relay.h
@@ -24,6 +24,8 @@
   // is streamed. As long as nothing was passed on, a broken response leaves the
   // request unanswered, so that another endpoint can answer it.
   static constexpr size_t kMaxCollectedBytes = 64 * 1024;
+  // What is held without asking the writer.
+  static constexpr size_t kUncountedBytes = 4 * 1024;
   // Largest event of a stream. Longer ones are taken for bytes that are no
   // events.
   static constexpr size_t kMaxEventBytes = 256 * 1024;
@@ -77,6 +79,8 @@
   // Throws SendError if this response can't be the rest of the stream that was
   // started.
   void CheckContinues(const ResponseHead& head) const;
+  // Whether `bytes` of a whole response may be held until it is complete.
+  bool MayCollect(size_t bytes);
   void Write(std::string_view bytes);
   // Passes the rest of the body on as it arrives.
   void PassOn(EndpointSend& send, const RunningCheck& is_running);
@@ -94,6 +98,7 @@
   runtime::ResponseWriter& writer;
   EventSplitter splitter;
   Statistics stats;
+  size_t granted_bytes = kUncountedBytes;
   bool has_started = false;
   bool is_writing = false;
   common::TimePoint event_taken_at;
--- a/source/core/forward/types.h
+++ b/source/core/forward/types.h
@@ -9,6 +9,7 @@
 #include "core/common/time.h"
 #include "core/dispatch/endpoint_record.h"
 #include "core/dispatch/prompt.h"
+#include "core/forward/shared_body.h"
 #include "core/runtime/http_types.h"
 
 namespace jujuberock::forward {
@@ -20,7 +21,7 @@
   std::string method;
   std::string target;
   std::string host;
-  std::string body;
+  SharedBody body;
   runtime::HttpHeaders forwarded_headers;
   // Identifies this attempt of the caller.
   std::string attempt_id;
@@ -82,6 +83,7 @@
  public:
   virtual ~Codec() = default;
 
+  // Leaves the body out, which the caller of this moves or copies.
   virtual CallerRequest DecodeRequest(
       const runtime::HttpRequest& request) const = 0;
   // Returns the header fields of a send, without those for body framing.
--- a/source/core/gateway/gateway.cc
+++ b/source/core/gateway/gateway.cc
@@ -1,5 +1,7 @@
 #include "core/gateway/gateway.h"
 
+#include <glog/logging.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -30,15 +32,25 @@
 constexpr Duration kFinalAnswerPeriod = std::chrono::milliseconds(100);
 constexpr Duration kStopPoll = std::chrono::milliseconds(20);
 
-runtime::HttpServerOptions OptionsFor(const catalog::CallerLimits& limits) {
+constexpr size_t kBytesPerMb = 1024 * 1024;
+// Time after which a caller whose body found no room may retry.
+constexpr Duration kNoRoomRetryAfter = std::chrono::milliseconds(1000);
+constexpr Duration kLimitsReportPeriod = std::chrono::seconds(10);
+
+// Limits of the ports for probes and metrics, whose requests have no body.
+runtime::HttpServerOptions ProbeOptions() {
   runtime::HttpServerOptions options;
-  options.header_limit_bytes = limits.header_bytes;
-  options.body_limit_bytes = limits.body_bytes;
-  options.header_timeout = limits.header_timeout;
-  options.idle_timeout = limits.idle_timeout;
+  options.body_limit_bytes = 4 * 1024;
+  options.max_connections = 64;
   return options;
 }
 
+runtime::ProcessLimits LimitsOf(const Settings& settings) {
+  return {static_cast<size_t>(settings.memory_limit_mb) * kBytesPerMb,
+          runtime::EffectiveDescriptors(
+              static_cast<size_t>(settings.descriptor_limit))};
+}
+
 }  // namespace
 
 Gateway::Gateway(Settings settings,
@@ -103,7 +115,14 @@
                    counters.GetCounter("requests_failed_total"),
                    counters.GetHistogram("request_first_byte_seconds"),
                    counters.GetHistogram("request_seconds"),
-                   nullptr} {
+                   nullptr},
+      limits(LimitsOf(this->settings)),
+      budget(std::make_shared<runtime::ByteBudget>(
+          runtime::BudgetFor(this->limits))),
+      held_bytes(counters.GetGauge("caller_bytes_held")),
+      bodies_refused(counters.GetGauge("caller_bodies_refused")),
+      bodies_ended(counters.GetGauge("caller_bodies_ended")),
+      connections_displaced(counters.GetGauge("caller_connections_displaced")) {
   this->view.OnChange([this] { this->OnViewChanged(); });
   this->view.OnHostObject(
       [this](const auto& change) { this->OnHostObject(change); });
@@ -118,14 +137,11 @@
   };
   this->caller_server = std::make_unique<runtime::HttpServer>(
       workers, address(this->settings.caller_address),
-      OptionsFor(catalog::CallerLimits()),
-      [this](const auto& request, auto& writer) {
-        this->Serve(request, writer);
-      },
-      runtime::RenderPlainError);
+      this->OptionsFor(catalog::CallerLimits()),
+      [this](auto& request, auto& writer) { this->Serve(request, writer); },
+      [this](const Error& error) { return this->RenderError(error); });
   this->readiness_server = std::make_unique<runtime::HttpServer>(
-      workers, address(this->settings.ready_address),
-      runtime::HttpServerOptions(),
+      workers, address(this->settings.ready_address), ProbeOptions(),
       [this](const auto&, auto& writer) { this->ServeReadiness(writer); },
       runtime::RenderPlainError);
   if (this->settings.peer_port != 0)
@@ -134,7 +150,7 @@
     runtime::Address metrics = address(this->settings.caller_address);
     metrics.port = static_cast<uint16_t>(this->settings.metrics_port);
     this->metrics_server = std::make_unique<runtime::HttpServer>(
-        workers, metrics, runtime::HttpServerOptions(),
+        workers, metrics, ProbeOptions(),
         [this](const auto&, auto& writer) {
           runtime::HttpResponse response;
           response.headers.Add("Content-Type", "text/plain; version=0.0.4");
@@ -200,7 +216,7 @@
   const auto config = this->view.config();
   if (!config)
     return;
-  this->caller_server->SetOptions(OptionsFor(config->config().limits));
+  this->caller_server->SetOptions(this->OptionsFor(config->config().limits));
   this->cache_store_watcher.Refresh(*config);
 }
 
@@ -225,9 +241,50 @@
   this->connections.Expire(now);
   this->endpoint_watches.Tick();
   this->LogViewFreshness(now);
+  this->ReportHeldBytes(now);
   this->log.Flush();
 }
 
+runtime::HttpServerOptions Gateway::OptionsFor(
+    const catalog::CallerLimits& limits) const {
+  runtime::HttpServerOptions options;
+  options.header_limit_bytes = limits.header_bytes;
+  options.body_limit_bytes = limits.body_bytes;
+  options.header_timeout = limits.header_timeout;
+  options.idle_timeout = limits.idle_timeout;
+  options.body_timeout = this->settings.body_timeout;
+  options.body_progress_timeout = this->settings.body_progress_timeout;
+  options.max_connections = runtime::MaxCallerConnections(this->limits);
+  options.budget = this->budget;
+  return options;
+}
+
+runtime::HttpResponse Gateway::RenderError(const Error& error) const {
+  runtime::HttpResponse response = runtime::RenderPlainError(error);
+  if (error.code() == ResultCode::kQueueFull)
+    this->platform.codec.AddRetryAfter(response.headers, kNoRoomRetryAfter);
+  return response;
+}
+
+void Gateway::ReportHeldBytes(common::TimePoint now) {
+  const uint64_t refused = this->budget->refused();
+  const uint64_t ended = this->budget->ended();
+  const uint64_t displaced = this->caller_server->DisplacedConnections();
+  this->held_bytes.Set(static_cast<int64_t>(this->budget->held_bytes()));
+  this->bodies_refused.Set(static_cast<int64_t>(refused));
+  this->bodies_ended.Set(static_cast<int64_t>(ended));
+  this->connections_displaced.Set(static_cast<int64_t>(displaced));
+  const uint64_t limited = refused + ended + displaced;
+  if (limited == this->limited_callers ||
+      now - this->limits_reported_at < kLimitsReportPeriod)
+    return;
+  this->limited_callers = limited;
+  this->limits_reported_at = now;
+  LOG(WARNING) << "callers exceed what the host can hold: " << refused
+               << " bodies refused, " << ended << " ended, " << displaced
+               << " connections closed since the start";
+}
+
 void Gateway::LogViewFreshness(common::TimePoint now) {
   const bool fresh = this->view.IsFresh(now);
   if (fresh == this->was_view_fresh)
@@ -245,15 +302,17 @@
   writer.Send(std::move(response));
 }
 
-void Gateway::Serve(const runtime::HttpRequest& request,
+void Gateway::Serve(runtime::HttpRequest& request,
                     runtime::ResponseWriter& writer) {
   const auto accept_until = this->accept_until;
   try {
     if (accept_until && runtime::BootNow() > *accept_until)
       throw RefusedError(ResultCode::kStopping, "the host is stopping",
                          PlannedStop::kRetryAfter);
-    RequestTask task(this->request_deps,
-                     this->platform.codec.DecodeRequest(request), writer);
+    forward::CallerRequest decoded =
+        this->platform.codec.DecodeRequest(request);
+    decoded.body = std::move(request.body);
+    RequestTask task(this->request_deps, std::move(decoded), writer);
     task.Run();
   } catch (const RefusedError& error) {
     this->SendRefusal(error, error.retry_after(), writer);
--- a/source/core/gateway/gateway.h
+++ b/source/core/gateway/gateway.h
@@ -24,7 +24,9 @@
 #include "core/gateway/rollout_controller.h"
 #include "core/gateway/settings.h"
 #include "core/gateway/stream_registry.h"
+#include "core/runtime/byte_budget.h"
 #include "core/runtime/http_server.h"
+#include "core/runtime/process_limits.h"
 #include "core/runtime/worker_pool.h"
 
 namespace jujuberock::gateway {
@@ -59,8 +61,12 @@
   void Stop();
 
  private:
-  void Serve(const runtime::HttpRequest& request,
-             runtime::ResponseWriter& writer);
+  void Serve(runtime::HttpRequest& request, runtime::ResponseWriter& writer);
+  runtime::HttpServerOptions OptionsFor(
+      const catalog::CallerLimits& limits) const;
+  // The response to a request that was not read, or whose handler failed.
+  runtime::HttpResponse RenderError(const common::Error& error) const;
+  void ReportHeldBytes(common::TimePoint now);
   void ServeReadiness(runtime::ResponseWriter& writer);
   void SendRefusal(const common::Error& error,
                    std::optional<common::Duration> retry_after,
@@ -92,6 +98,15 @@
   std::unique_ptr<PeerLoads> peer_loads;
   PlannedStop planned_stop;
   RequestDependencies request_deps;
+  runtime::ProcessLimits limits;
+  std::shared_ptr<runtime::ByteBudget> budget;
+  common::Gauge& held_bytes;
+  common::Gauge& bodies_refused;
+  common::Gauge& bodies_ended;
+  common::Gauge& connections_displaced;
+  // Of the last warning that callers were refused or closed.
+  uint64_t limited_callers = 0;
+  common::TimePoint limits_reported_at;
   std::unique_ptr<runtime::HttpServer> caller_server;
   std::unique_ptr<runtime::HttpServer> readiness_server;
   std::unique_ptr<runtime::HttpServer> metrics_server;
--- a/source/core/gateway/request_task.cc
+++ b/source/core/gateway/request_task.cc
@@ -170,7 +170,7 @@
   const std::string_view caller =
       this->team ? std::string_view(this->team->name) : std::string_view();
   this->fingerprint = suspects::FingerprintOf(
-      caller, this->service, this->request.target, this->request.body);
+      caller, this->service, this->request.target, this->request.body.view());
   const auto action = this->deps.dispatcher.suspects().Check(this->fingerprint,
                                                              this->received_at);
   if (action == suspects::SuspectAction::kRefuse)
--- a/source/core/gateway/settings.cc
+++ b/source/core/gateway/settings.cc
@@ -78,6 +78,16 @@
        "Maximum wait of one watch of the endpoints"},
       {"other_watch_wait_ms", &S::other_watch_wait, "ms", 100, 30000,
        "Maximum wait of one watch of weight versions and of hosts"},
+      {"memory_limit_mb", &S::memory_limit_mb, "MB", 0, 1 << 20,
+       "Memory of this process, a part of which bounds what it holds for "
+       "callers; 0: unknown, 160 MB are assumed"},
+      {"descriptor_limit", &S::descriptor_limit, "descriptors", 0, 1 << 24,
+       "File descriptors of this process, which bound the connections of "
+       "callers; 0: only the system's limit counts"},
+      {"body_timeout_ms", &S::body_timeout, "ms", 10, 600000,
+       "Time for a request's body to arrive"},
+      {"body_progress_timeout_ms", &S::body_progress_timeout, "ms", 10, 600000,
+       "Time for the next bytes of a request's body to arrive"},
   };
   return kTable;
 }
--- a/source/core/gateway/settings.h
+++ b/source/core/gateway/settings.h
@@ -41,6 +41,11 @@
   common::Duration config_watch_wait = std::chrono::milliseconds(1300);
   common::Duration endpoints_watch_wait = std::chrono::milliseconds(2500);
   common::Duration other_watch_wait = std::chrono::milliseconds(4000);
+  // 0: unknown.
+  int64_t memory_limit_mb = 0;
+  int64_t descriptor_limit = 0;
+  common::Duration body_timeout = std::chrono::seconds(30);
+  common::Duration body_progress_timeout = std::chrono::seconds(10);
 };
 
 // Returns the declarations of all settings, with names, ranges and help texts.
--- a/source/core/operator_api/server.cc
+++ b/source/core/operator_api/server.cc
@@ -18,6 +18,7 @@
 
 // Operator calls need no larger body.
 constexpr size_t kBodyLimitBytes = 64 * 1024;
+constexpr size_t kMaxConnections = 256;
 
 HttpResponse MakeResponse(int status, const char* type, std::string body) {
   HttpResponse response;
@@ -56,7 +57,8 @@
       http(
           pool,
           address,
-          {.body_limit_bytes = kBodyLimitBytes},
+          {.body_limit_bytes = kBodyLimitBytes,
+           .max_connections = kMaxConnections},
           [this](const HttpRequest& request, runtime::ResponseWriter& writer) {
             this->Handle(request, writer);
           },
--- a/source/core/runtime/http_server.cc
+++ b/source/core/runtime/http_server.cc
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <thread>
+#include <tuple>
 #include <utility>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -18,6 +19,7 @@
 #include <boost/beast/http.hpp>
 
 #include "core/runtime/await.h"
+#include "core/runtime/request_reader.h"
 #include "core/runtime/sleep.h"
 #include "core/runtime/stream_writer.h"
 
@@ -37,14 +39,12 @@
 using Socket = boost::asio::basic_stream_socket<tcp, Executor>;
 using Acceptor = boost::asio::basic_socket_acceptor<tcp, Executor>;
 using Stream = detail::CallerStream;
-using Timer = boost::asio::basic_waitable_timer<
-    std::chrono::steady_clock,
-    boost::asio::wait_traits<std::chrono::steady_clock>,
-    Executor>;
 
 // Bytes beyond the limit of a header that are held before they are parsed. The
 // parser needs the whole of a chunk's header and of the trailer.
 constexpr size_t kMaxReadAheadBytes = 64 * 1024;
+// A larger buffer is freed between two requests.
+constexpr size_t kKeptBufferBytes = 16 * 1024;
 constexpr common::Duration kAcceptBackoff = std::chrono::milliseconds(50);
 
 // Time for which a draining server still accepts connections and requests, so
@@ -54,7 +54,7 @@
 // HTTP/1.1, as Beast counts versions.
 constexpr unsigned kFirstVersionWithChunks = 11;
 
-HttpRequest FromBeast(http::request<http::string_body>& message) {
+HttpRequest FromBeast(detail::RequestReader::Message& message) {
   HttpRequest request;
   request.method = std::string(message.method_string());
   request.target = std::string(message.target());
@@ -65,33 +65,6 @@
   return request;
 }
 
-// Whether it is known where the body ends and what it holds. With a transfer
-// coding other than chunked neither is, and the bytes of the body would be
-// taken for the next request (RFC 9112, section 6.3).
-bool HasSupportedCoding(const http::request<http::string_body>& message) {
-  const auto codings = message.equal_range(http::field::transfer_encoding);
-  return std::all_of(codings.first, codings.second, [](const auto& field) {
-    return beast::iequals(field.value(), "chunked");
-  });
-}
-
-// Maps a failed read to the error to respond with; nullopt when the connection
-// is lost.
-std::optional<Error> ErrorForRead(const error_code& error) {
-  if (error == http::error::body_limit)
-    return Error(ResultCode::kBodyTooLarge, "body too large");
-  if (error == http::error::header_limit ||
-      error == http::error::buffer_overflow)
-    return Error(ResultCode::kHeaderTooLarge, "header too large");
-  if (error == http::error::partial_message)
-    return Error(ResultCode::kMalformedRequest, "the request is incomplete");
-  if (error.category() ==
-          http::make_error_code(http::error::bad_version).category() &&
-      error != http::error::end_of_stream)
-    return Error(ResultCode::kMalformedRequest, error.message());
-  return std::nullopt;
-}
-
 // Whether a request that ended with an error gets it as its response. After a
 // disconnect it does, because the caller may have closed only its sending side;
 // one that has left does not mind. Otherwise kCanceled asks for a connection
@@ -102,50 +75,6 @@
   return error.code() != ResultCode::kCanceled || writer.caller_disconnected();
 }
 
-// Cancels a read that takes too long. The built-in timeout of beast::tcp_stream
-// closes the socket, so no error response could be sent.
-class ReadDeadline {
- public:
-  ReadDeadline(Stream& stream, common::Duration limit)
-      : timer(CurrentIoContext()), state(std::make_shared<State>()) {
-    this->state->stream = &stream;
-    this->Restart(limit);
-  }
-  ~ReadDeadline() { this->Stop(); }
-  ReadDeadline(const ReadDeadline&) = delete;
-  ReadDeadline& operator=(const ReadDeadline&) = delete;
-
-  // Restarts the timer with a new limit, counted from now.
-  void Restart(common::Duration limit) {
-    this->timer.expires_after(limit);
-    this->timer.async_wait([state = this->state](const error_code& error) {
-      if (error || !state->stream)
-        return;
-      state->expired = true;
-      error_code ignored;
-      state->stream->socket().cancel(ignored);
-    });
-  }
-
-  // Stops the timer; call it when the read has completed in time.
-  void Stop() {
-    this->state->stream = nullptr;
-    this->timer.cancel();
-  }
-
-  bool expired() const { return this->state->expired; }
-
- private:
-  // Shared with the pending wait, whose handler may run after destruction.
-  struct State {
-    Stream* stream = nullptr;
-    bool expired = false;
-  };
-
-  Timer timer;
-  std::shared_ptr<State> state;
-};
-
 }  // namespace
 
 HttpResponse RenderPlainError(const Error& error) {
@@ -174,7 +103,9 @@
   void ServeRequests(Stream& stream);
   bool ServeNextRequest(Stream& stream, beast::flat_buffer& buffer);
   bool ReadAndHandle(Stream& stream, beast::flat_buffer& buffer);
-  bool HandleRequest(Stream& stream, http::request<http::string_body>& message);
+  bool HandleRequest(Stream& stream, detail::RequestReader& reader);
+  void Refuse(Stream& stream, beast::flat_buffer& buffer, const Error& error);
+  bool MakeRoomForConnection(size_t worker);
   void SendError(Stream& stream, const Error& error);
   void EndUnanswered(const Error& error);
   void EndUnansweredOn(size_t worker, const Error& error);
@@ -195,23 +126,37 @@
   // One acceptor per worker, all bound to the same port (SO_REUSEPORT),
   // so that a connection never moves between threads.
   std::vector<std::unique_ptr<Acceptor>> acceptors;
+  // kIdle: between two requests. kReading: in the middle of a request.
+  enum class Phase { kIdle, kReading, kHandling };
   struct ConnectionState {
-    // Whether the connection is between two requests.
-    bool is_idle = true;
+    void Enter(Phase next) {
+      this->phase = next;
+      this->entered = ++phase_changes;
+    }
+
+    Phase phase = Phase::kIdle;
+    // Orders the connections of a worker by the time of their last change.
+    uint64_t entered = 0;
+    // Closed for a new connection.
+    bool is_displaced = false;
     // Set while a handler runs.
     detail::StreamWriter* writer = nullptr;
+    static thread_local uint64_t phase_changes;
   };
   // Open streams, indexed by worker and accessed only on that worker's thread.
   std::vector<std::map<Stream*, ConnectionState>> streams;
   std::atomic<size_t> fibers{0};
   std::atomic<size_t> connections{0};
   std::atomic<size_t> active{0};
+  std::atomic<uint64_t> displaced{0};
   std::atomic<bool> draining{false};
   std::atomic<bool> closing{false};
   // Workers that still accept connections while the server drains.
   std::atomic<size_t> undrained_workers{0};
 };
 
+thread_local uint64_t HttpServer::State::ConnectionState::phase_changes = 0;
+
 void HttpServer::State::Listen(const Address& address) {
   try {
     tcp::endpoint endpoint(boost::asio::ip::make_address(address.ip),
@@ -248,7 +193,8 @@
     error_code error;
     Socket socket = acceptor.async_accept(Await(error));
     if (!error) {
-      this->SpawnConnection(worker, std::move(socket));
+      if (this->MakeRoomForConnection(worker))
+        this->SpawnConnection(worker, std::move(socket));
       continue;
     }
     // Most likely out of file descriptors: back off so that connections close.
@@ -257,6 +203,35 @@
   }
 }
 
+// Returns false if no connection of this worker can be closed for a new one.
+bool HttpServer::State::MakeRoomForConnection(size_t worker) {
+  const size_t limit = this->Options()->max_connections;
+  if (limit == 0 || this->connections < limit)
+    return true;
+  ++this->displaced;
+  Stream* oldest = nullptr;
+  ConnectionState* state = nullptr;
+  for (auto& [stream, connection] : this->streams[worker]) {
+    if (connection.phase == Phase::kHandling || connection.is_displaced)
+      continue;
+    if (!state || std::tie(connection.phase, connection.entered) <
+                      std::tie(state->phase, state->entered)) {
+      oldest = stream;
+      state = &connection;
+    }
+  }
+  if (!state)
+    return false;
+  state->is_displaced = true;
+  error_code ignored;
+  // A request that has arrived on an idle connection is read and answered.
+  if (state->phase == Phase::kIdle)
+    oldest->socket().shutdown(Socket::shutdown_receive, ignored);
+  else
+    oldest->close();
+  return true;
+}
+
 void HttpServer::State::SpawnConnection(size_t worker, Socket socket) {
   ++this->fibers;
   ++this->connections;
@@ -271,7 +246,7 @@
   error_code ignored;
   socket.set_option(tcp::no_delay(true), ignored);
   Stream stream(std::move(socket));
-  this->streams[worker][&stream] = {};
+  this->streams[worker][&stream].Enter(Phase::kIdle);
   this->ServeRequests(stream);
   this->streams[worker].erase(&stream);
   stream.socket().shutdown(Socket::shutdown_both, ignored);
@@ -301,64 +276,61 @@
     buffer.commit(bytes);
   }
   ConnectionState& connection = this->streams[worker][&stream];
-  connection.is_idle = false;
+  connection.Enter(Phase::kReading);
   ++this->active;
   const bool keep = this->ReadAndHandle(stream, buffer);
   --this->active;
-  connection.is_idle = true;
-  return keep;
+  connection.Enter(Phase::kIdle);
+  if (buffer.size() == 0 && buffer.capacity() > kKeptBufferBytes)
+    buffer.shrink_to_fit();
+  return keep && !connection.is_displaced;
 }
 
 bool HttpServer::State::ReadAndHandle(Stream& stream,
                                       beast::flat_buffer& buffer) {
-  error_code error;
-  http::request_parser<http::string_body> parser;
-  parser.header_limit(
-      static_cast<uint32_t>(this->Options()->header_limit_bytes));
-  parser.body_limit(this->Options()->body_limit_bytes);
-  stream.expires_never();
-  ReadDeadline deadline(stream, this->Options()->header_timeout);
-  http::async_read_header(stream, buffer, parser, Await(error));
-  if (!error && !HasSupportedCoding(parser.get())) {
-    this->SendError(stream, Error(ResultCode::kMalformedRequest,
-                                  "unsupported transfer coding"));
-    return false;
-  }
-  if (!error && !parser.is_done()) {
-    if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
-      http::response<http::empty_body> continue_response(
-          http::status::continue_, 11);
-      http::async_write(stream, continue_response, Await(error));
+  const auto options = this->Options();
+  std::optional<Error> refusal;
+  {
+    detail::RequestReader reader(stream, buffer, *options);
+    try {
+      if (!reader.Read())
+        return false;
+    } catch (const Error& error) {
+      refusal = error;
     }
-    stream.expires_never();
-    deadline.Restart(this->Options()->body_timeout);
-    http::async_read(stream, buffer, parser, Await(error));
-  }
-  if (error) {
-    if (deadline.expired())
-      this->SendError(stream, Error(ResultCode::kRequestTimeout,
-                                    "the request did not arrive in time"));
-    else if (auto read_error = ErrorForRead(error))
-      this->SendError(stream, *read_error);
-    return false;
+    if (!refusal)
+      return this->HandleRequest(stream, reader);
   }
-  deadline.Stop();
-  return this->HandleRequest(stream, parser.get());
+  // The bytes that were held are released before the response is sent.
+  this->Refuse(stream, buffer, *refusal);
+  return false;
 }
 
-bool HttpServer::State::HandleRequest(
-    Stream& stream,
-    http::request<http::string_body>& message) {
+void HttpServer::State::Refuse(Stream& stream,
+                               beast::flat_buffer& buffer,
+                               const Error& error) {
+  this->SendError(stream, error);
+  if (error.code() == ResultCode::kBodyTooLarge ||
+      error.code() == ResultCode::kQueueFull)
+    detail::DiscardInput(stream, buffer, this->Options()->body_limit_bytes);
+}
+
+bool HttpServer::State::HandleRequest(Stream& stream,
+                                      detail::RequestReader& reader) {
+  detail::RequestReader::Message& message = reader.message();
   detail::ResponseForm form;
   form.keep_alive = message.keep_alive();
   form.is_head = message.method() == http::verb::head;
   form.knows_chunks = message.version() >= kFirstVersionWithChunks;
-  const HttpRequest request = FromBeast(message);
-  detail::StreamWriter writer(stream, this->Options()->write_timeout, form,
-                              this->draining);
+  HttpRequest request = FromBeast(message);
+  const auto options = this->Options();
+  detail::StreamWriter writer(stream, options->write_timeout, form,
+                              this->draining, options->budget.get(),
+                              &reader.held());
   const size_t worker = *WorkerPool::CurrentWorker();
   ConnectionState& connection = this->streams[worker][&stream];
   connection.writer = &writer;
+  connection.Enter(Phase::kHandling);
   try {
     // A handler may run for much longer than the read and write timeouts.
     stream.expires_never();
@@ -447,7 +419,7 @@
   for (const auto& [stream, connection] : this->streams[worker]) {
     // Only the receiving side is closed: a request that has arrived is read and
     // answered, even if the fiber of its connection has not run since.
-    if (connection.is_idle)
+    if (connection.phase == Phase::kIdle)
       stream->socket().shutdown(Socket::shutdown_receive, error);
   }
 }
@@ -516,6 +488,10 @@
   return this->state->active;
 }
 
+uint64_t HttpServer::DisplacedConnections() const {
+  return this->state->displaced;
+}
+
 size_t HttpServer::OpenConnections() const {
   return this->state->connections;
 }
--- a/source/core/runtime/http_server.h
+++ b/source/core/runtime/http_server.h
@@ -1,12 +1,14 @@
 #ifndef CORE_RUNTIME_HTTP_SERVER_H_
 #define CORE_RUNTIME_HTTP_SERVER_H_
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string_view>
 
 #include "core/common/error.h"
 #include "core/common/time.h"
+#include "core/runtime/byte_budget.h"
 #include "core/runtime/http_types.h"
 #include "core/runtime/worker_pool.h"
 
@@ -17,11 +19,21 @@
   size_t body_limit_bytes = 8 * 1024 * 1024;
   // Limit on receiving the whole header, counted from its first byte.
   common::Duration header_timeout = std::chrono::seconds(10);
+  // Limit on receiving the whole body, counted from the end of the header.
   common::Duration body_timeout = std::chrono::seconds(30);
   // Time after which a connection without a request is closed.
   common::Duration idle_timeout = std::chrono::seconds(60);
   // Limit on one write to the caller.
   common::Duration write_timeout = std::chrono::seconds(30);
+  // Limit on waiting for the next bytes of a body.
+  common::Duration body_progress_timeout = std::chrono::seconds(10);
+  // Connections that are open at once; 0: no limit. At the limit, the
+  // connection that has been idle longest is closed for a new one, or the one
+  // that has been sending its request longest.
+  size_t max_connections = 0;
+  // Counts the bytes held for callers, also those of other servers of the
+  // process; null: they are not limited.
+  std::shared_ptr<ByteBudget> budget;
 };
 
 // Writes the response to one request: either Send() once, or StartStream(), any
@@ -43,9 +55,13 @@
   // connection, or only its sending side, before the handler returns. Supports
   // only one callback.
   virtual void OnCallerDisconnect(std::function<void()> callback) = 0;
+  // Asks whether the handler may hold `bytes` of the response until they are
+  // written. Otherwise it should write what it has.
+  virtual bool MayHold(size_t /*bytes*/) { return true; }
 };
 
-using HttpHandler = std::function<void(const HttpRequest&, ResponseWriter&)>;
+// May take the body out of the request.
+using HttpHandler = std::function<void(HttpRequest&, ResponseWriter&)>;
 
 // Renders the response to a failed request. Used for malformed requests and for
 // exceptions that a handler throws before it has started a response.
@@ -99,6 +115,9 @@
   // Number of open connections.
   size_t OpenConnections() const;
 
+  // Number of connections closed because of the limit on open ones.
+  uint64_t DisplacedConnections() const;
+
  private:
   struct State;
   std::shared_ptr<State> state;
--- a/source/core/runtime/stream_writer.cc
+++ b/source/core/runtime/stream_writer.cc
@@ -1,14 +1,17 @@
 #include "core/runtime/stream_writer.h"
 
+#include <memory>
 #include <utility>
 
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/socket_base.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
 
 #include "core/common/error.h"
 #include "core/runtime/await.h"
+#include "core/runtime/boot_clock.h"
 #include "core/runtime/sleep.h"
 #include "core/runtime/worker_pool.h"
 
@@ -48,6 +51,38 @@
 
 }  // namespace
 
+// One write during which the connection may be closed to make room for others:
+// a caller that does not read must not hold a large body for long.
+class StreamWriter::EndableWrite {
+ public:
+  explicit EndableWrite(StreamWriter& writer) : writer(writer) {
+    if (!writer.request_body || writer.request_body->bytes() == 0)
+      return;
+    this->target = std::make_shared<CallerStream*>(&writer.stream);
+    writer.request_body->AllowEnd(
+        [target = this->target, &io = CurrentIoContext()] {
+          boost::asio::post(io, [target] {
+            if (*target)
+              (*target)->close();
+          });
+        },
+        BootNow());
+  }
+  ~EndableWrite() {
+    if (!this->target)
+      return;
+    *this->target = nullptr;
+    this->writer.request_body->ForbidEnd();
+  }
+  EndableWrite(const EndableWrite&) = delete;
+  EndableWrite& operator=(const EndableWrite&) = delete;
+
+ private:
+  StreamWriter& writer;
+  // Shared with the pending close; null once the write has ended.
+  std::shared_ptr<CallerStream*> target;
+};
+
 StreamWriter::~StreamWriter() {
   if (!this->watch)
     return;
@@ -106,6 +141,7 @@
     message.body().clear();
   this->stream.expires_after(this->write_timeout);
   error_code error;
+  const EndableWrite endable(*this);
   http::response_serializer<http::string_body> serializer(message);
   if (this->form.is_head)
     http::async_write_header(this->stream, serializer, Await(error));
@@ -134,6 +170,7 @@
     return;
   this->stream.expires_after(this->write_timeout);
   error_code error;
+  const EndableWrite endable(*this);
   const auto buffer = boost::asio::buffer(bytes.data(), bytes.size());
   if (this->form.knows_chunks)
     boost::asio::async_write(this->stream, http::make_chunk(buffer),
--- a/source/core/runtime/stream_writer.h
+++ b/source/core/runtime/stream_writer.h
@@ -40,11 +40,15 @@
   StreamWriter(CallerStream& stream,
                common::Duration write_timeout,
                ResponseForm form,
-               const std::atomic<bool>& draining)
+               const std::atomic<bool>& draining,
+               ByteBudget* budget = nullptr,
+               ByteBudget::Reservation* request_body = nullptr)
       : stream(stream),
         write_timeout(write_timeout),
         form(form),
-        draining(draining) {}
+        draining(draining),
+        budget(budget),
+        request_body(request_body) {}
   ~StreamWriter() override;
 
   void Send(HttpResponse response) override;
@@ -52,6 +56,9 @@
   void Write(std::string_view bytes) override;
   void FinishStream() override;
   void OnCallerDisconnect(std::function<void()> callback) override;
+  bool MayHold(size_t bytes) override {
+    return !this->budget || this->held.GrowTo(*this->budget, bytes);
+  }
   bool started() const override { return this->has_started; }
   // Whether the connection can be used for another request.
   bool keeps_connection() const {
@@ -82,6 +89,8 @@
     bool disconnected = false;
   };
 
+  class EndableWrite;
+
   // The state of a response that the server sends in place of the handler's.
   enum class Replacement { kNone, kSending, kSent };
 
@@ -96,6 +105,11 @@
   common::Duration write_timeout;
   ResponseForm form;
   const std::atomic<bool>& draining;
+  ByteBudget* budget;
+  // What is held of the request until the handler returns; may be null.
+  ByteBudget::Reservation* request_body;
+  // What is held of the response.
+  ByteBudget::Reservation held;
   std::shared_ptr<DisconnectWatch> watch;
   Replacement replacement = Replacement::kNone;
   bool has_started = false;
--- a/source/core/serve/host.cc
+++ b/source/core/serve/host.cc
@@ -21,6 +21,7 @@
 #include "core/report/burn_render.h"
 #include "core/routing/choice_policy.h"
 #include "core/runtime/http_client.h"
+#include "core/runtime/process_limits.h"
 #include "core/runtime/wall_timer_service.h"
 #include "core/runtime/worker_pool.h"
 #include "core/serve/dependencies.h"
@@ -68,8 +69,15 @@
       static_cast<size_t>(settings.body_limit_bytes);
   options.http.header_timeout = settings.header_timeout;
   options.http.body_timeout = settings.body_timeout;
+  options.http.body_progress_timeout = settings.body_progress_timeout;
   options.http.idle_timeout = settings.idle_timeout;
   options.http.write_timeout = settings.write_timeout;
+  const runtime::ProcessLimits limits{
+      static_cast<size_t>(settings.memory_limit_mb) * 1024 * 1024,
+      runtime::EffectiveDescriptors(0)};
+  options.http.max_connections = runtime::MaxCallerConnections(limits);
+  options.http.budget =
+      std::make_shared<runtime::ByteBudget>(runtime::BudgetFor(limits));
   options.max_tokens_limit = settings.max_tokens_limit;
   options.response_id_prefix = id_prefix;
   return options;
--- a/source/core/serve/settings.cc
+++ b/source/core/serve/settings.cc
@@ -68,6 +68,11 @@
        "Time for a request's header to arrive"},
       {"body_timeout_ms", &S::body_timeout, "ms", 10, 600'000,
        "Time for a request's body to arrive"},
+      {"body_progress_timeout_ms", &S::body_progress_timeout, "ms", 10, 600'000,
+       "Time for the next bytes of a request's body to arrive"},
+      {"memory_limit_mb", &S::memory_limit_mb, "MB", 0, 1 << 20,
+       "Memory of this process, a part of which bounds what it holds for "
+       "callers; 0: unknown, 160 MB are assumed"},
       {"idle_timeout_ms", &S::idle_timeout, "ms", 10, 3'600'000,
        "Time that a caller's connection may stay idle"},
       {"write_timeout_ms", &S::write_timeout, "ms", 10, 600'000,
--- a/source/core/serve/settings.h
+++ b/source/core/serve/settings.h
@@ -30,6 +30,9 @@
   int64_t max_tokens_limit = 32768;
   common::Duration header_timeout = std::chrono::seconds(10);
   common::Duration body_timeout = std::chrono::seconds(30);
+  common::Duration body_progress_timeout = std::chrono::seconds(10);
+  // 0: unknown.
+  int64_t memory_limit_mb = 0;
   common::Duration idle_timeout = std::chrono::seconds(60);
   common::Duration write_timeout = std::chrono::seconds(30);
 
--- a/source/jujuberock/gateway_command.cc
+++ b/source/jujuberock/gateway_command.cc
@@ -15,6 +15,7 @@
 #include "core/gateway/gateway.h"
 #include "core/gateway/settings.h"
 #include "core/runtime/http_client.h"
+#include "core/runtime/process_limits.h"
 #include "core/runtime/process_signals.h"
 #include "core/runtime/worker_pool.h"
 #include "jujuberock/command.h"
@@ -79,6 +80,7 @@
     // Without this, a write to a connection that the caller has closed would
     // terminate the process.
     std::signal(SIGPIPE, SIG_IGN);
+    runtime::ReturnFreedMemory();
     common::MetricRegistry counters;
     events::StdoutSink output;
     events::EventLog log(output, settings->host_name, WallNow, counters);
--- a/source/platform/codec.cc
+++ b/source/platform/codec.cc
@@ -164,7 +164,6 @@
   forward::CallerRequest decoded;
   decoded.method = request.method;
   decoded.target = request.target;
-  decoded.body = request.body;
   const auto text = [&](std::string_view name) {
     return std::string(headers.Find(name).value_or(""));
   };
