--- a/source/jujuberock/serve_command.cc
+++ b/source/jujuberock/serve_command.cc
@@ -9,6 +9,7 @@
 #include "core/common/settings.h"
 #include "core/common/settings_table.h"
 #include "core/gateway/settings.h"
+#include "core/runtime/process_limits.h"
 #include "core/runtime/process_signals.h"
 #include "core/serve/host.h"
 #include "core/serve/settings.h"
@@ -46,6 +47,7 @@
   if (!settings)
     return kExitFailed;
   try {
+    runtime::ReturnFreedMemory();
     serve::Host host(*settings, [&signals] { signals.RequestStop(); });
     LOG(INFO) << "serving callers on " << host.caller_address().ToString()
               << ", operators on " << host.operator_address().ToString();
--- a/source/unit_tests/core/runtime/held_bytes_test.cc
+++ b/source/unit_tests/core/runtime/held_bytes_test.cc
@@ -14,6 +14,8 @@
 
 const Address kAnyPort{"127.0.0.1", 0};
 constexpr size_t kBodyBytes = 256 * 1024;
+// More than the kernel's buffers take.
+constexpr size_t kLargeAnswerBytes = 32 * 1024 * 1024;
 constexpr ByteBudgetLimits kLimits{2 * kBodyBytes, kBodyBytes / 2, 64 * 1024,
                                    std::chrono::milliseconds(0)};
 
@@ -100,6 +102,20 @@
   CHECK(test.budget->ended() == 1);
 }
 
+// Guards against callers that hold large bodies by not reading the answers.
+TEST_CASE("a caller that does not read is closed for another body") {
+  TestServer test;
+  RawClient first(test.server.address());
+  first.Send("POST /large HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+             std::to_string(kBodyBytes) + "\r\n\r\n" +
+             std::string(kBodyBytes, 'x'));
+  first.ReadUntil("\r\n\r\n");
+  RawClient second(test.server.address());
+  second.Send(Declared(kBodyBytes) + std::string(kBodyBytes, 'x'));
+  CHECK(StatusOf(second.ReadUntil(std::to_string(kBodyBytes))) == 200);
+  CHECK(first.ReadAll().size() < kLargeAnswerBytes);
+}
+
 // Guards against chunked bodies that are read ahead of their reservation, and
 // against bytes that stay counted.
 TEST_CASE("a chunked body is counted as it arrives") {
