--- a/source/unit_tests/core/runtime/held_bytes_test.cc
+++ b/source/unit_tests/core/runtime/held_bytes_test.cc
@@ -41,10 +41,16 @@
     options.budget = this->budget;
     return options;
   }
-  void AwaitHeld(size_t bytes) const {
-    while (this->budget->held_bytes() != bytes)
+  void AwaitHeld(size_t least, size_t most) const {
+    const auto is_held = [&] {
+      const size_t held = this->budget->held_bytes();
+      return held >= least && held <= most;
+    };
+    for (int i = 0; i < 10000 && !is_held(); ++i)
       std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    CHECK(is_held());
   }
+  void AwaitHeld(size_t bytes) const { this->AwaitHeld(bytes, bytes); }
 
   WorkerPool pool{1};
   std::shared_ptr<ByteBudget> budget;
@@ -122,9 +128,7 @@
   TestServer test;
   RawClient caller(test.server.address());
   caller.Send(kChunked + Chunk(100000));
-  while (test.budget->held_bytes() < 100000)
-    std::this_thread::sleep_for(std::chrono::milliseconds(1));
-  CHECK(test.budget->held_bytes() <= kBodyBytes);
+  test.AwaitHeld(100000, kBodyBytes);
   caller.Send(Chunk(kBodyBytes - 100000) + "0\r\n\r\n");
   CHECK(StatusOf(caller.ReadUntil(std::to_string(kBodyBytes))) == 200);
   test.AwaitHeld(0);
