--- a/source/unit_tests/core/gateway/relayed_view_test.cc
+++ b/source/unit_tests/core/gateway/relayed_view_test.cc
@@ -90,8 +90,8 @@
   void Check(const std::function<void(common::TimePoint)>& check) {
     this->pool.Run([&] {
       this->view.Start();
-      while (this->view.NewestVersion("m") < 2 ||
-             !this->view.endpoints_age() || !this->view.config())
+      while (this->view.NewestVersion("m") < 2 || !this->view.endpoints_age() ||
+             !this->view.config())
         runtime::SleepFor(milliseconds(5));
       check(runtime::BootNow());
       this->view.Stop();
