--- a/source/core/gateway/relayed_store.cc
+++ b/source/core/gateway/relayed_store.cc
@@ -125,9 +125,7 @@
 }
 
 Duration RelayedStore::WaitFor(Duration wait, Duration age) const {
-  const Duration left = wait + kSpareWait - age;
-  const Duration longest = std::min(wait, this->options.max_wait);
-  return std::clamp(left, std::min(kMinWait, longest), longest);
+  return std::clamp(wait + kSpareWait - age, std::min(kMinWait, wait), wait);
 }
 
 std::optional<RelayedStore::RelayedRead> RelayedStore::AskRelays(
@@ -151,7 +149,8 @@
     request.age = age;
     // The second relay says at once what it has.
     if (attempt == 0)
-      request.wait = this->WaitFor(wait, age);
+      request.wait =
+          std::min(this->WaitFor(wait, age), this->options.max_wait);
     have_asked = true;
     this->StateOf(kind).is_watching_store = false;
     auto read = this->AskRelay(*host, request);
@@ -277,8 +276,13 @@
                                                  TimePoint began_at) {
   const TimePoint asked_at = this->now();
   const TimePoint former = this->mirror.PositionOf(kind)->confirmed_at;
+  // An answer with changes confirms no more than what the store had when the
+  // watch began. The next confirmation comes sooner for it, so that followers
+  // need not ask the store.
+  const Duration next_wait = this->WaitFor(wait, asked_at - former);
   try {
-    catalog::ObjectChanges changes = this->direct.Watch(kind, revision, wait);
+    catalog::ObjectChanges changes =
+        this->direct.Watch(kind, revision, next_wait);
     this->CheckDirectEra();
     if (changes.history_gone)
       return changes;
--- a/source/core/gateway/relayed_store.h
+++ b/source/core/gateway/relayed_store.h
@@ -42,7 +42,7 @@
   // A relay's next confirmation may come this much later than the wait of its
   // watch.
   static constexpr common::Duration kSpareWait = std::chrono::milliseconds(200);
-  // Keeps a host whose relay has no news from asking it without pause.
+  // Keeps a host whose view is old from asking without pause.
   static constexpr common::Duration kMinWait = std::chrono::milliseconds(100);
   // Relays that are asked during one call.
   static constexpr int kMaxAttempts = 3;
@@ -111,8 +111,8 @@
   KindState& StateOf(catalog::ObjectKind kind) {
     return this->states[static_cast<size_t>(kind)];
   }
-  // How long a relay may wait with its answer, so that the view does not become
-  // too old. Zero for lists.
+  // How long the next watch may wait, so that the view does not become too old.
+  // Zero for lists.
   common::Duration WaitFor(common::Duration wait, common::Duration age) const;
   // Asks relays; nullopt if the store must be asked. Without a revision, all
   // objects are wanted.
