--- a/source/core/gateway/relayed_store.cc
+++ b/source/core/gateway/relayed_store.cc
@@ -140,28 +140,36 @@
     const auto position = this->mirror.PositionOf(kind);
     const Duration age =
         position ? asked_at - position->confirmed_at : Duration(0);
-    if (!host || (revision && age >= wait + kMaxExtraAge))
+    const Duration max_age = wait + kMaxExtraAge;
+    const bool is_too_old = revision && age >= max_age;
+    if (!host || (is_too_old && have_asked && !is_store_failing))
       break;
     RelayRequest request;
     request.kind = kind;
     request.revision = revision;
     request.era = position && revision ? position->era : this->era();
     request.age = age;
-    // The second relay says at once what it has.
-    if (attempt == 0)
-      request.wait =
-          std::min(this->WaitFor(wait, age), this->options.max_wait);
+    // With an old view, or after another relay has failed, what the relay has
+    // is wanted at once.
+    if (!is_too_old && !have_asked)
+      request.wait = std::min(this->WaitFor(wait, age), this->options.max_wait);
     have_asked = true;
     this->StateOf(kind).is_watching_store = false;
     auto read = this->AskRelay(*host, request);
     if (!read)
       continue;
     is_store_failing |= read->answer.status == RelayStatus::kStoreFailing;
-    const bool has_news = !is_store_failing || !position ||
-                          read->confirmed_at > position->confirmed_at;
-    if (read->answer.status == RelayStatus::kStoreFailing || !has_news)
+    const bool has_news =
+        !position || read->confirmed_at > position->confirmed_at;
+    const bool is_still_old =
+        is_too_old && this->now() - read->confirmed_at >= max_age;
+    if (is_still_old)
+      this->choice.OnRefused(host->name, this->now());
+    if (read->answer.status == RelayStatus::kStoreFailing || is_still_old ||
+        (is_store_failing && !has_news))
       continue;
     this->relay_answers.Add();
+    this->StateOf(kind).direct_allowed_at.reset();
     this->relayed_era = std::max(this->relayed_era, read->answer.era);
     this->NoteSource(kind, host->name);
     this->NoteRelays(true);
@@ -169,9 +177,9 @@
   }
   if (have_asked)
     this->NoteRelays(false);
-  if (is_store_failing)
-    throw Error(ResultCode::kPlatformUnavailable,
-                "the store does not answer a relay");
+  auto& allowed_at = this->StateOf(kind).direct_allowed_at;
+  if (is_store_failing && !allowed_at)
+    allowed_at = this->now() + kFirstDirectPause;
   return std::nullopt;
 }
 
@@ -247,6 +255,14 @@
       .Add(Field::kDependency, this->relays_name);
 }
 
+void RelayedStore::CheckDirectRetry(ObjectKind kind) {
+  const TimePoint now = this->now();
+  const auto allowed_at = this->StateOf(kind).direct_allowed_at;
+  if (allowed_at && now < *allowed_at && this->choice.IsFollower(now))
+    throw Error(ResultCode::kPlatformUnavailable,
+                "neither the relays nor the store answer");
+}
+
 void RelayedStore::CheckDirectEra() const {
   if (this->direct.era() < this->relayed_era)
     throw Error(ResultCode::kPlatformUnavailable,
@@ -255,6 +271,7 @@
 }
 
 catalog::ObjectSnapshot RelayedStore::ListDirect(ObjectKind kind) {
+  this->CheckDirectRetry(kind);
   const TimePoint asked_at = this->now();
   try {
     catalog::ObjectSnapshot snapshot = this->direct.List(kind);
@@ -274,6 +291,7 @@
                                                  uint64_t revision,
                                                  Duration wait,
                                                  TimePoint began_at) {
+  this->CheckDirectRetry(kind);
   const TimePoint asked_at = this->now();
   const TimePoint former = this->mirror.PositionOf(kind)->confirmed_at;
   // An answer with changes confirms no more than what the store had when the
@@ -309,12 +327,14 @@
 void RelayedStore::OnDirectAnswer(ObjectKind kind) {
   this->direct_answers.Add();
   this->StateOf(kind).is_watching_store = true;
+  this->StateOf(kind).direct_allowed_at.reset();
   this->NoteSource(kind, kStoreSource);
   this->NotifyMirrorChanged();
 }
 
 void RelayedStore::OnDirectFailure(ObjectKind kind) {
   this->StateOf(kind).is_watching_store = false;
+  this->StateOf(kind).direct_allowed_at = this->now() + kDirectRetryPause;
   this->mirror.OnStoreFailure(kind);
   this->NotifyMirrorChanged();
 }
--- a/source/core/gateway/relayed_store.h
+++ b/source/core/gateway/relayed_store.h
@@ -24,7 +24,8 @@
 // An answer of a relay that is older than what this host has, or of a former
 // era, changes nothing. If no relay has a useful answer, the store is asked. If
 // a relay says that the store does not answer it, and no other relay has news
-// of the store, the call fails as the relay's own call did.
+// of the store, the call fails as the relay's own call did, and the store is
+// asked by one of the next.
 class RelayedStore : public catalog::ObjectStore {
  public:
   struct Options {
@@ -44,6 +45,15 @@
   static constexpr common::Duration kSpareWait = std::chrono::milliseconds(200);
   // Keeps a host whose view is old from asking without pause.
   static constexpr common::Duration kMinWait = std::chrono::milliseconds(100);
+  // While no relay has a view, a host whose own call to the store failed makes
+  // the next one after this time. All hosts that call as often as relays would
+  // burden a store that just comes back.
+  static constexpr common::Duration kDirectRetryPause =
+      std::chrono::milliseconds(2500);
+  // The same after the relays have said that the store does not answer them.
+  // The call fails first, so that this host sees the outage as they do.
+  static constexpr common::Duration kFirstDirectPause =
+      std::chrono::milliseconds(300);
   // Relays that are asked during one call.
   static constexpr int kMaxAttempts = 3;
 
@@ -103,6 +113,9 @@
     // Whether the last call was a successful one to the store itself, so that a
     // watch that continues it is uninterrupted.
     bool is_watching_store = false;
+    // Before this, a follower whose relays have no view does not ask the store
+    // itself, since it does not answer. Nothing while it does.
+    std::optional<common::TimePoint> direct_allowed_at = std::nullopt;
   };
 
   bool IsRelayed(catalog::ObjectKind kind) const {
@@ -128,6 +141,8 @@
   void LogRejected(const relay::RelayHost& host, std::string_view reason);
   void NoteSource(catalog::ObjectKind kind, const std::string& source);
   void NoteRelays(bool have_answered);
+  // Throws if this host must not ask the store itself yet.
+  void CheckDirectRetry(catalog::ObjectKind kind);
   // Throws if the store's answer is older than one that a relay gave.
   void CheckDirectEra() const;
   catalog::ObjectSnapshot ListDirect(catalog::ObjectKind kind);
--- a/source/core/relay/relay_choice.cc
+++ b/source/core/relay/relay_choice.cc
@@ -33,10 +33,16 @@
          this->ranked.size() >= std::max<size_t>(this->options.min_hosts, 2);
 }
 
-bool RelayChoice::IsSkipped(const std::string& name,
-                            common::TimePoint now) const {
+bool RelayChoice::IsSilent(const std::string& name,
+                           common::TimePoint now) const {
   const auto found = this->failures.find(name);
-  return found != this->failures.end() && now < found->second.skipped_until;
+  return found != this->failures.end() && now < found->second.silent_until;
+}
+
+bool RelayChoice::HasRefused(const std::string& name,
+                             common::TimePoint now) const {
+  const auto found = this->failures.find(name);
+  return found != this->failures.end() && now < found->second.refused_until;
 }
 
 std::vector<size_t> RelayChoice::Relays(common::TimePoint now) const {
@@ -44,7 +50,7 @@
   for (size_t i = 0; i < this->ranked.size(); ++i) {
     if (relays.size() == kRelaysPerZone)
       break;
-    if (!this->IsSkipped(this->ranked[i].name, now))
+    if (!this->IsSilent(this->ranked[i].name, now))
       relays.push_back(i);
   }
   return relays;
@@ -62,11 +68,16 @@
 }
 
 std::optional<RelayHost> RelayChoice::Choose(common::TimePoint now) const {
-  if (!this->AreRelaysUsed() || this->IsRelay(now))
+  if (!this->IsFollower(now))
     return std::nullopt;
   const std::vector<size_t> relays = this->Relays(now);
-  const size_t chosen = common::Hash64(this->options.own_name) % relays.size();
-  return this->ranked[relays[chosen]];
+  const uint64_t first = common::Hash64(this->options.own_name);
+  for (size_t i = 0; i < relays.size(); ++i) {
+    const RelayHost& relay = this->ranked[relays[(first + i) % relays.size()]];
+    if (!this->HasRefused(relay.name, now))
+      return relay;
+  }
+  return std::nullopt;
 }
 
 void RelayChoice::OnAnswer(const std::string& name) {
@@ -78,18 +89,18 @@
 
 void RelayChoice::OnRefused(const std::string& name, common::TimePoint now) {
   Failures& failed = this->failures[name];
-  failed.skipped_until = std::max(failed.skipped_until, now + kRefusedPause);
+  failed.refused_until = now + kRefusedPause;
 }
 
 void RelayChoice::OnSilent(const std::string& name, common::TimePoint now) {
   // Calls that began before the first failure say nothing new.
   Failures& failed = this->failures[name];
-  if (failed.silences > 0 && now < failed.skipped_until)
+  if (failed.silences > 0 && now < failed.silent_until)
     return;
   constexpr int kMaxDoublings = 4;
   const auto pause =
       kSilentPause * (1 << std::min(failed.silences, kMaxDoublings));
-  failed.skipped_until =
+  failed.silent_until =
       now + std::min<common::Duration>(pause, kMaxSilentPause);
   ++failed.silences;
 }
--- a/source/core/relay/relay_choice.h
+++ b/source/core/relay/relay_choice.h
@@ -40,10 +40,11 @@
   explicit RelayChoice(RelayChoiceOptions options);
 
   // A host that was asked serves and watches for this time.
-  static constexpr common::Duration kDemandPeriod = std::chrono::seconds(10);
-  // A relay that refused is not asked for this time.
+  static constexpr common::Duration kDemandPeriod = std::chrono::seconds(4);
+  // A relay that refused is not asked for this time. It stays a relay: another
+  // in its place would have to begin to watch the store.
   static constexpr common::Duration kRefusedPause =
-      std::chrono::milliseconds(1000);
+      std::chrono::milliseconds(500);
   // The same for one that did not answer. Doubles with each failure in a row.
   static constexpr common::Duration kSilentPause = std::chrono::seconds(5);
   static constexpr common::Duration kMaxSilentPause = std::chrono::seconds(60);
@@ -53,6 +54,10 @@
 
   // Whether this host watches the store, for itself and maybe for others.
   bool IsRelay(common::TimePoint now) const;
+  // Whether this host reads from relays when they have a view.
+  bool IsFollower(common::TimePoint now) const {
+    return this->AreRelaysUsed() && !this->IsRelay(now);
+  }
   // Returns the relay to ask; nullopt if the store itself must be asked.
   std::optional<RelayHost> Choose(common::TimePoint now) const;
 
@@ -68,13 +73,15 @@
 
  private:
   struct Failures {
-    common::TimePoint skipped_until;
+    common::TimePoint silent_until;
+    common::TimePoint refused_until;
     int silences = 0;
   };
 
   bool AreRelaysUsed() const;
-  bool IsSkipped(const std::string& name, common::TimePoint now) const;
-  // Positions in `ranked` of the relays, without those that are skipped.
+  bool IsSilent(const std::string& name, common::TimePoint now) const;
+  bool HasRefused(const std::string& name, common::TimePoint now) const;
+  // Positions in `ranked` of the first hosts that are not silent.
   std::vector<size_t> Relays(common::TimePoint now) const;
 
   RelayChoiceOptions options;
--- a/source/unit_tests/core/gateway/relayed_store_test.cc
+++ b/source/unit_tests/core/gateway/relayed_store_test.cc
@@ -268,11 +268,38 @@
     return Refusal(RelayStatus::kStoreFailing);
   };
   CHECK_THROWS_AS(f.Watch(10), Error);
-  f.clock.now += seconds(1);
+  CHECK(f.store.calls == 0);
+  f.clock.now += milliseconds(250);
   f.relays.scripts[f.relays.asked.back()] = [](const RelayRequest&) {
     return View(10, seconds(5));
   };
   CHECK_THROWS_AS(f.Watch(10), Error);
+  CHECK(f.store.calls == 0);
+  // All relays may be cut off while this host is not. The view is not too old
+  // for keys until then.
+  f.clock.now += milliseconds(250);
+  CHECK(f.Watch(10).answer_age.source == ObjectSource::kStore);
+}
+
+// Guards against a store that all hosts of a zone call at once while it is in
+// trouble.
+TEST_CASE("a follower asks a failing store less often than relays do") {
+  Fixture f;
+  f.store.is_cut = true;
+  f.relays.default_script = [](const RelayRequest&) {
+    return Refusal(RelayStatus::kStoreFailing);
+  };
+  for (int i = 0; i < 100; ++i) {
+    CHECK_THROWS_AS(f.Watch(10), Error);
+    f.clock.now += milliseconds(100);
+  }
+  CHECK(f.store.calls > 1);
+  CHECK(f.store.calls <= seconds(10) / RelayedStore::kDirectRetryPause + 1);
+  f.relays.default_script = [](const RelayRequest&) {
+    return View(10, Duration(0));
+  };
+  f.clock.now += relay::RelayChoice::kRefusedPause;
+  CHECK(f.Watch(10).answer_age.source == ObjectSource::kRelay);
 }
 
 // A relay that is cut off from the store only is no outage of the store.
@@ -353,6 +380,7 @@
   CHECK(f.relayed.era() == 2);
   f.store.newest_era = 2;
   f.store.revision = 5;
+  f.clock.now += RelayedStore::kDirectRetryPause;
   CHECK(f.Watch(4).revision == 5);
 }
 
--- a/source/unit_tests/core/relay/relay_choice_test.cc
+++ b/source/unit_tests/core/relay/relay_choice_test.cc
@@ -98,6 +98,18 @@
   CHECK(choice.Choose(kNow + RelayChoice::kRefusedPause)->name == first.name);
 }
 
+// A host in their place would begin to watch the store, and the next one too.
+TEST_CASE("relays that refuse are not replaced") {
+  RelayChoice choice = Follower();
+  std::set<std::string> asked;
+  while (const auto relay = choice.Choose(kNow)) {
+    REQUIRE(asked.insert(relay->name).second);
+    choice.OnRefused(relay->name, kNow);
+  }
+  CHECK(asked.size() == kRelaysPerZone);
+  CHECK(choice.IsFollower(kNow));
+}
+
 // Guards against hosts without any view when all relays are gone.
 TEST_CASE("a host that reaches no other asks the store") {
   RelayChoice choice = Follower();
