--- a/source/core/catalog/object_store.h
+++ b/source/core/catalog/object_store.h
@@ -14,12 +14,20 @@
 
 // The object kinds that hosts read from the platform's store. kStreams is read
 // on demand, the others are watched.
-enum class ObjectKind { kConfig, kEndpoints, kVersions, kHosts, kStreams };
+enum class ObjectKind {
+  kConfig,
+  kEndpoints,
+  kVersions,
+  kHosts,
+  kStreams,
+  kEvacuations,
+};
 
-inline constexpr size_t kObjectKindCount = 5;
+inline constexpr size_t kObjectKindCount = 6;
 
 inline constexpr common::NameTable<ObjectKind, kObjectKindCount>
-    kObjectKindNames({"config", "endpoints", "versions", "hosts", "streams"});
+    kObjectKindNames({"config", "endpoints", "versions", "hosts", "streams",
+                     "evacuations"});
 
 // Why an object can't be read.
 enum class ObjectFault {
--- a/source/core/catalog/types.h
+++ b/source/core/catalog/types.h
@@ -48,6 +48,8 @@
   // Requests carry a prompt; prefer endpoints that may have it cached.
   bool session_affinity = false;
   bool can_resume = false;
+  // Regions that may see the requests; any if empty.
+  std::vector<std::string> homes;
 };
 
 // Properties common to all engines of a service.
@@ -75,6 +77,11 @@
   std::string health_path;
   // Maximum connections to one endpoint, over all hosts.
   int64_t max_connections = 0;
+  // Requests a second that one endpoint takes while it is cold, over all hosts;
+  // 0 for no limit.
+  double cold_rate = 0;
+  // How long an endpoint is cold after its start.
+  common::Duration cold_time{0};
   std::optional<EngineProperties> engine;
   std::optional<CacheStoreProperties> cache_store;
 };
@@ -86,6 +93,9 @@
   std::optional<int64_t> priority;
   // Does not share cached prompt parts with other teams.
   bool isolated = false;
+  // Regions that may see the requests; any if empty. Apply beside those of the
+  // route.
+  std::vector<std::string> homes;
 };
 
 // Limits on callers' connections and requests.
@@ -124,6 +134,11 @@
   int64_t slots = 1;
   // Draining: finishes running requests, accepts no new ones.
   bool leaving = false;
+  // How much longer it was cold when it wrote its entry; nothing if the entry
+  // does not say.
+  std::optional<common::Duration> cold_left;
+  // When this host read the entry. Unset before that.
+  common::TimePoint read_at;
   std::vector<ModelVersion> models;
 };
 
--- a/source/core/events/event_log.h
+++ b/source/core/events/event_log.h
@@ -46,6 +46,10 @@
   kEndpointBackoff,
   kEndpointUncertain,
   kEndpointCertain,
+  kEndpointCold,
+  kEndpointWarm,
+  kEvacuationBegan,
+  kEvacuationEnded,
   kVersionNamed,
   kHolderGained,
   kHolderLost,
@@ -66,7 +70,7 @@
   kRequestUnanswered,
 };
 
-inline constexpr size_t kEventCount = 39;
+inline constexpr size_t kEventCount = 43;
 
 inline constexpr common::NameTable<Event, kEventCount> kEventNames(
     {"started",           "stopping",
@@ -79,7 +83,9 @@
      "endpoint_left",     "endpoints_held_back",
      "endpoint_ejected",  "endpoint_readmitted",
      "endpoint_backoff",  "endpoint_uncertain",
-     "endpoint_certain",  "version_named",
+     "endpoint_certain",  "endpoint_cold",
+     "endpoint_warm",     "evacuation_began",
+     "evacuation_ended",  "version_named",
      "holder_gained",     "holder_lost",
      "weights_ordered",   "weights_in_force",
      "parts_freed",       "crash_marked",
@@ -142,9 +148,12 @@
   kLastEvent,
   kStartedAtMs,
   kEndEvidence,
+  kZone,
+  kSource,
+  kColdLeftMs,
 };
 
-inline constexpr size_t kFieldCount = 50;
+inline constexpr size_t kFieldCount = 53;
 
 inline constexpr common::NameTable<Field, kFieldCount> kFieldNames(
     {"request",
@@ -196,7 +205,10 @@
      "resumes",
      "last_event",
      "started_at_ms",
-     "end_evidence"});
+     "end_evidence",
+     "zone",
+     "source",
+     "cold_left_ms"});
 
 Level LevelOf(Event event);
 
--- a/source/platform/decode.cc
+++ b/source/platform/decode.cc
@@ -29,6 +29,9 @@
 constexpr double kMaxExactInteger = 1LL << 53;
 // More slots are taken for a forged entry.
 constexpr uint64_t kMaxSlots = 1'000'000;
+// Longer cold times are cut to this, so that a forged entry keeps an endpoint
+// cold for a moment only.
+constexpr double kMaxColdMs = 10.0 * 60 * 1000;
 // Longer texts are taken for a forged entry; lines of the log have them.
 constexpr size_t kMaxTextBytes = 1024;
 
@@ -48,6 +51,14 @@
   return common::FromSeconds(std::clamp(ms, 0.0, kMaxMs) / 1000);
 }
 
+// Returns the number if it is one and positive, otherwise 0.
+double GetPositive(const Json& value, const char* name) {
+  const auto found = value.find(name);
+  if (found == value.end() || !found->is_number())
+    return 0;
+  return std::max(0.0, found->get<double>());
+}
+
 // Cuts off fractions.
 int64_t GetInteger(const Json& value, const char* name, int64_t fallback) {
   const double number = value.value(name, static_cast<double>(fallback));
@@ -71,6 +82,14 @@
   return found == value.end() ? kEmpty : *found;
 }
 
+// Null stands for none. A list that can't be read must not let requests out of
+// their homes, so the configuration is rejected.
+std::vector<std::string> DecodeHomes(const Json& value) {
+  const Json& homes = GetList(value, "allowedRegions");
+  return homes.is_null() ? std::vector<std::string>()
+                         : homes.get<std::vector<std::string>>();
+}
+
 catalog::Route DecodeRoute(const Json& value) {
   catalog::Route route;
   route.name = value.value("name", "");
@@ -88,6 +107,7 @@
   route.is_public = value.value("public", false);
   route.session_affinity = value.value("sessionAffinity", false);
   route.can_resume = value.value("canResume", false);
+  route.homes = DecodeHomes(value);
   if (value.contains("service"))
     route.services.push_back({value["service"].get<std::string>(), 1});
   for (const Json& part : GetList(value, "backends")) {
@@ -116,6 +136,9 @@
   service.name = value.at("name").get<std::string>();
   service.health_path = value.value("healthPath", "");
   service.max_connections = GetInteger(value, "maxConns", 0);
+  service.cold_rate = GetPositive(value, "coldPerS");
+  service.cold_time = common::FromSeconds(
+      std::min(GetPositive(value, "coldStartS") * 1000, kMaxColdMs) / 1000);
   if (value.contains("engine"))
     service.engine = DecodeEngine(value["engine"]);
   if (value.contains("kvStoreAddr")) {
@@ -138,6 +161,7 @@
   if (value.contains("priority") && value["priority"].is_number_integer())
     team.priority = GetInteger(value, "priority", 0);
   team.isolated = value.value("isolated", false);
+  team.homes = DecodeHomes(value);
   return team;
 }
 
@@ -198,6 +222,11 @@
   if (state != "ready" && state != "draining")
     throw Error(ResultCode::kProtocolError, "unknown endpoint state");
   endpoint.leaving = state == "draining";
+  if (value.contains("coldLeftMs")) {
+    const double cold_ms = value["coldLeftMs"].get<double>();
+    endpoint.cold_left =
+        common::FromSeconds(std::clamp(cold_ms, 0.0, kMaxColdMs) / 1000);
+  }
   if (value.contains("models"))
     endpoint.models = DecodeModels(value["models"]);
   return endpoint;
--- a/source/platform/store_client.cc
+++ b/source/platform/store_client.cc
@@ -31,7 +31,7 @@
 // Indexed by catalog::ObjectKind.
 constexpr std::array kKindNames = {wire::kConfigKind, wire::kEndpointsKind,
                                    wire::kVersionsKind, wire::kHostsKind,
-                                   wire::kStreamsKind};
+                                   wire::kStreamsKind, wire::kEvacuationsKind};
 
 std::string KindPath(catalog::ObjectKind kind) {
   std::string path(wire::kObjectsPath);
--- a/source/platform/wire_names.h
+++ b/source/platform/wire_names.h
@@ -107,6 +107,7 @@
 inline constexpr std::string_view kConfigKind = "config";
 inline constexpr std::string_view kEndpointsKind = "servers";
 inline constexpr std::string_view kVersionsKind = "versions";
+inline constexpr std::string_view kEvacuationsKind = "evacuations";
 // Object kinds that this system stores for itself.
 inline constexpr std::string_view kHostsKind = "jujuberock";
 inline constexpr std::string_view kStreamsKind = "jujuberock-streams";
