--- a/source/core/catalog/evacuations.cc
+++ b/source/core/catalog/evacuations.cc
@@ -12,7 +12,7 @@
     std::string_view zone,
     const EvacuationRecord& record,
     TimePoint now) {
-  return this->Merge(common::Hash64(zone), zone, record, Source::kStore, now);
+  return this->Merge(common::Hash64(zone), zone, record, EvacuationSource::kStore, now);
 }
 
 std::vector<Evacuations::Change> Evacuations::OnListed(
@@ -29,7 +29,7 @@
     if (is_listed || entry.record.is_ended)
       continue;
     auto change = this->Merge(hash, entry.zone, {era, revision, true},
-                              Source::kStore, now);
+                              EvacuationSource::kStore, now);
     if (change)
       changes.push_back(std::move(*change));
   }
@@ -39,19 +39,19 @@
 std::optional<Evacuations::Change> Evacuations::OnPeer(
     const PeerEvacuation& told,
     TimePoint now) {
-  return this->Merge(told.zone, {}, told.record, Source::kPeer, now);
+  return this->Merge(told.zone, {}, told.record, EvacuationSource::kPeer, now);
 }
 
 std::optional<Evacuations::Change> Evacuations::Merge(
     uint64_t hash,
     std::string_view zone,
     const EvacuationRecord& record,
-    Source source,
+    EvacuationSource source,
     TimePoint now) {
   const auto known = this->entries.find(hash);
   if (known == this->entries.end()) {
     // The end of an evacuation that was never known changes nothing.
-    if (record.is_ended || !this->MakeRoom())
+    if (record.is_ended || !this->MakeRoom(source))
       return std::nullopt;
     this->entries.emplace(
         hash, Entry{std::string(zone), record, now, now + kRepeatTime});
@@ -60,7 +60,7 @@
   Entry& entry = known->second;
   if (entry.zone.empty())
     entry.zone = zone;
-  if (record < entry.record && source == Source::kPeer)
+  if (record < entry.record && source == EvacuationSource::kPeer)
     entry.repeat_until = now + kRepeatTime;
   if (record <= entry.record)
     return std::nullopt;
@@ -73,13 +73,15 @@
   return Change{hash, entry.zone, record, source};
 }
 
-bool Evacuations::MakeRoom() {
+bool Evacuations::MakeRoom(EvacuationSource source) {
   if (this->entries.size() < kMaxZones)
     return true;
   // The end that was learned first is the least likely to be asked about.
   auto oldest = this->entries.end();
   for (auto it = this->entries.begin(); it != this->entries.end(); ++it) {
-    if (!it->second.record.is_ended)
+    const bool is_only_told = it->second.zone.empty();
+    if (!it->second.record.is_ended &&
+        !(source == EvacuationSource::kStore && is_only_told))
       continue;
     if (oldest == this->entries.end() ||
         it->second.changed_at < oldest->second.changed_at)
--- a/source/core/catalog/evacuations.h
+++ b/source/core/catalog/evacuations.h
@@ -38,6 +38,12 @@
                          const PeerEvacuation&) = default;
 };
 
+// Where a change was learned from.
+enum class EvacuationSource { kStore, kPeer };
+
+inline constexpr common::NameTable<EvacuationSource, 2> kEvacuationSourceNames(
+    {"store", "peer"});
+
 // The zones that the operator has evacuated: their endpoints get no new
 // requests until that is taken back. The store's answers decide. A host that
 // can't reach it goes by what other hosts repeat of them; the record of the
@@ -46,17 +52,14 @@
 class Evacuations {
  public:
   // Zones that are remembered, those whose evacuation ended included.
-  static constexpr size_t kMaxZones = 64;
+  static constexpr size_t kMaxZones = 48;
 
-  // Where a change was learned from.
-  enum class Source { kStore, kPeer };
-  static constexpr common::NameTable<Source, 2> kSourceNames({"store", "peer"});
   struct Change {
     uint64_t zone_hash = 0;
     // Empty if only the hash of the name is known.
     std::string zone;
     EvacuationRecord record;
-    Source source = Source::kStore;
+    EvacuationSource source = EvacuationSource::kStore;
   };
 
   // The store holds an evacuation of the zone, or it does no more. These return
@@ -92,11 +95,11 @@
   std::optional<Change> Merge(uint64_t hash,
                               std::string_view zone,
                               const EvacuationRecord& record,
-                              Source source,
+                              EvacuationSource source,
                               common::TimePoint now);
-  // Makes room for another zone. Returns false if all that are known are
-  // evacuated.
-  bool MakeRoom();
+  // Makes room for another zone. Returns false if there is none. What only other
+  // hosts told makes room for what the store says.
+  bool MakeRoom(EvacuationSource source);
 
   // By hash of the zone's name.
   std::map<uint64_t, Entry> entries;
--- a/source/core/dispatch/cold_limit.cc
+++ b/source/core/dispatch/cold_limit.cc
@@ -46,13 +46,13 @@
   this->sends.push_back(now);
 }
 
-std::optional<TimePoint> ColdLimit::ColdUntil() const {
+std::optional<TimePoint> ColdLimit::cold_until() const {
   // An empty optional is less than any time.
   return std::max(this->told_until, this->assumed_until);
 }
 
 ColdState ColdLimit::StateAt(TimePoint now) const {
-  const auto until = this->ColdUntil();
+  const auto until = this->cold_until();
   if (!until || now >= *until + kWarmingTime)
     return ColdState::kWarm;
   return now < *until ? ColdState::kCold : ColdState::kWarming;
@@ -73,7 +73,7 @@
     case ColdState::kWarming:
       break;
   }
-  const double progress = common::ToSeconds(now - *this->ColdUntil()) /
+  const double progress = common::ToSeconds(now - *this->cold_until()) /
                           common::ToSeconds(kWarmingTime);
   // An endpoint that takes less than one a second still has to be tried.
   return static_cast<size_t>(std::max(1.0, total) *
@@ -98,7 +98,7 @@
   // When the limit ends, or ends at the earliest.
   Duration left = kPeriod;
   if (!terms.is_uncertain)
-    left = *this->ColdUntil() + kWarmingTime - now;
+    left = *this->cold_until() + kWarmingTime - now;
   if (share == 0)
     return left;
   const TimePoint freed = *(this->sends.end() - static_cast<ptrdiff_t>(share));
--- a/source/core/dispatch/cold_limit.h
+++ b/source/core/dispatch/cold_limit.h
@@ -59,6 +59,8 @@
   void OnSent(common::TimePoint now);
 
   ColdState StateAt(common::TimePoint now) const;
+  // When the last known cold time ends, or ended.
+  std::optional<common::TimePoint> cold_until() const;
   // Whether this host may send a request now.
   bool Allows(const Terms& terms, common::TimePoint now) const {
     return this->TimeToShare(terms, now) <= common::Duration(0);
@@ -73,7 +75,6 @@
   // Sends that are remembered; no share is larger.
   static constexpr size_t kMaxSends = 128;
 
-  std::optional<common::TimePoint> ColdUntil() const;
   // Requests that the hosts may send together in the second before `now`;
   // nothing while there is no limit.
   std::optional<size_t> TotalAt(const Terms& terms,
--- a/source/core/dispatch/endpoint_filter.cc
+++ b/source/core/dispatch/endpoint_filter.cc
@@ -4,8 +4,10 @@
 
 namespace {
 
-Eligibility EligibilityByHealth(const EndpointRecord& record,
-                                common::TimePoint now) {
+using common::Duration;
+using common::TimePoint;
+
+Eligibility EligibilityByHealth(const EndpointRecord& record, TimePoint now) {
   switch (record.health().StateAt(now)) {
     case EndpointHealth::State::kHealthy:
       return Eligibility::kYes;
@@ -20,14 +22,19 @@
 
 }  // namespace
 
-Exclusion ExclusionOf(const EndpointRecord& record,
-                      const SendRequirements& requirements,
-                      common::TimePoint now) {
+Exclusion EndpointFilter::ExclusionOf(const EndpointRecord& record,
+                                      const SendRequirements& requirements,
+                                      TimePoint now) const {
   if (record.endpoint().leaving || record.removed)
     return Exclusion::kLeaving;
   if (requirements.software &&
       record.endpoint().software != *requirements.software)
     return Exclusion::kOtherSoftware;
+  if (this->inputs.evacuations &&
+      this->inputs.evacuations->IsEvacuated(record.endpoint().zone))
+    return Exclusion::kEvacuated;
+  if (!requirements.homes.Allow(record.endpoint().zone))
+    return Exclusion::kOutsideHome;
   if (requirements.certain_only && !record.process().IsCertain())
     return Exclusion::kUncertain;
   if (requirements.tried && requirements.tried->contains(record.endpoint().id))
@@ -40,13 +47,15 @@
     return Exclusion::kReserved;
   if (now < record.paused_until || now < record.backoff_until)
     return Exclusion::kPaused;
+  if (this->TimeToColdShare(record, now) > Duration(0))
+    return Exclusion::kCold;
   return Exclusion::kNone;
 }
 
-Eligibility EligibilityOf(const EndpointRecord& record,
-                          const SendRequirements& requirements,
-                          common::TimePoint now) {
-  if (ExclusionOf(record, requirements, now) != Exclusion::kNone)
+Eligibility EndpointFilter::EligibilityOf(const EndpointRecord& record,
+                                          const SendRequirements& requirements,
+                                          TimePoint now) const {
+  if (this->ExclusionOf(record, requirements, now) != Exclusion::kNone)
     return Eligibility::kNo;
   const Eligibility eligibility = EligibilityByHealth(record, now);
   if (!requirements.ready_only)
@@ -56,4 +65,52 @@
   return is_ready ? Eligibility::kYes : Eligibility::kNo;
 }
 
+std::optional<Duration> EndpointFilter::PauseLeft(
+    const EndpointRecord& record,
+    const SendRequirements& requirements,
+    TimePoint now) const {
+  const Exclusion exclusion = this->ExclusionOf(record, requirements, now);
+  if (exclusion == Exclusion::kCold)
+    return this->TimeToColdShare(record, now);
+  if (now < record.backoff_until)
+    return record.backoff_until - now;
+  return std::nullopt;
+}
+
+bool EndpointFilter::MayHaveRestarted(const EndpointRecord& record,
+                                      TimePoint now) const {
+  if (!this->has_cold_limit() || record.process().IsCertain())
+    return false;
+  // The process that the open connection leads to has run since then.
+  const auto connected_since = record.process().connected_since();
+  return !connected_since || now < *connected_since + this->service_cold_time;
+}
+
+ColdLimit::Terms EndpointFilter::ColdTerms(const EndpointRecord& record,
+                                           TimePoint now) const {
+  ColdLimit::Terms terms;
+  terms.rate = this->cold_rate;
+  terms.is_uncertain = this->MayHaveRestarted(record, now);
+  if (!this->inputs.hosts)
+    return terms;
+  terms.hosts = this->inputs.hosts->count();
+  terms.rank = this->inputs.hosts->RankFor(record.endpoint().id);
+  return terms;
+}
+
+Duration EndpointFilter::TimeToColdShare(const EndpointRecord& record,
+                                         TimePoint now) const {
+  if (this->ColdStateOf(record, now) == ColdState::kWarm)
+    return Duration(0);
+  return record.cold().TimeToShare(this->ColdTerms(record, now), now);
+}
+
+ColdState EndpointFilter::ColdStateOf(const EndpointRecord& record,
+                                      TimePoint now) const {
+  if (!this->has_cold_limit())
+    return ColdState::kWarm;
+  return this->MayHaveRestarted(record, now) ? ColdState::kCold
+                                             : record.cold().StateAt(now);
+}
+
 }  // namespace jujuberock::dispatch
--- a/source/core/dispatch/endpoint_record.cc
+++ b/source/core/dispatch/endpoint_record.cc
@@ -13,6 +13,7 @@
 
 void EndpointRecord::OnSent(SendTicket& ticket, common::TimePoint now) {
   ticket.sent_at = now;
+  this->cold_limit.OnSent(now);
   ticket.tokens_ahead =
       this->PendingTokens(ticket.urgency) + ticket.uncached_tokens;
   if (this->own_waiting() == 0)
--- a/source/core/dispatch/endpoint_record.h
+++ b/source/core/dispatch/endpoint_record.h
@@ -10,6 +10,7 @@
 
 #include "core/catalog/types.h"
 #include "core/common/time.h"
+#include "core/dispatch/cold_limit.h"
 #include "core/dispatch/endpoint_health.h"
 #include "core/dispatch/part_cache.h"
 #include "core/dispatch/peer_prompt.h"
@@ -64,6 +65,8 @@
   const EndpointHealth& health() const { return this->passive_health; }
   ProcessContinuity& process() { return this->continuity; }
   const ProcessContinuity& process() const { return this->continuity; }
+  ColdLimit& cold() { return this->cold_limit; }
+  const ColdLimit& cold() const { return this->cold_limit; }
   PartCache& part_cache() { return this->cache; }
   const PartCache& part_cache() const { return this->cache; }
 
@@ -130,6 +133,8 @@
   common::TimePoint paused_until;
   // The endpoint has asked this host to send nothing before this time.
   common::TimePoint backoff_until;
+  // Whether the endpoint was cold when that was last logged.
+  bool was_cold = false;
   // Set when the endpoint is no longer registered. Sends in flight go on.
   bool removed = false;
 
@@ -160,6 +165,7 @@
   catalog::Endpoint description;
   EndpointHealth passive_health;
   ProcessContinuity continuity;
+  ColdLimit cold_limit;
   PartCache cache;
   int64_t in_flight = 0;
   int64_t started = 0;
--- a/source/core/dispatch/process_continuity.h
+++ b/source/core/dispatch/process_continuity.h
@@ -49,6 +49,11 @@
 
   // Whether the process is the one that is registered.
   bool IsCertain() const { return !this->is_uncertain; }
+  // Since when the connection that is open has led to the same process; nothing
+  // if none is open.
+  std::optional<common::TimePoint> connected_since() const {
+    return this->is_open ? this->watched_since : std::nullopt;
+  }
   // Incremented when another process may have taken the place of the former.
   uint64_t generation() const { return this->replacements; }
 
--- a/source/core/dispatch/send_requirements.h
+++ b/source/core/dispatch/send_requirements.h
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <vector>
 
+#include "core/catalog/homes.h"
 #include "core/common/time.h"
 #include "core/dispatch/prompt.h"
 #include "core/dispatch/stored_part.h"
@@ -44,6 +45,8 @@
   // The request was in flight on an endpoint that crashed, so it should run
   // where it affects the fewest other requests.
   bool isolate = false;
+  // Regions that may see the request.
+  catalog::Homes homes = {};
   // Only endpoints that are healthy and have not just refused a request.
   bool ready_only = false;
 };
--- a/source/core/dispatch/service_pool.cc
+++ b/source/core/dispatch/service_pool.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/common/hash.h"
 #include "core/common/scale.h"
 
 namespace jujuberock::dispatch {
@@ -19,6 +20,9 @@
 // Margin for errors of the predicted first token where a late one is not
 // acceptable.
 constexpr double kStartPredictionFactor = 2;
+// A request that only endpoints of evacuated zones, or outside its homes, could
+// take is refused for this time: no event tells when that changes.
+constexpr common::Duration kForbiddenRetryAfter = std::chrono::seconds(1);
 
 bool TakesRequestsAt(const EndpointRecord& record,
                      const std::string& software) {
@@ -31,6 +35,7 @@
 void ServicePool::Update(const catalog::Service& service,
                          const std::vector<catalog::Endpoint>& registered) {
   this->properties = service.engine;
+  this->filter.SetService(service);
   this->cost.SetProperties(service.engine);
   std::map<std::string, std::shared_ptr<EndpointRecord>> next;
   for (const catalog::Endpoint& endpoint : registered) {
@@ -39,10 +44,12 @@
         known->second->endpoint().started_at_ms == endpoint.started_at_ms &&
         known->second->endpoint().address == endpoint.address) {
       known->second->Update(endpoint);
+      this->UpdateColdTime(*known->second, false);
       next.emplace(endpoint.id, known->second);
       continue;
     }
     if (auto record = this->TakeRemembered(endpoint)) {
+      this->UpdateColdTime(*record, false);
       next.emplace(endpoint.id, std::move(record));
       continue;
     }
@@ -51,8 +58,10 @@
             ? kCacheShare *
                   static_cast<double>(this->properties->kv_capacity_tokens)
             : 0;
-    next.emplace(endpoint.id, std::make_shared<EndpointRecord>(
-                                  endpoint, static_cast<int64_t>(capacity)));
+    auto record = std::make_shared<EndpointRecord>(
+        endpoint, static_cast<int64_t>(capacity));
+    this->UpdateColdTime(*record, true);
+    next.emplace(endpoint.id, std::move(record));
   }
   for (const auto& [id, record] : this->endpoints) {
     const auto kept = next.find(id);
@@ -66,6 +75,32 @@
   this->endpoints = std::move(next);
 }
 
+void ServicePool::UpdateColdTime(EndpointRecord& record, bool is_new) const {
+  const catalog::Endpoint& entry = record.endpoint();
+  if (entry.cold_left)
+    record.cold().OnEntry(entry.read_at + *entry.cold_left, entry.read_at);
+  else if (is_new)
+    // It may have just started.
+    record.cold().AssumeUntil(entry.read_at + this->filter.cold_time());
+}
+
+void ServicePool::OnZoneReturned(uint64_t zone_hash,
+                                 common::TimePoint told_by) {
+  for (const auto& [id, record] : this->endpoints) {
+    if (common::Hash64(record->endpoint().zone) == zone_hash)
+      record->cold().AssumeUntil(told_by);
+  }
+}
+
+void ServicePool::Tick(common::TimePoint now) {
+  if (!this->has_cold_limit())
+    return;
+  for (const auto& [id, record] : this->endpoints) {
+    if (this->filter.MayHaveRestarted(*record, now))
+      record->cold().AssumeUntil(now);
+  }
+}
+
 std::shared_ptr<EndpointRecord> ServicePool::TakeRemembered(
     const catalog::Endpoint& endpoint) {
   const auto found = this->remembered.find(endpoint.id);
@@ -90,18 +125,25 @@
     const SendRequirements& requirements,
     common::TimePoint now) const {
   std::optional<common::Duration> left;
+  std::optional<common::Duration> left_if_forbidden;
   for (const auto& [id, record] : this->endpoints) {
-    const Exclusion exclusion = ExclusionOf(*record, requirements, now);
+    const Exclusion exclusion =
+        this->filter.ExclusionOf(*record, requirements, now);
     if (exclusion == Exclusion::kLeaving || exclusion == Exclusion::kTried ||
         exclusion == Exclusion::kOtherSoftware ||
         exclusion == Exclusion::kUncertain)
       continue;
-    if (now >= record->backoff_until)
+    if (exclusion == Exclusion::kEvacuated ||
+        exclusion == Exclusion::kOutsideHome) {
+      left_if_forbidden = kForbiddenRetryAfter;
+      continue;
+    }
+    const auto own = this->filter.PauseLeft(*record, requirements, now);
+    if (!own)
       return std::nullopt;
-    const common::Duration own = record->backoff_until - now;
-    left = std::min(left.value_or(own), own);
+    left = std::min(left.value_or(*own), *own);
   }
-  return left;
+  return left ? left : left_if_forbidden;
 }
 
 bool ServicePool::HasSoftware(const std::string& software) const {
@@ -127,7 +169,8 @@
     common::TimePoint now) const {
   ExclusionCounts counts{};
   for (const auto& [id, record] : this->endpoints) {
-    const Exclusion exclusion = ExclusionOf(*record, requirements, now);
+    const Exclusion exclusion =
+        this->filter.ExclusionOf(*record, requirements, now);
     ++counts[static_cast<size_t>(exclusion)];
   }
   return counts;
@@ -142,7 +185,8 @@
   const PlacementCost::Preparation preparation =
       this->cost.Prepare(requirements, this->endpoints, now);
   for (const auto& [id, record] : this->endpoints) {
-    const Eligibility eligibility = EligibilityOf(*record, requirements, now);
+    const Eligibility eligibility =
+        this->filter.EligibilityOf(*record, requirements, now);
     if (eligibility == Eligibility::kNo || eligibility < best_eligibility)
       continue;
     EndpointChoice choice{record};
--- a/source/core/dispatch/service_pool.h
+++ b/source/core/dispatch/service_pool.h
@@ -25,8 +25,11 @@
 // Not thread-safe.
 class ServicePool {
  public:
-  ServicePool(std::string zone, size_t hosts, uint64_t seed)
-      : hosts(hosts), cost(std::move(zone), seed) {}
+  ServicePool(std::string zone,
+              size_t hosts,
+              uint64_t seed,
+              const FilterInputs& inputs = {})
+      : hosts(hosts), filter(inputs), cost(std::move(zone), seed) {}
 
   // Sets the endpoints that are registered for the service. Known endpoints
   // keep their records; an endpoint that has restarted gets a new one.
@@ -39,7 +42,7 @@
                                        common::TimePoint now);
 
   // Returns the time until the first endpoint takes the request again; nothing
-  // unless all that may take it have asked for a pause.
+  // unless all that may take it have asked for a pause or are cold.
   std::optional<common::Duration> PauseLeft(
       const SendRequirements& requirements,
       common::TimePoint now) const;
@@ -53,6 +56,22 @@
   ExclusionCounts CountExclusions(const SendRequirements& requirements,
                                   common::TimePoint now) const;
 
+  // Whether the endpoints crash if they get many requests while they are cold.
+  bool has_cold_limit() const { return this->filter.has_cold_limit(); }
+  // How long an endpoint is cold after its start.
+  common::Duration endpoint_cold_time() const {
+    return this->filter.cold_time();
+  }
+  ColdState ColdStateOf(const EndpointRecord& endpoint,
+                        common::TimePoint now) const {
+    return this->filter.ColdStateOf(endpoint, now);
+  }
+  // The zone is no longer evacuated. Its endpoints may have turned cold before,
+  // and their entries may tell so only until `told_by`.
+  void OnZoneReturned(uint64_t zone_hash, common::TimePoint told_by);
+  // Records which endpoints may be cold; called periodically.
+  void Tick(common::TimePoint now);
+
   // Records a send of this host or one that another host announced.
   void OnSent(const PeerPrompt& prompt, common::TimePoint now) {
     this->cost.OnSent(prompt, now);
@@ -96,6 +115,9 @@
   std::shared_ptr<EndpointRecord> TakeRemembered(
       const catalog::Endpoint& endpoint);
 
+  // Takes over what the endpoint's entry tells of its cold time.
+  void UpdateColdTime(EndpointRecord& record, bool is_new) const;
+
   // Whether a run on the chosen engine is likely to begin in time.
   static bool BeginsInTime(const EndpointChoice& choice,
                            const SendRequirements& requirements,
@@ -105,6 +127,7 @@
   std::optional<catalog::EngineProperties> properties;
   std::map<std::string, std::shared_ptr<EndpointRecord>> endpoints;
   std::map<std::string, std::shared_ptr<EndpointRecord>> remembered;
+  EndpointFilter filter;
   PlacementCost cost;
 };
 
--- a/source/core/gateway/dispatcher.cc
+++ b/source/core/gateway/dispatcher.cc
@@ -30,6 +30,8 @@
 constexpr size_t kMaxKeptSends = 16;
 // Time until all requests to a crashed endpoint have failed.
 constexpr Duration kCrashBatchTime = std::chrono::milliseconds(60);
+// Time beyond an endpoint's heartbeat in which its entry reaches the hosts.
+constexpr Duration kEntryDelay = std::chrono::milliseconds(500);
 
 }  // namespace
 
@@ -55,8 +57,10 @@
   this->part_suspect_list.SetHostCount(this->host_count);
 }
 
-void Dispatcher::SetHostCount(size_t count) {
-  this->host_count = count == 0 ? 1 : count;
+void Dispatcher::SetHosts(const std::set<std::string>& names,
+                          std::string_view own) {
+  this->ranking.SetHosts(names, own);
+  this->host_count = std::max<size_t>(1, names.size());
   this->retry_window.SetHostCount(this->host_count);
   this->part_suspect_list.SetHostCount(this->host_count);
   for (auto& [name, pool] : this->pools)
@@ -77,7 +81,8 @@
     auto& pool = this->pools[service.name];
     if (!pool)
       pool = std::make_unique<ServicePool>(
-          this->settings.zone, this->host_count, this->random_source.Next());
+          this->settings.zone, this->host_count, this->random_source.Next(),
+          dispatch::FilterInputs{&this->ranking, &this->view.evacuations()});
     pool->Update(service, endpoints_by_service[service.name]);
   }
   this->IndexEndpoints();
@@ -104,6 +109,45 @@
   found->second.pool->OnSent(prompt, now);
 }
 
+void Dispatcher::OnZoneReturned(const catalog::Evacuations::Change& change) {
+  const Duration heard_of_by = this->settings.endpoint_heartbeat + kEntryDelay;
+  const TimePoint now = runtime::BootNow();
+  for (const auto& [name, pool] : this->pools) {
+    // A host that can't reach the store will not read the entries.
+    const bool is_told = change.source == catalog::EvacuationSource::kStore;
+    const Duration cold_time =
+        is_told ? Duration(0) : pool->endpoint_cold_time();
+    pool->OnZoneReturned(change.zone_hash, now + heard_of_by + cold_time);
+  }
+}
+
+void Dispatcher::CheckColdEndpoints() {
+  const TimePoint now = runtime::BootNow();
+  for (const auto& [name, pool] : this->pools) {
+    if (!pool->has_cold_limit())
+      continue;
+    pool->Tick(now);
+    for (const auto& [id, record] : pool->records())
+      this->LogCold(*pool, *record, now);
+  }
+}
+
+void Dispatcher::LogCold(const ServicePool& pool,
+                         EndpointRecord& record,
+                         TimePoint now) {
+  const bool is_cold =
+      pool.ColdStateOf(record, now) == dispatch::ColdState::kCold;
+  if (is_cold == record.was_cold)
+    return;
+  record.was_cold = is_cold;
+  LogLine line(this->log, is_cold ? Event::kEndpointCold : Event::kEndpointWarm);
+  line.Add(Field::kEndpoint, record.endpoint().id)
+      .Add(Field::kService, record.endpoint().service);
+  const auto until = record.cold().cold_until();
+  if (is_cold && until && *until > now)
+    line.Add(Field::kColdLeftMs, *until - now);
+}
+
 void Dispatcher::OnPeerUnreachable(uint64_t endpoint_hash) {
   const auto found = this->engines_by_hash.find(endpoint_hash);
   if (found == this->engines_by_hash.end())
--- a/source/core/gateway/dispatcher.h
+++ b/source/core/gateway/dispatcher.h
@@ -4,15 +4,18 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 
 #include "core/catalog/endpoint_notice.h"
+#include "core/catalog/evacuations.h"
 #include "core/common/metrics.h"
 #include "core/common/name_table.h"
 #include "core/common/random.h"
 #include "core/common/stall_detector.h"
+#include "core/dispatch/host_ranking.h"
 #include "core/dispatch/retry_window.h"
 #include "core/dispatch/service_pool.h"
 #include "core/dispatch/silence_limit.h"
@@ -131,11 +134,16 @@
   void MergeMarks(const std::vector<suspects::CrashMark>& marks,
                   const std::vector<suspects::PartMark>& part_marks);
   common::Random& random() { return this->random_source; }
-  void SetHostCount(size_t count);
+  // Sets the names of the known hosts and that of this host.
+  void SetHosts(const std::set<std::string>& names, std::string_view own);
+  const dispatch::HostRanking& host_ranking() const { return this->ranking; }
 
   // Called when another host has sent a prompt to an engine.
   void OnPeerPrompt(uint64_t endpoint_hash, const dispatch::PeerPrompt& prompt);
 
+  // Called when a zone is no longer evacuated.
+  void OnZoneReturned(const catalog::Evacuations::Change& change);
+
   // Called when another host could not reach an engine.
   void OnPeerUnreachable(uint64_t endpoint_hash);
   // Sets the callback for endpoints that this host cannot reach.
@@ -182,6 +190,9 @@
 
   // Decides on prompt parts that crash endpoints; called every kCheckPeriod.
   void CheckSuspects();
+  // Records which endpoints are cold and logs changes of that; called every
+  // kCheckPeriod.
+  void CheckColdEndpoints();
   // Detects silent endpoints and moves hanging sends where that is possible;
   // called every kCheckPeriod.
   void CheckSilence();
@@ -197,6 +208,9 @@
     common::TimePoint broken_at;
   };
 
+  void LogCold(const dispatch::ServicePool& pool,
+               dispatch::EndpointRecord& record,
+               common::TimePoint now);
   void IndexEndpoints();
   using SendsByEndpoint =
       std::unordered_map<const dispatch::EndpointRecord*,
@@ -219,6 +233,7 @@
   events::EventLog& log;
   common::Counter& ejections;
   common::Counter& moved_sends;
+  dispatch::HostRanking ranking;
   std::map<std::string, std::unique_ptr<dispatch::ServicePool>, std::less<>>
       pools;
   struct Engine {
--- a/source/core/gateway/gateway.cc
+++ b/source/core/gateway/gateway.cc
@@ -48,6 +48,8 @@
                  common::MetricRegistry& counters,
                  std::function<common::UnixTime()> wall_now)
     : settings(std::move(settings)),
+      regions(catalog::ZoneRegions::Parse(this->settings.zone_regions)
+                  .value_or(catalog::ZoneRegions())),
       workers(workers),
       platform(platform),
       log(log),
@@ -97,16 +99,22 @@
                    this->planned_stop,
                    this->stream_registry,
                    platform.codec,
+                   this->regions,
                    log,
                    counters.GetCounter("requests_answered_total"),
                    counters.GetCounter("requests_refused_total"),
                    counters.GetCounter("requests_failed_total"),
+                   counters.GetCounter("requests_turned_from_cold_total"),
                    counters.GetHistogram("request_first_byte_seconds"),
                    counters.GetHistogram("request_seconds"),
                    nullptr} {
   this->view.OnChange([this] { this->OnViewChanged(); });
   this->view.OnHostObject(
       [this](const auto& change) { this->OnHostObject(change); });
+  this->view.OnEvacuation([this](const auto& change) {
+    if (change.record.is_ended)
+      this->dispatcher.OnZoneReturned(change);
+  });
   platform.control.OnNotice([this](const auto& endpoint, const auto& notice) {
     this->dispatcher.OnNotice(endpoint, notice);
   });
@@ -163,7 +171,8 @@
       *runtime::Address::Parse(this->settings.caller_address);
   address.port = static_cast<uint16_t>(this->settings.peer_port);
   this->peer_loads = std::make_unique<PeerLoads>(
-      this->dispatcher, this->cache_store_index, this->workers.IoContextOf(0),
+      this->view, this->dispatcher, this->cache_store_index,
+      this->workers.IoContextOf(0),
       address, this->counters);
   this->host_registry.OnPeers([this](std::vector<runtime::Address> peers) {
     this->peer_loads->SetPeers(std::move(peers));
@@ -220,6 +229,7 @@
 void Gateway::Tick() {
   const common::TimePoint now = runtime::BootNow();
   this->view.OnTick(now);
+  this->dispatcher.CheckColdEndpoints();
   this->dispatcher.CheckSilence();
   this->dispatcher.CheckSuspects();
   this->connections.Expire(now);
--- a/source/core/gateway/gateway.h
+++ b/source/core/gateway/gateway.h
@@ -74,6 +74,7 @@
   void LogViewFreshness(common::TimePoint now);
 
   Settings settings;
+  catalog::ZoneRegions regions;
   runtime::WorkerPool& workers;
   PlatformInterfaces platform;
   events::EventLog& log;
--- a/source/core/gateway/host_registry.cc
+++ b/source/core/gateway/host_registry.cc
@@ -5,7 +5,6 @@
 #include <vector>
 
 #include "core/common/error.h"
-#include "core/common/hash.h"
 #include "core/gateway/host_object.h"
 #include "core/runtime/boot_clock.h"
 #include "core/runtime/sleep.h"
@@ -138,18 +137,13 @@
   const size_t count = this->host_names.size();
   const auto rank = static_cast<size_t>(std::distance(
       this->host_names.begin(), this->host_names.lower_bound(this->own_name)));
-  this->dispatcher.SetHostCount(count);
+  this->dispatcher.SetHosts(this->host_names, this->own_name);
   this->cache_store_watcher.SetHosts(count, rank);
 }
 
 size_t HostRegistry::RankFor(std::string_view key) const {
-  const uint64_t seed = common::Hash64(key);
-  const uint64_t own = common::Hash64(this->own_name, seed);
-  return static_cast<size_t>(
-      std::count_if(this->host_names.begin(), this->host_names.end(),
-                    [&](const std::string& name) {
-                      return common::Hash64(name, seed) > own;
-                    }));
+  return this->dispatcher.host_ranking().RankFor(key).value_or(
+      this->host_names.size());
 }
 
 std::string HostRegistry::EncodeOwnObject() const {
--- a/source/core/gateway/host_registry.h
+++ b/source/core/gateway/host_registry.h
@@ -41,7 +41,7 @@
   // Number of hosts that have published an object.
   size_t host_count() const { return this->host_names.size(); }
   // Returns this host's position in the rendezvous hashing order for `key`; 0
-  // is the first.
+  // is the first. It is the last while the host does not know of itself.
   size_t RankFor(std::string_view key) const;
   // Whether all known hosts have written their objects in this era of the
   // store.
--- a/source/core/gateway/peer_loads.cc
+++ b/source/core/gateway/peer_loads.cc
@@ -38,6 +38,10 @@
 constexpr size_t kMaxStores = 14;
 constexpr size_t kMaxExcessesPerStore = 4;
 constexpr size_t kMaxUnreachable = 16;
+constexpr size_t kMaxEvacuations = catalog::Evacuations::kMaxZones;
+constexpr common::Duration kMinEvacuationInterval =
+    std::chrono::milliseconds(500);
+constexpr double kMaxEvacuationsPerSecond = 100;
 constexpr size_t kMaxDatagramBytes = 1472;
 constexpr common::Duration kErrorPause = std::chrono::milliseconds(50);
 
@@ -81,9 +85,19 @@
   return usage;
 }
 
-// [prompts, stores, hashes of unreachable endpoints]
+// [zone, era, revision, whether the evacuation has ended]. Later versions may add
+// fields.
+catalog::PeerEvacuation DecodeEvacuation(const msgpack::object& item) {
+  const auto fields = ElementsOf(item, 4, kMaxDatagramBytes);
+  return {fields[0].as<uint64_t>(),
+          {fields[1].as<uint64_t>(), fields[2].as<uint64_t>(),
+           fields[3].as<uint32_t>() != 0}};
+}
+
+// [prompts, stores, hashes of unreachable endpoints], and the evacuations as a
+// fourth list if there are any.
 PeerUpdate DecodeLists(const msgpack::object& value) {
-  const auto lists = ElementsOf(value, 3, 3);
+  const auto lists = ElementsOf(value, 3, 4);
   PeerUpdate update;
   for (const msgpack::object& item : ElementsOf(lists[0], 0, kMaxPrompts))
     update.prompts.push_back(DecodePrompt(item));
@@ -91,6 +105,10 @@
     update.stores.push_back(DecodeStoreUsage(item));
   for (const msgpack::object& hash : ElementsOf(lists[2], 0, kMaxUnreachable))
     update.unreachable.push_back(hash.as<uint64_t>());
+  if (lists.size() == 3)
+    return update;
+  for (const msgpack::object& item : ElementsOf(lists[3], 0, kMaxEvacuations))
+    update.evacuations.push_back(DecodeEvacuation(item));
   return update;
 }
 
@@ -110,8 +128,15 @@
       item.push_back(excess);
     stores.push_back(std::move(item));
   }
-  return Json::to_msgpack(Json::array(
-      {std::move(prompts), std::move(stores), Json(update.unreachable)}));
+  Json lists = Json::array(
+      {std::move(prompts), std::move(stores), Json(update.unreachable)});
+  Json evacuations = Json::array();
+  for (const auto& [zone, record] : update.evacuations)
+    evacuations.push_back(
+        {zone, record.era, record.revision, record.is_ended ? 1 : 0});
+  if (!evacuations.empty())
+    lists.push_back(std::move(evacuations));
+  return Json::to_msgpack(lists);
 }
 
 std::optional<PeerUpdate> DecodePeerUpdate(const uint8_t* bytes, size_t size) {
@@ -125,12 +150,14 @@
   }
 }
 
-PeerLoads::PeerLoads(Dispatcher& dispatcher,
+PeerLoads::PeerLoads(PlatformView& view,
+                     Dispatcher& dispatcher,
                      reuse::CacheStoreIndex& cache_store_index,
                      boost::asio::io_context& io,
                      const runtime::Address& address,
                      common::MetricRegistry& counters)
-    : dispatcher(dispatcher),
+    : view(view),
+      dispatcher(dispatcher),
       cache_store_index(cache_store_index),
       sent_datagrams(counters.GetCounter("peer_datagrams_sent_total")),
       received_datagrams(counters.GetCounter("peer_datagrams_received_total")),
@@ -213,12 +240,34 @@
     runtime::SleepFor(DatagramInterval(this->peers.size()));
     if (!this->pending_update.IsEmpty())
       this->SendPending();
+    this->RepeatEvacuations();
   }
 }
 
+common::Duration EvacuationInterval(size_t peers) {
+  const double seconds = static_cast<double>(peers) / kMaxEvacuationsPerSecond;
+  return std::max(kMinEvacuationInterval, common::FromSeconds(seconds));
+}
+
+void PeerLoads::RepeatEvacuations() {
+  const common::TimePoint now = runtime::BootNow();
+  if (now < this->evacuations_sent_at + EvacuationInterval(this->peers.size()))
+    return;
+  PeerUpdate update;
+  update.evacuations = this->view.evacuations().ForPeers(now);
+  if (update.IsEmpty())
+    return;
+  this->evacuations_sent_at = now;
+  this->SendToAll(update);
+}
+
 void PeerLoads::SendPending() {
-  const auto bytes = EncodePeerUpdate(this->pending_update);
+  this->SendToAll(this->pending_update);
   this->pending_update = {};
+}
+
+void PeerLoads::SendToAll(const PeerUpdate& update) {
+  const auto bytes = EncodePeerUpdate(update);
   for (const udp::endpoint& peer : this->peers) {
     error_code error;
     // Send errors are ignored: datagrams may get lost on the network as well.
@@ -254,6 +303,8 @@
     this->dispatcher.OnPeerPrompt(sent.endpoint, sent.prompt);
   for (const uint64_t endpoint : update.unreachable)
     this->dispatcher.OnPeerUnreachable(endpoint);
+  for (const catalog::PeerEvacuation& evacuation : update.evacuations)
+    this->view.OnPeerEvacuation(evacuation);
   for (const CacheStoreUsage& usage : update.stores) {
     this->cache_store_index.OnPeerTransfer(usage.store, usage.mbit, now);
     for (const uint32_t excess : usage.excess_ms)
--- a/source/core/gateway/peer_loads.h
+++ b/source/core/gateway/peer_loads.h
@@ -11,6 +11,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
 
+#include "core/catalog/evacuations.h"
 #include "core/common/metrics.h"
 #include "core/gateway/dispatcher.h"
 #include "core/reuse/cache_store_index.h"
@@ -47,10 +48,13 @@
   std::vector<CacheStoreUsage> stores;
   // Hashes of the ids of unreachable endpoints.
   std::vector<uint64_t> unreachable;
+  // What the store said of evacuated zones. Sent in datagrams of their own,
+  // because hosts of former versions do not understand them.
+  std::vector<catalog::PeerEvacuation> evacuations = {};
 
   bool IsEmpty() const {
     return this->prompts.empty() && this->stores.empty() &&
-           this->unreachable.empty();
+           this->unreachable.empty() && this->evacuations.empty();
   }
 
   friend bool operator==(const PeerUpdate&, const PeerUpdate&) = default;
@@ -63,16 +67,21 @@
 
 // Returns the time between two datagrams to each of `peers` other hosts.
 common::Duration DatagramInterval(size_t peers);
+// The same for datagrams that repeat which zones are evacuated. A host gets them
+// from all others, so that it learns of a change from one of them soon.
+common::Duration EvacuationInterval(size_t peers);
 
 // Exchanges load information with the other hosts over UDP: which engines get
 // prompts and how much the cache stores are used. Each of many hosts sees only
 // a small part of an engine's load, so without the exchange prompts collide on
 // one engine, or fetches on one store, while others are idle. Datagrams may be
-// lost, forged or late; no guarantee depends on them.
+// lost, forged or late; no guarantee depends on them but one: a host that can't
+// reach the platform's store learns from them which zones are evacuated.
 class PeerLoads {
  public:
   // Binds to the address. Throws common::Error kInvalidSettings.
-  PeerLoads(Dispatcher& dispatcher,
+  PeerLoads(PlatformView& view,
+            Dispatcher& dispatcher,
             reuse::CacheStoreIndex& cache_store_index,
             boost::asio::io_context& io,
             const runtime::Address& address,
@@ -93,12 +102,15 @@
   void Receive();
   void SendLoop();
   void SendPending();
+  void SendToAll(const PeerUpdate& update);
+  void RepeatEvacuations();
 
   using Socket = boost::asio::ip::udp::socket;
 
   CacheStoreUsage& UsageOf(std::string_view store);
   void Apply(const PeerUpdate& update);
 
+  PlatformView& view;
   Dispatcher& dispatcher;
   reuse::CacheStoreIndex& cache_store_index;
   std::unique_ptr<Socket> socket;
@@ -107,6 +119,7 @@
   common::Counter& malformed_datagrams;
   std::vector<boost::asio::ip::udp::endpoint> peers;
   PeerUpdate pending_update;
+  common::TimePoint evacuations_sent_at;
   bool stopping = false;
 };
 
--- a/source/core/gateway/platform_view.cc
+++ b/source/core/gateway/platform_view.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "core/common/error.h"
+#include "core/common/hash.h"
 #include "core/runtime/boot_clock.h"
 #include "core/runtime/sleep.h"
 #include "core/runtime/worker_pool.h"
@@ -53,7 +54,7 @@
       stall_detector(kHostStallThreshold) {}
 
 void PlatformView::Start() {
-  const std::vector<KindWatch> kinds = {
+  std::vector<KindWatch> kinds = {
       {ObjectKind::kConfig, "store:config", this->settings.config_watch_wait,
        kNoBatchDelay, &PlatformView::ApplyConfig},
       {ObjectKind::kEndpoints, "store:endpoints",
@@ -64,6 +65,10 @@
       {ObjectKind::kHosts, "store:hosts", this->settings.other_watch_wait,
        kHostsBatchDelay, &PlatformView::ApplyHost},
   };
+  if (this->settings.evacuation_bound > Duration(0))
+    kinds.push_back({ObjectKind::kEvacuations, "store:evacuations",
+                     this->settings.evacuations_watch_wait, kNoBatchDelay,
+                     &PlatformView::ApplyEvacuation});
   for (const KindWatch& kind : kinds) {
     auto watch = std::make_shared<KindWatch>(kind);
     this->watches.push_back(watch);
@@ -115,6 +120,8 @@
   }
   for (const catalog::StoredObject& object : snapshot.objects)
     this->Apply(watch, {object, false}, changed_after);
+  if (watch.kind == ObjectKind::kEvacuations)
+    this->ReplaceEvacuations(snapshot);
   this->ConfirmConfig(watch);
   this->hosts_known |= watch.kind == ObjectKind::kHosts;
 }
@@ -261,9 +268,10 @@
 void PlatformView::ApplyEndpoint(const ObjectChange& change,
                                  const ChangeTime&) {
   const common::TimePoint now = runtime::BootNow();
-  const auto endpoint =
+  auto endpoint =
       change.deleted ? std::nullopt : this->decoder.Endpoint(change.object);
   if (endpoint) {
+    endpoint->read_at = now;
     const auto known = this->directory.endpoints().find(endpoint->id);
     const bool is_new = known == this->directory.endpoints().end() ||
                         known->second.started_at_ms != endpoint->started_at_ms;
@@ -297,12 +305,15 @@
 
 void PlatformView::ReplaceEndpoints(const catalog::ObjectSnapshot& snapshot,
                                     bool is_copy) {
+  const common::TimePoint now = runtime::BootNow();
   std::vector<catalog::Endpoint> endpoints;
   for (const catalog::StoredObject& object : snapshot.objects) {
-    if (auto endpoint = this->decoder.Endpoint(object))
-      endpoints.push_back(std::move(*endpoint));
+    auto endpoint = this->decoder.Endpoint(object);
+    if (!endpoint)
+      continue;
+    endpoint->read_at = now;
+    endpoints.push_back(std::move(*endpoint));
   }
-  const common::TimePoint now = runtime::BootNow();
   if (is_copy) {
     this->directory.ReplaceWithCopy(std::move(endpoints), now);
     LogLine(this->log, Event::kEndpointsHeldBack)
@@ -345,6 +356,61 @@
     this->on_host_object(change);
 }
 
+void PlatformView::ApplyEvacuation(const ObjectChange& change,
+                                   const ChangeTime&) {
+  // The name of the object says all; an evacuation whose content can't be read
+  // holds like the others.
+  const auto changed = this->known_evacuations.OnStored(
+      change.object.name,
+      {this->known_era, change.object.revision, change.deleted},
+      runtime::BootNow());
+  if (changed)
+    this->ReportEvacuation(*changed);
+}
+
+void PlatformView::ReplaceEvacuations(const catalog::ObjectSnapshot& snapshot) {
+  this->evacuations_known = true;
+  std::vector<std::string> zones;
+  for (const catalog::StoredObject& object : snapshot.objects)
+    zones.push_back(object.name);
+  const auto changes = this->known_evacuations.OnListed(
+      zones, this->known_era, snapshot.revision, runtime::BootNow());
+  for (const auto& change : changes)
+    this->ReportEvacuation(change);
+}
+
+void PlatformView::OnPeerEvacuation(const catalog::PeerEvacuation& told) {
+  if (this->settings.evacuation_bound <= Duration(0))
+    return;
+  const auto changed =
+      this->known_evacuations.OnPeer(told, runtime::BootNow());
+  if (changed)
+    this->ReportEvacuation(*changed);
+}
+
+void PlatformView::ReportEvacuation(
+    const catalog::Evacuations::Change& change) {
+  const auto& endpoints = this->directory.endpoints();
+  std::string zone = change.zone;
+  uint64_t affected = 0;
+  for (const auto& [id, endpoint] : endpoints) {
+    if (common::Hash64(endpoint.zone) != change.zone_hash)
+      continue;
+    zone = endpoint.zone;
+    ++affected;
+  }
+  LogLine(this->log, change.record.is_ended ? Event::kEvacuationEnded
+                                            : Event::kEvacuationBegan)
+      .Add(Field::kZone, zone)
+      .Add(Field::kSource,
+           catalog::kEvacuationSourceNames.NameOf(change.source))
+      .Add(Field::kStoreEra, change.record.era)
+      .Add(Field::kRevision, change.record.revision)
+      .Add(Field::kCount, affected);
+  if (this->on_evacuation)
+    this->on_evacuation(change);
+}
+
 uint64_t PlatformView::NewestVersion(std::string_view model) const {
   const auto found = this->version_requirements.find(model);
   return found == this->version_requirements.end() ? 0 : found->second.newest();
--- a/source/core/gateway/platform_view.h
+++ b/source/core/gateway/platform_view.h
@@ -11,6 +11,7 @@
 #include "core/catalog/config_floor.h"
 #include "core/catalog/config_view.h"
 #include "core/catalog/endpoint_directory.h"
+#include "core/catalog/evacuations.h"
 #include "core/catalog/object_store.h"
 #include "core/catalog/view_age.h"
 #include "core/common/stall_detector.h"
@@ -29,6 +30,8 @@
  public:
   using ChangeCallback = std::function<void()>;
   using HostObjectCallback = std::function<void(const catalog::ObjectChange&)>;
+  using EvacuationCallback =
+      std::function<void(const catalog::Evacuations::Change&)>;
 
   PlatformView(const Settings& settings,
                catalog::ObjectStore& store,
@@ -44,6 +47,11 @@
     this->on_host_object = std::move(callback);
   }
 
+  // Sets the callback for zones that are evacuated, or no longer are.
+  void OnEvacuation(EvacuationCallback callback) {
+    this->on_evacuation = std::move(callback);
+  }
+
   // Starts the fibers that watch the store; they end after Stop().
   void Start();
   void Stop() { this->stopping = true; }
@@ -55,6 +63,9 @@
   const catalog::EndpointDirectory& endpoints() const {
     return this->directory;
   }
+  const catalog::Evacuations& evacuations() const {
+    return this->known_evacuations;
+  }
   const catalog::ViewAge& age() const { return this->view_age; }
   // The endpoints are those that the store had at `read_at` or later, and it
   // has answered without a failure since `answering_since`.
@@ -95,7 +106,7 @@
   // in force there than the store has.
   bool IsComplete(common::TimePoint now) const {
     return this->current_config != nullptr && this->endpoints_known &&
-           this->hosts_known &&
+           this->hosts_known && this->AreEvacuationsKnown() &&
            this->config_floor.Allows(this->current_config->version(), now);
   }
   // Another host had this version of the configuration in force when it wrote
@@ -105,6 +116,8 @@
   }
   // The endpoint said in a response that it is leaving.
   void OnEndpointLeaving(const catalog::Endpoint& endpoint);
+  // Another host repeats what the store said of a zone.
+  void OnPeerEvacuation(const catalog::PeerEvacuation& told);
   bool are_hosts_known() const { return this->hosts_known; }
   uint64_t store_era() const { return this->known_era; }
   // Applies deferred removals of endpoints that are due and detects that the
@@ -158,6 +171,14 @@
   void ApplyVersion(const catalog::ObjectChange& change,
                     const ChangeTime& changed_after);
   void ApplyHost(const catalog::ObjectChange& change, const ChangeTime&);
+  bool AreEvacuationsKnown() const {
+    return this->evacuations_known ||
+           this->settings.evacuation_bound <= common::Duration(0);
+  }
+  void ApplyEvacuation(const catalog::ObjectChange& change, const ChangeTime&);
+  // Applies a full list of the evacuated zones.
+  void ReplaceEvacuations(const catalog::ObjectSnapshot& snapshot);
+  void ReportEvacuation(const catalog::Evacuations::Change& change);
   // `is_copy` is set for the first list after the store came back from a copy.
   void ReplaceEndpoints(const catalog::ObjectSnapshot& snapshot, bool is_copy);
   void NotifyChanged();
@@ -172,6 +193,7 @@
   events::EventLog& log;
   ChangeCallback on_changed;
   HostObjectCallback on_host_object;
+  EvacuationCallback on_evacuation;
   std::shared_ptr<const catalog::ConfigView> current_config;
   // Name of the object with that configuration, and whether it was replaced by
   // one that can't be read. That one may have withdrawn keys.
@@ -180,6 +202,7 @@
   catalog::ViewAge view_age;
   catalog::ConfigFloor config_floor;
   catalog::EndpointDirectory directory;
+  catalog::Evacuations known_evacuations;
   VersionsByModel version_requirements;
   ReportedEntries reported_entries;
   common::StallDetector stall_detector;
@@ -188,6 +211,7 @@
   uint64_t known_era = 0;
   std::optional<EndpointsAge> endpoints_read;
   bool endpoints_known = false;
+  bool evacuations_known = false;
   bool hosts_known = false;
   bool stopping = false;
 };
--- a/source/core/gateway/request_task.cc
+++ b/source/core/gateway/request_task.cc
@@ -310,8 +310,10 @@
     const auto choice = this->Choose(now);
     dispatch::AdmissionRequest admission = this->Admission(now);
     admission.held = now - began;
-    if (!choice)
+    if (!choice) {
       admission.pause_left = this->pool->PauseLeft(this->Requirements(), now);
+      this->CountTurnedFromCold(now);
+    }
     const auto decision = dispatch::DecideAdmission(admission, choice);
     const bool out_of_time = admission.remaining <= dispatch::kMinTimeToAnswer;
     if (decision.step == AdmissionStep::kSend && !out_of_time) {
@@ -347,6 +349,16 @@
   }
 }
 
+void RequestTask::CountTurnedFromCold(TimePoint now) {
+  if (this->was_turned_from_cold || !this->pool->has_cold_limit())
+    return;
+  const auto counts = this->pool->CountExclusions(this->Requirements(), now);
+  if (counts[static_cast<size_t>(dispatch::Exclusion::kCold)] == 0)
+    return;
+  this->was_turned_from_cold = true;
+  this->deps.turned_from_cold.Add();
+}
+
 void RequestTask::Refuse(ResultCode code,
                          const char* reason,
                          std::optional<Duration> retry_after) {
--- a/source/core/gateway/request_task.h
+++ b/source/core/gateway/request_task.h
@@ -34,10 +34,13 @@
   PlannedStop& planned_stop;
   StreamRegistry& stream_registry;
   const forward::Codec& codec;
+  const catalog::ZoneRegions& regions;
   events::EventLog& log;
   common::Counter& answered;
   common::Counter& refused;
   common::Counter& failed;
+  // Requests that no endpoint took at once, while some were cold.
+  common::Counter& turned_from_cold;
   common::DurationHistogram& first_byte;
   common::DurationHistogram& total;
   // Null when load information is not exchanged with other hosts.
@@ -141,9 +144,13 @@
   // The request's timing, as far as it does not depend on the wait in progress.
   dispatch::AdmissionRequest Admission(common::TimePoint now) const;
   dispatch::SendRequirements Requirements() const;
+  // The regions that may see the request.
+  catalog::Homes Homes() const;
   // Adds the version that is required now and the numbers of endpoints that may
   // and may not take the request.
   void AddExclusions(events::LogLine& line, common::TimePoint now) const;
+  // Counts a request that no endpoint takes now, if some of them are cold.
+  void CountTurnedFromCold(common::TimePoint now);
   [[noreturn]] void Refuse(common::ResultCode code,
                            const char* reason,
                            std::optional<common::Duration> retry_after);
@@ -258,6 +265,7 @@
   // is sent all the same, to test that.
   std::optional<std::string> blocked_part;
   bool is_part_trial = false;
+  bool was_turned_from_cold = false;
   // The salt without a weight version, and its rendered form, which is the key
   // of the engines' part caches.
   reuse::Salt salt;
--- a/source/core/gateway/request_task_send.cc
+++ b/source/core/gateway/request_task_send.cc
@@ -33,11 +33,18 @@
   return reuse::RenderSalt(versioned);
 }
 
+catalog::Homes RequestTask::Homes() const {
+  static const std::vector<std::string> kAny;
+  return {this->deps.regions, this->route->homes,
+          this->team ? this->team->homes : kAny};
+}
+
 dispatch::SendRequirements RequestTask::Requirements() const {
   dispatch::SendRequirements requirements;
   requirements.urgency = this->urgency;
   requirements.tried = &this->tried;
   requirements.isolate = this->isolate;
+  requirements.homes = this->Homes();
   requirements.software = this->RequiredSoftware();
   requirements.certain_only = this->IsResumable();
   if (!this->request.prompt || !this->pool->is_engine())
@@ -96,6 +103,7 @@
 reuse::FetchConditions RequestTask::FetchConditionsFor(
     const dispatch::EndpointChoice* choice) const {
   reuse::FetchConditions conditions;
+  conditions.homes = this->Homes();
   conditions.limits.prefill_token_ms = this->pool->first_token().token_ms();
   conditions.limits.max_wait_ms = common::ToMilliseconds(
       Scale(this->route->target_latency, kFetchWaitShare));
--- a/source/core/gateway/settings.cc
+++ b/source/core/gateway/settings.cc
@@ -1,5 +1,6 @@
 #include "core/gateway/settings.h"
 
+#include "core/catalog/homes.h"
 #include "core/events/event_log.h"
 #include "core/runtime/http_types.h"
 
@@ -19,6 +20,12 @@
   return "must not be empty";
 }
 
+std::optional<std::string> CheckRegions(std::string_view text) {
+  if (catalog::ZoneRegions::Parse(text))
+    return std::nullopt;
+  return "must have the form zone=region,zone=region,...";
+}
+
 std::optional<std::string> CheckLevel(std::string_view text) {
   if (events::kLevelNames.ValueOf(text))
     return std::nullopt;
@@ -78,6 +85,14 @@
        "Maximum wait of one watch of the endpoints"},
       {"other_watch_wait_ms", &S::other_watch_wait, "ms", 100, 30000,
        "Maximum wait of one watch of weight versions and of hosts"},
+      {"evacuation_bound_ms", &S::evacuation_bound, "ms", 0, 600000,
+       "Maximum time until requests no longer go to a zone that the operator "
+       "has evacuated; 0: no zone is evacuated"},
+      {"evacuations_watch_wait_ms", &S::evacuations_watch_wait, "ms", 100,
+       30000, "Maximum wait of one watch of evacuated zones"},
+      {"zone_regions", &S::zone_regions, "", 0, 0,
+       "Region of each availability zone: zone=region,zone=region,...", false,
+       CheckRegions},
   };
   return kTable;
 }
--- a/source/core/gateway/settings.h
+++ b/source/core/gateway/settings.h
@@ -41,6 +41,11 @@
   common::Duration config_watch_wait = std::chrono::milliseconds(1300);
   common::Duration endpoints_watch_wait = std::chrono::milliseconds(2500);
   common::Duration other_watch_wait = std::chrono::milliseconds(4000);
+  // 0: the operator evacuates no zones.
+  common::Duration evacuation_bound{0};
+  common::Duration evacuations_watch_wait = std::chrono::milliseconds(10000);
+  // "zone=region,zone=region,..."
+  std::string zone_regions;
 };
 
 // Returns the declarations of all settings, with names, ranges and help texts.
--- a/source/core/reuse/cache_store_index.cc
+++ b/source/core/reuse/cache_store_index.cc
@@ -227,7 +227,8 @@
   Copy best;
   double lowest_ms = 0;
   for (auto& [address, store] : this->stores) {
-    if (!this->IsReadable(store, now) || !store.parts.contains(hashed))
+    if (!conditions.homes.Allow(store.properties.zone) ||
+        !this->IsReadable(store, now) || !store.parts.contains(hashed))
       continue;
     const dispatch::StoredPart part =
         this->StoredPartOf(store, tokens, conditions, now);
@@ -250,19 +251,21 @@
 CacheStoreIndex::Store* CacheStoreIndex::ChooseTarget(
     const std::string& key,
     const dispatch::PromptPart& part,
-    std::string_view zone,
+    const FetchConditions& conditions,
     const Store* excluded,
     common::TimePoint now) {
   const HashedKey hashed = Hashed(key);
   Store* best = nullptr;
   std::pair<bool, double> best_rank;
   for (auto& [address, store] : this->stores) {
-    if (&store == excluded || !this->AcceptsSaves(store, now) ||
+    if (&store == excluded ||
+        !conditions.homes.Allow(store.properties.zone) ||
+        !this->AcceptsSaves(store, now) ||
         !this->HasRoom(store, part.tokens) || store.parts.contains(hashed) ||
         store.link.WaitMs(now) > kMaxSaveWaitMs)
       continue;
     const std::pair<bool, double> rank(
-        store.properties.zone == zone,
+        store.properties.zone == conditions.engine_zone,
         RendezvousScore(part.id, store.properties));
     if (best && rank <= best_rank)
       continue;
@@ -293,10 +296,10 @@
     return;
   const Store* failed = is_pending ? known->second.store : nullptr;
   Store* target =
-      this->ChooseTarget(key, part, conditions.engine_zone, failed, now);
+      this->ChooseTarget(key, part, conditions, failed, now);
   if (!target && failed)
     target =
-        this->ChooseTarget(key, part, conditions.engine_zone, nullptr, now);
+        this->ChooseTarget(key, part, conditions, nullptr, now);
   if (!target)
     return;
   this->ForgetOldSaves(now);
--- a/source/core/reuse/cache_store_index.h
+++ b/source/core/reuse/cache_store_index.h
@@ -10,6 +10,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "core/catalog/homes.h"
 #include "core/catalog/types.h"
 #include "core/common/time.h"
 #include "core/dispatch/prompt.h"
@@ -56,6 +57,8 @@
   // Link rate and availability zone of the engine.
   double engine_link_mbps = 0;
   std::string_view engine_zone;
+  // Regions whose stores may hold parts of the prompt.
+  catalog::Homes homes = {};
   // Length of the prefix that the engine is assumed to have cached, in tokens.
   int64_t cached_tokens = 0;
   // Reads that end later than this from now are discarded.
@@ -251,11 +254,11 @@
   Store* FindByHash(uint64_t store_hash);
   bool AcceptsSaves(const Store& store, common::TimePoint now) const;
   bool HasRoom(const Store& store, int64_t tokens) const;
-  // The store to save a part to from an engine in `zone`, preferably one in the
-  // same zone; null if none accepts it. All hosts prefer the same one.
+  // The store to save a part to, preferably one in the zone of the engine; null
+  // if none accepts it. All hosts prefer the same one.
   Store* ChooseTarget(const std::string& key,
                       const dispatch::PromptPart& part,
-                      std::string_view zone,
+                      const FetchConditions& conditions,
                       const Store* excluded,
                       common::TimePoint now);
   void ForgetOldSaves(common::TimePoint now);
--- a/source/unit_tests/core/gateway/peer_loads_test.cc
+++ b/source/unit_tests/core/gateway/peer_loads_test.cc
@@ -23,6 +23,33 @@
   CHECK(DecodePeerUpdate(bytes.data(), bytes.size()) == update);
 }
 
+// Guards against hosts of a former version, in the middle of an update, that take
+// datagrams with a fourth list for malformed, and against hosts that take theirs
+// for malformed.
+TEST_CASE("evacuations are sent as a fourth list only if there are any") {
+  PeerUpdate update = MakeUpdate();
+  const auto former = EncodePeerUpdate(update);
+  CHECK(former[0] == 0x93);
+  CHECK(DecodePeerUpdate(former.data(), former.size())->evacuations.empty());
+  update = {};
+  update.evacuations = {{~uint64_t{0}, {1, 70, false}}, {7, {2, 80, true}}};
+  CHECK_FALSE(update.IsEmpty());
+  const auto bytes = EncodePeerUpdate(update);
+  CHECK(bytes[0] == 0x94);
+  CHECK(DecodePeerUpdate(bytes.data(), bytes.size()) == update);
+}
+
+// Guards against a host that learns of an evacuation late, and against datagrams
+// that take up the hosts. Load: hundreds of hosts.
+TEST_CASE("evacuations reach a host from others well within a second") {
+  for (const size_t peers : {3u, 25u, 82u, 369u}) {
+    const double each = common::ToSeconds(EvacuationInterval(peers));
+    CHECK(static_cast<double>(peers) / each <= 100.5);
+    // Datagrams that a host gets in a second, from all others together.
+    CHECK(static_cast<double>(peers) / each >= 5);
+  }
+}
+
 // Guards against a total number of datagrams that grows with the square of the
 // number of hosts. Load: hundreds of hosts with a few requests per second each.
 TEST_CASE("the datagram interval grows with the number of hosts") {
@@ -94,6 +121,10 @@
   update.unreachable.resize(17);
   const auto unreachable = EncodePeerUpdate(update);
   CHECK_FALSE(DecodePeerUpdate(unreachable.data(), unreachable.size()));
+  update.unreachable.clear();
+  update.evacuations.resize(catalog::Evacuations::kMaxZones + 1);
+  const auto evacuations = EncodePeerUpdate(update);
+  CHECK_FALSE(DecodePeerUpdate(evacuations.data(), evacuations.size()));
 }
 
 // Guards against updates that arrive truncated, because they do not fit into
@@ -110,6 +141,13 @@
   const auto bytes = EncodePeerUpdate(update);
   CHECK(bytes.size() <= 1472);
   CHECK(DecodePeerUpdate(bytes.data(), bytes.size()) == update);
+  PeerUpdate evacuations;
+  evacuations.evacuations.assign(
+      catalog::Evacuations::kMaxZones,
+      {kLargestHash, {kLargestHash, kLargestHash, true}});
+  const auto largest = EncodePeerUpdate(evacuations);
+  CHECK(largest.size() <= 1472);
+  CHECK(DecodePeerUpdate(largest.data(), largest.size()) == evacuations);
 }
 
 }  // namespace
--- a/source/unit_tests/core/reuse/cache_store_index_test.cc
+++ b/source/unit_tests/core/reuse/cache_store_index_test.cc
@@ -68,6 +68,33 @@
   CHECK(again.targets == std::vector<std::string>{"", "", ""});
 }
 
+// Guards against parts of a prompt that leave the regions which may see it.
+TEST_CASE("a store outside the homes is neither read from nor saved to") {
+  CacheStoreIndex index;
+  catalog::CacheStoreProperties properties = Properties();
+  properties.zone = "z1";
+  index.SetStores({properties});
+  index.OnEvents(kStore, Events(1, {}), At(0), At(0));
+  index.OnEvents(kStore, Events(1, {{true, "v1", "a", 400}}), At(4000),
+                 At(4000));
+  const catalog::ZoneRegions regions({{"z1", "north"}, {"z2", "south"}});
+  const std::vector<std::string> any;
+  const std::vector<std::string> south = {"south"};
+  const std::vector<std::string> north = {"north"};
+  FetchConditions conditions = Conditions();
+  conditions.homes = {regions, any, south};
+  const ReusePlan outside =
+      index.Plan("v1", MakePrompt(), conditions, At(4000));
+  CHECK(outside.sources == std::vector<std::string>{"", "", ""});
+  CHECK(outside.targets == std::vector<std::string>{"", "", ""});
+  CHECK_FALSE(index.FindStoredParts("v1", MakePrompt(), conditions, At(4000))[0]
+                  .readable);
+  conditions.homes = {regions, north, any};
+  const ReusePlan inside = index.Plan("v1", MakePrompt(), conditions, At(4000));
+  CHECK(inside.sources[0] == kStore);
+  CHECK(inside.targets[1] == kStore);
+}
+
 // Guards against reading parts that the store holds only partially.
 TEST_CASE("a part is read only after the store reported it complete") {
   CacheStoreIndex index = MakeAnsweringIndex(4000);
--- a/source/unit_tests/platform/decode_test.cc
+++ b/source/unit_tests/platform/decode_test.cc
@@ -57,6 +57,59 @@
   CHECK(config.teams[0].priority == 1);
 }
 
+TEST_CASE("cold times, cold rates and homes are decoded") {
+  std::string text = Replace(kConfig, R"("healthPath":"/health",)",
+                             R"("coldStartS":3.0,"coldPerS":7.9,)");
+  text = Replace(text, R"("canResume":true,)",
+                 R"("canResume":true,"allowedRegions":["a","b"],)");
+  text = Replace(text, R"("isolated":true)",
+                 R"("isolated":true,"allowedRegions":["b"])");
+  const catalog::Config config = DecodeConfig(MakeObject(text));
+  CHECK(config.services[1].cold_rate == 7.9);
+  CHECK(config.services[1].cold_time == std::chrono::seconds(3));
+  CHECK(config.services[0].cold_rate == 0);
+  CHECK(config.routes[0].homes == std::vector<std::string>{"a", "b"});
+  CHECK(config.teams[0].homes == std::vector<std::string>{"b"});
+  const auto warm = DecodeEndpoint(MakeObject(kEndpoint));
+  REQUIRE(warm);
+  CHECK(warm->cold_left == common::Duration(0));
+}
+
+// Guards against an endpoint that a forged entry keeps cold for good, or whose
+// time overflows.
+TEST_CASE("odd cold times are cut, or cost only their entry") {
+  const auto cold_left = [](const std::string& value) {
+    return DecodeEndpoint(MakeObject(Replace(kEndpoint, R"("coldLeftMs":0)",
+                                             R"("coldLeftMs":)" + value)));
+  };
+  CHECK(cold_left("-5")->cold_left == common::Duration(0));
+  CHECK(cold_left("1e300")->cold_left == std::chrono::minutes(10));
+  CHECK(cold_left("2500.5")->cold_left == std::chrono::microseconds(2500500));
+  for (const char* value : {"null", "\"3000\"", "[]", "true"})
+    CHECK_FALSE(cold_left(value));
+  const auto absent =
+      DecodeEndpoint(MakeObject(Replace(kEndpoint, R"("coldLeftMs":0,)", "")));
+  REQUIRE(absent);
+  CHECK_FALSE(absent->cold_left);
+}
+
+// Guards against a configuration that is lost for a cold rate that can't be
+// read, and against requests that leave homes that can't be read.
+TEST_CASE("an odd cold rate is no limit, odd homes reject the configuration") {
+  for (const char* value : {"-3", "\"7\"", "null", "[]"}) {
+    const auto config = DecodeConfig(MakeObject(
+        Replace(kConfig, R"("healthPath":"/health",)",
+                R"("coldPerS":)" + std::string(value) + ",")));
+    CHECK(config.services[1].cold_rate == 0);
+  }
+  for (const char* value : {"\"a\"", "[1]", "{}"})
+    CHECK_THROWS_AS(
+        DecodeConfig(MakeObject(
+            Replace(kConfig, R"("canResume":true,)",
+                    R"("allowedRegions":)" + std::string(value) + ","))),
+        common::Error);
+}
+
 // Guards against retrying requests of a route kind that this version does not
 // know.
 TEST_CASE("an unknown route kind is treated as non-idempotent") {
