--- a/source/core/catalog/evacuations.cc
+++ b/source/core/catalog/evacuations.cc
@@ -12,7 +12,8 @@
     std::string_view zone,
     const EvacuationRecord& record,
     TimePoint now) {
-  return this->Merge(common::Hash64(zone), zone, record, EvacuationSource::kStore, now);
+  return this->Merge(common::Hash64(zone), zone, record,
+                     EvacuationSource::kStore, now);
 }
 
 std::vector<Evacuations::Change> Evacuations::OnListed(
@@ -22,10 +23,9 @@
     TimePoint now) {
   std::vector<Change> changes;
   for (const auto& [hash, entry] : this->entries) {
-    const bool is_listed =
-        std::any_of(zones.begin(), zones.end(), [&](const std::string& zone) {
-          return common::Hash64(zone) == hash;
-        });
+    const bool is_listed = std::any_of(
+        zones.begin(), zones.end(),
+        [&](const std::string& zone) { return common::Hash64(zone) == hash; });
     if (is_listed || entry.record.is_ended)
       continue;
     auto change = this->Merge(hash, entry.zone, {era, revision, true},
--- a/source/core/catalog/evacuations.h
+++ b/source/core/catalog/evacuations.h
@@ -97,8 +97,8 @@
                               const EvacuationRecord& record,
                               EvacuationSource source,
                               common::TimePoint now);
-  // Makes room for another zone. Returns false if there is none. What only other
-  // hosts told makes room for what the store says.
+  // Makes room for another zone. Returns false if there is none. What only
+  // other hosts told makes room for what the store says.
   bool MakeRoom(EvacuationSource source);
 
   // By hash of the zone's name.
--- a/source/core/catalog/homes.h
+++ b/source/core/catalog/homes.h
@@ -37,8 +37,8 @@
         const std::vector<std::string>& of_team)
       : regions(&regions), of_route(&of_route), of_team(&of_team) {}
 
-  // Whether what is in this zone may see the request. A zone whose region is not
-  // known may not, if there are homes at all.
+  // Whether what is in this zone may see the request. A zone whose region is
+  // not known may not, if there are homes at all.
   bool Allow(std::string_view zone) const;
 
  private:
--- a/source/core/catalog/object_store.h
+++ b/source/core/catalog/object_store.h
@@ -27,7 +27,7 @@
 
 inline constexpr common::NameTable<ObjectKind, kObjectKindCount>
     kObjectKindNames({"config", "endpoints", "versions", "hosts", "streams",
-                     "evacuations"});
+                      "evacuations"});
 
 // Why an object can't be read.
 enum class ObjectFault {
--- a/source/core/dispatch/cold_limit.h
+++ b/source/core/dispatch/cold_limit.h
@@ -28,9 +28,9 @@
 // Limits what this host sends to one endpoint of a service whose endpoints
 // crash if they get many requests while they are cold. The limit holds over all
 // hosts, since each takes only the share that its place in the order for the
-// endpoint gives it (see HostRanking). After the cold time the shares grow for a
-// while: the endpoint has less to do than others, and all hosts would turn to it
-// at once. Pure state machine, not thread-safe.
+// endpoint gives it (see HostRanking). After the cold time the shares grow for
+// a while: the endpoint has less to do than others, and all hosts would turn to
+// it at once. Pure state machine, not thread-safe.
 class ColdLimit {
  public:
   // The shares of all hosts grow over this time after the cold time.
@@ -49,8 +49,8 @@
     bool is_uncertain = false;
   };
 
-  // The endpoint's entry tells until when it is cold, which replaces what former
-  // entries told. A time in the past says that it is warm.
+  // The endpoint's entry tells until when it is cold, which replaces what
+  // former entries told. A time in the past says that it is warm.
   void OnEntry(common::TimePoint cold_until, common::TimePoint now);
   // The endpoint counts as cold until then, whatever its entry tells.
   void AssumeUntil(common::TimePoint cold_until);
--- a/source/core/dispatch/endpoint_filter.h
+++ b/source/core/dispatch/endpoint_filter.h
@@ -71,9 +71,10 @@
 
   // Time until an endpoint that is full, or cold, takes a request of this host
   // again; nothing if it is excluded for another reason, or not at all.
-  std::optional<common::Duration> PauseLeft(const EndpointRecord& record,
-                                            const SendRequirements& requirements,
-                                            common::TimePoint now) const;
+  std::optional<common::Duration> PauseLeft(
+      const EndpointRecord& record,
+      const SendRequirements& requirements,
+      common::TimePoint now) const;
 
   bool has_cold_limit() const { return this->cold_rate > 0; }
   common::Duration cold_time() const { return this->service_cold_time; }
--- a/source/core/dispatch/host_ranking.h
+++ b/source/core/dispatch/host_ranking.h
@@ -11,8 +11,8 @@
 namespace jujuberock::dispatch {
 
 // The known hosts in the rendezvous hashing order of a key, so that they share
-// out a task without a message: hosts with the same view agree on the order, and
-// one host more or less changes the place of others by one at most. Not
+// out a task without a message: hosts with the same view agree on the order,
+// and one host more or less changes the place of others by one at most. Not
 // thread-safe.
 class HostRanking {
  public:
--- a/source/core/gateway/dispatcher.cc
+++ b/source/core/gateway/dispatcher.cc
@@ -140,7 +140,8 @@
   if (is_cold == record.was_cold)
     return;
   record.was_cold = is_cold;
-  LogLine line(this->log, is_cold ? Event::kEndpointCold : Event::kEndpointWarm);
+  LogLine line(this->log,
+               is_cold ? Event::kEndpointCold : Event::kEndpointWarm);
   line.Add(Field::kEndpoint, record.endpoint().id)
       .Add(Field::kService, record.endpoint().service);
   const auto until = record.cold().cold_until();
--- a/source/core/gateway/gateway.cc
+++ b/source/core/gateway/gateway.cc
@@ -172,8 +172,7 @@
   address.port = static_cast<uint16_t>(this->settings.peer_port);
   this->peer_loads = std::make_unique<PeerLoads>(
       this->view, this->dispatcher, this->cache_store_index,
-      this->workers.IoContextOf(0),
-      address, this->counters);
+      this->workers.IoContextOf(0), address, this->counters);
   this->host_registry.OnPeers([this](std::vector<runtime::Address> peers) {
     this->peer_loads->SetPeers(std::move(peers));
   });
--- a/source/core/gateway/peer_loads.cc
+++ b/source/core/gateway/peer_loads.cc
@@ -85,8 +85,8 @@
   return usage;
 }
 
-// [zone, era, revision, whether the evacuation has ended]. Later versions may add
-// fields.
+// [zone, era, revision, whether the evacuation has ended]. Later versions may
+// add fields.
 catalog::PeerEvacuation DecodeEvacuation(const msgpack::object& item) {
   const auto fields = ElementsOf(item, 4, kMaxDatagramBytes);
   return {fields[0].as<uint64_t>(),
--- a/source/core/gateway/peer_loads.h
+++ b/source/core/gateway/peer_loads.h
@@ -67,8 +67,8 @@
 
 // Returns the time between two datagrams to each of `peers` other hosts.
 common::Duration DatagramInterval(size_t peers);
-// The same for datagrams that repeat which zones are evacuated. A host gets them
-// from all others, so that it learns of a change from one of them soon.
+// The same for datagrams that repeat which zones are evacuated. A host gets
+// them from all others, so that it learns of a change from one of them soon.
 common::Duration EvacuationInterval(size_t peers);
 
 // Exchanges load information with the other hosts over UDP: which engines get
--- a/source/core/gateway/platform_view.cc
+++ b/source/core/gateway/platform_view.cc
@@ -382,8 +382,7 @@
 void PlatformView::OnPeerEvacuation(const catalog::PeerEvacuation& told) {
   if (this->settings.evacuation_bound <= Duration(0))
     return;
-  const auto changed =
-      this->known_evacuations.OnPeer(told, runtime::BootNow());
+  const auto changed = this->known_evacuations.OnPeer(told, runtime::BootNow());
   if (changed)
     this->ReportEvacuation(*changed);
 }
--- a/source/core/reuse/cache_store_index.cc
+++ b/source/core/reuse/cache_store_index.cc
@@ -258,11 +258,9 @@
   Store* best = nullptr;
   std::pair<bool, double> best_rank;
   for (auto& [address, store] : this->stores) {
-    if (&store == excluded ||
-        !conditions.homes.Allow(store.properties.zone) ||
-        !this->AcceptsSaves(store, now) ||
-        !this->HasRoom(store, part.tokens) || store.parts.contains(hashed) ||
-        store.link.WaitMs(now) > kMaxSaveWaitMs)
+    if (&store == excluded || !conditions.homes.Allow(store.properties.zone) ||
+        !this->AcceptsSaves(store, now) || !this->HasRoom(store, part.tokens) ||
+        store.parts.contains(hashed) || store.link.WaitMs(now) > kMaxSaveWaitMs)
       continue;
     const std::pair<bool, double> rank(
         store.properties.zone == conditions.engine_zone,
@@ -295,11 +293,9 @@
                      known->second.attempts >= kMaxSaveAttempts))
     return;
   const Store* failed = is_pending ? known->second.store : nullptr;
-  Store* target =
-      this->ChooseTarget(key, part, conditions, failed, now);
+  Store* target = this->ChooseTarget(key, part, conditions, failed, now);
   if (!target && failed)
-    target =
-        this->ChooseTarget(key, part, conditions, nullptr, now);
+    target = this->ChooseTarget(key, part, conditions, nullptr, now);
   if (!target)
     return;
   this->ForgetOldSaves(now);
--- a/source/platform/store_client.cc
+++ b/source/platform/store_client.cc
@@ -29,9 +29,9 @@
 constexpr Duration kWatchTimeoutMargin = std::chrono::milliseconds(700);
 
 // Indexed by catalog::ObjectKind.
-constexpr std::array kKindNames = {wire::kConfigKind, wire::kEndpointsKind,
+constexpr std::array kKindNames = {wire::kConfigKind,   wire::kEndpointsKind,
                                    wire::kVersionsKind, wire::kHostsKind,
-                                   wire::kStreamsKind, wire::kEvacuationsKind};
+                                   wire::kStreamsKind,  wire::kEvacuationsKind};
 
 std::string KindPath(catalog::ObjectKind kind) {
   std::string path(wire::kObjectsPath);
--- a/source/unit_tests/core/catalog/homes_test.cc
+++ b/source/unit_tests/core/catalog/homes_test.cc
@@ -12,7 +12,8 @@
   CHECK(regions->RegionOf("b") == "south");
   CHECK(regions->RegionOf("c").empty());
   CHECK(ZoneRegions::Parse(""));
-  for (const char* text : {"a", "a=", "=north", "a=north,,b=south", ",", "a=n,b"})
+  for (const char* text :
+       {"a", "a=", "=north", "a=north,,b=south", ",", "a=n,b"})
     CHECK_FALSE(ZoneRegions::Parse(text));
 }
 
--- a/source/unit_tests/core/dispatch/cold_limit_test.cc
+++ b/source/unit_tests/core/dispatch/cold_limit_test.cc
@@ -66,10 +66,10 @@
       for (size_t i = 0; i < sends.size(); ++i) {
         if (sends[i] < from_ms || sends[i] >= until_ms)
           continue;
-        const auto end = std::lower_bound(
-            sends.begin(), sends.end(), std::min(until_ms, sends[i] + 1000));
-        busiest = std::max(
-            busiest, static_cast<size_t>(end - sends.begin()) - i);
+        const auto end = std::lower_bound(sends.begin(), sends.end(),
+                                          std::min(until_ms, sends[i] + 1000));
+        busiest =
+            std::max(busiest, static_cast<size_t>(end - sends.begin()) - i);
       }
     }
     return busiest;
@@ -81,8 +81,8 @@
       const auto count = std::count_if(sends.begin(), sends.end(), [&](int ms) {
         return ms >= from_ms && ms < until_ms;
       });
-      slowest = std::min(slowest, 1000.0 * static_cast<double>(count) /
-                                      (until_ms - from_ms));
+      slowest = std::min(
+          slowest, 1000.0 * static_cast<double>(count) / (until_ms - from_ms));
     }
     return slowest;
   }
@@ -120,8 +120,8 @@
 
 // Guards against crashes of endpoints that come back cold, when each host keeps
 // to a limit of its own and the sum of all does not. Load: all endpoints of a
-// zone come back together while every host has more requests than they take, and
-// the hosts' views of each other differ by a few.
+// zone come back together while every host has more requests than they take,
+// and the hosts' views of each other differ by a few.
 TEST_CASE("the hosts together keep to the limit of a cold endpoint") {
   for (const int hosts : {4, 26, 83, 370}) {
     for (const double rate : {7.9, 17.3}) {
@@ -141,8 +141,8 @@
   }
 }
 
-// Guards against a rush of all hosts on the endpoints that have the least to do,
-// at the moment at which their cold time ends.
+// Guards against a rush of all hosts on the endpoints that have the least to
+// do, at the moment at which their cold time ends.
 TEST_CASE("the load of an endpoint grows slowly after its cold time") {
   EagerHosts all(83, 17.3, 0);
   all.Run(EagerHosts::kColdMs + 1000);
@@ -189,7 +189,8 @@
 
 // Guards against a rush of hosts that have just started, each of which takes
 // itself for the only one.
-TEST_CASE("a host that does not know of itself sends nothing to cold endpoints") {
+TEST_CASE(
+    "a host that does not know of itself sends nothing to cold endpoints") {
   ColdLimit limit;
   limit.OnEntry(At(3000), At(0));
   const ColdLimit::Terms unknown{.rate = 9, .rank = std::nullopt, .hosts = 4};
--- a/source/unit_tests/core/dispatch/endpoint_filter_test.cc
+++ b/source/unit_tests/core/dispatch/endpoint_filter_test.cc
@@ -52,14 +52,15 @@
     return true;
   }
   uint64_t Count(Exclusion exclusion, int ms) const {
-    return this->pool.CountExclusions(
-        this->requirements, At(ms))[static_cast<size_t>(exclusion)];
+    return this->pool.CountExclusions(this->requirements,
+                                      At(ms))[static_cast<size_t>(exclusion)];
   }
 };
 
-// Guards against crashes of cold endpoints by requests, moves or retries: all of
-// them ask for a choice and are recorded as sends.
-TEST_CASE("a cold endpoint takes its rate, then requests wait for the next share") {
+// Guards against crashes of cold endpoints by requests, moves or retries: all
+// of them ask for a choice and are recorded as sends.
+TEST_CASE(
+    "a cold endpoint takes its rate, then requests wait for the next share") {
   Fixture f;
   f.Register(seconds(3), 0);
   CHECK(f.Send(10));
@@ -116,8 +117,8 @@
   CHECK(f.pool.ColdStateOf(*record, At(6000)) == ColdState::kWarm);
 }
 
-// Guards against new requests to a zone that the operator empties, and against a
-// rush when it is taken back.
+// Guards against new requests to a zone that the operator empties, and against
+// a rush when it is taken back.
 TEST_CASE("an evacuated zone takes nothing, and little when it is taken back") {
   Fixture f;
   f.Register(Duration(0), 0);
--- a/source/unit_tests/core/gateway/peer_loads_test.cc
+++ b/source/unit_tests/core/gateway/peer_loads_test.cc
@@ -23,9 +23,9 @@
   CHECK(DecodePeerUpdate(bytes.data(), bytes.size()) == update);
 }
 
-// Guards against hosts of a former version, in the middle of an update, that take
-// datagrams with a fourth list for malformed, and against hosts that take theirs
-// for malformed.
+// Guards against hosts of a former version, in the middle of an update, that
+// take datagrams with a fourth list for malformed, and against hosts that take
+// theirs for malformed.
 TEST_CASE("evacuations are sent as a fourth list only if there are any") {
   PeerUpdate update = MakeUpdate();
   const auto former = EncodePeerUpdate(update);
@@ -39,8 +39,8 @@
   CHECK(DecodePeerUpdate(bytes.data(), bytes.size()) == update);
 }
 
-// Guards against a host that learns of an evacuation late, and against datagrams
-// that take up the hosts. Load: hundreds of hosts.
+// Guards against a host that learns of an evacuation late, and against
+// datagrams that take up the hosts. Load: hundreds of hosts.
 TEST_CASE("evacuations reach a host from others well within a second") {
   for (const size_t peers : {3u, 25u, 82u, 369u}) {
     const double each = common::ToSeconds(EvacuationInterval(peers));
--- a/source/unit_tests/platform/decode_test.cc
+++ b/source/unit_tests/platform/decode_test.cc
@@ -79,8 +79,8 @@
 // time overflows.
 TEST_CASE("odd cold times are cut, or cost only their entry") {
   const auto cold_left = [](const std::string& value) {
-    return DecodeEndpoint(MakeObject(Replace(kEndpoint, R"("coldLeftMs":0)",
-                                             R"("coldLeftMs":)" + value)));
+    return DecodeEndpoint(MakeObject(
+        Replace(kEndpoint, R"("coldLeftMs":0)", R"("coldLeftMs":)" + value)));
   };
   CHECK(cold_left("-5")->cold_left == common::Duration(0));
   CHECK(cold_left("1e300")->cold_left == std::chrono::minutes(10));
@@ -97,17 +97,16 @@
 // read, and against requests that leave homes that can't be read.
 TEST_CASE("an odd cold rate is no limit, odd homes reject the configuration") {
   for (const char* value : {"-3", "\"7\"", "null", "[]"}) {
-    const auto config = DecodeConfig(MakeObject(
-        Replace(kConfig, R"("healthPath":"/health",)",
-                R"("coldPerS":)" + std::string(value) + ",")));
+    const auto config = DecodeConfig(
+        MakeObject(Replace(kConfig, R"("healthPath":"/health",)",
+                           R"("coldPerS":)" + std::string(value) + ",")));
     CHECK(config.services[1].cold_rate == 0);
   }
   for (const char* value : {"\"a\"", "[1]", "{}"})
-    CHECK_THROWS_AS(
-        DecodeConfig(MakeObject(
-            Replace(kConfig, R"("canResume":true,)",
-                    R"("allowedRegions":)" + std::string(value) + ","))),
-        common::Error);
+    CHECK_THROWS_AS(DecodeConfig(MakeObject(Replace(
+                        kConfig, R"("canResume":true,)",
+                        R"("allowedRegions":)" + std::string(value) + ","))),
+                    common::Error);
 }
 
 // Guards against retrying requests of a route kind that this version does not
