--- a/source/core/gateway/request_task.cc
+++ b/source/core/gateway/request_task.cc
@@ -349,16 +349,6 @@
   }
 }
 
-void RequestTask::CountTurnedFromCold(TimePoint now) {
-  if (this->was_turned_from_cold || !this->pool->has_cold_limit())
-    return;
-  const auto counts = this->pool->CountExclusions(this->Requirements(), now);
-  if (counts[static_cast<size_t>(dispatch::Exclusion::kCold)] == 0)
-    return;
-  this->was_turned_from_cold = true;
-  this->deps.turned_from_cold.Add();
-}
-
 void RequestTask::Refuse(ResultCode code,
                          const char* reason,
                          std::optional<Duration> retry_after) {
--- a/source/core/gateway/request_task_log.cc
+++ b/source/core/gateway/request_task_log.cc
@@ -1,4 +1,4 @@
-// The log lines of a request: the values that decided each step.
+// The log lines and counters of a request: the values that decided each step.
 #include "core/gateway/request_task.h"
 
 #include "core/runtime/boot_clock.h"
@@ -10,6 +10,16 @@
 using events::Field;
 using events::LogLine;
 
+void RequestTask::CountTurnedFromCold(TimePoint now) {
+  if (this->was_turned_from_cold || !this->pool->has_cold_limit())
+    return;
+  const auto counts = this->pool->CountExclusions(this->Requirements(), now);
+  if (counts[static_cast<size_t>(dispatch::Exclusion::kCold)] == 0)
+    return;
+  this->was_turned_from_cold = true;
+  this->deps.turned_from_cold.Add();
+}
+
 void RequestTask::AddExclusions(LogLine& line, TimePoint now) const {
   const dispatch::SendRequirements requirements = this->Requirements();
   const dispatch::ExclusionCounts counts =
