--- a/source/core/catalog/evacuations.cc
+++ b/source/core/catalog/evacuations.cc
@@ -22,7 +22,9 @@
     uint64_t revision,
     TimePoint now) {
   std::vector<Change> changes;
-  for (const auto& [hash, entry] : this->entries) {
+  for (const auto& [known, entry] : this->entries) {
+    // Structured bindings can't be captured.
+    const uint64_t hash = known;
     const bool is_listed = std::any_of(
         zones.begin(), zones.end(),
         [&](const std::string& zone) { return common::Hash64(zone) == hash; });
