--- a/source/core/dispatch/cold_limit.cc
+++ b/source/core/dispatch/cold_limit.cc
@@ -95,14 +95,23 @@
   const auto used = static_cast<size_t>(this->sends.end() - oldest);
   if (used < share)
     return kNone;
-  // When the limit ends, or ends at the earliest.
-  Duration left = kPeriod;
-  if (!terms.is_uncertain)
-    left = *this->cold_until() + kWarmingTime - now;
   if (share == 0)
-    return left;
+    return this->TimeToFirstShare(terms, now);
   const TimePoint freed = *(this->sends.end() - static_cast<ptrdiff_t>(share));
-  return std::min(left, freed + kPeriod - now);
+  return freed + kPeriod - now;
+}
+
+Duration ColdLimit::TimeToFirstShare(const Terms& terms, TimePoint now) const {
+  if (terms.is_uncertain)
+    return kPeriod;
+  double progress = 1;
+  if (terms.rank) {
+    // The shares reach the hosts in their order.
+    const double growth = static_cast<double>(*terms.rank + 1) /
+                          std::max(1.0, std::floor(terms.rate));
+    progress = std::clamp((growth - 1) / (kWarmingGrowth - 1), 0.0, 1.0);
+  }
+  return *this->cold_until() + common::Scale(kWarmingTime, progress) - now;
 }
 
 }  // namespace jujuberock::dispatch
--- a/source/core/dispatch/cold_limit.h
+++ b/source/core/dispatch/cold_limit.h
@@ -80,6 +80,10 @@
   std::optional<size_t> TotalAt(const Terms& terms,
                                 common::TimePoint now) const;
 
+  // Time until this host has a share at all, which it has not now.
+  common::Duration TimeToFirstShare(const Terms& terms,
+                                    common::TimePoint now) const;
+
   std::optional<common::TimePoint> told_until;
   std::optional<common::TimePoint> assumed_until;
   // The last sends of this host, the oldest first.
--- a/source/unit_tests/core/dispatch/cold_limit_test.cc
+++ b/source/unit_tests/core/dispatch/cold_limit_test.cc
@@ -195,9 +195,27 @@
   limit.OnEntry(At(3000), At(0));
   const ColdLimit::Terms unknown{.rate = 9, .rank = std::nullopt, .hosts = 4};
   CHECK_FALSE(limit.Allows(unknown, At(100)));
+  CHECK(limit.TimeToShare(unknown, At(100)) == milliseconds(3900));
   CHECK(limit.Allows({.rate = 0}, At(100)));
 }
 
+// Guards against callers that are told to come back before a request can be
+// sent, or long after.
+TEST_CASE("a host without a share knows when it gets one") {
+  ColdLimit limit;
+  limit.OnEntry(At(3000), At(0));
+  // The 40th of 83 hosts: the total grows from 10 to 40 in a second.
+  const ColdLimit::Terms terms{.rate = 10.5, .rank = 39, .hosts = 83};
+  CHECK(limit.TimeToShare(terms, At(500)) == milliseconds(3500));
+  const ColdLimit::Terms earlier{.rate = 10.5, .rank = 24, .hosts = 83};
+  CHECK(limit.TimeToShare(earlier, At(500)) == milliseconds(3000));
+  CHECK_FALSE(limit.Allows(earlier, At(3450)));
+  CHECK(limit.Allows(earlier, At(3501)));
+  const ColdLimit::Terms last{.rate = 10.5, .rank = 82, .hosts = 83};
+  CHECK(limit.TimeToShare(last, At(500)) == milliseconds(3500));
+  CHECK(limit.Allows(last, At(4000)));
+}
+
 // Guards against shares that are larger than the log of sends.
 TEST_CASE("a large share is bounded by what is remembered") {
   ColdLimit limit;
