--- a/source/core/catalog/object_store.h
+++ b/source/core/catalog/object_store.h
@@ -15,12 +15,20 @@
 
 // The object kinds that hosts read from the platform's store. kStreams is read
 // on demand, the others are watched.
-enum class ObjectKind { kConfig, kEndpoints, kVersions, kHosts, kStreams };
+enum class ObjectKind {
+  kConfig,
+  kEndpoints,
+  kVersions,
+  kHosts,
+  kStreams,
+  kEvacuations,
+};
 
-inline constexpr size_t kObjectKindCount = 5;
+inline constexpr size_t kObjectKindCount = 6;
 
 inline constexpr common::NameTable<ObjectKind, kObjectKindCount>
-    kObjectKindNames({"config", "endpoints", "versions", "hosts", "streams"});
+    kObjectKindNames({"config", "endpoints", "versions", "hosts", "streams",
+                      "evacuations"});
 
 // Whether hosts keep a view of the kind, with List() and Watch().
 constexpr bool IsWatched(ObjectKind kind) {
--- a/source/core/events/event_log.h
+++ b/source/core/events/event_log.h
@@ -48,6 +48,10 @@
   kEndpointBackoff,
   kEndpointUncertain,
   kEndpointCertain,
+  kEndpointCold,
+  kEndpointWarm,
+  kEvacuationBegan,
+  kEvacuationEnded,
   kVersionNamed,
   kHolderGained,
   kHolderLost,
@@ -68,7 +72,7 @@
   kRequestUnanswered,
 };
 
-inline constexpr size_t kEventCount = 41;
+inline constexpr size_t kEventCount = 45;
 
 inline constexpr common::NameTable<Event, kEventCount> kEventNames(
     {"started",
@@ -94,6 +98,10 @@
      "endpoint_backoff",
      "endpoint_uncertain",
      "endpoint_certain",
+     "endpoint_cold",
+     "endpoint_warm",
+     "evacuation_began",
+     "evacuation_ended",
      "version_named",
      "holder_gained",
      "holder_lost",
@@ -165,9 +173,12 @@
   kLastEvent,
   kStartedAtMs,
   kEndEvidence,
+  kZone,
+  kSource,
+  kColdLeftMs,
 };
 
-inline constexpr size_t kFieldCount = 50;
+inline constexpr size_t kFieldCount = 53;
 
 inline constexpr common::NameTable<Field, kFieldCount> kFieldNames(
     {"request",
@@ -219,7 +230,10 @@
      "resumes",
      "last_event",
      "started_at_ms",
-     "end_evidence"});
+     "end_evidence",
+     "zone",
+     "source",
+     "cold_left_ms"});
 
 Level LevelOf(Event event);
 
--- a/source/core/gateway/request_task.cc
+++ b/source/core/gateway/request_task.cc
@@ -310,8 +310,10 @@
     const auto choice = this->Choose(now);
     dispatch::AdmissionRequest admission = this->Admission(now);
     admission.held = now - began;
-    if (!choice)
+    if (!choice) {
       admission.pause_left = this->pool->PauseLeft(this->Requirements(), now);
+      this->CountTurnedFromCold(now);
+    }
     const auto decision = dispatch::DecideAdmission(admission, choice);
     const bool out_of_time = admission.remaining <= dispatch::kMinTimeToAnswer;
     if (decision.step == AdmissionStep::kSend && !out_of_time) {
--- a/source/core/gateway/settings.h
+++ b/source/core/gateway/settings.h
@@ -49,6 +49,11 @@
   int64_t descriptor_limit = 0;
   common::Duration body_timeout = std::chrono::seconds(30);
   common::Duration body_progress_timeout = std::chrono::seconds(10);
+  // 0: the operator evacuates no zones.
+  common::Duration evacuation_bound{0};
+  common::Duration evacuations_watch_wait = std::chrono::milliseconds(10000);
+  // "zone=region,zone=region,..."
+  std::string zone_regions;
 };
 
 // Returns the declarations of all settings, with names, ranges and help texts.
--- a/source/platform/store_client.cc
+++ b/source/platform/store_client.cc
@@ -34,9 +34,9 @@
 constexpr Duration kWatchTolerance = std::chrono::milliseconds(5);
 
 // Indexed by catalog::ObjectKind.
-constexpr std::array kKindNames = {wire::kConfigKind, wire::kEndpointsKind,
+constexpr std::array kKindNames = {wire::kConfigKind,   wire::kEndpointsKind,
                                    wire::kVersionsKind, wire::kHostsKind,
-                                   wire::kStreamsKind};
+                                   wire::kStreamsKind,  wire::kEvacuationsKind};
 
 std::string KindPath(catalog::ObjectKind kind) {
   std::string path(wire::kObjectsPath);
