--- a/source/core/dispatch/endpoint_record.cc
+++ b/source/core/dispatch/endpoint_record.cc
@@ -12,6 +12,7 @@
 
 void EndpointRecord::OnSent(SendTicket& ticket, common::TimePoint now) {
   ticket.sent_at = now;
+  this->cold_limit.OnSent(now);
   ticket.tokens_ahead =
       this->engine_room.OwnPending(ticket.urgency) + ticket.uncached_tokens;
   if (this->own_waiting() == 0)
--- a/source/core/events/event_log.h
+++ b/source/core/events/event_log.h
@@ -38,6 +38,8 @@
   kConfigRejected,
   kViewStale,
   kViewRenewed,
+  kViewSource,
+  kRelayAnswerRejected,
   kEndpointAdded,
   kEndpointLeft,
   kEndpointsHeldBack,
@@ -46,6 +48,10 @@
   kEndpointBackoff,
   kEndpointUncertain,
   kEndpointCertain,
+  kEndpointCold,
+  kEndpointWarm,
+  kEvacuationBegan,
+  kEvacuationEnded,
   kVersionNamed,
   kHolderGained,
   kHolderLost,
@@ -67,29 +73,54 @@
   kRequestUnanswered,
 };
 
-inline constexpr size_t kEventCount = 40;
+inline constexpr size_t kEventCount = 46;
 
 inline constexpr common::NameTable<Event, kEventCount> kEventNames(
-    {"started",          "stopping",
-     "stopped",          "reloaded",
-     "dependency_lost",  "dependency_regained",
-     "lines_dropped",    "store_restored",
-     "entry_unreadable", "config_in_force",
-     "config_rejected",  "view_stale",
-     "view_renewed",     "endpoint_added",
-     "endpoint_left",    "endpoints_held_back",
-     "endpoint_ejected", "endpoint_readmitted",
-     "endpoint_backoff", "endpoint_uncertain",
-     "endpoint_certain", "version_named",
-     "holder_gained",    "holder_lost",
-     "weights_ordered",  "weights_in_force",
-     "parts_freed",      "crash_marked",
-     "software_agreed",  "parts_blocked",
-     "part_trial",       "request_refused",
-     "request_queued",   "request_sent",
-     "request_resent",   "request_resumed",
-     "request_cut",      "request_turned_away",
-     "request_answered", "request_unanswered"});
+    {"started",
+     "stopping",
+     "stopped",
+     "reloaded",
+     "dependency_lost",
+     "dependency_regained",
+     "lines_dropped",
+     "store_restored",
+     "entry_unreadable",
+     "config_in_force",
+     "config_rejected",
+     "view_stale",
+     "view_renewed",
+     "view_source",
+     "relay_answer_rejected",
+     "endpoint_added",
+     "endpoint_left",
+     "endpoints_held_back",
+     "endpoint_ejected",
+     "endpoint_readmitted",
+     "endpoint_backoff",
+     "endpoint_uncertain",
+     "endpoint_certain",
+     "endpoint_cold",
+     "endpoint_warm",
+     "evacuation_began",
+     "evacuation_ended",
+     "version_named",
+     "holder_gained",
+     "holder_lost",
+     "weights_ordered",
+     "weights_in_force",
+     "parts_freed",
+     "crash_marked",
+     "software_agreed",
+     "parts_blocked",
+     "part_trial",
+     "request_refused",
+     "request_queued",
+     "request_sent",
+     "request_resent",
+     "request_resumed",
+     "request_cut",
+     "request_answered",
+     "request_unanswered"});
 
 // Fields that a line may have.
 enum class Field {
@@ -148,9 +179,12 @@
   kAheadTokens,
   kMemoryTokens,
   kFetchMs,
+  kZone,
+  kSource,
+  kColdLeftMs,
 };
 
-inline constexpr size_t kFieldCount = 55;
+inline constexpr size_t kFieldCount = 58;
 
 inline constexpr common::NameTable<Field, kFieldCount> kFieldNames(
     {"request",
@@ -207,7 +241,10 @@
      "below_floor",
      "ahead_tokens",
      "memory_tokens",
-     "fetch_ms"});
+     "fetch_ms",
+     "zone",
+     "source",
+     "cold_left_ms"});
 
 Level LevelOf(Event event);
 
--- a/source/core/gateway/request_task_admission.cc
+++ b/source/core/gateway/request_task_admission.cc
@@ -76,8 +76,10 @@
     admission.held = now - began;
     admission.must_wait =
         !waiter && this->pool->is_engine() && gate.MustWait(waiting);
-    if (!choice)
+    if (!choice) {
       admission.pause_left = this->pool->PauseLeft(this->Requirements(), now);
+      this->CountTurnedFromCold(now);
+    }
     const auto decision = dispatch::DecideAdmission(admission, choice);
     const bool out_of_time = admission.remaining <= dispatch::kMinTimeToAnswer;
     if (decision.step == AdmissionStep::kSend && !out_of_time) {
--- a/source/core/gateway/settings.h
+++ b/source/core/gateway/settings.h
@@ -22,8 +22,11 @@
   std::string caller_address;
   std::string ready_address;
   std::string platform_address;
-  // 0: load information is not exchanged with other hosts.
+  // 0: load information and views are not exchanged with other hosts.
   int64_t peer_port = 0;
+  // Hosts in the zone from which on some of them watch the store for the
+  // others; 0: never.
+  int64_t relay_min_hosts = 12;
   // 0: metrics are not served.
   int64_t metrics_port = 0;
   std::string log_level = "requests";
@@ -41,6 +44,16 @@
   common::Duration config_watch_wait = std::chrono::milliseconds(1300);
   common::Duration endpoints_watch_wait = std::chrono::milliseconds(2500);
   common::Duration other_watch_wait = std::chrono::milliseconds(4000);
+  // 0: unknown.
+  int64_t memory_limit_mb = 0;
+  int64_t descriptor_limit = 0;
+  common::Duration body_timeout = std::chrono::seconds(30);
+  common::Duration body_progress_timeout = std::chrono::seconds(10);
+  // 0: the operator evacuates no zones.
+  common::Duration evacuation_bound{0};
+  common::Duration evacuations_watch_wait = std::chrono::milliseconds(10000);
+  // "zone=region,zone=region,..."
+  std::string zone_regions;
 };
 
 // Returns the declarations of all settings, with names, ranges and help texts.
