Decode how long work takes on an endpoint, and spread what is unheard of

Cause: the load header was discarded when it had a fourth figure, and each of many hosts hears little from an endpoint. Reports that change a host's belief are now passed to the other hosts, costs of an engine grow with the factor, and hosts choose at random among engines whose costs differ by less than the prefill that others may have sent since the last news. Runs count as long by the share of their time that goes into output: by output tokens alone a long prompt with somewhat more output than the mean shared engines with short questions.

--- a/source/core/dispatch/endpoint_choice.h
+++ b/source/core/dispatch/endpoint_choice.h
@@ -15,6 +15,8 @@
   std::shared_ptr<EndpointRecord> endpoint;
   // Expected time to the first byte.
   common::Duration predicted{0};
+  // The same on an engine on which work takes its usual time.
+  common::Duration usual_time{0};
   // Whether the endpoint has a free slot and enough memory, and no request is
   // waiting there.
   bool idle = false;
--- a/source/core/dispatch/endpoint_record.cc
+++ b/source/core/dispatch/endpoint_record.cc
@@ -58,6 +58,8 @@
   this->reported_at = now;
   this->own_in_flight_at_report = this->in_flight;
   this->own_waiting_at_report = this->own_waiting();
+  if (load.work_factor)
+    this->rate.OnReport(*load.work_factor, now);
 }
 
 bool EndpointRecord::HasJustRefused(common::TimePoint now) const {
--- a/source/core/dispatch/endpoint_record.h
+++ b/source/core/dispatch/endpoint_record.h
@@ -14,6 +14,7 @@
 #include "core/dispatch/part_cache.h"
 #include "core/dispatch/peer_prompt.h"
 #include "core/dispatch/process_continuity.h"
+#include "core/dispatch/work_rate.h"
 
 namespace jujuberock::dispatch {
 
@@ -25,6 +26,9 @@
   int64_t running = 0;
   int64_t waiting = 0;
   int64_t slots = 0;
+  // How long work takes at this moment; 1 is the usual time. Not all endpoints
+  // report it.
+  std::optional<double> work_factor = std::nullopt;
 };
 
 class EndpointRecord;
@@ -40,6 +44,8 @@
   int64_t tokens_ahead = 0;
   int64_t memory_tokens = 0;
   int64_t max_output_tokens = 0;
+  // Expected time to the first token if work takes its usual time.
+  common::Duration usual_time{0};
   // Whether the run is expected to stream many events.
   bool is_long = false;
   common::TimePoint sent_at;
@@ -66,6 +72,8 @@
   const ProcessContinuity& process() const { return this->continuity; }
   PartCache& part_cache() { return this->cache; }
   const PartCache& part_cache() const { return this->cache; }
+  WorkRate& work_rate() { return this->rate; }
+  const WorkRate& work_rate() const { return this->rate; }
 
   void OnSent(SendTicket& ticket, common::TimePoint now);
   // The first byte of the answer arrived.
@@ -161,6 +169,7 @@
   EndpointHealth passive_health;
   ProcessContinuity continuity;
   PartCache cache;
+  WorkRate rate;
   int64_t in_flight = 0;
   int64_t started = 0;
   int64_t memory_in_use = 0;
--- a/source/core/dispatch/placement_cost.cc
+++ b/source/core/dispatch/placement_cost.cc
@@ -27,13 +27,20 @@
 // the pauses in the stream, even for prompts that are less urgent.
 constexpr double kPendingPrefillWeight = 0.5;
 // Smoothing of the means over requests and over first tokens.
-constexpr double kOutputSmoothing = 0.02;
+constexpr double kOutputShareSmoothing = 0.02;
+// Excess over the mean from which a run counts as long. Keeps runs that are all
+// alike from being divided.
+constexpr double kLongShareMargin = 0.05;
 constexpr double kUncachedSmoothing = 0.05;
 constexpr double kOutputTimeSmoothing = 0.02;
 constexpr double kMemoryOverflowPenaltyMs = 400;
 constexpr double kFailureSmoothing = 0.02;
 constexpr double kPlainPriorLatencyMs = 20;
 constexpr double kFailurePenaltyMs = 200;
+// Share of the target latency by which the chosen endpoint may be worse than
+// the cheapest one.
+constexpr double kMaxSpreadShare = 0.03;
+constexpr double kMinSpreadMs = 0.5;
 
 uint64_t RendezvousWeight(std::string_view key, std::string_view endpoint) {
   return common::Hash64(endpoint, common::Hash64(key));
@@ -57,11 +64,9 @@
   Preparation preparation;
   // A request that looks for a ready endpoint was counted before.
   if (requirements.prompt && !requirements.ready_only)
-    this->mean_output +=
-        kOutputSmoothing *
-        (static_cast<double>(requirements.prompt->max_output_tokens) -
-         this->mean_output);
+    this->CountOutputShare(*requirements.prompt);
   this->long_runs.UpdateShare(endpoints, this->model.token_ms(), now);
+  preparation.spread_ms = this->SpreadMs(requirements, endpoints, now);
   if (!requirements.prompt)
     return preparation;
   preparation.is_long = this->IsLong(*requirements.prompt);
@@ -70,6 +75,20 @@
   return preparation;
 }
 
+double PlacementCost::SpreadMs(const SendRequirements& requirements,
+                               const Endpoints& endpoints,
+                               common::TimePoint now) const {
+  if (!requirements.prompt || endpoints.empty())
+    return kMinSpreadMs;
+  const double unheard_tokens =
+      this->prefill.At(now) * common::ToSeconds(this->news_age);
+  const double unheard_ms = this->model.token_ms() * unheard_tokens /
+                            static_cast<double>(endpoints.size());
+  const double limit_ms =
+      kMaxSpreadShare * common::ToMilliseconds(requirements.target_latency);
+  return std::max(kMinSpreadMs, std::min(unheard_ms, limit_ms));
+}
+
 void PlacementCost::FindAffinity(Preparation& preparation,
                                  const Prompt& prompt,
                                  const Endpoints& endpoints) const {
@@ -110,9 +129,9 @@
   cost += kFailurePenaltyMs * excess;
   if (requirements.isolate)
     cost += 100.0 * static_cast<double>(record.own_in_flight());
-  // Random tie-breaking keeps hosts with the same information from all choosing
-  // the same endpoint.
-  return cost + 0.5 * this->random.NextDouble();
+  // A random choice among the cheapest endpoints keeps hosts with the same
+  // information from all choosing the same one.
+  return cost + preparation.spread_ms * this->random.NextDouble();
 }
 
 double PlacementCost::EngineCost(EndpointChoice& choice,
@@ -132,13 +151,16 @@
   const double pending_ahead =
       static_cast<double>(record.PendingTokens(requirements.urgency)) +
       peer_pending;
+  const double factor = record.work_rate().FactorAt(now);
+  const double token_ms = factor * this->model.token_ms();
   // The engine prefills other prompts during the fetch, so the times overlap.
-  const double fetch_as_tokens = choice.fetch_ms / this->model.token_ms();
-  choice.predicted = this->model.Predict(
+  const double fetch_as_tokens = choice.fetch_ms / token_ms;
+  choice.usual_time = this->model.Predict(
       static_cast<int64_t>(std::max(pending_ahead, fetch_as_tokens)) +
       choice.uncached_tokens);
+  choice.predicted = common::Scale(choice.usual_time, factor);
   const double prefill_ms =
-      this->model.token_ms() * static_cast<double>(choice.uncached_tokens);
+      token_ms * static_cast<double>(choice.uncached_tokens);
   double cost = common::ToMilliseconds(choice.predicted);
   cost += kEngineTimeWeight * prefill_ms + kLinkTimeWeight * choice.link_ms;
   if (preparation.first == &record)
@@ -148,7 +170,7 @@
   const double all_pending =
       static_cast<double>(record.PendingTokens(kUrgencies - 1)) + peer_tokens;
   if (choice.is_long)
-    cost += kPendingPrefillWeight * this->model.token_ms() * all_pending;
+    cost += kPendingPrefillWeight * token_ms * all_pending;
   cost += this->long_runs.MisplacementCost(record.endpoint().id, choice.is_long,
                                            prefill_ms);
   choice.run_time = this->RunTime(choice, prompt);
@@ -214,8 +236,25 @@
   }
 }
 
+double PlacementCost::OutputShare(const Prompt& prompt) const {
+  const double output_ms = this->long_output_token_ms *
+                           static_cast<double>(prompt.max_output_tokens);
+  const double prefill_ms =
+      this->model.token_ms() * static_cast<double>(prompt.prompt_tokens);
+  const double total_ms = output_ms + prefill_ms;
+  return total_ms > 0 ? output_ms / total_ms : 0;
+}
+
+void PlacementCost::CountOutputShare(const Prompt& prompt) {
+  const double share = this->OutputShare(prompt);
+  const double mean = this->mean_output_share.value_or(share);
+  this->mean_output_share = mean + kOutputShareSmoothing * (share - mean);
+}
+
 bool PlacementCost::IsLong(const Prompt& prompt) const {
-  return static_cast<double>(prompt.max_output_tokens) > this->mean_output;
+  return this->mean_output_share &&
+         this->OutputShare(prompt) >
+             *this->mean_output_share + kLongShareMargin;
 }
 
 common::Duration PlacementCost::RunTime(const EndpointChoice& choice,
@@ -238,7 +277,8 @@
                                                       : kPlainPriorLatencyMs;
   // Endpoints get slower when nearly all of their slots are in use.
   const double utilization = (in_flight + 1) / slots;
-  const double expected = latency * (1 + utilization * utilization);
+  const double expected = latency * (1 + utilization * utilization) *
+                          record.work_rate().FactorAt(now);
   choice.predicted = common::FromSeconds(expected / 1000);
   choice.idle = in_flight < slots;
   return expected + latency * std::max(0.0, in_flight + 1 - slots);
@@ -249,6 +289,9 @@
   const auto uncached = static_cast<double>(ticket.uncached_tokens);
   this->mean_uncached += kUncachedSmoothing * (uncached - this->mean_uncached);
   this->model.Observe(ticket.tokens_ahead, now - ticket.sent_at);
+  if (ticket.endpoint)
+    ticket.endpoint->work_rate().OnDuration(now - ticket.sent_at,
+                                            ticket.usual_time, now);
 }
 
 void PlacementCost::OnFinished(const SendTicket& ticket,
--- a/source/core/gateway/dispatcher.cc
+++ b/source/core/gateway/dispatcher.cc
@@ -6,6 +6,7 @@
 
 #include "core/common/error.h"
 #include "core/common/hash.h"
+#include "core/gateway/peer_loads.h"
 #include "core/runtime/boot_clock.h"
 #include "core/runtime/sleep.h"
 #include "core/runtime/worker_pool.h"
@@ -60,7 +61,12 @@
   this->retry_window.SetHostCount(this->host_count);
   this->part_suspect_list.SetHostCount(this->host_count);
   for (auto& [name, pool] : this->pools)
-    pool->SetHostCount(this->host_count);
+    this->SetHostCountOf(*pool);
+}
+
+void Dispatcher::SetHostCountOf(ServicePool& pool) const {
+  pool.SetHostCount(this->host_count);
+  pool.SetNewsAge(DatagramInterval(this->host_count - 1));
 }
 
 void Dispatcher::Refresh() {
@@ -75,9 +81,11 @@
     if (service.cache_store)
       continue;
     auto& pool = this->pools[service.name];
-    if (!pool)
+    if (!pool) {
       pool = std::make_unique<ServicePool>(
           this->settings.zone, this->host_count, this->random_source.Next());
+      this->SetHostCountOf(*pool);
+    }
     pool->Update(service, endpoints_by_service[service.name]);
   }
   this->IndexEndpoints();
@@ -104,6 +112,14 @@
   found->second.pool->OnSent(prompt, now);
 }
 
+void Dispatcher::OnPeerWorkFactor(uint64_t endpoint_hash, double factor) {
+  const auto found = this->engines_by_hash.find(endpoint_hash);
+  if (found == this->engines_by_hash.end())
+    return;
+  if (const auto record = found->second.record.lock())
+    record->work_rate().OnReport(factor, runtime::BootNow());
+}
+
 void Dispatcher::OnPeerUnreachable(uint64_t endpoint_hash) {
   const auto found = this->engines_by_hash.find(endpoint_hash);
   if (found == this->engines_by_hash.end())
--- a/source/core/gateway/dispatcher.h
+++ b/source/core/gateway/dispatcher.h
@@ -136,6 +136,9 @@
   // Called when another host has sent a prompt to an engine.
   void OnPeerPrompt(uint64_t endpoint_hash, const dispatch::PeerPrompt& prompt);
 
+  // Called when an engine has told another host how long work takes there.
+  void OnPeerWorkFactor(uint64_t endpoint_hash, double factor);
+
   // Called when another host could not reach an engine.
   void OnPeerUnreachable(uint64_t endpoint_hash);
   // Sets the callback for endpoints that this host cannot reach.
@@ -198,6 +201,7 @@
   };
 
   void IndexEndpoints();
+  void SetHostCountOf(dispatch::ServicePool& pool) const;
   using SendsByEndpoint =
       std::unordered_map<const dispatch::EndpointRecord*,
                          std::vector<dispatch::SendProgress>>;
--- a/source/core/gateway/peer_loads.cc
+++ b/source/core/gateway/peer_loads.cc
@@ -34,10 +34,11 @@
 constexpr double kMaxDatagramsPerSecond = 2000;
 // An update with the maximum number of prompts or stores is sent immediately.
 // With these limits an update fits into kMaxDatagramBytes.
-constexpr size_t kMaxPrompts = 32;
-constexpr size_t kMaxStores = 14;
+constexpr size_t kMaxPrompts = 28;
+constexpr size_t kMaxStores = 12;
 constexpr size_t kMaxExcessesPerStore = 4;
 constexpr size_t kMaxUnreachable = 16;
+constexpr size_t kMaxWorkFactors = 16;
 constexpr size_t kMaxDatagramBytes = 1472;
 constexpr common::Duration kErrorPause = std::chrono::milliseconds(50);
 
@@ -81,9 +82,16 @@
   return usage;
 }
 
-// [prompts, stores, hashes of unreachable endpoints]
+// [endpoint, percent]. Later versions may add fields.
+ReportedWorkFactor DecodeWorkFactor(const msgpack::object& item) {
+  const auto fields = ElementsOf(item, 2, kMaxDatagramBytes);
+  return {fields[0].as<uint64_t>(), fields[1].as<uint32_t>()};
+}
+
+// [prompts, stores, hashes of unreachable endpoints], and the work factors if
+// there are any.
 PeerUpdate DecodeLists(const msgpack::object& value) {
-  const auto lists = ElementsOf(value, 3, 3);
+  const auto lists = ElementsOf(value, 3, 4);
   PeerUpdate update;
   for (const msgpack::object& item : ElementsOf(lists[0], 0, kMaxPrompts))
     update.prompts.push_back(DecodePrompt(item));
@@ -91,6 +99,10 @@
     update.stores.push_back(DecodeStoreUsage(item));
   for (const msgpack::object& hash : ElementsOf(lists[2], 0, kMaxUnreachable))
     update.unreachable.push_back(hash.as<uint64_t>());
+  if (lists.size() == 3)
+    return update;
+  for (const msgpack::object& item : ElementsOf(lists[3], 0, kMaxWorkFactors))
+    update.work_factors.push_back(DecodeWorkFactor(item));
   return update;
 }
 
@@ -110,8 +122,15 @@
       item.push_back(excess);
     stores.push_back(std::move(item));
   }
-  return Json::to_msgpack(Json::array(
-      {std::move(prompts), std::move(stores), Json(update.unreachable)}));
+  Json lists = Json::array(
+      {std::move(prompts), std::move(stores), Json(update.unreachable)});
+  if (!update.work_factors.empty()) {
+    Json factors = Json::array();
+    for (const ReportedWorkFactor& reported : update.work_factors)
+      factors.push_back({reported.endpoint, reported.percent});
+    lists.push_back(std::move(factors));
+  }
+  return Json::to_msgpack(lists);
 }
 
 std::optional<PeerUpdate> DecodePeerUpdate(const uint8_t* bytes, size_t size) {
@@ -135,7 +154,8 @@
       sent_datagrams(counters.GetCounter("peer_datagrams_sent_total")),
       received_datagrams(counters.GetCounter("peer_datagrams_received_total")),
       malformed_datagrams(
-          counters.GetCounter("peer_datagrams_malformed_total")) {
+          counters.GetCounter("peer_datagrams_malformed_total")),
+      work_factors(counters.GetCounter("engine_work_factors_shared_total")) {
   try {
     const udp::endpoint endpoint(boost::asio::ip::make_address(address.ip),
                                  address.port);
@@ -192,6 +212,21 @@
     this->pending_update.unreachable.push_back(common::Hash64(endpoint));
 }
 
+void PeerLoads::OnWorkFactor(std::string_view endpoint, double factor) {
+  constexpr double kMaxPercent = 100 * dispatch::WorkRate::kMaxFactor;
+  const uint64_t hash = common::Hash64(endpoint);
+  const auto percent =
+      static_cast<uint32_t>(std::clamp(100 * factor, 1.0, kMaxPercent));
+  auto& factors = this->pending_update.work_factors;
+  std::erase_if(factors, [&](const ReportedWorkFactor& reported) {
+    return reported.endpoint == hash;
+  });
+  if (factors.size() >= kMaxWorkFactors)
+    return;
+  this->work_factors.Add();
+  factors.push_back({hash, percent});
+}
+
 void PeerLoads::Start() {
   runtime::SpawnLocal([this] { this->Receive(); });
   runtime::SpawnLocal([this] { this->SendLoop(); });
@@ -252,6 +287,9 @@
   const common::TimePoint now = runtime::BootNow();
   for (const SentPrompt& sent : update.prompts)
     this->dispatcher.OnPeerPrompt(sent.endpoint, sent.prompt);
+  for (const ReportedWorkFactor& reported : update.work_factors)
+    this->dispatcher.OnPeerWorkFactor(reported.endpoint,
+                                      reported.percent / 100.0);
   for (const uint64_t endpoint : update.unreachable)
     this->dispatcher.OnPeerUnreachable(endpoint);
   for (const CacheStoreUsage& usage : update.stores) {
--- a/source/core/gateway/peer_loads.h
+++ b/source/core/gateway/peer_loads.h
@@ -41,16 +41,30 @@
                          const CacheStoreUsage&) = default;
 };
 
+// How long work takes on an endpoint, as it has reported to a host.
+struct ReportedWorkFactor {
+  // Hash of the endpoint's id.
+  uint64_t endpoint = 0;
+  // Percent of the usual time.
+  uint32_t percent = 0;
+
+  friend bool operator==(const ReportedWorkFactor&,
+                         const ReportedWorkFactor&) = default;
+};
+
 // Contents of one datagram between hosts.
 struct PeerUpdate {
   std::vector<SentPrompt> prompts;
   std::vector<CacheStoreUsage> stores;
   // Hashes of the ids of unreachable endpoints.
   std::vector<uint64_t> unreachable;
+  // Not encoded when empty, so that hosts of versions that do not know this
+  // list read the other ones.
+  std::vector<ReportedWorkFactor> work_factors = {};
 
   bool IsEmpty() const {
     return this->prompts.empty() && this->stores.empty() &&
-           this->unreachable.empty();
+           this->unreachable.empty() && this->work_factors.empty();
   }
 
   friend bool operator==(const PeerUpdate&, const PeerUpdate&) = default;
@@ -85,6 +99,7 @@
   void OnTransfer(const reuse::StoreTransfer& transfer);
   void OnFetched(std::string_view store, common::Duration excess);
   void OnUnreachable(std::string_view endpoint);
+  void OnWorkFactor(std::string_view endpoint, double factor);
   // Starts the fibers that send and receive; they run until Stop().
   void Start();
   void Stop();
@@ -105,6 +120,7 @@
   common::Counter& sent_datagrams;
   common::Counter& received_datagrams;
   common::Counter& malformed_datagrams;
+  common::Counter& work_factors;
   std::vector<boost::asio::ip::udp::endpoint> peers;
   PeerUpdate pending_update;
   bool stopping = false;
--- a/source/core/gateway/request_task.cc
+++ b/source/core/gateway/request_task.cc
@@ -118,6 +118,7 @@
   ticket.urgency = this->urgency;
   ticket.uncached_tokens = choice.uncached_tokens;
   ticket.is_long = choice.is_long;
+  ticket.usual_time = choice.usual_time;
   if (this->request.prompt) {
     ticket.memory_tokens = this->request.prompt->MemoryTokens();
     ticket.max_output_tokens = this->request.prompt->max_output_tokens;
--- a/source/core/gateway/request_task.h
+++ b/source/core/gateway/request_task.h
@@ -194,6 +194,9 @@
   // Records the prompt in the pool and tells the other hosts about it.
   void RecordPrompt(const dispatch::EndpointChoice& choice,
                     const dispatch::SendTicket& ticket);
+  void RecordLoad(const dispatch::LoadReport& load,
+                  dispatch::EndpointRecord& record,
+                  common::TimePoint now);
   void RecordHead(const forward::ResponseHead& head,
                   dispatch::EndpointRecord& record);
   dispatch::AnswerKind ExpectedAnswer() const;
--- a/source/core/gateway/request_task_response.cc
+++ b/source/core/gateway/request_task_response.cc
@@ -35,11 +35,24 @@
   record.OnBytesReceived(now);
   this->deps.dispatcher.OnNotice(record, head.notice);
   if (head.load)
-    record.OnLoadReport(*head.load, now);
+    this->RecordLoad(*head.load, record, now);
   if (head.weight_version && this->request.prompt)
     record.SetVersion(this->request.prompt->model, *head.weight_version);
 }
 
+void RequestTask::RecordLoad(const dispatch::LoadReport& load,
+                             dispatch::EndpointRecord& record,
+                             TimePoint now) {
+  // Each of many hosts hears little from an endpoint, so they share reports
+  // that change what they would choose.
+  const bool is_news =
+      load.work_factor && record.work_rate().IsNews(*load.work_factor, now);
+  record.OnLoadReport(load, now);
+  if (is_news && this->deps.peer_loads && this->pool->is_engine())
+    this->deps.peer_loads->OnWorkFactor(record.endpoint().id,
+                                        *load.work_factor);
+}
+
 RequestTask::AttemptResult RequestTask::HandleResponse(
     forward::EndpointSend& send,
     const forward::ResponseHead& head,
--- a/source/platform/codec.cc
+++ b/source/platform/codec.cc
@@ -129,16 +129,25 @@
                      [](const std::string& a) { return !a.empty(); });
 }
 
+// Decodes "running,waiting,slots" or "running,waiting,slots,time", where time
+// is how long work takes at this moment in percent of the usual time. Figures
+// that later versions append are ignored, and a malformed time costs only
+// itself.
 std::optional<dispatch::LoadReport> DecodeLoad(std::string_view text) {
+  constexpr double kUsualTime = 100;
   const auto numbers = SplitList(text);
-  if (numbers.size() != 3)
+  if (numbers.size() < 3)
     return std::nullopt;
   const auto running = ParseUnsigned(numbers[0]);
   const auto waiting = ParseUnsigned(numbers[1]);
   const auto slots = ParseUnsigned(numbers[2]);
   if (!running || !waiting || !slots)
     return std::nullopt;
-  return dispatch::LoadReport{*running, *waiting, *slots};
+  dispatch::LoadReport load{*running, *waiting, *slots};
+  const auto time = numbers.size() > 3 ? ParseUnsigned(numbers[3]) : std::nullopt;
+  if (time && *time > 0)
+    load.work_factor = static_cast<double>(*time) / kUsualTime;
+  return load;
 }
 
 std::optional<Duration> DecodeKeepAlive(std::string_view text) {
--- a/source/unit_tests/core/gateway/peer_loads_test.cc
+++ b/source/unit_tests/core/gateway/peer_loads_test.cc
@@ -14,6 +14,7 @@
                     {~uint64_t{0}, {0, 700, std::chrono::seconds(2), true}}};
   update.stores = {{7, 5200, {0, 310}}, {8, 0, {}}};
   update.unreachable = {12, ~uint64_t{0}};
+  update.work_factors = {{12, 250}, {~uint64_t{0}, 100}};
   return update;
 }
 
@@ -23,6 +24,32 @@
   CHECK(DecodePeerUpdate(bytes.data(), bytes.size()) == update);
 }
 
+// Guards against hosts of the previous version that reject the datagrams of
+// newer ones while no engine tells how long work takes.
+TEST_CASE("an update without work factors has the lists of older versions") {
+  PeerUpdate update = MakeUpdate();
+  update.work_factors.clear();
+  const auto bytes = EncodePeerUpdate(update);
+  CHECK(bytes[0] == 0x93);
+  CHECK(DecodePeerUpdate(bytes.data(), bytes.size()) == update);
+}
+
+// Guards against updates that do not fit into one datagram. Load: each list has
+// as many entries as a host collects before it sends them.
+TEST_CASE("the largest update fits into a datagram") {
+  constexpr uint64_t kHash = ~uint64_t{0};
+  constexpr uint32_t kTokens = 70000;
+  PeerUpdate update;
+  update.prompts.assign(
+      28, {kHash, {kTokens, kTokens, std::chrono::seconds(60), true}});
+  update.stores.assign(12, {kHash, kTokens, {60000, 60000, 60000, 60000}});
+  update.unreachable.assign(16, kHash);
+  update.work_factors.assign(16, {kHash, 800});
+  const auto bytes = EncodePeerUpdate(update);
+  CHECK(bytes.size() <= 1472);
+  CHECK(DecodePeerUpdate(bytes.data(), bytes.size()) == update);
+}
+
 // Guards against a total number of datagrams that grows with the square of the
 // number of hosts. Load: hundreds of hosts with a few requests per second each.
 TEST_CASE("the datagram interval grows with the number of hosts") {
--- a/source/unit_tests/platform/codec_test.cc
+++ b/source/unit_tests/platform/codec_test.cc
@@ -143,6 +143,28 @@
   CHECK_FALSE(codec.DecodeResponseHead(503, {}).not_run);
 }
 
+// Load: endpoints that share their machines and report how long work takes.
+// Guards against losing the whole report because of a figure that is new or
+// malformed.
+TEST_CASE("the load header may tell how long work takes") {
+  const PlatformCodec codec;
+  const auto load = [&](const char* value) {
+    return codec.DecodeResponseHead(200, {{"X-Server-Load", value}}).load;
+  };
+  CHECK_FALSE(load("3,1,8")->work_factor);
+  CHECK(load("3,1,8,250")->work_factor == 2.5);
+  CHECK(load("3,1,8,100")->work_factor == 1.0);
+  CHECK(load("3,1,8,250,7")->work_factor == 2.5);
+  for (const char* value :
+       {"3,1,8,", "3,1,8,x", "3,1,8,-1", "3,1,8,0", "3,1,8,1e9",
+        "3,1,8,99999999999999999999"}) {
+    INFO(value);
+    REQUIRE(load(value));
+    CHECK(load(value)->running == 3);
+    CHECK_FALSE(load(value)->work_factor);
+  }
+}
+
 TEST_CASE("malformed header values are ignored") {
   const PlatformCodec codec;
   struct Case {
