--- a/source/core/gateway/peer_loads.cc
+++ b/source/core/gateway/peer_loads.cc
@@ -34,11 +34,11 @@
 constexpr double kMaxDatagramsPerSecond = 2000;
 // An update with the maximum number of prompts or stores is sent immediately.
 // With these limits an update fits into kMaxDatagramBytes.
-constexpr size_t kMaxPrompts = 28;
-constexpr size_t kMaxStores = 12;
+constexpr size_t kMaxPrompts = 32;
+constexpr size_t kMaxStores = 14;
 constexpr size_t kMaxExcessesPerStore = 4;
 constexpr size_t kMaxUnreachable = 16;
-constexpr size_t kMaxWorkFactors = 16;
+constexpr size_t kMaxWorkFactors = 64;
 constexpr size_t kMaxDatagramBytes = 1472;
 constexpr common::Duration kErrorPause = std::chrono::milliseconds(50);
 
@@ -252,8 +252,18 @@
 }
 
 void PeerLoads::SendPending() {
-  const auto bytes = EncodePeerUpdate(this->pending_update);
-  this->pending_update = {};
+  PeerUpdate update = std::exchange(this->pending_update, {});
+  std::vector<uint8_t> bytes = EncodePeerUpdate(update);
+  if (bytes.size() > kMaxDatagramBytes) {
+    PeerUpdate factors;
+    factors.work_factors = std::exchange(update.work_factors, {});
+    this->SendToPeers(EncodePeerUpdate(factors));
+    bytes = EncodePeerUpdate(update);
+  }
+  this->SendToPeers(bytes);
+}
+
+void PeerLoads::SendToPeers(const std::vector<uint8_t>& bytes) {
   for (const udp::endpoint& peer : this->peers) {
     error_code error;
     // Send errors are ignored: datagrams may get lost on the network as well.
--- a/source/core/gateway/peer_loads.h
+++ b/source/core/gateway/peer_loads.h
@@ -108,6 +108,7 @@
   void Receive();
   void SendLoop();
   void SendPending();
+  void SendToPeers(const std::vector<uint8_t>& bytes);
 
   using Socket = boost::asio::ip::udp::socket;
 
