--- a/source/core/dispatch/placement_cost.cc
+++ b/source/core/dispatch/placement_cost.cc
@@ -204,16 +204,14 @@
     end += tokens;
     if (end <= choice.cached_tokens)
       continue;
-    if (!IsWorthFetching(stored[i], tokens, endpoint.zone,
+    if (!IsWorthFetching(stored[i], tokens, endpoint.zone, choice.fetch_ms,
                          requirements.fetch_limits))
       return;
     // Fetches take link time rather than engine time.
     choice.uncached_tokens =
         std::max<int64_t>(0, choice.uncached_tokens - tokens);
-    const double transfer_ms = TransferMs(stored[i], endpoint.zone);
-    choice.fetch_ms =
-        std::max(choice.fetch_ms, stored[i].wait_ms) + transfer_ms;
-    choice.link_ms += transfer_ms;
+    choice.fetch_ms = FetchEndMs(stored[i], endpoint.zone, choice.fetch_ms);
+    choice.link_ms += TransferMs(stored[i], endpoint.zone);
   }
 }
 
--- a/source/core/dispatch/stored_part.cc
+++ b/source/core/dispatch/stored_part.cc
@@ -18,9 +18,16 @@
                                   : kCrossZoneTransferFactor * part.transfer_ms;
 }
 
+double FetchEndMs(const StoredPart& part,
+                  std::string_view engine_zone,
+                  double fetch_ms) {
+  return std::max(fetch_ms, part.wait_ms) + TransferMs(part, engine_zone);
+}
+
 bool IsWorthFetching(const StoredPart& part,
                      int64_t tokens,
                      std::string_view engine_zone,
+                     double fetch_ms,
                      const FetchLimits& limits) {
   if (!part.readable)
     return false;
@@ -28,7 +35,8 @@
       limits.prefill_token_ms * static_cast<double>(tokens);
   const double max_fetch_ms =
       std::min(limits.max_wait_ms, kPrefillWeight * prefill_ms + kSlackMs);
-  return part.wait_ms + TransferMs(part, engine_zone) <= max_fetch_ms;
+  return part.wait_ms + TransferMs(part, engine_zone) <= max_fetch_ms &&
+         FetchEndMs(part, engine_zone, fetch_ms) <= limits.max_wait_ms;
 }
 
 }  // namespace jujuberock::dispatch
--- a/source/core/dispatch/stored_part.h
+++ b/source/core/dispatch/stored_part.h
@@ -31,12 +31,20 @@
 // Time that a transfer to an engine in `engine_zone` occupies the links.
 double TransferMs(const StoredPart& part, std::string_view engine_zone);
 
+// Time from the send until the part has been fetched, after the fetches of the
+// parts before it, which take `fetch_ms`.
+double FetchEndMs(const StoredPart& part,
+                  std::string_view engine_zone,
+                  double fetch_ms);
+
 // Returns whether fetching the part costs less than prefilling it, which takes
-// engine time from other requests, and delays the request by no more than the
-// limit.
+// engine time from other requests, and whether it ends within the limit after
+// the fetches of the parts before it. A chain of fetches that each keep the
+// limit would make the request late.
 bool IsWorthFetching(const StoredPart& part,
                      int64_t tokens,
                      std::string_view engine_zone,
+                     double fetch_ms,
                      const FetchLimits& limits);
 
 }  // namespace jujuberock::dispatch
--- a/source/core/events/event_log.h
+++ b/source/core/events/event_log.h
@@ -106,6 +106,7 @@
   kElapsedMs,
   kHeldMs,
   kPredictedMs,
+  kWorkFactor,
   kFirstByteMs,
   kLongestPauseMs,
   kTookMs,
@@ -144,7 +145,7 @@
   kEndEvidence,
 };
 
-inline constexpr size_t kFieldCount = 50;
+inline constexpr size_t kFieldCount = 51;
 
 inline constexpr common::NameTable<Field, kFieldCount> kFieldNames(
     {"request",
@@ -161,6 +162,7 @@
      "elapsed_ms",
      "held_ms",
      "predicted_ms",
+     "work_factor",
      "first_byte_ms",
      "longest_pause_ms",
      "took_ms",
--- a/source/core/gateway/request_task_log.cc
+++ b/source/core/gateway/request_task_log.cc
@@ -43,6 +43,7 @@
       .Add(Field::kConfigVersion, this->config->version())
       .Add(Field::kHeldMs, this->held)
       .Add(Field::kPredictedMs, choice.predicted)
+      .Add(Field::kWorkFactor, record.work_rate().FactorAt(now))
       .Add(Field::kUncachedTokens, choice.uncached_tokens)
       .Add(Field::kFetchedTokens, this->reuse.fetched_tokens)
       .Add(Field::kSkippedTokens, this->reuse.skipped_tokens)
--- a/source/core/reuse/cache_store_index.cc
+++ b/source/core/reuse/cache_store_index.cc
@@ -320,7 +320,7 @@
   const bool is_worth_it =
       is_cached || conditions.chance < kProbeShare ||
       dispatch::IsWorthFetching(copy.part, tokens, conditions.engine_zone,
-                                conditions.limits);
+                                plan.fetch_ms, conditions.limits);
   if (!is_worth_it) {
     plan.skipped_tokens += tokens;
     return false;
@@ -330,6 +330,8 @@
   if (is_cached)
     return true;
   QueueTransfer(*copy.store, tokens, conditions, now, plan);
+  plan.fetch_ms = dispatch::FetchEndMs(copy.part, conditions.engine_zone,
+                                       plan.fetch_ms);
   plan.fetched_tokens += tokens;
   return true;
 }
--- a/source/core/reuse/cache_store_index.h
+++ b/source/core/reuse/cache_store_index.h
@@ -82,6 +82,8 @@
   int64_t fetched_tokens = 0;
   int64_t skipped_tokens = 0;
   int64_t absent_tokens = 0;
+  // Time until the last of these tokens has been fetched.
+  double fetch_ms = 0;
   // Store of the largest part that is fetched.
   std::string main_source;
   // Transfers that the request adds to the links of the stores.
