--- a/source/core/dispatch/endpoint_record.cc
+++ b/source/core/dispatch/endpoint_record.cc
@@ -1,6 +1,7 @@
 #include "core/dispatch/endpoint_record.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace jujuberock::dispatch {
 
@@ -62,6 +63,16 @@
     this->rate.OnReport(*load.work_factor, now);
 }
 
+bool EndpointRecord::IsNews(const LoadReport& load,
+                            common::TimePoint now) const {
+  if (!load.work_factor)
+    return false;
+  const double others = std::max(
+      0.0, static_cast<double>(load.waiting - this->own_waiting()));
+  return this->rate.IsNews(*load.work_factor, now) ||
+         std::abs(others - this->OthersWaiting(now)) >= kWaitingNews;
+}
+
 bool EndpointRecord::HasJustRefused(common::TimePoint now) const {
   return this->refused_at && now - *this->refused_at < kRefusalLifetime;
 }
--- a/source/core/dispatch/endpoint_record.h
+++ b/source/core/dispatch/endpoint_record.h
@@ -80,6 +80,10 @@
   void OnStarted(SendTicket& ticket, common::TimePoint now);
   void OnEnded(SendTicket& ticket, common::TimePoint now);
   void OnLoadReport(const LoadReport& report, common::TimePoint now);
+  // Whether the report would change choices of a host that knows only what this
+  // record says: work takes another time, or another number of requests waits.
+  // False for endpoints that do not report how long work takes.
+  bool IsNews(const LoadReport& load, common::TimePoint now) const;
   // Some bytes arrived from the endpoint.
   void OnBytesReceived(common::TimePoint now) { this->last_byte_at = now; }
   // The endpoint has refused a request, or accepted one.
@@ -146,6 +150,9 @@
   static constexpr common::Duration kMaxReportAge =
       std::chrono::milliseconds(1500);
 
+  // A difference of waiting requests below this is no news.
+  static constexpr double kWaitingNews = 1;
+
   // An endpoint that refused a request is expected to refuse others for this
   // long.
   static constexpr common::Duration kRefusalLifetime = std::chrono::seconds(1);
--- a/source/core/dispatch/placement_cost.cc
+++ b/source/core/dispatch/placement_cost.cc
@@ -126,14 +126,14 @@
                record.part_cache().CachedTokens(preparation.parts));
   choice.uncached_tokens = prompt.prompt_tokens - choice.cached_tokens;
   this->ApplyStoredParts(choice, requirements);
-  const double peer_tokens = record.PeerTokens(this->model.token_ms(), now);
+  const double factor = record.work_rate().FactorAt(now);
+  const double token_ms = factor * this->model.token_ms();
+  const double peer_tokens = record.PeerTokens(token_ms, now);
   const double peer_pending =
       std::max(peer_tokens, record.OthersWaiting(now) * this->mean_uncached);
   const double pending_ahead =
       static_cast<double>(record.PendingTokens(requirements.urgency)) +
       peer_pending;
-  const double factor = record.work_rate().FactorAt(now);
-  const double token_ms = factor * this->model.token_ms();
   // The engine prefills other prompts during the fetch, so the times overlap.
   const double fetch_as_tokens = choice.fetch_ms / token_ms;
   choice.usual_time = this->model.Predict(
--- a/source/core/gateway/dispatcher.cc
+++ b/source/core/gateway/dispatcher.cc
@@ -104,12 +104,13 @@
   found->second.pool->OnSent(prompt, now);
 }
 
-void Dispatcher::OnPeerWorkFactor(uint64_t endpoint_hash, double factor) {
+void Dispatcher::OnPeerLoad(uint64_t endpoint_hash,
+                            const dispatch::LoadReport& load) {
   const auto found = this->engines_by_hash.find(endpoint_hash);
   if (found == this->engines_by_hash.end())
     return;
   if (const auto record = found->second.record.lock())
-    record->work_rate().OnReport(factor, runtime::BootNow());
+    record->OnLoadReport(load, runtime::BootNow());
 }
 
 void Dispatcher::OnPeerUnreachable(uint64_t endpoint_hash) {
--- a/source/core/gateway/dispatcher.h
+++ b/source/core/gateway/dispatcher.h
@@ -136,8 +136,8 @@
   // Called when another host has sent a prompt to an engine.
   void OnPeerPrompt(uint64_t endpoint_hash, const dispatch::PeerPrompt& prompt);
 
-  // Called when an engine has told another host how long work takes there.
-  void OnPeerWorkFactor(uint64_t endpoint_hash, double factor);
+  // Called when an engine has reported its load to another host.
+  void OnPeerLoad(uint64_t endpoint_hash, const dispatch::LoadReport& load);
 
   // Called when another host could not reach an engine.
   void OnPeerUnreachable(uint64_t endpoint_hash);
--- a/source/core/gateway/peer_loads.cc
+++ b/source/core/gateway/peer_loads.cc
@@ -38,7 +38,9 @@
 constexpr size_t kMaxStores = 14;
 constexpr size_t kMaxExcessesPerStore = 4;
 constexpr size_t kMaxUnreachable = 16;
-constexpr size_t kMaxWorkFactors = 64;
+constexpr size_t kMaxLoads = 48;
+// Figures of a load are cut to this, which bounds the size of an entry.
+constexpr double kMaxFigure = 65535;
 constexpr size_t kMaxDatagramBytes = 1472;
 constexpr common::Duration kErrorPause = std::chrono::milliseconds(50);
 
@@ -82,14 +84,16 @@
   return usage;
 }
 
-// [endpoint, percent]. Later versions may add fields.
-ReportedWorkFactor DecodeWorkFactor(const msgpack::object& item) {
-  const auto fields = ElementsOf(item, 2, kMaxDatagramBytes);
-  return {fields[0].as<uint64_t>(), fields[1].as<uint32_t>()};
+// [endpoint, running, waiting, slots, percent]. Later versions may add fields.
+EngineLoad DecodeLoad(const msgpack::object& item) {
+  const auto fields = ElementsOf(item, 5, kMaxDatagramBytes);
+  return {fields[0].as<uint64_t>(), fields[1].as<uint32_t>(),
+          fields[2].as<uint32_t>(), fields[3].as<uint32_t>(),
+          fields[4].as<uint32_t>()};
 }
 
-// [prompts, stores, hashes of unreachable endpoints], and the work factors if
-// there are any.
+// [prompts, stores, hashes of unreachable endpoints], and the loads of engines
+// if there are any.
 PeerUpdate DecodeLists(const msgpack::object& value) {
   const auto lists = ElementsOf(value, 3, 4);
   PeerUpdate update;
@@ -101,8 +105,8 @@
     update.unreachable.push_back(hash.as<uint64_t>());
   if (lists.size() == 3)
     return update;
-  for (const msgpack::object& item : ElementsOf(lists[3], 0, kMaxWorkFactors))
-    update.work_factors.push_back(DecodeWorkFactor(item));
+  for (const msgpack::object& item : ElementsOf(lists[3], 0, kMaxLoads))
+    update.loads.push_back(DecodeLoad(item));
   return update;
 }
 
@@ -124,11 +128,12 @@
   }
   Json lists = Json::array(
       {std::move(prompts), std::move(stores), Json(update.unreachable)});
-  if (!update.work_factors.empty()) {
-    Json factors = Json::array();
-    for (const ReportedWorkFactor& reported : update.work_factors)
-      factors.push_back({reported.endpoint, reported.percent});
-    lists.push_back(std::move(factors));
+  if (!update.loads.empty()) {
+    Json loads = Json::array();
+    for (const EngineLoad& load : update.loads)
+      loads.push_back({load.endpoint, load.running, load.waiting, load.slots,
+                       load.work_percent});
+    lists.push_back(std::move(loads));
   }
   return Json::to_msgpack(lists);
 }
@@ -155,7 +160,7 @@
       received_datagrams(counters.GetCounter("peer_datagrams_received_total")),
       malformed_datagrams(
           counters.GetCounter("peer_datagrams_malformed_total")),
-      work_factors(counters.GetCounter("engine_work_factors_shared_total")) {
+      shared_loads(counters.GetCounter("engine_loads_shared_total")) {
   try {
     const udp::endpoint endpoint(boost::asio::ip::make_address(address.ip),
                                  address.port);
@@ -212,19 +217,22 @@
     this->pending_update.unreachable.push_back(common::Hash64(endpoint));
 }
 
-void PeerLoads::OnWorkFactor(std::string_view endpoint, double factor) {
-  constexpr double kMaxPercent = 100 * dispatch::WorkRate::kMaxFactor;
+void PeerLoads::OnLoad(std::string_view endpoint,
+                       const dispatch::LoadReport& load) {
+  const auto clamped = [](double value) {
+    return static_cast<uint32_t>(std::clamp(value, 0.0, kMaxFigure));
+  };
   const uint64_t hash = common::Hash64(endpoint);
-  const auto percent =
-      static_cast<uint32_t>(std::clamp(100 * factor, 1.0, kMaxPercent));
-  auto& factors = this->pending_update.work_factors;
-  std::erase_if(factors, [&](const ReportedWorkFactor& reported) {
-    return reported.endpoint == hash;
-  });
-  if (factors.size() >= kMaxWorkFactors)
+  auto& loads = this->pending_update.loads;
+  std::erase_if(loads,
+                [&](const EngineLoad& other) { return other.endpoint == hash; });
+  if (loads.size() >= kMaxLoads)
     return;
-  this->work_factors.Add();
-  factors.push_back({hash, percent});
+  this->shared_loads.Add();
+  loads.push_back({hash, clamped(static_cast<double>(load.running)),
+                   clamped(static_cast<double>(load.waiting)),
+                   clamped(static_cast<double>(load.slots)),
+                   clamped(100 * load.work_factor.value_or(1))});
 }
 
 void PeerLoads::Start() {
@@ -255,9 +263,9 @@
   PeerUpdate update = std::exchange(this->pending_update, {});
   std::vector<uint8_t> bytes = EncodePeerUpdate(update);
   if (bytes.size() > kMaxDatagramBytes) {
-    PeerUpdate factors;
-    factors.work_factors = std::exchange(update.work_factors, {});
-    this->SendToPeers(EncodePeerUpdate(factors));
+    PeerUpdate loads;
+    loads.loads = std::exchange(update.loads, {});
+    this->SendToPeers(EncodePeerUpdate(loads));
     bytes = EncodePeerUpdate(update);
   }
   this->SendToPeers(bytes);
@@ -297,9 +305,10 @@
   const common::TimePoint now = runtime::BootNow();
   for (const SentPrompt& sent : update.prompts)
     this->dispatcher.OnPeerPrompt(sent.endpoint, sent.prompt);
-  for (const ReportedWorkFactor& reported : update.work_factors)
-    this->dispatcher.OnPeerWorkFactor(reported.endpoint,
-                                      reported.percent / 100.0);
+  for (const EngineLoad& load : update.loads)
+    this->dispatcher.OnPeerLoad(
+        load.endpoint,
+        {load.running, load.waiting, load.slots, load.work_percent / 100.0});
   for (const uint64_t endpoint : update.unreachable)
     this->dispatcher.OnPeerUnreachable(endpoint);
   for (const CacheStoreUsage& usage : update.stores) {
--- a/source/core/gateway/peer_loads.h
+++ b/source/core/gateway/peer_loads.h
@@ -41,15 +41,17 @@
                          const CacheStoreUsage&) = default;
 };
 
-// How long work takes on an endpoint, as it has reported to a host.
-struct ReportedWorkFactor {
+// Load that an engine has reported to a host.
+struct EngineLoad {
   // Hash of the endpoint's id.
   uint64_t endpoint = 0;
-  // Percent of the usual time.
-  uint32_t percent = 0;
+  uint32_t running = 0;
+  uint32_t waiting = 0;
+  uint32_t slots = 0;
+  // How long work takes there, in percent of the usual time.
+  uint32_t work_percent = 0;
 
-  friend bool operator==(const ReportedWorkFactor&,
-                         const ReportedWorkFactor&) = default;
+  friend bool operator==(const EngineLoad&, const EngineLoad&) = default;
 };
 
 // Contents of one datagram between hosts.
@@ -60,11 +62,11 @@
   std::vector<uint64_t> unreachable;
   // Not encoded when empty, so that hosts of versions that do not know this
   // list read the other ones.
-  std::vector<ReportedWorkFactor> work_factors = {};
+  std::vector<EngineLoad> loads = {};
 
   bool IsEmpty() const {
     return this->prompts.empty() && this->stores.empty() &&
-           this->unreachable.empty() && this->work_factors.empty();
+           this->unreachable.empty() && this->loads.empty();
   }
 
   friend bool operator==(const PeerUpdate&, const PeerUpdate&) = default;
@@ -99,7 +101,7 @@
   void OnTransfer(const reuse::StoreTransfer& transfer);
   void OnFetched(std::string_view store, common::Duration excess);
   void OnUnreachable(std::string_view endpoint);
-  void OnWorkFactor(std::string_view endpoint, double factor);
+  void OnLoad(std::string_view endpoint, const dispatch::LoadReport& load);
   // Starts the fibers that send and receive; they run until Stop().
   void Start();
   void Stop();
@@ -121,7 +123,7 @@
   common::Counter& sent_datagrams;
   common::Counter& received_datagrams;
   common::Counter& malformed_datagrams;
-  common::Counter& work_factors;
+  common::Counter& shared_loads;
   std::vector<boost::asio::ip::udp::endpoint> peers;
   PeerUpdate pending_update;
   bool stopping = false;
--- a/source/core/gateway/request_task_response.cc
+++ b/source/core/gateway/request_task_response.cc
@@ -43,14 +43,12 @@
 void RequestTask::RecordLoad(const dispatch::LoadReport& load,
                              dispatch::EndpointRecord& record,
                              TimePoint now) {
-  // Each of many hosts hears little from an endpoint, so they share reports
-  // that change what they would choose.
-  const bool is_news =
-      load.work_factor && record.work_rate().IsNews(*load.work_factor, now);
+  // Each of many hosts hears little from an engine, so they share reports that
+  // change what they would choose.
+  const bool is_news = record.IsNews(load, now);
   record.OnLoadReport(load, now);
   if (is_news && this->deps.peer_loads && this->pool->is_engine())
-    this->deps.peer_loads->OnWorkFactor(record.endpoint().id,
-                                        *load.work_factor);
+    this->deps.peer_loads->OnLoad(record.endpoint().id, load);
 }
 
 RequestTask::AttemptResult RequestTask::HandleResponse(
--- a/source/unit_tests/core/gateway/peer_loads_test.cc
+++ b/source/unit_tests/core/gateway/peer_loads_test.cc
@@ -14,7 +14,7 @@
                     {~uint64_t{0}, {0, 700, std::chrono::seconds(2), true}}};
   update.stores = {{7, 5200, {0, 310}}, {8, 0, {}}};
   update.unreachable = {12, ~uint64_t{0}};
-  update.work_factors = {{12, 250}, {~uint64_t{0}, 100}};
+  update.loads = {{12, 3, 1, 24, 250}, {~uint64_t{0}, 0, 0, 24, 100}};
   return update;
 }
 
@@ -26,19 +26,19 @@
 
 // Guards against hosts of the previous version that reject the datagrams of
 // newer ones while no engine tells how long work takes.
-TEST_CASE("an update without work factors has the lists of older versions") {
+TEST_CASE("an update without loads has the lists of older versions") {
   PeerUpdate update = MakeUpdate();
-  update.work_factors.clear();
+  update.loads.clear();
   const auto bytes = EncodePeerUpdate(update);
   CHECK(bytes[0] == 0x93);
   CHECK(DecodePeerUpdate(bytes.data(), bytes.size()) == update);
 }
 
-// Load: an update whose other lists are full sends its work factors in a
+// Load: an update whose other lists are full sends its loads in a
 // datagram of their own. Guards against one that does not fit.
-TEST_CASE("the most work factors fit into a datagram") {
+TEST_CASE("the most loads fit into a datagram") {
   PeerUpdate update;
-  update.work_factors.assign(64, {~uint64_t{0}, 800});
+  update.loads.assign(48, {~uint64_t{0}, 65535, 65535, 65535, 65535});
   const auto bytes = EncodePeerUpdate(update);
   CHECK(bytes.size() <= 1472);
   CHECK(DecodePeerUpdate(bytes.data(), bytes.size()) == update);
