Learn the time per prompt token with the prompts of other hosts ahead

Cause: with 83 hosts nearly all prompts ahead are those of others, which the observation left out although the prediction adds them.

--- a/source/core/dispatch/endpoint_choice.h
+++ b/source/core/dispatch/endpoint_choice.h
@@ -22,6 +22,9 @@
   bool idle = false;
   // Tokens that the engine must prefill.
   int64_t uncached_tokens = 0;
+  // The same plus the tokens that it prefills before, or those that it could
+  // prefill during the fetches.
+  int64_t tokens_ahead = 0;
   // Tokens that the engine is assumed to have cached.
   int64_t cached_tokens = 0;
   // Time to fetch the tokens that are neither cached nor prefilled, and the
--- a/source/core/dispatch/endpoint_record.cc
+++ b/source/core/dispatch/endpoint_record.cc
@@ -15,7 +15,8 @@
 void EndpointRecord::OnSent(SendTicket& ticket, common::TimePoint now) {
   ticket.sent_at = now;
   ticket.tokens_ahead =
-      this->PendingTokens(ticket.urgency) + ticket.uncached_tokens;
+      std::max(ticket.tokens_ahead,
+               this->PendingTokens(ticket.urgency) + ticket.uncached_tokens);
   if (this->own_waiting() == 0)
     this->unanswered_since = now;
   ++this->in_flight;
--- a/source/core/dispatch/endpoint_record.h
+++ b/source/core/dispatch/endpoint_record.h
@@ -39,8 +39,9 @@
   int urgency = 0;
   // Prompt tokens that the engine must prefill; 0 for plain services.
   int64_t uncached_tokens = 0;
-  // The same plus the tokens of the sends that were already waiting there with
-  // the same or a higher urgency.
+  // The same plus the tokens that the engine was expected to prefill before:
+  // those of the choice, and at least those of this host's sends that were
+  // already waiting there with the same or a higher urgency.
   int64_t tokens_ahead = 0;
   int64_t memory_tokens = 0;
   int64_t max_output_tokens = 0;
--- a/source/core/dispatch/placement_cost.cc
+++ b/source/core/dispatch/placement_cost.cc
@@ -136,9 +136,10 @@
       peer_pending;
   // The engine prefills other prompts during the fetch, so the times overlap.
   const double fetch_as_tokens = choice.fetch_ms / token_ms;
-  choice.usual_time = this->model.Predict(
+  choice.tokens_ahead =
       static_cast<int64_t>(std::max(pending_ahead, fetch_as_tokens)) +
-      choice.uncached_tokens);
+      choice.uncached_tokens;
+  choice.usual_time = this->model.Predict(choice.tokens_ahead);
   choice.predicted = common::Scale(choice.usual_time, factor);
   const double prefill_ms =
       token_ms * static_cast<double>(choice.uncached_tokens);
--- a/source/core/gateway/request_task.cc
+++ b/source/core/gateway/request_task.cc
@@ -117,6 +117,7 @@
   ticket.endpoint = choice.endpoint;
   ticket.urgency = this->urgency;
   ticket.uncached_tokens = choice.uncached_tokens;
+  ticket.tokens_ahead = choice.tokens_ahead;
   ticket.is_long = choice.is_long;
   ticket.usual_time = choice.usual_time;
   if (this->request.prompt) {
--- a/source/unit_tests/core/dispatch/placement_spread_test.cc
+++ b/source/unit_tests/core/dispatch/placement_spread_test.cc
@@ -174,5 +174,42 @@
   CHECK(disturbed <= questions / 20);
 }
 
+// Load: a host with a small share of the traffic, whose prompts wait behind
+// those of 82 other hosts. Guards against taking the prefill of other hosts'
+// prompts for that of its own: the time per token is then learnt too long, the
+// prompts ahead are counted with it, and requests are refused as late although
+// the engines would begin them in time.
+TEST_CASE("the time per token does not contain the prompts of other hosts") {
+  constexpr double kTokenMs = 0.028;
+  constexpr double kBaseMs = 40;
+  ServicePool pool("z", 83, kSeed);
+  pool.Update(MakeService(), MakeEngines(10));
+  Prompt prompt;
+  prompt.model = "m";
+  prompt.prompt_tokens = 4000;
+  prompt.max_output_tokens = 10;
+  SendRequirements requirements;
+  requirements.prompt = &prompt;
+  for (int i = 0; i < 1000; ++i) {
+    const TimePoint now = At(milliseconds(500 * i));
+    // Every engine has got two prompts of other hosts.
+    for (const auto& [id, record] : pool.records())
+      record->OnPeerPrompt({8000, 8000, milliseconds(300), false}, now);
+    const auto choice = pool.Choose(requirements, now);
+    REQUIRE(choice);
+    SendTicket ticket;
+    ticket.endpoint = choice->endpoint;
+    ticket.uncached_tokens = choice->uncached_tokens;
+    ticket.tokens_ahead = choice->tokens_ahead;
+    choice->endpoint->OnSent(ticket, now);
+    const TimePoint first_token =
+        now + common::FromSeconds((kBaseMs + kTokenMs * 12000) / 1000);
+    choice->endpoint->OnStarted(ticket, first_token);
+    pool.OnFirstToken(ticket, first_token);
+    choice->endpoint->OnEnded(ticket, first_token);
+  }
+  CHECK(pool.first_token().token_ms() < 1.25 * kTokenMs);
+}
+
 }  // namespace
 }  // namespace jujuberock::dispatch
