--- a/source/core/dispatch/stored_part.cc
+++ b/source/core/dispatch/stored_part.cc
@@ -36,7 +36,7 @@
   const double max_fetch_ms =
       std::min(limits.max_wait_ms, kPrefillWeight * prefill_ms + kSlackMs);
   return part.wait_ms + TransferMs(part, engine_zone) <= max_fetch_ms &&
-         FetchEndMs(part, engine_zone, fetch_ms) <= limits.max_wait_ms;
+         FetchEndMs(part, engine_zone, fetch_ms) <= limits.max_end_ms;
 }
 
 }  // namespace jujuberock::dispatch
--- a/source/core/dispatch/stored_part.h
+++ b/source/core/dispatch/stored_part.h
@@ -2,6 +2,7 @@
 #define CORE_DISPATCH_STORED_PART_H_
 
 #include <cstdint>
+#include <limits>
 #include <string_view>
 
 namespace jujuberock::dispatch {
@@ -20,9 +21,13 @@
 
 // Limits and rates that decide whether a fetch is worth its cost.
 struct FetchLimits {
+  // Time that a single fetch may take.
   double max_wait_ms = 0;
   // Time that an engine takes to prefill one token.
   double prefill_token_ms = 0.02;
+  // Time until all fetches of a prompt must have ended, because later ones are
+  // discarded.
+  double max_end_ms = std::numeric_limits<double>::infinity();
 };
 
 // Transfers between zones take this many times as long.
@@ -38,9 +43,9 @@
                   double fetch_ms);
 
 // Returns whether fetching the part costs less than prefilling it, which takes
-// engine time from other requests, and whether it ends within the limit after
-// the fetches of the parts before it. A chain of fetches that each keep the
-// limit would make the request late.
+// engine time from other requests, and whether it ends before it is discarded,
+// after the fetches of the parts before it. A chain of fetches that are each
+// short enough may come too late.
 bool IsWorthFetching(const StoredPart& part,
                      int64_t tokens,
                      std::string_view engine_zone,
--- a/source/core/gateway/request_task_send.cc
+++ b/source/core/gateway/request_task_send.cc
@@ -99,6 +99,8 @@
   conditions.limits.prefill_token_ms = this->pool->first_token().token_ms();
   conditions.limits.max_wait_ms = common::ToMilliseconds(
       Scale(this->route->target_latency, kFetchWaitShare));
+  conditions.limits.max_end_ms = common::ToMilliseconds(
+      Scale(this->route->target_latency, kFetchTimeShare));
   const auto& properties = this->pool->engine_properties();
   if (properties) {
     conditions.token_bytes = properties->kv_token_bytes;
