--- a/source/core/dispatch/stored_part.cc
+++ b/source/core/dispatch/stored_part.cc
@@ -9,6 +9,8 @@
 // Prefilling a part again takes engine time from other requests, so it weighs
 // more than a delay of the request itself.
 constexpr double kPrefillWeight = 3;
+// A fetch may take this much longer than the weighted prefill, so that short
+// parts are fetched at all.
 constexpr double kSlackMs = 20;
 
 }  // namespace
