--- a/source/core/dispatch/endpoint_choice.h
+++ b/source/core/dispatch/endpoint_choice.h
@@ -15,6 +15,8 @@
   std::shared_ptr<EndpointRecord> endpoint;
   // Expected time to the first byte.
   common::Duration predicted{0};
+  // The same on an engine on which work takes its usual time.
+  common::Duration usual_time{0};
   // Whether the endpoint has a free slot and enough memory, and no request is
   // waiting there.
   bool idle = false;
@@ -24,6 +26,9 @@
   int64_t memory_tokens = 0;
   // Tokens that the engine must prefill.
   int64_t uncached_tokens = 0;
+  // The same plus the tokens that it prefills before, or those that it could
+  // prefill during the fetches.
+  int64_t tokens_ahead = 0;
   // Tokens that the engine is assumed to have cached.
   int64_t cached_tokens = 0;
   // Time to fetch the tokens that are neither cached nor prefilled, and the
--- a/source/core/dispatch/endpoint_record.cc
+++ b/source/core/dispatch/endpoint_record.cc
@@ -1,6 +1,7 @@
 #include "core/dispatch/endpoint_record.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace jujuberock::dispatch {
 
@@ -13,8 +14,9 @@
 void EndpointRecord::OnSent(SendTicket& ticket, common::TimePoint now) {
   ticket.sent_at = now;
   this->cold_limit.OnSent(now);
-  ticket.tokens_ahead =
-      this->engine_room.OwnPending(ticket.urgency) + ticket.uncached_tokens;
+  ticket.tokens_ahead = std::max(
+      ticket.tokens_ahead,
+      this->engine_room.OwnPending(ticket.urgency) + ticket.uncached_tokens);
   if (this->own_waiting() == 0)
     this->unanswered_since = now;
   ++this->in_flight;
@@ -55,6 +57,18 @@
   this->reported_at = now;
   this->own_in_flight_at_report = this->in_flight;
   this->own_waiting_at_report = this->own_waiting();
+  if (load.work_factor)
+    this->rate.OnReport(*load.work_factor, now);
+}
+
+bool EndpointRecord::IsNews(const LoadReport& load,
+                            common::TimePoint now) const {
+  if (!load.work_factor)
+    return false;
+  const double others =
+      std::max(0.0, static_cast<double>(load.waiting - this->own_waiting()));
+  return this->rate.IsNews(*load.work_factor, now) ||
+         std::abs(others - this->OthersWaiting(now)) >= kWaitingNews;
 }
 
 bool EndpointRecord::HasJustRefused(common::TimePoint now) const {
--- a/source/core/dispatch/endpoint_record.h
+++ b/source/core/dispatch/endpoint_record.h
@@ -14,6 +14,7 @@
 #include "core/dispatch/part_cache.h"
 #include "core/dispatch/peer_prompt.h"
 #include "core/dispatch/process_continuity.h"
+#include "core/dispatch/work_rate.h"
 
 namespace jujuberock::dispatch {
 
@@ -22,6 +23,9 @@
   int64_t running = 0;
   int64_t waiting = 0;
   int64_t slots = 0;
+  // How long work takes at this moment; 1 is the usual time. Not all endpoints
+  // report it.
+  std::optional<double> work_factor = std::nullopt;
 };
 
 class EndpointRecord;
@@ -32,11 +36,14 @@
   int urgency = 0;
   // Prompt tokens that the engine must prefill; 0 for plain services.
   int64_t uncached_tokens = 0;
-  // The same plus the tokens of the sends that were already waiting there with
-  // the same or a higher urgency.
+  // The same plus the tokens that the engine was expected to prefill before:
+  // those of the choice, and at least those of this host's sends that were
+  // already waiting there with the same or a higher urgency.
   int64_t tokens_ahead = 0;
   int64_t memory_tokens = 0;
   int64_t max_output_tokens = 0;
+  // Expected time to the first token if work takes its usual time.
+  common::Duration usual_time{0};
   // Whether the run is expected to stream many events.
   bool is_long = false;
   common::TimePoint sent_at;
@@ -65,12 +72,18 @@
   const ColdLimit& cold() const { return this->cold_limit; }
   PartCache& part_cache() { return this->cache; }
   const PartCache& part_cache() const { return this->cache; }
+  WorkRate& work_rate() { return this->rate; }
+  const WorkRate& work_rate() const { return this->rate; }
 
   void OnSent(SendTicket& ticket, common::TimePoint now);
   // The first byte of the answer arrived.
   void OnStarted(SendTicket& ticket, common::TimePoint now);
   void OnEnded(SendTicket& ticket, common::TimePoint now);
   void OnLoadReport(const LoadReport& report, common::TimePoint now);
+  // Whether the report would change choices of a host that knows only what this
+  // record says: work takes another time, or another number of requests waits.
+  // False for endpoints that do not report how long work takes.
+  bool IsNews(const LoadReport& load, common::TimePoint now) const;
   // Some bytes arrived from the endpoint.
   void OnBytesReceived(common::TimePoint now) { this->last_byte_at = now; }
   // The endpoint has refused a request, or accepted one.
@@ -138,6 +151,9 @@
   static constexpr common::Duration kMaxReportAge =
       std::chrono::milliseconds(1500);
 
+  // A difference of waiting requests below this is no news.
+  static constexpr double kWaitingNews = 1;
+
   // An endpoint that refused a request is expected to refuse others for this
   // long.
   static constexpr common::Duration kRefusalLifetime = std::chrono::seconds(1);
@@ -155,6 +171,7 @@
   ProcessContinuity continuity;
   ColdLimit cold_limit;
   PartCache cache;
+  WorkRate rate;
   int64_t in_flight = 0;
   int64_t started = 0;
   int64_t own_long_runs = 0;
--- a/source/core/dispatch/placement_cost.cc
+++ b/source/core/dispatch/placement_cost.cc
@@ -27,7 +27,10 @@
 // the pauses in the stream, even for prompts that are less urgent.
 constexpr double kPendingPrefillWeight = 0.5;
 // Smoothing of the means over requests and over first tokens.
-constexpr double kOutputSmoothing = 0.02;
+constexpr double kOutputShareSmoothing = 0.02;
+// Excess over the mean from which a run counts as long. Keeps runs that are all
+// alike from being divided.
+constexpr double kLongShareMargin = 0.05;
 constexpr double kUncachedSmoothing = 0.05;
 constexpr double kMemorySmoothing = 0.02;
 constexpr double kOutputTimeSmoothing = 0.02;
@@ -58,10 +61,7 @@
   Preparation preparation;
   // A request that looks for a ready endpoint was counted before.
   if (requirements.prompt && !requirements.ready_only)
-    this->mean_output +=
-        kOutputSmoothing *
-        (static_cast<double>(requirements.prompt->max_output_tokens) -
-         this->mean_output);
+    this->CountOutputShare(*requirements.prompt);
   this->long_runs.UpdateShare(endpoints, this->model.token_ms(), now);
   if (!requirements.prompt)
     return preparation;
@@ -128,10 +128,12 @@
   choice.uncached_tokens = prompt.prompt_tokens - choice.cached_tokens;
   this->ApplyStoredParts(choice, requirements);
   const EngineRoom& room = record.room();
+  const double factor = record.work_rate().FactorAt(now);
+  const double token_ms = factor * this->model.token_ms();
   const double peer_pending =
-      room.PeerPending(requirements.urgency, this->model.token_ms(), now);
+      room.PeerPending(requirements.urgency, token_ms, now);
   const double all_peer_pending =
-      room.PeerPending(kUrgencyLevels - 1, this->model.token_ms(), now);
+      room.PeerPending(kUrgencyLevels - 1, token_ms, now);
   // Reports do not tell the urgency of what waits, so what they show beyond the
   // announcements counts as ahead.
   const double unannounced_pending = std::max(
@@ -141,12 +143,14 @@
       peer_pending + unannounced_pending;
   choice.ahead_tokens = static_cast<int64_t>(pending_ahead);
   // The engine prefills other prompts during the fetch, so the times overlap.
-  const double fetch_as_tokens = choice.fetch_ms / this->model.token_ms();
-  choice.predicted = this->model.Predict(
+  const double fetch_as_tokens = choice.fetch_ms / token_ms;
+  choice.tokens_ahead =
       static_cast<int64_t>(std::max(pending_ahead, fetch_as_tokens)) +
-      choice.uncached_tokens);
+      choice.uncached_tokens;
+  choice.usual_time = this->model.Predict(choice.tokens_ahead);
+  choice.predicted = common::Scale(choice.usual_time, factor);
   const double prefill_ms =
-      this->model.token_ms() * static_cast<double>(choice.uncached_tokens);
+      token_ms * static_cast<double>(choice.uncached_tokens);
   double cost = common::ToMilliseconds(choice.predicted);
   cost += kEngineTimeWeight * prefill_ms + kLinkTimeWeight * choice.link_ms;
   if (preparation.first == &record)
@@ -157,7 +161,7 @@
       static_cast<double>(room.OwnPending(kUrgencyLevels - 1)) +
       all_peer_pending;
   if (choice.is_long)
-    cost += kPendingPrefillWeight * this->model.token_ms() * all_pending;
+    cost += kPendingPrefillWeight * token_ms * all_pending;
   cost += this->long_runs.MisplacementCost(record.endpoint().id, choice.is_long,
                                            prefill_ms);
   choice.run_time = this->RunTime(choice, prompt);
@@ -220,21 +224,36 @@
     end += tokens;
     if (end <= choice.cached_tokens)
       continue;
-    if (!IsWorthFetching(stored[i], tokens, endpoint.zone,
+    if (!IsWorthFetching(stored[i], tokens, endpoint.zone, choice.fetch_ms,
                          requirements.fetch_limits))
       return;
     // Fetches take link time rather than engine time.
     choice.uncached_tokens =
         std::max<int64_t>(0, choice.uncached_tokens - tokens);
-    const double transfer_ms = TransferMs(stored[i], endpoint.zone);
-    choice.fetch_ms =
-        std::max(choice.fetch_ms, stored[i].wait_ms) + transfer_ms;
-    choice.link_ms += transfer_ms;
+    choice.fetch_ms = FetchEndMs(stored[i], endpoint.zone, choice.fetch_ms);
+    choice.link_ms += TransferMs(stored[i], endpoint.zone);
   }
 }
 
+double PlacementCost::OutputShare(const Prompt& prompt) const {
+  const double output_ms = this->long_output_token_ms *
+                           static_cast<double>(prompt.max_output_tokens);
+  const double prefill_ms =
+      this->model.token_ms() * static_cast<double>(prompt.prompt_tokens);
+  const double total_ms = output_ms + prefill_ms;
+  return total_ms > 0 ? output_ms / total_ms : 0;
+}
+
+void PlacementCost::CountOutputShare(const Prompt& prompt) {
+  const double share = this->OutputShare(prompt);
+  const double mean = this->mean_output_share.value_or(share);
+  this->mean_output_share = mean + kOutputShareSmoothing * (share - mean);
+}
+
 bool PlacementCost::IsLong(const Prompt& prompt) const {
-  return static_cast<double>(prompt.max_output_tokens) > this->mean_output;
+  return this->mean_output_share &&
+         this->OutputShare(prompt) >
+             *this->mean_output_share + kLongShareMargin;
 }
 
 common::Duration PlacementCost::RunTime(const EndpointChoice& choice,
@@ -257,7 +276,8 @@
                                                       : kPlainPriorLatencyMs;
   // Endpoints get slower when nearly all of their slots are in use.
   const double utilization = (in_flight + 1) / slots;
-  const double expected = latency * (1 + utilization * utilization);
+  const double expected = latency * (1 + utilization * utilization) *
+                          record.work_rate().FactorAt(now);
   choice.predicted = common::FromSeconds(expected / 1000);
   choice.idle = in_flight < slots;
   return expected + latency * std::max(0.0, in_flight + 1 - slots);
@@ -275,6 +295,9 @@
   const auto uncached = static_cast<double>(ticket.uncached_tokens);
   this->mean_uncached += kUncachedSmoothing * (uncached - this->mean_uncached);
   this->model.Observe(ticket.tokens_ahead, now - ticket.sent_at);
+  if (ticket.endpoint)
+    ticket.endpoint->work_rate().OnDuration(now - ticket.sent_at,
+                                            ticket.usual_time, now);
 }
 
 void PlacementCost::OnFinished(const SendTicket& ticket,
--- a/source/core/dispatch/placement_cost.h
+++ b/source/core/dispatch/placement_cost.h
@@ -69,6 +69,12 @@
   void FindAffinity(Preparation& preparation,
                     const Prompt& prompt,
                     const Endpoints& endpoints) const;
+  // Share of a run's time that is spent on its output rather than on its
+  // prompt. The number of output tokens alone does not tell the runs that a
+  // prefill disturbs from those that disturb others: a long prompt may have
+  // more output than most short questions.
+  double OutputShare(const Prompt& prompt) const;
+  void CountOutputShare(const Prompt& prompt);
   bool IsLong(const Prompt& prompt) const;
   common::Duration RunTime(const EndpointChoice& choice,
                            const Prompt& prompt) const;
@@ -97,8 +103,7 @@
   double mean_uncached = 0;
   // Moving average of the KV cache use of runs, in tokens.
   double mean_memory = 0;
-  // Moving average of the `max_output_tokens` of requests.
-  double mean_output = 0;
+  std::optional<double> mean_output_share;
   // Time per output token. For short runs it includes the pause after the first
   // token, which dominates it.
   double long_output_token_ms = 6;
--- a/source/core/events/event_log.h
+++ b/source/core/events/event_log.h
@@ -119,6 +119,7 @@
      "request_resent",
      "request_resumed",
      "request_cut",
+     "request_turned_away",
      "request_answered",
      "request_unanswered"});
 
@@ -138,6 +139,7 @@
   kElapsedMs,
   kHeldMs,
   kPredictedMs,
+  kWorkFactor,
   kFirstByteMs,
   kLongestPauseMs,
   kTookMs,
@@ -184,7 +186,7 @@
   kColdLeftMs,
 };
 
-inline constexpr size_t kFieldCount = 58;
+inline constexpr size_t kFieldCount = 59;
 
 inline constexpr common::NameTable<Field, kFieldCount> kFieldNames(
     {"request",
@@ -201,6 +203,7 @@
      "elapsed_ms",
      "held_ms",
      "predicted_ms",
+     "work_factor",
      "first_byte_ms",
      "longest_pause_ms",
      "took_ms",
--- a/source/core/gateway/dispatcher.cc
+++ b/source/core/gateway/dispatcher.cc
@@ -159,6 +159,15 @@
     line.Add(Field::kColdLeftMs, *until - now);
 }
 
+void Dispatcher::OnPeerLoad(uint64_t endpoint_hash,
+                            const dispatch::LoadReport& load) {
+  const auto found = this->engines_by_hash.find(endpoint_hash);
+  if (found == this->engines_by_hash.end())
+    return;
+  if (const auto record = found->second.record.lock())
+    record->OnLoadReport(load, runtime::BootNow());
+}
+
 void Dispatcher::OnPeerUnreachable(uint64_t endpoint_hash) {
   const auto found = this->engines_by_hash.find(endpoint_hash);
   if (found == this->engines_by_hash.end())
--- a/source/core/gateway/dispatcher.h
+++ b/source/core/gateway/dispatcher.h
@@ -147,6 +147,9 @@
   // Called when a zone is no longer evacuated.
   void OnZoneReturned(const catalog::Evacuations::Change& change);
 
+  // Called when an engine has reported its load to another host.
+  void OnPeerLoad(uint64_t endpoint_hash, const dispatch::LoadReport& load);
+
   // Called when another host could not reach an engine.
   void OnPeerUnreachable(uint64_t endpoint_hash);
   // Sets the callback for endpoints that this host cannot reach.
--- a/source/core/gateway/peer_loads.cc
+++ b/source/core/gateway/peer_loads.cc
@@ -44,6 +44,9 @@
 constexpr common::Duration kMinEvacuationInterval =
     std::chrono::milliseconds(500);
 constexpr double kMaxEvacuationsPerSecond = 100;
+constexpr size_t kMaxLoads = 48;
+// Figures of a load are cut to this, which bounds the size of an entry.
+constexpr double kMaxFigure = 65535;
 constexpr size_t kMaxDatagramBytes = 1472;
 constexpr common::Duration kErrorPause = std::chrono::milliseconds(50);
 
@@ -99,10 +102,18 @@
            fields[3].as<uint32_t>() != 0}};
 }
 
-// [prompts, stores, hashes of unreachable endpoints], and the evacuations as a
-// fourth list if there are any.
+// [endpoint, running, waiting, slots, percent]. Later versions may add fields.
+EngineLoad DecodeLoad(const msgpack::object& item) {
+  const auto fields = ElementsOf(item, 5, kMaxDatagramBytes);
+  return {fields[0].as<uint64_t>(), fields[1].as<uint32_t>(),
+          fields[2].as<uint32_t>(), fields[3].as<uint32_t>(),
+          fields[4].as<uint32_t>()};
+}
+
+// [prompts, stores, hashes of unreachable endpoints], and the evacuations and
+// the loads of engines as a fourth and fifth list if there are any.
 PeerUpdate DecodeLists(const msgpack::object& value) {
-  const auto lists = ElementsOf(value, 3, 4);
+  const auto lists = ElementsOf(value, 3, 5);
   PeerUpdate update;
   for (const msgpack::object& item :
        ElementsOf(lists[0], 0, kMaxReceivedPrompts))
@@ -115,6 +126,10 @@
     return update;
   for (const msgpack::object& item : ElementsOf(lists[3], 0, kMaxEvacuations))
     update.evacuations.push_back(DecodeEvacuation(item));
+  if (lists.size() == 4)
+    return update;
+  for (const msgpack::object& item : ElementsOf(lists[4], 0, kMaxLoads))
+    update.loads.push_back(DecodeLoad(item));
   return update;
 }
 
@@ -136,12 +151,20 @@
   }
   Json lists = Json::array(
       {std::move(prompts), std::move(stores), Json(update.unreachable)});
+  if (update.evacuations.empty() && update.loads.empty())
+    return Json::to_msgpack(lists);
   Json evacuations = Json::array();
   for (const auto& [zone, record] : update.evacuations)
     evacuations.push_back(
         {zone, record.era, record.revision, record.is_ended ? 1 : 0});
-  if (!evacuations.empty())
-    lists.push_back(std::move(evacuations));
+  lists.push_back(std::move(evacuations));
+  if (update.loads.empty())
+    return Json::to_msgpack(lists);
+  Json loads = Json::array();
+  for (const EngineLoad& load : update.loads)
+    loads.push_back({load.endpoint, load.running, load.waiting, load.slots,
+                     load.work_percent});
+  lists.push_back(std::move(loads));
   return Json::to_msgpack(lists);
 }
 
@@ -168,7 +191,8 @@
       sent_datagrams(counters.GetCounter("peer_datagrams_sent_total")),
       received_datagrams(counters.GetCounter("peer_datagrams_received_total")),
       malformed_datagrams(
-          counters.GetCounter("peer_datagrams_malformed_total")) {
+          counters.GetCounter("peer_datagrams_malformed_total")),
+      shared_loads(counters.GetCounter("engine_loads_shared_total")) {
   try {
     const udp::endpoint endpoint(boost::asio::ip::make_address(address.ip),
                                  address.port);
@@ -225,6 +249,24 @@
     this->pending_update.unreachable.push_back(common::Hash64(endpoint));
 }
 
+void PeerLoads::OnLoad(std::string_view endpoint,
+                       const dispatch::LoadReport& load) {
+  const auto clamped = [](double value) {
+    return static_cast<uint32_t>(std::clamp(value, 0.0, kMaxFigure));
+  };
+  const uint64_t hash = common::Hash64(endpoint);
+  auto& loads = this->pending_update.loads;
+  std::erase_if(
+      loads, [&](const EngineLoad& other) { return other.endpoint == hash; });
+  if (loads.size() >= kMaxLoads)
+    return;
+  this->shared_loads.Add();
+  loads.push_back({hash, clamped(static_cast<double>(load.running)),
+                   clamped(static_cast<double>(load.waiting)),
+                   clamped(static_cast<double>(load.slots)),
+                   clamped(100 * load.work_factor.value_or(1))});
+}
+
 void PeerLoads::Start() {
   runtime::SpawnLocal([this] { this->Receive(); });
   runtime::SpawnLocal([this] { this->SendLoop(); });
@@ -264,16 +306,22 @@
   if (update.IsEmpty())
     return;
   this->evacuations_sent_at = now;
-  this->SendToAll(update);
+  this->SendToPeers(EncodePeerUpdate(update));
 }
 
 void PeerLoads::SendPending() {
-  this->SendToAll(this->pending_update);
-  this->pending_update = {};
+  PeerUpdate update = std::exchange(this->pending_update, {});
+  std::vector<uint8_t> bytes = EncodePeerUpdate(update);
+  if (bytes.size() > kMaxDatagramBytes) {
+    PeerUpdate loads;
+    loads.loads = std::exchange(update.loads, {});
+    this->SendToPeers(EncodePeerUpdate(loads));
+    bytes = EncodePeerUpdate(update);
+  }
+  this->SendToPeers(bytes);
 }
 
-void PeerLoads::SendToAll(const PeerUpdate& update) {
-  const auto bytes = EncodePeerUpdate(update);
+void PeerLoads::SendToPeers(const std::vector<uint8_t>& bytes) {
   for (const udp::endpoint& peer : this->peers) {
     error_code error;
     // Send errors are ignored: datagrams may get lost on the network as well.
@@ -307,6 +355,10 @@
   const common::TimePoint now = runtime::BootNow();
   for (const SentPrompt& sent : update.prompts)
     this->dispatcher.OnPeerPrompt(sent.endpoint, sent.prompt);
+  for (const EngineLoad& load : update.loads)
+    this->dispatcher.OnPeerLoad(
+        load.endpoint,
+        {load.running, load.waiting, load.slots, load.work_percent / 100.0});
   for (const uint64_t endpoint : update.unreachable)
     this->dispatcher.OnPeerUnreachable(endpoint);
   for (const catalog::PeerEvacuation& evacuation : update.evacuations)
--- a/source/core/gateway/peer_loads.h
+++ b/source/core/gateway/peer_loads.h
@@ -42,6 +42,19 @@
                          const CacheStoreUsage&) = default;
 };
 
+// Load that an engine has reported to a host.
+struct EngineLoad {
+  // Hash of the endpoint's id.
+  uint64_t endpoint = 0;
+  uint32_t running = 0;
+  uint32_t waiting = 0;
+  uint32_t slots = 0;
+  // How long work takes there, in percent of the usual time.
+  uint32_t work_percent = 0;
+
+  friend bool operator==(const EngineLoad&, const EngineLoad&) = default;
+};
+
 // Contents of one datagram between hosts.
 struct PeerUpdate {
   std::vector<SentPrompt> prompts;
@@ -51,10 +64,14 @@
   // What the store said of evacuated zones. Sent in datagrams of their own,
   // because hosts of former versions do not understand them.
   std::vector<catalog::PeerEvacuation> evacuations = {};
+  // Not encoded when empty, so that hosts of versions that do not know this
+  // list read the other ones.
+  std::vector<EngineLoad> loads = {};
 
   bool IsEmpty() const {
     return this->prompts.empty() && this->stores.empty() &&
-           this->unreachable.empty() && this->evacuations.empty();
+           this->unreachable.empty() && this->evacuations.empty() &&
+           this->loads.empty();
   }
 
   friend bool operator==(const PeerUpdate&, const PeerUpdate&) = default;
@@ -94,6 +111,7 @@
   void OnTransfer(const reuse::StoreTransfer& transfer);
   void OnFetched(std::string_view store, common::Duration excess);
   void OnUnreachable(std::string_view endpoint);
+  void OnLoad(std::string_view endpoint, const dispatch::LoadReport& load);
   // Starts the fibers that send and receive; they run until Stop().
   void Start();
   void Stop();
@@ -102,7 +120,7 @@
   void Receive();
   void SendLoop();
   void SendPending();
-  void SendToAll(const PeerUpdate& update);
+  void SendToPeers(const std::vector<uint8_t>& bytes);
   void RepeatEvacuations();
 
   using Socket = boost::asio::ip::udp::socket;
@@ -117,6 +135,7 @@
   common::Counter& sent_datagrams;
   common::Counter& received_datagrams;
   common::Counter& malformed_datagrams;
+  common::Counter& shared_loads;
   std::vector<boost::asio::ip::udp::endpoint> peers;
   PeerUpdate pending_update;
   common::TimePoint evacuations_sent_at;
--- a/source/core/gateway/request_task_response.cc
+++ b/source/core/gateway/request_task_response.cc
@@ -42,11 +42,22 @@
   record.OnBytesReceived(now);
   this->deps.dispatcher.OnNotice(record, head.notice);
   if (head.load)
-    record.OnLoadReport(*head.load, now);
+    this->RecordLoad(*head.load, record, now);
   if (head.weight_version && this->request.prompt)
     record.SetVersion(this->request.prompt->model, *head.weight_version);
 }
 
+void RequestTask::RecordLoad(const dispatch::LoadReport& load,
+                             dispatch::EndpointRecord& record,
+                             TimePoint now) {
+  // Each of many hosts hears little from an engine, so they share reports that
+  // change what they would choose.
+  const bool is_news = record.IsNews(load, now);
+  record.OnLoadReport(load, now);
+  if (is_news && this->deps.peer_loads && this->pool->is_engine())
+    this->deps.peer_loads->OnLoad(record.endpoint().id, load);
+}
+
 RequestTask::AttemptResult RequestTask::HandleResponse(
     forward::EndpointSend& send,
     const forward::ResponseHead& head,
--- a/source/unit_tests/core/gateway/peer_loads_test.cc
+++ b/source/unit_tests/core/gateway/peer_loads_test.cc
@@ -14,6 +14,7 @@
                     {~uint64_t{0}, {0, 700, std::chrono::seconds(2), true}}};
   update.stores = {{7, 5200, {0, 310}}, {8, 0, {}}};
   update.unreachable = {12, ~uint64_t{0}};
+  update.loads = {{12, 3, 1, 24, 250}, {~uint64_t{0}, 0, 0, 24, 100}};
   return update;
 }
 
@@ -28,6 +29,7 @@
 // theirs for malformed.
 TEST_CASE("evacuations are sent as a fourth list only if there are any") {
   PeerUpdate update = MakeUpdate();
+  update.loads.clear();
   const auto former = EncodePeerUpdate(update);
   CHECK(former[0] == 0x93);
   CHECK(DecodePeerUpdate(former.data(), former.size())->evacuations.empty());
@@ -50,6 +52,26 @@
   }
 }
 
+// Guards against hosts of the previous version that reject the datagrams of
+// newer ones while no engine tells how long work takes.
+TEST_CASE("an update without loads has the lists of older versions") {
+  PeerUpdate update = MakeUpdate();
+  update.loads.clear();
+  const auto bytes = EncodePeerUpdate(update);
+  CHECK(bytes[0] == 0x93);
+  CHECK(DecodePeerUpdate(bytes.data(), bytes.size()) == update);
+}
+
+// Load: an update whose other lists are full sends its loads in a
+// datagram of their own. Guards against one that does not fit.
+TEST_CASE("the most loads fit into a datagram") {
+  PeerUpdate update;
+  update.loads.assign(48, {~uint64_t{0}, 65535, 65535, 65535, 65535});
+  const auto bytes = EncodePeerUpdate(update);
+  CHECK(bytes.size() <= 1472);
+  CHECK(DecodePeerUpdate(bytes.data(), bytes.size()) == update);
+}
+
 // Guards against a total number of datagrams that grows with the square of the
 // number of hosts. Load: hundreds of hosts with a few requests per second each.
 TEST_CASE("the datagram interval grows with the number of hosts") {
