--- a/source/core/events/event_log.h
+++ b/source/core/events/event_log.h
@@ -119,6 +119,7 @@
      "request_resent",
      "request_resumed",
      "request_cut",
+     "request_turned_away",
      "request_answered",
      "request_unanswered"});
 
