Reset streams without a length that are cut off, and test callers that do not read

The test of a caller that does not read got a short response, which the kernel took whole, so nothing of it depended on closing the connection.

A response without a length (HTTP/1.0) that was closed for another body, or by the write time limit, ended with a plain close and so looked complete. Such a connection now resets on every close until the response has ended.

A body that became complete while it was being ended kept counting as about to be released, so that others waited for room that did not come and no other body was ended for them.

--- a/source/core/runtime/byte_budget.cc
+++ b/source/core/runtime/byte_budget.cc
@@ -95,6 +95,7 @@
     return;
   const std::lock_guard lock(this->budget->mutex);
   this->holder->end = nullptr;
+  this->holder->has_ended = false;
 }
 
 void ByteBudget::Reservation::Release() {
--- a/source/core/runtime/byte_budget.h
+++ b/source/core/runtime/byte_budget.h
@@ -55,7 +55,7 @@
     // most once, from any thread, and must not call the budget.
     void AllowEnd(std::function<void()> end, common::TimePoint now);
     void OnProgress(common::TimePoint now);
-    // The body is complete.
+    // The body is complete. It counts again if it was being ended.
     void ForbidEnd();
     void Release();
     size_t bytes() const;
--- a/source/core/runtime/stream_writer.cc
+++ b/source/core/runtime/stream_writer.cc
@@ -154,6 +154,7 @@
 void StreamWriter::StartStream(int status, HttpHeaders headers) {
   this->Start();
   this->form.keep_alive &= this->form.knows_chunks;
+  this->ResetOnClose(!this->form.knows_chunks);
   http::response<http::empty_body> message;
   FillHeader(message, status, headers, this->form.keep_alive);
   message.chunked(this->form.knows_chunks);
@@ -183,6 +184,7 @@
 void StreamWriter::FinishStream() {
   this->ThrowIfReplaced();
   if (!this->form.knows_chunks) {
+    this->ResetOnClose(false);
     this->has_finished = true;
     return;
   }
@@ -196,12 +198,16 @@
 void StreamWriter::ResetIfIncomplete() {
   if (!this->has_started || this->has_finished || this->form.knows_chunks)
     return;
-  error_code ignored;
-  this->stream.socket().set_option(boost::asio::socket_base::linger(true, 0),
-                                   ignored);
+  this->ResetOnClose(true);
   this->stream.close();
 }
 
+void StreamWriter::ResetOnClose(bool is_reset) {
+  error_code ignored;
+  this->stream.socket().set_option(
+      boost::asio::socket_base::linger(is_reset, 0), ignored);
+}
+
 void StreamWriter::OnCallerDisconnect(std::function<void()> callback) {
   this->watch = std::make_shared<DisconnectWatch>();
   this->watch->callback = std::move(callback);
--- a/source/core/runtime/stream_writer.h
+++ b/source/core/runtime/stream_writer.h
@@ -99,6 +99,9 @@
   void Start();
   void SendMessage(HttpResponse response);
   void ThrowIfReplaced() const;
+  // Sets whether a close, also one by a time limit, resets the connection. It
+  // does while a response without a length is incomplete.
+  void ResetOnClose(bool is_reset);
   static void ThrowIfFailed(const boost::system::error_code& error);
 
   CallerStream& stream;
--- a/source/unit_tests/core/caller/raw_client.h
+++ b/source/unit_tests/core/caller/raw_client.h
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <cerrno>
 #include <cstdlib>
 #include <string>
 
@@ -42,6 +43,7 @@
     std::array<char, 4096> buffer;
     while (text.empty() || this->received.find(text) == std::string::npos) {
       const ssize_t bytes = recv(this->socket, buffer.data(), buffer.size(), 0);
+      this->is_reset |= bytes < 0 && errno == ECONNRESET;
       if (bytes <= 0)
         break;
       this->received.append(buffer.data(), static_cast<size_t>(bytes));
@@ -49,10 +51,13 @@
     return this->received;
   }
   std::string ReadAll() { return this->ReadUntil(""); }
+  // Whether the connection ended with a reset.
+  bool was_reset() const { return this->is_reset; }
 
  private:
   int socket;
   std::string received;
+  bool is_reset = false;
 };
 
 // Returns the HTTP status of a response, or 0 if the connection ended without
--- a/source/unit_tests/core/runtime/byte_budget_test.cc
+++ b/source/unit_tests/core/runtime/byte_budget_test.cc
@@ -101,6 +101,18 @@
   CHECK_FALSE(was_ended);
 }
 
+// Guards against room that never comes: a body may become complete while it is
+// being ended, and then keeps its bytes.
+TEST_CASE("a body that is complete before it was ended still counts") {
+  ByteBudget budget(kLimits);
+  Reservation body, next;
+  REQUIRE(body.GrowTo(budget, 800));
+  body.AllowEnd([] {}, kStart);
+  REQUIRE(budget.MakeRoom(next, 100, kStart + std::chrono::seconds(9)));
+  body.ForbidEnd();
+  CHECK_FALSE(budget.MakeRoom(next, 100, kStart + std::chrono::seconds(9)));
+}
+
 // Guards against limits that a small machine can't hold, and against callers
 // that use up the descriptors for endpoints.
 TEST_CASE("limits follow from memory and descriptors") {
--- a/source/unit_tests/core/runtime/held_bytes_test.cc
+++ b/source/unit_tests/core/runtime/held_bytes_test.cc
@@ -28,12 +28,26 @@
             kAnyPort,
             this->Options(max_connections),
             [](const HttpRequest& request, ResponseWriter& writer) {
-              HttpResponse response;
-              response.body = std::to_string(request.body.size());
-              writer.Send(response);
+              Answer(request, writer);
             },
             RenderPlainError) {}
 
+  // Answers with the length of the body, or with more than a caller that does
+  // not read takes.
+  static void Answer(const HttpRequest& request, ResponseWriter& writer) {
+    if (request.target == "/stream") {
+      writer.StartStream(200, {});
+      writer.Write(std::string(kLargeAnswerBytes, 'x'));
+      writer.FinishStream();
+      return;
+    }
+    HttpResponse response;
+    response.body = request.target == "/large"
+                        ? std::string(kLargeAnswerBytes, 'x')
+                        : std::to_string(request.body.size());
+    writer.Send(response);
+  }
+
   HttpServerOptions Options(size_t max_connections) const {
     HttpServerOptions options;
     options.body_limit_bytes = kBodyBytes;
@@ -122,6 +136,31 @@
   CHECK(first.ReadAll().size() < kLargeAnswerBytes);
 }
 
+// Guards against a response that looks complete although it was cut off:
+// without a length, only a reset tells the caller.
+TEST_CASE("a stream that is closed for another body is reset") {
+  TestServer test;
+  RawClient first(test.server.address());
+  first.Send("POST /stream HTTP/1.0\r\nHost: h\r\nContent-Length: " +
+             std::to_string(kBodyBytes) + "\r\n\r\n" +
+             std::string(kBodyBytes, 'x'));
+  first.ReadUntil("\r\n\r\n");
+  RawClient second(test.server.address());
+  second.Send(Declared(kBodyBytes) + std::string(kBodyBytes, 'x'));
+  CHECK(StatusOf(second.ReadUntil(std::to_string(kBodyBytes))) == 200);
+  CHECK(first.ReadAll().size() < kLargeAnswerBytes);
+  CHECK(first.was_reset());
+}
+
+// Guards against resets of responses that are complete.
+TEST_CASE("a whole stream without a length ends without a reset") {
+  TestServer test;
+  RawClient caller(test.server.address());
+  caller.Send("GET /stream HTTP/1.0\r\nHost: h\r\n\r\n");
+  CHECK(caller.ReadAll().size() > kLargeAnswerBytes);
+  CHECK_FALSE(caller.was_reset());
+}
+
 // Guards against chunked bodies that are read ahead of their reservation, and
 // against bytes that stay counted.
 TEST_CASE("a chunked body is counted as it arrives") {
