--- a/source/core/gateway/relayed_store.cc
+++ b/source/core/gateway/relayed_store.cc
@@ -215,8 +215,10 @@
                                        const RelayAnswer& answer) const {
   if (answer.status == RelayStatus::kStoreFailing)
     return {};
-  const bool is_usable = answer.status == RelayStatus::kView ||
-                         answer.status == RelayStatus::kHistoryGone;
+  // Only changes can be unknown, a list can't.
+  const bool is_usable =
+      answer.status == RelayStatus::kView ||
+      (answer.status == RelayStatus::kHistoryGone && request.revision);
   if (!is_usable)
     return relay::kRelayStatusNames.NameOf(answer.status);
   if (answer.era < this->era())
--- a/source/core/relay/store_mirror.cc
+++ b/source/core/relay/store_mirror.cc
@@ -101,9 +101,11 @@
 std::optional<RelayAnswer> StoreMirror::AnswerChanges(const Kind& mirrored,
                                                       uint64_t since,
                                                       TimePoint arrived_at) {
-  const auto first = std::find_if(
-      mirrored.log.begin(), mirrored.log.end(),
-      [since](const Batch& batch) { return batch.revision > since; });
+  const auto first =
+      std::upper_bound(mirrored.log.begin(), mirrored.log.end(), since,
+                       [](uint64_t revision, const Batch& batch) {
+                         return revision < batch.revision;
+                       });
   // Hosts that read from another relay may be between two revisions of this
   // one, which doesn't know which of the changes they have.
   const bool is_known = since == mirrored.position.revision ||
--- a/source/unit_tests/core/gateway/relayed_store_test.cc
+++ b/source/unit_tests/core/gateway/relayed_store_test.cc
@@ -359,6 +359,19 @@
   CHECK(list.answer_age.source == ObjectSource::kStore);
 }
 
+// Guards against an answer without objects that empties the view.
+TEST_CASE("an answer to a list that is no list is not used") {
+  Fixture f;
+  f.relays.default_script = [](const RelayRequest&) {
+    RelayAnswer answer = View(12, Duration(0));
+    answer.status = RelayStatus::kHistoryGone;
+    return answer;
+  };
+  const auto list = f.relayed.List(ObjectKind::kConfig);
+  CHECK(list.objects.size() == 1);
+  CHECK(list.answer_age.source == ObjectSource::kStore);
+}
+
 TEST_CASE("a new era that a relay names makes the kind be listed again") {
   Fixture f;
   f.relays.default_script = [](const RelayRequest& request) {
