Keep the endpoints younger than 3 s behind a relay that is cut off

A relay that loses only the store notices that when its watch has timed out, at 3.2 s. Its followers, which are well, went by its view of the endpoints until that was 3.1 s old, longer than the 3 s in which large deployments want a leaving endpoint to take no more requests. Where there are relays, watches of the endpoints now wait for 2 s at most, so that followers ask the store at 2.7 s.

Also wraps a comment and a help text anew.

--- a/source/core/gateway/relayed_store.cc
+++ b/source/core/gateway/relayed_store.cc
@@ -94,9 +94,10 @@
 
 catalog::ObjectChanges RelayedStore::Watch(ObjectKind kind,
                                            uint64_t revision,
-                                           Duration wait) {
+                                           Duration longest_wait) {
   if (!this->IsRelayed(kind))
-    return this->direct.Watch(kind, revision, wait);
+    return this->direct.Watch(kind, revision, longest_wait);
+  const Duration wait = this->LimitWait(kind, longest_wait);
   const TimePoint began_at = this->now();
   const auto position = this->mirror.PositionOf(kind);
   catalog::ObjectChanges changes;
@@ -124,6 +125,15 @@
   return changes;
 }
 
+Duration RelayedStore::LimitWait(ObjectKind kind, Duration wait) const {
+  const TimePoint now = this->now();
+  const bool has_relays =
+      this->choice.IsRelay(now) || this->choice.IsFollower(now);
+  return has_relays && kind == ObjectKind::kEndpoints
+             ? std::min(wait, kMaxEndpointsWait)
+             : wait;
+}
+
 Duration RelayedStore::WaitFor(Duration wait, Duration age) const {
   return std::clamp(wait + kSpareWait - age, std::min(kMinWait, wait), wait);
 }
--- a/source/core/gateway/relayed_store.h
+++ b/source/core/gateway/relayed_store.h
@@ -40,6 +40,11 @@
   // younger.
   static constexpr common::Duration kMaxExtraAge =
       std::chrono::milliseconds(600);
+  // Longest watch of the endpoints where there are relays: followers of one
+  // that is cut off from the store must learn within 3 s that an endpoint
+  // leaves.
+  static constexpr common::Duration kMaxEndpointsWait =
+      std::chrono::milliseconds(2000);
   // A relay's next confirmation may come this much later than the wait of its
   // watch.
   static constexpr common::Duration kSpareWait = std::chrono::milliseconds(200);
@@ -82,7 +87,7 @@
   catalog::ObjectSnapshot List(catalog::ObjectKind kind) override;
   catalog::ObjectChanges Watch(catalog::ObjectKind kind,
                                uint64_t revision,
-                               common::Duration wait) override;
+                               common::Duration longest_wait) override;
   std::optional<catalog::StoredObject> Read(catalog::ObjectKind kind,
                                             std::string_view name) override {
     return this->direct.Read(kind, name);
@@ -124,6 +129,9 @@
   KindState& StateOf(catalog::ObjectKind kind) {
     return this->states[static_cast<size_t>(kind)];
   }
+  // The longest wait of a watch of this kind.
+  common::Duration LimitWait(catalog::ObjectKind kind,
+                             common::Duration wait) const;
   // How long the next watch may wait, so that the view does not become too old.
   // Zero for lists.
   common::Duration WaitFor(common::Duration wait, common::Duration age) const;
--- a/source/core/gateway/settings.cc
+++ b/source/core/gateway/settings.cc
@@ -54,8 +54,7 @@
        "of the platform's store, on the IP address of caller_address; 0: none"},
       {"relay_min_hosts", &S::relay_min_hosts, "hosts", 0, 10000,
        "Hosts in the zone from which on some of them watch the platform's "
-       "store "
-       "for the others; 0: never"},
+       "store for the others; 0: never"},
       {"log_level", &S::log_level, "", 0, 0,
        "Most detailed log level: off, lifecycle, beliefs or requests", false,
        CheckLevel},
--- a/source/platform/store_client.h
+++ b/source/platform/store_client.h
@@ -12,9 +12,9 @@
 namespace jujuberock::platform_adapter {
 
 // HTTP client of the platform's metadata store. Counts its calls in
-// `store_calls_total{call}`, those that list and watch
-// also by kind, and the objects in its answers that can't be read
-// in `store_entries_unreadable_total{kind}`.
+// `store_calls_total{call}`, those that list and watch also by kind, and the
+// objects in its answers that can't be read in
+// `store_entries_unreadable_total{kind}`.
 class StoreClient : public catalog::ObjectStore {
  public:
   StoreClient(runtime::HttpClient& http,
--- a/source/unit_tests/core/gateway/relayed_store_test.cc
+++ b/source/unit_tests/core/gateway/relayed_store_test.cc
@@ -43,8 +43,11 @@
     this->Call();
     return {{{"main", this->revision, "{}"}}, this->revision};
   }
-  catalog::ObjectChanges Watch(ObjectKind, uint64_t since, Duration) override {
+  catalog::ObjectChanges Watch(ObjectKind,
+                               uint64_t since,
+                               Duration wait) override {
     this->Call();
+    this->last_wait = wait;
     catalog::ObjectChanges changes;
     changes.revision = this->revision;
     if (this->revision > since)
@@ -74,6 +77,7 @@
   uint64_t newest_era = 1;
   uint64_t revision = 10;
   int calls = 0;
+  Duration last_wait{0};
   bool is_cut = false;
 
  private:
@@ -333,6 +337,36 @@
   CHECK(f.store.calls == 1);
 }
 
+// Guards against requests to an endpoint that left more than 3 s ago, which
+// large deployments forbid: a relay that is cut off from the store notices that
+// only when its watch has timed out.
+TEST_CASE("a leaving endpoint is noticed in time behind a relay that is cut") {
+  constexpr Duration kLongWait = milliseconds(2500);
+  constexpr Duration kDrainBound = seconds(3);
+  Fixture f;
+  const TimePoint cut_at = f.clock.now;
+  f.relays.default_script = [&](const RelayRequest& request) {
+    const Duration age = f.clock.now - cut_at;
+    f.clock.now += request.wait + milliseconds(1);
+    return View(10, age);
+  };
+  f.relayed.List(ObjectKind::kEndpoints);
+  const auto watch = [&] {
+    return f.relayed.Watch(ObjectKind::kEndpoints, 10, kLongWait);
+  };
+  while (watch().answer_age.source == ObjectSource::kRelay) {
+  }
+  CHECK(f.clock.now - cut_at < kDrainBound - milliseconds(200));
+  // Relays confirm their view so often that this is not needed otherwise.
+  f.relayed.SetHosts({});
+  watch();
+  CHECK(f.store.last_wait == kLongWait);
+  f.relayed.SetHosts(Fixture::Others(Fixture::FollowerName()));
+  f.relayed.Answer(RelayRequest(), f.clock.now, f.clock.now);
+  watch();
+  CHECK(f.store.last_wait <= RelayedStore::kMaxEndpointsWait);
+}
+
 // Guards against a view that goes back behind what the host has.
 TEST_CASE("of two relays that disagree, the one that is behind is not used") {
   Fixture f;
