--- a/source/core/gateway/relayed_store.cc
+++ b/source/core/gateway/relayed_store.cc
@@ -94,9 +94,10 @@
 
 catalog::ObjectChanges RelayedStore::Watch(ObjectKind kind,
                                            uint64_t revision,
-                                           Duration wait) {
+                                           Duration longest_wait) {
   if (!this->IsRelayed(kind))
-    return this->direct.Watch(kind, revision, wait);
+    return this->direct.Watch(kind, revision, longest_wait);
+  const Duration wait = this->LimitWait(kind, longest_wait);
   const TimePoint began_at = this->now();
   const auto position = this->mirror.PositionOf(kind);
   catalog::ObjectChanges changes;
@@ -124,6 +125,15 @@
   return changes;
 }
 
+Duration RelayedStore::LimitWait(ObjectKind kind, Duration wait) const {
+  const TimePoint now = this->now();
+  const bool has_relays =
+      this->choice.IsRelay(now) || this->choice.IsFollower(now);
+  return has_relays && kind == ObjectKind::kEndpoints
+             ? std::min(wait, kMaxEndpointsWait)
+             : wait;
+}
+
 Duration RelayedStore::WaitFor(Duration wait, Duration age) const {
   return std::clamp(wait + kSpareWait - age, std::min(kMinWait, wait), wait);
 }
@@ -215,8 +225,10 @@
                                        const RelayAnswer& answer) const {
   if (answer.status == RelayStatus::kStoreFailing)
     return {};
-  const bool is_usable = answer.status == RelayStatus::kView ||
-                         answer.status == RelayStatus::kHistoryGone;
+  // Only changes can be unknown, a list can't.
+  const bool is_usable =
+      answer.status == RelayStatus::kView ||
+      (answer.status == RelayStatus::kHistoryGone && request.revision);
   if (!is_usable)
     return relay::kRelayStatusNames.NameOf(answer.status);
   if (answer.era < this->era())
