--- a/source/core/dispatch/endpoint_choice.h
+++ b/source/core/dispatch/endpoint_choice.h
@@ -20,11 +20,15 @@
   // Whether the endpoint has a free slot and enough memory, and no request is
   // waiting there.
   bool idle = false;
+  // What the prediction takes for the engine's backlog: tokens to be prefilled
+  // before this request, and KV memory that its run and others need.
+  int64_t ahead_tokens = 0;
+  int64_t memory_tokens = 0;
   // Tokens that the engine must prefill.
   int64_t uncached_tokens = 0;
   // The same plus the tokens that it prefills before, or those that it could
   // prefill during the fetches.
-  int64_t tokens_ahead = 0;
+  int64_t predicted_tokens = 0;
   // Tokens that the engine is assumed to have cached.
   int64_t cached_tokens = 0;
   // Time to fetch the tokens that are neither cached nor prefilled, and the
--- a/source/core/dispatch/placement_cost.cc
+++ b/source/core/dispatch/placement_cost.cc
@@ -32,6 +32,7 @@
 // alike from being divided.
 constexpr double kLongShareMargin = 0.05;
 constexpr double kUncachedSmoothing = 0.05;
+constexpr double kMemorySmoothing = 0.02;
 constexpr double kOutputTimeSmoothing = 0.02;
 constexpr double kMemoryOverflowPenaltyMs = 400;
 constexpr double kFailureSmoothing = 0.02;
@@ -126,20 +127,27 @@
                record.part_cache().CachedTokens(preparation.parts));
   choice.uncached_tokens = prompt.prompt_tokens - choice.cached_tokens;
   this->ApplyStoredParts(choice, requirements);
+  const EngineRoom& room = record.room();
   const double factor = record.work_rate().FactorAt(now);
   const double token_ms = factor * this->model.token_ms();
-  const double peer_tokens = record.PeerTokens(token_ms, now);
   const double peer_pending =
-      std::max(peer_tokens, record.OthersWaiting(now) * this->mean_uncached);
+      room.PeerPending(requirements.urgency, token_ms, now);
+  const double all_peer_pending =
+      room.PeerPending(kUrgencyLevels - 1, token_ms, now);
+  // Reports do not tell the urgency of what waits, so what they show beyond the
+  // announcements counts as ahead.
+  const double unannounced_pending = std::max(
+      0.0, record.OthersWaiting(now) * this->mean_uncached - all_peer_pending);
   const double pending_ahead =
-      static_cast<double>(record.PendingTokens(requirements.urgency)) +
-      peer_pending;
+      static_cast<double>(room.OwnPending(requirements.urgency)) +
+      peer_pending + unannounced_pending;
+  choice.ahead_tokens = static_cast<int64_t>(pending_ahead);
   // The engine prefills other prompts during the fetch, so the times overlap.
   const double fetch_as_tokens = choice.fetch_ms / token_ms;
-  choice.tokens_ahead =
+  choice.predicted_tokens =
       static_cast<int64_t>(std::max(pending_ahead, fetch_as_tokens)) +
       choice.uncached_tokens;
-  choice.usual_time = this->model.Predict(choice.tokens_ahead);
+  choice.usual_time = this->model.Predict(choice.predicted_tokens);
   choice.predicted = common::Scale(choice.usual_time, factor);
   const double prefill_ms =
       token_ms * static_cast<double>(choice.uncached_tokens);
@@ -150,7 +158,8 @@
   if (preparation.second == &record)
     cost -= prefill_ms * kSecondAffinitySaving;
   const double all_pending =
-      static_cast<double>(record.PendingTokens(kUrgencies - 1)) + peer_tokens;
+      static_cast<double>(room.OwnPending(kUrgencyLevels - 1)) +
+      all_peer_pending;
   if (choice.is_long)
     cost += kPendingPrefillWeight * token_ms * all_pending;
   cost += this->long_runs.MisplacementCost(record.endpoint().id, choice.is_long,
@@ -159,26 +168,36 @@
   if (requirements.preferred_version != 0 &&
       record.VersionOf(prompt.model) < requirements.preferred_version)
     cost += kOldVersionPenaltyMs;
-  return cost + this->RoomCost(choice, prompt, pending_ahead, now);
+  return cost + this->RoomCost(choice, requirements, pending_ahead, now);
 }
 
 double PlacementCost::RoomCost(EndpointChoice& choice,
-                               const Prompt& prompt,
+                               const SendRequirements& requirements,
                                double pending_ahead,
                                common::TimePoint now) const {
   const EndpointRecord& record = *choice.endpoint;
+  const EngineRoom& room = record.room();
   double cost = 0;
   const auto capacity =
       static_cast<double>(this->properties->kv_capacity_tokens);
-  const double memory = static_cast<double>(
-      record.memory_tokens() + record.PeerMemory(now) + prompt.MemoryTokens());
+  const double unannounced =
+      record.UnannouncedRuns(now) * this->mean_memory +
+      static_cast<double>(requirements.prompt->MemoryTokens());
+  const auto memory_up_to = [&](int urgency) {
+    return unannounced + static_cast<double>(room.OwnMemory(urgency) +
+                                             room.PeerMemory(urgency, now));
+  };
+  const double memory = memory_up_to(kUrgencyLevels - 1);
+  choice.memory_tokens = static_cast<int64_t>(memory);
   const bool fits = capacity <= 0 || memory <= capacity;
   if (!fits) {
+    // Some run is preempted and prefilled again.
     cost += kMemoryOverflowPenaltyMs * (memory / capacity);
-    // The prompt waits until runs have freed the missing memory, or preempts
-    // one that is then prefilled again.
-    choice.predicted +=
-        common::Scale(choice.run_time, (memory - capacity) / capacity);
+    // The prompt waits until runs have freed the missing memory. Less urgent
+    // runs are preempted for it.
+    const double missing =
+        std::max(0.0, memory_up_to(requirements.urgency) - capacity);
+    choice.predicted += common::Scale(choice.run_time, missing / capacity);
   }
   const double in_flight = static_cast<double>(record.own_in_flight()) +
                            std::max(record.OthersInFlight(now),
@@ -264,6 +283,13 @@
   return expected + latency * std::max(0.0, in_flight + 1 - slots);
 }
 
+void PlacementCost::OnSent(const PeerPrompt& prompt, common::TimePoint now) {
+  this->long_runs.OnSent(prompt, now);
+  this->mean_memory +=
+      kMemorySmoothing *
+      (static_cast<double>(prompt.memory_tokens) - this->mean_memory);
+}
+
 void PlacementCost::OnFirstToken(const SendTicket& ticket,
                                  common::TimePoint now) {
   const auto uncached = static_cast<double>(ticket.uncached_tokens);
--- a/source/core/gateway/dispatcher.h
+++ b/source/core/gateway/dispatcher.h
@@ -4,20 +4,24 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 
 #include "core/catalog/endpoint_notice.h"
+#include "core/catalog/evacuations.h"
 #include "core/common/metrics.h"
 #include "core/common/name_table.h"
 #include "core/common/random.h"
 #include "core/common/stall_detector.h"
+#include "core/dispatch/host_ranking.h"
 #include "core/dispatch/retry_window.h"
 #include "core/dispatch/service_pool.h"
 #include "core/dispatch/silence_limit.h"
 #include "core/events/event_log.h"
 #include "core/forward/connection_pool.h"
+#include "core/gateway/admission_gate.h"
 #include "core/gateway/platform_view.h"
 #include "core/gateway/settings.h"
 #include "core/suspects/part_suspects.h"
@@ -124,6 +128,8 @@
   common::TimePoint EarliestArrival(common::TimePoint now) const {
     return this->stall_detector.EarliestArrival(now);
   }
+  // Returns the queue of the requests that wait for the endpoints of a service.
+  AdmissionGate& GateOf(std::string_view service);
   dispatch::RetryWindow& retries() { return this->retry_window; }
   suspects::SuspectList& suspects() { return this->suspect_list; }
   suspects::PartSuspects& part_suspects() { return this->part_suspect_list; }
@@ -131,13 +137,17 @@
   void MergeMarks(const std::vector<suspects::CrashMark>& marks,
                   const std::vector<suspects::PartMark>& part_marks);
   common::Random& random() { return this->random_source; }
-  void SetHostCount(size_t count);
+  // Sets the names of the known hosts and that of this host.
+  void SetHosts(const std::set<std::string>& names, std::string_view own);
+  const dispatch::HostRanking& host_ranking() const { return this->ranking; }
 
   // Called when another host has sent a prompt to an engine.
   void OnPeerPrompt(uint64_t endpoint_hash, const dispatch::PeerPrompt& prompt);
 
   // Called when an engine has reported its load to another host.
   void OnPeerLoad(uint64_t endpoint_hash, const dispatch::LoadReport& load);
+  // Called when a zone is no longer evacuated.
+  void OnZoneReturned(const catalog::Evacuations::Change& change);
 
   // Called when another host could not reach an engine.
   void OnPeerUnreachable(uint64_t endpoint_hash);
@@ -185,6 +195,9 @@
 
   // Decides on prompt parts that crash endpoints; called every kCheckPeriod.
   void CheckSuspects();
+  // Records which endpoints are cold and logs changes of that; called every
+  // kCheckPeriod.
+  void CheckColdEndpoints();
   // Detects silent endpoints and moves hanging sends where that is possible;
   // called every kCheckPeriod.
   void CheckSilence();
@@ -200,6 +213,9 @@
     common::TimePoint broken_at;
   };
 
+  void LogCold(const dispatch::ServicePool& pool,
+               dispatch::EndpointRecord& record,
+               common::TimePoint now);
   void IndexEndpoints();
   using SendsByEndpoint =
       std::unordered_map<const dispatch::EndpointRecord*,
@@ -222,8 +238,10 @@
   events::EventLog& log;
   common::Counter& ejections;
   common::Counter& moved_sends;
+  dispatch::HostRanking ranking;
   std::map<std::string, std::unique_ptr<dispatch::ServicePool>, std::less<>>
       pools;
+  std::map<std::string, AdmissionGate, std::less<>> gates;
   struct Engine {
     std::weak_ptr<dispatch::EndpointRecord> record;
     dispatch::ServicePool* pool = nullptr;
--- a/source/core/gateway/gateway.h
+++ b/source/core/gateway/gateway.h
@@ -20,11 +20,16 @@
 #include "core/gateway/peer_loads.h"
 #include "core/gateway/planned_stop.h"
 #include "core/gateway/platform_view.h"
+#include "core/gateway/relay_client.h"
+#include "core/gateway/relay_server.h"
+#include "core/gateway/relayed_store.h"
 #include "core/gateway/request_task.h"
 #include "core/gateway/rollout_controller.h"
 #include "core/gateway/settings.h"
 #include "core/gateway/stream_registry.h"
+#include "core/runtime/byte_budget.h"
 #include "core/runtime/http_server.h"
+#include "core/runtime/process_limits.h"
 #include "core/runtime/worker_pool.h"
 
 namespace jujuberock::gateway {
@@ -59,8 +64,12 @@
   void Stop();
 
  private:
-  void Serve(const runtime::HttpRequest& request,
-             runtime::ResponseWriter& writer);
+  void Serve(runtime::HttpRequest& request, runtime::ResponseWriter& writer);
+  runtime::HttpServerOptions OptionsFor(
+      const catalog::CallerLimits& limits) const;
+  // The response to a request that was not read, or whose handler failed.
+  runtime::HttpResponse RenderError(const common::Error& error) const;
+  void ReportHeldBytes(common::TimePoint now);
   void ServeReadiness(runtime::ResponseWriter& writer);
   void SendRefusal(const common::Error& error,
                    std::optional<common::Duration> retry_after,
@@ -68,17 +77,21 @@
   // Waits until the draining server has no connection left.
   void AwaitDrained(common::TimePoint limit);
   void StartPeerLoads();
+  void StartRelays();
   void OnViewChanged();
   void OnHostObject(const catalog::ObjectChange& change);
   void Tick();
   void LogViewFreshness(common::TimePoint now);
 
   Settings settings;
+  catalog::ZoneRegions regions;
   runtime::WorkerPool& workers;
   PlatformInterfaces platform;
   events::EventLog& log;
   common::MetricRegistry& counters;
   forward::ConnectionPool connections;
+  RelayClient relay_client;
+  RelayedStore store;
   PlatformView view;
   Dispatcher dispatcher;
   EndpointWatches endpoint_watches;
@@ -90,8 +103,19 @@
   RolloutController rollout_controller;
   CacheStoreCleaner cache_store_cleaner;
   std::unique_ptr<PeerLoads> peer_loads;
+  // Null without relays.
+  std::unique_ptr<RelayServer> relay_server;
   PlannedStop planned_stop;
   RequestDependencies request_deps;
+  runtime::ProcessLimits limits;
+  std::shared_ptr<runtime::ByteBudget> budget;
+  common::Gauge& held_bytes;
+  common::Gauge& bodies_refused;
+  common::Gauge& bodies_ended;
+  common::Gauge& connections_displaced;
+  // Of the last warning that callers were refused or closed.
+  uint64_t limited_callers = 0;
+  common::TimePoint limits_reported_at;
   std::unique_ptr<runtime::HttpServer> caller_server;
   std::unique_ptr<runtime::HttpServer> readiness_server;
   std::unique_ptr<runtime::HttpServer> metrics_server;
--- a/source/core/gateway/peer_loads.cc
+++ b/source/core/gateway/peer_loads.cc
@@ -34,13 +34,19 @@
 constexpr double kMaxDatagramsPerSecond = 2000;
 // An update with the maximum number of prompts or stores is sent immediately.
 // With these limits an update fits into kMaxDatagramBytes.
-constexpr size_t kMaxPrompts = 32;
+constexpr size_t kMaxPrompts = 30;
+// Hosts of earlier versions send up to this many.
+constexpr size_t kMaxReceivedPrompts = 32;
 constexpr size_t kMaxStores = 14;
 constexpr size_t kMaxExcessesPerStore = 4;
 constexpr size_t kMaxUnreachable = 16;
 constexpr size_t kMaxLoads = 48;
 // Figures of a load are cut to this, which bounds the size of an entry.
 constexpr double kMaxFigure = 65535;
+constexpr size_t kMaxEvacuations = catalog::Evacuations::kMaxZones;
+constexpr common::Duration kMinEvacuationInterval =
+    std::chrono::milliseconds(500);
+constexpr double kMaxEvacuationsPerSecond = 100;
 constexpr size_t kMaxDatagramBytes = 1472;
 constexpr common::Duration kErrorPause = std::chrono::milliseconds(50);
 
@@ -62,8 +68,8 @@
   return {array.ptr, array.size};
 }
 
-// [endpoint, uncached tokens, memory tokens, run time in ms, is long]. Later
-// versions may add fields.
+// [endpoint, uncached tokens, memory tokens, run time in ms, is long, urgency].
+// Earlier versions send no urgency; later ones may add fields.
 SentPrompt DecodePrompt(const msgpack::object& item) {
   const auto fields = ElementsOf(item, 5, kMaxDatagramBytes);
   SentPrompt sent;
@@ -72,6 +78,9 @@
   sent.prompt.memory_tokens = fields[2].as<uint32_t>();
   sent.prompt.run_time = std::chrono::milliseconds(fields[3].as<uint32_t>());
   sent.prompt.is_long = fields[4].as<uint32_t>() != 0;
+  if (fields.size() > 5)
+    sent.prompt.urgency = static_cast<int>(std::min<uint32_t>(
+        fields[5].as<uint32_t>(), dispatch::kUrgencyLevels - 1));
   return sent;
 }
 
@@ -92,12 +101,22 @@
           fields[4].as<uint32_t>()};
 }
 
-// [prompts, stores, hashes of unreachable endpoints], and the loads of engines
-// if there are any.
+// [zone, era, revision, whether the evacuation has ended]. Later versions may
+// add fields.
+catalog::PeerEvacuation DecodeEvacuation(const msgpack::object& item) {
+  const auto fields = ElementsOf(item, 4, kMaxDatagramBytes);
+  return {fields[0].as<uint64_t>(),
+          {fields[1].as<uint64_t>(), fields[2].as<uint64_t>(),
+           fields[3].as<uint32_t>() != 0}};
+}
+
+// [prompts, stores, hashes of unreachable endpoints], and the evacuations and
+// the loads of engines as a fourth and fifth list if there are any.
 PeerUpdate DecodeLists(const msgpack::object& value) {
-  const auto lists = ElementsOf(value, 3, 4);
+  const auto lists = ElementsOf(value, 3, 5);
   PeerUpdate update;
-  for (const msgpack::object& item : ElementsOf(lists[0], 0, kMaxPrompts))
+  for (const msgpack::object& item :
+       ElementsOf(lists[0], 0, kMaxReceivedPrompts))
     update.prompts.push_back(DecodePrompt(item));
   for (const msgpack::object& item : ElementsOf(lists[1], 0, kMaxStores))
     update.stores.push_back(DecodeStoreUsage(item));
@@ -105,7 +124,11 @@
     update.unreachable.push_back(hash.as<uint64_t>());
   if (lists.size() == 3)
     return update;
-  for (const msgpack::object& item : ElementsOf(lists[3], 0, kMaxLoads))
+  for (const msgpack::object& item : ElementsOf(lists[3], 0, kMaxEvacuations))
+    update.evacuations.push_back(DecodeEvacuation(item));
+  if (lists.size() == 4)
+    return update;
+  for (const msgpack::object& item : ElementsOf(lists[4], 0, kMaxLoads))
     update.loads.push_back(DecodeLoad(item));
   return update;
 }
@@ -118,7 +141,7 @@
     prompts.push_back({sent.endpoint, sent.prompt.uncached_tokens,
                        sent.prompt.memory_tokens,
                        ToClampedMilliseconds(sent.prompt.run_time),
-                       sent.prompt.is_long ? 1 : 0});
+                       sent.prompt.is_long ? 1 : 0, sent.prompt.urgency});
   Json stores = Json::array();
   for (const CacheStoreUsage& usage : update.stores) {
     Json item = {usage.store, usage.mbit};
@@ -128,6 +151,12 @@
   }
   Json lists = Json::array(
       {std::move(prompts), std::move(stores), Json(update.unreachable)});
+  Json evacuations = Json::array();
+  for (const auto& [zone, record] : update.evacuations)
+    evacuations.push_back(
+        {zone, record.era, record.revision, record.is_ended ? 1 : 0});
+  if (!evacuations.empty() || !update.loads.empty())
+    lists.push_back(std::move(evacuations));
   if (!update.loads.empty()) {
     Json loads = Json::array();
     for (const EngineLoad& load : update.loads)
@@ -149,12 +178,14 @@
   }
 }
 
-PeerLoads::PeerLoads(Dispatcher& dispatcher,
+PeerLoads::PeerLoads(PlatformView& view,
+                     Dispatcher& dispatcher,
                      reuse::CacheStoreIndex& cache_store_index,
                      boost::asio::io_context& io,
                      const runtime::Address& address,
                      common::MetricRegistry& counters)
-    : dispatcher(dispatcher),
+    : view(view),
+      dispatcher(dispatcher),
       cache_store_index(cache_store_index),
       sent_datagrams(counters.GetCounter("peer_datagrams_sent_total")),
       received_datagrams(counters.GetCounter("peer_datagrams_received_total")),
@@ -256,22 +287,39 @@
     runtime::SleepFor(DatagramInterval(this->peers.size()));
     if (!this->pending_update.IsEmpty())
       this->SendPending();
+    this->RepeatEvacuations();
   }
 }
 
+common::Duration EvacuationInterval(size_t peers) {
+  const double seconds = static_cast<double>(peers) / kMaxEvacuationsPerSecond;
+  return std::max(kMinEvacuationInterval, common::FromSeconds(seconds));
+}
+
+void PeerLoads::RepeatEvacuations() {
+  const common::TimePoint now = runtime::BootNow();
+  if (now < this->evacuations_sent_at + EvacuationInterval(this->peers.size()))
+    return;
+  PeerUpdate update;
+  update.evacuations = this->view.evacuations().ForPeers(now);
+  if (update.IsEmpty())
+    return;
+  this->evacuations_sent_at = now;
+  this->SendToAll(update);
+}
+
 void PeerLoads::SendPending() {
   PeerUpdate update = std::exchange(this->pending_update, {});
-  std::vector<uint8_t> bytes = EncodePeerUpdate(update);
-  if (bytes.size() > kMaxDatagramBytes) {
+  if (EncodePeerUpdate(update).size() > kMaxDatagramBytes) {
     PeerUpdate loads;
     loads.loads = std::exchange(update.loads, {});
-    this->SendToPeers(EncodePeerUpdate(loads));
-    bytes = EncodePeerUpdate(update);
+    this->SendToAll(loads);
   }
-  this->SendToPeers(bytes);
+  this->SendToAll(update);
 }
 
-void PeerLoads::SendToPeers(const std::vector<uint8_t>& bytes) {
+void PeerLoads::SendToAll(const PeerUpdate& update) {
+  const auto bytes = EncodePeerUpdate(update);
   for (const udp::endpoint& peer : this->peers) {
     error_code error;
     // Send errors are ignored: datagrams may get lost on the network as well.
@@ -311,6 +359,8 @@
         {load.running, load.waiting, load.slots, load.work_percent / 100.0});
   for (const uint64_t endpoint : update.unreachable)
     this->dispatcher.OnPeerUnreachable(endpoint);
+  for (const catalog::PeerEvacuation& evacuation : update.evacuations)
+    this->view.OnPeerEvacuation(evacuation);
   for (const CacheStoreUsage& usage : update.stores) {
     this->cache_store_index.OnPeerTransfer(usage.store, usage.mbit, now);
     for (const uint32_t excess : usage.excess_ms)
--- a/source/core/gateway/peer_loads.h
+++ b/source/core/gateway/peer_loads.h
@@ -11,6 +11,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
 
+#include "core/catalog/evacuations.h"
 #include "core/common/metrics.h"
 #include "core/gateway/dispatcher.h"
 #include "core/reuse/cache_store_index.h"
@@ -60,13 +61,17 @@
   std::vector<CacheStoreUsage> stores;
   // Hashes of the ids of unreachable endpoints.
   std::vector<uint64_t> unreachable;
+  // What the store said of evacuated zones. Sent in datagrams of their own,
+  // because hosts of former versions do not understand them.
+  std::vector<catalog::PeerEvacuation> evacuations = {};
   // Not encoded when empty, so that hosts of versions that do not know this
   // list read the other ones.
   std::vector<EngineLoad> loads = {};
 
   bool IsEmpty() const {
     return this->prompts.empty() && this->stores.empty() &&
-           this->unreachable.empty() && this->loads.empty();
+           this->unreachable.empty() && this->evacuations.empty() &&
+           this->loads.empty();
   }
 
   friend bool operator==(const PeerUpdate&, const PeerUpdate&) = default;
@@ -79,16 +84,21 @@
 
 // Returns the time between two datagrams to each of `peers` other hosts.
 common::Duration DatagramInterval(size_t peers);
+// The same for datagrams that repeat which zones are evacuated. A host gets
+// them from all others, so that it learns of a change from one of them soon.
+common::Duration EvacuationInterval(size_t peers);
 
 // Exchanges load information with the other hosts over UDP: which engines get
 // prompts and how much the cache stores are used. Each of many hosts sees only
 // a small part of an engine's load, so without the exchange prompts collide on
 // one engine, or fetches on one store, while others are idle. Datagrams may be
-// lost, forged or late; no guarantee depends on them.
+// lost, forged or late; no guarantee depends on them but one: a host that can't
+// reach the platform's store learns from them which zones are evacuated.
 class PeerLoads {
  public:
   // Binds to the address. Throws common::Error kInvalidSettings.
-  PeerLoads(Dispatcher& dispatcher,
+  PeerLoads(PlatformView& view,
+            Dispatcher& dispatcher,
             reuse::CacheStoreIndex& cache_store_index,
             boost::asio::io_context& io,
             const runtime::Address& address,
@@ -110,13 +120,15 @@
   void Receive();
   void SendLoop();
   void SendPending();
-  void SendToPeers(const std::vector<uint8_t>& bytes);
+  void SendToAll(const PeerUpdate& update);
+  void RepeatEvacuations();
 
   using Socket = boost::asio::ip::udp::socket;
 
   CacheStoreUsage& UsageOf(std::string_view store);
   void Apply(const PeerUpdate& update);
 
+  PlatformView& view;
   Dispatcher& dispatcher;
   reuse::CacheStoreIndex& cache_store_index;
   std::unique_ptr<Socket> socket;
@@ -126,6 +138,7 @@
   common::Counter& shared_loads;
   std::vector<boost::asio::ip::udp::endpoint> peers;
   PeerUpdate pending_update;
+  common::TimePoint evacuations_sent_at;
   bool stopping = false;
 };
 
--- a/source/core/gateway/platform_view.cc
+++ b/source/core/gateway/platform_view.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "core/common/error.h"
+#include "core/common/hash.h"
 #include "core/runtime/boot_clock.h"
 #include "core/runtime/sleep.h"
 #include "core/runtime/worker_pool.h"
@@ -15,6 +16,7 @@
 
 using catalog::ObjectChange;
 using catalog::ObjectKind;
+using catalog::ObjectSource;
 using common::Duration;
 using events::Event;
 using events::Field;
@@ -25,10 +27,6 @@
 constexpr Duration kHostsBatchDelay = std::chrono::milliseconds(150);
 constexpr Duration kMinBackoff = std::chrono::milliseconds(100);
 constexpr Duration kMaxBackoff = std::chrono::milliseconds(800);
-// An empty watch response counts as sent at the end of the wait if it arrives
-// at most this much earlier. Otherwise it may have been sent at any time after
-// the request.
-constexpr Duration kWatchTolerance = std::chrono::milliseconds(5);
 
 Duration BackoffFor(int failures) {
   const auto doubled = kMinBackoff * (1 << std::min(failures - 1, 4));
@@ -53,7 +51,7 @@
       stall_detector(kHostStallThreshold) {}
 
 void PlatformView::Start() {
-  const std::vector<KindWatch> kinds = {
+  std::vector<KindWatch> kinds = {
       {ObjectKind::kConfig, "store:config", this->settings.config_watch_wait,
        kNoBatchDelay, &PlatformView::ApplyConfig},
       {ObjectKind::kEndpoints, "store:endpoints",
@@ -64,6 +62,10 @@
       {ObjectKind::kHosts, "store:hosts", this->settings.other_watch_wait,
        kHostsBatchDelay, &PlatformView::ApplyHost},
   };
+  if (this->settings.evacuation_bound > Duration(0))
+    kinds.push_back({ObjectKind::kEvacuations, "store:evacuations",
+                     this->settings.evacuations_watch_wait, kNoBatchDelay,
+                     &PlatformView::ApplyEvacuation});
   for (const KindWatch& kind : kinds) {
     auto watch = std::make_shared<KindWatch>(kind);
     this->watches.push_back(watch);
@@ -105,7 +107,7 @@
   // Changes since the last answer are not listed one by one.
   const ChangeTime changed_after = watch.answered_at;
   watch.revision = snapshot.revision;
-  this->OnAnswer(watch, sent_at);
+  this->OnAnswer(watch, snapshot.answer_age, sent_at);
   if (watch.kind == ObjectKind::kEndpoints) {
     for (const catalog::StoredObject& object : snapshot.objects)
       this->ReportUnreadable(watch, object);
@@ -115,6 +117,8 @@
   }
   for (const catalog::StoredObject& object : snapshot.objects)
     this->Apply(watch, {object, false}, changed_after);
+  if (watch.kind == ObjectKind::kEvacuations)
+    this->ReplaceEvacuations(snapshot);
   this->ConfirmConfig(watch);
   this->hosts_known |= watch.kind == ObjectKind::kHosts;
 }
@@ -133,27 +137,34 @@
     watch.revision.reset();
     return;
   }
-  // The store sends an empty response only when the wait has passed.
-  const common::TimePoint received_at = runtime::BootNow();
-  const bool wait_elapsed =
-      changes.changes.empty() &&
-      received_at - sent_at >= watch.wait - kWatchTolerance;
   watch.revision = changes.revision;
-  // An uninterrupted watch reports a change at once, unless this process could
-  // not read it; a resumed one reports all changes since the last answer.
-  const ChangeTime changed_after =
-      watch.failures > 0 ? watch.answered_at
-                         : this->stall_detector.EarliestArrival(received_at);
-  this->OnAnswer(watch, wait_elapsed
-                            ? std::min(received_at, sent_at + watch.wait)
-                            : sent_at);
+  const ChangeTime changed_after = this->ChangedAfter(watch, changes, sent_at);
+  this->OnAnswer(watch, changes.answer_age, sent_at);
   for (const ObjectChange& change : changes.changes)
     this->Apply(watch, change, changed_after);
   this->ConfirmConfig(watch);
-  if (!changes.changes.empty() && watch.batch_delay > kNoBatchDelay)
+  // A relay has collected several changes already.
+  const bool is_collected = changes.answer_age.source == ObjectSource::kRelay;
+  if (!changes.changes.empty() && !is_collected &&
+      watch.batch_delay > kNoBatchDelay)
     runtime::SleepFor(watch.batch_delay);
 }
 
+PlatformView::ChangeTime PlatformView::ChangedAfter(
+    const KindWatch& watch,
+    const catalog::ObjectChanges& changes,
+    common::TimePoint sent_at) const {
+  const bool is_relayed = changes.answer_age.source == ObjectSource::kRelay;
+  if (changes.change_age)
+    return std::max(watch.answered_at,
+                    ChangeTime(sent_at - *changes.change_age));
+  // An uninterrupted watch reports a change at once, unless this process could
+  // not read it; a resumed one reports all changes since the last answer.
+  return watch.failures > 0 || is_relayed
+             ? watch.answered_at
+             : this->stall_detector.EarliestArrival(runtime::BootNow());
+}
+
 void PlatformView::CheckEra() {
   const uint64_t era = this->store.era();
   if (era == this->known_era)
@@ -175,7 +186,17 @@
 }
 
 void PlatformView::OnAnswer(KindWatch& watch,
-                            common::TimePoint earliest_answer) {
+                            const catalog::AnswerAge& answer_age,
+                            common::TimePoint sent_at) {
+  const common::TimePoint earliest_answer =
+      answer_age.EarliestAt(sent_at, runtime::BootNow());
+  // A relay that repeats what the store said before does not show that the
+  // store answers.
+  const bool is_repeated = answer_age.source == ObjectSource::kRelay &&
+                           watch.answered_at &&
+                           earliest_answer <= *watch.answered_at;
+  if (is_repeated)
+    return;
   if (watch.failures > 0)
     LogLine(this->log, Event::kDependencyRegained)
         .Add(Field::kDependency, watch.name)
@@ -261,9 +282,10 @@
 void PlatformView::ApplyEndpoint(const ObjectChange& change,
                                  const ChangeTime&) {
   const common::TimePoint now = runtime::BootNow();
-  const auto endpoint =
+  auto endpoint =
       change.deleted ? std::nullopt : this->decoder.Endpoint(change.object);
   if (endpoint) {
+    endpoint->read_at = now;
     const auto known = this->directory.endpoints().find(endpoint->id);
     const bool is_new = known == this->directory.endpoints().end() ||
                         known->second.started_at_ms != endpoint->started_at_ms;
@@ -297,12 +319,15 @@
 
 void PlatformView::ReplaceEndpoints(const catalog::ObjectSnapshot& snapshot,
                                     bool is_copy) {
+  const common::TimePoint now = runtime::BootNow();
   std::vector<catalog::Endpoint> endpoints;
   for (const catalog::StoredObject& object : snapshot.objects) {
-    if (auto endpoint = this->decoder.Endpoint(object))
-      endpoints.push_back(std::move(*endpoint));
+    auto endpoint = this->decoder.Endpoint(object);
+    if (!endpoint)
+      continue;
+    endpoint->read_at = now;
+    endpoints.push_back(std::move(*endpoint));
   }
-  const common::TimePoint now = runtime::BootNow();
   if (is_copy) {
     this->directory.ReplaceWithCopy(std::move(endpoints), now);
     LogLine(this->log, Event::kEndpointsHeldBack)
@@ -345,6 +370,60 @@
     this->on_host_object(change);
 }
 
+void PlatformView::ApplyEvacuation(const ObjectChange& change,
+                                   const ChangeTime&) {
+  // The name of the object says all; an evacuation whose content can't be read
+  // holds like the others.
+  const auto changed = this->known_evacuations.OnStored(
+      change.object.name,
+      {this->known_era, change.object.revision, change.deleted},
+      runtime::BootNow());
+  if (changed)
+    this->ReportEvacuation(*changed);
+}
+
+void PlatformView::ReplaceEvacuations(const catalog::ObjectSnapshot& snapshot) {
+  this->evacuations_known = true;
+  std::vector<std::string> zones;
+  for (const catalog::StoredObject& object : snapshot.objects)
+    zones.push_back(object.name);
+  const auto changes = this->known_evacuations.OnListed(
+      zones, this->known_era, snapshot.revision, runtime::BootNow());
+  for (const auto& change : changes)
+    this->ReportEvacuation(change);
+}
+
+void PlatformView::OnPeerEvacuation(const catalog::PeerEvacuation& told) {
+  if (this->settings.evacuation_bound <= Duration(0))
+    return;
+  const auto changed = this->known_evacuations.OnPeer(told, runtime::BootNow());
+  if (changed)
+    this->ReportEvacuation(*changed);
+}
+
+void PlatformView::ReportEvacuation(
+    const catalog::Evacuations::Change& change) {
+  const auto& endpoints = this->directory.endpoints();
+  std::string zone = change.zone;
+  uint64_t affected = 0;
+  for (const auto& [id, endpoint] : endpoints) {
+    if (common::Hash64(endpoint.zone) != change.zone_hash)
+      continue;
+    zone = endpoint.zone;
+    ++affected;
+  }
+  LogLine(this->log, change.record.is_ended ? Event::kEvacuationEnded
+                                            : Event::kEvacuationBegan)
+      .Add(Field::kZone, zone)
+      .Add(Field::kSource,
+           catalog::kEvacuationSourceNames.NameOf(change.source))
+      .Add(Field::kStoreEra, change.record.era)
+      .Add(Field::kRevision, change.record.revision)
+      .Add(Field::kCount, affected);
+  if (this->on_evacuation)
+    this->on_evacuation(change);
+}
+
 uint64_t PlatformView::NewestVersion(std::string_view model) const {
   const auto found = this->version_requirements.find(model);
   return found == this->version_requirements.end() ? 0 : found->second.newest();
--- a/source/core/gateway/request_task.cc
+++ b/source/core/gateway/request_task.cc
@@ -8,7 +8,6 @@
 #include "core/dispatch/stop_policy.h"
 #include "core/gateway/refused_error.h"
 #include "core/runtime/boot_clock.h"
-#include "core/runtime/sleep.h"
 
 namespace jujuberock::gateway {
 
@@ -20,7 +19,6 @@
 using common::ResultCode;
 using common::Scale;
 using common::TimePoint;
-using dispatch::AdmissionStep;
 using dispatch::GiveUpReason;
 using events::Event;
 using events::Field;
@@ -117,7 +115,7 @@
   ticket.endpoint = choice.endpoint;
   ticket.urgency = this->urgency;
   ticket.uncached_tokens = choice.uncached_tokens;
-  ticket.tokens_ahead = choice.tokens_ahead;
+  ticket.tokens_ahead = choice.predicted_tokens;
   ticket.is_long = choice.is_long;
   ticket.usual_time = choice.usual_time;
   if (this->request.prompt) {
@@ -139,10 +137,9 @@
       this->config->FindRoute(this->request.host, this->request.target);
   if (!this->route)
     throw Error(ResultCode::kUnknownPath, "no route for this host and path");
-  this->urgency = static_cast<int>(this->route->priority);
   if (this->config->has_teams() && !this->route->is_public)
     this->CheckKey(*this->config);
-  this->urgency = std::clamp(this->urgency, 0, dispatch::kUrgencies - 1);
+  this->urgency = this->config->UrgencyOf(*this->route, this->team);
   if (this->request.attempt_id.empty())
     throw Error(ResultCode::kMalformedRequest, "the request has no attempt id");
   const Duration remaining =
@@ -164,15 +161,13 @@
   this->team = config.FindTeam(this->request.key);
   if (!this->team)
     throw Error(ResultCode::kUnauthenticated, "unknown API key");
-  if (this->team->priority)
-    this->urgency = static_cast<int>(*this->team->priority);
 }
 
 void RequestTask::CheckCrashMarks() {
   const std::string_view caller =
       this->team ? std::string_view(this->team->name) : std::string_view();
   this->fingerprint = suspects::FingerprintOf(
-      caller, this->service, this->request.target, this->request.body);
+      caller, this->service, this->request.target, this->request.body.view());
   const auto action = this->deps.dispatcher.suspects().Check(this->fingerprint,
                                                              this->received_at);
   if (action == suspects::SuspectAction::kRefuse)
@@ -282,16 +277,6 @@
   return this->EffectiveDeadline() - now;
 }
 
-dispatch::AdmissionRequest RequestTask::Admission(TimePoint now) const {
-  dispatch::AdmissionRequest admission;
-  admission.target_latency = this->route->target_latency;
-  admission.elapsed = now - this->received_at;
-  admission.remaining = this->Remaining(now);
-  admission.is_continuation = this->stream_software.has_value();
-  admission.may_be_refused = !this->run_was_given_up;
-  return admission;
-}
-
 std::optional<dispatch::EndpointChoice> RequestTask::Choose(TimePoint now) {
   dispatch::SendRequirements requirements = this->Requirements();
   if (this->run_was_given_up) {
@@ -303,52 +288,6 @@
   return this->pool->Choose(requirements, now);
 }
 
-dispatch::EndpointChoice RequestTask::AwaitEndpoint() {
-  const TimePoint began = runtime::BootNow();
-  bool queued = false;
-  while (true) {
-    const TimePoint now = runtime::BootNow();
-    this->CheckMayGoOn();
-    const auto choice = this->Choose(now);
-    dispatch::AdmissionRequest admission = this->Admission(now);
-    admission.held = now - began;
-    if (!choice)
-      admission.pause_left = this->pool->PauseLeft(this->Requirements(), now);
-    const auto decision = dispatch::DecideAdmission(admission, choice);
-    const bool out_of_time = admission.remaining <= dispatch::kMinTimeToAnswer;
-    if (decision.step == AdmissionStep::kSend && !out_of_time) {
-      this->held += now - began;
-      return *choice;
-    }
-    if (decision.step == AdmissionStep::kRefuse || out_of_time) {
-      if (this->sends > 0) {
-        this->give_up_reason =
-            out_of_time ? GiveUpReason::kTime : GiveUpReason::kNoEndpoint;
-        this->FailRequest();
-      }
-      this->Refuse(
-          choice ? ResultCode::kDeadlineUnreachable : ResultCode::kNoEndpoint,
-          choice ? "no endpoint can respond in time" : "no endpoint available",
-          decision.retry_after);
-    }
-    const bool is_stuck = !choice && this->stream_software &&
-                          !this->pool->HasSoftware(*this->stream_software);
-    if (is_stuck && this->sends > 0) {
-      this->give_up_reason = GiveUpReason::kNoEndpoint;
-      this->FailRequest();
-    }
-    if (!queued)
-      LogLine(this->deps.log, Event::kRequestQueued)
-          .Add(Field::kRequest, this->request.attempt_id)
-          .Add(Field::kService, this->service)
-          .Add(Field::kPredictedMs, choice ? choice->predicted : Duration(0));
-    queued = true;
-    runtime::SleepFor(
-        std::min(this->run_was_given_up ? kGivenUpRunPoll : kAwaitPoll,
-                 admission.remaining));
-  }
-}
-
 void RequestTask::Refuse(ResultCode code,
                          const char* reason,
                          std::optional<Duration> retry_after) {
@@ -416,6 +355,7 @@
   this->callback_state->send = nullptr;
   this->deps.dispatcher.Unregister(this->active_send);
   record.OnEnded(ticket, runtime::BootNow());
+  this->deps.dispatcher.GateOf(this->service).OnRoomFreed();
   if (failure)
     throw *failure;
   return result;
@@ -449,7 +389,7 @@
     return;
   const dispatch::PeerPrompt prompt{ticket.uncached_tokens,
                                     ticket.memory_tokens, choice.run_time,
-                                    choice.is_long};
+                                    choice.is_long, ticket.urgency};
   this->pool->OnSent(prompt, ticket.sent_at);
   if (this->deps.peer_loads)
     this->deps.peer_loads->OnSent(choice.endpoint->endpoint().id, prompt);
--- a/source/core/gateway/settings.cc
+++ b/source/core/gateway/settings.cc
@@ -1,5 +1,6 @@
 #include "core/gateway/settings.h"
 
+#include "core/catalog/homes.h"
 #include "core/events/event_log.h"
 #include "core/runtime/http_types.h"
 
@@ -19,6 +20,12 @@
   return "must not be empty";
 }
 
+std::optional<std::string> CheckRegions(std::string_view text) {
+  if (catalog::ZoneRegions::Parse(text))
+    return std::nullopt;
+  return "must have the form zone=region,zone=region,...";
+}
+
 std::optional<std::string> CheckLevel(std::string_view text) {
   if (events::kLevelNames.ValueOf(text))
     return std::nullopt;
@@ -43,8 +50,12 @@
       {"metrics_port", &S::metrics_port, "", 0, 65535,
        "Port of `/metrics` on the IP address of caller_address; 0: none"},
       {"peer_port", &S::peer_port, "", 0, 65535,
-       "UDP port for load information from other hosts, on the IP address of "
-       "caller_address; 0: none"},
+       "UDP port for load information from other hosts, and TCP port for views "
+       "of the platform's store, on the IP address of caller_address; 0: none"},
+      {"relay_min_hosts", &S::relay_min_hosts, "hosts", 0, 10000,
+       "Hosts in the zone from which on some of them watch the platform's "
+       "store "
+       "for the others; 0: never"},
       {"log_level", &S::log_level, "", 0, 0,
        "Most detailed log level: off, lifecycle, beliefs or requests", false,
        CheckLevel},
@@ -78,6 +89,24 @@
        "Maximum wait of one watch of the endpoints"},
       {"other_watch_wait_ms", &S::other_watch_wait, "ms", 100, 30000,
        "Maximum wait of one watch of weight versions and of hosts"},
+      {"memory_limit_mb", &S::memory_limit_mb, "MB", 0, 1 << 20,
+       "Memory of this process, a part of which bounds what it holds for "
+       "callers; 0: unknown, 160 MB are assumed"},
+      {"descriptor_limit", &S::descriptor_limit, "descriptors", 0, 1 << 24,
+       "File descriptors of this process, which bound the connections of "
+       "callers; 0: only the system's limit counts"},
+      {"body_timeout_ms", &S::body_timeout, "ms", 10, 600000,
+       "Time for a request's body to arrive"},
+      {"body_progress_timeout_ms", &S::body_progress_timeout, "ms", 10, 600000,
+       "Time for the next bytes of a request's body to arrive"},
+      {"evacuation_bound_ms", &S::evacuation_bound, "ms", 0, 600000,
+       "Maximum time until requests no longer go to a zone that the operator "
+       "has evacuated; 0: no zone is evacuated"},
+      {"evacuations_watch_wait_ms", &S::evacuations_watch_wait, "ms", 100,
+       30000, "Maximum wait of one watch of evacuated zones"},
+      {"zone_regions", &S::zone_regions, "", 0, 0,
+       "Region of each availability zone: zone=region,zone=region,...", false,
+       CheckRegions},
   };
   return kTable;
 }
