--- a/source/core/dispatch/endpoint_choice.h
+++ b/source/core/dispatch/endpoint_choice.h
@@ -28,7 +28,7 @@
   int64_t uncached_tokens = 0;
   // The same plus the tokens that it prefills before, or those that it could
   // prefill during the fetches.
-  int64_t tokens_ahead = 0;
+  int64_t predicted_tokens = 0;
   // Tokens that the engine is assumed to have cached.
   int64_t cached_tokens = 0;
   // Time to fetch the tokens that are neither cached nor prefilled, and the
--- a/source/core/dispatch/placement_cost.h
+++ b/source/core/dispatch/placement_cost.h
@@ -101,9 +101,9 @@
   LongRunEngines long_runs;
   double mean_failures = 0;
   double mean_uncached = 0;
+  std::optional<double> mean_output_share;
   // Moving average of the KV cache use of runs, in tokens.
   double mean_memory = 0;
-  std::optional<double> mean_output_share;
   // Time per output token. For short runs it includes the pause after the first
   // token, which dominates it.
   double long_output_token_ms = 6;
--- a/source/core/gateway/dispatcher.cc
+++ b/source/core/gateway/dispatcher.cc
@@ -119,6 +119,15 @@
   found->second.pool->OnSent(prompt, now);
 }
 
+void Dispatcher::OnPeerLoad(uint64_t endpoint_hash,
+                            const dispatch::LoadReport& load) {
+  const auto found = this->engines_by_hash.find(endpoint_hash);
+  if (found == this->engines_by_hash.end())
+    return;
+  if (const auto record = found->second.record.lock())
+    record->OnLoadReport(load, runtime::BootNow());
+}
+
 void Dispatcher::OnZoneReturned(const catalog::Evacuations::Change& change) {
   const Duration heard_of_by = this->settings.endpoint_heartbeat + kEntryDelay;
   const TimePoint now = runtime::BootNow();
@@ -159,15 +168,6 @@
     line.Add(Field::kColdLeftMs, *until - now);
 }
 
-void Dispatcher::OnPeerLoad(uint64_t endpoint_hash,
-                            const dispatch::LoadReport& load) {
-  const auto found = this->engines_by_hash.find(endpoint_hash);
-  if (found == this->engines_by_hash.end())
-    return;
-  if (const auto record = found->second.record.lock())
-    record->OnLoadReport(load, runtime::BootNow());
-}
-
 void Dispatcher::OnPeerUnreachable(uint64_t endpoint_hash) {
   const auto found = this->engines_by_hash.find(endpoint_hash);
   if (found == this->engines_by_hash.end())
--- a/source/core/gateway/dispatcher.h
+++ b/source/core/gateway/dispatcher.h
@@ -144,11 +144,10 @@
   // Called when another host has sent a prompt to an engine.
   void OnPeerPrompt(uint64_t endpoint_hash, const dispatch::PeerPrompt& prompt);
 
-  // Called when a zone is no longer evacuated.
-  void OnZoneReturned(const catalog::Evacuations::Change& change);
-
   // Called when an engine has reported its load to another host.
   void OnPeerLoad(uint64_t endpoint_hash, const dispatch::LoadReport& load);
+  // Called when a zone is no longer evacuated.
+  void OnZoneReturned(const catalog::Evacuations::Change& change);
 
   // Called when another host could not reach an engine.
   void OnPeerUnreachable(uint64_t endpoint_hash);
--- a/source/core/gateway/peer_loads.cc
+++ b/source/core/gateway/peer_loads.cc
@@ -40,13 +40,13 @@
 constexpr size_t kMaxStores = 14;
 constexpr size_t kMaxExcessesPerStore = 4;
 constexpr size_t kMaxUnreachable = 16;
+constexpr size_t kMaxLoads = 48;
+// Figures of a load are cut to this, which bounds the size of an entry.
+constexpr double kMaxFigure = 65535;
 constexpr size_t kMaxEvacuations = catalog::Evacuations::kMaxZones;
 constexpr common::Duration kMinEvacuationInterval =
     std::chrono::milliseconds(500);
 constexpr double kMaxEvacuationsPerSecond = 100;
-constexpr size_t kMaxLoads = 48;
-// Figures of a load are cut to this, which bounds the size of an entry.
-constexpr double kMaxFigure = 65535;
 constexpr size_t kMaxDatagramBytes = 1472;
 constexpr common::Duration kErrorPause = std::chrono::milliseconds(50);
 
@@ -93,6 +93,14 @@
   return usage;
 }
 
+// [endpoint, running, waiting, slots, percent]. Later versions may add fields.
+EngineLoad DecodeLoad(const msgpack::object& item) {
+  const auto fields = ElementsOf(item, 5, kMaxDatagramBytes);
+  return {fields[0].as<uint64_t>(), fields[1].as<uint32_t>(),
+          fields[2].as<uint32_t>(), fields[3].as<uint32_t>(),
+          fields[4].as<uint32_t>()};
+}
+
 // [zone, era, revision, whether the evacuation has ended]. Later versions may
 // add fields.
 catalog::PeerEvacuation DecodeEvacuation(const msgpack::object& item) {
@@ -102,14 +110,6 @@
            fields[3].as<uint32_t>() != 0}};
 }
 
-// [endpoint, running, waiting, slots, percent]. Later versions may add fields.
-EngineLoad DecodeLoad(const msgpack::object& item) {
-  const auto fields = ElementsOf(item, 5, kMaxDatagramBytes);
-  return {fields[0].as<uint64_t>(), fields[1].as<uint32_t>(),
-          fields[2].as<uint32_t>(), fields[3].as<uint32_t>(),
-          fields[4].as<uint32_t>()};
-}
-
 // [prompts, stores, hashes of unreachable endpoints], and the evacuations and
 // the loads of engines as a fourth and fifth list if there are any.
 PeerUpdate DecodeLists(const msgpack::object& value) {
@@ -151,20 +151,19 @@
   }
   Json lists = Json::array(
       {std::move(prompts), std::move(stores), Json(update.unreachable)});
-  if (update.evacuations.empty() && update.loads.empty())
-    return Json::to_msgpack(lists);
   Json evacuations = Json::array();
   for (const auto& [zone, record] : update.evacuations)
     evacuations.push_back(
         {zone, record.era, record.revision, record.is_ended ? 1 : 0});
-  lists.push_back(std::move(evacuations));
-  if (update.loads.empty())
-    return Json::to_msgpack(lists);
-  Json loads = Json::array();
-  for (const EngineLoad& load : update.loads)
-    loads.push_back({load.endpoint, load.running, load.waiting, load.slots,
-                     load.work_percent});
-  lists.push_back(std::move(loads));
+  if (!evacuations.empty() || !update.loads.empty())
+    lists.push_back(std::move(evacuations));
+  if (!update.loads.empty()) {
+    Json loads = Json::array();
+    for (const EngineLoad& load : update.loads)
+      loads.push_back({load.endpoint, load.running, load.waiting, load.slots,
+                       load.work_percent});
+    lists.push_back(std::move(loads));
+  }
   return Json::to_msgpack(lists);
 }
 
@@ -306,22 +305,21 @@
   if (update.IsEmpty())
     return;
   this->evacuations_sent_at = now;
-  this->SendToPeers(EncodePeerUpdate(update));
+  this->SendToAll(update);
 }
 
 void PeerLoads::SendPending() {
   PeerUpdate update = std::exchange(this->pending_update, {});
-  std::vector<uint8_t> bytes = EncodePeerUpdate(update);
-  if (bytes.size() > kMaxDatagramBytes) {
+  if (EncodePeerUpdate(update).size() > kMaxDatagramBytes) {
     PeerUpdate loads;
     loads.loads = std::exchange(update.loads, {});
-    this->SendToPeers(EncodePeerUpdate(loads));
-    bytes = EncodePeerUpdate(update);
+    this->SendToAll(loads);
   }
-  this->SendToPeers(bytes);
+  this->SendToAll(update);
 }
 
-void PeerLoads::SendToPeers(const std::vector<uint8_t>& bytes) {
+void PeerLoads::SendToAll(const PeerUpdate& update) {
+  const auto bytes = EncodePeerUpdate(update);
   for (const udp::endpoint& peer : this->peers) {
     error_code error;
     // Send errors are ignored: datagrams may get lost on the network as well.
--- a/source/core/gateway/peer_loads.h
+++ b/source/core/gateway/peer_loads.h
@@ -120,7 +120,7 @@
   void Receive();
   void SendLoop();
   void SendPending();
-  void SendToPeers(const std::vector<uint8_t>& bytes);
+  void SendToAll(const PeerUpdate& update);
   void RepeatEvacuations();
 
   using Socket = boost::asio::ip::udp::socket;
--- a/source/unit_tests/core/dispatch/placement_spread_test.cc
+++ b/source/unit_tests/core/dispatch/placement_spread_test.cc
@@ -199,7 +199,7 @@
     SendTicket ticket;
     ticket.endpoint = choice->endpoint;
     ticket.uncached_tokens = choice->uncached_tokens;
-    ticket.tokens_ahead = choice->tokens_ahead;
+    ticket.tokens_ahead = choice->predicted_tokens;
     choice->endpoint->OnSent(ticket, now);
     const TimePoint first_token =
         now + common::FromSeconds((kBaseMs + kTokenMs * 12000) / 1000);
