--- a/source/core/journal/record.cc
+++ b/source/core/journal/record.cc
@@ -3,12 +3,14 @@
 #include <openssl/evp.h>
 
 #include <charconv>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <system_error>
 
 #include "core/common/error.h"
 #include "core/common/hash.h"
 #include "core/common/json_decode.h"
+#include "core/common/json_number.h"
 
 namespace jujuberock::journal {
 
@@ -73,14 +75,14 @@
   record.state = static_cast<RecordState>(state);
   record.host = value.at(5).get<std::string>();
   record.call_id = value.at(6).get<std::string>();
-  record.term = value.at(7).get<Term>();
+  record.term = common::GetUnsigned(value.at(7));
   if (value.size() <= 8)
     return record;
   SavedAnswer& answer = record.answer;
   answer.status = value.at(8).get<int>();
   answer.content_type = value.at(9).get<std::string>();
   answer.digest = value.at(10).get<std::string>();
-  answer.body_bytes = value.at(11).get<uint64_t>();
+  answer.body_bytes = common::GetUnsigned(value.at(11));
   answer.body_kept = !value.at(12).is_null();
   if (answer.body_kept)
     answer.body =
@@ -173,21 +175,21 @@
   return ParseObject(body, [](const json& value) {
     HeadContent content;
     Head& head = content.head;
-    head.term = value.at("term").get<Term>();
+    head.term = common::GetUnsigned(value.at("term"));
     head.owner = value.at("owner").get<std::string>();
     head.floor = FromMillis(value.at("floor"));
-    head.store_era = value.value("store_era", uint64_t{0});
+    head.store_era = common::GetUnsignedOrZero(value, "store_era");
     if (value.contains("lost_until"))
       head.lost_until = FromMillis(value["lost_until"]);
-    head.next_object = value.at("next_object").get<uint64_t>();
+    head.next_object = common::GetUnsigned(value.at("next_object"));
     for (const json& index : value.at("indexes"))
       head.indexes.push_back({index.at(0).get<std::string>(),
                               FromMillis(index.at(1)),
-                              index.at(2).get<uint64_t>()});
+                              common::GetUnsigned(index.at(2))});
     for (const json& segment : value.at("segments"))
       head.segments.push_back({segment.at(0).get<std::string>(),
                                FromMillis(segment.at(1)),
-                               segment.at(2).get<uint64_t>()});
+                               common::GetUnsigned(segment.at(2))});
     content.records = RecordsFromJson(value.at("records"));
     return content;
   });
@@ -224,7 +226,7 @@
     for (const json& item : value.at("segments")) {
       IndexedSegment segment;
       segment.name = item.at(0).get<std::string>();
-      const auto count = item.at(1).get<size_t>();
+      const size_t count = common::GetUnsigned(item.at(1));
       const auto text = item.at(2).get<std::string>();
       // Checked first, since the number of bytes may overflow.
       if (count > text.size())
@@ -274,7 +276,8 @@
 
 uint32_t ParseLayout(std::string_view body) {
   return ParseObject(body, [](const json& value) {
-    return value.at("shards").get<uint32_t>();
+    return static_cast<uint32_t>(common::GetUnsigned(
+        value.at("shards"), std::numeric_limits<uint32_t>::max()));
   });
 }
 
--- a/source/core/rollout/lease_record.cc
+++ b/source/core/rollout/lease_record.cc
@@ -2,6 +2,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include "core/common/error.h"
+#include "core/common/json_number.h"
+
 namespace jujuberock::rollout {
 
 using Json = nlohmann::json;
@@ -28,16 +31,18 @@
   try {
     LeaseRecord record;
     record.holder = value.at("holder").get<std::string>();
-    record.token = value.at("token").get<uint64_t>();
-    record.renewals = value.at("renewals").get<uint64_t>();
+    record.token = common::GetUnsigned(value.at("token"));
+    record.renewals = common::GetUnsigned(value.at("renewals"));
     record.ordered = value.at("ordered").get<bool>();
     record.model = value.at("model").get<std::string>();
-    record.version = value.at("version").get<uint64_t>();
+    record.version = common::GetUnsigned(value.at("version"));
     record.reserved = value.at("reserved").get<std::vector<std::string>>();
     record.updated = value.at("updated").get<std::vector<std::string>>();
     return record;
   } catch (const Json::exception&) {
     return std::nullopt;
+  } catch (const common::Error&) {
+    return std::nullopt;
   }
 }
 
