--- a/source/unit_tests/core/gateway/evacuation_watch_test.cc
+++ b/source/unit_tests/core/gateway/evacuation_watch_test.cc
@@ -6,36 +6,16 @@
 #include "core/runtime/boot_clock.h"
 #include "core/runtime/sleep.h"
 #include "core/runtime/worker_pool.h"
+#include "unit_tests/core/gateway/platform_view_fakes.h"
 
 namespace jujuberock::gateway {
 namespace {
 
 using catalog::ObjectKind;
 
-class NullSink : public events::Sink {
- public:
-  size_t Write(std::string_view bytes) override { return bytes.size(); }
-};
-
-// Reads no object but its name.
-class NullDecoder : public ObjectDecoder {
- public:
-  catalog::Config Config(const catalog::StoredObject&) const override {
-    return {};
-  }
-  catalog::ModelVersion Version(const catalog::StoredObject&) const override {
-    return {};
-  }
-  std::optional<catalog::Endpoint> Endpoint(
-      const catalog::StoredObject&) const override {
-    return std::nullopt;
-  }
-};
-
 // A store that holds the evacuation of one zone, until that is taken back.
-class EvacuationStore : public catalog::ObjectStore {
+class EvacuationStore : public ReadOnlyStore {
  public:
-  uint64_t era() const override { return 1; }
   catalog::ObjectSnapshot List(ObjectKind kind) override {
     ++this->lists[static_cast<size_t>(kind)];
     if (kind != ObjectKind::kEvacuations)
@@ -54,21 +34,6 @@
     }
     return {{}, revision, false};
   }
-  std::optional<catalog::StoredObject> Read(ObjectKind,
-                                            std::string_view) override {
-    return std::nullopt;
-  }
-  catalog::WriteReply Create(ObjectKind,
-                             std::string_view,
-                             std::string_view) override {
-    return {};
-  }
-  catalog::WriteReply Replace(ObjectKind,
-                              std::string_view,
-                              uint64_t,
-                              std::string_view) override {
-    return {};
-  }
 
   std::array<int, catalog::kObjectKindCount> lists{};
   bool is_taken_back = false;
@@ -79,7 +44,7 @@
   runtime::WorkerPool pool{1};
   EvacuationStore store;
   common::MetricRegistry counters;
-  NullDecoder decoder;
+  RevisionDecoder decoder;
   NullSink sink;
   events::EventLog log{sink, "h", [] { return common::UnixTime(); }, counters};
   Settings settings;
--- a/source/unit_tests/core/gateway/relayed_view_test.cc
+++ b/source/unit_tests/core/gateway/relayed_view_test.cc
@@ -5,6 +5,7 @@
 #include "core/runtime/boot_clock.h"
 #include "core/runtime/sleep.h"
 #include "core/runtime/worker_pool.h"
+#include "unit_tests/core/gateway/platform_view_fakes.h"
 
 namespace jujuberock::gateway {
 namespace {
@@ -15,33 +16,10 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-class NoSink : public events::Sink {
- public:
-  size_t Write(std::string_view bytes) override { return bytes.size(); }
-};
-
-class PlainDecoder : public ObjectDecoder {
- public:
-  catalog::Config Config(const catalog::StoredObject& object) const override {
-    catalog::Config config;
-    config.version = object.revision;
-    return config;
-  }
-  catalog::ModelVersion Version(
-      const catalog::StoredObject& object) const override {
-    return {object.name, object.revision};
-  }
-  std::optional<catalog::Endpoint> Endpoint(
-      const catalog::StoredObject&) const override {
-    return std::nullopt;
-  }
-};
-
 // A store whose answers all come from a relay. The first watch of each kind
 // reports a change, the others say what is known already.
-class AgedStore : public catalog::ObjectStore {
+class AgedStore : public ReadOnlyStore {
  public:
-  uint64_t era() const override { return 1; }
   catalog::ObjectSnapshot List(ObjectKind) override {
     return {{{"m", 1, "{}"}}, 1, this->age};
   }
@@ -56,21 +34,6 @@
       changes.changes = {{{"m", 2, "{}"}, false}};
     return changes;
   }
-  std::optional<catalog::StoredObject> Read(ObjectKind,
-                                            std::string_view) override {
-    return std::nullopt;
-  }
-  catalog::WriteReply Create(ObjectKind,
-                             std::string_view,
-                             std::string_view) override {
-    return {};
-  }
-  catalog::WriteReply Replace(ObjectKind,
-                              std::string_view,
-                              uint64_t,
-                              std::string_view) override {
-    return {};
-  }
 
   catalog::AnswerAge age{ObjectSource::kRelay, Duration(0)};
   std::optional<Duration> change_age;
@@ -79,8 +42,8 @@
 struct Fixture {
   runtime::WorkerPool pool{1};
   AgedStore store;
-  PlainDecoder decoder;
-  NoSink sink;
+  RevisionDecoder decoder;
+  NullSink sink;
   common::MetricRegistry counters;
   events::EventLog log{sink, "h", [] { return common::UnixTime(); }, counters};
   Settings settings;
