Open all ports of a gateway before its fibers start

Its port for other hosts was free for datagrams, but taken for the streams of the relay. The process then crashed (status -11): the fiber of the peer loads had started before the relay's port was opened, and referred to a gateway whose construction had failed.

--- a/source/core/gateway/gateway.cc
+++ b/source/core/gateway/gateway.cc
@@ -176,9 +176,9 @@
       [this](const auto&, auto& writer) { this->ServeReadiness(writer); },
       runtime::RenderPlainError);
   if (this->settings.peer_port != 0)
-    this->StartPeerLoads();
+    this->OpenPeerLoads();
   if (this->settings.peer_port != 0 && this->settings.relay_min_hosts != 0)
-    this->StartRelays();
+    this->OpenRelays();
   if (this->settings.metrics_port != 0) {
     runtime::Address metrics = address(this->settings.caller_address);
     metrics.port = static_cast<uint16_t>(this->settings.metrics_port);
@@ -192,9 +192,13 @@
         },
         runtime::RenderPlainError);
   }
+  // No fiber may refer to this object before all ports are open: a port that is
+  // in use ends the construction.
   workers.Spawn(0, [this] {
     LogLine(this->log, Event::kStarted).Add(Field::kDetail, "serving");
     this->view.Start();
+    if (this->peer_loads)
+      this->peer_loads->Start();
     runtime::SpawnLocal([this] { this->rollout_controller.Run(); });
     runtime::SpawnLocal([this] { this->host_registry.Run(); });
     runtime::SpawnLocal([this] { this->stream_registry.Run(); });
@@ -207,7 +211,7 @@
   });
 }
 
-void Gateway::StartPeerLoads() {
+void Gateway::OpenPeerLoads() {
   runtime::Address address =
       *runtime::Address::Parse(this->settings.caller_address);
   address.port = static_cast<uint16_t>(this->settings.peer_port);
@@ -220,10 +224,9 @@
   this->dispatcher.OnUnreachable(
       [this](const std::string& id) { this->peer_loads->OnUnreachable(id); });
   this->request_deps.peer_loads = this->peer_loads.get();
-  this->workers.Spawn(0, [this] { this->peer_loads->Start(); });
 }
 
-void Gateway::StartRelays() {
+void Gateway::OpenRelays() {
   runtime::Address address =
       *runtime::Address::Parse(this->settings.caller_address);
   address.port = static_cast<uint16_t>(this->settings.peer_port);
--- a/source/core/gateway/gateway.h
+++ b/source/core/gateway/gateway.h
@@ -76,8 +76,9 @@
                    runtime::ResponseWriter& writer);
   // Waits until the draining server has no connection left.
   void AwaitDrained(common::TimePoint limit);
-  void StartPeerLoads();
-  void StartRelays();
+  // Open the ports for other hosts. Throw kInvalidSettings if one is in use.
+  void OpenPeerLoads();
+  void OpenRelays();
   void OnViewChanged();
   void OnHostObject(const catalog::ObjectChange& change);
   void Tick();
--- a/tools/gateway_standins.py
+++ b/tools/gateway_standins.py
@@ -404,6 +404,18 @@
     return port
 
 
+def free_peer_port():
+    """Returns a port on which a gateway can take both streams and datagrams."""
+    while True:
+        port = free_port()
+        with socket.socket(type=socket.SOCK_DGRAM) as datagrams:
+            try:
+                datagrams.bind(("127.0.0.1", port))
+                return port
+            except OSError:
+                continue
+
+
 class Answer:
     """What a caller saw: a whole answer, a cut one, or none."""
 
