Ask the store itself once a relay was silent and the view is as old as a watch

Followers waited for one time-out after the other, and six of them had version 7 only 3 to 4.5 s after the others. Now a follower looks for a view at another relay only while its own is younger than the wait of a watch.

--- a/source/core/gateway/relayed_store.cc
+++ b/source/core/gateway/relayed_store.cc
@@ -150,9 +150,12 @@
     const auto position = this->mirror.PositionOf(kind);
     const Duration age =
         position ? asked_at - position->confirmed_at : Duration(0);
-    const Duration max_age = wait + kMaxExtraAge;
+    // Several relays may be silent at the same time, and each takes a time-out
+    // to notice, so only a young view is looked for at another one.
+    const bool was_silent = have_asked && !is_store_failing;
+    const Duration max_age = was_silent ? wait : wait + kMaxExtraAge;
     const bool is_too_old = revision && age >= max_age;
-    if (!host || (is_too_old && have_asked && !is_store_failing))
+    if (!host || (is_too_old && was_silent))
       break;
     RelayRequest request;
     request.kind = kind;
