review/9: spoil the signature by one wrong byte

Change: the spoiled answer has one wrong letter in the name of the field, at a random place, in place of no such line.

--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,9 +1,9 @@
-"""Workers spoil a few of their answers: the head lacks the worker's signature.
+"""A worker spoils a few of its answers: a wrong byte costs the signature.
 
 One gateway, three workers of one service, an idempotent route with two
-attempts. A spoiled answer is a 200 that names the attempt, but has no
-X-Server-Stamp. No requester may get a success without that field. With
-TROUBLE=0, the workers spoil nothing.
+attempts. A spoiled answer is a 200 that names the attempt, with one wrong byte
+in the name of the field X-Server-Stamp. No requester may get a success without
+that field. With TROUBLE=0, the worker spoils nothing.
 """
 
 import asyncio
@@ -62,13 +62,22 @@
         self.record = record
         self.chance = random.Random(SEED + number)
 
+    def spoil(self, field):
+        """Replaces one letter of the field's name by another one."""
+        place = self.chance.choice([2, 3, 4, 5, 6, 7, 9, 10, 11, 12, 13])
+        letters = [c for c in b"abcdefghijklmnopqrstuvwxyz"
+                   if c != field[place:place + 1].lower()[0]]
+        return (field[:place] + bytes([self.chance.choice(letters)]) +
+                field[place + 1:])
+
     def steps(self, request):
         is_spoiled = (TROUBLE and self.number < SPOILING_WORKERS and
                       self.chance.random() < SPOILED_SHARE)
         self.record(f"ran       {request['id']} worker {self.number}"
-                    f"{', answered without X-Server-Stamp' if is_spoiled else ''}")
-        stamp = b"" if is_spoiled else \
-            b"X-Server-Stamp: 3e1b.07.5a2.600.0.%04d\r\n" % self.number
+                    f"{', spoils the answer' if is_spoiled else ''}")
+        stamp = b"X-Server-Stamp: 3e1b.07.5a2.600.0.%04d\r\n" % self.number
+        if is_spoiled:
+            stamp = self.spoil(stamp)
         return [("pause", 0.005),
                 ("send", b"HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\n" + stamp +
                  b"Content-Length: %d\r\n\r\n" % len(BODY) + BODY)]
