--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,11 +1,12 @@
 """An open connection to the store goes silent while a new version joins.
 
-Four gateways, the store, and workers of one service that write streams. One
-gateway's connection to the store that waits for changes of the workers goes
-silent for good; all its other connections, and new ones, work. A second later a
-worker of a second software version joins. Requesters lose their connections in
-the middle of streams and take these up at the next machine. With TROUBLE=0, no
-connection goes silent.
+Four gateways in three zones as on the site, the store, and workers of one
+service that write streams. One gateway's connection to the store that waits for
+changes of the workers goes silent for good; all its other connections, and new
+ones, work. Shortly after, workers of a second software version join. The
+requesters of the zone that has two machines use these by turns; some lose their
+connection in the middle of a stream and take it up at the other machine. With
+TROUBLE=0, no connection goes silent.
 """
 
 import asyncio
@@ -25,14 +26,17 @@
                               ScriptedEndpoint)
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-HOSTS = int(os.environ.get("HOSTS", "4"))
+# The zone of each gateway. The requesters are those of the first zone.
+ZONES = ["santa-lucia", "santa-lucia", "sauce", "tala"]
+HOSTS = len(ZONES)
+HOSTS_OF_REQUESTERS = 2
 WORKERS_OF_EACH_VERSION = 2
 HEARTBEAT_S = 1.2
 EVENTS = 20
 EVENT_GAP_S = 0.1
 # A requester has this many events when it loses its connection.
 EVENTS_BEFORE_BREAK = 3
-STREAMS_PER_S = 100
+STREAMS_PER_S = 60
 # Share of the requesters that lose their connection in the middle of a stream.
 BROKEN_SHARE = 0.5
 SEED = 8
@@ -130,10 +134,11 @@
 
 
 class Worker(ScriptedEndpoint):
-    def __init__(self, name, version, record):
+    def __init__(self, name, version, zone, record):
         super().__init__(self.steps)
         self.name = name
         self.version = version
+        self.zone = zone
         self.record = record
 
     def steps(self, request):
@@ -212,7 +217,8 @@
 
     async def join(self, version):
         for i in range(WORKERS_OF_EACH_VERSION):
-            worker = Worker(f"i-{version}-{i}", version, self.record)
+            worker = Worker(f"i-{version}-{i}", version, ZONES[i + 1],
+                            self.record)
             await worker.start()
             self.workers.append(worker)
             self.report(worker, 1)
@@ -220,9 +226,10 @@
 
     def report(self, worker, sequence):
         self.store.put("servers", worker.name, {
-            "service": "asistente", "address": worker.address, "zone": "z",
-            "version": worker.version, "slots": 48, "state": "ready",
-            "coldLeftMs": 0, "born": 1000, "sequence": sequence})
+            "service": "asistente", "address": worker.address,
+            "zone": worker.zone, "version": worker.version, "slots": 48,
+            "state": "ready", "coldLeftMs": 0, "born": 1000,
+            "sequence": sequence})
 
     async def send_heartbeats(self):
         sequence = 1
@@ -244,8 +251,8 @@
         await asyncio.gather(*tasks)
 
     async def play_stream(self, stream, number):
-        """The requester's connection breaks, and it goes to the next machine."""
-        first = number % HOSTS
+        """Some requesters lose their connection and go to the other machine."""
+        first = number % HOSTS_OF_REQUESTERS
         breaks = self.chance.random() < BROKEN_SHARE
         await stream.attempt(self.gateways[first].caller_port,
                              limit=EVENTS_BEFORE_BREAK if breaks else None)
@@ -253,7 +260,7 @@
             return
         await asyncio.sleep(0.02)
         await stream.attempt(
-            self.gateways[(first + 1) % HOSTS].caller_port,
+            self.gateways[1 - first].caller_port,
             last=stream.events[-1][0])
 
     async def play(self):
@@ -264,6 +271,7 @@
         for i, link in enumerate(self.links):
             await link.start()
             gateway = GatewayProcess(self.store, f"host-{i}", **SETTINGS,
+                                     zone=ZONES[i],
                                      platform_address=link.address)
             gateway.start()
             self.gateways.append(gateway)
