forward: fail responses that lack what makes them the endpoint's own

Cause: the codec decoded whether a response is signed, and nothing read it. The same held for an encoded body on the first response, and for statuses that callers take for a promise (408, 429, 503) without the endpoint's confirmation that the request did not run: these were passed on.

EndpointSend now fails such responses as malformed, on every path that answers a caller: first response, resend, rest of a stream. The request goes on elsewhere if its kind and budget allow it; one that must not run twice gets 502. A response counts as signed only if its signature is passed on.

--- a/source/core/forward/endpoint_send.cc
+++ b/source/core/forward/endpoint_send.cc
@@ -150,7 +150,7 @@
     const bool is_stale =
         this->head.attempt_id && *this->head.attempt_id != this->attempt_id;
     if (!is_stale && this->head.status >= 200) {
-      this->CheckIdentified();
+      this->CheckUsable();
       return this->head;
     }
     if (!this->SkipBody())
@@ -162,12 +162,21 @@
   throw SendError(SendFailure::kMalformed, "received only stale responses");
 }
 
-void EndpointSend::CheckIdentified() const {
+void EndpointSend::CheckUsable() const {
   const bool is_success = this->head.status < 300;
   // On a connection that was used before, a response without an id may be a
   // late copy of an earlier one.
   if (!this->head.attempt_id && (this->reused || is_success))
     throw SendError(SendFailure::kMalformed, "the response names no request");
+  if (is_success && !this->head.is_signed)
+    throw SendError(SendFailure::kMalformed,
+                    "the success lacks the endpoint's signature");
+  if (is_success && this->head.is_encoded)
+    throw SendError(SendFailure::kMalformed, "the body is encoded");
+  if (this->head.promises_not_run && !this->head.not_run)
+    throw SendError(
+        SendFailure::kMalformed,
+        "the refusal does not confirm that the request did not run");
 }
 
 void EndpointSend::Write(const CallerRequest& request,
--- a/source/core/forward/endpoint_send.h
+++ b/source/core/forward/endpoint_send.h
@@ -111,7 +111,7 @@
   // many bytes that are of no use.
   bool SkipBody();
   // Throws if the response can't belong to the request.
-  void CheckIdentified() const;
+  void CheckUsable() const;
   void ResetParser();
   void SetExpiry();
   void Finish();
--- a/source/core/forward/types.h
+++ b/source/core/forward/types.h
@@ -66,8 +66,14 @@
   std::optional<std::string> attempt_id;
   // The endpoint confirms that it did not run the request.
   bool not_run = false;
-  // The response carries the endpoint's signature.
+  // The response carries the endpoint's signature. A success without it does
+  // not count as the endpoint's.
   bool is_signed = false;
+  // The body is encoded, which no caller asks for.
+  bool is_encoded = false;
+  // Callers take the status for a promise that the request has not run. Unless
+  // `not_run` is set, the endpoint does not promise that.
+  bool promises_not_run = false;
   catalog::EndpointNotice notice;
   std::optional<dispatch::LoadReport> load;
   std::optional<uint64_t> weight_version;
--- a/source/platform/codec.cc
+++ b/source/platform/codec.cc
@@ -88,6 +88,11 @@
   return names;
 }
 
+bool IsEncoded(const runtime::HttpHeaders& headers) {
+  const auto encoding = headers.Find(wire::kContentEncoding);
+  return encoding && !EqualsIgnoreCase(Trim(*encoding), wire::kIdentity);
+}
+
 std::optional<dispatch::Prompt> DecodePrompt(
     const runtime::HttpHeaders& headers) {
   const auto model = headers.Find(wire::kModel);
@@ -242,7 +247,10 @@
   // another endpoint.
   head.not_run = headers.Find(wire::kNotExecuted).has_value() || status == 421;
   head.notice = DecodeNotice(status, headers);
-  head.is_signed = headers.Find(wire::kServerStamp).has_value();
+  head.promises_not_run = std::find(wire::kPromisingStatuses.begin(),
+                                    wire::kPromisingStatuses.end(),
+                                    status) != wire::kPromisingStatuses.end();
+  head.is_encoded = IsEncoded(headers);
   if (const auto load = headers.Find(wire::kServerLoad))
     head.load = DecodeLoad(*load);
   if (const auto version = headers.Find(wire::kWeightVersions)) {
@@ -262,6 +270,8 @@
     if (!is_stripped)
       head.forwarded_headers.Add(field.name, field.value);
   }
+  head.is_signed =
+      !head.forwarded_headers.Find(wire::kServerStamp).value_or("").empty();
   return head;
 }
 
--- a/source/platform/wire_names.h
+++ b/source/platform/wire_names.h
@@ -41,6 +41,12 @@
 inline constexpr std::string_view kServerLeaving = "Server-Leaving";
 inline constexpr std::string_view kKeepAlive = "Keep-Alive";
 inline constexpr std::string_view kConnection = "Connection";
+inline constexpr std::string_view kContentEncoding = "Content-Encoding";
+// The content coding that changes nothing.
+inline constexpr std::string_view kIdentity = "identity";
+
+// Callers send a request with one of these statuses again, whatever its kind.
+inline constexpr std::array kPromisingStatuses = {408, 421, 429, 503};
 
 // Fields reserved to the system; they are stripped from callers' requests.
 inline constexpr std::array kReservedFields = {
--- a/source/unit_tests/core/forward/endpoint_send_test.cc
+++ b/source/unit_tests/core/forward/endpoint_send_test.cc
@@ -126,6 +126,34 @@
   });
 }
 
+// Guards against passing on a success that lacks what makes it the endpoint's,
+// and a refusal whose promise the endpoint did not give.
+TEST_CASE("a response without what it needs to count fails") {
+  const std::string id = "Id: a\r\nContent-Length: 2\r\n";
+  struct Case {
+    std::string head;
+    bool is_usable;
+  };
+  const Case cases[] = {
+      {"200 OK\r\n", true},
+      {"200 OK\r\nUnsigned: 1\r\n", false},
+      {"206 Partial Content\r\nUnsigned: 1\r\n", false},
+      {"200 OK\r\nEncoded: 1\r\n", false},
+      {"500 Internal Server Error\r\nUnsigned: 1\r\n", true},
+      {"500 Internal Server Error\r\nEncoded: 1\r\n", true},
+      {"503 Service Unavailable\r\nPromise: 1\r\n", false},
+      {"503 Service Unavailable\r\nPromise: 1\r\nNot-Run: 1\r\n", true},
+  };
+  for (const Case& c : cases) {
+    INFO(c.head);
+    const auto results =
+        SendRequests({"HTTP/1.1 " + c.head + id + "\r\nok"}, false, {"a"});
+    CHECK(results[0].failure.has_value() == !c.is_usable);
+    if (results[0].failure)
+      CHECK(*results[0].failure == SendFailure::kMalformed);
+  }
+}
+
 TEST_CASE("an idle connection is reused for the next request") {
   const auto results =
       SendRequests({kOkResponse, kOkResponse}, false, {"a", "a"});
--- a/source/unit_tests/core/forward/fake_endpoint.h
+++ b/source/unit_tests/core/forward/fake_endpoint.h
@@ -16,7 +16,8 @@
 
 namespace jujuberock::forward {
 
-// Carries the attempt id in a plain `Id` header.
+// Carries the attempt id in a plain `Id` header. Responses are signed and state
+// that the request has run, unless a header says otherwise.
 class TestCodec : public Codec {
  public:
   CallerRequest DecodeRequest(const runtime::HttpRequest&) const override {
@@ -34,6 +35,10 @@
     head.status = status;
     if (const auto id = headers.Find("Id"))
       head.attempt_id = std::string(*id);
+    head.is_signed = !headers.Find("Unsigned");
+    head.is_encoded = headers.Find("Encoded").has_value();
+    head.promises_not_run = headers.Find("Promise").has_value();
+    head.not_run = headers.Find("Not-Run").has_value();
     return head;
   }
   void AddRetryAfter(runtime::HttpHeaders&, common::Duration) const override {}
--- a/source/unit_tests/platform/codec_test.cc
+++ b/source/unit_tests/platform/codec_test.cc
@@ -143,6 +143,34 @@
   CHECK_FALSE(codec.DecodeResponseHead(503, {}).not_run);
 }
 
+// Guards against taking a response for a signed one whose signature is not
+// passed on.
+TEST_CASE("a response is signed if its signature is passed on") {
+  const PlatformCodec codec;
+  CHECK_FALSE(codec.DecodeResponseHead(200, {}).is_signed);
+  CHECK_FALSE(
+      codec.DecodeResponseHead(200, {{"X-Server-Stamp", ""}}).is_signed);
+  CHECK_FALSE(
+      codec.DecodeResponseHead(200, {{"X-Servex-Stamp", "s"}}).is_signed);
+  CHECK_FALSE(codec
+                  .DecodeResponseHead(200, {{"X-Server-Stamp", "s"},
+                                            {"Connection", "X-Server-Stamp"}})
+                  .is_signed);
+}
+
+TEST_CASE("encoded bodies and promising statuses are noticed") {
+  const PlatformCodec codec;
+  CHECK(
+      codec.DecodeResponseHead(200, {{"Content-Encoding", "gzip"}}).is_encoded);
+  CHECK_FALSE(codec.DecodeResponseHead(200, {{"Content-Encoding", " Identity"}})
+                  .is_encoded);
+  CHECK_FALSE(codec.DecodeResponseHead(200, {}).is_encoded);
+  for (const int status : {408, 421, 429, 503})
+    CHECK(codec.DecodeResponseHead(status, {}).promises_not_run);
+  for (const int status : {200, 400, 404, 500, 502, 504})
+    CHECK_FALSE(codec.DecodeResponseHead(status, {}).promises_not_run);
+}
+
 // Load: endpoints that share their machines and report how long work takes.
 // Guards against losing the whole report because of a figure that is new or
 // malformed.
