streams: narrow the software record only from a newer view, in two writes

Cause: a host whose watch of the endpoints was silent still saw one version alone and declared it the only one for all hosts, again and again, while the others took that back. Neither the age of the view nor the revision of the record counted. The claim was also made in one write, so that a version which joined just then could be in use already.

A host now replaces the record only from a view that contains the store's revision of the record, and names a candidate before the only version. Hosts that see another version take the candidate back before they use that version; the second write is conditional on the first and follows after the longest stream. Records that are older than the known one are ignored.

--- a/source/core/events/event_log.h
+++ b/source/core/events/event_log.h
@@ -184,9 +184,11 @@
   kZone,
   kSource,
   kColdLeftMs,
+  kCandidate,
+  kViewRevision,
 };
 
-inline constexpr size_t kFieldCount = 59;
+inline constexpr size_t kFieldCount = 61;
 
 inline constexpr common::NameTable<Field, kFieldCount> kFieldNames(
     {"request",
@@ -247,7 +249,9 @@
      "fetch_ms",
      "zone",
      "source",
-     "cold_left_ms"});
+     "cold_left_ms",
+     "candidate",
+     "view_revision"});
 
 Level LevelOf(Event event);
 
--- a/source/core/gateway/platform_view.cc
+++ b/source/core/gateway/platform_view.cc
@@ -113,6 +113,7 @@
       this->ReportUnreadable(watch, object);
     this->ReplaceEndpoints(snapshot,
                            former_era != 0 && former_era != watch.era);
+    this->OnApplied(watch);
     return;
   }
   for (const catalog::StoredObject& object : snapshot.objects)
@@ -142,6 +143,7 @@
   this->OnAnswer(watch, changes.answer_age, sent_at);
   for (const ObjectChange& change : changes.changes)
     this->Apply(watch, change, changed_after);
+  this->OnApplied(watch);
   this->ConfirmConfig(watch);
   // A relay has collected several changes already.
   const bool is_collected = changes.answer_age.source == ObjectSource::kRelay;
@@ -211,6 +213,11 @@
   this->endpoints_read->read_at = earliest_answer;
 }
 
+void PlatformView::OnApplied(const KindWatch& watch) {
+  if (watch.kind == ObjectKind::kEndpoints && watch.revision)
+    this->endpoints_applied = {watch.era, *watch.revision};
+}
+
 void PlatformView::ConfirmConfig(const KindWatch& watch) {
   if (watch.kind == ObjectKind::kConfig && !this->is_config_unreadable &&
       this->config_floor.IsMet(runtime::BootNow()))
--- a/source/core/gateway/platform_view.h
+++ b/source/core/gateway/platform_view.h
@@ -14,6 +14,7 @@
 #include "core/catalog/evacuations.h"
 #include "core/catalog/object_store.h"
 #include "core/catalog/view_age.h"
+#include "core/catalog/view_position.h"
 #include "core/common/stall_detector.h"
 #include "core/events/event_log.h"
 #include "core/gateway/decoder.h"
@@ -77,6 +78,11 @@
   std::optional<EndpointsAge> endpoints_age() const {
     return this->endpoints_read;
   }
+  // The state of the store that endpoints() is known to contain; all zeros
+  // while no endpoints are known.
+  catalog::ViewPosition endpoints_position() const {
+    return this->endpoints_applied;
+  }
   // Whether API keys may be checked against the configuration in force.
   bool KeysUsable(common::TimePoint now) const {
     return this->IsComplete(now) && this->view_age.KeysUsable(now);
@@ -161,6 +167,8 @@
   void OnAnswer(KindWatch& watch,
                 const catalog::AnswerAge& answer_age,
                 common::TimePoint sent_at);
+  // All changes up to the revision of the watch have been applied.
+  void OnApplied(const KindWatch& watch);
   void OnFailure(KindWatch& watch, const std::string& detail);
   // Records that the store confirmed the configuration in force, unless what it
   // has is known to be older or can't be read.
@@ -217,6 +225,7 @@
   // The newest era of the store that was noticed; 0 before its first answer.
   uint64_t known_era = 0;
   std::optional<EndpointsAge> endpoints_read;
+  catalog::ViewPosition endpoints_applied;
   bool endpoints_known = false;
   bool evacuations_known = false;
   bool hosts_known = false;
--- a/source/core/gateway/stream_registry.cc
+++ b/source/core/gateway/stream_registry.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "core/common/error.h"
+#include "core/common/hash.h"
 #include "core/runtime/boot_clock.h"
 #include "core/runtime/sleep.h"
 
@@ -31,6 +32,9 @@
 // Writes of all hosts together; with more hosts, each writes less often.
 constexpr double kMaxWritesPerSecond = 400;
 constexpr Duration kRetryDelay = std::chrono::milliseconds(300);
+// Time between the turns of two hosts to write the same record. With hundreds
+// of hosts, a few write before they learn of each other's record.
+constexpr Duration kTurnPeriod = std::chrono::milliseconds(10);
 // A caller whose connection broke at the end of a stream may not have got it.
 constexpr Duration kCompleteLifetime = std::chrono::seconds(1);
 constexpr Duration kMaxRecordWait = std::chrono::milliseconds(250);
@@ -73,7 +77,8 @@
   }
   const auto record = streams::ParseSoftwareRecord(change.object.content);
   // Odd bytes of another writer are replaced.
-  state.OnRecord(record.value_or(SoftwareRecord()), change.object.revision);
+  state.OnRecord(record.value_or(SoftwareRecord()), change.object.revision,
+                 runtime::BootNow());
 }
 
 std::optional<Duration> StreamRegistry::LongestStream(
@@ -150,12 +155,22 @@
     state.OnEra(this->store.era());
     if (state.NeedsRead())
       this->ReadState(service, state);
-    const auto record = state.RecordToWrite(*longest, runtime::BootNow());
+    state.OnViewPosition(this->view.endpoints_position());
+    const auto record = state.RecordToWrite(*longest, this->TurnOf(service),
+                                            runtime::BootNow());
     if (record)
       this->WriteState(service, state, *record);
   }
 }
 
+Duration StreamRegistry::TurnOf(const std::string& service) const {
+  const auto slots =
+      std::max<uint64_t>(1, static_cast<uint64_t>(this->hosts.host_count()));
+  const uint64_t slot =
+      common::Hash64(this->settings.host_name + '/' + service) % slots;
+  return kTurnPeriod * slot;
+}
+
 void StreamRegistry::ReadState(const std::string& service,
                                SoftwareState& state) {
   try {
@@ -166,7 +181,8 @@
       return;
     }
     const auto record = streams::ParseSoftwareRecord(object->content);
-    state.OnRecord(record.value_or(SoftwareRecord()), object->revision);
+    state.OnRecord(record.value_or(SoftwareRecord()), object->revision,
+                   runtime::BootNow());
   } catch (const common::Error&) {
     // The watches log that the store does not answer. The state stays unknown.
     runtime::SleepFor(kRetryDelay);
@@ -185,8 +201,8 @@
         state.OnUnknown();
         return;
       }
-      state.OnRecord(record, reply.current->revision);
-      this->LogState(service, record);
+      state.OnRecord(record, reply.current->revision, runtime::BootNow());
+      this->LogState(service, record, reply.current->revision);
       return;
     case WriteState::kConflict:
       if (!reply.current) {
@@ -195,7 +211,7 @@
       }
       state.OnRecord(streams::ParseSoftwareRecord(reply.current->content)
                          .value_or(SoftwareRecord()),
-                     reply.current->revision);
+                     reply.current->revision, runtime::BootNow());
       return;
     case WriteState::kMissing:
       state.OnNoRecord();
@@ -211,11 +227,16 @@
 }
 
 void StreamRegistry::LogState(const std::string& service,
-                              const SoftwareRecord& record) {
+                              const SoftwareRecord& record,
+                              uint64_t revision) {
   LogLine line(this->log, Event::kSoftwareAgreed);
   line.Add(Field::kService, service).Add(Field::kStoreEra, record.store_era);
   if (record.sole)
     line.Add(Field::kSoftware, *record.sole);
+  if (record.candidate)
+    line.Add(Field::kCandidate, *record.candidate);
+  line.Add(Field::kRevision, revision)
+      .Add(Field::kViewRevision, this->view.endpoints_position().revision);
 }
 
 catalog::WriteReply StreamRegistry::Write(ObjectKind kind,
--- a/source/core/gateway/stream_registry.h
+++ b/source/core/gateway/stream_registry.h
@@ -83,6 +83,8 @@
   streams::SoftwareVersions VersionsOf(const std::string& service) const;
   void CheckEra();
   void WriteStates();
+  // How long this host waits before it names a version for all hosts.
+  common::Duration TurnOf(const std::string& service) const;
   void ReadState(const std::string& service, streams::SoftwareState& state);
   void WriteState(const std::string& service,
                   streams::SoftwareState& state,
@@ -93,7 +95,8 @@
                             std::optional<uint64_t> expected,
                             std::string_view content);
   void LogState(const std::string& service,
-                const streams::SoftwareRecord& record);
+                const streams::SoftwareRecord& record,
+                uint64_t revision);
   std::set<std::string> RecordedServices() const;
   common::Duration WriteInterval() const;
   void WriteOrigins();
--- a/source/core/streams/software_state.cc
+++ b/source/core/streams/software_state.cc
@@ -23,6 +23,8 @@
   value["store_era"] = record.store_era;
   if (record.sole)
     value["sole"] = *record.sole;
+  if (record.candidate)
+    value["candidate"] = *record.candidate;
   return value.dump();
 }
 
@@ -37,6 +39,8 @@
     record.store_era = common::GetUnsigned(value.at("store_era"));
     if (value.contains("sole"))
       record.sole = value["sole"].get<std::string>();
+    else if (value.contains("candidate"))
+      record.candidate = value["candidate"].get<std::string>();
     return record;
   } catch (const Json::exception&) {
     return std::nullopt;
@@ -53,9 +57,17 @@
 }
 
 void SoftwareState::OnRecord(const SoftwareRecord& read,
-                             uint64_t new_revision) {
+                             uint64_t new_revision,
+                             TimePoint now) {
+  const bool has_revision = this->revision && this->revision_era == this->era;
+  // A watch reports changes that this host has read or replaced meanwhile.
+  if (has_revision && new_revision < *this->revision)
+    return;
+  if (!has_revision || new_revision > *this->revision)
+    this->record_known_since = now;
   this->record = read;
   this->revision = new_revision;
+  this->revision_era = this->era;
   this->is_known = true;
   this->has_seen_record = true;
 }
@@ -80,36 +92,67 @@
 
 std::optional<std::string> SoftwareState::RequiredVersion() const {
   // Holds also while it is not known whether a write has replaced the record.
-  if (!this->IsRecordOfEra() || !this->record->sole ||
-      !this->versions.serving.contains(*this->record->sole))
+  if (!this->IsRecordOfEra())
     return std::nullopt;
-  return this->record->sole;
+  const std::optional<std::string>& named = this->NamedVersion();
+  return named && this->versions.serving.contains(*named) ? named
+                                                          : std::nullopt;
+}
+
+bool SoftwareState::SeesOtherVersion() const {
+  const std::set<std::string>& seen =
+      this->record->sole ? this->versions.serving : this->versions.registered;
+  return std::any_of(seen.begin(), seen.end(), [this](const std::string& v) {
+    return v != *this->NamedVersion();
+  });
+}
+
+bool SoftwareState::MustWiden() const {
+  if (!this->NamedVersion() || !this->SeesOtherVersion())
+    return false;
+  // Without endpoints of the named version, streams begin at another one.
+  return this->IsViewNewerThanRecord() ||
+         !this->versions.serving.contains(*this->NamedVersion());
+}
+
+std::optional<SoftwareRecord> SoftwareState::NarrowerRecord(
+    Duration longest_stream,
+    Duration turn,
+    TimePoint now) const {
+  if (this->record->sole || this->versions.registered.size() != 1)
+    return std::nullopt;
+  const std::string& single = *this->versions.registered.begin();
+  const TimePoint since =
+      std::max(this->registered_since, this->record_known_since);
+  if (!this->record->candidate) {
+    const bool is_due = this->IsViewNewerThanRecord() && now - since >= turn;
+    return is_due
+               ? std::optional(SoftwareRecord{this->era, std::nullopt, single})
+               : std::nullopt;
+  }
+  const bool is_due = single == *this->record->candidate &&
+                      now - since >= longest_stream + kMaxViewLag + turn;
+  return is_due ? std::optional(SoftwareRecord{this->era, single})
+                : std::nullopt;
 }
 
 std::optional<SoftwareRecord> SoftwareState::RecordToWrite(
     Duration longest_stream,
+    Duration turn,
     TimePoint now) const {
   const std::set<std::string>& registered = this->versions.registered;
   if (!this->is_known || registered.empty())
     return std::nullopt;
   const SoftwareRecord several{this->era, std::nullopt};
-  const SoftwareRecord single{this->era, *registered.begin()};
-  const bool is_single = registered.size() == 1;
   // A service that is new has no streams yet. A record that was lost, or that
   // the store has in an older copy, says nothing of them.
-  if (!this->record)
-    return is_single && !this->has_seen_record ? single : several;
-  if (!this->IsRecordOfEra())
-    return several;
-  if (this->record->sole) {
-    const bool has_other = std::any_of(
-        this->versions.serving.begin(), this->versions.serving.end(),
-        [&](const std::string& v) { return v != *this->record->sole; });
-    return has_other ? std::optional(several) : std::nullopt;
+  if (!this->record) {
+    const bool is_new = registered.size() == 1 && !this->has_seen_record;
+    return is_new ? SoftwareRecord{this->era, *registered.begin()} : several;
   }
-  const bool is_settled =
-      now - this->registered_since >= longest_stream + kMaxViewLag;
-  return is_single && is_settled ? std::optional(single) : std::nullopt;
+  if (!this->IsRecordOfEra() || this->MustWiden())
+    return several;
+  return this->NarrowerRecord(longest_stream, turn, now);
 }
 
 }  // namespace jujuberock::streams
--- a/tools/gateway_standins.py
+++ b/tools/gateway_standins.py
@@ -173,37 +173,61 @@
     """The way of one gateway to the store: a proxy on loopback.
 
     While `is_cut`, no byte passes and no connection is closed; answers take
-    `delay_s` longer.
+    `delay_s` longer. silence_watch() makes the connection on which a kind is
+    watched silent for good, while new ones work.
     """
 
     def __init__(self, store):
         self.store = store
         self.is_cut = False
         self.delay_s = 0.0
+        # Connections on which a watch waits, by kind, and those that are silent.
+        self.watching = {}
+        self.silent = set()
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
         self.address = "127.0.0.1:%d" % self.server.sockets[0].getsockname()[1]
 
+    async def silence_watch(self, kind):
+        while kind not in self.watching:
+            await asyncio.sleep(0.005)
+        self.silent.add(self.watching[kind])
+
     async def serve(self, reader, writer):
         host, port = self.store.address.split(":")
         try:
             far_reader, far_writer = await asyncio.open_connection(host, port)
-            await asyncio.gather(self.pump(reader, far_writer, 0.0),
-                                 self.pump(far_reader, writer, None))
+            await asyncio.gather(
+                self.pump(reader, far_writer, 0.0, writer, self.on_request),
+                self.pump(far_reader, writer, None, writer, self.on_answer))
         except (ConnectionError, asyncio.CancelledError):
             pass  # The gateway has ended, or the test has.
         finally:
             writer.close()
 
-    async def pump(self, reader, writer, delay_s):
+    def on_request(self, data, connection):
+        method, _, target = data.partition(b" ")
+        kind = target.partition(b"?watch=")[0].removeprefix(b"/objects/")
+        if method == b"GET" and b"?watch=" in data[:200]:
+            self.watching[kind.decode()] = connection
+
+    def on_answer(self, _data, connection):
+        self.watching = {kind: other for kind, other in self.watching.items()
+                         if other is not connection}
+
+    async def pump(self, reader, writer, delay_s, connection, notice):
         while data := await reader.read(65536):
             await asyncio.sleep(self.delay_s if delay_s is None else delay_s)
             while self.is_cut:
                 await asyncio.sleep(0.01)
+            if connection in self.silent:
+                continue
+            notice(data, connection)
             writer.write(data)
             await writer.drain()
-        writer.close()
+        if connection not in self.silent:
+            writer.close()
 
 
 class ScriptedEndpoint:
