rollout: order only engines whose reservation the store has acknowledged

Cause: the holder reserved an engine in its own plan and ordered it after the notice, although each write of the reservation was refused. The next holder defers only the engines that the record lists.

The plan now names only engines whose reservation was acknowledged, and the notice begins then. A new holder also sends no order before the last change of the former holder's record is a lease time old, since the record no longer lists engines that were ordered and released before.

The other tests of the plan acknowledge each reservation now.

--- a/source/core/gateway/rollout_controller.cc
+++ b/source/core/gateway/rollout_controller.cc
@@ -200,12 +200,18 @@
   if (!this->lease_known || !this->lease.MayAcquire(runtime::BootNow()))
     return;
   const LeaseRecord previous = this->lease.record();
+  const bool had_other_holder = this->lease.expected_revision() &&
+                                previous.holder != this->settings.host_name;
+  const TimePoint changed_at = this->lease.changed_at();
   if (!this->WriteRecord(this->lease.RecordToAcquire()))
     return;
   this->plans.clear();
   this->previously_reserved.clear();
-  if (previous.holder != this->settings.host_name)
+  this->earliest_order = TimePoint();
+  if (had_other_holder) {
     this->previously_reserved = previous.reserved;
+    this->earliest_order = changed_at + this->settings.lease_time;
+  }
   this->acquired_at = runtime::BootNow();
   LogLine(this->log, Event::kHolderGained)
       .Add(Field::kToken, this->lease.token());
@@ -277,11 +283,14 @@
   const auto [entry, is_new] =
       this->plans.try_emplace(pending.model, rollout::RolloutPlanOptions());
   auto& plan = entry->second;
-  // Endpoints reserved by the previous holder are deferred by one lease time,
-  // so that two holders never send orders to the same endpoint.
-  if (is_new)
+  // Two holders never send orders to the same endpoint within one lease time.
+  // What the previous holder ordered after its last write it had reserved
+  // there; what it ordered before is no longer in the record.
+  if (is_new) {
     plan.Defer(this->previously_reserved,
                this->acquired_at + this->settings.lease_time);
+    plan.DeferAll(this->earliest_order);
+  }
   plan.SetTarget(pending.version);
   return plan;
 }
@@ -326,7 +335,12 @@
     if (endpoint->VersionOf(pending.model) >= pending.version)
       record.updated.push_back(endpoint->endpoint().id);
   }
-  if (this->WriteRecord(record) || reservations_changed)
+  const bool is_stored = this->WriteRecord(record);
+  // Releasing the lease in the meantime deletes the plans.
+  rollout::RolloutPlan* plan = this->FindPlan(pending.model);
+  if (is_stored && plan)
+    plan->OnStored(record.reserved, runtime::BootNow());
+  if (is_stored || reservations_changed)
     this->ApplyReservations();
 }
 
--- a/source/core/gateway/rollout_controller.h
+++ b/source/core/gateway/rollout_controller.h
@@ -102,6 +102,8 @@
   common::TimePoint acquired_at;
   // Endpoints that the previous holder had reserved when it lost the lease.
   std::vector<std::string> previously_reserved;
+  // What other holders ordered before the last write is a lease time old then.
+  common::TimePoint earliest_order;
   bool lease_known = false;
   bool stopping = false;
 };
--- a/source/core/rollout/order_lease.cc
+++ b/source/core/rollout/order_lease.cc
@@ -59,7 +59,7 @@
   this->current = record;
   this->highest_token = std::max(this->highest_token, record.token);
   this->revision = new_revision;
-  this->changed_at = now;
+  this->record_changed_at = now;
   if (record.holder != this->host)
     this->OnLost();
 }
@@ -67,7 +67,7 @@
 void OrderLease::OnNoRecord(common::TimePoint now) {
   this->current = {};
   this->revision.reset();
-  this->changed_at = now;
+  this->record_changed_at = now;
   this->OnLost();
 }
 
@@ -82,7 +82,8 @@
     return true;
   if (this->current.holder.empty() && !this->current.ordered)
     return true;
-  return now - this->changed_at >= Scale(this->options.lease, kTakeoverShare);
+  return now - this->record_changed_at >=
+         Scale(this->options.lease, kTakeoverShare);
 }
 
 LeaseRecord OrderLease::RecordToAcquire() const {
@@ -101,7 +102,7 @@
   this->current = record;
   this->highest_token = std::max(this->highest_token, record.token);
   this->revision = new_revision;
-  this->changed_at = now;
+  this->record_changed_at = now;
   this->renewed_at = sent_at;
   if (record.holder == this->host)
     this->held_until = sent_at + Scale(this->options.lease, kHoldShare);
--- a/source/core/rollout/order_lease.h
+++ b/source/core/rollout/order_lease.h
@@ -68,6 +68,8 @@
   }
   bool MustRenew(common::TimePoint now) const;
   const LeaseRecord& record() const { return this->current; }
+  // When this host has seen the last change of the record.
+  common::TimePoint changed_at() const { return this->record_changed_at; }
   uint64_t token() const { return this->current.token; }
 
  private:
@@ -85,7 +87,7 @@
   uint64_t highest_token = 0;
   LeaseRecord current;
   std::optional<uint64_t> revision;
-  common::TimePoint changed_at;
+  common::TimePoint record_changed_at;
   std::optional<common::TimePoint> held_until;
   common::TimePoint renewed_at;
 };
--- a/source/core/rollout/rollout_plan.cc
+++ b/source/core/rollout/rollout_plan.cc
@@ -132,7 +132,18 @@
     this->deferred[id] = until;
 }
 
+void RolloutPlan::OnStored(const std::vector<std::string>& ids,
+                           common::TimePoint now) {
+  for (const std::string& id : ids) {
+    const auto found = this->reservations.find(id);
+    if (found != this->reservations.end() && !found->second.stored_at)
+      found->second.stored_at = now;
+  }
+}
+
 std::vector<std::string> RolloutPlan::Due(common::TimePoint now) const {
+  if (now < this->earliest_order)
+    return {};
   using Waiting = std::pair<common::TimePoint, std::string>;
   std::vector<Waiting> waiting;
   std::vector<std::string> due;
@@ -148,7 +159,8 @@
       continue;
     }
     const bool notice_passed =
-        now - reservation.reserved_at >= this->options.notice;
+        reservation.stored_at &&
+        now - *reservation.stored_at >= this->options.notice;
     if (notice_passed && may_retry)
       waiting.emplace_back(reservation.reserved_at, id);
   }
--- a/source/core/rollout/rollout_plan.h
+++ b/source/core/rollout/rollout_plan.h
@@ -24,8 +24,8 @@
   // other down beyond about this share. At most as many more are reserved while
   // these load.
   double max_loading_share = 0.2;
-  // Time between the reservation, which the other hosts must learn of, and the
-  // order. Most runs on the endpoint end within it.
+  // Time between the stored reservation, which the other hosts must learn of,
+  // and the order. Most runs on the endpoint end within it.
   common::Duration notice = std::chrono::milliseconds(900);
   // Without any report, an accepted order counts as executing for this time.
   common::Duration order_timeout = std::chrono::milliseconds(4500);
@@ -37,9 +37,10 @@
 // Rolling update of the endpoints of one model to a target version, a few at a
 // time: those with the oldest weights first, and among these the least loaded.
 // An endpoint is first reserved, so that all hosts stop sending to it, and gets
-// the order after the notice. The next endpoints are reserved early enough for
-// their notice to end when the current ones have loaded. Pure state machine,
-// not thread-safe.
+// the order after the notice, which begins when the store has the reservation:
+// the next holder of the lease knows only those. The next endpoints are
+// reserved early enough for their notice to end when the current ones have
+// loaded. Pure state machine, not thread-safe.
 class RolloutPlan {
  public:
   explicit RolloutPlan(RolloutPlanOptions options) : options(options) {}
@@ -53,6 +54,8 @@
   // reservations changed.
   bool Reserve(const std::vector<PlannedEndpoint>& endpoints,
                common::TimePoint now);
+  // The store has acknowledged the reservations of these endpoints.
+  void OnStored(const std::vector<std::string>& ids, common::TimePoint now);
   // Reserved endpoints whose order is due and may be sent now: those whose
   // order was not answered, then the longest reserved.
   std::vector<std::string> Due(common::TimePoint now) const;
@@ -76,6 +79,8 @@
   // Sends no order to these endpoints before `until`, because they may be
   // executing orders of a former holder.
   void Defer(const std::vector<std::string>& ids, common::TimePoint until);
+  // Sends no order at all before `until`.
+  void DeferAll(common::TimePoint until) { this->earliest_order = until; }
 
   std::vector<std::string> Reserved() const;
 
@@ -88,6 +93,8 @@
 
   struct Reservation {
     common::TimePoint reserved_at;
+    // Nothing until the store has acknowledged the reservation.
+    std::optional<common::TimePoint> stored_at;
     OrderState state = OrderState::kNone;
     // Time of the first order that may have taken effect.
     common::TimePoint ordered_at;
@@ -118,6 +125,7 @@
   uint64_t version = 0;
   std::map<std::string, Reservation> reservations;
   std::map<std::string, common::TimePoint> deferred;
+  common::TimePoint earliest_order;
   size_t max_loading = 1;
   // Usual time from an order until the endpoint has the version; nullopt until
   // an endpoint was updated.
--- a/source/unit_tests/core/rollout/late_orders_test.cc
+++ b/source/unit_tests/core/rollout/late_orders_test.cc
@@ -135,6 +135,7 @@
     for (const auto& [id, engine] : this->engines)
       endpoints.push_back({id, engine.report().version, 0});
     this->plan.Reserve(endpoints, At(this->now));
+    this->plan.OnStored(this->plan.Reserved(), At(this->now));
     for (const std::string& id : this->plan.Due(At(this->now)))
       this->SendOrder(id);
     for (const std::string& id : this->plan.Ordered())
@@ -237,10 +238,12 @@
   for (int i = 0; i < 10; ++i)
     endpoints.push_back({"e" + std::to_string(10 + i), kFirstVersion, 0});
   plan.Reserve(endpoints, At(0));
+  plan.OnStored(plan.Reserved(), At(0));
   REQUIRE(plan.Due(At(1000)) == std::vector<std::string>{"e10", "e11"});
   plan.OnOrdered("e10", At(1000));
   plan.OnOrderUnanswered("e11", At(1500));
   plan.Reserve(endpoints, At(1500));
+  plan.OnStored(plan.Reserved(), At(1500));
   CHECK(plan.Due(At(2500)) == std::vector<std::string>{"e11"});
   // The first order is executed after all.
   plan.OnReport("e11", true, At(2500));
--- a/source/unit_tests/core/rollout/rollout_plan_test.cc
+++ b/source/unit_tests/core/rollout/rollout_plan_test.cc
@@ -24,6 +24,14 @@
   return endpoints;
 }
 
+// The store acknowledges the reservations at once.
+void ReserveAndStore(RolloutPlan& plan,
+                     const std::vector<PlannedEndpoint>& endpoints,
+                     TimePoint now) {
+  plan.Reserve(endpoints, now);
+  plan.OnStored(plan.Reserved(), now);
+}
+
 // Engines that load weights for `load_ms` after an order, driven by a plan in
 // steps of 50 ms.
 class SimulatedRollout {
@@ -37,7 +45,7 @@
   int Run() {
     for (int now = 0; now < 60000; now += 50) {
       this->FinishLoads(now);
-      this->plan.Reserve(this->fleet, At(now));
+      ReserveAndStore(this->plan, this->fleet, At(now));
       if (this->plan.Reserved().empty())
         return now;
       for (const std::string& id : this->plan.Due(At(now))) {
@@ -91,12 +99,40 @@
 TEST_CASE("no engine gets an order before the other hosts have been told") {
   RolloutPlan plan({});
   plan.SetTarget(2);
-  plan.Reserve(MakeFleet(18, 1), At(0));
+  ReserveAndStore(plan, MakeFleet(18, 1), At(0));
   CHECK(plan.Due(At(0)).empty());
   CHECK(plan.Due(At(800)).empty());
   CHECK(plan.Due(At(1000)).size() == plan.Reserved().size());
 }
 
+// Guards against an order to an engine whose reservation the store has refused:
+// the next holder of the lease would not know of it and order the same engine.
+TEST_CASE("a reservation that was not stored leads to no order") {
+  RolloutPlan plan{RolloutPlanOptions()};
+  plan.SetTarget(2);
+  REQUIRE(plan.Reserve(MakeFleet(10, 1), At(0)));
+  const std::vector<std::string> reserved = plan.Reserved();
+  REQUIRE(reserved.size() == 2);
+  CHECK(plan.Due(At(60000)).empty());
+  // The notice begins when the store has the reservation.
+  plan.OnStored({reserved[0], "other"}, At(60000));
+  CHECK(plan.Due(At(60500)).empty());
+  plan.OnStored(reserved, At(60500));
+  CHECK(plan.Due(At(60900)) == std::vector<std::string>{reserved[0]});
+  CHECK(plan.Due(At(61400)) == reserved);
+}
+
+// Guards against a second order within the lease time to an engine that the
+// former holder has ordered and released.
+TEST_CASE("a new holder sends no order before the former ones are old") {
+  RolloutPlan plan{RolloutPlanOptions()};
+  plan.SetTarget(2);
+  plan.DeferAll(At(3000));
+  ReserveAndStore(plan, MakeFleet(1, 1), At(0));
+  CHECK(plan.Due(At(2999)).empty());
+  CHECK(plan.Due(At(3000)).size() == 1);
+}
+
 // Load pattern: new weights are named while all engines serve. Guards against
 // 900 ms of notice per batch during which nothing loads: nine engines, two at a
 // time and about 1 s a load, took 10 s instead of 6 s.
@@ -114,7 +150,7 @@
   int now = 0;
   const auto advance = [&](int until) {
     for (; now < until; now += 50) {
-      plan.Reserve(fleet, At(now));
+      ReserveAndStore(plan, fleet, At(now));
       for (const std::string& id : plan.Due(At(now)))
         plan.OnOrdered(id, At(now));
     }
@@ -141,7 +177,7 @@
   auto fleet = MakeFleet(10, 1);
   for (int i = 0; i < 6; ++i)
     fleet[static_cast<size_t>(i)].version = 2;
-  plan.Reserve(fleet, At(0));
+  ReserveAndStore(plan, fleet, At(0));
   CHECK(plan.Reserved() == std::vector<std::string>{"e16", "e17"});
 }
 
@@ -153,7 +189,7 @@
   const auto fleet = MakeFleet(10, 1);
   std::set<std::string> ordered;
   for (int now = 0; now < 6000; now += 50) {
-    plan.Reserve(fleet, At(now));
+    ReserveAndStore(plan, fleet, At(now));
     for (const std::string& id : plan.Due(At(now))) {
       if (id == "e10" || id == "e11")
         plan.OnOrderFailed(id, At(now));
@@ -168,7 +204,7 @@
 TEST_CASE("an order without effect is sent again") {
   RolloutPlan plan({});
   plan.SetTarget(2);
-  plan.Reserve(MakeFleet(1, 1), At(0));
+  ReserveAndStore(plan, MakeFleet(1, 1), At(0));
   plan.OnOrdered("e10", At(1000));
   CHECK(plan.Due(At(2000)).empty());
   CHECK(plan.Due(At(6000)).size() == 1);
@@ -183,7 +219,7 @@
   RolloutPlan plan({});
   plan.SetTarget(2);
   plan.Defer({"e10", "e11"}, At(3000));
-  plan.Reserve(MakeFleet(10, 1), At(0));
+  ReserveAndStore(plan, MakeFleet(10, 1), At(0));
   const auto reserved = plan.Reserved();
   const std::set<std::string> ids(reserved.begin(), reserved.end());
   CHECK_FALSE(ids.contains("e10"));
@@ -193,7 +229,7 @@
 TEST_CASE("a newer version is ordered even while the former one is loading") {
   RolloutPlan plan({});
   plan.SetTarget(2);
-  plan.Reserve(MakeFleet(1, 1), At(0));
+  ReserveAndStore(plan, MakeFleet(1, 1), At(0));
   plan.OnOrdered("e10", At(1000));
   plan.SetTarget(3);
   CHECK(plan.Due(At(1100)).size() == 1);
