forward: ask an endpoint's address whether it runs, not a silent connection

Cause: an open idle connection counted as proof that the process runs on, however long nothing was heard on it, both for the end of such a response and for the verdict on crashes.

After the end of such a response the host opens a new connection, and a refused one shows that the process has ended. Probe() always opens one.

--- a/source/core/forward/connection_pool.cc
+++ b/source/core/forward/connection_pool.cc
@@ -101,16 +101,15 @@
 }
 
 Reachability ConnectionPool::Probe(const std::string& address) {
-  ConnectionPtr connection = this->TakeIdle(address, runtime::BootNow());
-  if (!connection) {
-    connection = std::make_shared<Connection>(runtime::CurrentIoContext());
-    const error_code error = this->Open(*connection, address);
-    if (error == boost::asio::error::connection_refused ||
-        error == boost::asio::error::connection_reset)
-      return Reachability::kRefused;
-    if (error)
-      return Reachability::kSilent;
-  }
+  // An idle connection that is open proves nothing: it may have gone silent.
+  auto connection = std::make_shared<Connection>(runtime::CurrentIoContext());
+  const error_code error = this->Open(*connection, address);
+  if (error == boost::asio::error::connection_refused)
+    return Reachability::kRefused;
+  if (error == boost::asio::error::connection_reset)
+    return Reachability::kReset;
+  if (error)
+    return Reachability::kSilent;
   this->PutIdle(address, std::move(connection), runtime::BootNow());
   return Reachability::kReachable;
 }
--- a/source/core/forward/connection_pool.h
+++ b/source/core/forward/connection_pool.h
@@ -44,7 +44,8 @@
 
 // What an endpoint's address says to a new connection.
 enum class Reachability {
-  kReachable,  // it accepts it, or keeps an idle one open
+  kReachable,  // it accepts it
+  kReset,      // it resets it: there are too many
   kRefused,    // nothing listens there any more
   kSilent,     // no answer in time: the endpoint or the way to it may be down
 };
--- a/source/core/gateway/dispatcher.cc
+++ b/source/core/gateway/dispatcher.cc
@@ -274,14 +274,21 @@
   runtime::SleepFor(kCloseTime);
   if (runs() != false && watch_time > kCloseTime)
     runtime::SleepFor(watch_time - kCloseTime);
-  if (const auto still_runs = runs()) {
-    if (!*still_runs)
-      endpoint.process().OnResponseBroken(closed_at, runtime::BootNow());
-    return *still_runs ? EndEvidence::kSameProcess : EndEvidence::kProcessEnded;
+  const bool was_open = runs() == true;
+  // The watched connection may have gone silent, so that it does not show the
+  // end of the process; only a new connection does.
+  const forward::Reachability reachability =
+      runs() == false ? forward::Reachability::kRefused
+                      : this->connections.Probe(address);
+  if (runs() == false) {
+    endpoint.process().OnResponseBroken(closed_at, runtime::BootNow());
+    return EndEvidence::kProcessEnded;
   }
-  switch (this->connections.Probe(address)) {
+  switch (reachability) {
     case forward::Reachability::kReachable:
-      return EndEvidence::kReachable;
+      return was_open ? EndEvidence::kSameProcess : EndEvidence::kReachable;
+    case forward::Reachability::kReset:
+      return was_open ? EndEvidence::kSameProcess : EndEvidence::kRefused;
     case forward::Reachability::kRefused:
       return EndEvidence::kRefused;
     case forward::Reachability::kSilent:
@@ -313,7 +320,11 @@
   this->broken_by_endpoint.erase(found);
   const std::string& address = requests.endpoint->endpoint().address;
   // If it can be reached, it has lost a response but not crashed.
-  if (this->connections.Probe(address) == forward::Reachability::kReachable)
+  const forward::Reachability reachability = this->connections.Probe(address);
+  const bool is_full =
+      reachability == forward::Reachability::kReset &&
+      requests.endpoint->process().RunsAfter(requests.broken_at) == true;
+  if (reachability == forward::Reachability::kReachable || is_full)
     return;
   const TimePoint now = runtime::BootNow();
   this->connections.Drop(address);
--- a/source/unit_tests/core/forward/connection_pool_test.cc
+++ b/source/unit_tests/core/forward/connection_pool_test.cc
@@ -11,6 +11,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <catch2/catch.hpp>
 
+#include "core/runtime/boot_clock.h"
 #include "core/runtime/worker_pool.h"
 
 namespace jujuberock::forward {
@@ -43,6 +44,11 @@
     }
   }
   void Close() { this->acceptor.close(); }
+  // Accepts a connection and keeps it open.
+  void Accept() {
+    this->connections.push_back(
+        std::make_unique<tcp::socket>(this->acceptor.accept()));
+  }
 
  private:
   boost::asio::io_context io;
@@ -76,5 +82,22 @@
   CHECK(Probe(address) == Reachability::kRefused);
 }
 
+// Guards against taking an idle connection, which may have gone silent, for
+// proof that the endpoint still runs.
+TEST_CASE("an idle connection does not show that an endpoint runs") {
+  Listener listener(8);
+  const std::string address = listener.address();
+  runtime::WorkerPool workers(1);
+  common::MetricRegistry counters;
+  workers.Run([&] {
+    ConnectionPool pool({}, counters);
+    pool.PutIdle(address, pool.Connect(address), runtime::BootNow());
+    listener.Accept();
+    listener.Close();
+    CHECK(pool.Probe(address) == Reachability::kRefused);
+    CHECK(pool.TakeIdle(address, runtime::BootNow()));
+  });
+}
+
 }  // namespace
 }  // namespace jujuberock::forward
