runtime: count what a request's header holds

Cause: a field of five bytes takes 80 in the parser's list, and only bodies were counted. Beast also completes the read of a header that has arrived in a later turn, so all heads of a crowd were parsed before the first could be refused, and an incomplete head was parsed as it came.

A header is kept as bytes until it is complete, then parsed and reserved in one step, with the copies that are made while the request is passed on. Headers of a usual size are part of what a connection is counted with. The parser's list is freed once the request is copied, and the heap is trimmed after much was released.

The server's callback for refusals gets the request's id instead of all fields, which cost much for such heads.

--- a/source/core/forward/types.h
+++ b/source/core/forward/types.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "core/catalog/endpoint_notice.h"
 #include "core/common/time.h"
@@ -89,6 +90,8 @@
  public:
   virtual ~Codec() = default;
 
+  // The header field of a caller's request that identifies the attempt.
+  virtual std::string_view attempt_id_field() const = 0;
   // Leaves the body out, which the caller of this moves or copies.
   virtual CallerRequest DecodeRequest(
       const runtime::HttpRequest& request) const = 0;
--- a/source/core/gateway/gateway.cc
+++ b/source/core/gateway/gateway.cc
@@ -37,6 +37,9 @@
 // Time after which a caller whose body found no room may retry.
 constexpr Duration kNoRoomRetryAfter = std::chrono::milliseconds(1000);
 constexpr Duration kLimitsReportPeriod = std::chrono::seconds(10);
+// The heap is trimmed once this much of what was held for callers is released.
+constexpr size_t kTrimBytes = 8 * kBytesPerMb;
+constexpr Duration kTrimPeriod = std::chrono::seconds(1);
 
 // Limits of the ports for probes and metrics, whose requests have no body.
 runtime::HttpServerOptions ProbeOptions() {
@@ -306,12 +309,9 @@
   options.body_progress_timeout = this->settings.body_progress_timeout;
   options.max_connections = runtime::MaxCallerConnections(this->limits);
   options.budget = this->budget;
-  options.on_refused = [this](const Error& error,
-                              const runtime::HttpHeaders& headers) {
-    runtime::HttpRequest request;
-    request.headers = headers;
-    this->LogRefused(error,
-                     this->platform.codec.DecodeRequest(request).attempt_id);
+  options.id_field = this->platform.codec.attempt_id_field();
+  options.on_refused = [this](const Error& error, std::string_view attempt_id) {
+    this->LogRefused(error, attempt_id);
   };
   return options;
 }
@@ -338,7 +338,15 @@
   const uint64_t refused = this->budget->refused();
   const uint64_t ended = this->budget->ended();
   const uint64_t displaced = this->caller_server->DisplacedConnections();
-  this->held_bytes.Set(static_cast<int64_t>(this->budget->held_bytes()));
+  const size_t held = this->budget->held_bytes();
+  this->held_bytes.Set(static_cast<int64_t>(held));
+  this->peak_held = std::max(this->peak_held, held);
+  if (this->peak_held - held >= kTrimBytes &&
+      now - this->trimmed_at >= kTrimPeriod) {
+    runtime::TrimHeap();
+    this->peak_held = held;
+    this->trimmed_at = now;
+  }
   this->bodies_refused.Set(static_cast<int64_t>(refused));
   this->bodies_ended.Set(static_cast<int64_t>(ended));
   this->connections_displaced.Set(static_cast<int64_t>(displaced));
--- a/source/core/gateway/gateway.h
+++ b/source/core/gateway/gateway.h
@@ -119,6 +119,9 @@
   common::Gauge& bodies_refused;
   common::Gauge& bodies_ended;
   common::Gauge& connections_displaced;
+  // Most bytes that were held since the heap was trimmed.
+  size_t peak_held = 0;
+  common::TimePoint trimmed_at;
   // Of the last warning that callers were refused or closed.
   uint64_t limited_callers = 0;
   common::TimePoint limits_reported_at;
--- a/source/core/runtime/http_server.cc
+++ b/source/core/runtime/http_server.cc
@@ -55,19 +55,16 @@
 // HTTP/1.1, as Beast counts versions.
 constexpr unsigned kFirstVersionWithChunks = 11;
 
-HttpHeaders HeadersOf(const detail::RequestReader::Message& message) {
-  HttpHeaders headers;
-  for (const auto& field : message)
-    headers.Add(std::string(field.name_string()), std::string(field.value()));
-  return headers;
-}
-
+// Takes the fields and the body out of the message.
 HttpRequest FromBeast(detail::RequestReader::Message& message) {
   HttpRequest request;
   request.method = std::string(message.method_string());
   request.target = std::string(message.target());
-  request.headers = HeadersOf(message);
+  for (const auto& field : message)
+    request.headers.Add(std::string(field.name_string()),
+                        std::string(field.value()));
   request.body = std::move(message.body());
+  message.clear();
   return request;
 }
 
@@ -335,8 +332,10 @@
     }
     if (!error)
       return this->HandleRequest(stream, reader);
-    if (options->on_refused)
-      options->on_refused(*error, HeadersOf(reader.message()));
+    if (options->on_refused) {
+      const auto& message = reader.message();
+      options->on_refused(*error, std::string(message[options->id_field]));
+    }
   }
   // The bytes that were held are released before the response is sent.
   this->Refuse(stream, buffer, *error);
--- a/source/core/runtime/http_server.h
+++ b/source/core/runtime/http_server.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string>
 #include <string_view>
 
 #include "core/common/error.h"
@@ -34,9 +35,11 @@
   // Counts the bytes held for callers, also those of other servers of the
   // process; null: they are not limited.
   std::shared_ptr<ByteBudget> budget;
-  // Called with the header fields, as far as they were read, of each request
-  // that the server answers with an error itself; may be empty.
-  std::function<void(const common::Error&, const HttpHeaders&)> on_refused = {};
+  // Called for each request that the server answers with an error itself, with
+  // the value of `id_field` if it was read; may be empty.
+  std::function<void(const common::Error&, std::string_view)> on_refused = {};
+  // Header field that identifies a request.
+  std::string id_field = {};
 };
 
 // Writes the response to one request: either Send() once, or StartStream(), any
--- a/source/core/runtime/process_limits.cc
+++ b/source/core/runtime/process_limits.cc
@@ -68,4 +68,8 @@
   mallopt(M_TRIM_THRESHOLD, kTrimThresholdBytes);
 }
 
+void TrimHeap() {
+  malloc_trim(0);
+}
+
 }  // namespace jujuberock::runtime
--- a/source/core/runtime/process_limits.h
+++ b/source/core/runtime/process_limits.h
@@ -30,6 +30,10 @@
 // does not stay at its peak. Call it before threads are started.
 void ReturnFreedMemory();
 
+// Returns freed memory that lies between blocks in use, which the allocator
+// keeps otherwise. Takes some milliseconds.
+void TrimHeap();
+
 }  // namespace jujuberock::runtime
 
 #endif  // CORE_RUNTIME_PROCESS_LIMITS_H_
--- a/source/core/runtime/request_reader.cc
+++ b/source/core/runtime/request_reader.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <new>
 #include <optional>
+#include <string_view>
 #include <utility>
 
 #include <boost/asio/post.hpp>
@@ -43,6 +44,15 @@
 // Time in which a refused caller gets its response and stops sending.
 constexpr common::Duration kDiscardTime = std::chrono::milliseconds(1000);
 constexpr size_t kDiscardPieceBytes = 16 * 1024;
+constexpr std::string_view kHeaderEnd = "\r\n\r\n";
+constexpr size_t kHeaderPieceBytes = 4 * 1024;
+// Copies of a header's text while a request is passed on: those of the parser,
+// the request, its decoded form and the message to the endpoint. Each has some
+// 75 bytes for a field beside its text.
+constexpr size_t kFieldCopies = 4;
+constexpr size_t kFieldBytes = 300;
+// Headers up to this size are part of what a connection is counted with.
+constexpr size_t kUsualHeaderBytes = 24 * 1024;
 
 // Whether it is known where the body ends and what it holds. With a transfer
 // coding other than chunked neither is, and the bytes of the body would be
@@ -80,6 +90,23 @@
   return (bytes + step - 1) / step * step;
 }
 
+// Whether a request line may begin with this character.
+bool IsTokenStart(char c) {
+  return (c >= 'A' && c <= 'Z') || (c >= 'a' && c <= 'z') || c == '\r' ||
+         c == '\n';
+}
+
+// What the fields of a request take in the memory of the process, here and
+// where they are passed on. 0 if it is as little as connections are counted
+// with.
+size_t HeldBytesOf(const RequestReader::Message& message) {
+  size_t bytes = 0;
+  for (const auto& field : message)
+    bytes += kFieldBytes +
+             kFieldCopies * (field.name_string().size() + field.value().size());
+  return bytes > kUsualHeaderBytes ? bytes : 0;
+}
+
 }  // namespace
 
 ReadDeadline::ReadDeadline(CallerStream& stream, common::Duration limit)
@@ -134,15 +161,50 @@
 bool RequestReader::ReadHeader() {
   error_code error;
   this->stream.expires_never();
-  http::async_read_header(this->stream, this->buffer, this->parser,
-                          Await(error));
+  const bool is_complete = this->AwaitHeaderEnd(error);
+  // Without a wait between the parser and the reservation, so that at most one
+  // header is parsed that is not reserved.
+  while (is_complete && !error && !this->parser.is_header_done())
+    this->buffer.consume(this->parser.put(this->buffer.data(), error));
+  if (!is_complete && !error)
+    http::async_read_header(this->stream, this->buffer, this->parser,
+                            Await(error));
   if (error)
     return this->Fail(error);
+  this->header_bytes = HeldBytesOf(this->parser.get());
+  if (this->header_bytes > 0)
+    this->Reserve(0);
   if (!HasSupportedCoding(this->parser.get()))
     throw Error(ResultCode::kMalformedRequest, "unsupported transfer coding");
   return true;
 }
 
+bool RequestReader::AwaitHeaderEnd(error_code& error) {
+  size_t searched = 0;
+  while (!error) {
+    const auto bytes = this->buffer.data();
+    const std::string_view text(static_cast<const char*>(bytes.data()),
+                                bytes.size());
+    const size_t from = std::min(searched, text.size());
+    const bool is_complete =
+        text.find(kHeaderEnd, from) != std::string_view::npos;
+    // The parser rejects what is too long, or no request, at once.
+    const bool is_rejected = text.size() > this->options.header_limit_bytes ||
+                             (!text.empty() && !IsTokenStart(text.front()));
+    if (is_complete || is_rejected)
+      return is_complete;
+    searched = text.size() - std::min(text.size(), kHeaderEnd.size() - 1);
+    this->buffer.commit(this->stream.async_read_some(
+        this->buffer.prepare(std::min(
+            kHeaderPieceBytes, this->buffer.max_size() - this->buffer.size())),
+        Await(error)));
+  }
+  if (error == boost::asio::error::eof)
+    error = this->buffer.size() > 0 ? http::error::partial_message
+                                    : http::error::end_of_stream;
+  return false;
+}
+
 bool RequestReader::ReadBody() {
   error_code error;
   if (!this->parser.is_done())
@@ -222,7 +284,7 @@
 void RequestReader::HoldChunks(size_t space) {
   std::string& body = this->parser.get().body();
   const size_t needed = body.size() + this->buffer.size() + space;
-  if (needed <= this->reservation.bytes())
+  if (this->header_bytes + needed <= this->reservation.bytes())
     return;
   this->Reserve(RoundUp(
       needed, needed > kLargeStepBytes ? kLargeStepBytes : kSmallStepBytes));
@@ -237,7 +299,8 @@
   }
 }
 
-void RequestReader::Reserve(size_t bytes) {
+void RequestReader::Reserve(size_t body_bytes) {
+  const size_t bytes = this->header_bytes + body_bytes;
   if (!this->options.budget || bytes <= kUncountedBytes)
     return;
   ByteBudget& budget = *this->options.budget;
--- a/source/core/runtime/request_reader.h
+++ b/source/core/runtime/request_reader.h
@@ -57,8 +57,9 @@
 };
 
 // Reads one request of a connection. What it holds of the body is reserved in
-// the server's byte budget before it is read, and stays reserved until the
-// reader is destroyed.
+// the server's byte budget before it is read, and what a header with many
+// fields needs once it is read. Both stay reserved until the reader is
+// destroyed.
 class RequestReader {
  public:
   using Message = boost::beast::http::request<boost::beast::http::string_body>;
@@ -75,12 +76,17 @@
   ByteBudget::Reservation& held() { return this->reservation; }
 
  private:
+  // Reads until the buffer has the whole header: the fields take more memory
+  // than their bytes once they are parsed. Returns false if the parser should
+  // look at what has arrived before, since it will reject it.
+  bool AwaitHeaderEnd(boost::system::error_code& error);
   void ReadPieces(boost::system::error_code& error);
   void ReadPiece(boost::system::error_code& error);
   void AcceptBody(boost::system::error_code& error);
   // Reserves what has arrived of a chunked body and `space` for more.
   void HoldChunks(size_t space);
-  void Reserve(size_t bytes);
+  // Reserves what the header holds and `body_bytes`.
+  void Reserve(size_t body_bytes);
   // Returns false if the connection is lost.
   bool Fail(const boost::system::error_code& error) const;
 
@@ -90,6 +96,8 @@
   boost::beast::http::request_parser<boost::beast::http::string_body> parser;
   ReadDeadline deadline;
   common::TimePoint body_deadline;
+  // What the fields hold until the request ends; 0 if that is usual.
+  size_t header_bytes = 0;
   ByteBudget::Reservation reservation;
 };
 
--- a/source/platform/codec.cc
+++ b/source/platform/codec.cc
@@ -173,6 +173,10 @@
 
 }  // namespace
 
+std::string_view PlatformCodec::attempt_id_field() const {
+  return wire::kAttemptId;
+}
+
 forward::CallerRequest PlatformCodec::DecodeRequest(
     const runtime::HttpRequest& request) const {
   const runtime::HttpHeaders& headers = request.headers;
--- a/source/platform/codec.h
+++ b/source/platform/codec.h
@@ -9,6 +9,7 @@
 // responses.
 class PlatformCodec : public forward::Codec {
  public:
+  std::string_view attempt_id_field() const override;
   forward::CallerRequest DecodeRequest(
       const runtime::HttpRequest& request) const override;
   runtime::HttpHeaders EncodeRequestHeaders(
--- a/source/unit_tests/core/forward/fake_endpoint.h
+++ b/source/unit_tests/core/forward/fake_endpoint.h
@@ -20,6 +20,7 @@
 // that the request has run, unless a header says otherwise.
 class TestCodec : public Codec {
  public:
+  std::string_view attempt_id_field() const override { return "Id"; }
   CallerRequest DecodeRequest(const runtime::HttpRequest&) const override {
     return {};
   }
--- a/source/unit_tests/core/runtime/held_bytes_test.cc
+++ b/source/unit_tests/core/runtime/held_bytes_test.cc
@@ -50,6 +50,7 @@
 
   HttpServerOptions Options(size_t max_connections) const {
     HttpServerOptions options;
+    options.header_limit_bytes = 16 * 1024;
     options.body_limit_bytes = kBodyBytes;
     options.max_connections = max_connections;
     options.budget = this->budget;
@@ -199,6 +200,32 @@
   test.AwaitHeld(0);
 }
 
+// Load: callers whose legal headers have thousands of short fields and who do
+// not end their bodies. Guards against fields that take many times their bytes
+// and are not counted.
+TEST_CASE("a header of many fields is counted as what it holds") {
+  std::string fields;
+  for (int i = 0; i < 1500; ++i)
+    fields += "a:\r\n";
+  const std::string request = Head(fields + "Transfer-Encoding: chunked");
+  ByteBudgetLimits limits = kLimits;
+  limits.stall_limit = std::chrono::seconds(60);
+  TestServer test(limits);
+  RawClient first(test.server.address());
+  first.Send(request);
+  test.AwaitHeld(1500 * 300, 1500 * 350);
+  RawClient second(test.server.address());
+  second.Send(request);
+  CHECK(StatusOf(second.ReadAll()) == 503);
+  // Headers of a usual size are not counted, and their callers are served.
+  RawClient ordinary(test.server.address());
+  ordinary.Send(Declared(1) + "x");
+  CHECK(StatusOf(ordinary.ReadUntil("\r\n\r\n1")) == 200);
+  first.Send("1\r\nx\r\n0\r\n\r\n");
+  CHECK(StatusOf(first.ReadUntil("\r\n\r\n1")) == 200);
+  test.AwaitHeld(0);
+}
+
 // Guards against a body that arrives too slowly to ever end.
 TEST_CASE("a body without progress times out") {
   TestServer test;
--- a/source/unit_tests/core/runtime/refused_request_test.cc
+++ b/source/unit_tests/core/runtime/refused_request_test.cc
@@ -36,11 +36,11 @@
     HttpServerOptions options;
     options.header_limit_bytes = 1024;
     options.body_limit_bytes = kBodyBytes;
+    options.id_field = "Id";
     options.on_refused = [this](const common::Error& error,
-                                const HttpHeaders& headers) {
+                                std::string_view id) {
       const std::lock_guard lock(this->mutex);
-      this->refused.push_back(std::string(headers.Find("Id").value_or("")) +
-                              ": " + error.what());
+      this->refused.push_back(std::string(id) + ": " + error.what());
     };
     return options;
   }
