forward: take over an endpoint's notices before its response is rejected

Cause: rejects a 503 that does not confirm that the request did not run, and it did so before the host had recorded the Retry-After of that response, so the pause was lost; Server-Leaving and load were lost in the same way. A test that sends few requests passes by chance.

The check now follows the record of the head.

The three cases "does not count" and test_forward pass.

--- a/source/core/forward/endpoint_send.cc
+++ b/source/core/forward/endpoint_send.cc
@@ -150,7 +150,7 @@
     const bool is_stale =
         this->head.attempt_id && *this->head.attempt_id != this->attempt_id;
     if (!is_stale && this->head.status >= 200) {
-      this->CheckUsable();
+      this->CheckIdentified();
       return this->head;
     }
     if (!this->SkipBody())
@@ -162,12 +162,16 @@
   throw SendError(SendFailure::kMalformed, "received only stale responses");
 }
 
-void EndpointSend::CheckUsable() const {
+void EndpointSend::CheckIdentified() const {
   const bool is_success = this->head.status < 300;
   // On a connection that was used before, a response without an id may be a
   // late copy of an earlier one.
   if (!this->head.attempt_id && (this->reused || is_success))
     throw SendError(SendFailure::kMalformed, "the response names no request");
+}
+
+void EndpointSend::CheckUsable() const {
+  const bool is_success = this->head.status < 300;
   if (is_success && !this->head.is_signed)
     throw SendError(SendFailure::kMalformed,
                     "the success lacks the endpoint's signature");
--- a/source/core/forward/endpoint_send.h
+++ b/source/core/forward/endpoint_send.h
@@ -74,6 +74,9 @@
   ResponseHead Open(const CallerRequest& request,
                     const SendParameters& parameters,
                     common::TimePoint deadline);
+  // Throws SendError if the head does not count as the endpoint's answer. What
+  // it says of the endpoint holds all the same, so the caller takes that first.
+  void CheckUsable() const;
   // Returns the next bytes of the body, or nullopt at its end. Throws
   // SendError, also when the response was truncated.
   std::optional<std::string> Read();
@@ -111,7 +114,7 @@
   // many bytes that are of no use.
   bool SkipBody();
   // Throws if the response can't belong to the request.
-  void CheckUsable() const;
+  void CheckIdentified() const;
   void ResetParser();
   void SetExpiry();
   void Finish();
--- a/source/core/gateway/request_task.cc
+++ b/source/core/gateway/request_task.cc
@@ -357,6 +357,7 @@
         send.Open(this->request, parameters, this->EffectiveDeadline());
     this->deps.dispatcher.MarkStarted(this->active_send);
     this->RecordHead(head, record);
+    send.CheckUsable();
     result = this->HandleResponse(send, head, ticket);
   } catch (const forward::SendError& error) {
     result = this->OnSendError(error, send, ticket);
--- a/source/unit_tests/core/forward/endpoint_send_test.cc
+++ b/source/unit_tests/core/forward/endpoint_send_test.cc
@@ -26,6 +26,7 @@
   try {
     const auto deadline = runtime::BootNow() + std::chrono::seconds(5);
     result.status = send.Open(request, {}, deadline).status;
+    send.CheckUsable();
     while (auto bytes = send.Read())
       result.body += *bytes;
   } catch (const SendError& error) {
