forward: take a reset that the write of the body has met for a broken response

Cause: a long body is written on a fiber of its own, and the error of that write was dropped. Linux reports the end of a connection to one call only. If that is the write, the read finds an end of file as after an orderly close, which ends a body without a length. The same happens when the kernel gives the connection up because the endpoint never reads the upload (ETIMEDOUT).

At the end of a body that ends with its connection, the write is now stopped and its result awaited, so the order of the two fibers does not matter. A write that was still waiting has met no error, and EPIPE means that the endpoint had closed its side in order before the reset: both leave the response complete. Any other error makes it broken, and it takes the path of each broken response. The log tells a reset from an orderly close in the same way.

--- a/source/core/forward/endpoint_send.cc
+++ b/source/core/forward/endpoint_send.cc
@@ -4,11 +4,13 @@
 #include <limits>
 #include <utility>
 
+#include <boost/asio/error.hpp>
 #include <boost/beast/core/error.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/write.hpp>
+#include <boost/fiber/future.hpp>
 
 #include "core/common/error.h"
 #include "core/runtime/await.h"
@@ -67,7 +69,16 @@
   RequestMessage message;
   // What the message refers to.
   SharedBody body;
-  bool done = false;
+  boost::fibers::promise<error_code> promise;
+  // Set once the write has ended.
+  boost::fibers::shared_future<error_code> result =
+      this->promise.get_future().share();
+
+  bool IsComplete() const {
+    return this->result.wait_for(common::Duration(0)) ==
+               boost::fibers::future_status::ready &&
+           !this->result.get();
+  }
 };
 
 EndpointSend::EndpointSend(ConnectionPool& pool,
@@ -90,8 +101,9 @@
   const std::string detail = std::string(step) + ": " + error.message();
   const bool ended = error == http::error::end_of_stream ||
                      error == http::error::partial_message;
+  const bool is_orderly = ended && !this->StopWriting();
   this->end = this->canceled ? ConnectionEnd::kHost
-              : ended        ? ConnectionEnd::kPeer
+              : is_orderly   ? ConnectionEnd::kPeer
                              : ConnectionEnd::kBroken;
   if (this->canceled)
     throw SendError(SendFailure::kCanceled, detail);
@@ -204,11 +216,28 @@
         error_code error;
         http::async_write(connection_ref->stream, job->message,
                           runtime::Await(error));
-        // A write error is reported by the failing read of the response.
-        job->done = !error;
+        job->promise.set_value(error);
       });
 }
 
+error_code EndpointSend::StopWriting() {
+  if (!this->background)
+    return {};
+  this->connection->stream.close();
+  const error_code error = this->background->result.get();
+  const bool is_stopped = error == boost::asio::error::operation_aborted ||
+                          error == boost::asio::error::bad_descriptor;
+  // The kernel reports a connection that was reset after the endpoint had
+  // closed it in order as a broken pipe.
+  const bool was_closed_before = error == boost::asio::error::broken_pipe;
+  return is_stopped || was_closed_before ? error_code() : error;
+}
+
+void EndpointSend::CheckOrderlyEnd() {
+  if (const error_code error = this->StopWriting())
+    this->Fail(error, "write body");
+}
+
 void EndpointSend::ResetParser() {
   this->parser = std::make_unique<Parser>();
   this->parser->header_limit(kMaxHeaderBytes);
@@ -280,6 +309,8 @@
     if (!bytes.empty())
       return bytes;
   }
+  if (this->ends_with_connection())
+    this->CheckOrderlyEnd();
   return std::nullopt;
 }
 
@@ -293,7 +324,8 @@
 }
 
 void EndpointSend::Finish() {
-  const bool is_body_written = !this->background || this->background->done;
+  const bool is_body_written =
+      !this->background || this->background->IsComplete();
   const bool is_buffer_empty = this->connection->buffer.size() == 0;
   const bool is_reusable =
       this->parser->keep_alive() && !this->head.closes_connection;
--- a/source/core/forward/endpoint_send.h
+++ b/source/core/forward/endpoint_send.h
@@ -113,6 +113,13 @@
   // Reads to the end of the body. Returns false once this send has read too
   // many bytes that are of no use.
   bool SkipBody();
+  // Ends the write of the body and closes the connection. Returns the error
+  // that the write met if that shows that the connection has broken. The kernel
+  // reports a reset to one call only: if the write was first, a read finds the
+  // end of the connection, as after an orderly close.
+  boost::system::error_code StopWriting();
+  // Throws if the end of the connection is not that of the response's body.
+  void CheckOrderlyEnd();
   // Throws if the response can't belong to the request.
   void CheckIdentified() const;
   void ResetParser();
--- a/tools/gateway_standins.py
+++ b/tools/gateway_standins.py
@@ -34,7 +34,7 @@
                 for line in entries if line.startswith(command)]
 
 
-async def read_message(reader):
+async def read_message(reader, with_body=True):
     """Reads an HTTP/1.1 message with a declared length, or None at the end."""
     try:
         head = await reader.readuntil(b"\r\n\r\n")
@@ -45,8 +45,8 @@
     for line in lines[1:]:
         name, _, value = line.partition(":")
         headers[name.lower()] = value.strip()
-    body = await reader.readexactly(int(headers.get("content-length", 0)))
-    return lines[0], headers, body
+    length = int(headers.get("content-length", 0)) if with_body else 0
+    return lines[0], headers, await reader.readexactly(length)
 
 
 class PlatformStore:
@@ -253,11 +253,14 @@
         self.port = self.server.sockets[0].getsockname()[1]
         self.address = "127.0.0.1:%d" % self.port
 
+    async def receive(self, reader):
+        return await read_message(reader)
+
     async def serve(self, reader, writer):
         former = ""
         self.writers.add(writer)
         try:
-            while message := await read_message(reader):
+            while message := await self.receive(reader):
                 line, headers, body = message
                 request = {"former": former,
                            "path": line.split(" ")[1], "headers": headers,
