runtime: take a status outside 100 to 599 for a malformed response at once

Behind a status of 000 to 099, the next response on the connection is taken for the answer.

Cause: Beast's parser accepts any three digits, and EndpointSend and HttpClient took everything below 200 for an interim response. Http2Session believed the result code and the outcome of a response with any status.

Only 100 to 199 are interim now; a status outside 100 to 599 is a malformed response wherever responses are read: from endpoints, to the hosts' own calls (platform, engines, services, cache stores, relays) and between hosts. It takes the path of each malformed response: elsewhere if the request may be repeated, else 502.

The new case in test_endpoint was not run on the code before.

--- a/source/core/forward/endpoint_send.cc
+++ b/source/core/forward/endpoint_send.cc
@@ -161,7 +161,7 @@
     this->head = this->ReadHead();
     const bool is_stale =
         this->head.attempt_id && *this->head.attempt_id != this->attempt_id;
-    if (!is_stale && this->head.status >= 200) {
+    if (!is_stale && !runtime::IsInterimStatus(this->head.status)) {
       this->CheckIdentified();
       return this->head;
     }
@@ -255,12 +255,14 @@
                           *this->parser, runtime::Await(error));
   if (error)
     this->Fail(error, "read header");
+  const int status = static_cast<int>(this->parser->get().result_int());
+  if (!runtime::IsValidStatus(status))
+    this->Fail(http::error::bad_status, "read header");
   runtime::HttpHeaders headers;
   for (const auto& field : this->parser->get())
     headers.Add(std::string(field.name_string()), std::string(field.value()));
   this->body_framing = FramingOf(*this->parser);
   this->read_bytes = 0;
-  const int status = static_cast<int>(this->parser->get().result_int());
   return this->codec.DecodeResponseHead(status, headers);
 }
 
--- a/source/core/host/http2_session.cc
+++ b/source/core/host/http2_session.cc
@@ -10,6 +10,7 @@
 #include <boost/asio/write.hpp>
 
 #include "core/runtime/await.h"
+#include "core/runtime/http_types.h"
 #include "core/runtime/worker_pool.h"
 
 namespace jujuberock::host {
@@ -438,6 +439,9 @@
         MakeFailure(ResultCode::kProtocolError, sent,
                     std::string("the peer reset the HTTP/2 stream: ") +
                         nghttp2_http2_strerror(error_code));
+  } else if (!runtime::IsFinalStatus(stream->status)) {
+    call->response = MakeFailure(ResultCode::kProtocolError, sent,
+                                 "the response has a malformed status");
   } else if (stream->too_large) {
     call->response = MakeFailure(ResultCode::kValueTooLarge, Outcome::kUnknown,
                                  "the response exceeds the message size limit");
--- a/source/core/runtime/http_client.cc
+++ b/source/core/runtime/http_client.cc
@@ -38,7 +38,6 @@
 // may need as long.
 constexpr common::Duration kMinSilence = std::chrono::milliseconds(100);
 constexpr common::Duration kMinTimeout = std::chrono::milliseconds(1);
-constexpr int kFirstFinalStatus = 200;
 // Interim responses (1xx) that are skipped before a call fails.
 constexpr int kMaxInterimResponses = 8;
 // Time in which a process that ends closes all of its sockets.
@@ -208,7 +207,7 @@
     const SteadyTime deadline = std::chrono::steady_clock::now() + timeout;
     this->ReadNextHeader(timeout);
     // Whoever gets an interim response as the final one waits for ever.
-    for (int i = 0; this->status() < kFirstFinalStatus; ++i) {
+    for (int i = 0; IsInterimStatus(this->status()); ++i) {
       if (i == kMaxInterimResponses)
         throw HttpError(ResultCode::kEndpointFailed,
                         "received only interim responses", true);
@@ -273,6 +272,8 @@
                             *this->parser, Await(error));
     if (error)
       this->Fail(error, "read");
+    if (!IsValidStatus(this->status()))
+      this->Fail(http::error::bad_status, "read");
   }
 
   // Throws HttpError if the response is that to another request.
--- a/source/core/runtime/http_client.h
+++ b/source/core/runtime/http_client.h
@@ -106,9 +106,9 @@
 
   // Sends the request and reads the whole response. Throws HttpError:
   // kPeerUnavailable when connecting fails, kEndpointFailed when the connection
-  // breaks or carries the response to another request, kProtocolError when the
-  // response exceeds a size limit, kEndpointSilent on a timeout, including the
-  // connect timeout.
+  // breaks or carries a malformed response or that to another request,
+  // kProtocolError when the response exceeds a size limit, kEndpointSilent on a
+  // timeout, including the connect timeout.
   HttpResponse Fetch(const Address& address,
                      const HttpRequest& request,
                      const HttpCallOptions& options = {});
--- a/source/core/runtime/http_types.h
+++ b/source/core/runtime/http_types.h
@@ -36,6 +36,23 @@
   std::vector<HttpHeader> fields;
 };
 
+// Status of a response that precedes the one to the request (RFC 9110, section
+// 15.2).
+constexpr bool IsInterimStatus(int status) {
+  return status >= 100 && status < 200;
+}
+
+// Status of the response to a request.
+constexpr bool IsFinalStatus(int status) {
+  return status >= 200 && status < 600;
+}
+
+// Whether HTTP has such a status. Parsers accept any three digits, but a
+// response with another status is malformed.
+constexpr bool IsValidStatus(int status) {
+  return IsInterimStatus(status) || IsFinalStatus(status);
+}
+
 struct HttpRequest {
   std::string method = "GET";
   std::string target = "/";
--- a/source/unit_tests/core/endpoint/plain_client_test.cc
+++ b/source/unit_tests/core/endpoint/plain_client_test.cc
@@ -8,6 +8,7 @@
 #include "core/runtime/http_client.h"
 #include "core/runtime/worker_pool.h"
 #include "unit_tests/core/forward/fake_endpoint.h"
+#include "unit_tests/core/runtime/malformed_responses.h"
 
 namespace jujuberock::endpoint {
 namespace {
@@ -67,6 +68,16 @@
   CHECK(Forward(kChunked + "2\r\nok\r\n0\r\n\r\n", false, true) == "ok");
 }
 
+// Guards against passing on a status that HTTP does not have.
+TEST_CASE("an answer with a status outside HTTP fails") {
+  for (const char* status : runtime::kMalformedStatuses) {
+    INFO(status);
+    CHECK_FALSE(Forward(
+        std::string("HTTP/1.1 ") + status + "\r\nContent-Length: 2\r\n\r\nok",
+        false));
+  }
+}
+
 // Returns the state that a status call finds, or nullopt if the call failed.
 std::optional<CallState> StatusOf(const std::string& body) {
   runtime::WorkerPool workers(1);
--- a/source/unit_tests/core/forward/endpoint_send_test.cc
+++ b/source/unit_tests/core/forward/endpoint_send_test.cc
@@ -5,6 +5,7 @@
 #include "core/runtime/boot_clock.h"
 #include "core/runtime/worker_pool.h"
 #include "unit_tests/core/forward/fake_endpoint.h"
+#include "unit_tests/core/runtime/malformed_responses.h"
 
 namespace jujuberock::forward {
 namespace {
@@ -104,6 +105,19 @@
   }
 }
 
+// Guards against passing on such a status, and against waiting for another
+// response after it as after an interim one.
+TEST_CASE("a response with a status outside HTTP is malformed") {
+  const std::string sound = kOkResponse;
+  for (const char* status : runtime::kMalformedStatuses) {
+    INFO(status);
+    const std::string malformed = "HTTP/1.1 " + std::string(status) +
+                                  "\r\nId: a\r\nContent-Length: 0\r\n\r\n";
+    const auto results = SendRequests({malformed + sound}, false, {"a"});
+    CHECK(results[0].failure == SendFailure::kMalformed);
+  }
+}
+
 // Guards against taking the late response to an earlier request for the
 // response to the current one.
 TEST_CASE("a stale response to an earlier request is discarded") {
--- a/source/unit_tests/core/runtime/interim_response_test.cc
+++ b/source/unit_tests/core/runtime/interim_response_test.cc
@@ -1,48 +1,17 @@
 // Peers that send interim responses before the one to the request.
 #include <string>
-#include <thread>
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/streambuf.hpp>
-#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
 #include "core/runtime/http_client.h"
 #include "core/runtime/worker_pool.h"
+#include "unit_tests/core/runtime/one_answer_server.h"
 
 namespace jujuberock::runtime {
 namespace {
 
-using Tcp = boost::asio::ip::tcp;
-
 const std::string kFinal = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
-// Answers one request with the same bytes.
-class OneAnswerServer {
- public:
-  explicit OneAnswerServer(std::string answer)
-      : thread([this, answer = std::move(answer)] {
-          Tcp::socket socket(this->io);
-          this->acceptor.accept(socket);
-          boost::asio::streambuf request;
-          boost::asio::read_until(socket, request, "\r\n\r\n");
-          boost::asio::write(socket, boost::asio::buffer(answer));
-        }) {}
-  ~OneAnswerServer() { this->thread.join(); }
-
-  Address address() const {
-    return {"127.0.0.1", this->acceptor.local_endpoint().port()};
-  }
-
- private:
-  boost::asio::io_context io;
-  Tcp::acceptor acceptor{
-      this->io, Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0)};
-  std::thread thread;
-};
-
 HttpResponse FetchFrom(const OneAnswerServer& server) {
   WorkerPool pool(1);
   HttpClient client(pool, {});
