tests: malformed names of fields, and resets of the hosts' own calls

The system already handles it: Beast's parser rejects such a line in a head and in a trailer, and nghttp2 rejects it between hosts. Nothing changes in the product.

Also kept, since they were read and not played before: a call of HttpClient whose peer resets the connection during the upload, and a reset between two frames of another host's response.

--- a/source/unit_tests/core/endpoint/plain_client_test.cc
+++ b/source/unit_tests/core/endpoint/plain_client_test.cc
@@ -78,6 +78,17 @@
   }
 }
 
+// Guards against passing such a line on, or a body of another length.
+TEST_CASE("an answer with a malformed name of a field fails") {
+  for (const std::string& answer : runtime::ResponsesWith(runtime::kSoundField))
+    CHECK(Forward(answer, false) == "ok");
+  for (const std::string& field : runtime::kMalformedFields) {
+    INFO(field);
+    for (const std::string& answer : runtime::ResponsesWith(field))
+      CHECK_FALSE(Forward(answer, false));
+  }
+}
+
 // Returns the state that a status call finds, or nullopt if the call failed.
 std::optional<CallState> StatusOf(const std::string& body) {
   runtime::WorkerPool workers(1);
--- a/source/unit_tests/core/forward/endpoint_send_test.cc
+++ b/source/unit_tests/core/forward/endpoint_send_test.cc
@@ -118,6 +118,20 @@
   }
 }
 
+// Guards against passing such a line on, and against a body of another length
+// than the endpoint meant.
+TEST_CASE("a response with a malformed name of a field is malformed") {
+  for (const std::string& answer :
+       runtime::ResponsesWith(runtime::kSoundField, "Id: a\r\n"))
+    CHECK_FALSE(SendRequests({answer}, false, {"a"})[0].failure);
+  for (const std::string& field : runtime::kMalformedFields) {
+    INFO(field);
+    for (const std::string& answer : runtime::ResponsesWith(field, "Id: a\r\n"))
+      CHECK(SendRequests({answer}, false, {"a"})[0].failure ==
+            SendFailure::kMalformed);
+  }
+}
+
 // Guards against taking the late response to an earlier request for the
 // response to the current one.
 TEST_CASE("a stale response to an earlier request is discarded") {
--- a/source/unit_tests/core/host/broken_answer_test.cc
+++ b/source/unit_tests/core/host/broken_answer_test.cc
@@ -189,5 +189,35 @@
   }
 }
 
+// Guards against taking a part of an answer for the whole.
+TEST_CASE("an answer whose connection was reset is broken") {
+  const std::string part = Frame(kDataFrame, 0, 1, "o");
+  for (const std::string& answer :
+       {Head({{":status", "200"}}, 0), Head({{":status", "200"}}, 0) + part}) {
+    const CallResult result = CallPeer(answer, RawHost::End::kReset);
+    CHECK(result.code == ResultCode::kPeerUnavailable);
+    CHECK(result.outcome == Outcome::kUnknown);
+  }
+}
+
+// Guards against using an answer whose head is malformed.
+TEST_CASE("an answer with a malformed name of a field is malformed") {
+  for (const std::string& name :
+       {std::string("x-o dd"), std::string("x-odd "), std::string(" x-odd"),
+        std::string("x-o\tdd"),
+        std::string("x-o\x01"
+                    "dd"),
+        std::string("x-o\0dd", 6),
+        std::string("x-o\x7f"
+                    "dd"),
+        std::string("x-o\rdd"), std::string("x-o:dd")}) {
+    INFO(name);
+    const CallResult result =
+        CallPeer(Head({{":status", "200"}, {name, "1"}}, 0) + kLastData);
+    CHECK(result.code == ResultCode::kProtocolError);
+    CHECK(result.outcome == Outcome::kUnknown);
+  }
+}
+
 }  // namespace
 }  // namespace jujuberock::host
--- a/source/unit_tests/core/runtime/malformed_response_test.cc
+++ b/source/unit_tests/core/runtime/malformed_response_test.cc
@@ -13,15 +13,20 @@
 namespace jujuberock::runtime {
 namespace {
 
+// More than the kernel buffers for a peer that reads nothing.
+constexpr size_t kUploadBytes = 16 * 1024 * 1024;
+
 // Returns the error of a call that the peer answers with these bytes.
-std::optional<HttpError> FailureOf(const std::string& answer) {
+std::optional<HttpError> FailureOf(const std::string& answer,
+                                   const std::string& body = "",
+                                   bool reset = false) {
   WorkerPool pool(1);
   HttpClient client(pool, {});
-  const OneAnswerServer server(answer);
+  const OneAnswerServer server(answer, reset);
   std::optional<HttpError> failure;
   pool.Run([&] {
     try {
-      client.Fetch(server.address(), {"GET", "/", {}, ""});
+      client.Fetch(server.address(), {"POST", "/", {}, body});
     } catch (const HttpError& error) {
       failure = error;
     }
@@ -48,4 +53,32 @@
   }
 }
 
+// Guards against passing such a line on, and against a body of another length
+// than the peer meant.
+TEST_CASE("a response with a malformed name of a field fails its call") {
+  for (const std::string& answer : ResponsesWith(kSoundField))
+    CHECK_FALSE(FailureOf(answer));
+  for (const std::string& field : kMalformedFields) {
+    INFO(field);
+    for (const std::string& answer : ResponsesWith(field)) {
+      const auto failure = FailureOf(answer);
+      CHECK(failure);
+      if (failure)
+        CHECK(failure->code() == common::ResultCode::kEndpointFailed);
+    }
+  }
+}
+
+// Guards against taking a part of a response for the whole after a reset that
+// the write of the request's body has met.
+TEST_CASE("a call whose peer resets the connection during the upload fails") {
+  const std::string body(kUploadBytes, 'u');
+  for (int i = 0; i < 10; ++i) {
+    const auto failure = FailureOf("HTTP/1.1 200 OK\r\n\r\no", body, true);
+    REQUIRE(failure);
+    CHECK(failure->code() == common::ResultCode::kEndpointFailed);
+    CHECK(failure->sent());
+  }
+}
+
 }  // namespace jujuberock::runtime
