gateway: log the connection of a send and answers too many

The log could not tell whether a request came to a connection that had carried it before, nor that an answer was dropped because it named another request, so the three hypotheses looked the same. Each connection now remembers the requests that it has carried (as hashes), and the lines of a refusal, an answer and a failure name the connection, how many requests it had carried and whether this one was among them. No decision uses it yet.

--- a/source/core/events/event_log.h
+++ b/source/core/events/event_log.h
@@ -69,11 +69,12 @@
   kRequestResumed,
   kRequestCut,
   kRequestTurnedAway,
+  kResponseDropped,
   kRequestAnswered,
   kRequestUnanswered,
 };
 
-inline constexpr size_t kEventCount = 46;
+inline constexpr size_t kEventCount = 47;
 
 inline constexpr common::NameTable<Event, kEventCount> kEventNames(
     {"started",
@@ -120,6 +121,7 @@
      "request_resumed",
      "request_cut",
      "request_turned_away",
+     "response_dropped",
      "request_answered",
      "request_unanswered"});
 
@@ -186,9 +188,13 @@
   kColdLeftMs,
   kCandidate,
   kViewRevision,
+  kConnection,
+  kEarlierRequests,
+  kCarriedBefore,
+  kNamedRequest,
 };
 
-inline constexpr size_t kFieldCount = 61;
+inline constexpr size_t kFieldCount = 65;
 
 inline constexpr common::NameTable<Field, kFieldCount> kFieldNames(
     {"request",
@@ -251,7 +257,11 @@
      "source",
      "cold_left_ms",
      "candidate",
-     "view_revision"});
+     "view_revision",
+     "connection",
+     "earlier_requests",
+     "carried_before",
+     "named_request"});
 
 Level LevelOf(Event event);
 
--- a/source/core/forward/connection_pool.cc
+++ b/source/core/forward/connection_pool.cc
@@ -24,16 +24,24 @@
 using common::Error;
 using common::ResultCode;
 
-// A readable idle connection was closed by the endpoint or holds bytes that
-// belong to no request.
-bool HasInput(Connection& connection) {
+// What can be read from a connection that no request uses.
+enum class IdleInput {
+  kNone,
+  kBytes,  // they belong to no request
+  kEnd,    // it was closed or has failed
+};
+
+IdleInput InputOf(Connection& connection) {
   if (connection.buffer.size() > 0)
-    return true;
+    return IdleInput::kBytes;
   char byte;
   const int handle = connection.stream.socket().native_handle();
   const ssize_t bytes =
       ::recv(handle, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
-  return bytes >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+  if (bytes > 0)
+    return IdleInput::kBytes;
+  const bool is_open = bytes < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  return is_open ? IdleInput::kNone : IdleInput::kEnd;
 }
 
 void SetUserTimeout(Connection& connection, common::Duration timeout) {
@@ -48,7 +56,9 @@
 ConnectionPool::ConnectionPool(ConnectionPoolOptions options,
                                common::MetricRegistry& counters)
     : options(options),
-      opened(counters.GetCounter("endpoint_connections_opened_total")) {}
+      opened(counters.GetCounter("endpoint_connections_opened_total")),
+      with_input(counters.GetCounter("endpoint_connections_with_input_total")) {
+}
 
 ConnectionPtr ConnectionPool::TakeIdle(const std::string& address,
                                        common::TimePoint now) {
@@ -61,7 +71,10 @@
     idle_list.pop_back();
     const bool is_within_limit =
         now - connection->idle_since < connection->idle_limit;
-    if (is_within_limit && !HasInput(*connection)) {
+    const IdleInput input = InputOf(*connection);
+    if (input == IdleInput::kBytes)
+      this->with_input.Add();
+    if (is_within_limit && input == IdleInput::kNone) {
       connection->reused = true;
       return connection;
     }
@@ -88,6 +101,7 @@
   if (error)
     throw Error(ResultCode::kPeerUnavailable, "invalid IP address: " + address);
   this->opened.Add();
+  connection.number = ++this->last_number;
   connection.stream.expires_after(this->options.connect_timeout);
   connection.stream.async_connect(tcp::endpoint(ip, parsed->port),
                                   runtime::Await(error));
--- a/source/core/forward/connection_pool.h
+++ b/source/core/forward/connection_pool.h
@@ -14,6 +14,7 @@
 
 #include "core/common/metrics.h"
 #include "core/common/time.h"
+#include "core/runtime/carried_requests.h"
 #include "core/runtime/http_types.h"
 
 namespace jujuberock::forward {
@@ -32,6 +33,9 @@
 
   Stream stream;
   boost::beast::flat_buffer buffer{kMaxBufferedBytes};
+  // Distinguishes the connections of a host in its log.
+  uint64_t number = 0;
+  runtime::CarriedRequests carried;
   common::TimePoint opened_at;
   common::TimePoint idle_since;
   // Closed after being idle for this long.
@@ -96,6 +100,9 @@
 
   ConnectionPoolOptions options;
   common::Counter& opened;
+  // Idle connections on which bytes arrived that belong to no request.
+  common::Counter& with_input;
+  uint64_t last_number = 0;
   std::map<std::string, std::vector<ConnectionPtr>> idle;
 };
 
--- a/source/core/forward/endpoint_send.cc
+++ b/source/core/forward/endpoint_send.cc
@@ -149,6 +149,13 @@
   this->connection = std::move(opened);
 }
 
+void EndpointSend::RecordUse() {
+  runtime::CarriedRequests& carried = this->connection->carried;
+  this->use = {this->connection->number, carried.size(),
+               carried.Contains(this->attempt_id)};
+  carried.Add(this->attempt_id);
+}
+
 ResponseHead EndpointSend::Open(const CallerRequest& request,
                                 const SendParameters& parameters,
                                 common::TimePoint deadline) {
@@ -156,6 +163,7 @@
   this->attempt_id = request.attempt_id;
   this->is_head_method = request.method == "HEAD";
   this->Connect();
+  this->RecordUse();
   this->Write(request, parameters);
   for (int i = 0; i < kMaxStaleResponses; ++i) {
     this->head = this->ReadHead();
@@ -165,6 +173,8 @@
       this->CheckIdentified();
       return this->head;
     }
+    if (is_stale)
+      this->strays.push_back({this->head.status, *this->head.attempt_id});
     if (!this->SkipBody())
       break;
     if (!this->parser->keep_alive())
--- a/source/core/forward/endpoint_send.h
+++ b/source/core/forward/endpoint_send.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <stdexcept>
 #include <string>
+#include <vector>
 
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -48,6 +49,24 @@
 inline constexpr common::NameTable<ConnectionEnd, 4> kConnectionEndNames(
     {"open", "peer", "broken", "host"});
 
+// The connection that a send has used.
+struct ConnectionUse {
+  // Of the connection on this host; 0 if there was none.
+  uint64_t number = 0;
+  // Requests that it had carried before.
+  size_t earlier_requests = 0;
+  // Whether the same request was among them, so that a copy of the response to
+  // it can't be told from the response to this send.
+  bool carried_request = false;
+};
+
+// A response that came in place of the one to the request, and was discarded.
+struct StrayResponse {
+  int status = 0;
+  // The attempt that it responds to.
+  std::string attempt_id;
+};
+
 class SendError : public std::runtime_error {
  public:
   SendError(SendFailure failure, const std::string& detail)
@@ -89,6 +108,10 @@
   // Bytes of the body that were read so far, without chunk headers.
   uint64_t body_bytes() const { return this->read_bytes; }
   ConnectionEnd connection_end() const { return this->end; }
+  const ConnectionUse& connection_use() const { return this->use; }
+  const std::vector<StrayResponse>& stray_responses() const {
+    return this->strays;
+  }
   // Whether the end of the connection is the end of the body, because the
   // response declares no length.
   bool ends_with_connection() const {
@@ -107,6 +130,8 @@
   struct BackgroundWrite;
 
   void Connect();
+  // Records that the connection carries the request.
+  void RecordUse();
   void Write(const CallerRequest& request, const SendParameters& parameters);
   ResponseHead ReadHead();
   std::optional<std::string> ReadChunk();
@@ -136,6 +161,8 @@
   std::shared_ptr<BackgroundWrite> background;
   std::string attempt_id;
   ResponseHead head;
+  ConnectionUse use;
+  std::vector<StrayResponse> strays;
   common::TimePoint deadline;
   std::optional<common::TimePoint> progress_deadline;
   size_t skipped_bytes = 0;
--- a/source/core/gateway/request_task.cc
+++ b/source/core/gateway/request_task.cc
@@ -364,6 +364,7 @@
   } catch (const Error& error) {
     failure = error;
   }
+  this->LogStrayResponses(send, record);
   this->CountSend(send, result);
   this->callback_state->send = nullptr;
   this->deps.dispatcher.Unregister(this->active_send);
--- a/source/core/gateway/request_task.h
+++ b/source/core/gateway/request_task.h
@@ -47,6 +47,8 @@
   common::Counter& failed;
   // Requests that no endpoint took at once, while some were cold.
   common::Counter& turned_from_cold;
+  // Responses to other requests that came in place of the one due.
+  common::Counter& stray_responses;
   common::DurationHistogram& first_byte;
   common::DurationHistogram& total;
   // Null when load information is not exchanged with other hosts.
@@ -190,7 +192,8 @@
                                const forward::ResponseHead& head,
                                dispatch::SendTicket& ticket);
   // The endpoint has not run the request.
-  void OnTurnedAway(const forward::ResponseHead& head,
+  void OnTurnedAway(const forward::EndpointSend& send,
+                    const forward::ResponseHead& head,
                     dispatch::EndpointRecord& record);
   // Whether the body of the response is a series of events.
   bool IsStream(const forward::ResponseHead& head) const;
@@ -207,6 +210,12 @@
   void LogCut(const forward::SendError& error,
               const forward::EndpointSend& send,
               const dispatch::EndpointRecord& endpoint);
+  // Logs the responses to other requests that the send has met.
+  void LogStrayResponses(const forward::EndpointSend& send,
+                         const dispatch::EndpointRecord& endpoint) const;
+  // Adds the connection that the send has used.
+  void AddConnection(events::LogLine& line,
+                     const forward::EndpointSend& send) const;
   // Adds how the response of the send was framed and where it ended.
   void AddTransfer(events::LogLine& line,
                    const forward::EndpointSend& send) const;
--- a/source/core/gateway/request_task_log.cc
+++ b/source/core/gateway/request_task_log.cc
@@ -97,6 +97,7 @@
         .Add(Field::kLongestPauseMs, stats.longest_pause)
         .Add(Field::kCount, stats.events);
   this->AddTransfer(line, send);
+  this->AddConnection(line, send);
   line.Add(Field::kTookMs, runtime::BootNow() - this->received_at);
 }
 
@@ -147,9 +148,32 @@
       .Add(Field::kReason, forward::kSendFailureNames.NameOf(error.failure()))
       .Add(Field::kDetail, detail);
   this->AddTransfer(line, send);
+  this->AddConnection(line, send);
   line.Add(Field::kElapsedMs, runtime::BootNow() - this->received_at);
 }
 
+void RequestTask::LogStrayResponses(
+    const forward::EndpointSend& send,
+    const dispatch::EndpointRecord& endpoint) const {
+  for (const forward::StrayResponse& stray : send.stray_responses()) {
+    this->deps.stray_responses.Add();
+    LogLine line(this->deps.log, Event::kResponseDropped);
+    line.Add(Field::kRequest, this->request.attempt_id)
+        .Add(Field::kEndpoint, endpoint.endpoint().id)
+        .Add(Field::kStatus, stray.status)
+        .Add(Field::kNamedRequest, stray.attempt_id);
+    this->AddConnection(line, send);
+  }
+}
+
+void RequestTask::AddConnection(LogLine& line,
+                                const forward::EndpointSend& send) const {
+  const forward::ConnectionUse& use = send.connection_use();
+  line.Add(Field::kConnection, use.number)
+      .Add(Field::kEarlierRequests, static_cast<uint64_t>(use.earlier_requests))
+      .Add(Field::kCarriedBefore, use.carried_request ? 1 : 0);
+}
+
 void RequestTask::AddTransfer(LogLine& line,
                               const forward::EndpointSend& send) const {
   line.Add(Field::kFraming, forward::kFramingNames.NameOf(send.framing()))
--- a/source/core/gateway/request_task_response.cc
+++ b/source/core/gateway/request_task_response.cc
@@ -64,7 +64,7 @@
     dispatch::SendTicket& ticket) {
   auto& record = *ticket.endpoint;
   if (head.not_run) {
-    this->OnTurnedAway(head, record);
+    this->OnTurnedAway(send, head, record);
     send.Discard();
     return AttemptResult::kNotRun;
   }
@@ -101,17 +101,21 @@
   return AttemptResult::kAnswered;
 }
 
-void RequestTask::OnTurnedAway(const forward::ResponseHead& head,
+void RequestTask::OnTurnedAway(const forward::EndpointSend& send,
+                               const forward::ResponseHead& head,
                                dispatch::EndpointRecord& record) {
   const TimePoint now = runtime::BootNow();
   const bool is_misdirected = head.status == kStatusMisdirected;
   const Duration pause = is_misdirected ? kMismatchPause : kFullEndpointPause;
   record.paused_until = std::max(record.paused_until, now + pause);
   record.OnRefused(now);
-  LogLine(this->deps.log, Event::kRequestTurnedAway)
-      .Add(Field::kRequest, this->request.attempt_id)
-      .Add(Field::kEndpoint, record.endpoint().id)
-      .Add(Field::kStatus, head.status);
+  {
+    LogLine line(this->deps.log, Event::kRequestTurnedAway);
+    line.Add(Field::kRequest, this->request.attempt_id)
+        .Add(Field::kEndpoint, record.endpoint().id)
+        .Add(Field::kStatus, head.status);
+    this->AddConnection(line, send);
+  }
   if (!is_misdirected)
     return;
   ++this->misdirected_sends;
