--- a/tools/gateway_standins.py
+++ b/tools/gateway_standins.py
@@ -237,7 +237,8 @@
     ("reset",), ("close",), ("end",) or ("await_close", s). "end" closes all
     connections in order and the port until start() is called again. In bytes, `{id}` stands for
     the id of the request's attempt and `{former}` for that of the request
-    before it on the connection.
+    before it on the connection. A request's "carried" has the ids of all that
+    came before it on its connection.
     """
 
     def __init__(self, script):
@@ -258,16 +259,18 @@
 
     async def serve(self, reader, writer):
         former = ""
+        carried = set()
         self.writers.add(writer)
         try:
             while message := await self.receive(reader):
                 line, headers, body = message
-                request = {"former": former,
+                request = {"former": former, "carried": frozenset(carried),
                            "path": line.split(" ")[1], "headers": headers,
                            "id": headers.get("x-attempt-id", ""), "body": body,
                            "at": time.monotonic()}
                 self.requests.append(request)
                 former = request["id"]
+                carried.add(former)
                 for step in self.script(request):
                     await self.perform(step, request, reader, writer)
         except (ConnectionError, asyncio.IncompleteReadError,
