forward: never send a request twice on one connection

An endpoint may send a refusal once more. The copy names the request, so on a connection that carries this request again it looked like the refusal of the second send: EndpointSend compares ids, and an id names a request, not a send. Connections are kept by address, while a request remembers the entries that it was sent to, so it came to the same connection again through an entry of a former process at the address, or with an id that a caller used again. The endpoint ran it, and the request went on elsewhere.

The pool now passes over a connection that has carried the request, for whatever reason it comes again. The connection stays in use for other requests, so refusals cost no connections. So a response that names the request can only be that to its only send on the connection.

The test of reused connections sent one request twice, which is what must not happen; it now sends two and checks that each gets its own response.

--- a/source/core/forward/connection_pool.cc
+++ b/source/core/forward/connection_pool.cc
@@ -57,24 +57,31 @@
                                common::MetricRegistry& counters)
     : options(options),
       opened(counters.GetCounter("endpoint_connections_opened_total")),
-      with_input(counters.GetCounter("endpoint_connections_with_input_total")) {
-}
+      with_input(counters.GetCounter("endpoint_connections_with_input_total")),
+      passed_over(
+          counters.GetCounter("endpoint_connections_passed_over_total")) {}
 
 ConnectionPtr ConnectionPool::TakeIdle(const std::string& address,
+                                       std::string_view request_id,
                                        common::TimePoint now) {
   const auto found = this->idle.find(address);
   if (found == this->idle.end())
     return nullptr;
   auto& idle_list = found->second;
-  while (!idle_list.empty()) {
-    ConnectionPtr connection = std::move(idle_list.back());
-    idle_list.pop_back();
+  for (size_t i = idle_list.size(); i-- > 0;) {
+    const ConnectionPtr connection = idle_list[i];
     const bool is_within_limit =
         now - connection->idle_since < connection->idle_limit;
     const IdleInput input = InputOf(*connection);
+    const bool is_sound = is_within_limit && input == IdleInput::kNone;
+    if (is_sound && connection->carried.Contains(request_id)) {
+      this->passed_over.Add();
+      continue;
+    }
+    idle_list.erase(idle_list.begin() + static_cast<ptrdiff_t>(i));
     if (input == IdleInput::kBytes)
       this->with_input.Add();
-    if (is_within_limit && input == IdleInput::kNone) {
+    if (is_sound) {
       connection->reused = true;
       return connection;
     }
@@ -131,6 +138,8 @@
 void ConnectionPool::PutIdle(const std::string& address,
                              ConnectionPtr connection,
                              common::TimePoint now) {
+  if (connection->carried.IsFull())
+    return;
   auto& idle_list = this->idle[address];
   if (idle_list.size() >= this->options.max_idle_per_endpoint)
     return;
--- a/source/core/forward/connection_pool.h
+++ b/source/core/forward/connection_pool.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
@@ -72,15 +73,19 @@
   ConnectionPool(ConnectionPoolOptions options,
                  common::MetricRegistry& counters);
 
-  // Returns an idle connection that has no unexpected input, or null.
-  ConnectionPtr TakeIdle(const std::string& address, common::TimePoint now);
+  // Returns an idle connection that has no unexpected input and has not carried
+  // the request, or null.
+  ConnectionPtr TakeIdle(const std::string& address,
+                         std::string_view request_id,
+                         common::TimePoint now);
   // Opens a new connection; suspends the calling fiber. Throws common::Error
   // kPeerUnavailable, in which case nothing was sent.
   ConnectionPtr Connect(const std::string& address);
   // Checks the idle connections to the endpoint, or opens a new one, which is
   // then kept. Suspends the calling fiber.
   Reachability Probe(const std::string& address);
-  // Returns a connection to the pool, or closes it if there are enough.
+  // Returns a connection to the pool, or closes it if there are enough or it
+  // has carried as many requests as it may.
   void PutIdle(const std::string& address,
                ConnectionPtr connection,
                common::TimePoint now);
@@ -102,6 +107,8 @@
   common::Counter& opened;
   // Idle connections on which bytes arrived that belong to no request.
   common::Counter& with_input;
+  // Idle connections that were not used because they had carried the request.
+  common::Counter& passed_over;
   uint64_t last_number = 0;
   std::map<std::string, std::vector<ConnectionPtr>> idle;
 };
--- a/source/core/forward/endpoint_send.cc
+++ b/source/core/forward/endpoint_send.cc
@@ -133,7 +133,8 @@
 }
 
 void EndpointSend::Connect() {
-  this->connection = this->pool.TakeIdle(this->address, runtime::BootNow());
+  this->connection =
+      this->pool.TakeIdle(this->address, this->attempt_id, runtime::BootNow());
   if (this->connection) {
     this->reused = true;
     return;
--- a/source/unit_tests/core/forward/connection_pool_test.cc
+++ b/source/unit_tests/core/forward/connection_pool_test.cc
@@ -95,7 +95,49 @@
     listener.Accept();
     listener.Close();
     CHECK(pool.Probe(address) == Reachability::kRefused);
-    CHECK(pool.TakeIdle(address, runtime::BootNow()));
+    CHECK(pool.TakeIdle(address, "a", runtime::BootNow()));
+  });
+}
+
+// Guards against taking a copy of the response to a request's former send for
+// that to the present one.
+TEST_CASE("a connection that has carried a request does not get it again") {
+  Listener listener(8);
+  const std::string address = listener.address();
+  runtime::WorkerPool workers(1);
+  common::MetricRegistry counters;
+  workers.Run([&] {
+    ConnectionPool pool({}, counters);
+    const auto now = runtime::BootNow();
+    const ConnectionPtr first = pool.Connect(address);
+    first->carried.Add("a");
+    pool.PutIdle(address, first, now);
+    CHECK_FALSE(pool.TakeIdle(address, "a", now));
+    const ConnectionPtr second = pool.Connect(address);
+    pool.PutIdle(address, second, now);
+    CHECK(pool.TakeIdle(address, "a", now) == second);
+    // It stays in use for other requests.
+    CHECK(pool.TakeIdle(address, "b", now) == first);
+  });
+}
+
+// Guards against connections whose memory of requests grows without bound.
+TEST_CASE("a connection is not kept after its last request") {
+  Listener listener(8);
+  const std::string address = listener.address();
+  runtime::WorkerPool workers(1);
+  common::MetricRegistry counters;
+  workers.Run([&] {
+    ConnectionPool pool({}, counters);
+    const auto now = runtime::BootNow();
+    const ConnectionPtr connection = pool.Connect(address);
+    for (size_t i = 1; i < runtime::CarriedRequests::kMaxRequests; ++i)
+      connection->carried.Add(std::to_string(i));
+    pool.PutIdle(address, connection, now);
+    REQUIRE(pool.TakeIdle(address, "last", now) == connection);
+    connection->carried.Add("last");
+    pool.PutIdle(address, connection, now);
+    CHECK_FALSE(pool.TakeIdle(address, "next", now));
   });
 }
 
--- a/source/unit_tests/core/forward/endpoint_send_test.cc
+++ b/source/unit_tests/core/forward/endpoint_send_test.cc
@@ -151,7 +151,7 @@
   workers.Run([&] {
     ConnectionPool pool({}, counters);
     CHECK(Send(pool, first.address(), "a").body == "ok");
-    CHECK_FALSE(pool.TakeIdle(first.address(), runtime::BootNow()));
+    CHECK_FALSE(pool.TakeIdle(first.address(), "b", runtime::BootNow()));
   });
 }
 
@@ -183,11 +183,42 @@
   }
 }
 
+// Guards against taking the copy of a refusal, which names the request, for the
+// refusal of its next send, which may run.
+TEST_CASE("a copy of a refusal does not answer the request's next send") {
+  const std::string refusal =
+      "HTTP/1.1 503 Busy\r\nId: a\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+  runtime::WorkerPool workers(1);
+  common::MetricRegistry counters;
+  // The second connection is answered once the first one is closed.
+  FakeEndpoint endpoint({refusal, refusal + kOkResponse}, false);
+  workers.Run([&] {
+    ConnectionPool pool({}, counters);
+    CHECK(Send(pool, endpoint.address(), "a").status == 503);
+    const TestCodec codec;
+    CallerRequest request;
+    request.method = "GET";
+    request.target = "/";
+    request.attempt_id = "a";
+    EndpointSend next(pool, codec, endpoint.address());
+    CHECK_THROWS_AS(
+        next.Open(request, {},
+                  runtime::BootNow() + std::chrono::milliseconds(50)),
+        SendError);
+    CHECK_FALSE(next.connection_use().carried_request);
+    CHECK(next.connection_use().number == 2);
+    // The first connection stays in use for others.
+    CHECK(pool.TakeIdle(endpoint.address(), "b", runtime::BootNow()));
+  });
+}
+
 TEST_CASE("an idle connection is reused for the next request") {
-  const auto results =
-      SendRequests({kOkResponse, kOkResponse}, false, {"a", "a"});
+  const auto results = SendRequests(
+      {kOkResponse,
+       "HTTP/1.1 200 OK\r\nId: b\r\nContent-Length: 6\r\n\r\nsecond"},
+      false, {"a", "b"});
   CHECK(results[0].body == "ok");
-  CHECK(results[1].body == "ok");
+  CHECK(results[1].body == "second");
 }
 
 TEST_CASE("a refused connection is reported as not connected") {
