runtime: never send a named request twice on one connection

A connection that has carried a named request is passed over when that request comes again, with the same memory as in forward::ConnectionPool.

test_endpoint "a copy of a refusal does not answer the same request" failed before ("refused" instead of "ran", one connection) and passes.

--- a/source/core/runtime/http_client.cc
+++ b/source/core/runtime/http_client.cc
@@ -14,6 +14,7 @@
 #include <boost/beast/http.hpp>
 
 #include "core/runtime/await.h"
+#include "core/runtime/carried_requests.h"
 #include "core/runtime/sleep.h"
 
 namespace jujuberock::runtime {
@@ -54,6 +55,8 @@
   SteadyTime idle_since{};
   // Whether the last response named its request.
   bool names_requests = false;
+  // Those that have a name.
+  CarriedRequests carried;
   // Set when the connection was taken from the pool.
   bool is_reused = false;
 };
@@ -97,10 +100,14 @@
   State(WorkerPool& pool, HttpClientOptions options)
       : pool(pool), options(options), idle(pool.size()) {}
 
-  ConnectionPtr TakeIdle(const Address& address, bool names_requests) {
+  // Without a `name`, the connection need not name requests.
+  ConnectionPtr TakeIdle(const Address& address,
+                         const std::optional<std::string_view>& name) {
     auto& idle_list = this->idle[*WorkerPool::CurrentWorker()][address];
     for (size_t i = idle_list.size(); i-- > 0;) {
-      if (idle_list[i]->names_requests != names_requests)
+      if (idle_list[i]->names_requests != name.has_value())
+        continue;
+      if (name && idle_list[i]->carried.Contains(*name))
         continue;
       ConnectionPtr connection = std::move(idle_list[i]);
       idle_list.erase(idle_list.begin() + static_cast<ptrdiff_t>(i));
@@ -194,13 +201,15 @@
 
   void SendRequest(http::request<http::string_body>& message,
                    common::Duration write_timeout) {
+    if (!this->naming_field.empty()) {
+      this->request_name = std::string(message[this->naming_field]);
+      this->connection->carried.Add(this->request_name);
+    }
     error_code error;
     this->SetExpiry(write_timeout);
     http::async_write(this->connection->stream, message, Await(error));
     if (error)
       this->Fail(error, "write");
-    if (!this->naming_field.empty())
-      this->request_name = std::string(message[this->naming_field]);
   }
 
   void ReadHeader(common::Duration timeout) {
@@ -289,7 +298,8 @@
   }
 
   void Release() {
-    if (!this->connection || !this->parser->keep_alive())
+    if (!this->connection || !this->parser->keep_alive() ||
+        this->connection->carried.IsFull())
       return;
     if (this->naming_field.empty() || this->connection->names_requests)
       this->client->ReturnIdle(this->address, std::move(this->connection));
@@ -369,8 +379,11 @@
                                              const HttpRequest& request,
                                              const HttpCallOptions& options) {
   ConnectionPtr connection;
+  std::optional<std::string_view> name;
+  if (!options.naming_field.empty())
+    name = request.headers.Find(options.naming_field).value_or("");
   if (!options.fresh_connection)
-    connection = this->state->TakeIdle(address, !options.naming_field.empty());
+    connection = this->state->TakeIdle(address, name);
   if (!connection)
     connection = this->state->Connect(address);
   auto stream = std::make_unique<BeastStream>(std::move(connection),
--- a/source/core/runtime/http_client.h
+++ b/source/core/runtime/http_client.h
@@ -65,8 +65,9 @@
   std::function<bool()> before_first_byte = {};
   // Field of the request that the peer repeats in its response. A peer may send
   // an earlier response once more, on a connection that is in use again: such a
-  // connection is used only for responses that name their request, and only
-  // after one that did. If empty, any response is accepted.
+  // connection is used only for responses that name their request, only after
+  // one that did, and never twice for the same request. If empty, any response
+  // is accepted.
   std::string naming_field = {};
   // Checks that the peer still listens after a response that ends with its
   // connection, which may also be the end of the peer. Fetch() then fails.
--- a/source/unit_tests/core/endpoint/late_copy_test.cc
+++ b/source/unit_tests/core/endpoint/late_copy_test.cc
@@ -208,6 +208,26 @@
   }
 }
 
+// Guards against taking the copy of a refusal for the answer to the same
+// request, which the endpoint now runs.
+TEST_CASE("a copy of a refusal does not answer the same request") {
+  std::atomic<int> asked{0};
+  const CopyingEndpoint service(
+      [&asked](const std::string& id) {
+        return ++asked == 1 ? Response("503 Busy", id, "refused")
+                            : Response("200 OK", id, "ran");
+      },
+      true);
+  runtime::WorkerPool workers(1);
+  workers.Run([&] {
+    runtime::HttpClient http(workers, {});
+    PlainClient client(http);
+    CHECK(Forward(client, service.address(), "a") == "refused");
+    CHECK(Forward(client, service.address(), "a") == "ran");
+  });
+  CHECK(service.connection_count() == 2);
+}
+
 TEST_CASE("the connection of an endpoint that names requests is used again") {
   for (const bool names : {false, true}) {
     INFO("the service names requests: " << names);
