dispatch: find out whether this host reaches the endpoints of a service

ServiceReach hears of connections that could not be opened and of signs of life, from sends and from the watched connections. Lines reach_lost and reach_regained and service_reach_losses_total tell of changes. While a host is impaired it tries unreached endpoints, which is how it finds out that they are back; one that accepts a connection is not ejected any longer. It no longer tells other hosts that endpoints can't be reached, which made these eject sound endpoints. Requests take the same way as before.

--- a/source/core/dispatch/endpoint_health.cc
+++ b/source/core/dispatch/endpoint_health.cc
@@ -52,4 +52,8 @@
       std::min(2 * this->next_ejection_time, kMaxEjection);
 }
 
+void EndpointHealth::EndEjection(common::TimePoint now) {
+  this->ejected_until = std::min(this->ejected_until, now);
+}
+
 }  // namespace jujuberock::dispatch
--- a/source/core/dispatch/endpoint_health.h
+++ b/source/core/dispatch/endpoint_health.h
@@ -40,6 +40,8 @@
   // Ejects the endpoint immediately, because it was found dead or silent by
   // other means.
   void Eject(common::TimePoint now);
+  // Ends an ejection early, because the endpoint can be reached again.
+  void EndEjection(common::TimePoint now);
   double failure_share() const { return this->failure_rate; }
 
  private:
--- a/source/core/dispatch/service_pool.cc
+++ b/source/core/dispatch/service_pool.cc
@@ -72,6 +72,10 @@
         this->remembered.size() < kMaxRemembered)
       this->remembered.insert_or_assign(id, record);
   }
+  for (const auto& [id, record] : this->endpoints) {
+    if (record->removed)
+      this->reach.Forget(id);
+  }
   this->endpoints = std::move(next);
 }
 
@@ -93,6 +97,7 @@
 }
 
 void ServicePool::Tick(common::TimePoint now) {
+  this->reach.Tick(now);
   if (!this->has_cold_limit())
     return;
   for (const auto& [id, record] : this->endpoints) {
@@ -220,9 +225,39 @@
                             SendOutcome outcome,
                             common::TimePoint now) {
   this->cost.OnOutcome(outcome == SendOutcome::kGood);
+  if (outcome == SendOutcome::kNoRoute)
+    this->OnUnreached(endpoint, now);
   return endpoint.health().OnOutcome(outcome, this->cost.failure_share(), now);
 }
 
+void ServicePool::OnReached(const EndpointRecord& endpoint,
+                            common::TimePoint now) {
+  this->reach.OnReached(endpoint.endpoint().id, now);
+}
+
+void ServicePool::OnUnreached(const EndpointRecord& endpoint,
+                              common::TimePoint now) {
+  if (!endpoint.removed)
+    this->reach.OnUnreached(endpoint.endpoint().id, now);
+}
+
+std::vector<std::shared_ptr<EndpointRecord>> ServicePool::ToProbe(
+    size_t count,
+    common::Random& random) const {
+  std::vector<std::shared_ptr<EndpointRecord>> unreached;
+  for (const auto& [id, record] : this->endpoints) {
+    if (this->reach.IsUnreached(id))
+      unreached.push_back(record);
+  }
+  if (unreached.size() <= count)
+    return unreached;
+  const auto first =
+      static_cast<std::ptrdiff_t>(random.NextBelow(unreached.size()));
+  std::rotate(unreached.begin(), unreached.begin() + first, unreached.end());
+  unreached.resize(count);
+  return unreached;
+}
+
 bool ServicePool::OnPeerUnreachable(EndpointRecord& endpoint,
                                     common::TimePoint now) {
   const bool healthy =
--- a/source/core/dispatch/service_pool.h
+++ b/source/core/dispatch/service_pool.h
@@ -12,11 +12,13 @@
 #include <vector>
 
 #include "core/catalog/types.h"
+#include "core/common/random.h"
 #include "core/dispatch/endpoint_choice.h"
 #include "core/dispatch/endpoint_filter.h"
 #include "core/dispatch/endpoint_record.h"
 #include "core/dispatch/placement_cost.h"
 #include "core/dispatch/send_requirements.h"
+#include "core/dispatch/service_reach.h"
 
 namespace jujuberock::dispatch {
 
@@ -93,6 +95,21 @@
   static bool OnPeerUnreachable(EndpointRecord& endpoint,
                                 common::TimePoint now);
 
+  // The endpoint has sent something or accepted a connection.
+  void OnReached(const EndpointRecord& endpoint, common::TimePoint now);
+  // No connection to the endpoint could be opened.
+  void OnUnreached(const EndpointRecord& endpoint, common::TimePoint now);
+  // Whether this host does not reach the endpoints, or most of them.
+  bool IsImpaired() const {
+    return this->reach.IsImpaired(this->endpoints.size());
+  }
+  size_t unreached_count() const { return this->reach.unreached_count(); }
+  // Returns up to `count` endpoints to try while this host is impaired: those
+  // that it did not reach, from a random one on.
+  std::vector<std::shared_ptr<EndpointRecord>> ToProbe(
+      size_t count,
+      common::Random& random) const;
+
   const std::map<std::string, std::shared_ptr<EndpointRecord>>& records()
       const {
     return this->endpoints;
@@ -129,6 +146,7 @@
   std::map<std::string, std::shared_ptr<EndpointRecord>> remembered;
   EndpointFilter filter;
   PlacementCost cost;
+  ServiceReach reach;
 };
 
 }  // namespace jujuberock::dispatch
--- a/source/core/events/event_log.h
+++ b/source/core/events/event_log.h
@@ -50,6 +50,8 @@
   kEndpointCertain,
   kEndpointCold,
   kEndpointWarm,
+  kReachLost,
+  kReachRegained,
   kEvacuationBegan,
   kEvacuationEnded,
   kVersionNamed,
@@ -74,7 +76,7 @@
   kRequestUnanswered,
 };
 
-inline constexpr size_t kEventCount = 47;
+inline constexpr size_t kEventCount = 49;
 
 inline constexpr common::NameTable<Event, kEventCount> kEventNames(
     {"started",
@@ -102,6 +104,8 @@
      "endpoint_certain",
      "endpoint_cold",
      "endpoint_warm",
+     "reach_lost",
+     "reach_regained",
      "evacuation_began",
      "evacuation_ended",
      "version_named",
@@ -192,9 +196,10 @@
   kEarlierRequests,
   kCarriedBefore,
   kNamedRequest,
+  kFailedConnects,
 };
 
-inline constexpr size_t kFieldCount = 65;
+inline constexpr size_t kFieldCount = 66;
 
 inline constexpr common::NameTable<Field, kFieldCount> kFieldNames(
     {"request",
@@ -261,7 +266,8 @@
      "connection",
      "earlier_requests",
      "carried_before",
-     "named_request"});
+     "named_request",
+     "failed_connects"});
 
 Level LevelOf(Event event);
 
--- a/source/core/gateway/dispatcher.cc
+++ b/source/core/gateway/dispatcher.cc
@@ -28,6 +28,10 @@
 // others to the next check. Each try costs a choice of an endpoint, and when
 // all endpoints are silent none succeeds.
 constexpr size_t kMaxKeptSends = 16;
+// While this host does not reach the endpoints of a service, it tries so many
+// of them in each period.
+constexpr Duration kProbePeriod = std::chrono::milliseconds(300);
+constexpr size_t kProbesPerPeriod = 4;
 // Time until all requests to a crashed endpoint have failed.
 constexpr Duration kCrashBatchTime = std::chrono::milliseconds(60);
 // Time beyond an endpoint's heartbeat in which its entry reaches the hosts.
@@ -46,6 +50,7 @@
       log(log),
       ejections(counters.GetCounter("endpoint_ejections_total")),
       moved_sends(counters.GetCounter("sends_moved_total")),
+      reach_losses(counters.GetCounter("service_reach_losses_total")),
       retry_window(
           {settings.retry_ratio, settings.retry_slack, settings.retry_window}),
       part_suspect_list({.reporter = common::Hash64(settings.host_name),
@@ -140,12 +145,69 @@
   }
 }
 
+void Dispatcher::OnWatched(const EndpointRecord& endpoint, bool is_reached) {
+  ServicePool* pool = this->FindPool(endpoint.endpoint().service);
+  if (!pool)
+    return;
+  if (is_reached)
+    pool->OnReached(endpoint, runtime::BootNow());
+  else
+    pool->OnUnreached(endpoint, runtime::BootNow());
+}
+
+void Dispatcher::CheckReach() {
+  const TimePoint now = runtime::BootNow();
+  const bool is_probe_due = now - this->probed_at >= kProbePeriod;
+  for (const auto& [name, pool] : this->pools) {
+    pool->Tick(now);
+    this->LogReach(name, *pool, now);
+    if (!is_probe_due || !pool->IsImpaired())
+      continue;
+    this->probed_at = now;
+    for (const auto& endpoint :
+         pool->ToProbe(kProbesPerPeriod, this->random_source))
+      runtime::SpawnLocal([this, endpoint] { this->Probe(endpoint); });
+  }
+}
+
+void Dispatcher::Probe(const std::shared_ptr<EndpointRecord>& endpoint) {
+  const auto reachability =
+      this->connections.Probe(endpoint->endpoint().address);
+  const bool is_reached = reachability == forward::Reachability::kReachable;
+  this->OnWatched(*endpoint, is_reached);
+  if (is_reached)
+    endpoint->health().EndEjection(runtime::BootNow());
+}
+
+void Dispatcher::LogReach(const std::string& service,
+                          const ServicePool& pool,
+                          TimePoint now) {
+  const auto since = this->impaired_since.find(service);
+  const bool was_impaired = since != this->impaired_since.end();
+  if (pool.IsImpaired() == was_impaired)
+    return;
+  LogLine line(this->log,
+               was_impaired ? Event::kReachRegained : Event::kReachLost);
+  line.Add(Field::kService, service)
+      .Add(Field::kFailedConnects,
+           static_cast<uint64_t>(pool.unreached_count()))
+      .Add(Field::kCount, static_cast<uint64_t>(pool.records().size()));
+  if (was_impaired) {
+    line.Add(Field::kElapsedMs, now - since->second);
+    this->impaired_since.erase(since);
+  } else {
+    this->impaired_since.emplace(service, now);
+    this->reach_losses.Add();
+  }
+  // Requests that wait may be handed over, or sent.
+  this->GateOf(service).OnRoomFreed();
+}
+
 void Dispatcher::CheckColdEndpoints() {
   const TimePoint now = runtime::BootNow();
   for (const auto& [name, pool] : this->pools) {
     if (!pool->has_cold_limit())
       continue;
-    pool->Tick(now);
     for (const auto& [id, record] : pool->records())
       this->LogCold(*pool, *record, now);
   }
@@ -247,8 +309,10 @@
         .Add(Field::kFailureShare, endpoint.health().failure_share());
     // Silence is not reported to other hosts: under overload it may be caused
     // by a long queue.
+    // A host that reaches none is likely to be cut off itself.
     const bool is_gone =
-        outcome == SendOutcome::kNoRoute || outcome == SendOutcome::kReplaced;
+        (outcome == SendOutcome::kNoRoute && !pool.IsImpaired()) ||
+        outcome == SendOutcome::kReplaced;
     if (is_gone && this->on_endpoint_unreachable)
       this->on_endpoint_unreachable(endpoint.endpoint().id);
     return;
--- a/source/core/gateway/dispatcher.h
+++ b/source/core/gateway/dispatcher.h
@@ -193,6 +193,11 @@
     this->on_crash_marks_changed = std::move(callback);
   }
 
+  // The watched connection to an endpoint was opened, or could not be.
+  void OnWatched(const dispatch::EndpointRecord& endpoint, bool is_reached);
+  // Tries endpoints that this host does not reach, and logs changes of whether
+  // it reaches them; called every kCheckPeriod.
+  void CheckReach();
   // Decides on prompt parts that crash endpoints; called every kCheckPeriod.
   void CheckSuspects();
   // Records which endpoints are cold and logs changes of that; called every
@@ -216,6 +221,10 @@
   void LogCold(const dispatch::ServicePool& pool,
                dispatch::EndpointRecord& record,
                common::TimePoint now);
+  void LogReach(const std::string& service,
+                const dispatch::ServicePool& pool,
+                common::TimePoint now);
+  void Probe(const std::shared_ptr<dispatch::EndpointRecord>& endpoint);
   void IndexEndpoints();
   using SendsByEndpoint =
       std::unordered_map<const dispatch::EndpointRecord*,
@@ -238,6 +247,7 @@
   events::EventLog& log;
   common::Counter& ejections;
   common::Counter& moved_sends;
+  common::Counter& reach_losses;
   dispatch::HostRanking ranking;
   std::map<std::string, std::unique_ptr<dispatch::ServicePool>, std::less<>>
       pools;
@@ -249,6 +259,9 @@
 
   // By hash of the endpoint id, as used in messages between hosts.
   std::unordered_map<uint64_t, Engine> engines_by_hash;
+  // Services whose endpoints this host does not reach, and since when.
+  std::map<std::string, common::TimePoint> impaired_since;
+  common::TimePoint probed_at;
   dispatch::RetryWindow retry_window;
   suspects::SuspectList suspect_list;
   suspects::PartSuspects part_suspect_list;
--- a/source/core/gateway/endpoint_watches.cc
+++ b/source/core/gateway/endpoint_watches.cc
@@ -50,6 +50,8 @@
 
  private:
   void OnConnected() override {
+    if (this->owner)
+      this->owner->dispatcher.OnWatched(*this->record, true);
     this->Change("connected", [](dispatch::ProcessContinuity& process) {
       process.OnConnected(runtime::BootNow());
     });
@@ -68,6 +70,8 @@
     });
   }
   void OnConnectFailed() override {
+    if (this->owner)
+      this->owner->dispatcher.OnWatched(*this->record, false);
     this->Change("connect_failed", [](dispatch::ProcessContinuity& process) {
       process.OnConnectFailed(runtime::BootNow());
     });
--- a/source/core/gateway/gateway.cc
+++ b/source/core/gateway/gateway.cc
@@ -289,6 +289,7 @@
   const common::TimePoint now = runtime::BootNow();
   this->store.OnTick(now);
   this->view.OnTick(now);
+  this->dispatcher.CheckReach();
   this->dispatcher.CheckColdEndpoints();
   this->dispatcher.CheckSilence();
   this->dispatcher.CheckSuspects();
--- a/source/core/gateway/request_task_response.cc
+++ b/source/core/gateway/request_task_response.cc
@@ -40,6 +40,7 @@
                              dispatch::EndpointRecord& record) {
   const TimePoint now = runtime::BootNow();
   record.OnBytesReceived(now);
+  this->pool->OnReached(record, now);
   this->deps.dispatcher.OnNotice(record, head.notice);
   if (head.load)
     this->RecordLoad(*head.load, record, now);
@@ -187,6 +188,7 @@
           this->RecordFirstByte(ticket);
           const TimePoint now = runtime::BootNow();
           ticket.endpoint->OnBytesReceived(now);
+          this->pool->OnReached(*ticket.endpoint, now);
           this->part_monitor.OnEvent(ticket, now);
         },
         is_running);
