gateway: hand requests over to another host while this one is cut off

The cause: a host could serve a request only itself.

While a host does not reach the endpoints of a service, or a request has failed to connect twice, it hands the request over to another host by HTTP/1.1, to the new handover_port. That host serves it like one of its callers and refuses it at once if it is cut off, stopping or behind itself.

--- a/source/core/dispatch/retry_window.cc
+++ b/source/core/dispatch/retry_window.cc
@@ -34,6 +34,14 @@
   ++counts.requests[static_cast<size_t>(counts.last_bucket) % kBuckets];
 }
 
+void RetryWindow::OnPassedOn(std::string_view service, common::TimePoint now) {
+  Counts& counts = this->CountsAt(service, now);
+  uint32_t& requests =
+      counts.requests[static_cast<size_t>(counts.last_bucket) % kBuckets];
+  if (requests > 0)
+    --requests;
+}
+
 bool RetryWindow::TryRetry(std::string_view service, common::TimePoint now) {
   Counts& counts = this->CountsAt(service, now);
   const auto sum = [](const auto& values) {
--- a/source/core/dispatch/retry_window.h
+++ b/source/core/dispatch/retry_window.h
@@ -30,6 +30,8 @@
   // Sets the number of hosts that may exist at the same time.
   void SetHostCount(size_t hosts) { this->hosts = hosts == 0 ? 1 : hosts; }
   void OnRequest(std::string_view service, common::TimePoint now);
+  // Another host serves the request, which counts it as its own.
+  void OnPassedOn(std::string_view service, common::TimePoint now);
   // Takes one retry from the budget, or returns false if it is used up.
   bool TryRetry(std::string_view service, common::TimePoint now);
 
--- a/source/core/events/event_log.h
+++ b/source/core/events/event_log.h
@@ -74,9 +74,11 @@
   kResponseDropped,
   kRequestAnswered,
   kRequestUnanswered,
+  kRequestHandedOver,
+  kHandoverRefused,
 };
 
-inline constexpr size_t kEventCount = 49;
+inline constexpr size_t kEventCount = 51;
 
 inline constexpr common::NameTable<Event, kEventCount> kEventNames(
     {"started",
@@ -127,7 +129,9 @@
      "request_turned_away",
      "response_dropped",
      "request_answered",
-     "request_unanswered"});
+     "request_unanswered",
+     "request_handed_over",
+     "handover_refused"});
 
 // Fields that a line may have.
 enum class Field {
@@ -196,10 +200,12 @@
   kEarlierRequests,
   kCarriedBefore,
   kNamedRequest,
+  kPeer,
+  kSend,
   kFailedConnects,
 };
 
-inline constexpr size_t kFieldCount = 66;
+inline constexpr size_t kFieldCount = 68;
 
 inline constexpr common::NameTable<Field, kFieldCount> kFieldNames(
     {"request",
@@ -267,6 +273,8 @@
      "earlier_requests",
      "carried_before",
      "named_request",
+     "peer",
+     "send",
      "failed_connects"});
 
 Level LevelOf(Event event);
--- a/source/core/gateway/gateway.cc
+++ b/source/core/gateway/gateway.cc
@@ -85,6 +85,8 @@
       log(log),
       counters(counters),
       connections({}, counters),
+      peer_connections({}, counters),
+      peer_choice(this->settings.zone, common::EntropySeed()),
       relay_client(workers),
       store(RelayOptionsFor(this->settings),
             platform.store,
@@ -147,7 +149,13 @@
                    counters.GetCounter("responses_dropped_total"),
                    counters.GetHistogram("request_first_byte_seconds"),
                    counters.GetHistogram("request_seconds"),
-                   nullptr},
+                   counters.GetCounter("requests_handed_over_total",
+                                       {{"result", "answered"}}),
+                   counters.GetCounter("requests_handed_over_total",
+                                       {{"result", "refused"}}),
+                   counters.GetCounter("requests_handed_over_total",
+                                       {{"result", "failed"}}),
+                   this->peer_connections},
       limits(LimitsOf(this->settings)),
       budget(std::make_shared<runtime::ByteBudget>(
           runtime::BudgetFor(this->limits))),
@@ -184,6 +192,8 @@
     this->OpenPeerLoads();
   if (this->settings.peer_port != 0 && this->settings.relay_min_hosts != 0)
     this->OpenRelays();
+  if (this->settings.handover_port != 0)
+    this->OpenHandover();
   if (this->settings.metrics_port != 0) {
     runtime::Address metrics = address(this->settings.caller_address);
     metrics.port = static_cast<uint16_t>(this->settings.metrics_port);
@@ -242,6 +252,27 @@
                                                      address, this->counters);
 }
 
+void Gateway::OpenHandover() {
+  runtime::Address address =
+      *runtime::Address::Parse(this->settings.caller_address);
+  address.port = static_cast<uint16_t>(this->settings.handover_port);
+  this->host_registry.OnHandoverHosts(
+      [this](std::vector<handover::PeerHost> hosts) {
+        this->peer_choice.SetHosts(std::move(hosts));
+      });
+  this->request_deps.peers = &this->peer_choice;
+  this->handover_server = std::make_unique<HandoverServer>(
+      this->request_deps, this->workers, address,
+      this->OptionsFor(catalog::CallerLimits()),
+      [this] {
+        if (this->stopping)
+          throw RefusedError(ResultCode::kStopping, kStoppingReason,
+                             PlannedStop::kRetryAfter);
+      },
+      [this](const Error& error) { return this->RenderError(error); },
+      this->counters);
+}
+
 Gateway::~Gateway() {
   this->view.Stop();
   this->endpoint_watches.Stop();
@@ -269,6 +300,9 @@
   if (!config)
     return;
   this->caller_server->SetOptions(this->OptionsFor(config->config().limits));
+  if (this->handover_server)
+    this->handover_server->server().SetOptions(
+        this->OptionsFor(config->config().limits));
   this->cache_store_watcher.Refresh(*config);
 }
 
@@ -294,6 +328,7 @@
   this->dispatcher.CheckSilence();
   this->dispatcher.CheckSuspects();
   this->connections.Expire(now);
+  this->peer_connections.Expire(now);
   this->endpoint_watches.Tick();
   this->LogViewFreshness(now);
   this->ReportHeldBytes(now);
@@ -415,8 +450,20 @@
   writer.Send(std::move(response));
 }
 
+std::vector<runtime::HttpServer*> Gateway::RequestServers() const {
+  std::vector<runtime::HttpServer*> servers = {this->caller_server.get()};
+  if (this->handover_server)
+    servers.push_back(&this->handover_server->server());
+  return servers;
+}
+
 void Gateway::AwaitDrained(common::TimePoint limit) {
-  while (!this->caller_server->IsDrained() && runtime::BootNow() < limit)
+  const auto servers = this->RequestServers();
+  const auto are_drained = [&] {
+    return std::all_of(servers.begin(), servers.end(),
+                       [](const auto* server) { return server->IsDrained(); });
+  };
+  while (!are_drained() && runtime::BootNow() < limit)
     runtime::SleepFor(kStopPoll);
 }
 
@@ -436,8 +483,11 @@
         .Add(Field::kInFlight,
              static_cast<uint64_t>(this->caller_server->ActiveRequests()));
     runtime::SleepFor(serving_time);
-    this->caller_server->Drain();
+    for (runtime::HttpServer* server : this->RequestServers())
+      server->Drain();
     runtime::SleepFor(kAcceptPeriod);
+    // The handler of requests from other hosts refuses them itself, in a way
+    // that these hosts understand.
     this->caller_server->RefuseRequests(
         Error(ResultCode::kStopping, kStoppingReason));
     this->AwaitDrained(answer_deadline);
@@ -445,8 +495,9 @@
     this->AwaitDrained(end - kFinalAnswerPeriod / 2);
     // For requests that could not end at once because they connect to an
     // endpoint.
-    this->caller_server->EndUnanswered(
-        Error(ResultCode::kDeadlineExceeded, kStoppingReason));
+    for (runtime::HttpServer* server : this->RequestServers())
+      server->EndUnanswered(
+          Error(ResultCode::kDeadlineExceeded, kStoppingReason));
     this->AwaitDrained(end);
     this->planned_stop.LogCutOff();
     LogLine(this->log, Event::kStopped)
--- a/source/core/gateway/gateway.h
+++ b/source/core/gateway/gateway.h
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <vector>
 
 #include "core/catalog/object_store.h"
 #include "core/common/metrics.h"
@@ -16,6 +17,7 @@
 #include "core/gateway/dispatcher.h"
 #include "core/gateway/endpoint_control.h"
 #include "core/gateway/endpoint_watches.h"
+#include "core/gateway/handover_server.h"
 #include "core/gateway/host_registry.h"
 #include "core/gateway/peer_loads.h"
 #include "core/gateway/planned_stop.h"
@@ -79,11 +81,14 @@
   void SendRefusal(const common::Error& error,
                    std::optional<common::Duration> retry_after,
                    runtime::ResponseWriter& writer);
-  // Waits until the draining server has no connection left.
+  // The servers whose requests a stop lets finish.
+  std::vector<runtime::HttpServer*> RequestServers() const;
+  // Waits until the draining servers have no connection left.
   void AwaitDrained(common::TimePoint limit);
   // Open the ports for other hosts. Throw kInvalidSettings if one is in use.
   void OpenPeerLoads();
   void OpenRelays();
+  void OpenHandover();
   void OnViewChanged();
   void OnHostObject(const catalog::ObjectChange& change);
   void Tick();
@@ -96,6 +101,8 @@
   events::EventLog& log;
   common::MetricRegistry& counters;
   forward::ConnectionPool connections;
+  forward::ConnectionPool peer_connections;
+  handover::PeerChoice peer_choice;
   RelayClient relay_client;
   RelayedStore store;
   PlatformView view;
@@ -126,6 +133,8 @@
   uint64_t limited_callers = 0;
   common::TimePoint limits_reported_at;
   std::unique_ptr<runtime::HttpServer> caller_server;
+  // Null when requests are not handed over between hosts.
+  std::unique_ptr<HandoverServer> handover_server;
   std::unique_ptr<runtime::HttpServer> readiness_server;
   std::unique_ptr<runtime::HttpServer> metrics_server;
   std::atomic<bool> stopping{false};
--- a/source/core/gateway/host_object.cc
+++ b/source/core/gateway/host_object.cc
@@ -193,6 +193,8 @@
   value["address"] = object.caller_address;
   if (!object.peer_address.empty())
     value["peer_address"] = object.peer_address;
+  if (!object.handover_address.empty())
+    value["handover_address"] = object.handover_address;
   value["written_ms"] = object.written_at.time_since_epoch().count();
   value["store_era"] = object.store_era;
   value["config_version"] = object.config_version;
@@ -218,6 +220,7 @@
     object.zone = value.value("zone", "");
     object.caller_address = value.value("address", "");
     object.peer_address = value.value("peer_address", "");
+    object.handover_address = value.value("handover_address", "");
     object.store_era = common::GetUnsignedOrZero(value, "store_era");
     object.config_version = common::GetUnsignedOrZero(value, "config_version");
     if (value.contains("last_order_age_ms"))
--- a/source/core/gateway/host_object.h
+++ b/source/core/gateway/host_object.h
@@ -19,6 +19,8 @@
   std::string caller_address;
   // Address for datagrams of other hosts; empty if it takes none.
   std::string peer_address;
+  // Where it takes requests over from other hosts; empty if it takes none.
+  std::string handover_address;
   // When the object was written, by the clock of the writer. The ages of the
   // marks count from then.
   common::UnixTime written_at;
--- a/source/core/gateway/host_registry.cc
+++ b/source/core/gateway/host_registry.cc
@@ -77,6 +77,7 @@
   if (change.deleted) {
     this->OnPeerAddress(name, "");
     this->OnZoneHost(name, "");
+    this->OnHandoverHost({name, "", ""});
     this->peer_orders.erase(name);
     return;
   }
@@ -86,6 +87,7 @@
   if (!object)
     return;
   this->OnPeerAddress(name, object->peer_address);
+  this->OnHandoverHost({name, object->zone, object->handover_address});
   const bool is_in_zone = object->zone == this->settings.zone;
   this->OnZoneHost(name, is_in_zone ? object->peer_address : "");
   this->view.OnPeerConfig(object->store_era, object->config_version);
@@ -153,6 +155,25 @@
   this->on_peers_changed(std::move(addresses));
 }
 
+void HostRegistry::OnHandoverHost(const handover::PeerHost& host) {
+  const auto known = this->handover_hosts.find(host.name);
+  const bool is_known = known != this->handover_hosts.end();
+  const bool is_unchanged =
+      is_known ? known->second == host : host.address.empty();
+  if (is_unchanged)
+    return;
+  if (host.address.empty())
+    this->handover_hosts.erase(known);
+  else
+    this->handover_hosts[host.name] = host;
+  if (!this->on_handover_hosts_changed)
+    return;
+  std::vector<handover::PeerHost> hosts;
+  for (const auto& [name, known_host] : this->handover_hosts)
+    hosts.push_back(known_host);
+  this->on_handover_hosts_changed(std::move(hosts));
+}
+
 void HostRegistry::OnZoneHost(const std::string& name,
                               const std::string& address) {
   const auto known = this->zone_hosts.find(name);
@@ -191,11 +212,15 @@
   HostObject object;
   object.zone = this->settings.zone;
   object.caller_address = this->settings.caller_address;
-  if (this->settings.peer_port != 0) {
-    auto peer = *runtime::Address::Parse(this->settings.caller_address);
-    peer.port = static_cast<uint16_t>(this->settings.peer_port);
-    object.peer_address = peer.ToString();
-  }
+  const auto address_of = [this](int64_t port) {
+    auto address = *runtime::Address::Parse(this->settings.caller_address);
+    address.port = static_cast<uint16_t>(port);
+    return address.ToString();
+  };
+  if (this->settings.peer_port != 0)
+    object.peer_address = address_of(this->settings.peer_port);
+  if (this->settings.handover_port != 0)
+    object.handover_address = address_of(this->settings.handover_port);
   object.written_at = this->wall_now();
   object.store_era = this->view.store_era();
   if (const auto config = this->view.config())
--- a/source/core/gateway/host_registry.h
+++ b/source/core/gateway/host_registry.h
@@ -14,6 +14,7 @@
 #include "core/gateway/host_object.h"
 #include "core/gateway/platform_view.h"
 #include "core/gateway/settings.h"
+#include "core/handover/peer_choice.h"
 #include "core/relay/relay_choice.h"
 #include "core/rollout/order_history.h"
 #include "core/runtime/http_types.h"
@@ -61,6 +62,11 @@
   void OnPeers(std::function<void(std::vector<runtime::Address>)> callback) {
     this->on_peers_changed = std::move(callback);
   }
+  // Sets the callback for changes of the hosts that take requests over.
+  void OnHandoverHosts(
+      std::function<void(std::vector<handover::PeerHost>)> callback) {
+    this->on_handover_hosts_changed = std::move(callback);
+  }
   // Sets the callback for changes of the other hosts of this zone.
   void OnZoneHosts(
       std::function<void(std::vector<relay::RelayHost>)> callback) {
@@ -77,6 +83,8 @@
   void OnHostCountChanged();
   void OnOwnObject(const catalog::ObjectChange& change);
   void OnPeerAddress(const std::string& name, const std::string& address);
+  // An empty address: the host is gone or takes no requests over.
+  void OnHandoverHost(const handover::PeerHost& host);
   // `address` is empty for a host that is gone or in another zone.
   void OnZoneHost(const std::string& name, const std::string& address);
   // Takes over what the former process of this host has published: its marks,
@@ -104,9 +112,12 @@
   std::map<std::string, runtime::Address> peers;
   // Addresses of the other hosts of this zone.
   std::map<std::string, std::string> zone_hosts;
+  std::map<std::string, handover::PeerHost> handover_hosts;
   std::map<std::string, PeerOrders> peer_orders;
   std::function<void(std::vector<runtime::Address>)> on_peers_changed;
   std::function<void(std::vector<relay::RelayHost>)> on_zone_hosts_changed;
+  std::function<void(std::vector<handover::PeerHost>)>
+      on_handover_hosts_changed;
   bool write_pending = true;
   bool has_written = false;
   // Size of the object that was written last.
--- a/source/core/gateway/request_task.cc
+++ b/source/core/gateway/request_task.cc
@@ -30,10 +30,12 @@
 
 RequestTask::RequestTask(RequestDependencies& deps,
                          forward::CallerRequest request,
-                         runtime::ResponseWriter& writer)
+                         runtime::ResponseWriter& writer,
+                         const RequestOrigin& origin)
     : deps(deps),
       request(std::move(request)),
       writer(writer),
+      origin(origin),
       config(deps.view.config()),
       part_monitor(deps.dispatcher.part_suspects(),
                    this->request.prompt ? &*this->request.prompt : nullptr),
@@ -87,8 +89,16 @@
 }
 
 void RequestTask::RunUntilAnswered() {
+  if (this->origin.reply && this->pool->IsImpaired())
+    this->Refuse(ResultCode::kPeerUnavailable,
+                 "this host does not reach the endpoints either", std::nullopt);
   while (true) {
-    const AttemptResult result = this->Attempt(this->NextSend());
+    if (this->MustHandOver() && this->HandOver())
+      break;
+    auto planned = this->NextSend();
+    if (!planned)
+      continue;
+    const AttemptResult result = this->Attempt(std::move(*planned));
     if (result == AttemptResult::kAnswered)
       break;
     this->CheckMayGoOn();
@@ -97,16 +107,18 @@
   }
 }
 
-RequestTask::PlannedSend RequestTask::NextSend() {
+std::optional<RequestTask::PlannedSend> RequestTask::NextSend() {
   if (this->reserved) {
     PlannedSend planned = std::move(*this->reserved);
     this->reserved.reset();
     return planned;
   }
-  const dispatch::EndpointChoice choice = this->AwaitEndpoint();
+  const auto choice = this->AwaitEndpoint();
+  if (!choice)
+    return std::nullopt;
   this->CheckParts();
   this->BeginPartTrial();
-  return this->Plan(choice);
+  return this->Plan(*choice);
 }
 
 RequestTask::PlannedSend RequestTask::Plan(
@@ -133,6 +145,10 @@
   if (!this->config || !this->deps.view.IsComplete(this->received_at))
     this->Refuse(ResultCode::kNotReady, "no configuration yet",
                  kStaleViewRetryAfter);
+  if (this->config->version() < this->origin.config_version)
+    this->Refuse(ResultCode::kNotReady,
+                 "the configuration is older than that of the sending host",
+                 kStaleViewRetryAfter);
   this->route =
       this->config->FindRoute(this->request.host, this->request.target);
   if (!this->route)
@@ -449,9 +465,14 @@
 void RequestTask::FailRequest() {
   const TimePoint now = runtime::BootNow();
   this->deps.failed.Add();
-  if (this->runs == 0 && !this->relay.started())
-    this->Refuse(ResultCode::kNoEndpoint, "no endpoint accepted the request",
+  if (this->runs == 0 && !this->relay.started()) {
+    // Another host may reach the endpoints.
+    const bool is_cut_off = this->failed_connects > 0 && this->sends == 0;
+    this->Refuse(is_cut_off && this->origin.reply ? ResultCode::kPeerUnavailable
+                                                  : ResultCode::kNoEndpoint,
+                 "no endpoint accepted the request",
                  this->route->target_latency / 3);
+  }
   const bool expired = this->timed_out || this->Remaining(now) <= kNetworkDelay;
   const auto code =
       expired ? ResultCode::kEndpointSilent : ResultCode::kEndpointFailed;
--- a/source/core/gateway/request_task.h
+++ b/source/core/gateway/request_task.h
@@ -20,6 +20,8 @@
 #include "core/gateway/peer_loads.h"
 #include "core/gateway/planned_stop.h"
 #include "core/gateway/stream_registry.h"
+#include "core/handover/peer_choice.h"
+#include "core/handover/reply_writer.h"
 #include "core/reuse/cache_store_index.h"
 #include "core/reuse/salt.h"
 #include "core/runtime/http_server.h"
@@ -51,8 +53,26 @@
   common::Counter& stray_responses;
   common::DurationHistogram& first_byte;
   common::DurationHistogram& total;
+  common::Counter& handovers_answered;
+  common::Counter& handovers_refused;
+  common::Counter& handovers_failed;
+  // Connections to other hosts.
+  forward::ConnectionPool& peer_connections;
+  // Null when requests are not handed over to other hosts.
+  handover::PeerChoice* peers = nullptr;
   // Null when load information is not exchanged with other hosts.
   PeerLoads* peer_loads = nullptr;
+  // Number of the last request that was handed over.
+  uint64_t last_handover = 0;
+};
+
+// Where a request comes from.
+struct RequestOrigin {
+  // The response to the host that has handed the request over; null if it comes
+  // from a caller.
+  handover::ReplyWriter* reply = nullptr;
+  // Version of that host's configuration.
+  uint64_t config_version = 0;
 };
 
 // Handles one request of a caller until the end of the response. Runs on the
@@ -61,7 +81,8 @@
  public:
   RequestTask(RequestDependencies& deps,
               forward::CallerRequest request,
-              runtime::ResponseWriter& writer);
+              runtime::ResponseWriter& writer,
+              const RequestOrigin& origin = {});
   ~RequestTask();
 
   // Handles the request. Throws common::Error if no response was sent, and also
@@ -139,12 +160,41 @@
   void CheckPlannedStop();
   void WatchCaller();
 
+  enum class HandoverResult {
+    kAnswered,
+    kNotRun,   // nothing was sent, or the host did not run the request
+    kUnknown,  // the request may have run
+  };
+
+  // Whether another host should serve the request, because this one does not
+  // reach the endpoints. One that was handed over already stays here.
+  bool MustHandOver() const;
+  // Hands the request over to other hosts until one has answered it. Returns
+  // false if none can. Throws if it is refused or fails.
+  bool HandOver();
+  HandoverResult Ask(const handover::PeerHost& host);
+  HandoverResult Exchange(const handover::PeerHost& host,
+                          forward::EndpointSend& send,
+                          const forward::CallerRequest& request,
+                          const forward::SendParameters& parameters);
+  HandoverResult OnReply(const handover::PeerHost& host,
+                         forward::EndpointSend& send,
+                         forward::ResponseHead& head);
+  HandoverResult OnHandoverError(const handover::PeerHost& host,
+                                 const forward::EndpointSend& send,
+                                 const forward::SendError& error);
+  // Records that the endpoint that has answered at the other host is leaving.
+  void LearnFrom(const handover::Reply& reply,
+                 const forward::ResponseHead& head);
+  void RecordHandedOverByte();
+
   // Returns the send that a move has prepared, or waits until the request may
-  // be sent. Throws if it is refused.
-  PlannedSend NextSend();
+  // be sent; nothing if it must be handed over. Throws if it is refused.
+  std::optional<PlannedSend> NextSend();
   // Adds the send to the load of its endpoint.
   PlannedSend Plan(const dispatch::EndpointChoice& choice);
-  dispatch::EndpointChoice AwaitEndpoint();
+  // Returns nothing if the request must be handed over.
+  std::optional<dispatch::EndpointChoice> AwaitEndpoint();
   std::optional<dispatch::EndpointChoice> Choose(common::TimePoint now);
   // The request's timing, as far as it does not depend on the wait in progress.
   dispatch::AdmissionRequest Admission(common::TimePoint now) const;
@@ -271,6 +321,7 @@
   RequestDependencies& deps;
   forward::CallerRequest request;
   runtime::ResponseWriter& writer;
+  RequestOrigin origin;
   std::shared_ptr<const catalog::ConfigView> config;
   const catalog::Route* route = nullptr;
   const catalog::Team* team = nullptr;
@@ -319,6 +370,10 @@
   int64_t misdirected_sends = 0;
   int64_t slow_connects = 0;
   int64_t quick_failures = 0;
+  // Connections that could not be opened.
+  int64_t failed_connects = 0;
+  // Whether no other host could serve the request.
+  bool handover_failed = false;
   // Whether a retry was taken from the budget for the next send.
   bool holds_retry = false;
   // The parts that this send reads from and saves to cache stores, and the
--- a/source/core/gateway/request_task_admission.cc
+++ b/source/core/gateway/request_task_admission.cc
@@ -61,7 +61,7 @@
   return waiting;
 }
 
-dispatch::EndpointChoice RequestTask::AwaitEndpoint() {
+std::optional<dispatch::EndpointChoice> RequestTask::AwaitEndpoint() {
   AdmissionGate& gate = this->deps.dispatcher.GateOf(this->service);
   const TimePoint began = runtime::BootNow();
   if (this->sends == 0)
@@ -71,6 +71,8 @@
   while (true) {
     const TimePoint now = runtime::BootNow();
     this->CheckMayGoOn();
+    if (this->MustHandOver())
+      return std::nullopt;
     const auto choice = this->Choose(now);
     dispatch::AdmissionRequest admission = this->Admission(now);
     admission.held = now - began;
@@ -85,7 +87,7 @@
     if (decision.step == AdmissionStep::kSend && !out_of_time) {
       this->held += now - began;
       gate.floor().OnAdmitted(this->floor_groups, now);
-      return *choice;
+      return choice;
     }
     if (decision.step == AdmissionStep::kRefuse || out_of_time) {
       if (this->sends > 0) {
--- a/source/core/gateway/request_task_response.cc
+++ b/source/core/gateway/request_task_response.cc
@@ -181,6 +181,10 @@
         *ticket.endpoint, this->sent_process, watch_time);
     return MayStillRun(*this->end_evidence);
   };
+  if (this->origin.reply)
+    this->origin.reply->SetEndpoint(
+        {ticket.endpoint->endpoint().id,
+         ticket.endpoint->endpoint().started_at_ms});
   if (this->IsStream(head)) {
     this->relay.RelayStream(
         send, head, dispatch::StalledEndLimit(this->Targets()),
@@ -215,9 +219,11 @@
   if (!send.sent()) {
     const bool is_quick = runtime::BootNow() - ticket.sent_at < kQuickConnect;
     ++(is_quick ? this->quick_failures : this->slow_connects);
-    if (error.failure() == SendFailure::kNotConnected)
+    if (error.failure() == SendFailure::kNotConnected) {
+      ++this->failed_connects;
       this->deps.dispatcher.OnOutcome(*this->pool, record,
                                       SendOutcome::kNoRoute);
+    }
     return AttemptResult::kNotRun;
   }
   switch (error.failure()) {
--- a/source/core/gateway/settings.cc
+++ b/source/core/gateway/settings.cc
@@ -52,6 +52,10 @@
       {"peer_port", &S::peer_port, "", 0, 65535,
        "UDP port for load information from other hosts, and TCP port for views "
        "of the platform's store, on the IP address of caller_address; 0: none"},
+      {"handover_port", &S::handover_port, "", 0, 65535,
+       "TCP port for requests that other hosts hand over while they do not "
+       "reach the endpoints, on the IP address of caller_address; 0: none, and "
+       "this host hands none over"},
       {"relay_min_hosts", &S::relay_min_hosts, "hosts", 0, 10000,
        "Hosts in the zone from which on some of them watch the platform's "
        "store for the others; 0: never"},
--- a/source/core/gateway/settings.h
+++ b/source/core/gateway/settings.h
@@ -24,6 +24,8 @@
   std::string platform_address;
   // 0: load information and views are not exchanged with other hosts.
   int64_t peer_port = 0;
+  // 0: requests are not handed over between hosts.
+  int64_t handover_port = 0;
   // Hosts in the zone from which on some of them watch the store for the
   // others; 0: never.
   int64_t relay_min_hosts = 12;
--- a/source/unit_tests/core/dispatch/retry_window_test.cc
+++ b/source/unit_tests/core/dispatch/retry_window_test.cc
@@ -37,6 +37,20 @@
   CHECK(retries > 200);
 }
 
+// Guards against counting a request twice for the budget: at the host that has
+// received it and at the one that serves it.
+TEST_CASE("a request that another host serves allows no retries here") {
+  RetryWindow window({0.2, 0, seconds(10)});
+  window.SetHostCount(1);
+  for (int i = 0; i < 100; ++i) {
+    window.OnRequest("s", At(i));
+    window.OnPassedOn("s", At(i));
+  }
+  CHECK(TakeAll(window, At(200)) == 0);
+  window.OnPassedOn("s", At(300));
+  CHECK(TakeAll(window, At(400)) == 0);
+}
+
 TEST_CASE("the budget is restored when the window has advanced") {
   RetryWindow window({0, 40, seconds(10)});
   window.SetHostCount(1);
--- a/source/unit_tests/core/gateway/host_object_test.cc
+++ b/source/unit_tests/core/gateway/host_object_test.cc
@@ -22,6 +22,7 @@
   object.zone = "z";
   object.caller_address = "127.0.0.1:8080";
   object.peer_address = "127.0.0.1:8090";
+  object.handover_address = "127.0.0.1:8091";
   object.written_at = kWrittenAt;
   object.store_era = 3;
   object.config_version = 12;
@@ -45,6 +46,7 @@
   CHECK(decoded->zone == object.zone);
   CHECK(decoded->caller_address == object.caller_address);
   CHECK(decoded->peer_address == object.peer_address);
+  CHECK(decoded->handover_address == object.handover_address);
   CHECK(decoded->store_era == object.store_era);
   CHECK(decoded->config_version == object.config_version);
   CHECK(decoded->last_order_age == object.last_order_age);
