forward: take no promise without a name after an answer too many

But a connection that has already brought an answer to another request proves that it brings answers too many, and an unnamed refusal after that was still taken for a promise. It is malformed now.

test_forward "a refusal without a name does not count after a stray response" failed before. The review also showed that the tests passed if only refused requests were remembered: two tests now let a request come again after a complete answer (200, 500).

--- a/source/core/forward/endpoint_send.cc
+++ b/source/core/forward/endpoint_send.cc
@@ -187,9 +187,10 @@
 
 void EndpointSend::CheckIdentified() const {
   const bool is_success = this->head.status < 300;
-  // On a connection that was used before, a response without an id may be a
-  // late copy of an earlier one.
-  if (!this->head.attempt_id && (this->reused || is_success))
+  // On a connection that was used before, or has brought an answer too many, a
+  // response without an id may be a late copy of an earlier one.
+  const bool may_be_copy = this->reused || !this->strays.empty();
+  if (!this->head.attempt_id && (may_be_copy || is_success))
     throw SendError(SendFailure::kMalformed, "the response names no request");
 }
 
--- a/source/unit_tests/core/forward/endpoint_send_test.cc
+++ b/source/unit_tests/core/forward/endpoint_send_test.cc
@@ -190,7 +190,7 @@
       "HTTP/1.1 503 Busy\r\nId: a\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
   runtime::WorkerPool workers(1);
   common::MetricRegistry counters;
-  // The second connection is answered once the first one is closed.
+  // Answers one connection, and leaves a second one without an answer.
   FakeEndpoint endpoint({refusal, refusal + kOkResponse}, false);
   workers.Run([&] {
     ConnectionPool pool({}, counters);
@@ -212,6 +212,37 @@
   });
 }
 
+// Guards against taking the copy of any complete response, not only of a
+// refusal, for the response to the request's next send.
+TEST_CASE("an answered request does not come to its connection again") {
+  for (const char* status : {"200 OK", "500 Internal Server Error"}) {
+    INFO(status);
+    const std::string answer = "HTTP/1.1 " + std::string(status) +
+                               "\r\nId: a\r\nContent-Length: 2\r\n\r\nok";
+    runtime::WorkerPool workers(1);
+    common::MetricRegistry counters;
+    FakeEndpoint endpoint({answer, answer + answer}, false);
+    workers.Run([&] {
+      ConnectionPool pool({}, counters);
+      CHECK(Send(pool, endpoint.address(), "a").body == "ok");
+      CHECK_FALSE(pool.TakeIdle(endpoint.address(), "a", runtime::BootNow()));
+      CHECK(pool.TakeIdle(endpoint.address(), "b", runtime::BootNow()));
+    });
+  }
+}
+
+// Guards against a refusal that names no request, on a connection that has
+// already brought an answer too many.
+TEST_CASE("a refusal without a name does not count after a stray response") {
+  const std::string stray =
+      "HTTP/1.1 503 Busy\r\nId: z\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+  const std::string unnamed =
+      "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+  CHECK(SendRequests({stray + unnamed}, false, {"a"})[0].failure ==
+        SendFailure::kMalformed);
+  CHECK_FALSE(SendRequests({unnamed}, false, {"a"})[0].failure);
+}
+
 TEST_CASE("an idle connection is reused for the next request") {
   const auto results = SendRequests(
       {kOkResponse,
