--- a/source/core/dispatch/service_pool.cc
+++ b/source/core/dispatch/service_pool.cc
@@ -243,19 +243,25 @@
 
 std::vector<std::shared_ptr<EndpointRecord>> ServicePool::ToProbe(
     size_t count,
+    common::Duration quiet,
+    common::TimePoint now,
     common::Random& random) const {
+  std::vector<std::shared_ptr<EndpointRecord>> chosen;
+  if (!this->reach.IsSuspect(this->endpoints.size()))
+    return chosen;
   std::vector<std::shared_ptr<EndpointRecord>> unreached;
-  for (const auto& [id, record] : this->endpoints) {
-    if (this->reach.IsUnreached(id))
-      unreached.push_back(record);
-  }
-  if (unreached.size() <= count)
-    return unreached;
-  const auto first =
-      static_cast<std::ptrdiff_t>(random.NextBelow(unreached.size()));
-  std::rotate(unreached.begin(), unreached.begin() + first, unreached.end());
-  unreached.resize(count);
-  return unreached;
+  std::vector<std::shared_ptr<EndpointRecord>> others;
+  for (const auto& [id, record] : this->endpoints)
+    (this->reach.IsUnreached(id) ? unreached : others).push_back(record);
+  if (!others.empty() && now - this->reach.reached_at() >= quiet)
+    chosen.push_back(others[random.NextBelow(others.size())]);
+  if (!this->IsImpaired())
+    return chosen;
+  const size_t first =
+      unreached.empty() ? 0 : random.NextBelow(unreached.size());
+  for (size_t i = 0; i < std::min(count, unreached.size()); ++i)
+    chosen.push_back(unreached[(first + i) % unreached.size()]);
+  return chosen;
 }
 
 bool ServicePool::OnPeerUnreachable(EndpointRecord& endpoint,
--- a/source/core/dispatch/service_pool.h
+++ b/source/core/dispatch/service_pool.h
@@ -104,10 +104,13 @@
     return this->reach.IsImpaired(this->endpoints.size());
   }
   size_t unreached_count() const { return this->reach.unreached_count(); }
-  // Returns up to `count` endpoints to try while this host is impaired: those
-  // that it did not reach, from a random one on.
+  // Returns endpoints to try, to find out whether this host is impaired: one
+  // that it may reach if it has heard of none for `quiet`, and while it is
+  // impaired up to `count` that it did not reach.
   std::vector<std::shared_ptr<EndpointRecord>> ToProbe(
       size_t count,
+      common::Duration quiet,
+      common::TimePoint now,
       common::Random& random) const;
 
   const std::map<std::string, std::shared_ptr<EndpointRecord>>& records()
--- a/source/core/dispatch/service_reach.cc
+++ b/source/core/dispatch/service_reach.cc
@@ -13,7 +13,7 @@
 }  // namespace
 
 void ServiceReach::OnReached(std::string_view endpoint, common::TimePoint now) {
-  this->reached_at = now;
+  this->last_reached = now;
   const auto found = this->unreached.find(endpoint);
   if (found != this->unreached.end())
     this->unreached.erase(found);
@@ -32,14 +32,18 @@
   });
 }
 
+bool ServiceReach::IsSuspect(size_t endpoints) const {
+  return this->unreached.size() >=
+         std::clamp<size_t>(endpoints, 1, kMinUnreached);
+}
+
 bool ServiceReach::IsImpaired(size_t endpoints) const {
-  const size_t count = this->unreached.size();
-  if (count < std::clamp<size_t>(endpoints, 1, kMinUnreached))
+  if (!this->IsSuspect(endpoints))
     return false;
-  if (2 * count > endpoints)
+  if (2 * this->unreached.size() > endpoints)
     return true;
   const auto has_failed_since = [this](const auto& entry) {
-    return entry.second.last > this->reached_at;
+    return entry.second.last > this->last_reached + kQuietTime;
   };
   return static_cast<size_t>(std::count_if(this->unreached.begin(),
                                            this->unreached.end(),
--- a/source/core/dispatch/service_reach.h
+++ b/source/core/dispatch/service_reach.h
@@ -17,6 +17,9 @@
  public:
   // An endpoint that was not tried again for this long counts as reached.
   static constexpr common::Duration kMemory = std::chrono::seconds(10);
+  // Failures count as those of this host if no endpoint was reached for this
+  // long before them. A host that hears little tries endpoints more often.
+  static constexpr common::Duration kQuietTime = std::chrono::milliseconds(700);
 
   // The endpoint has sent something or accepted a connection.
   void OnReached(std::string_view endpoint, common::TimePoint now);
@@ -27,6 +30,9 @@
   // Forgets what is older than kMemory.
   void Tick(common::TimePoint now);
 
+  // Whether several endpoints can't be reached, so that others should be tried
+  // to see whether they can.
+  bool IsSuspect(size_t endpoints) const;
   // Whether most of the `endpoints` of the service can't be reached, or several
   // of them and no other one since. The share matters where connections stay
   // open and only new ones fail.
@@ -34,6 +40,7 @@
   bool IsUnreached(const std::string& endpoint) const {
     return this->unreached.contains(endpoint);
   }
+  common::TimePoint reached_at() const { return this->last_reached; }
   size_t unreached_count() const { return this->unreached.size(); }
 
  private:
@@ -43,7 +50,7 @@
   };
 
   std::map<std::string, Failures, std::less<>> unreached;
-  common::TimePoint reached_at;
+  common::TimePoint last_reached;
 };
 
 }  // namespace jujuberock::dispatch
--- a/source/core/gateway/dispatcher.cc
+++ b/source/core/gateway/dispatcher.cc
@@ -158,14 +158,15 @@
 void Dispatcher::CheckReach() {
   const TimePoint now = runtime::BootNow();
   const bool is_probe_due = now - this->probed_at >= kProbePeriod;
+  if (is_probe_due)
+    this->probed_at = now;
   for (const auto& [name, pool] : this->pools) {
     pool->Tick(now);
     this->LogReach(name, *pool, now);
-    if (!is_probe_due || !pool->IsImpaired())
+    if (!is_probe_due)
       continue;
-    this->probed_at = now;
-    for (const auto& endpoint :
-         pool->ToProbe(kProbesPerPeriod, this->random_source))
+    for (const auto& endpoint : pool->ToProbe(kProbesPerPeriod, kProbePeriod,
+                                              now, this->random_source))
       runtime::SpawnLocal([this, endpoint] { this->Probe(endpoint); });
   }
 }
