handover: leave hosts out only for what they can't serve

Found by the review of the hand-over, in plays of cut hosts: - A stream that its endpoint broke, or a response without a name, paused the host that served it for 3 s (11 of the next requests got 503). Only a hop without a head counts as silence now. - A service that was down for all hosts paused them for the others too (39 of 40 got 503). Refusals are remembered by host and service. - A host that did not know yet that it was cut off answered for the endpoints, so the caller was refused although a third host reached them (4 and 5 of 9). It answers for itself now, also while the request waits. - A request that no host could serve asked none again. It does after 300 ms. - Attempts began anew at the other host; what is left goes with the hop. The retry budget counts a request once for every hop that was counted. - A header just below the limit got 431 at a cut host (the hop's fields); the port allows 2 KiB more, and a quarter of the callers' connections. - A refusal counts only with the id of its send.

--- a/source/core/forward/types.h
+++ b/source/core/forward/types.h
@@ -47,6 +47,8 @@
   std::optional<int> urgency;
   std::optional<std::string> cache_salt;
   std::optional<uint64_t> expected_version;
+  // Sends that may run, for another host that sends the request.
+  int64_t max_attempts = 1;
   // Overrides the caller's own value when a stream is resumed.
   std::optional<std::string> last_event_id;
   // For each part of the prompt, the cache store to read it from or to save it
--- a/source/core/gateway/gateway.cc
+++ b/source/core/gateway/gateway.cc
@@ -37,6 +37,11 @@
 // Time after which a caller whose body found no room may retry.
 constexpr Duration kNoRoomRetryAfter = std::chrono::milliseconds(1000);
 constexpr Duration kLimitsReportPeriod = std::chrono::seconds(10);
+// What a host adds to the header of a request that it hands over.
+constexpr size_t kHandoverHeaderBytes = 2 * 1024;
+// Connections of other hosts that are open at once, as a part of those of
+// callers.
+constexpr size_t kHandoverConnectionsDivisor = 4;
 // The heap is trimmed once this much of what was held for callers is released.
 constexpr size_t kTrimBytes = 8 * kBytesPerMb;
 constexpr Duration kTrimPeriod = std::chrono::seconds(1);
@@ -263,7 +268,7 @@
   this->request_deps.peers = &this->peer_choice;
   this->handover_server = std::make_unique<HandoverServer>(
       this->request_deps, this->workers, address,
-      this->OptionsFor(catalog::CallerLimits()),
+      this->HandoverOptionsFor(catalog::CallerLimits()),
       [this] {
         if (this->stopping)
           throw RefusedError(ResultCode::kStopping, kStoppingReason,
@@ -302,7 +307,7 @@
   this->caller_server->SetOptions(this->OptionsFor(config->config().limits));
   if (this->handover_server)
     this->handover_server->server().SetOptions(
-        this->OptionsFor(config->config().limits));
+        this->HandoverOptionsFor(config->config().limits));
   this->cache_store_watcher.Refresh(*config);
 }
 
@@ -353,6 +358,14 @@
   return options;
 }
 
+runtime::HttpServerOptions Gateway::HandoverOptionsFor(
+    const catalog::CallerLimits& limits) const {
+  runtime::HttpServerOptions options = this->OptionsFor(limits);
+  options.header_limit_bytes += kHandoverHeaderBytes;
+  options.max_connections /= kHandoverConnectionsDivisor;
+  return options;
+}
+
 void Gateway::LogRefused(const Error& error,
                          std::string_view attempt_id) const {
   LogLine(this->log, Event::kRequestRefused)
--- a/source/core/gateway/gateway.h
+++ b/source/core/gateway/gateway.h
@@ -74,6 +74,9 @@
                   std::string_view attempt_id) const;
   runtime::HttpServerOptions OptionsFor(
       const catalog::CallerLimits& limits) const;
+  // The same for the port for requests of other hosts.
+  runtime::HttpServerOptions HandoverOptionsFor(
+      const catalog::CallerLimits& limits) const;
   // The response to a request that was not read, or whose handler failed.
   runtime::HttpResponse RenderError(const common::Error& error) const;
   void ReportHeldBytes(common::TimePoint now);
--- a/source/core/gateway/handover_server.cc
+++ b/source/core/gateway/handover_server.cc
@@ -63,7 +63,8 @@
                                      handover::ReplyWriter& writer) {
   try {
     this->check_accepting();
-    const RequestOrigin origin{&writer, handed_over.config_version};
+    const RequestOrigin origin{&writer, handed_over.config_version,
+                               handed_over.max_attempts};
     RequestTask task(this->requests, std::move(handed_over.request), writer,
                      origin);
     task.Run();
--- a/source/core/gateway/request_task.cc
+++ b/source/core/gateway/request_task.cc
@@ -64,6 +64,7 @@
     this->CheckPlannedStop();
     this->CheckCrashMarks();
     this->CheckParts();
+    this->CheckReach();
     this->deps.dispatcher.retries().OnRequest(this->service, this->received_at);
     this->RunUntilAnswered();
   } catch (const Error& error) {
@@ -89,9 +90,6 @@
 }
 
 void RequestTask::RunUntilAnswered() {
-  if (this->origin.reply && this->pool->IsImpaired())
-    this->Refuse(ResultCode::kPeerUnavailable,
-                 "this host does not reach the endpoints either", std::nullopt);
   while (true) {
     if (this->MustHandOver() && this->HandOver())
       break;
@@ -121,6 +119,12 @@
   return this->Plan(*choice);
 }
 
+void RequestTask::CheckReach() {
+  if (this->origin.reply && this->sends == 0 && this->pool->IsImpaired())
+    this->Refuse(ResultCode::kPeerUnavailable,
+                 "this host does not reach the endpoints either", std::nullopt);
+}
+
 RequestTask::PlannedSend RequestTask::Plan(
     const dispatch::EndpointChoice& choice) {
   dispatch::SendTicket ticket;
@@ -320,6 +324,10 @@
                          const char* reason,
                          std::optional<Duration> retry_after) {
   const TimePoint now = runtime::BootNow();
+  // Another host may reach the endpoints.
+  if (this->origin.reply && this->pool && this->sends == 0 &&
+      (this->failed_connects > 0 || this->pool->IsImpaired()))
+    code = ResultCode::kPeerUnavailable;
   if (retry_after) {
     // Random spread, so that callers refused together do not retry together.
     const double spread =
@@ -465,14 +473,9 @@
 void RequestTask::FailRequest() {
   const TimePoint now = runtime::BootNow();
   this->deps.failed.Add();
-  if (this->runs == 0 && !this->relay.started()) {
-    // Another host may reach the endpoints.
-    const bool is_cut_off = this->failed_connects > 0 && this->sends == 0;
-    this->Refuse(is_cut_off && this->origin.reply ? ResultCode::kPeerUnavailable
-                                                  : ResultCode::kNoEndpoint,
-                 "no endpoint accepted the request",
+  if (this->runs == 0 && !this->relay.started())
+    this->Refuse(ResultCode::kNoEndpoint, "no endpoint accepted the request",
                  this->route->target_latency / 3);
-  }
   const bool expired = this->timed_out || this->Remaining(now) <= kNetworkDelay;
   const auto code =
       expired ? ResultCode::kEndpointSilent : ResultCode::kEndpointFailed;
--- a/source/core/gateway/request_task.h
+++ b/source/core/gateway/request_task.h
@@ -73,6 +73,8 @@
   handover::ReplyWriter* reply = nullptr;
   // Version of that host's configuration.
   uint64_t config_version = 0;
+  // Sends that may run, as far as that host limits them.
+  std::optional<int64_t> max_attempts = {};
 };
 
 // Handles one request of a caller until the end of the response. Runs on the
@@ -187,7 +189,14 @@
   void LearnFrom(const handover::Reply& reply,
                  const forward::ResponseHead& head);
   void RecordHandedOverByte();
+  // Another host has counted the request for the retry budget.
+  void CountElsewhere();
+  // Sends of the request that may run.
+  int64_t MaxAttempts() const;
 
+  // Refuses a request that was handed over if this host does not reach the
+  // endpoints either.
+  void CheckReach();
   // Returns the send that a move has prepared, or waits until the request may
   // be sent; nothing if it must be handed over. Throws if it is refused.
   std::optional<PlannedSend> NextSend();
@@ -372,8 +381,8 @@
   int64_t quick_failures = 0;
   // Connections that could not be opened.
   int64_t failed_connects = 0;
-  // Whether no other host could serve the request.
-  bool handover_failed = false;
+  // Not before this time may other hosts be asked, after none could serve it.
+  common::TimePoint handover_again_at;
   // Whether a retry was taken from the budget for the next send.
   bool holds_retry = false;
   // The parts that this send reads from and saves to cache stores, and the
--- a/source/core/gateway/request_task_admission.cc
+++ b/source/core/gateway/request_task_admission.cc
@@ -71,6 +71,7 @@
   while (true) {
     const TimePoint now = runtime::BootNow();
     this->CheckMayGoOn();
+    this->CheckReach();
     if (this->MustHandOver())
       return std::nullopt;
     const auto choice = this->Choose(now);
--- a/source/core/gateway/request_task_handover.cc
+++ b/source/core/gateway/request_task_handover.cc
@@ -24,11 +24,14 @@
 // Hosts that one request is handed over to. Each of them that can't serve it is
 // left out by later requests for a while.
 constexpr int64_t kMaxHandovers = 4;
+// Time after which a request that no host could serve may ask again.
+constexpr common::Duration kHandoverPause = std::chrono::milliseconds(300);
 
 }  // namespace
 
 bool RequestTask::MustHandOver() const {
-  if (!this->deps.peers || this->origin.reply || this->handover_failed)
+  if (!this->deps.peers || this->origin.reply ||
+      runtime::BootNow() < this->handover_again_at)
     return false;
   if (this->relay.started() || this->reserved ||
       (this->runs > 0 && !this->IsRepeatable()))
@@ -46,8 +49,8 @@
     return this->deps.regions.RegionOf(zone) == own_region || homes.Allow(zone);
   };
   for (int64_t i = 0; i < kMaxHandovers; ++i) {
-    const auto host =
-        this->deps.peers->Choose(asked, allows, runtime::BootNow());
+    const auto host = this->deps.peers->Choose(this->service, asked, allows,
+                                               runtime::BootNow());
     if (!host)
       break;
     asked.insert(host->name);
@@ -60,7 +63,7 @@
     if (this->Remaining(runtime::BootNow()) <= dispatch::kMinTimeToAnswer)
       break;
   }
-  this->handover_failed = true;
+  this->handover_again_at = runtime::BootNow() + kHandoverPause;
   return false;
 }
 
@@ -71,6 +74,8 @@
   const handover::PeerCodec codec(this->deps.codec, this->config->version());
   forward::EndpointSend send(this->deps.peer_connections, codec, host.address);
   forward::SendParameters parameters;
+  parameters.max_attempts =
+      std::max<int64_t>(1, this->MaxAttempts() - this->runs);
   parameters.remaining =
       std::max(common::Duration(std::chrono::milliseconds(1)),
                this->Remaining(runtime::BootNow()) - kNetworkDelay);
@@ -101,12 +106,17 @@
   end_hop();
   if (result == HandoverResult::kUnknown) {
     ++this->sends;
-    ++this->runs;
+    this->runs += parameters.max_attempts;
     this->holds_retry = false;
+    this->CountElsewhere();
   }
   return result;
 }
 
+void RequestTask::CountElsewhere() {
+  this->deps.dispatcher.retries().OnPassedOn(this->service, this->received_at);
+}
+
 RequestTask::HandoverResult RequestTask::Exchange(
     const handover::PeerHost& host,
     forward::EndpointSend& send,
@@ -134,13 +144,15 @@
         .Add(Field::kPeer, host.name)
         .Add(Field::kReason, handover::kRefusalNames.NameOf(*reply.refusal));
     this->deps.handovers_refused.Add();
+    if (*reply.refusal == handover::Refusal::kService)
+      this->CountElsewhere();
     // After a send whose outcome is not known nothing may be promised.
     if (*reply.refusal == handover::Refusal::kService && this->runs > 0)
       this->FailRequest();
     if (*reply.refusal == handover::Refusal::kService)
       this->Refuse(ResultCode::kNoEndpoint,
                    "the host that was asked refuses the request", retry_after);
-    this->deps.peers->OnRefused(host.name, runtime::BootNow());
+    this->deps.peers->OnRefused(host.name, this->service, runtime::BootNow());
     return HandoverResult::kNotRun;
   }
   send.CheckUsable();
@@ -155,7 +167,7 @@
     this->relay.RelayWhole(send, head, on_progress, is_running);
   this->succeeded = head.status >= 200 && head.status < 300;
   this->deps.handovers_answered.Add();
-  this->deps.dispatcher.retries().OnPassedOn(this->service, this->received_at);
+  this->CountElsewhere();
   LogLine line(this->deps.log, Event::kRequestAnswered);
   line.Add(Field::kRequest, this->request.attempt_id)
       .Add(Field::kStatus, head.status)
@@ -201,7 +213,11 @@
   line.Add(Field::kElapsedMs, runtime::BootNow() - this->received_at);
   this->deps.handovers_failed.Add();
   this->timed_out |= error.failure() == SendFailure::kTimeout;
-  if (error.failure() != SendFailure::kCanceled)
+  // What comes after a head, or in place of one, says nothing about the host.
+  const bool is_silent = send.framing() == forward::Framing::kNone &&
+                         (error.failure() == SendFailure::kBroken ||
+                          error.failure() == SendFailure::kTimeout);
+  if (is_silent || error.failure() == SendFailure::kNotConnected)
     this->deps.peers->OnSilent(host.name, runtime::BootNow());
   if (!send.sent())
     return HandoverResult::kNotRun;
--- a/source/core/gateway/request_task_resend.cc
+++ b/source/core/gateway/request_task_resend.cc
@@ -2,6 +2,8 @@
 // that is in progress.
 #include "core/gateway/request_task.h"
 
+#include <algorithm>
+
 #include "core/runtime/boot_clock.h"
 #include "core/runtime/sleep.h"
 
@@ -26,6 +28,11 @@
     this->holds_retry = false;
 }
 
+int64_t RequestTask::MaxAttempts() const {
+  const int64_t of_route = this->route->max_attempts;
+  return std::min(of_route, this->origin.max_attempts.value_or(of_route));
+}
+
 bool RequestTask::IsRepeatable() const {
   if (this->route->kind == RouteKind::kIdempotent)
     return true;
@@ -40,7 +47,7 @@
   resend.has_event_id = this->relay.last_event_id().has_value();
   resend.sends = this->sends;
   resend.runs = this->runs;
-  resend.max_attempts = this->route->max_attempts;
+  resend.max_attempts = this->MaxAttempts();
   resend.misdirected_sends = this->misdirected_sends;
   resend.slow_connects = this->slow_connects;
   resend.quick_failures = this->quick_failures;
--- a/source/core/gateway/request_task_send.cc
+++ b/source/core/gateway/request_task_send.cc
@@ -146,7 +146,7 @@
 
 std::optional<Duration> RequestTask::MoveTimeout(
     const dispatch::EndpointChoice& choice) const {
-  const bool is_last = this->runs + 1 >= this->route->max_attempts;
+  const bool is_last = this->runs + 1 >= this->MaxAttempts();
   if (!this->IsRepeatable() || is_last)
     return std::nullopt;
   if (!this->pool->is_engine()) {
--- a/source/core/handover/peer_choice.cc
+++ b/source/core/handover/peer_choice.cc
@@ -13,20 +13,25 @@
   std::erase_if(this->paused_until, [this](const auto& pause) {
     return std::none_of(
         this->hosts.begin(), this->hosts.end(),
-        [&](const PeerHost& host) { return host.name == pause.first; });
+        [&](const PeerHost& host) { return host.name == pause.first.first; });
   });
 }
 
+bool PeerChoice::IsPaused(const PauseKey& key, common::TimePoint now) const {
+  const auto pause = this->paused_until.find(key);
+  return pause != this->paused_until.end() && now < pause->second;
+}
+
 std::optional<PeerHost> PeerChoice::Choose(
+    const std::string& service,
     const std::set<std::string>& asked,
     const std::function<bool(const std::string& zone)>& allows,
     common::TimePoint now) {
   std::vector<const PeerHost*> near;
   std::vector<const PeerHost*> far;
   for (const PeerHost& host : this->hosts) {
-    const auto pause = this->paused_until.find(host.name);
-    const bool is_paused =
-        pause != this->paused_until.end() && now < pause->second;
+    const bool is_paused = this->IsPaused({host.name, service}, now) ||
+                           this->IsPaused({host.name, ""}, now);
     if (is_paused || asked.contains(host.name) || !allows(host.zone))
       continue;
     (host.zone == this->zone ? near : far).push_back(&host);
@@ -52,12 +57,14 @@
     this->in_flight.erase(found);
 }
 
-void PeerChoice::OnRefused(const std::string& host, common::TimePoint now) {
-  this->paused_until[host] = now + kRefusedPause;
+void PeerChoice::OnRefused(const std::string& host,
+                           const std::string& service,
+                           common::TimePoint now) {
+  this->paused_until[{host, service}] = now + kRefusedPause;
 }
 
 void PeerChoice::OnSilent(const std::string& host, common::TimePoint now) {
-  this->paused_until[host] = now + kSilentPause;
+  this->paused_until[{host, ""}] = now + kSilentPause;
 }
 
 }  // namespace jujuberock::handover
--- a/source/core/handover/peer_choice.h
+++ b/source/core/handover/peer_choice.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "core/common/random.h"
@@ -41,25 +42,32 @@
   // Sets the other hosts that take requests over.
   void SetHosts(std::vector<PeerHost> hosts);
 
-  // Returns a host that is not in `asked` and whose zone `allows`; nothing if
-  // there is none.
+  // Returns a host that may serve a request of the service, is not in `asked`
+  // and whose zone `allows`; nothing if there is none.
   std::optional<PeerHost> Choose(
+      const std::string& service,
       const std::set<std::string>& asked,
       const std::function<bool(const std::string& zone)>& allows,
       common::TimePoint now);
 
   void OnSent(const std::string& host) { ++this->in_flight[host]; }
   void OnEnded(const std::string& host);
-  void OnRefused(const std::string& host, common::TimePoint now);
+  void OnRefused(const std::string& host,
+                 const std::string& service,
+                 common::TimePoint now);
   void OnSilent(const std::string& host, common::TimePoint now);
 
  private:
+  // A host, and the service that it can't serve; empty for all of them.
+  using PauseKey = std::pair<std::string, std::string>;
+
+  bool IsPaused(const PauseKey& key, common::TimePoint now) const;
   int64_t InFlightOf(const PeerHost& host) const;
 
   std::string zone;
   common::Random random;
   std::vector<PeerHost> hosts;
-  std::map<std::string, common::TimePoint> paused_until;
+  std::map<PauseKey, common::TimePoint> paused_until;
   std::map<std::string, int64_t> in_flight;
 };
 
--- a/source/core/handover/peer_codec.cc
+++ b/source/core/handover/peer_codec.cc
@@ -13,6 +13,7 @@
 // Fields of requests and responses between hosts.
 constexpr std::string_view kSendField = "Jujuberock-Send";
 constexpr std::string_view kConfigField = "Jujuberock-Config-Version";
+constexpr std::string_view kAttemptsField = "Jujuberock-Attempts";
 constexpr std::string_view kRemainingField = "Jujuberock-Remaining-Ms";
 constexpr std::string_view kKeyField = "Jujuberock-Key";
 constexpr std::string_view kLastEventField = "Jujuberock-Last-Event";
@@ -20,9 +21,9 @@
 // "start in ms,id"
 constexpr std::string_view kEndpointField = "Jujuberock-Endpoint";
 
-constexpr std::array kFields = {kSendField,    kConfigField,    kRemainingField,
-                                kKeyField,     kLastEventField, kRefusalField,
-                                kEndpointField};
+constexpr std::array kFields = {kSendField,      kConfigField,  kAttemptsField,
+                                kRemainingField, kKeyField,     kLastEventField,
+                                kRefusalField,   kEndpointField};
 // Longer times are cut to this, so that they can be computed with.
 constexpr uint64_t kMaxRemainingMs = 24 * 60 * 60 * 1000;
 
@@ -91,6 +92,7 @@
   };
   add(kSendField, request.attempt_id);
   add(kConfigField, std::to_string(this->config_version));
+  add(kAttemptsField, std::to_string(parameters.max_attempts));
   add(kRemainingField, std::to_string(parameters.remaining.count() / 1000));
   if (!request.key.empty())
     add(kKeyField, request.key);
@@ -107,7 +109,7 @@
   head.attempt_id.reset();
   if (const auto send_id = headers.Find(kSendField))
     head.attempt_id = std::string(*send_id);
-  head.not_run = headers.Find(kRefusalField).has_value();
+  head.not_run = head.attempt_id && headers.Find(kRefusalField);
   return head;
 }
 
@@ -122,8 +124,12 @@
   const auto version = FindUnsigned(request.headers, kConfigField);
   if (!send_id || !version)
     return std::nullopt;
+  constexpr uint64_t kMaxAttempts = 1000;
+  const uint64_t attempts = std::clamp<uint64_t>(
+      FindUnsigned(request.headers, kAttemptsField).value_or(1), 1,
+      kMaxAttempts);
   return HandedOver{this->DecodeRequest(request), std::string(*send_id),
-                    *version};
+                    *version, static_cast<int64_t>(attempts)};
 }
 
 void SetReply(runtime::HttpHeaders& headers,
--- a/source/core/handover/peer_codec.h
+++ b/source/core/handover/peer_codec.h
@@ -27,6 +27,8 @@
   // Version of the sending host's configuration, by which it has checked the
   // request.
   uint64_t config_version = 0;
+  // Sends of it that may run.
+  int64_t max_attempts = 1;
 };
 
 // An endpoint that has answered a request that was handed over.
--- a/source/unit_tests/core/handover/peer_choice_test.cc
+++ b/source/unit_tests/core/handover/peer_choice_test.cc
@@ -28,27 +28,41 @@
   PeerChoice choice("near", kSeed);
   choice.SetHosts(TwoZones());
   for (int i = 0; i < 20; ++i)
-    CHECK(choice.Choose({}, AllowsAll, At({}))->zone == "near");
-  CHECK(choice.Choose({"a", "b"}, AllowsAll, At({}))->name == "c");
-  CHECK_FALSE(choice.Choose({"a", "b", "c"}, AllowsAll, At({})));
+    CHECK(choice.Choose("s", {}, AllowsAll, At({}))->zone == "near");
+  CHECK(choice.Choose("s", {"a", "b"}, AllowsAll, At({}))->name == "c");
+  CHECK_FALSE(choice.Choose("s", {"a", "b", "c"}, AllowsAll, At({})));
 }
 
 // Guards against asking again and again hosts that are cut off as well.
 TEST_CASE("hosts that refuse or are silent are left out for a while") {
   PeerChoice choice("near", kSeed);
   choice.SetHosts(TwoZones());
-  choice.OnRefused("a", At({}));
+  choice.OnRefused("a", "s", At({}));
   choice.OnSilent("b", At({}));
-  CHECK(choice.Choose({}, AllowsAll, At({}))->name == "c");
-  CHECK(choice.Choose({}, AllowsAll, At(PeerChoice::kRefusedPause))->name ==
-        "a");
-  choice.OnRefused("a", At(PeerChoice::kRefusedPause));
-  CHECK(choice.Choose({}, AllowsAll, At(PeerChoice::kRefusedPause))->name ==
-        "c");
-  CHECK(choice.Choose({}, AllowsAll, At(PeerChoice::kSilentPause))->zone ==
+  CHECK(choice.Choose("s", {}, AllowsAll, At({}))->name == "c");
+  CHECK(
+      choice.Choose("s", {}, AllowsAll, At(PeerChoice::kRefusedPause))->name ==
+      "a");
+  choice.OnRefused("a", "s", At(PeerChoice::kRefusedPause));
+  CHECK(
+      choice.Choose("s", {}, AllowsAll, At(PeerChoice::kRefusedPause))->name ==
+      "c");
+  CHECK(choice.Choose("s", {}, AllowsAll, At(PeerChoice::kSilentPause))->zone ==
         "near");
 }
 
+// Guards against leaving a host out for all services because one of them is
+// down.
+TEST_CASE("a host that can't serve one service is asked for another one") {
+  PeerChoice choice("near", kSeed);
+  choice.SetHosts({{"a", "near", "1:1"}});
+  choice.OnRefused("a", "down", At({}));
+  CHECK_FALSE(choice.Choose("down", {}, AllowsAll, At({})));
+  CHECK(choice.Choose("s", {}, AllowsAll, At({})));
+  choice.OnSilent("a", At({}));
+  CHECK_FALSE(choice.Choose("s", {}, AllowsAll, At({})));
+}
+
 // Guards against handing all requests over to one host.
 TEST_CASE("hosts with fewer requests in flight are preferred") {
   PeerChoice choice("near", kSeed);
@@ -58,7 +72,7 @@
   choice.SetHosts(hosts);
   std::map<std::string, int> sent;
   for (int i = 0; i < 800; ++i) {
-    const auto host = choice.Choose({}, AllowsAll, At({}));
+    const auto host = choice.Choose("s", {}, AllowsAll, At({}));
     choice.OnSent(host->name);
     ++sent[host->name];
   }
@@ -71,7 +85,7 @@
     choice.OnEnded("h0");
   int again = 0;
   for (int i = 0; i < 100; ++i)
-    again += choice.Choose({}, AllowsAll, At({}))->name == "h0";
+    again += choice.Choose("s", {}, AllowsAll, At({}))->name == "h0";
   CHECK(again > 15);
 }
 
@@ -80,7 +94,7 @@
   PeerChoice choice("near", kSeed);
   choice.SetHosts(TwoZones());
   const auto allows = [](const std::string& zone) { return zone != "far"; };
-  CHECK_FALSE(choice.Choose({"a", "b"}, allows, At({})));
+  CHECK_FALSE(choice.Choose("s", {"a", "b"}, allows, At({})));
 }
 
 }  // namespace
--- a/source/unit_tests/core/handover/peer_codec_test.cc
+++ b/source/unit_tests/core/handover/peer_codec_test.cc
@@ -37,6 +37,7 @@
   request.attempt_id = "host-1.4";
   forward::SendParameters parameters;
   parameters.remaining = milliseconds(4000);
+  parameters.max_attempts = 2;
   runtime::HttpRequest sent;
   sent.method = request.method;
   sent.target = request.target;
@@ -53,6 +54,7 @@
   REQUIRE(handed_over);
   CHECK(handed_over->send_id == "host-1.4");
   CHECK(handed_over->config_version == kConfigVersion);
+  CHECK(handed_over->max_attempts == 2);
   const forward::CallerRequest& request = handed_over->request;
   CHECK(request.attempt_id == "a1");
   CHECK(request.host == "h");
@@ -104,6 +106,10 @@
   CHECK(head.promises_not_run);
   CHECK_FALSE(TakeReply(head).refusal);
 
+  // Not even a refusal counts that names no send.
+  head = codec.DecodeResponseHead(503, {{"Jujuberock-Refusal", "host"}});
+  CHECK_FALSE(head.not_run);
+
   head = Receive(codec, 503, {}, {Refusal::kService, {}});
   CHECK(head.not_run);
   CHECK(TakeReply(head).refusal == Refusal::kService);
