platform: a copy of an earlier answer does not answer an order

Cause: responses to the hosts' own calls do not name their calls, and orders and kv-free calls went over kept connections. When an endpoint sends an earlier response once more, a copy of a 409 or 202 was taken for the answer to the next order, a copy of a report (200) for "already in force", and a copy of a 200 for parts freed.

Change: POST /order and POST /kv-free have a connection of their own, and HttpClient no longer pools the connection of such a call afterwards, where a copy of the order's answer would have met a report. Opening the connection takes time, so the lease is checked again once it is ready (OrderReply::kNotSent if it has ended). An order is one connection for each try, and kv-free one for every 250 parts of a retired version, from one host as a rule, so neither is frequent.

Reports and events keep their connections. A report that is one response behind is harmless: only RolloutController uses it, the order repeats its `sequence` as `expected`, which the engine checks, and versions in an EndpointRecord only grow. A late answer to an events call repeats changes from an earlier number, and the next poll goes on from there. A connection that is one response behind no longer stays so: it is closed instead of pooled when a response left further bytes in its buffer; bytes that arrive later were already noticed when it is taken from the pool.

CopyingEndpoint moved from late_copy_test.cc to a header, and its callback gets the head of the request instead of the id.

--- a/source/core/gateway/endpoint_control.h
+++ b/source/core/gateway/endpoint_control.h
@@ -40,6 +40,7 @@
   kRefused,  // busy, or the sequence has changed
   kStale,    // the engine has seen a higher fencing token
   kUnknown,  // no response: the order may be executed later
+  kNotSent,  // it was no longer allowed when the connection was ready
 };
 
 // An order to a cache store to free prompt parts.
@@ -66,8 +67,11 @@
 
   virtual std::optional<EngineReport> Report(
       const catalog::Endpoint& endpoint) = 0;
+  // `may_send` is called immediately before the order is sent, since opening
+  // its connection takes time.
   virtual OrderReply Order(const catalog::Endpoint& endpoint,
-                           const VersionOrder& order) = 0;
+                           const VersionOrder& order,
+                           std::function<bool()> may_send) = 0;
   // Returns a cache store's changes after `next`; waits up to `wait` for the
   // first. Nullopt if the store did not respond.
   virtual std::optional<reuse::StoreEvents> CacheEvents(
--- a/source/core/gateway/rollout_controller.cc
+++ b/source/core/gateway/rollout_controller.cc
@@ -380,6 +380,12 @@
   return false;
 }
 
+bool RolloutController::MayOrder(const EndpointRecord& endpoint) {
+  this->CheckEra();
+  const TimePoint now = runtime::BootNow();
+  return this->lease.Holds(now) && now >= endpoint.backoff_until;
+}
+
 void RolloutController::SendOrderTo(const std::string& model,
                                     uint64_t version,
                                     std::shared_ptr<EndpointRecord> endpoint) {
@@ -396,16 +402,19 @@
   }
   if (!this->OnReport(model, *endpoint, *report) || plan->target() != version)
     return;
-  // Checked immediately before the order is sent: the report took time, and
-  // this host may have been suspended.
-  this->CheckEra();
-  const TimePoint now = runtime::BootNow();
-  if (!this->lease.Holds(now) || now < endpoint->backoff_until)
+  if (!this->MayOrder(*endpoint))
     return;
   VersionOrder order{model, version, this->settings.host_name,
                      this->lease.token(), report->sequence};
-  this->own_orders.last_order_at = now;
-  const OrderReply reply = this->control.Order(endpoint->endpoint(), order);
+  const OrderReply reply =
+      this->control.Order(endpoint->endpoint(), order, [this, &endpoint] {
+        if (!this->MayOrder(*endpoint))
+          return false;
+        this->own_orders.last_order_at = runtime::BootNow();
+        return true;
+      });
+  if (reply == OrderReply::kNotSent)
+    return;
   LogLine(this->log, Event::kWeightsOrdered)
       .Add(Field::kEndpoint, id)
       .Add(Field::kModel, model)
@@ -428,6 +437,8 @@
       if (plan->target() == version)
         plan->OnUpdated(id, runtime::BootNow());
       return;
+    case OrderReply::kNotSent:
+      return;
     case OrderReply::kRefused:
     case OrderReply::kStale:
       plan->OnOrderFailed(id, runtime::BootNow());
--- a/source/core/gateway/rollout_controller.h
+++ b/source/core/gateway/rollout_controller.h
@@ -68,6 +68,9 @@
   void Advance(const PendingRollout& pending);
   void UpdateRecord(const PendingRollout& pending, bool reservations_changed);
   void SendOrders(const PendingRollout& pending);
+  // Checked immediately before an order is sent: its connection and the report
+  // before it take time, and this host may have been suspended.
+  bool MayOrder(const dispatch::EndpointRecord& endpoint);
   void SendOrderTo(const std::string& model,
                    uint64_t version,
                    std::shared_ptr<dispatch::EndpointRecord> endpoint);
--- a/source/core/runtime/http_client.cc
+++ b/source/core/runtime/http_client.cc
@@ -194,6 +194,7 @@
         client(std::move(client)),
         address(std::move(address)),
         naming_field(options.naming_field),
+        is_single_use(options.fresh_connection),
         body_limit_bytes(options.body_limit_bytes),
         read_timeout(options.read_timeout) {
     this->ResetParser();
@@ -297,9 +298,14 @@
     this->connection->names_requests = is_named;
   }
 
+  // Returns the connection to the pool if a further response on it would be
+  // that to the next request.
   void Release() {
-    if (!this->connection || !this->parser->keep_alive() ||
-        this->connection->carried.IsFull())
+    if (!this->connection || this->is_single_use ||
+        !this->parser->keep_alive() || this->connection->carried.IsFull())
+      return;
+    // What has already been read is not seen on the idle connection.
+    if (this->connection->buffer.size() > 0)
       return;
     if (this->naming_field.empty() || this->connection->names_requests)
       this->client->ReturnIdle(this->address, std::move(this->connection));
@@ -323,6 +329,7 @@
   std::shared_ptr<HttpClient::State> client;
   Address address;
   std::string naming_field;
+  bool is_single_use;
   size_t body_limit_bytes;
   // Value of that field in the request.
   std::string request_name;
--- a/source/core/runtime/http_client.h
+++ b/source/core/runtime/http_client.h
@@ -56,8 +56,11 @@
   // Limit on the time from the header to the end of the body, for Fetch().
   // Without it, a peer that sends a byte now and then is never given up.
   common::Duration body_timeout = std::chrono::seconds(30);
-  // Opens a new connection instead of using a pooled one. For requests that
-  // must not be retried: the peer may already have closed a pooled connection.
+  // Opens a new connection instead of using a pooled one, and does not pool it
+  // afterwards. For requests that must not be retried, because the peer may
+  // already have closed a pooled connection, and for requests with an effect
+  // whose responses do not name them: a copy of an earlier response can't
+  // arrive on such a connection, nor one of theirs on a pooled one.
   bool fresh_connection = false;
   // Called once a connection is ready, just before the first byte of the
   // request is written. If it returns false, nothing is written and the call
--- a/source/platform/endpoint_control.cc
+++ b/source/platform/endpoint_control.cc
@@ -31,6 +31,14 @@
   return options;
 }
 
+// For calls with an effect. Responses do not name their calls, so on a kept
+// connection a late copy of an earlier response would be taken for theirs.
+runtime::HttpCallOptions OptionsForEffect(Duration timeout) {
+  runtime::HttpCallOptions options = OptionsFor(timeout);
+  options.fresh_connection = true;
+  return options;
+}
+
 runtime::HttpCallOptions OptionsForEvents(Duration wait) {
   runtime::HttpCallOptions options = OptionsFor(wait + kEventsTimeoutMargin);
   options.body_limit_bytes = kMaxEventsBytes;
@@ -56,9 +64,9 @@
 std::optional<runtime::HttpResponse> PlatformEndpointControl::Call(
     const catalog::Endpoint& endpoint,
     runtime::HttpRequest request,
-    Duration timeout) {
+    runtime::HttpCallOptions options) {
   request.headers.Set(wire::kExpectInstance, endpoint.id);
-  auto response = this->Fetch(endpoint.address, request, OptionsFor(timeout));
+  auto response = this->Fetch(endpoint.address, request, std::move(options));
   if (!response || !this->on_notice)
     return response;
   const auto notice = DecodeNotice(response->status, response->headers);
@@ -72,7 +80,7 @@
   runtime::HttpRequest request;
   request.target = std::string(wire::kReportPath);
   const auto response =
-      this->Call(endpoint, std::move(request), kReportTimeout);
+      this->Call(endpoint, std::move(request), OptionsFor(kReportTimeout));
   if (!response || response->status != 200)
     return std::nullopt;
   return DecodeReport(response->body);
@@ -80,7 +88,8 @@
 
 gateway::OrderReply PlatformEndpointControl::Order(
     const catalog::Endpoint& endpoint,
-    const gateway::VersionOrder& order) {
+    const gateway::VersionOrder& order,
+    std::function<bool()> may_send) {
   runtime::HttpRequest request;
   request.method = "POST";
   request.target = std::string(wire::kOrderPath);
@@ -94,7 +103,16 @@
   body["fencingToken"] = order.token;
   body["expected"] = order.expected_sequence;
   request.body = body.dump();
-  const auto response = this->Call(endpoint, std::move(request), kOrderTimeout);
+  bool is_stopped = false;
+  runtime::HttpCallOptions options = OptionsForEffect(kOrderTimeout);
+  options.before_first_byte = [&is_stopped, &may_send] {
+    is_stopped = !may_send();
+    return !is_stopped;
+  };
+  const auto response =
+      this->Call(endpoint, std::move(request), std::move(options));
+  if (is_stopped)
+    return gateway::OrderReply::kNotSent;
   if (!response)
     return gateway::OrderReply::kUnknown;
   switch (response->status) {
@@ -136,7 +154,8 @@
   for (const reuse::StoredPartName& name : order.parts)
     body["parts"].push_back({name.salt, name.part});
   request.body = body.dump();
-  const auto response = this->Fetch(address, request, OptionsFor(kFreeTimeout));
+  const auto response =
+      this->Fetch(address, request, OptionsForEffect(kFreeTimeout));
   return response && response->status >= 200 && response->status < 300;
 }
 
--- a/source/platform/endpoint_control.h
+++ b/source/platform/endpoint_control.h
@@ -1,6 +1,7 @@
 #ifndef PLATFORM_ENDPOINT_CONTROL_H_
 #define PLATFORM_ENDPOINT_CONTROL_H_
 
+#include <functional>
 #include <optional>
 #include <string>
 #include <utility>
@@ -22,7 +23,8 @@
   std::optional<gateway::EngineReport> Report(
       const catalog::Endpoint& endpoint) override;
   gateway::OrderReply Order(const catalog::Endpoint& endpoint,
-                            const gateway::VersionOrder& order) override;
+                            const gateway::VersionOrder& order,
+                            std::function<bool()> may_send) override;
   std::optional<reuse::StoreEvents> CacheEvents(const std::string& address,
                                                 uint64_t next,
                                                 common::Duration wait) override;
@@ -39,7 +41,7 @@
   // The same for a call to an engine; reports what the response says about it.
   std::optional<runtime::HttpResponse> Call(const catalog::Endpoint& endpoint,
                                             runtime::HttpRequest request,
-                                            common::Duration timeout);
+                                            runtime::HttpCallOptions options);
 
   runtime::HttpClient& http;
   NoticeCallback on_notice;
--- a/source/unit_tests/core/endpoint/late_copy_test.cc
+++ b/source/unit_tests/core/endpoint/late_copy_test.cc
@@ -1,121 +1,27 @@
 // Endpoints that send an earlier response once more, on a connection that is in
 // use again.
 #include <atomic>
-#include <functional>
-#include <list>
 #include <string>
-#include <thread>
 #include <utility>
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read.hpp>
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/streambuf.hpp>
-#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
 #include "core/endpoint/engine_client.h"
 #include "core/endpoint/plain_client.h"
 #include "core/runtime/http_client.h"
 #include "core/runtime/worker_pool.h"
+#include "unit_tests/core/runtime/copying_endpoint.h"
 
 namespace jujuberock::endpoint {
 namespace {
 
-using Tcp = boost::asio::ip::tcp;
-
 constexpr common::Duration kTimeout = std::chrono::seconds(5);
 
-std::string FieldOf(const std::string& head, const std::string& name) {
-  const size_t begin = head.find(name + ": ");
-  if (begin == std::string::npos)
-    return "";
-  const size_t value = begin + name.size() + 2;
-  return head.substr(value, head.find("\r\n", value) - value);
-}
-
-// Answers the first request on each connection; further ones with a copy of the
-// first response if `copies` is set.
-class CopyingEndpoint {
- public:
-  // Returns the response to a request with this id, in full.
-  using Answer = std::function<std::string(const std::string& id)>;
-
-  CopyingEndpoint(Answer answer, bool copies)
-      : answer(std::move(answer)),
-        copies(copies),
-        acceptor(this->io,
-                 Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0)),
-        thread([this] { this->Accept(); }) {}
-  ~CopyingEndpoint() {
-    this->stopping = true;
-    Tcp::socket last(this->io);
-    last.connect(this->acceptor.local_endpoint());
-    this->thread.join();
-    for (std::thread& connection : this->connections)
-      connection.join();
-  }
-
-  runtime::Address address() const {
-    return {"127.0.0.1", this->acceptor.local_endpoint().port()};
-  }
-  int connection_count() const { return this->accepted; }
-
- private:
-  void Accept() {
-    while (true) {
-      Tcp::socket socket(this->io);
-      this->acceptor.accept(socket);
-      if (this->stopping)
-        return;
-      ++this->accepted;
-      this->connections.emplace_back(
-          [this, connection = std::move(socket)]() mutable {
-            this->Serve(connection);
-          });
-    }
-  }
-
-  void Serve(Tcp::socket& socket) {
-    boost::asio::streambuf buffer;
-    boost::system::error_code error;
-    std::string first;
-    while (!error) {
-      const size_t size =
-          boost::asio::read_until(socket, buffer, "\r\n\r\n", error);
-      if (error)
-        return;
-      const auto* data = static_cast<const char*>(buffer.data().data());
-      const std::string head(data, size);
-      const std::string length = FieldOf(head, "Content-Length");
-      const size_t body = length.empty() ? 0 : std::stoul(length);
-      if (buffer.size() < size + body)
-        boost::asio::read(
-            socket, buffer,
-            boost::asio::transfer_at_least(size + body - buffer.size()), error);
-      buffer.consume(size + body);
-      const std::string own =
-          this->answer(FieldOf(head, "Jujuberock-Request-Id"));
-      const bool is_first = first.empty();
-      if (is_first)
-        first = own;
-      boost::asio::write(
-          socket,
-          boost::asio::buffer(this->copies && !is_first ? first + own : own),
-          error);
-    }
-  }
+using runtime::CopyingEndpoint;
 
-  Answer answer;
-  bool copies;
-  std::atomic<bool> stopping{false};
-  std::atomic<int> accepted{0};
-  boost::asio::io_context io;
-  Tcp::acceptor acceptor;
-  std::list<std::thread> connections;
-  std::thread thread;
-};
+std::string IdOf(const std::string& head) {
+  return CopyingEndpoint::FieldOf(head, "Jujuberock-Request-Id");
+}
 
 std::string Response(const std::string& status,
                      const std::string& named_id,
@@ -182,7 +88,8 @@
   for (const bool names : {false, true}) {
     INFO("the service names requests: " << names);
     const CopyingEndpoint service(
-        [names](const std::string& id) {
+        [names](const std::string& head) {
+          const std::string id = IdOf(head);
           return Response("200 OK", names ? id : "", "answer to " + id);
         },
         true);
@@ -196,7 +103,8 @@
   for (const bool names : {false, true}) {
     INFO("the engine names requests: " << names);
     const CopyingEndpoint engine(
-        [names](const std::string& id) {
+        [names](const std::string& head) {
+          const std::string id = IdOf(head);
           return Response("200 OK", names ? id : "",
                           "data: {\"offset\":0,\"text\":\"for " + id +
                               "\"}\n\ndata: {\"done\":true,\"tokens\":1}\n\n");
@@ -213,7 +121,8 @@
 TEST_CASE("a copy of a refusal does not answer the same request") {
   std::atomic<int> asked{0};
   const CopyingEndpoint service(
-      [&asked](const std::string& id) {
+      [&asked](const std::string& head) {
+        const std::string id = IdOf(head);
         return ++asked == 1 ? Response("503 Busy", id, "refused")
                             : Response("200 OK", id, "ran");
       },
@@ -232,7 +141,8 @@
   for (const bool names : {false, true}) {
     INFO("the service names requests: " << names);
     const CopyingEndpoint service(
-        [names](const std::string& id) {
+        [names](const std::string& head) {
+          const std::string id = IdOf(head);
           return Response("200 OK", names ? id : "", "answer to " + id);
         },
         false);
