dispatch: hosts share out the refusals of brittle endpoints

A host sent to a brittle endpoint whatever it had, so endpoints crashed as soon as they let fewer requests wait, and again when they came back. Each host now has a share of the slots and a share of the refusals of such an endpoint, by an order on which all agree without a message; what the shares do not allow is excluded as brittle.

--- a/source/core/dispatch/endpoint_filter.cc
+++ b/source/core/dispatch/endpoint_filter.cc
@@ -7,6 +7,9 @@
 using common::Duration;
 using common::TimePoint;
 
+// Appended to an endpoint's id in the key of the order for its refusals.
+constexpr const char* kRefusalOrder = "/refusals";
+
 Eligibility EligibilityByHealth(const EndpointRecord& record,
                                 const SendRequirements& requirements,
                                 TimePoint now) {
@@ -52,6 +55,8 @@
     return Exclusion::kPaused;
   if (this->TimeToColdShare(record, now) > Duration(0))
     return Exclusion::kCold;
+  if (!this->AllowsBrittle(record, now))
+    return Exclusion::kBrittle;
   return Exclusion::kNone;
 }
 
@@ -109,6 +114,25 @@
   return record.cold().TimeToShare(this->ColdTerms(record, now), now);
 }
 
+bool EndpointFilter::AllowsBrittle(const EndpointRecord& record,
+                                   TimePoint now) const {
+  const BrittleStatement& own = record.brittle().statement();
+  const auto limit =
+      own.IsKnown(now) ? own.LimitAt(now) : this->service_brittle.LimitAt(now);
+  if (!limit || !this->inputs.hosts)
+    return true;
+  BrittleLimit::Terms terms;
+  terms.limit = *limit;
+  terms.slots = record.endpoint().slots;
+  terms.hosts = this->inputs.hosts->count();
+  terms.slot_rank = this->inputs.hosts->RankFor(record.endpoint().id);
+  // Other hosts come first than for the slots.
+  terms.refusal_rank =
+      this->inputs.hosts->RankFor(record.endpoint().id + kRefusalOrder);
+  terms.own_in_flight = record.own_in_flight();
+  return record.brittle().Allows(terms, now);
+}
+
 ColdState EndpointFilter::ColdStateOf(const EndpointRecord& record,
                                       TimePoint now) const {
   if (!this->has_cold_limit())
--- a/source/core/dispatch/endpoint_filter.h
+++ b/source/core/dispatch/endpoint_filter.h
@@ -28,13 +28,16 @@
   kEvacuated,      // the operator has evacuated its zone
   kOutsideHome,    // its region must not see the request
   kCold,           // it is cold, and this host has used up its share of it
+  kBrittle,        // it may refuse, which may crash it, and this host has used
+                   // up its share of the refusals
 };
 
-inline constexpr size_t kExclusionCount = 11;
+inline constexpr size_t kExclusionCount = 12;
 
 inline constexpr common::NameTable<Exclusion, kExclusionCount> kExclusionNames(
     {"none", "leaving", "tried", "outdated", "reserved", "paused",
-     "other_software", "uncertain", "evacuated", "outside_home", "cold"});
+     "other_software", "uncertain", "evacuated", "outside_home", "cold",
+     "brittle"});
 
 // Number of endpoints by exclusion; indexed by Exclusion.
 using ExclusionCounts = std::array<uint64_t, kExclusionCount>;
@@ -76,6 +79,10 @@
       const SendRequirements& requirements,
       common::TimePoint now) const;
 
+  // What any endpoint of the service has last said of its kind.
+  BrittleStatement& brittle() { return this->service_brittle; }
+  const BrittleStatement& brittle() const { return this->service_brittle; }
+
   bool has_cold_limit() const { return this->cold_rate > 0; }
   common::Duration cold_time() const { return this->service_cold_time; }
   ColdState ColdStateOf(const EndpointRecord& record,
@@ -92,7 +99,11 @@
   common::Duration TimeToColdShare(const EndpointRecord& record,
                                    common::TimePoint now) const;
 
+  // Whether this host may send to the endpoint, as far as that is brittle.
+  bool AllowsBrittle(const EndpointRecord& record, common::TimePoint now) const;
+
   FilterInputs inputs;
+  BrittleStatement service_brittle;
   double cold_rate = 0;
   common::Duration service_cold_time{0};
 };
--- a/source/core/dispatch/endpoint_record.cc
+++ b/source/core/dispatch/endpoint_record.cc
@@ -14,6 +14,7 @@
 void EndpointRecord::OnSent(SendTicket& ticket, common::TimePoint now) {
   ticket.sent_at = now;
   this->cold_limit.OnSent(now);
+  this->brittle_limit.OnSent(now);
   ticket.tokens_ahead = std::max(
       ticket.tokens_ahead,
       this->engine_room.OwnPending(ticket.urgency) + ticket.uncached_tokens);
@@ -54,6 +55,7 @@
 void EndpointRecord::OnLoadReport(const LoadReport& load,
                                   common::TimePoint now) {
   this->report = load;
+  this->brittle_limit.OnReport(load.slots - load.running - load.waiting, now);
   this->reported_at = now;
   this->own_in_flight_at_report = this->in_flight;
   this->own_waiting_at_report = this->own_waiting();
--- a/source/core/dispatch/endpoint_record.h
+++ b/source/core/dispatch/endpoint_record.h
@@ -8,6 +8,7 @@
 
 #include "core/catalog/types.h"
 #include "core/common/time.h"
+#include "core/dispatch/brittle_limit.h"
 #include "core/dispatch/cold_limit.h"
 #include "core/dispatch/endpoint_health.h"
 #include "core/dispatch/engine_room.h"
@@ -70,6 +71,8 @@
   const ProcessContinuity& process() const { return this->continuity; }
   ColdLimit& cold() { return this->cold_limit; }
   const ColdLimit& cold() const { return this->cold_limit; }
+  BrittleLimit& brittle() { return this->brittle_limit; }
+  const BrittleLimit& brittle() const { return this->brittle_limit; }
   PartCache& part_cache() { return this->cache; }
   const PartCache& part_cache() const { return this->cache; }
   WorkRate& work_rate() { return this->rate; }
@@ -170,6 +173,7 @@
   EndpointHealth passive_health;
   ProcessContinuity continuity;
   ColdLimit cold_limit;
+  BrittleLimit brittle_limit;
   PartCache cache;
   WorkRate rate;
   int64_t in_flight = 0;
--- a/source/core/dispatch/service_pool.cc
+++ b/source/core/dispatch/service_pool.cc
@@ -88,6 +88,14 @@
     record.cold().AssumeUntil(entry.read_at + this->filter.cold_time());
 }
 
+void ServicePool::OnBrittle(EndpointRecord& endpoint,
+                            std::optional<int64_t> limit,
+                            common::TimePoint now) {
+  endpoint.brittle().statement().Set(limit, now);
+  if (limit)
+    this->filter.brittle().Set(limit, now);
+}
+
 void ServicePool::OnZoneReturned(uint64_t zone_hash,
                                  common::TimePoint told_by) {
   for (const auto& [id, record] : this->endpoints) {
--- a/source/core/dispatch/service_pool.h
+++ b/source/core/dispatch/service_pool.h
@@ -68,6 +68,14 @@
                         common::TimePoint now) const {
     return this->filter.ColdStateOf(endpoint, now);
   }
+  // An endpoint says how many refusals in a second it survives, or no longer
+  // says so. What one endpoint says is assumed of those that have not answered.
+  void OnBrittle(EndpointRecord& endpoint,
+                 std::optional<int64_t> limit,
+                 common::TimePoint now);
+  bool IsBrittle(common::TimePoint now) const {
+    return this->filter.brittle().LimitAt(now).has_value();
+  }
   // The zone is no longer evacuated. Its endpoints may have turned cold before,
   // and their entries may tell so only until `told_by`.
   void OnZoneReturned(uint64_t zone_hash, common::TimePoint told_by);
--- a/source/core/events/event_log.h
+++ b/source/core/events/event_log.h
@@ -50,6 +50,8 @@
   kEndpointCertain,
   kEndpointCold,
   kEndpointWarm,
+  kEndpointBrittle,
+  kEndpointNotBrittle,
   kReachLost,
   kReachRegained,
   kEvacuationBegan,
@@ -78,7 +80,7 @@
   kHandoverRefused,
 };
 
-inline constexpr size_t kEventCount = 51;
+inline constexpr size_t kEventCount = 53;
 
 inline constexpr common::NameTable<Event, kEventCount> kEventNames(
     {"started",
@@ -106,6 +108,8 @@
      "endpoint_certain",
      "endpoint_cold",
      "endpoint_warm",
+     "endpoint_brittle",
+     "endpoint_not_brittle",
      "reach_lost",
      "reach_regained",
      "evacuation_began",
@@ -203,9 +207,10 @@
   kPeer,
   kSend,
   kFailedConnects,
+  kRefusalLimit,
 };
 
-inline constexpr size_t kFieldCount = 68;
+inline constexpr size_t kFieldCount = 69;
 
 inline constexpr common::NameTable<Field, kFieldCount> kFieldNames(
     {"request",
@@ -275,7 +280,8 @@
      "named_request",
      "peer",
      "send",
-     "failed_connects"});
+     "failed_connects",
+     "refusal_limit"});
 
 Level LevelOf(Event event);
 
--- a/source/core/gateway/dispatcher.cc
+++ b/source/core/gateway/dispatcher.cc
@@ -253,6 +253,8 @@
         .Add(Field::kEndpoint, endpoint.endpoint().id)
         .Add(Field::kRetryAfterMs, *notice.retry_after);
   }
+  if (!notice.is_of_other)
+    this->OnBrittle(endpoint, notice.brittle_limit, now);
   if (!notice.is_leaving || endpoint.endpoint().leaving)
     return;
   endpoint.MarkLeaving();
@@ -260,6 +262,25 @@
     this->on_endpoint_leaving(endpoint.endpoint());
 }
 
+void Dispatcher::OnBrittle(EndpointRecord& endpoint,
+                           std::optional<int64_t> limit,
+                           TimePoint now) {
+  ServicePool* pool = this->FindPool(endpoint.endpoint().service);
+  if (!pool)
+    return;
+  const bool was_brittle =
+      endpoint.brittle().statement().LimitAt(now).has_value();
+  pool->OnBrittle(endpoint, limit, now);
+  if (limit.has_value() == was_brittle)
+    return;
+  LogLine line(this->log,
+               limit ? Event::kEndpointBrittle : Event::kEndpointNotBrittle);
+  line.Add(Field::kEndpoint, endpoint.endpoint().id)
+      .Add(Field::kService, endpoint.endpoint().service);
+  if (limit)
+    line.Add(Field::kRefusalLimit, *limit);
+}
+
 void Dispatcher::OnNotice(const catalog::Endpoint& endpoint,
                           const catalog::EndpointNotice& notice) {
   const ServicePool* pool = this->FindPool(endpoint.service);
--- a/source/core/gateway/dispatcher.h
+++ b/source/core/gateway/dispatcher.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -221,6 +222,10 @@
   void LogCold(const dispatch::ServicePool& pool,
                dispatch::EndpointRecord& record,
                common::TimePoint now);
+  // Takes over whether the endpoint says that it is brittle.
+  void OnBrittle(dispatch::EndpointRecord& endpoint,
+                 std::optional<int64_t> limit,
+                 common::TimePoint now);
   void LogReach(const std::string& service,
                 const dispatch::ServicePool& pool,
                 common::TimePoint now);
--- a/source/core/gateway/request_task.cc
+++ b/source/core/gateway/request_task.cc
@@ -367,12 +367,15 @@
   const forward::SendParameters parameters = this->MakeSendParameters(choice);
   this->LogSent(choice, runtime::BootNow());
   AttemptResult result = AttemptResult::kUnknown;
+  // Without an answer it is not known.
+  bool may_be_refused = true;
   std::optional<Error> failure;
   try {
     const forward::ResponseHead head =
         send.Open(this->request, parameters, this->EffectiveDeadline());
     this->deps.dispatcher.MarkStarted(this->active_send);
     this->RecordHead(head, record);
+    may_be_refused = head.not_run;
     send.CheckUsable();
     result = this->HandleResponse(send, head, ticket);
   } catch (const forward::SendError& error) {
@@ -385,6 +388,8 @@
   this->callback_state->send = nullptr;
   this->deps.dispatcher.Unregister(this->active_send);
   record.OnEnded(ticket, runtime::BootNow());
+  if (may_be_refused)
+    record.brittle().OnRefused(runtime::BootNow());
   this->deps.dispatcher.GateOf(this->service).OnRoomFreed();
   if (failure)
     throw *failure;
--- a/source/core/gateway/request_task.h
+++ b/source/core/gateway/request_task.h
@@ -49,6 +49,7 @@
   common::Counter& failed;
   // Requests that no endpoint took at once, while some were cold.
   common::Counter& turned_from_cold;
+  common::Counter& turned_from_brittle;
   // Responses to other requests that came in place of the one due.
   common::Counter& stray_responses;
   common::DurationHistogram& first_byte;
@@ -213,6 +214,8 @@
   void AddExclusions(events::LogLine& line, common::TimePoint now) const;
   // Counts a request that no endpoint takes now, if some of them are cold.
   void CountTurnedFromCold(common::TimePoint now);
+  // The same for endpoints that are brittle.
+  void CountTurnedFromBrittle(common::TimePoint now);
   [[noreturn]] void Refuse(common::ResultCode code,
                            const char* reason,
                            std::optional<common::Duration> retry_after);
@@ -346,6 +349,7 @@
   std::optional<std::string> blocked_part;
   bool is_part_trial = false;
   bool was_turned_from_cold = false;
+  bool was_turned_from_brittle = false;
   // The salt without a weight version, and its rendered form, which is the key
   // of the engines' part caches.
   reuse::Salt salt;
--- a/source/core/gateway/request_task_admission.cc
+++ b/source/core/gateway/request_task_admission.cc
@@ -81,6 +81,7 @@
     if (!choice) {
       admission.pause_left = this->pool->PauseLeft(this->Requirements(), now);
       this->CountTurnedFromCold(now);
+      this->CountTurnedFromBrittle(now);
     }
     const auto decision = dispatch::DecideAdmission(admission, choice);
     const bool out_of_time = admission.remaining <= dispatch::kMinTimeToAnswer;
--- a/source/core/gateway/request_task_handover.cc
+++ b/source/core/gateway/request_task_handover.cc
@@ -178,6 +178,7 @@
   endpoint.started_at_ms = reply.endpoint->started_at_ms;
   catalog::EndpointNotice notice;
   notice.is_leaving = true;
+  notice.brittle_limit = head.notice.brittle_limit;
   this->deps.dispatcher.OnNotice(endpoint, notice);
 }
 
--- a/source/core/gateway/request_task_log.cc
+++ b/source/core/gateway/request_task_log.cc
@@ -20,6 +20,16 @@
   this->deps.turned_from_cold.Add();
 }
 
+void RequestTask::CountTurnedFromBrittle(TimePoint now) {
+  if (this->was_turned_from_brittle || !this->pool->IsBrittle(now))
+    return;
+  const auto counts = this->pool->CountExclusions(this->Requirements(), now);
+  if (counts[static_cast<size_t>(dispatch::Exclusion::kBrittle)] == 0)
+    return;
+  this->was_turned_from_brittle = true;
+  this->deps.turned_from_brittle.Add();
+}
+
 void RequestTask::AddExclusions(LogLine& line, TimePoint now) const {
   const dispatch::SendRequirements requirements = this->Requirements();
   const dispatch::ExclusionCounts counts =
--- a/source/unit_tests/core/dispatch/endpoint_filter_test.cc
+++ b/source/unit_tests/core/dispatch/endpoint_filter_test.cc
@@ -153,5 +153,29 @@
   CHECK(f.Count(Exclusion::kOutsideHome, 2) == 1);
 }
 
+// Guards against crashes of an endpoint that has just come back: it has not
+// answered yet, and another one of its service says that all are brittle.
+TEST_CASE("what one endpoint says of refusals is assumed of the others") {
+  Fixture f;
+  catalog::Endpoint other = MakeEndpoint(Duration(0), 0);
+  other.id = "other";
+  f.pool.Update(f.service, {MakeEndpoint(Duration(0), 0), other});
+  CHECK(f.Count(Exclusion::kBrittle, 0) == 0);
+  const auto record = f.pool.Find("e");
+  for (int i = 0; i < 20; ++i) {
+    SendTicket ticket;
+    record->OnSent(ticket, At(0));
+  }
+  f.pool.OnBrittle(*f.pool.Find("other"), 4, At(0));
+  CHECK(f.pool.IsBrittle(At(0)));
+  CHECK(f.Count(Exclusion::kBrittle, 0) == 1);
+  f.pool.OnBrittle(*record, std::nullopt, At(1));
+  CHECK(f.Count(Exclusion::kBrittle, 1) == 0);
+  f.pool.OnBrittle(*record, 4, At(2));
+  CHECK(f.Count(Exclusion::kBrittle, 2) == 1);
+  // It has not been heard of for long.
+  CHECK(f.Count(Exclusion::kBrittle, 10002) == 0);
+}
+
 }  // namespace
 }  // namespace jujuberock::dispatch
