--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,5 +4,5 @@
 # the gateway itself comes from the build of the deploy file.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-python3 -c 'import sys; sys.exit(sys.version_info < (3, 9))'
+python3 -c 'import sys; sys.exit(sys.version_info < (3, 11))'
 test -x target/source/jujuberock/jujuberock
