--- a/review/13/case.py
+++ b/review/13/case.py
@@ -109,6 +109,7 @@
             self.tasks.add(crash)
             await asyncio.sleep(3600)
         self.running += 1
+        self.record.add(f"{self.name} runs {number}")
         try:
             await self.stream(number, writer)
         finally:
@@ -178,20 +179,22 @@
             writer.transport.abort()
 
 
-async def keep_asking(number, gateways, statuses):
+async def keep_asking(number, gateways, statuses, record):
     """A requester with one stream after the other, no two alike."""
     count = 0
     while True:
         count += 1
         gateway = gateways[(number + count) % len(gateways)]
-        answer = await ask(gateway, f"/question/{number}-{count}",
-                           f"q-{number}-{count}", 15000)
+        name = f"q-{number}-{count}"
+        record.add(f"sent {name} to {gateway.name}")
+        answer = await ask(gateway, f"/question/{number}-{count}", name, 15000)
+        record.add(f"answered {name} {answer[0]}, whole: {answer[1]}")
         statuses[answer] += 1
         await asyncio.sleep(0.05)
 
 
 async def send_poison(gateways, record, round_number):
-    """The requester tries one machine, and once more at another one."""
+    """The requester tries one machine after the other, at once."""
     for attempt, gateway in enumerate(gateways):
         number = f"poison-{round_number}-{attempt}"
         record.add(f"sent {number} to {gateway.name}")
@@ -222,7 +225,8 @@
     await send_poison(gateways[2:], record, 2)
     await asyncio.sleep(1.0)
     statuses = collections.Counter()
-    load = [asyncio.create_task(keep_asking(number, gateways, statuses))
+    load = [asyncio.create_task(keep_asking(number, gateways, statuses,
+                                            record))
             for number in range(STREAMS)]
     await asyncio.sleep(2.5)
     for wave in range(MAX_WAVES if TROUBLE else 1):
@@ -249,7 +253,8 @@
         gateway.start()
         await gateway.await_ready()
     await asyncio.sleep(STABLE_S + 1)
-    await send_poison(gateways[:2], record, 3)
+    # A requester that repeats at once and often: three times more.
+    await send_poison(gateways, record, 3)
     await asyncio.sleep(2.5)
     runs = sorted((at, number) for worker in workers
                   for number, at in worker.runs)
@@ -257,13 +262,15 @@
         record.add("the poisonous request crashed fewer than three workers")
         return COULD_NOT_RUN
     late = [number for at, number in runs if at > runs[2][0] + STABLE_S]
-    text = (f"the request ran {len(runs)} times, {len(late)} of them later "
-            f"than {STABLE_S:.0f} s after the third crash; allowed are "
-            f"{MAX_RETRIES}; runs broken by other crashes: "
-            f"{sum(worker.broken for worker in workers)}")
+    # A retry is counted as a try of the requester, however often it is sent.
+    retries = set(late)
+    text = (f"the request ran {len(runs)} times; later than {STABLE_S:.0f} s "
+            f"after the third crash {len(retries)} retries reached workers "
+            f"({len(late)} runs); allowed are {MAX_RETRIES}; runs broken by "
+            f"other crashes: {sum(worker.broken for worker in workers)}")
     record.add(text)
     print(text)
-    return 1 if len(late) > MAX_RETRIES else 0
+    return 1 if len(retries) > MAX_RETRIES else 0
 
 
 async def run():
