catalog: a host that missed the end of an era waits for what was in force

The store had turned a host away while the key was withdrawn, and came back from a copy that still held it.

Cause: only a host that knew no other era waited for what the others had in force. One that was cut off from the store knows as little, but the first answer of the new era confirmed its old configuration.

Change: what a host knows when an era begins is decided by the age of its last answer. With an older one than MaxKeyAge() it confirms no keys until another host's object of this era was read, or for revocation_bound. Knowledge is kept apart from the confirmation of keys, so that it lasts over a second restore. New log line config_knowledge.

--- a/source/core/catalog/config_floor.h
+++ b/source/core/catalog/config_floor.h
@@ -4,32 +4,60 @@
 #include <cstdint>
 #include <optional>
 
+#include "core/common/name_table.h"
 #include "core/common/time.h"
 
 namespace jujuberock::catalog {
 
+// Why a host counts as knowing the configurations that were in force before the
+// present era of the store.
+enum class EraKnowledge {
+  kNone,
+  kOwnView,       // it had a recent answer of the store in the former era
+  kNoOtherHosts,  // no object in the store is of a former era
+  kPeer,          // a host that knows has published what was in force
+  kTimeout,       // nobody has said so in time
+};
+
+inline constexpr common::NameTable<EraKnowledge, 5> kEraKnowledgeNames(
+    {"none", "own_view", "no_other_hosts", "peer", "timeout"});
+
+struct ConfigFloorOptions {
+  // How long a host that does not know what was in force before the present era
+  // waits for one that does.
+  common::Duration peer_wait;
+  // A host whose last answer in the former era is older than this may have
+  // missed a configuration.
+  common::Duration max_gap;
+};
+
 // Decides whether the configuration that the store holds may be older than one
 // that was already in force. A store that came back from an older copy begins a
 // new era and lacks what was written since the copy was made, until it is
-// written again. A host knows this from the versions that it has had in force
-// itself and from those that other hosts publish. A host that has just started
-// has only the latter, so it waits for them if the copy shows that there are
-// other hosts. Pure state machine, not thread-safe.
+// written again. A host that read the store until the former era ended knows
+// what was in force then. A host that did not, because it has just started or
+// was cut off from the store, has to learn it from the others. Pure state
+// machine, not thread-safe.
 class ConfigFloor {
  public:
-  // `peer_wait` is how long a host that has just started waits for the objects
-  // of other hosts.
-  explicit ConfigFloor(common::Duration peer_wait) : peer_wait(peer_wait) {}
+  explicit ConfigFloor(ConfigFloorOptions options) : options(options) {}
 
   // The store answered in this era for the first time; 0 if it states none.
   void OnEra(uint64_t era, common::TimePoint now);
   // The configuration was read from the store in the present era.
   void OnStored(uint64_t version) { this->stored_version = version; }
+  // The store held the configurations reported so far at `answered_at`, and no
+  // newer one.
+  void OnAnswer(common::TimePoint answered_at, common::TimePoint now);
   // The configuration is in force on this host.
   void OnInForce(uint64_t version);
   // Another host's object says that this version was in force there, and in
   // which era it was written; 0 if it does not say.
   void OnPeer(uint64_t era, uint64_t version);
+  // The objects of all hosts in the store have been reported.
+  void OnPeersRead();
+  // Applies the end of the wait; called periodically.
+  void OnTick(common::TimePoint now);
 
   // Whether the store's configuration is known not to be older.
   bool IsMet(common::TimePoint now) const {
@@ -37,25 +65,33 @@
            !this->AwaitsPeers(now);
   }
   // Whether a host may serve with this version of the configuration in force.
+  // One that has served before may go on with requests that need no key.
   bool Allows(uint64_t version, common::TimePoint now) const {
-    return version >= this->floor && !this->AwaitsPeers(now);
+    return version >= this->floor &&
+           (this->has_known || !this->AwaitsPeers(now));
   }
+  EraKnowledge knowledge() const { return this->era_knowledge; }
 
  private:
   bool AwaitsPeers(common::TimePoint now) const {
-    return this->is_first_era && this->has_former_peer &&
-           !this->has_present_peer && now - this->era_began < this->peer_wait;
+    return this->current_era && this->era_knowledge == EraKnowledge::kNone &&
+           (!this->is_first_era || this->has_former_peer) &&
+           now - this->era_began < this->options.peer_wait;
   }
+  void SetKnowledge(EraKnowledge knowledge);
 
-  common::Duration peer_wait;
+  ConfigFloorOptions options;
   std::optional<uint64_t> current_era;
   common::TimePoint era_began;
   // Whether this host has known no other era.
   bool is_first_era = true;
-  // Whether objects of other hosts were read that were written in a former era,
-  // or in the present one.
+  // Whether objects of hosts were read that were written in a former era.
   bool has_former_peer = false;
-  bool has_present_peer = false;
+  EraKnowledge era_knowledge = EraKnowledge::kNone;
+  // Whether this host has known what is in force, in any era.
+  bool has_known = false;
+  // Up to when this host knows of all configurations that the store has held.
+  std::optional<common::TimePoint> known_until;
   std::optional<uint64_t> stored_version;
   uint64_t floor = 0;
 };
--- a/source/core/catalog/view_age.h
+++ b/source/core/catalog/view_age.h
@@ -13,6 +13,11 @@
   // The platform may confirm a view that is already this old: a watch can
   // deliver nothing for a second while changes are being made.
   common::Duration confirmation_lag = std::chrono::milliseconds(1200);
+
+  // Age of the last confirmation from which on no API key may be accepted.
+  common::Duration MaxKeyAge() const {
+    return this->revocation_bound - this->confirmation_lag;
+  }
 };
 
 // Tracks when the platform last confirmed the configuration in force. Without a
@@ -39,21 +44,17 @@
   // Whether the view is recent enough to authenticate API keys.
   bool KeysUsable(common::TimePoint now) const {
     const auto age = this->AgeAt(now);
-    return age && *age < this->MaxKeyAge();
+    return age && *age < this->options.MaxKeyAge();
   }
 
   // Whether the host should report ready. Turns false before KeysUsable() does,
   // so that new callers go to other hosts first.
   bool IsFresh(common::TimePoint now) const {
     const auto age = this->AgeAt(now);
-    return age && *age < this->MaxKeyAge() * 8 / 10;
+    return age && *age < this->options.MaxKeyAge() * 8 / 10;
   }
 
  private:
-  common::Duration MaxKeyAge() const {
-    return this->options.revocation_bound - this->options.confirmation_lag;
-  }
-
   ViewAgeOptions options;
   std::optional<common::TimePoint> confirmed_at;
 };
--- a/source/core/events/event_log.h
+++ b/source/core/events/event_log.h
@@ -35,6 +35,7 @@
   kStoreRestored,
   kEntryUnreadable,
   kConfigInForce,
+  kConfigKnowledge,
   kConfigRejected,
   kViewStale,
   kViewRenewed,
@@ -80,7 +81,7 @@
   kHandoverRefused,
 };
 
-inline constexpr size_t kEventCount = 53;
+inline constexpr size_t kEventCount = 54;
 
 inline constexpr common::NameTable<Event, kEventCount> kEventNames(
     {"started",
@@ -93,6 +94,7 @@
      "store_restored",
      "entry_unreadable",
      "config_in_force",
+     "config_knowledge",
      "config_rejected",
      "view_stale",
      "view_renewed",
--- a/source/core/gateway/platform_view.cc
+++ b/source/core/gateway/platform_view.cc
@@ -46,7 +46,9 @@
       view_age(
           catalog::ViewAgeOptions{settings.revocation_bound,
                                   catalog::ViewAgeOptions().confirmation_lag}),
-      config_floor(settings.revocation_bound),
+      config_floor(
+          {settings.revocation_bound,
+           catalog::ViewAgeOptions{settings.revocation_bound}.MaxKeyAge()}),
       directory(settings.endpoint_heartbeat),
       stall_detector(kHostStallThreshold) {}
 
@@ -121,7 +123,10 @@
   if (watch.kind == ObjectKind::kEvacuations)
     this->ReplaceEvacuations(snapshot);
   this->ConfirmConfig(watch);
-  this->hosts_known |= watch.kind == ObjectKind::kHosts;
+  if (watch.kind != ObjectKind::kHosts)
+    return;
+  this->hosts_known = true;
+  this->UpdateConfigFloor([this] { this->config_floor.OnPeersRead(); });
 }
 
 void PlatformView::Watch(KindWatch& watch) {
@@ -176,6 +181,7 @@
   this->config_floor.OnEra(era, runtime::BootNow());
   if (!is_restored)
     return;
+  this->LogConfigKnowledge();
   this->endpoints_read.reset();
   LogLine line(this->log, Event::kStoreRestored);
   line.Add(Field::kStoreEra, era);
@@ -219,11 +225,42 @@
 }
 
 void PlatformView::ConfirmConfig(const KindWatch& watch) {
-  if (watch.kind == ObjectKind::kConfig && !this->is_config_unreadable &&
-      this->config_floor.IsMet(runtime::BootNow()))
+  if (watch.kind != ObjectKind::kConfig || this->is_config_unreadable ||
+      !watch.answered_at)
+    return;
+  const common::TimePoint now = runtime::BootNow();
+  this->config_floor.OnAnswer(*watch.answered_at, now);
+  if (this->config_floor.IsMet(now))
     this->view_age.OnConfirmed(*watch.answered_at);
 }
 
+void PlatformView::UpdateConfigFloor(const std::function<void()>& change) {
+  const catalog::EraKnowledge before = this->config_floor.knowledge();
+  change();
+  if (this->config_floor.knowledge() == before)
+    return;
+  this->LogConfigKnowledge();
+  // The configuration may have been read while this host still waited.
+  for (const KindWatchPtr& watch : this->watches)
+    this->ConfirmConfig(*watch);
+}
+
+void PlatformView::LogConfigKnowledge() {
+  const common::TimePoint now = runtime::BootNow();
+  LogLine line(this->log, Event::kConfigKnowledge);
+  line.Add(Field::kStoreEra, this->known_era)
+      .Add(Field::kReason,
+           catalog::kEraKnowledgeNames.NameOf(this->config_floor.knowledge()));
+  if (this->current_config)
+    line.Add(Field::kConfigVersion, this->current_config->version());
+  if (const auto age = this->view_age.AgeAt(now))
+    line.Add(Field::kViewAgeMs, *age);
+}
+
+void PlatformView::OnPeerConfig(uint64_t era, uint64_t version) {
+  this->UpdateConfigFloor([&] { this->config_floor.OnPeer(era, version); });
+}
+
 void PlatformView::OnFailure(KindWatch& watch, const std::string& detail) {
   if (++watch.failures == 1)
     LogLine(this->log, Event::kDependencyLost)
@@ -464,6 +501,7 @@
 void PlatformView::OnTick(common::TimePoint now) {
   this->stall_detector.OnTick(now);
   this->CheckEra();
+  this->UpdateConfigFloor([&] { this->config_floor.OnTick(now); });
   const uint64_t before = this->directory.generation();
   this->directory.Expire(now);
   if (this->directory.generation() != before)
--- a/source/core/gateway/platform_view.h
+++ b/source/core/gateway/platform_view.h
@@ -117,9 +117,7 @@
   }
   // Another host had this version of the configuration in force when it wrote
   // its object, in this era of the store.
-  void OnPeerConfig(uint64_t era, uint64_t version) {
-    this->config_floor.OnPeer(era, version);
-  }
+  void OnPeerConfig(uint64_t era, uint64_t version);
   // The endpoint said in a response that it is leaving.
   void OnEndpointLeaving(const catalog::Endpoint& endpoint);
   // Another host repeats what the store said of a zone.
@@ -173,6 +171,10 @@
   // Records that the store confirmed the configuration in force, unless what it
   // has is known to be older or can't be read.
   void ConfirmConfig(const KindWatch& watch);
+  // Calls `change`, which may add to what is known of the configurations that
+  // were in force before the present era, and applies what follows from that.
+  void UpdateConfigFloor(const std::function<void()>& change);
+  void LogConfigKnowledge();
 
   // Logs an object that can't be read. One without a name is then left out; the
   // others are applied, since they may replace one that could be read.
--- a/source/unit_tests/core/catalog/config_floor_test.cc
+++ b/source/unit_tests/core/catalog/config_floor_test.cc
@@ -9,6 +9,8 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kPeerWait(5000);
+constexpr milliseconds kMaxGap(3800);
+constexpr ConfigFloorOptions kOptions{kPeerWait, kMaxGap};
 
 TimePoint At(int ms) {
   return TimePoint(milliseconds(ms));
@@ -16,7 +18,7 @@
 
 // Guards against a host that never serves where the store states no era.
 TEST_CASE("without eras the stored configuration is taken as it is") {
-  ConfigFloor floor(kPeerWait);
+  ConfigFloor floor(kOptions);
   CHECK_FALSE(floor.IsMet(At(0)));
   floor.OnPeer(0, 9);
   floor.OnStored(3);
@@ -29,11 +31,13 @@
 // configuration than this host can't confirm that no newer one revokes keys.
 TEST_CASE(
     "a store that came back older confirms nothing until it is rewritten") {
-  ConfigFloor floor(kPeerWait);
+  ConfigFloor floor(kOptions);
   floor.OnEra(1, At(0));
+  floor.OnPeersRead();
   floor.OnStored(7);
   floor.OnInForce(7);
   REQUIRE(floor.IsMet(At(10)));
+  floor.OnAnswer(At(10), At(20));
   floor.OnEra(2, At(1000));
   CHECK_FALSE(floor.IsMet(At(1000)));
   floor.OnStored(5);
@@ -49,12 +53,13 @@
 // and knows only the copy.
 TEST_CASE(
     "a host that starts on a copy waits for those that knew the original") {
-  ConfigFloor floor(kPeerWait);
+  ConfigFloor floor(kOptions);
   floor.OnEra(2, At(0));
   floor.OnStored(5);
   floor.OnInForce(5);
   // The object of another host is a part of the copy.
   floor.OnPeer(1, 4);
+  floor.OnPeersRead();
   CHECK_FALSE(floor.IsMet(At(1)));
   CHECK_FALSE(floor.Allows(5, At(1)));
   SECTION("another host had a newer configuration") {
@@ -77,7 +82,7 @@
 
 // Guards against a start that waits although the store has not gone back.
 TEST_CASE("a host that starts beside others in the same era does not wait") {
-  ConfigFloor floor(kPeerWait);
+  ConfigFloor floor(kOptions);
   floor.OnEra(2, At(0));
   floor.OnStored(5);
   floor.OnInForce(5);
@@ -85,8 +90,91 @@
   floor.OnPeer(2, 5);
   // A host that is gone has left an object of a former era.
   floor.OnPeer(1, 4);
+  floor.OnPeersRead();
   CHECK(floor.IsMet(At(2)));
 }
 
+// Guards against a revoked key that is accepted after a restore: a host that
+// was cut off from the store while the key was withdrawn takes the copy for the
+// present configuration (review/11).
+TEST_CASE("a host that missed the end of the former era waits for the others") {
+  ConfigFloor floor(kOptions);
+  floor.OnEra(1, At(0));
+  floor.OnPeersRead();
+  floor.OnStored(5);
+  floor.OnInForce(5);
+  floor.OnAnswer(At(1000), At(1010));
+  REQUIRE(floor.IsMet(At(1010)));
+  SECTION("its last answer was recent") {
+    floor.OnEra(2, At(4700));
+    floor.OnStored(5);
+    CHECK(floor.knowledge() == EraKnowledge::kOwnView);
+    CHECK(floor.IsMet(At(4700)));
+  }
+  SECTION("it was cut off, and others had a newer configuration") {
+    floor.OnEra(2, At(9000));
+    floor.OnStored(5);
+    CHECK_FALSE(floor.IsMet(At(9000)));
+    // Requests without a key are served on.
+    CHECK(floor.Allows(5, At(9000)));
+    floor.OnPeer(1, 4);
+    floor.OnPeersRead();
+    CHECK_FALSE(floor.IsMet(At(9100)));
+    floor.OnPeer(2, 7);
+    CHECK_FALSE(floor.IsMet(At(20000)));
+    CHECK_FALSE(floor.Allows(5, At(20000)));
+    floor.OnStored(7);
+    CHECK(floor.IsMet(At(9200)));
+  }
+  SECTION("it was cut off, and nobody else is left") {
+    floor.OnEra(2, At(9000));
+    floor.OnStored(5);
+    floor.OnTick(At(13999));
+    CHECK_FALSE(floor.IsMet(At(13999)));
+    floor.OnTick(At(14000));
+    CHECK(floor.IsMet(At(14000)));
+    CHECK(floor.knowledge() == EraKnowledge::kTimeout);
+  }
+}
+
+// Guards against hosts that refuse all keys after a second restore although
+// they have read the store all the time.
+TEST_CASE("what was in force is known over several restores") {
+  ConfigFloor floor(kOptions);
+  floor.OnEra(1, At(0));
+  floor.OnPeersRead();
+  floor.OnStored(7);
+  floor.OnInForce(7);
+  floor.OnAnswer(At(1000), At(1010));
+  // The copy is older. It confirms nothing, but it shows that nothing newer has
+  // been written since.
+  floor.OnEra(2, At(3000));
+  floor.OnStored(5);
+  floor.OnAnswer(At(4500), At(4510));
+  CHECK_FALSE(floor.IsMet(At(4510)));
+  floor.OnEra(3, At(6500));
+  CHECK(floor.knowledge() == EraKnowledge::kOwnView);
+  floor.OnStored(7);
+  CHECK(floor.IsMet(At(6510)));
+}
+
+// Guards against a host that counts a wait as time in which it has read the
+// store: what it read then may have been the copy.
+TEST_CASE("a host that waits does not know more after a second restore") {
+  ConfigFloor floor(kOptions);
+  floor.OnEra(2, At(0));
+  floor.OnPeer(1, 4);
+  floor.OnPeersRead();
+  floor.OnStored(5);
+  floor.OnInForce(5);
+  floor.OnAnswer(At(1000), At(1010));
+  floor.OnEra(3, At(1500));
+  floor.OnStored(5);
+  CHECK(floor.knowledge() == EraKnowledge::kNone);
+  CHECK_FALSE(floor.IsMet(At(1510)));
+  // It has never served.
+  CHECK_FALSE(floor.Allows(5, At(1510)));
+}
+
 }  // namespace
 }  // namespace jujuberock::catalog
--- a/tools/gateway_standins.py
+++ b/tools/gateway_standins.py
@@ -173,13 +173,17 @@
     """The way of one gateway to the store: a proxy on loopback.
 
     While `is_cut`, no byte passes and no connection is closed; answers take
-    `delay_s` longer. silence_watch() makes the connection on which a kind is
+    `delay_s` longer. After refuse(), the store resets this gateway's
+    connections and serves the others, until `is_refused` is cleared.
+    silence_watch() makes the connection on which a kind is
     watched silent for good, while new ones work.
     """
 
     def __init__(self, store):
         self.store = store
         self.is_cut = False
+        self.is_refused = False
+        self.open = set()
         self.delay_s = 0.0
         # Connections on which a watch waits, by kind, and those that are silent.
         self.watching = {}
@@ -189,12 +193,21 @@
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
         self.address = "127.0.0.1:%d" % self.server.sockets[0].getsockname()[1]
 
+    def refuse(self):
+        self.is_refused = True
+        for writer in self.open:
+            writer.transport.abort()
+
     async def silence_watch(self, kind):
         while kind not in self.watching:
             await asyncio.sleep(0.005)
         self.silent.add(self.watching[kind])
 
     async def serve(self, reader, writer):
+        if self.is_refused:
+            writer.transport.abort()
+            return
+        self.open.add(writer)
         host, port = self.store.address.split(":")
         try:
             far_reader, far_writer = await asyncio.open_connection(host, port)
@@ -204,6 +217,7 @@
         except (ConnectionError, asyncio.CancelledError):
             pass  # The gateway has ended, or the test has.
         finally:
+            self.open.discard(writer)
             writer.close()
 
     def on_request(self, data, connection):
