catalog: a host states whether it knows what was in force

Cause: a host that starts on the copy waited for any object of the new era, also for that of a host which waits itself. The hosts freed one another 0.15 to 0.3 s after their start.

Change: an object says whether its host knows what was in force (config_known). Only one that knows ends the wait of others. Where nobody knows, the operator's second write ends it, seen by the revision of the configuration, else the bound. An object without the field, of an earlier version of the program, ends and prolongs nothing. A host states the newest configuration that it was told of.

--- a/source/core/gateway/host_object.cc
+++ b/source/core/gateway/host_object.cc
@@ -196,8 +196,10 @@
   if (!object.handover_address.empty())
     value["handover_address"] = object.handover_address;
   value["written_ms"] = object.written_at.time_since_epoch().count();
-  value["store_era"] = object.store_era;
-  value["config_version"] = object.config_version;
+  value["store_era"] = object.config.era;
+  value["config_version"] = object.config.version;
+  if (object.config.is_known)
+    value["config_known"] = *object.config.is_known;
   if (object.last_order_age)
     value["last_order_age_ms"] = ToMilliseconds(*object.last_order_age);
   // Earlier versions of the program reject an object without it.
@@ -221,8 +223,10 @@
     object.caller_address = value.value("address", "");
     object.peer_address = value.value("peer_address", "");
     object.handover_address = value.value("handover_address", "");
-    object.store_era = common::GetUnsignedOrZero(value, "store_era");
-    object.config_version = common::GetUnsignedOrZero(value, "config_version");
+    object.config.era = common::GetUnsignedOrZero(value, "store_era");
+    object.config.version = common::GetUnsignedOrZero(value, "config_version");
+    if (value.contains("config_known"))
+      object.config.is_known = value["config_known"].get<bool>();
     if (value.contains("last_order_age_ms"))
       object.last_order_age = GetAge(value["last_order_age_ms"]);
     const Duration age = AgeOf(value, wall_now);
--- a/source/core/gateway/host_object.h
+++ b/source/core/gateway/host_object.h
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <vector>
 
+#include "core/catalog/config_floor.h"
 #include "core/common/time.h"
 #include "core/suspects/part_suspects.h"
 #include "core/suspects/suspect_list.h"
@@ -24,10 +25,7 @@
   // When the object was written, by the clock of the writer. The ages of the
   // marks count from then.
   common::UnixTime written_at;
-  // Era of the store in which the object was written, and the version of the
-  // configuration that was in force then; 0 if unknown.
-  uint64_t store_era = 0;
-  uint64_t config_version = 0;
+  catalog::PeerConfig config;
   // Time since the host sent its last order to an engine; nothing if it sent
   // none since it started.
   std::optional<common::Duration> last_order_age;
--- a/source/core/gateway/host_registry.cc
+++ b/source/core/gateway/host_registry.cc
@@ -90,9 +90,9 @@
   this->OnHandoverHost({name, object->zone, object->handover_address});
   const bool is_in_zone = object->zone == this->settings.zone;
   this->OnZoneHost(name, is_in_zone ? object->peer_address : "");
-  this->view.OnPeerConfig(object->store_era, object->config_version);
+  this->view.OnPeerConfig(object->config);
   PeerOrders& orders = this->peer_orders[name];
-  orders = {object->store_era, std::nullopt};
+  orders = {object->config.era, std::nullopt};
   if (object->last_order_age)
     orders.last_order_at = runtime::BootNow() - *object->last_order_age;
   this->dispatcher.MergeMarks(object->marks, object->part_marks);
@@ -124,7 +124,7 @@
   if (!object)
     return;
   this->dispatcher.MergeMarks(object->marks, object->part_marks);
-  this->view.OnPeerConfig(object->store_era, object->config_version);
+  this->view.OnPeerConfig(object->config);
 }
 
 void HostRegistry::OnOwnObject(const catalog::ObjectChange& change) {
@@ -222,9 +222,7 @@
   if (this->settings.handover_port != 0)
     object.handover_address = address_of(this->settings.handover_port);
   object.written_at = this->wall_now();
-  object.store_era = this->view.store_era();
-  if (const auto config = this->view.config())
-    object.config_version = config->version();
+  object.config = this->view.ConfigForPeers();
   if (this->own_orders.last_order_at)
     object.last_order_age = now - *this->own_orders.last_order_at;
   object.marks = this->dispatcher.suspects().Marks(now);
@@ -238,6 +236,7 @@
 
 WriteState HostRegistry::WriteOwnObject() {
   const uint64_t era = this->store.era();
+  const auto is_config_known = this->view.ConfigForPeers().is_known;
   const std::string content = this->EncodeOwnObject();
   this->written_bytes = content.size();
   const auto reply =
@@ -257,6 +256,7 @@
     return reply.state;
   this->has_written = true;
   this->written_era = era;
+  this->written_config_known = is_config_known;
   return reply.state;
 }
 
@@ -266,7 +266,11 @@
 }
 
 void HostRegistry::CheckEra() {
-  if (!this->has_written || this->store.era() == this->written_era)
+  if (!this->has_written)
+    return;
+  this->write_pending |=
+      this->view.ConfigForPeers().is_known != this->written_config_known;
+  if (this->store.era() == this->written_era)
     return;
   // The copy that the store came back from has an older object or none.
   this->write_pending = true;
--- a/source/core/gateway/host_registry.h
+++ b/source/core/gateway/host_registry.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -93,7 +94,8 @@
   void ReadFormerObject(const catalog::StoredObject& stored);
   catalog::WriteState WriteOwnObject();
   void SetRevision(uint64_t revision);
-  // Makes this host write its object again if the store came back from a copy.
+  // Makes this host write its object again if the store came back from a copy,
+  // or this host has learned what was in force before that.
   void CheckEra();
   std::string EncodeOwnObject() const;
 
@@ -124,6 +126,8 @@
   size_t written_bytes = 0;
   // Era of the store in which the object was written last.
   uint64_t written_era = 0;
+  // Whether that object said that the host knows what was in force.
+  std::optional<bool> written_config_known;
   bool stopping = false;
 };
 
--- a/source/core/gateway/platform_view.cc
+++ b/source/core/gateway/platform_view.cc
@@ -123,10 +123,11 @@
   if (watch.kind == ObjectKind::kEvacuations)
     this->ReplaceEvacuations(snapshot);
   this->ConfirmConfig(watch);
-  if (watch.kind != ObjectKind::kHosts)
-    return;
-  this->hosts_known = true;
-  this->UpdateConfigFloor([this] { this->config_floor.OnPeersRead(); });
+  if (watch.kind == ObjectKind::kHosts) {
+    this->hosts_known = true;
+    this->config_floor.OnPeersRead();
+  }
+  this->NoteConfigKnowledge();
 }
 
 void PlatformView::Watch(KindWatch& watch) {
@@ -150,6 +151,7 @@
     this->Apply(watch, change, changed_after);
   this->OnApplied(watch);
   this->ConfirmConfig(watch);
+  this->NoteConfigKnowledge();
   // A relay has collected several changes already.
   const bool is_collected = changes.answer_age.source == ObjectSource::kRelay;
   if (!changes.changes.empty() && !is_collected &&
@@ -181,7 +183,7 @@
   this->config_floor.OnEra(era, runtime::BootNow());
   if (!is_restored)
     return;
-  this->LogConfigKnowledge();
+  this->NoteConfigKnowledge();
   this->endpoints_read.reset();
   LogLine line(this->log, Event::kStoreRestored);
   line.Add(Field::kStoreEra, era);
@@ -234,31 +236,27 @@
     this->view_age.OnConfirmed(*watch.answered_at);
 }
 
-void PlatformView::UpdateConfigFloor(const std::function<void()>& change) {
-  const catalog::EraKnowledge before = this->config_floor.knowledge();
-  change();
-  if (this->config_floor.knowledge() == before)
+void PlatformView::NoteConfigKnowledge() {
+  const catalog::EraKnowledge knowledge = this->config_floor.knowledge();
+  if (knowledge == this->noted_knowledge && this->known_era == this->noted_era)
     return;
-  this->LogConfigKnowledge();
-  // The configuration may have been read while this host still waited.
-  for (const KindWatchPtr& watch : this->watches)
-    this->ConfirmConfig(*watch);
-}
-
-void PlatformView::LogConfigKnowledge() {
-  const common::TimePoint now = runtime::BootNow();
+  this->noted_knowledge = knowledge;
+  this->noted_era = this->known_era;
   LogLine line(this->log, Event::kConfigKnowledge);
   line.Add(Field::kStoreEra, this->known_era)
-      .Add(Field::kReason,
-           catalog::kEraKnowledgeNames.NameOf(this->config_floor.knowledge()));
+      .Add(Field::kReason, catalog::kEraKnowledgeNames.NameOf(knowledge));
   if (this->current_config)
     line.Add(Field::kConfigVersion, this->current_config->version());
-  if (const auto age = this->view_age.AgeAt(now))
+  if (const auto age = this->view_age.AgeAt(runtime::BootNow()))
     line.Add(Field::kViewAgeMs, *age);
+  // The configuration may have been read while this host still waited.
+  for (const KindWatchPtr& watch : this->watches)
+    this->ConfirmConfig(*watch);
 }
 
-void PlatformView::OnPeerConfig(uint64_t era, uint64_t version) {
-  this->UpdateConfigFloor([&] { this->config_floor.OnPeer(era, version); });
+void PlatformView::OnPeerConfig(const catalog::PeerConfig& peer) {
+  this->config_floor.OnPeer(peer);
+  this->NoteConfigKnowledge();
 }
 
 void PlatformView::OnFailure(KindWatch& watch, const std::string& detail) {
@@ -302,7 +300,7 @@
     return;
   try {
     catalog::Config config = this->decoder.Config(change.object);
-    this->config_floor.OnStored(config.version);
+    this->config_floor.OnStored(config.version, change.object.revision);
     // An older version can be read late and must not replace a newer one.
     if (this->current_config &&
         config.version <= this->current_config->version())
@@ -501,7 +499,8 @@
 void PlatformView::OnTick(common::TimePoint now) {
   this->stall_detector.OnTick(now);
   this->CheckEra();
-  this->UpdateConfigFloor([&] { this->config_floor.OnTick(now); });
+  this->config_floor.OnTick(now);
+  this->NoteConfigKnowledge();
   const uint64_t before = this->directory.generation();
   this->directory.Expire(now);
   if (this->directory.generation() != before)
--- a/source/core/gateway/platform_view.h
+++ b/source/core/gateway/platform_view.h
@@ -115,9 +115,12 @@
            this->hosts_known && this->AreEvacuationsKnown() &&
            this->config_floor.Allows(this->current_config->version(), now);
   }
-  // Another host had this version of the configuration in force when it wrote
-  // its object, in this era of the store.
-  void OnPeerConfig(uint64_t era, uint64_t version);
+  // Another host, or the former process of this one, has published this.
+  void OnPeerConfig(const catalog::PeerConfig& peer);
+  // What this host publishes about the configuration.
+  catalog::PeerConfig ConfigForPeers() const {
+    return this->config_floor.ForPeers();
+  }
   // The endpoint said in a response that it is leaving.
   void OnEndpointLeaving(const catalog::Endpoint& endpoint);
   // Another host repeats what the store said of a zone.
@@ -171,10 +174,9 @@
   // Records that the store confirmed the configuration in force, unless what it
   // has is known to be older or can't be read.
   void ConfirmConfig(const KindWatch& watch);
-  // Calls `change`, which may add to what is known of the configurations that
-  // were in force before the present era, and applies what follows from that.
-  void UpdateConfigFloor(const std::function<void()>& change);
-  void LogConfigKnowledge();
+  // Applies what follows from a change of what this host knows of the
+  // configurations that were in force before the present era, if there is one.
+  void NoteConfigKnowledge();
 
   // Logs an object that can't be read. One without a name is then left out; the
   // others are applied, since they may replace one that could be read.
@@ -218,6 +220,9 @@
   bool is_config_unreadable = false;
   catalog::ViewAge view_age;
   catalog::ConfigFloor config_floor;
+  // What was noted last, and for which era.
+  catalog::EraKnowledge noted_knowledge = catalog::EraKnowledge::kNone;
+  uint64_t noted_era = 0;
   catalog::EndpointDirectory directory;
   catalog::Evacuations known_evacuations;
   VersionsByModel version_requirements;
--- a/source/unit_tests/core/gateway/host_object_test.cc
+++ b/source/unit_tests/core/gateway/host_object_test.cc
@@ -24,8 +24,7 @@
   object.peer_address = "127.0.0.1:8090";
   object.handover_address = "127.0.0.1:8091";
   object.written_at = kWrittenAt;
-  object.store_era = 3;
-  object.config_version = 12;
+  object.config = {3, 12, true};
   object.last_order_age = milliseconds(70);
   object.marks = {{7, "e1/1000", milliseconds(20)}};
   // In the order of PartSuspects::Marks().
@@ -47,13 +46,25 @@
   CHECK(decoded->caller_address == object.caller_address);
   CHECK(decoded->peer_address == object.peer_address);
   CHECK(decoded->handover_address == object.handover_address);
-  CHECK(decoded->store_era == object.store_era);
-  CHECK(decoded->config_version == object.config_version);
+  CHECK(decoded->config.era == object.config.era);
+  CHECK(decoded->config.version == object.config.version);
+  CHECK(decoded->config.is_known == object.config.is_known);
   CHECK(decoded->last_order_age == object.last_order_age);
   CHECK(decoded->marks == object.marks);
   CHECK(decoded->part_marks == object.part_marks);
 }
 
+// Guards against a host that takes an object of an earlier version of the
+// program for one of a host that knows, or does not know, what was in force.
+TEST_CASE("an object that does not say what its host knows is read so") {
+  HostObject object = MakeObject();
+  object.config.is_known.reset();
+  const auto decoded = DecodeHostObject(EncodeHostObject(object), kWrittenAt);
+  REQUIRE(decoded);
+  CHECK_FALSE(decoded->config.is_known.has_value());
+  CHECK(decoded->config.version == 12);
+}
+
 // Guards against verdicts of a host that ended long ago, which a new host would
 // take for new ones.
 TEST_CASE("marks of an old object are as old as the object") {
@@ -94,6 +105,7 @@
     for (const std::string& text :
          {R"({"marks":[],"store_era":)" + odd + "}",
           R"({"marks":[],"config_version":)" + odd + "}",
+          R"({"marks":[],"config_known":)" + odd + "}",
           R"({"marks":[],"written_ms":)" + odd + "}",
           R"({"marks":[],"last_order_age_ms":)" + odd + "}",
           R"({"marks":[{"fingerprint":1,"endpoint":"e","age_ms":)" + odd +
