suspects: publish and keep marks by what they say

Cause: a host that restarts knows only the marks in the objects of the store, and these were cut at 200 in the order of a hash map. Marks of requests that were in flight at one crash, or had been cleared, displaced those of the blocked request.

Change: marks are ordered by what it costs if a host does not know them: blocked, cleared of a block, isolated, cleared; then by crashes, and by when the request crashed, was cleared or was refused last. The same order decides what is evicted. All marks of a request are sent or none, and they expire together.

--- a/source/core/gateway/host_registry.cc
+++ b/source/core/gateway/host_registry.cc
@@ -225,10 +225,8 @@
   object.config = this->view.ConfigForPeers();
   if (this->own_orders.last_order_at)
     object.last_order_age = now - *this->own_orders.last_order_at;
-  object.marks = this->dispatcher.suspects().Marks(now);
+  object.marks = this->dispatcher.suspects().Marks(now, kMaxMarks);
   object.part_marks = this->dispatcher.part_suspects().Marks(now);
-  if (object.marks.size() > kMaxMarks)
-    object.marks.resize(kMaxMarks);
   if (object.part_marks.size() > kMaxMarks)
     object.part_marks.resize(kMaxMarks);
   return EncodeHostObject(object);
--- a/source/core/suspects/suspect_list.cc
+++ b/source/core/suspects/suspect_list.cc
@@ -1,6 +1,8 @@
 #include "core/suspects/suspect_list.h"
 
 #include <algorithm>
+#include <functional>
+#include <utility>
 
 #include "core/common/hash.h"
 
@@ -52,11 +54,11 @@
   Suspect& suspect = found->second;
   if (!IsBlocked(suspect))
     return SuspectAction::kIsolate;
-  if (!this->IsAmbiguous(fingerprint, suspect))
-    return SuspectAction::kRefuse;
-  if (suspect.refused_while_ambiguous)
+  const bool is_ambiguous = this->IsAmbiguous(fingerprint, suspect);
+  if (is_ambiguous && suspect.refused_while_ambiguous)
     return SuspectAction::kIsolate;
-  suspect.refused_while_ambiguous = true;
+  suspect.refused_while_ambiguous |= is_ambiguous;
+  suspect.refused_at = now;
   return SuspectAction::kRefuse;
 }
 
@@ -76,23 +78,68 @@
   }
 }
 
-std::vector<CrashMark> SuspectList::Marks(common::TimePoint now) {
+std::vector<CrashMark> SuspectList::Marks(common::TimePoint now,
+                                          size_t max_marks) {
   this->Expire(now);
+  using Entry = std::pair<Importance, Fingerprint>;
+  std::vector<Entry> order;
+  order.reserve(this->suspects.size());
+  for (const auto& [fingerprint, suspect] : this->suspects)
+    order.emplace_back(ImportanceOf(suspect), fingerprint);
+  std::sort(order.begin(), order.end(), std::greater<Entry>());
   std::vector<CrashMark> marks;
-  for (const auto& [fingerprint, suspect] : this->suspects) {
-    for (const Crash& crash : suspect.crashes)
-      marks.push_back({fingerprint, crash.endpoint, now - crash.at});
-    if (suspect.cleared_at != common::TimePoint::min())
-      marks.push_back({fingerprint, {}, now - suspect.cleared_at});
+  for (const auto& [importance, fingerprint] : order) {
+    const size_t before = marks.size();
+    AppendMarks(fingerprint, this->suspects.at(fingerprint), now, marks);
+    if (marks.size() <= max_marks)
+      continue;
+    marks.resize(before);
+    break;
   }
   return marks;
 }
 
+void SuspectList::AppendMarks(Fingerprint fingerprint,
+                              const Suspect& suspect,
+                              common::TimePoint now,
+                              std::vector<CrashMark>& marks) {
+  std::vector<Crash> crashes = suspect.crashes;
+  std::sort(crashes.begin(), crashes.end(),
+            [](const Crash& a, const Crash& b) { return a.at > b.at; });
+  if (crashes.size() > kMaxSentCrashes)
+    crashes.resize(kMaxSentCrashes);
+  for (const Crash& crash : crashes)
+    marks.push_back({fingerprint, crash.endpoint, now - crash.at});
+  if (suspect.cleared_at != common::TimePoint::min())
+    marks.push_back({fingerprint, {}, now - suspect.cleared_at});
+}
+
+SuspectList::Importance SuspectList::ImportanceOf(const Suspect& suspect) {
+  const size_t crashes = suspect.crashes.size();
+  const common::TimePoint last =
+      std::max(suspect.changed_at, suspect.refused_at);
+  if (IsBlocked(suspect))
+    return {Weight::kBlocked, crashes, last};
+  if (suspect.cleared_crashes >= 2)
+    return {Weight::kClearedOfBlock, crashes, last};
+  return {crashes > 0 ? Weight::kIsolated : Weight::kCleared, crashes, last};
+}
+
 void SuspectList::Merge(std::span<const CrashMark> marks,
                         common::TimePoint now) {
   this->Expire(now);
+  // The latest mark of a request decides whether all of them hold: a request is
+  // blocked as long as the last of its crashes counts.
+  std::unordered_map<Fingerprint, common::Duration> youngest;
+  for (const CrashMark& mark : marks) {
+    const auto [entry, is_new] =
+        youngest.try_emplace(mark.fingerprint, mark.age);
+    if (!is_new)
+      entry->second = std::min(entry->second, mark.age);
+  }
   for (const CrashMark& mark : marks) {
-    if (mark.age > this->lifetime || mark.age < common::Duration::zero())
+    if (youngest[mark.fingerprint] > this->lifetime ||
+        mark.age < common::Duration::zero())
       continue;
     if (mark.endpoint.empty())
       this->Clear(mark.fingerprint, now - mark.age, now);
@@ -132,6 +179,8 @@
                         common::TimePoint now) {
   Suspect& suspect = this->SuspectOf(fingerprint, now);
   suspect.cleared_at = std::max(suspect.cleared_at, at);
+  suspect.cleared_crashes =
+      std::max(suspect.cleared_crashes, suspect.crashes.size());
   suspect.changed_at = std::max(suspect.changed_at, at);
   std::erase_if(suspect.crashes, [&](const Crash& crash) {
     return crash.at <= suspect.cleared_at;
@@ -144,13 +193,10 @@
   if (found != this->suspects.end())
     return found->second;
   if (this->suspects.size() >= this->max_fingerprints) {
-    // Evicts the request with the fewest crashes, so that blocked requests are
-    // kept longest, and among these the one that changed longest ago.
     auto evicted = std::min_element(
         this->suspects.begin(), this->suspects.end(),
         [](const auto& a, const auto& b) {
-          return std::make_pair(a.second.crashes.size(), a.second.changed_at) <
-                 std::make_pair(b.second.crashes.size(), b.second.changed_at);
+          return ImportanceOf(a.second) < ImportanceOf(b.second);
         });
     this->suspects.erase(evicted);
   }
--- a/source/core/suspects/suspect_list.h
+++ b/source/core/suspects/suspect_list.h
@@ -3,9 +3,11 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <span>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -59,6 +61,8 @@
  public:
   static constexpr common::Duration kDefaultLifetime = std::chrono::minutes(30);
   static constexpr size_t kDefaultMaxFingerprints = 4096;
+  // Crashes of one request that are sent to other hosts, the latest.
+  static constexpr size_t kMaxSentCrashes = 16;
 
   explicit SuspectList(common::Duration lifetime = kDefaultLifetime,
                        size_t max_fingerprints = kDefaultMaxFingerprints);
@@ -74,8 +78,14 @@
   // requests as a whole.
   void RemoveCrashes(std::span<const EndpointCrash> crashes);
 
-  // All current marks, to be sent to other hosts.
-  std::vector<CrashMark> Marks(common::TimePoint now);
+  // Marks for other hosts, the most important first: those of blocked requests,
+  // clearings of requests that were blocked, marks of isolated requests, other
+  // clearings. Among equals, requests with more crashes come first, then those
+  // that crashed, were cleared or were refused last. Has at most `max_marks`,
+  // and of each request all that are sent or none.
+  std::vector<CrashMark> Marks(
+      common::TimePoint now,
+      size_t max_marks = std::numeric_limits<size_t>::max());
   // Adds the marks of another host. Marks that are already known have no
   // effect.
   void Merge(std::span<const CrashMark> marks, common::TimePoint now);
@@ -89,11 +99,29 @@
     std::vector<Crash> crashes;
     common::TimePoint cleared_at = common::TimePoint::min();
     common::TimePoint changed_at;
+    // The request was refused here: its caller still sends it.
+    common::TimePoint refused_at = common::TimePoint::min();
+    // Most crashes that a clearing has ended.
+    size_t cleared_crashes = 0;
     bool refused_while_ambiguous = false;
   };
+  // What it costs if a host does not know of the request, the least first.
+  enum class Weight {
+    kCleared,         // a sound request is isolated
+    kIsolated,        // a request may crash one more endpoint
+    kClearedOfBlock,  // a sound request is refused
+    kBlocked,         // a request crashes two more endpoints
+  };
+  // Orders suspects; the greater is kept and published rather.
+  using Importance = std::tuple<Weight, size_t, common::TimePoint>;
 
   static bool IsSameCrash(const Crash& a, const Crash& b);
   static bool IsBlocked(const Suspect& suspect);
+  static Importance ImportanceOf(const Suspect& suspect);
+  static void AppendMarks(Fingerprint fingerprint,
+                          const Suspect& suspect,
+                          common::TimePoint now,
+                          std::vector<CrashMark>& marks);
 
   void AddCrash(Fingerprint fingerprint,
                 const Crash& crash,
--- a/source/unit_tests/core/gateway/host_object_test.cc
+++ b/source/unit_tests/core/gateway/host_object_test.cc
@@ -152,6 +152,24 @@
   CHECK(decoded->part_marks == object.part_marks);
 }
 
+// Guards against objects that grow with what they say: every host reads all of
+// them. Here each mark is of a crash of its own.
+TEST_CASE("an object with the most marks stays below 64 KiB") {
+  constexpr size_t kMaxObjectBytes = 64 * 1024;
+  HostObject object = MakeObject();
+  object.marks.clear();
+  object.part_marks.clear();
+  constexpr uint64_t kLargeHash = ~uint64_t{0} - 1000;
+  for (uint64_t i = 0; i < 200; ++i) {
+    const std::string endpoint = "i-0123456789/1767520100" + std::to_string(i);
+    const milliseconds age(1800000 - static_cast<int>(i));
+    object.marks.push_back({kLargeHash + i, endpoint, age});
+    object.part_marks.push_back({PartEvidence::kCrash, kLargeHash + i, endpoint,
+                                 age, age + milliseconds(500), 2, kLargeHash});
+  }
+  CHECK(EncodeHostObject(object).size() < kMaxObjectBytes);
+}
+
 // Guards against marks that are lost while hosts of two versions run.
 TEST_CASE("marks in the form of earlier versions are read") {
   const auto decoded = DecodeHostObject(
--- a/source/unit_tests/core/suspects/suspect_list_test.cc
+++ b/source/unit_tests/core/suspects/suspect_list_test.cc
@@ -1,6 +1,8 @@
 #include "core/suspects/suspect_list.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <string>
 
 namespace jujuberock::suspects {
 namespace {
@@ -102,6 +104,97 @@
   CHECK(list.Check(kCause, At(1100)) == SuspectAction::kRefuse);
 }
 
+// The marks that another host would take over from a list that it knows only
+// the first `limit` marks of.
+SuspectAction CheckAfterRestart(SuspectList& list,
+                                size_t limit,
+                                Fingerprint fingerprint,
+                                int at) {
+  std::vector<CrashMark> marks = list.Marks(At(at));
+  marks.resize(std::min(marks.size(), limit));
+  SuspectList restarted;
+  restarted.Merge(marks, At(at));
+  return restarted.Check(fingerprint, At(at));
+}
+
+// Guards against a request that crashes endpoints and is forgotten by all hosts
+// at a rolling restart: crashes of other causes have left more marks than a
+// host publishes (review/13).
+TEST_CASE("marks of blocked requests come before those of other crashes") {
+  SuspectList list;
+  Crash(list, "e1", {kCause}, 1);
+  Crash(list, "e2", {kCause}, 2);
+  for (int i = 0; i < 1000; ++i) {
+    Crash(list, "e3", {Fingerprint(1000 + i)}, 100 + i);
+    if (i % 2 == 0)
+      list.OnSuccess(1000 + i, At(101 + i));
+  }
+  CHECK(CheckAfterRestart(list, 200, kCause, 1200) == SuspectAction::kRefuse);
+}
+
+// Guards against a sound request that is refused by a host that has restarted:
+// its crashes reach the host, and that it was cleared does not.
+TEST_CASE("what cleared a blocked request comes before other crashes") {
+  SuspectList list;
+  Crash(list, "e1", {kCause, kOther}, 1);
+  Crash(list, "e2", {kCause, kOther}, 9);
+  SuspectList restarted;
+  restarted.Merge(list.Marks(At(10)), At(10));
+  REQUIRE(restarted.Check(kOther, At(10)) == SuspectAction::kRefuse);
+  list.OnSuccess(kOther, At(12));
+  for (int i = 0; i < 1000; ++i)
+    Crash(list, "e3", {Fingerprint(1000 + i)}, 100 + i);
+  std::vector<CrashMark> marks = list.Marks(At(1200));
+  marks.resize(200);
+  restarted.Merge(marks, At(1200));
+  CHECK(restarted.Check(kOther, At(1200)) == SuspectAction::kNormal);
+  CHECK(restarted.Check(kCause, At(1200)) == SuspectAction::kRefuse);
+}
+
+// Guards against the marks of a request that is still sent being displaced by
+// those of requests that nobody sends any more.
+TEST_CASE("among blocked requests, those refused last come first") {
+  SuspectList list;
+  for (Fingerprint i : {kCause, kOther, Fingerprint(3)}) {
+    const int at = 20 * static_cast<int>(i);
+    Crash(list, ("a" + std::to_string(i)).c_str(), {i}, at);
+    Crash(list, ("b" + std::to_string(i)).c_str(), {i}, at + 1);
+  }
+  CHECK(list.Marks(At(100))[0].fingerprint == 3);
+  REQUIRE(list.Check(kCause, At(90)) == SuspectAction::kRefuse);
+  CHECK(list.Marks(At(100))[0].fingerprint == kCause);
+}
+
+// Guards against marks that were cut in the middle of a request, which then
+// seems to have crashed fewer endpoints than it has.
+TEST_CASE("of each request all marks are sent or none") {
+  SuspectList list;
+  for (Fingerprint i = 0; i < 10; ++i) {
+    Crash(list, ("a" + std::to_string(i)).c_str(), {i}, 1);
+    Crash(list, ("b" + std::to_string(i)).c_str(), {i}, 2);
+  }
+  CHECK(list.Marks(At(3), 20).size() == 20);
+  CHECK(list.Marks(At(3), 19).size() == 18);
+  CHECK(list.Marks(At(3), 1).empty());
+}
+
+// Guards against a blocked request that a host which restarts takes for one
+// with a single crash, since the first crash is older than the lifetime of
+// marks.
+TEST_CASE("the marks of a blocked request expire together") {
+  SuspectList list(minutes(1));
+  Crash(list, "e1", {kCause}, 1);
+  Crash(list, "e2", {kCause}, 50);
+  SuspectList restarted(minutes(1));
+  restarted.Merge(list.Marks(At(70)), At(70));
+  CHECK(restarted.Check(kCause, At(70)) == SuspectAction::kRefuse);
+  SuspectList late(minutes(1));
+  late.Merge(std::vector<CrashMark>{{kCause, "e1", seconds(70)},
+                                    {kCause, "e2", seconds(61)}},
+             At(120));
+  CHECK(late.Check(kCause, At(120)) == SuspectAction::kNormal);
+}
+
 TEST_CASE("marks expire") {
   SuspectList list(minutes(1));
   Crash(list, "e1", {kCause}, 1);
