serve: the test of refused prompt parts can't be sent as a trial

Cause: a fault of the test. A verdict on a part is tried by up to two requests from a second after the crashes on, if nothing else tells whether the request's other parts are sound (PartSuspects::MayBeTrial). On a slow machine the check came after that second.

Change: the prompt of the check has, beside the crashing part, one that was answered since the crashes. The check itself is as it was; trials have their tests in part_suspects_test.

--- a/source/unit_tests/core/serve/host_test.cc
+++ b/source/unit_tests/core/serve/host_test.cc
@@ -157,13 +157,15 @@
       REQUIRE(Eventually([&] { return send_sound(host, tail) == 200; }));
   }
   for (size_t host = 0; host < 2; ++host) {
-    // A prompt of another kind, with the part at another position.
+    // With the part at another position. Its next part has been answered since
+    // the crashes, so the prompt can't serve as a trial of the verdict, which a
+    // slow host would send after a second.
     // An answer before the verdict would show that the part is sound.
     REQUIRE(Eventually(
         [&] { return Metric(deployment, host, "prompt_parts_blocked") == 1; }));
     CHECK(deployment
               .Post(host, kCompletionsPath,
-                    Deployment::CompletionBody(deadly + "another", 2))
+                    Deployment::CompletionBody(deadly + shared + "another", 2))
               .status == 422);
     CHECK(send_sound(host, "after the verdict") == 200);
   }
